--- /dev/null
+++ b/poplarpitch/config/ini_document.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "poplarpitch/config/config_error.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplarpitch {
+
+/// One `key = value` line.
+struct ini_entry {
+    std::string key;
+    std::string value;
+    int line = 0;
+
+    friend auto operator<=>(const ini_entry&, const ini_entry&) = default;
+};
+
+/// One `[kind name]` section with its entries.
+struct ini_section {
+    std::string kind; ///< first word of the header
+    std::string name; ///< rest of the header; empty for sections without a name
+    int line = 0;
+    std::vector<ini_entry> entries;
+
+    friend auto operator<=>(const ini_section&, const ini_section&) = default;
+};
+
+/// An INI text with the line of everything in it. Read by libinih, whose line callback tells us the line of
+/// each value; Boost.PropertyTree loses the lines of values and SimpleIni does not link header-only here.
+struct ini_document {
+    std::vector<ini_section> sections;
+    std::vector<config_error> errors; ///< syntax errors, doubled sections and doubled keys
+
+    friend auto operator<=>(const ini_document&, const ini_document&) = default;
+};
+
+/// Reads `text`; mistakes are in `errors`, all of them. Thread safety: any thread.
+[[nodiscard]] ini_document parse_ini(std::string_view text);
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/control/control_daemon.cpp
@@ -0,0 +1,219 @@
+#include "poplarpitch/control/control_daemon.h"
+
+#include "poplarpitch/control/cluster_former.h"
+#include "poplarpitch/control/control_node.h"
+#include "poplarpitch/core/stop_signal.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/transport/control_client.h"
+#include "poplarpitch/transport/control_server.h"
+#include "poplarpitch/transport/http_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace poplarpitch {
+namespace {
+
+constexpr int cannot_start_code = 1;
+constexpr duration forming_interval = milliseconds{100};
+constexpr int http_threads = 8; // health checks only
+
+/// Asks the other founders what they hold. Blank instances answer with the role "blank".
+std::vector<peer_sighting> look_at_founders(const daemon_settings& settings, control_client& client) {
+    std::vector<peer_sighting> founders;
+    for (const auto& peer : settings.control) {
+        if (peer.id == settings.node_id || peer.is_spare) {
+            continue;
+        }
+        wire::query_request request;
+        request.set_kind(wire::query_status);
+        request.set_stale_allowed(true);
+        const auto answer = client.query_node(peer.id, request, system_clock().now() + milliseconds{300});
+        peer_sighting sighting;
+        sighting.is_reached = answer.has_value() && answer.value().answered();
+        if (sighting.is_reached) {
+            const auto& status = answer.value().status();
+            const auto& voters = status.members().voters();
+            sighting.has_cluster = status.commit() > 0;
+            sighting.is_own_id_voter =
+                std::find(voters.begin(), voters.end(), settings.node_id) != voters.end();
+        }
+        founders.push_back(sighting);
+    }
+    return founders;
+}
+
+raft_membership get_founding_members(const daemon_settings& settings) {
+    raft_membership members;
+    for (const auto& peer : settings.control) {
+        if (!peer.is_spare) {
+            members = members.with_voter(peer.id);
+        }
+    }
+    return members;
+}
+
+bool is_spare(const daemon_settings& settings) {
+    for (const auto& peer : settings.control) {
+        if (peer.id == settings.node_id) {
+            return peer.is_spare;
+        }
+    }
+    return true; // not among the founders
+}
+
+/// Waits until the blank instance knows whether it founds or joins. Returns false when it must not start.
+bool form_cluster(const daemon_settings& settings, control_node& node, stop_signal& signal) {
+    control_client client(settings.control);
+    while (!signal.is_raised()) {
+        const auto decision = decide_forming(is_spare(settings), look_at_founders(settings, client));
+        if (decision == forming_decision::refuse) {
+            log_event(log_level::error, "lost_disk")
+                .add("node", settings.node_id)
+                .add("reason",
+                     "the cluster counts this node as a voter, but its data folder is blank: remove the "
+                     "node and start it again under a new node_id");
+            return false;
+        }
+        if (decision == forming_decision::wait) {
+            signal.wait_for(forming_interval);
+            continue;
+        }
+        const bool is_founder = decision == forming_decision::found;
+        const auto formed = node.form(is_founder ? get_founding_members(settings) : raft_membership{});
+        if (!formed) {
+            log_event(log_level::error, "storage_failed").add("error", formed.error());
+            return false;
+        }
+        log_event(log_level::info, is_founder ? "cluster_founded" : "cluster_joined")
+            .add("node", settings.node_id);
+        return true;
+    }
+    return false;
+}
+
+/// Waits until every founder has written the founding members. Before that none may stand for election: a
+/// commit of the first two would make the third, still blank, look like a voter that lost its disk.
+void wait_for_founders(const daemon_settings& settings, stop_signal& signal) {
+    control_client client(settings.control);
+    while (!signal.is_raised()) {
+        bool is_complete = true;
+        for (const auto& peer : settings.control) {
+            if (peer.id == settings.node_id || peer.is_spare) {
+                continue;
+            }
+            wire::query_request request;
+            request.set_kind(wire::query_status);
+            request.set_stale_allowed(true);
+            const auto answer = client.query_node(peer.id, request, system_clock().now() + milliseconds{300});
+            const bool is_formed =
+                answer.has_value() && answer.value().answered() && answer.value().status().role() != "blank";
+            is_complete = is_complete && is_formed;
+        }
+        if (is_complete) {
+            return;
+        }
+        signal.wait_for(forming_interval);
+    }
+}
+
+wire::query_answer make_forming_answer(const daemon_settings& settings, bool is_blank) {
+    wire::query_answer answer;
+    answer.set_answered(true);
+    answer.mutable_status()->set_node(settings.node_id);
+    answer.mutable_status()->set_role(is_blank ? "blank" : "forming");
+    return answer;
+}
+
+http_response answer_health(const http_request& request, bool is_ready) {
+    const auto path = request.get_path();
+    if (path == "/healthz" || (path == "/readyz" && is_ready)) {
+        http_response response;
+        response.body = "{\"status\":\"ok\"}\n";
+        return response;
+    }
+    return path == "/readyz" ? make_error_response(503, "not_ready", "the cluster is not formed yet")
+                             : make_error_response(404, "not_found", "no such path");
+}
+
+} // namespace
+
+int run_control_daemon(const daemon_settings& settings) {
+    stop_signal signal;
+    control_node node(settings, control_settings{});
+    const auto opened = node.open();
+    if (!opened) {
+        log_event(log_level::error, "storage_failed")
+            .add("error", opened.error())
+            .add("place", node.get_error_place());
+        return cannot_start_code;
+    }
+    std::atomic<bool> is_running{false};
+    std::atomic<bool> is_blank{node.is_blank()};
+    control_handler handler;
+    handler.on_message = [&](raft_message message) {
+        if (is_running) {
+            node.deliver(std::move(message));
+        }
+    };
+    handler.on_renew = [&](const wire::renew_request& request) {
+        return is_running ? node.renew(request) : wire::renew_answer{};
+    };
+    handler.on_propose = [&](const wire::propose_request& request) {
+        return is_running ? node.propose(request) : wire::propose_answer{};
+    };
+    handler.on_query = [&](const wire::query_request& request) {
+        return is_running ? node.query(request) : make_forming_answer(settings, is_blank);
+    };
+    handler.on_members = [&](const wire::member_request& request) {
+        return is_running ? node.change_members(request) : wire::member_answer{};
+    };
+    control_server server(settings.cluster, handler);
+    const auto port = server.start(settings.host, settings.grpc_port);
+    http_server_settings http_settings;
+    http_settings.host = settings.host;
+    http_settings.port = settings.http_port;
+    http_settings.max_connections = http_threads;
+    http_server health(http_settings,
+                       [&](const http_request& request) { return answer_health(request, is_running); });
+    const auto http_port = health.start();
+    if (!port || !http_port) {
+        log_event(log_level::error, "listen_failed")
+            .add("host", settings.host)
+            .add("grpc_port", settings.grpc_port);
+        return cannot_start_code;
+    }
+    log_event(log_level::info, "listening")
+        .add("node", settings.node_id)
+        .add("grpc_port", port.value())
+        .add("http_port", http_port.value());
+
+    if (node.is_blank()) {
+        if (!form_cluster(settings, node, signal)) {
+            return signal.is_raised() ? 0 : cannot_start_code;
+        }
+        is_blank = false;
+        if (!is_spare(settings)) {
+            wait_for_founders(settings, signal);
+        }
+    }
+    std::thread control([&] { node.run(); });
+    is_running = true;
+    log_event(log_level::info, "ready").add("node", settings.node_id);
+
+    signal.wait();
+    log_event(log_level::info, "stopping").add("node", settings.node_id);
+    node.resign();
+    is_running = false;
+    server.stop();
+    node.stop();
+    control.join();
+    health.stop();
+    log_event(log_level::info, "stopped").add("node", settings.node_id);
+    return 0;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/control/job_scheduler.cpp
@@ -0,0 +1,251 @@
+#include "poplarpitch/control/job_scheduler.h"
+
+#include "poplarpitch/control/session_registry.h"
+#include "poplarpitch/policy/cost_placer.h"
+#include "poplarpitch/state/amounts_codec.h"
+#include "poplarpitch/state/state_machine.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr int max_misses = 8; // jobs of one tenant that find no room before it waits for the next turn
+
+/// Returns true when the tenant may have this job running on top of what it has.
+bool is_within_quota(const tenant_settings& tenant, const tenant_usage& usage, const resources& need) {
+    const bool has_cores =
+        tenant.millicores == 0 || usage.active_millicores + need.millicores <= tenant.millicores;
+    const bool has_devices =
+        tenant.accelerators == 0 || usage.active_accelerators + need.accelerators <= tenant.accelerators;
+    return has_cores && has_devices;
+}
+
+} // namespace
+
+/// A tenant's queue in one turn of the scheduler.
+struct job_scheduler::tenant_turn {
+    std::string name;
+    tenant_settings settings;
+    tenant_usage usage;
+    std::vector<const wire::job*> jobs; ///< in order, as many as may be looked at
+    std::size_t next = 0;
+    int misses = 0;
+
+    [[nodiscard]] bool is_over() const { return next >= jobs.size() || misses >= max_misses; }
+    [[nodiscard]] bool is_urgent() const { return !is_over() && jobs[next]->urgent(); }
+    [[nodiscard]] double get_share() const {
+        return static_cast<double>(usage.active_millicores) / settings.weight;
+    }
+};
+
+void job_scheduler::add_usage(const wire::usage_sample& sample) {
+    m_usage.add(sample.tenant(), sample.batch(), sample.millicores_ratio(), sample.memory_ratio(),
+                sample.run_time_ratio());
+}
+
+void job_scheduler::learn_interference(const configuration& settings, const session_registry& sessions) {
+    for (const auto& batch : settings.batches) {
+        m_interference.set_prior(m_batches.get(batch.name), batch.noise);
+    }
+    // Entries see different requests: their estimates are averaged by the evidence behind them.
+    struct sums {
+        double weighted = 0;
+        double weight = 0;
+    };
+    std::map<std::pair<std::uint32_t, std::uint32_t>, sums> pairs;
+    for (const auto& [entry, report] : sessions.get_reports()) {
+        for (const auto& sample : report.interference) {
+            auto& pair = pairs[{m_services.get(sample.service()), m_batches.get(sample.batch())}];
+            pair.weighted += sample.slowdown() * sample.weight();
+            pair.weight += sample.weight();
+        }
+    }
+    for (const auto& [key, pair] : pairs) {
+        if (pair.weight > 0) {
+            m_interference.set_estimate(key.first, key.second, pair.weighted / pair.weight, pair.weight);
+        }
+    }
+}
+
+void job_scheduler::build_candidates(const state_machine& state, const session_registry& sessions) {
+    m_candidates.clear();
+    m_candidate_ids.clear();
+    m_spread.clear();
+    for (const auto& [id, worker] : state.get_fleet().get_workers()) {
+        const auto* load = sessions.find_load(worker.owner(), id);
+        placement_candidate candidate;
+        candidate.capacity = decode(worker.capacity());
+        candidate.free = candidate.capacity;
+        candidate.rack = m_racks.get(worker.data_centre() + "/" + worker.rack());
+        state.get_jobs().for_each_on(id, [&](const wire::job& job) {
+            candidate.free -= decode(job.reserved());
+            ++m_spread[{job.tenant(), candidate.rack}];
+        });
+        candidate.is_open = !worker.owner().empty() && !worker.silent() && !worker.quarantined() &&
+                            load != nullptr && load->ready() && !load->leaving() && !load->relieved();
+        if (load != nullptr) {
+            candidate.free -= decode(load->requests());
+            candidate.speed = static_cast<float>(load->speed() > 0 ? load->speed() : 1.0);
+            candidate.slowdown = static_cast<float>(load->slowdown() > 0 ? load->slowdown() : 1.0);
+            for (const auto& service : worker.services()) {
+                const auto rate = load->rates().find(service);
+                const auto value = rate == load->rates().end() ? 0.0F : static_cast<float>(rate->second);
+                candidate.services.push_back({m_services.get(service), value});
+            }
+        }
+        m_candidates.push_back(std::move(candidate));
+        m_candidate_ids.push_back(id);
+    }
+}
+
+std::vector<job_scheduler::tenant_turn> job_scheduler::make_turns(const state_machine& state) {
+    constexpr std::size_t looked_at = 256;
+    std::vector<tenant_turn> turns;
+    const auto settings = state.get_configs().get_configuration();
+    for (const auto& name : state.get_jobs().get_queued_tenants()) {
+        tenant_turn turn;
+        turn.name = name;
+        const auto* tenant = settings->find_tenant(name);
+        turn.settings = tenant == nullptr ? tenant_settings{} : *tenant;
+        turn.usage = state.get_jobs().get_usage(name);
+        state.get_jobs().for_each_queued(name, [&](const wire::job& job) {
+            turn.jobs.push_back(&job);
+            return turn.jobs.size() < looked_at;
+        });
+        turns.push_back(std::move(turn));
+    }
+    return turns;
+}
+
+placement_request job_scheduler::make_request(const wire::job& job) {
+    placement_request request;
+    request.need = m_usage.get_reservation(job.tenant(), job.batch(), decode(job.need()));
+    request.batch = m_batches.get(job.batch());
+    const double ratio = m_usage.get_time_ratio(job.tenant(), job.batch());
+    request.run_seconds = static_cast<float>(static_cast<double>(job.run_time_ms()) / 1000 * ratio);
+    request.is_urgent = job.urgent();
+    return request;
+}
+
+bool job_scheduler::place(const wire::job& job, const state_machine& state,
+                          std::vector<wire::command>& commands) {
+    const auto request = make_request(job);
+    for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+        auto& candidate = m_candidates[index];
+        const auto spread = m_spread.find({job.tenant(), candidate.rack});
+        candidate.same_job_tenant = spread == m_spread.end() ? 0 : spread->second;
+        candidate.is_failed_before = false;
+    }
+    for (const auto& failed : job.failed_workers()) {
+        const auto found = std::lower_bound(m_candidate_ids.begin(), m_candidate_ids.end(), failed);
+        if (found != m_candidate_ids.end() && *found == failed) {
+            m_candidates[static_cast<std::size_t>(found - m_candidate_ids.begin())].is_failed_before = true;
+        }
+    }
+    const cost_placer placer(state.get_configs().get_configuration()->objective);
+    const auto picked = placer.pick(m_candidates, request, m_interference);
+    if (!picked.has_value()) {
+        return false;
+    }
+    auto& candidate = m_candidates[*picked];
+    candidate.free -= request.need;
+    ++m_spread[{job.tenant(), candidate.rack}];
+    wire::command command;
+    auto& assign = *command.mutable_assign();
+    assign.set_job(job.id());
+    assign.set_attempt(job.attempt() + 1);
+    assign.set_worker(m_candidate_ids[*picked]);
+    assign.set_epoch(state.get_fleet().find_worker(assign.worker())->epoch());
+    encode(request.need, *assign.mutable_reserved());
+    commands.push_back(std::move(command));
+    return true;
+}
+
+void job_scheduler::displace(const wire::job& urgent, const state_machine& state, time_point now,
+                             std::vector<wire::command>& commands) {
+    const auto need = make_request(urgent).need;
+    const wire::job* victim = nullptr;
+    for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+        const auto& candidate = m_candidates[index];
+        if (!candidate.is_open || !candidate.capacity.holds(need)) {
+            continue;
+        }
+        state.get_jobs().for_each_on(m_candidate_ids[index], [&](const wire::job& job) {
+            const bool is_on_its_way = job.evict_requested() || job.cancel_requested();
+            const bool is_enough = (candidate.free + decode(job.reserved())).holds(need);
+            if (job.urgent() || is_on_its_way || !is_enough || job.state() != wire::job_running) {
+                return;
+            }
+            // The one that started last has the least to lose.
+            if (victim == nullptr || job.started_ms() > victim->started_ms()) {
+                victim = &job;
+            }
+        });
+    }
+    if (victim == nullptr || !m_displacements.try_take(now)) {
+        return;
+    }
+    wire::command command;
+    command.mutable_event()->set_job(victim->id());
+    command.mutable_event()->set_attempt(victim->attempt());
+    command.mutable_event()->set_kind(wire::event_evict_asked);
+    commands.push_back(std::move(command));
+}
+
+std::vector<wire::command> job_scheduler::run(const state_machine& state, const session_registry& sessions,
+                                              std::size_t limit, time_point now, std::int64_t wall_ms) {
+    std::vector<wire::command> commands;
+    if (state.get_jobs().get_queued_count() == 0) {
+        return commands;
+    }
+    learn_interference(*state.get_configs().get_configuration(), sessions);
+    build_candidates(state, sessions);
+    auto turns = make_turns(state);
+    while (commands.size() < limit) {
+        tenant_turn* best = nullptr;
+        for (auto& turn : turns) {
+            if (turn.is_over()) {
+                continue;
+            }
+            const bool is_first =
+                best == nullptr || (turn.is_urgent() && !best->is_urgent()) ||
+                (turn.is_urgent() == best->is_urgent() && turn.get_share() < best->get_share());
+            if (is_first) {
+                best = &turn;
+            }
+        }
+        if (best == nullptr) {
+            break;
+        }
+        const auto& job = *best->jobs[best->next++];
+        const auto need = decode(job.need());
+        if (!state.get_fleet().get_workers().empty() && !state.get_fleet().can_ever_hold(need)) {
+            wire::command command;
+            auto& event = *command.mutable_event();
+            event.set_job(job.id());
+            event.set_attempt(job.attempt());
+            event.set_kind(wire::event_unplaceable);
+            event.set_detail("no worker could ever hold it");
+            event.set_at_ms(wall_ms);
+            commands.push_back(std::move(command));
+            continue;
+        }
+        if (!is_within_quota(best->settings, best->usage, need)) {
+            ++best->misses;
+            continue;
+        }
+        if (place(job, state, commands)) {
+            best->usage.active_millicores += need.millicores;
+            best->usage.active_accelerators += need.accelerators;
+            continue;
+        }
+        ++best->misses;
+        if (job.urgent()) {
+            displace(job, state, now, commands);
+        }
+    }
+    return commands;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/control/job_scheduler.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+#include "poplarpitch/policy/eviction_budget.h"
+#include "poplarpitch/policy/interference_model.h"
+#include "poplarpitch/policy/name_index.h"
+#include "poplarpitch/policy/placement_candidate.h"
+#include "poplarpitch/policy/usage_model.h"
+#include "poplarpitch/wire/poplarpitch.pb.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+
+class session_registry;
+class state_machine;
+struct configuration;
+struct tenant_usage;
+
+/// Places queued jobs: the tenant that holds least of its weighted share goes first, its urgent jobs before
+/// the rest, within quotas; the worker is picked by `cost_placer`. An urgent job that fits nowhere has one
+/// ordinary job moved out of its way, within a budget. Nothing is decided for good here: the owner's ledger
+/// may still refuse. Thread safety: none, as for all methods.
+class job_scheduler {
+public:
+    /// Takes a finished task's usage, to size later ones.
+    void add_usage(const wire::usage_sample& sample);
+    /// Returns at most `limit` commands that are due.
+    std::vector<wire::command> run(const state_machine& state, const session_registry& sessions,
+                                   std::size_t limit, time_point now, std::int64_t wall_ms);
+
+private:
+    struct tenant_turn;
+
+    void build_candidates(const state_machine& state, const session_registry& sessions);
+    void learn_interference(const configuration& settings, const session_registry& sessions);
+    [[nodiscard]] static std::vector<tenant_turn> make_turns(const state_machine& state);
+    bool place(const wire::job& job, const state_machine& state, std::vector<wire::command>& commands);
+    void displace(const wire::job& urgent, const state_machine& state, time_point now,
+                  std::vector<wire::command>& commands);
+    [[nodiscard]] placement_request make_request(const wire::job& job);
+
+    name_index m_services;
+    name_index m_batches;
+    name_index m_racks;
+    usage_model m_usage;
+    interference_model m_interference;
+    eviction_budget m_displacements;
+    std::vector<placement_candidate> m_candidates;
+    std::vector<std::string> m_candidate_ids; ///< worker of each candidate
+    std::map<std::pair<std::string, std::uint32_t>, std::uint16_t>
+        m_spread; ///< active tasks by tenant and rack
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/control/owner_assigner.cpp
@@ -0,0 +1,114 @@
+#include "poplarpitch/control/owner_assigner.h"
+
+#include "poplarpitch/state/fleet_table.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::size_t max_assignments = 200;          // in one turn
+constexpr std::size_t unequal_enough = 2;             // a difference of one is as equal as it gets
+constexpr duration move_interval = milliseconds{300}; // a worker is unused for about one announcement
+
+wire::command make_assign(const wire::worker& worker, const std::string& owner) {
+    wire::command command;
+    command.mutable_owner()->set_worker(worker.id());
+    command.mutable_owner()->set_owner(owner);
+    command.mutable_owner()->set_expected_epoch(worker.epoch());
+    return command;
+}
+
+} // namespace
+
+owner_assigner::owned_counts owner_assigner::count_owned(const fleet_table& fleet) {
+    owned_counts counts;
+    for (const auto& [entry, session] : fleet.get_sessions()) {
+        if (!session.draining()) {
+            counts[entry] = fleet.get_owned(entry).size();
+        }
+    }
+    return counts;
+}
+
+std::string owner_assigner::pick_owner(const fleet_table& fleet, const wire::worker& worker,
+                                       const owned_counts& counts) {
+    std::string best;
+    bool is_best_near = false;
+    std::size_t best_count = 0;
+    for (const auto& [entry, count] : counts) {
+        const bool is_near = fleet.find_session(entry)->data_centre() == worker.data_centre();
+        const bool is_better =
+            best.empty() || (is_near && !is_best_near) || (is_near == is_best_near && count < best_count);
+        if (is_better) {
+            best = entry;
+            is_best_near = is_near;
+            best_count = count;
+        }
+    }
+    return best;
+}
+
+std::vector<wire::command> owner_assigner::run(const fleet_table& fleet, time_point now) {
+    std::vector<wire::command> commands;
+    auto counts = count_owned(fleet);
+    if (counts.empty()) {
+        return commands;
+    }
+    const auto assign = [&](const std::string& id) {
+        const auto& worker = *fleet.find_worker(id);
+        const auto owner = pick_owner(fleet, worker, counts);
+        ++counts[owner];
+        commands.push_back(make_assign(worker, owner));
+    };
+    for (const auto& id : fleet.get_free()) {
+        if (commands.size() >= max_assignments) {
+            return commands;
+        }
+        assign(id);
+    }
+    // An entry that drains hands its workers on while it still answers for them.
+    for (const auto& [entry, session] : fleet.get_sessions()) {
+        if (!session.draining()) {
+            continue;
+        }
+        for (const auto& id : fleet.get_owned(entry)) {
+            if (commands.size() < max_assignments) {
+                assign(id);
+            }
+        }
+    }
+    if (commands.empty()) {
+        rebalance(fleet, counts, now, commands);
+    }
+    return commands;
+}
+
+void owner_assigner::rebalance(const fleet_table& fleet, const owned_counts& counts, time_point now,
+                               std::vector<wire::command>& commands) {
+    if (m_last_move != time_point{} && now - m_last_move < move_interval) {
+        return;
+    }
+    const auto by_count = [](const auto& left, const auto& right) {
+        return left.second < right.second;
+    };
+    const auto least = std::min_element(counts.begin(), counts.end(), by_count);
+    const auto most = std::max_element(counts.begin(), counts.end(), by_count);
+    if (most->second < least->second + unequal_enough) {
+        return;
+    }
+    // Only a worker that stands in no better place where it is may move.
+    const auto& target = fleet.find_session(least->first)->data_centre();
+    const auto& source = fleet.find_session(most->first)->data_centre();
+    for (const auto& id : fleet.get_owned(most->first)) {
+        const auto& worker = *fleet.find_worker(id);
+        const bool is_at_home = worker.data_centre() == source && source != target;
+        if (!is_at_home && !worker.silent()) {
+            commands.push_back(make_assign(worker, least->first));
+            m_last_move = now;
+            return;
+        }
+    }
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/core/clock.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+
+#include <concepts>
+
+namespace poplarpitch {
+
+/// Anything that tells the present time: the runtime's clock in daemons, a manual clock in tests.
+template <class T>
+concept clock_source = requires(const T& clock) {
+    { clock.now() } -> std::same_as<time_point>;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/announce_handler.cpp
@@ -0,0 +1,184 @@
+#include "poplarpitch/entry/announce_handler.h"
+
+#include "poplarpitch/entry/announcement_codec.h"
+#include "poplarpitch/entry/entry_state.h"
+#include "poplarpitch/entry/session_lease.h"
+#include "poplarpitch/state/amounts_codec.h"
+#include "poplarpitch/state/state_error.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/telemetry/metrics_registry.h"
+#include "poplarpitch/transport/control_client.h"
+
+#include <chrono>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration control_wait = seconds{2};
+
+std::int64_t get_wall_ms() {
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+http_response make_answer(const announce_answer& answer) {
+    http_response response;
+    response.body = encode_announce_answer(answer);
+    return response;
+}
+
+/// Errors after which the report is of no use any more: the job has moved on without it.
+bool is_settled(std::uint32_t code) {
+    return code == 0 || code == static_cast<std::uint32_t>(state_errc::stale_attempt) ||
+           code == static_cast<std::uint32_t>(state_errc::unknown_job);
+}
+
+} // namespace
+
+announce_handler::announce_handler(entry_state& state, control_client& control, const session_lease& lease,
+                                   metrics_registry& metrics, std::string entry_id, std::string own_address)
+    : m_state(state), m_control(control), m_lease(lease), m_metrics(metrics), m_entry_id(std::move(entry_id)),
+      m_own_address(std::move(own_address)) {}
+
+http_response announce_handler::handle(const http_request& request) {
+    auto decoded = decode_announcement(request.body);
+    if (const auto* error = std::get_if<codec_error>(&decoded)) {
+        return make_error_response(400, "bad_announcement", error->message);
+    }
+    const auto& told = std::get<announcement>(decoded);
+    if (!m_lease.is_valid(m_clock.now())) {
+        // Without a session nothing is owned here for sure; the worker goes to another entry.
+        return make_error_response(503, "no_control", "this entry has no contact with control");
+    }
+    std::string refusal;
+    switch (m_state.get_standing(told)) {
+    case entry_state::worker_standing::changed_address:
+        return make_error_response(409, "address_taken", "another target uses this id at another address");
+    case entry_state::worker_standing::owned_silent:
+        if (!register_worker(told, refusal)) {
+            return make_error_response(409, "refused", refusal);
+        }
+        revive(told);
+        break;
+    case entry_state::worker_standing::new_process:
+        if (!register_worker(told, refusal)) {
+            return make_error_response(409, "refused", refusal);
+        }
+        break;
+    case entry_state::worker_standing::owned:
+        break;
+    case entry_state::worker_standing::not_owned:
+        return answer_foreign(told);
+    }
+    return answer_owned(told);
+}
+
+http_response announce_handler::answer_owned(const announcement& told) {
+    announce_answer answer;
+    answer.owner = m_entry_id;
+    answer.owner_address = m_own_address;
+    commit_events(told, answer);
+    // After the events: a task that was just taken over may be renewed with this very answer.
+    m_state.fill_answer(told, m_lease.is_valid(m_clock.now()), answer);
+    return make_answer(answer);
+}
+
+void announce_handler::commit_events(const announcement& told, announce_answer& answer) {
+    for (const auto& event : m_state.take_announcement(told, get_wall_ms())) {
+        const auto outcome = m_control.propose(event.command, m_clock.now() + control_wait);
+        if (!outcome) {
+            continue; // not acknowledged: the worker sends it again
+        }
+        if (!is_settled(outcome.value().code())) {
+            log_event(log_level::warn, "report_refused")
+                .add("worker", told.id)
+                .add("job", event.command.event().job())
+                .add("reason", outcome.value().message());
+            continue;
+        }
+        m_state.on_event_committed(told.id, event.command.event());
+        if (event.report != 0) {
+            answer.acknowledged.push_back(event.report);
+        }
+        const auto& job = outcome.value().job_record();
+        if (event.command.event().kind() == wire::event_finished && outcome.value().code() == 0) {
+            m_metrics.count("poplarpitch_jobs_done_total", {job.tenant(), job.batch(), ""});
+        }
+        if (event.command.event().kind() == wire::event_evicted && outcome.value().code() == 0) {
+            m_metrics.count("poplarpitch_evictions_total", {job.tenant(), job.batch(), ""});
+        }
+    }
+}
+
+bool announce_handler::register_worker(const announcement& told, std::string& refusal) {
+    wire::command command;
+    auto& worker = *command.mutable_register_target()->mutable_registered();
+    worker.set_id(told.id);
+    worker.set_address(told.address);
+    worker.set_data_centre(told.data_centre);
+    worker.set_rack(told.rack);
+    worker.set_speed_class(told.speed_class);
+    worker.mutable_services()->Assign(told.services.begin(), told.services.end());
+    encode(told.capacity, *worker.mutable_capacity());
+    worker.set_incarnation(told.incarnation);
+    const auto outcome = m_control.propose(command, m_clock.now() + control_wait);
+    if (!outcome) {
+        refusal = outcome.error().message();
+        return false;
+    }
+    if (outcome.value().code() != 0) {
+        refusal = outcome.value().message();
+        return false;
+    }
+    log_event(log_level::info, "worker_registered").add("worker", told.id).add("address", told.address);
+    return true;
+}
+
+void announce_handler::revive(const announcement& told) {
+    m_state.revive(told.id);
+    log_event(log_level::info, "worker_heard_again").add("worker", told.id);
+}
+
+http_response announce_handler::answer_foreign(const announcement& told) {
+    announce_answer answer;
+    find_owner(told, answer);
+    const auto settings = m_state.get_configuration();
+    answer.interval = settings->system.announce_interval;
+    answer.task_lease = settings->system.task_lease;
+    return make_answer(answer);
+}
+
+void announce_handler::find_owner(const announcement& told, announce_answer& answer) {
+    wire::query_request request;
+    request.set_kind(wire::query_worker);
+    request.set_name(told.id);
+    const auto found = m_control.query(request, m_clock.now() + control_wait);
+    if (!found) {
+        return;
+    }
+    std::string refusal;
+    if (!found.value().found()) {
+        if (!register_worker(told, refusal)) {
+            log_event(log_level::warn, "register_refused").add("worker", told.id).add("reason", refusal);
+        }
+        return; // the leader gives it an owner within a moment
+    }
+    const auto& worker = found.value().workers(0);
+    answer.owner = worker.owner();
+    if (worker.owner().empty()) {
+        return;
+    }
+    wire::query_request members;
+    members.set_kind(wire::query_members);
+    const auto sessions = m_control.query(members, m_clock.now() + control_wait);
+    if (!sessions) {
+        return;
+    }
+    for (const auto& session : sessions.value().sessions()) {
+        if (session.entry() == worker.owner()) {
+            answer.owner_address = session.http_address();
+        }
+    }
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/announce_handler.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/entry/announcement.h"
+#include "poplarpitch/transport/http_request.h"
+#include "poplarpitch/transport/http_response.h"
+
+#include <string>
+
+namespace poplarpitch {
+
+class control_client;
+class entry_state;
+class metrics_registry;
+class session_lease;
+
+/// Answers targets that announce themselves. A worker of another entry is told where to go; a new one is
+/// registered. A report is acknowledged only after its event was committed, so the worker sends it again
+/// until then. Thread safety: any thread, for all methods.
+class announce_handler {
+public:
+    /// Precondition: all parts outlive the handler.
+    announce_handler(entry_state& state, control_client& control, const session_lease& lease,
+                     metrics_registry& metrics, std::string entry_id, std::string own_address);
+
+    /// Answers a request to /v1/targets/announce.
+    http_response handle(const http_request& request);
+
+private:
+    http_response answer_owned(const announcement& told);
+    http_response answer_foreign(const announcement& told);
+    /// Brings control's record of the worker up to date; returns an error answer when that is refused.
+    bool register_worker(const announcement& told, std::string& refusal);
+    void commit_events(const announcement& told, announce_answer& answer);
+    void revive(const announcement& told);
+    void find_owner(const announcement& told, announce_answer& answer);
+
+    entry_state& m_state;
+    control_client& m_control;
+    const session_lease& m_lease;
+    metrics_registry& m_metrics;
+    const std::string m_entry_id;
+    const std::string m_own_address;
+    const system_clock m_clock{};
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/call_handler.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/entry/call_info.h"
+#include "poplarpitch/entry/call_outcome.h"
+#include "poplarpitch/entry/request_grant.h"
+#include "poplarpitch/transport/http_exchange.h"
+#include "poplarpitch/transport/http_request.h"
+#include "poplarpitch/transport/http_response.h"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace poplarpitch {
+
+class control_client;
+class entry_state;
+class http_client_pool;
+class metrics_registry;
+class session_lease;
+struct forward_decision;
+
+/// Carries a caller's request through: intent, slot, dispatch, retries, answer. Its outcome is always one of
+/// done, not-run and unknown, and not-run is said only when no byte went out or the target itself refused.
+/// Thread safety: any thread, for all methods.
+class call_handler {
+public:
+    /// Preconditions: all parts outlive the handler. `prefix` makes request ids unique among entries and
+    /// restarts.
+    call_handler(entry_state& state, http_client_pool& targets, control_client& control,
+                 const session_lease& lease, metrics_registry& metrics, std::string entry_id,
+                 std::string prefix);
+
+    /// Answers a request to /v1/call/...
+    http_response handle(const http_request& request);
+
+private:
+    /// How a request stands after its attempts.
+    struct call_result {
+        call_outcome outcome = call_outcome::not_run;
+        http_response response;
+    };
+    /// Numbers for metrics and logs.
+    struct call_record {
+        duration queue_wait{};
+        int attempts = 0;
+    };
+
+    call_result run(const call_info& call, const http_request& request, call_record& record);
+    call_result run_with_intent(const call_info& call, const http_request& request, call_record& record);
+    call_result run_attempts(const call_info& call, const http_request& request, call_record& record);
+    call_result forward(const call_info& call, const http_request& request, const forward_decision& decision);
+    /// Sends one attempt and says whether another one is allowed by what is known of it.
+    struct attempt_outcome {
+        call_result result;
+        bool may_retry = false;
+    };
+    attempt_outcome send_attempt(const call_info& call, const http_request& request,
+                                 const request_grant& grant, bool is_retry);
+    attempt_outcome read_attempt(const call_info& call, const request_grant& grant, http_exchange exchange,
+                                 duration latency);
+    [[nodiscard]] http_request make_target_request(const call_info& call, const http_request& request,
+                                                   const request_grant& grant) const;
+    void finish_intent(const call_info& call, const std::string& key, const call_result& result);
+    static call_result make_refused(int status, const std::string& code, const std::string& message,
+                                    duration retry_after);
+    static call_result make_unknown(const std::string& code, const std::string& message);
+    void observe(const call_info& call, const call_result& result, const call_record& record, duration total);
+
+    entry_state& m_state;
+    http_client_pool& m_targets;
+    control_client& m_control;
+    const session_lease& m_lease;
+    metrics_registry& m_metrics;
+    const std::string m_entry_id;
+    const std::string m_prefix;
+    const system_clock m_clock{};
+    std::atomic<std::uint64_t> m_next_request{1};
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/call_info.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+
+#include <compare>
+#include <string>
+
+namespace poplarpitch {
+
+/// What an entry knows of a caller's request before it decides anything.
+struct call_info {
+    std::string request_id;
+    std::string service;
+    std::string tenant;
+    std::string rest; ///< path behind the service, with the query
+    time_point deadline{};
+    bool is_idempotent = false;
+    std::string key;                 ///< Idempotency-Key; empty without one
+    bool is_forwarded = false;       ///< came from another entry; goes no further
+    bool is_known_to_control = true; ///< the session with control is valid
+
+    friend auto operator<=>(const call_info&, const call_info&) = default;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/entry_daemon.cpp
@@ -0,0 +1,252 @@
+#include "poplarpitch/entry/entry_daemon.h"
+
+#include "poplarpitch/core/stop_signal.h"
+#include "poplarpitch/entry/announce_handler.h"
+#include "poplarpitch/entry/call_handler.h"
+#include "poplarpitch/entry/entry_settings.h"
+#include "poplarpitch/entry/entry_state.h"
+#include "poplarpitch/entry/operator_handler.h"
+#include "poplarpitch/entry/session_keeper.h"
+#include "poplarpitch/entry/session_lease.h"
+#include "poplarpitch/entry/task_caller.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/telemetry/metrics_registry.h"
+#include "poplarpitch/transport/control_client.h"
+#include "poplarpitch/transport/growing_task_queue.h"
+#include "poplarpitch/transport/http_client_pool.h"
+#include "poplarpitch/transport/http_server.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <thread>
+#include <unistd.h>
+
+namespace poplarpitch {
+namespace {
+
+constexpr int cannot_start_code = 1;
+
+std::int64_t get_wall_ms() {
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+/// The parts of one entry and their threads: the control thread renews and keeps up, the traffic threads
+/// serve.
+class entry_daemon {
+public:
+    explicit entry_daemon(const daemon_settings& settings)
+        : m_settings(settings), m_control(settings.control), m_targets(make_client_settings(settings)),
+          m_state(settings.id, settings.data_centre),
+          m_calls(m_state, m_targets, m_control, m_lease, m_metrics, settings.id,
+                  make_request_prefix(settings)),
+          m_operators(m_state, m_control, settings.id), m_tasks(m_state, m_targets, m_control, m_lease),
+          m_server(make_server_settings(settings),
+                   [this](const http_request& request) { return answer(request); }) {}
+
+    int run() {
+        const auto port = m_server.start();
+        if (!port) {
+            log_event(log_level::error, "listen_failed")
+                .add("host", m_settings.host)
+                .add("port", m_settings.http_port);
+            return cannot_start_code;
+        }
+        const auto address = absl::StrCat(m_settings.host, ":", port.value());
+        m_announcements = std::make_unique<announce_handler>(m_state, m_control, m_lease, m_metrics,
+                                                             m_settings.id, address);
+        m_is_serving = true;
+        log_event(log_level::info, "listening").add("entry", m_settings.id).add("http_port", port.value());
+        m_keeper = std::make_unique<session_keeper>(m_state, m_control, m_lease, m_settings.id, address,
+                                                    m_settings.data_centre);
+        m_control_thread = std::thread([this] { keep_up(); });
+        m_signal.wait();
+        stop();
+        return 0;
+    }
+
+private:
+    static http_client_settings make_client_settings(const daemon_settings& settings) {
+        http_client_settings client;
+        client.max_body = settings.max_body;
+        return client;
+    }
+
+    static http_server_settings make_server_settings(const daemon_settings& settings) {
+        http_server_settings server;
+        server.host = settings.host;
+        server.port = settings.http_port;
+        server.max_connections = settings.http_threads;
+        server.max_body = settings.max_body;
+        return server;
+    }
+
+    static std::string make_request_prefix(const daemon_settings& settings) {
+        return absl::StrCat(settings.id, "-", absl::Hex(static_cast<std::uint64_t>(get_wall_ms())), "-",
+                            ::getpid(), "-");
+    }
+
+    // ---- traffic threads
+
+    http_response answer(const http_request& request) {
+        if (absl::StartsWith(request.target, "/v1/call/")) {
+            if (request.method != "POST") {
+                return make_error_response(405, "method_not_allowed", "use POST");
+            }
+            ++m_calls_in_flight;
+            auto response = m_calls.handle(request);
+            --m_calls_in_flight;
+            if (m_is_stopping) {
+                response.headers.add("Poplarpitch-Stopping", "true");
+            }
+            return response;
+        }
+        const auto path = request.get_path();
+        if (path == "/v1/targets/announce" && request.method == "POST") {
+            if (!m_is_serving) {
+                return make_error_response(503, "not_ready", "this entry starts or stops");
+            }
+            return m_announcements->handle(request);
+        }
+        if (path == "/healthz") {
+            return make_text("ok\n");
+        }
+        if (path == "/readyz") {
+            return is_ready() ? make_text("ok\n")
+                              : make_error_response(503, "not_ready", "no session with control, or stopping");
+        }
+        if (path == "/metrics") {
+            return make_metrics();
+        }
+        return m_operators.handle(request);
+    }
+
+    [[nodiscard]] bool is_ready() const {
+        return m_is_serving && !m_is_stopping && m_lease.is_valid(m_clock.now()) &&
+               m_state.get_config_version() > 0;
+    }
+
+    static http_response make_text(const std::string& text) {
+        http_response response;
+        response.content_type = "text/plain; version=0.0.4";
+        response.body = text;
+        return response;
+    }
+
+    http_response make_metrics() {
+        const auto counts = m_state.get_counts();
+        m_metrics.set("poplarpitch_owned_workers", {}, static_cast<double>(counts.workers));
+        m_metrics.set("poplarpitch_ready_workers", {}, static_cast<double>(counts.open_workers));
+        m_metrics.set("poplarpitch_waiting_requests", {}, static_cast<double>(counts.waiting));
+        m_metrics.set("poplarpitch_tasks", {}, static_cast<double>(counts.tasks));
+        m_metrics.set("poplarpitch_config_version", {}, static_cast<double>(m_state.get_config_version()));
+        m_metrics.set("poplarpitch_session_valid", {}, m_lease.is_valid(m_clock.now()) ? 1 : 0);
+        return make_text(m_metrics.format());
+    }
+
+    // ---- control thread
+
+    void keep_up() {
+        auto next_renewal = m_clock.now();
+        while (!m_is_control_stopped) {
+            const auto now = m_clock.now();
+            if (now >= next_renewal) {
+                const bool is_granted = m_keeper->renew();
+                next_renewal = now + (is_granted ? m_entry.renew_interval : m_entry.tick_interval / 2);
+            }
+            work_off(m_state.tick(get_wall_ms()));
+            absl::SleepFor(absl::Nanoseconds(m_entry.tick_interval.count()));
+        }
+    }
+
+    void work_off(entry_state::upkeep due) {
+        for (auto& action : due.actions) {
+            m_task_threads.run([this, action = std::move(action)] { m_tasks.call(action); });
+        }
+        for (auto& event : due.events) {
+            m_task_threads.run([this, event = std::move(event)] {
+                const auto outcome = m_control.propose(event, m_clock.now() + m_entry.propose_timeout);
+                if (outcome && event.has_event()) {
+                    m_state.on_event_committed(event.event().worker(), event.event());
+                }
+            });
+        }
+    }
+
+    // ---- stop
+
+    /// Unready first, so the balancer looks elsewhere; workers go to others while this entry still serves;
+    /// then what is in flight ends. Nothing is cut off.
+    void stop() {
+        log_event(log_level::info, "stopping")
+            .add("entry", m_settings.id)
+            .add("in_flight", m_calls_in_flight.load());
+        m_is_stopping = true;
+        m_signal.reset();
+        m_keeper->drain();
+        wait_until([this] { return m_state.get_counts().workers == 0; }, m_entry.drain_grace * 4);
+        absl::SleepFor(absl::Nanoseconds(m_entry.drain_grace.count()));
+        const bool is_clear = wait_until([this] { return m_calls_in_flight == 0; }, m_entry.drain_wait);
+        if (!is_clear) {
+            log_event(log_level::warn, "stop_cut_off").add("in_flight", m_calls_in_flight.load());
+        }
+        m_server.stop();
+        m_is_control_stopped = true;
+        m_control_thread.join();
+        m_task_threads.finish();
+        m_keeper->close();
+        log_event(log_level::info, "stopped").add("entry", m_settings.id);
+    }
+
+    template <class Condition>
+    bool wait_until(Condition condition, duration limit) {
+        const auto end = m_clock.now() + limit;
+        while (!condition()) {
+            if (m_clock.now() >= end) {
+                return false;
+            }
+            if (m_signal.wait_for(milliseconds{20})) {
+                // A second signal tells what would be cut off; a third is the operator's kill.
+                log_event(log_level::warn, "stop_waits_for").add("in_flight", m_calls_in_flight.load());
+                m_signal.reset();
+            }
+        }
+        return true;
+    }
+
+    stop_signal m_signal; // first: blocks the signals for all threads
+    const daemon_settings m_settings;
+    const entry_settings m_entry{};
+    const system_clock m_clock{};
+    control_client m_control;
+    http_client_pool m_targets;
+    metrics_registry m_metrics;
+    session_lease m_lease;
+    entry_state m_state;
+    call_handler m_calls;
+    operator_handler m_operators;
+    task_caller m_tasks;
+    growing_task_queue m_task_threads{m_entry.task_threads};
+    std::unique_ptr<announce_handler> m_announcements;
+    std::unique_ptr<session_keeper> m_keeper;
+    std::thread m_control_thread;
+    std::atomic<bool> m_is_serving{false};
+    std::atomic<bool> m_is_stopping{false};
+    std::atomic<bool> m_is_control_stopped{false};
+    std::atomic<int> m_calls_in_flight{0};
+    http_server m_server;
+};
+
+} // namespace
+
+int run_entry_daemon(const daemon_settings& settings) {
+    entry_daemon daemon(settings);
+    return daemon.run();
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/entry_state.cpp
@@ -0,0 +1,308 @@
+#include "poplarpitch/entry/entry_state.h"
+
+#include "poplarpitch/config/configuration_parser.h"
+#include "poplarpitch/core/hash.h"
+#include "poplarpitch/state/amounts_codec.h"
+
+#include <absl/time/time.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+std::vector<remote_entry> read_entries(const wire::renew_answer& answer, const std::string& data_centre) {
+    std::vector<remote_entry> entries;
+    for (const auto& digest : answer.entries()) {
+        remote_entry entry;
+        entry.id = digest.entry();
+        entry.address = digest.http_address();
+        entry.is_near = digest.data_centre() == data_centre;
+        for (const auto& service : digest.services()) {
+            entry.services[service.service()] = {service.free(), service.total()};
+        }
+        if (!entry.id.empty()) {
+            entries.push_back(std::move(entry));
+        }
+    }
+    return entries;
+}
+
+const char* get_trust_name(worker_trust trust) {
+    switch (trust) {
+    case worker_trust::trusted:
+        return "trusted";
+    case worker_trust::probation:
+        return "probation";
+    case worker_trust::quarantined:
+        return "quarantined";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+entry_state::entry_state(const std::string& id, std::string data_centre)
+    : m_id(id), m_data_centre(std::move(data_centre)), m_fleet(id),
+      m_dispatcher(m_fleet, static_cast<std::uint32_t>(hash_bytes(id))), m_tasks(m_fleet),
+      m_settings(std::make_shared<const configuration>()) {}
+
+// ---- control
+
+void entry_state::take_renewal(const wire::renew_answer& answer, time_point now) {
+    const absl::MutexLock lock(&m_mutex);
+    // A version never goes down here, whatever an old answer says.
+    if (answer.has_config() && answer.config().version() > m_config_version) {
+        m_config_version = answer.config().version();
+        m_settings = std::make_shared<const configuration>(parse_configuration(answer.config().text()).value);
+        m_fleet.set_configuration(m_settings);
+        m_dispatcher.set_configuration(m_settings);
+    }
+    if (answer.owned_changed()) {
+        m_fleet.set_owned({answer.owned().begin(), answer.owned().end()}, now);
+    }
+    m_tasks.take_jobs(answer, now);
+    m_dispatcher.set_entries(read_entries(answer, m_data_centre));
+    m_revision = answer.revision();
+    serve_waiting(now);
+}
+
+std::shared_ptr<const configuration> entry_state::get_configuration() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_settings;
+}
+
+std::uint64_t entry_state::get_config_version() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_config_version;
+}
+
+void entry_state::fill_renewal(wire::renew_request& request) {
+    const absl::MutexLock lock(&m_mutex);
+    const auto now = m_clock.now();
+    const double elapsed =
+        m_last_report == time_point{} ? 1.0 : std::max(to_seconds(now - m_last_report), 0.05);
+    m_last_report = now;
+    request.set_known_config(m_config_version);
+    request.set_known_revision(m_revision);
+    *request.mutable_digest() = m_dispatcher.make_digest();
+    auto& models = m_fleet.get_models();
+    for (auto& [id, worker] : m_fleet.get_workers()) {
+        auto& load = *request.add_loads();
+        load.set_worker(id);
+        encode(worker.ledger.get_free(), *load.mutable_free());
+        encode(worker.request_peak, *load.mutable_requests());
+        load.set_slowdown(worker.slowdown);
+        load.set_speed(models.speed.get_factor(worker.number));
+        load.set_leaving(worker.is_leaving);
+        load.set_ready(worker.is_usable());
+        load.set_relieved(worker.ladder.get_step() != relief_step::none);
+        for (auto& [service, count] : m_request_counts[id]) {
+            (*load.mutable_rates())[service] = static_cast<double>(count) / elapsed;
+            count = 0;
+        }
+    }
+    for (auto& sample : m_tasks.take_usage()) {
+        *request.add_usage() = std::move(sample);
+    }
+    for (const auto& service : m_settings->services) {
+        for (const auto& batch : m_settings->batches) {
+            const auto service_number = models.services.get(service.name);
+            const auto batch_number = models.batches.get(batch.name);
+            const double evidence = models.interference.get_evidence(service_number, batch_number);
+            if (evidence >= 1) {
+                auto& sample = *request.add_interference();
+                sample.set_service(service.name);
+                sample.set_batch(batch.name);
+                sample.set_slowdown(models.interference.get_coefficient(service_number, batch_number));
+                sample.set_weight(evidence);
+            }
+        }
+    }
+}
+
+// ---- requests
+
+std::variant<request_grant, forward_decision, refusal> entry_state::admit(const call_info& call) {
+    const absl::MutexLock lock(&m_mutex);
+    auto decision = m_dispatcher.admit(call, m_clock.now());
+    if (auto* grant = std::get_if<request_grant>(&decision)) {
+        return std::move(*grant);
+    }
+    if (auto* forward = std::get_if<forward_decision>(&decision)) {
+        return std::move(*forward);
+    }
+    if (auto* refused = std::get_if<refusal>(&decision)) {
+        return std::move(*refused);
+    }
+    const auto& wait = std::get<wait_decision>(decision);
+    waiter self;
+    m_waiters[wait.ticket.id] = &self;
+    while (!self.grant.has_value()) {
+        const auto left = wait.give_up - m_clock.now();
+        if (left.count() <= 0) {
+            break;
+        }
+        self.ready.WaitWithTimeout(&m_mutex, absl::Nanoseconds(left.count()));
+    }
+    m_waiters.erase(wait.ticket.id);
+    if (self.grant.has_value()) {
+        return std::move(*self.grant);
+    }
+    m_dispatcher.abandon(call.service, wait.ticket);
+    return refusal{503, "too_late", "no slot came free in time", m_dispatcher.get_median(call.service)};
+}
+
+void entry_state::serve_waiting(time_point now) {
+    if (m_waiters.empty()) {
+        return;
+    }
+    for (auto& served : m_dispatcher.serve_waiting(now)) {
+        auto* waiting = m_waiters.at(served.ticket);
+        ++m_request_counts[served.grant.worker][served.grant.service];
+        waiting->grant = std::move(served.grant);
+        waiting->ready.Signal();
+    }
+}
+
+void entry_state::finish(const request_grant& grant, attempt_result ended, duration latency) {
+    const absl::MutexLock lock(&m_mutex);
+    const auto now = m_clock.now();
+    m_dispatcher.finish(grant, ended, latency, now);
+    ++m_request_counts[grant.worker][grant.service];
+    serve_waiting(now);
+}
+
+void entry_state::finish_forwarded(const call_info& call) {
+    const absl::MutexLock lock(&m_mutex);
+    m_dispatcher.finish_forwarded(call);
+}
+
+bool entry_state::try_retry(const std::string& service) {
+    const absl::MutexLock lock(&m_mutex);
+    return m_dispatcher.try_retry(service);
+}
+
+std::optional<duration> entry_state::get_hedge_delay(const std::string& service) const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_dispatcher.get_hedge_delay(service);
+}
+
+// ---- announcements
+
+entry_state::worker_standing entry_state::get_standing(const announcement& told) const {
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_fleet.get_workers().find(told.id);
+    if (found == m_fleet.get_workers().end()) {
+        return worker_standing::not_owned;
+    }
+    const auto& worker = found->second;
+    if (worker.address != told.address) {
+        return worker.is_silent ? worker_standing::owned_silent : worker_standing::changed_address;
+    }
+    if (worker.is_silent) {
+        return worker_standing::owned_silent;
+    }
+    const bool is_changed = worker.logged_incarnation != told.incarnation ||
+                            worker.services != told.services || worker.ledger.get_capacity() != told.capacity;
+    return is_changed ? worker_standing::new_process : worker_standing::owned;
+}
+
+std::vector<task_agent::reported_event> entry_state::take_announcement(const announcement& told,
+                                                                       std::int64_t wall_ms) {
+    const absl::MutexLock lock(&m_mutex);
+    const auto now = m_clock.now();
+    m_fleet.take_announcement(told, now);
+    auto events = m_tasks.on_announced(told, now, wall_ms);
+    serve_waiting(now);
+    return events;
+}
+
+void entry_state::revive(const std::string& worker) {
+    const absl::MutexLock lock(&m_mutex);
+    if (auto* found = m_fleet.find(worker)) {
+        m_tasks.revive(*found, m_clock.now());
+    }
+}
+
+void entry_state::fill_answer(const announcement& told, bool is_session_valid,
+                              announce_answer& answer) const {
+    const absl::MutexLock lock(&m_mutex);
+    answer.interval = m_settings->system.announce_interval;
+    answer.task_lease = m_settings->system.task_lease;
+    const auto found = m_fleet.get_workers().find(told.id);
+    if (found == m_fleet.get_workers().end()) {
+        return;
+    }
+    const auto& worker = found->second;
+    answer.epoch = worker.epoch;
+    answer.is_renewed = is_session_valid && told.epoch == worker.epoch && m_tasks.may_renew(worker);
+    const bool is_unsure = !m_tasks.may_renew(worker) || !worker.ledger.is_open();
+    answer.wants_complete = told.epoch < worker.epoch || is_unsure;
+}
+
+// ---- upkeep
+
+entry_state::upkeep entry_state::tick(std::int64_t wall_ms) {
+    const absl::MutexLock lock(&m_mutex);
+    const auto now = m_clock.now();
+    m_fleet.tick(now);
+    upkeep due;
+    due.events = m_tasks.get_events(now, m_settings->system.target_silence, wall_ms);
+    due.actions = m_tasks.get_actions(now);
+    serve_waiting(now);
+    return due;
+}
+
+std::vector<wire::command> entry_state::on_start_answered(const task_action& action, start_result answer,
+                                                          std::int64_t wall_ms) {
+    const absl::MutexLock lock(&m_mutex);
+    return m_tasks.on_start_answered(action, answer, m_clock.now(), wall_ms);
+}
+
+void entry_state::on_event_committed(const std::string& worker, const wire::job_event& event) {
+    const absl::MutexLock lock(&m_mutex);
+    m_tasks.on_event_committed(worker, event);
+    serve_waiting(m_clock.now());
+}
+
+// ---- reports
+
+entry_state::counts entry_state::get_counts() const {
+    const absl::MutexLock lock(&m_mutex);
+    counts sum;
+    sum.workers = m_fleet.get_workers().size();
+    sum.waiting = m_dispatcher.get_waiting_count();
+    sum.evictions = m_tasks.get_eviction_count();
+    for (const auto& [id, worker] : m_fleet.get_workers()) {
+        sum.open_workers += worker.is_usable() ? 1 : 0;
+        sum.tasks += worker.tasks.size();
+    }
+    return sum;
+}
+
+std::string entry_state::describe_workers() const {
+    const absl::MutexLock lock(&m_mutex);
+    auto list = nlohmann::json::array();
+    for (const auto& [id, worker] : m_fleet.get_workers()) {
+        const auto free = worker.ledger.get_free();
+        auto health = worker.health; // asking may end a quarantine, so a copy is asked
+        list.push_back({{"id", id},
+                        {"epoch", worker.epoch},
+                        {"ready", worker.is_usable()},
+                        {"leaving", worker.is_leaving},
+                        {"silent", worker.is_silent},
+                        {"trust", get_trust_name(health.get_trust(m_clock.now()))},
+                        {"outstanding", worker.outstanding},
+                        {"doubtful", worker.doubtful.size()},
+                        {"tasks", worker.tasks.size()},
+                        {"free_slots", free.slots},
+                        {"free_millicores", free.millicores},
+                        {"free_memory", free.memory},
+                        {"slowdown", worker.slowdown}});
+    }
+    return list.dump();
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/entry_state.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "poplarpitch/config/configuration.h"
+#include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/entry/announcement.h"
+#include "poplarpitch/entry/owned_fleet.h"
+#include "poplarpitch/entry/request_dispatcher.h"
+#include "poplarpitch/entry/task_agent.h"
+#include "poplarpitch/wire/poplarpitch.pb.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+
+/// The pure parts of an entry behind one lock, and the waiting of request threads. The parts decide; this
+/// class only guards them and wakes who got a slot. Thread safety: any thread, for all methods.
+class entry_state {
+public:
+    entry_state(const std::string& id, std::string data_centre);
+
+    /// Takes a renewal's answer: configuration, workers, jobs, other entries.
+    void take_renewal(const wire::renew_answer& answer, time_point now);
+    /// Returns the configuration in force here and its version.
+    [[nodiscard]] std::shared_ptr<const configuration> get_configuration() const;
+    [[nodiscard]] std::uint64_t get_config_version() const;
+    /// Fills in what this entry reports with a renewal.
+    void fill_renewal(wire::renew_request& request);
+
+    /// Decides for a request; waits for a slot where that is the decision, at most until it can end in time
+    /// no more.
+    std::variant<request_grant, forward_decision, refusal> admit(const call_info& call);
+    /// Takes the end of an attempt.
+    void finish(const request_grant& grant, attempt_result ended, duration latency);
+    void finish_forwarded(const call_info& call);
+    bool try_retry(const std::string& service);
+    [[nodiscard]] std::optional<duration> get_hedge_delay(const std::string& service) const;
+
+    /// What an entry knows of a worker that announces itself.
+    enum class worker_standing : std::uint8_t {
+        not_owned,
+        owned,
+        owned_silent,
+        changed_address,
+        new_process
+    };
+    worker_standing get_standing(const announcement& told) const;
+    /// Takes an announcement of an owned worker; returns events for the log with the numbers of their
+    /// reports.
+    std::vector<task_agent::reported_event> take_announcement(const announcement& told, std::int64_t wall_ms);
+    /// Takes a silent worker as heard again, after control has.
+    void revive(const std::string& worker);
+    /// Fills in the answer to an owned worker.
+    void fill_answer(const announcement& told, bool is_session_valid, announce_answer& answer) const;
+
+    /// Lets time pass; returns calls to workers and events for the log.
+    struct upkeep {
+        std::vector<task_action> actions;
+        std::vector<wire::command> events;
+    };
+    upkeep tick(std::int64_t wall_ms);
+    std::vector<wire::command> on_start_answered(const task_action& action, start_result answer,
+                                                 std::int64_t wall_ms);
+    void on_event_committed(const std::string& worker, const wire::job_event& event);
+
+    /// Numbers for /metrics and /v1/status.
+    struct counts {
+        std::size_t workers = 0;
+        std::size_t open_workers = 0;
+        std::size_t waiting = 0;
+        std::size_t tasks = 0;
+        std::uint64_t evictions = 0;
+    };
+    [[nodiscard]] counts get_counts() const;
+    /// Returns the owned workers as JSON text for operators.
+    [[nodiscard]] std::string describe_workers() const;
+
+private:
+    struct waiter {
+        absl::CondVar ready;
+        std::optional<request_grant> grant;
+    };
+
+    void serve_waiting(time_point now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    const system_clock m_clock{};
+    const std::string m_id;
+    const std::string m_data_centre;
+    mutable absl::Mutex m_mutex;
+    owned_fleet m_fleet ABSL_GUARDED_BY(m_mutex);
+    request_dispatcher m_dispatcher ABSL_GUARDED_BY(m_mutex);
+    task_agent m_tasks ABSL_GUARDED_BY(m_mutex);
+    std::shared_ptr<const configuration> m_settings ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_config_version ABSL_GUARDED_BY(m_mutex) = 0;
+    std::uint64_t m_revision ABSL_GUARDED_BY(m_mutex) = 0;
+    std::map<std::uint64_t, waiter*> m_waiters ABSL_GUARDED_BY(m_mutex); ///< by ticket
+    std::map<std::string, std::map<std::string, std::int64_t>> m_request_counts ABSL_GUARDED_BY(m_mutex);
+    time_point m_last_report ABSL_GUARDED_BY(m_mutex){};
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/job_codec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "poplarpitch/config/configuration.h"
+#include "poplarpitch/entry/announcement_codec.h"
+#include "poplarpitch/wire/poplarpitch.pb.h"
+
+#include <string>
+#include <variant>
+
+namespace poplarpitch {
+
+/// Reads a job that a user submits as JSON, filling in what its batch class declares. Thread safety: any
+/// thread.
+[[nodiscard]] std::variant<wire::job, codec_error> decode_job(const std::string& text,
+                                                              const configuration& settings);
+/// Writes a job's record as JSON text. Thread safety: any thread.
+[[nodiscard]] std::string encode_job(const wire::job& job);
+/// Returns the state's name as users see it. Thread safety: any thread.
+[[nodiscard]] const char* get_job_state_name(wire::job_state state);
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/owned_fleet.cpp
@@ -0,0 +1,348 @@
+#include "poplarpitch/entry/owned_fleet.h"
+
+#include "poplarpitch/core/hash.h"
+#include "poplarpitch/state/amounts_codec.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace poplarpitch {
+namespace {
+
+constexpr double slowdown_memory = 40; // requests after which an old slowdown has faded
+constexpr double slowdown_cut = 10;    // one stuck request must not climb the ladder alone
+constexpr double peak_fade = 0.9;      // per tick
+
+/// Returns how many times `need` fits into `free`.
+std::int32_t count_fits(const resources& free, const resources& need) {
+    std::int64_t fits = std::numeric_limits<std::int32_t>::max();
+    const auto limit = [&](std::int64_t have, std::int64_t want) {
+        if (want > 0) {
+            fits = std::min(fits, have > 0 ? have / want : 0);
+        }
+    };
+    limit(free.slots, need.slots);
+    limit(free.millicores, need.millicores);
+    limit(free.memory, need.memory);
+    limit(free.accelerators, need.accelerators);
+    return static_cast<std::int32_t>(fits);
+}
+
+} // namespace
+
+owned_fleet::owned_fleet(std::string entry_id)
+    : m_entry_id(std::move(entry_id)), m_settings(std::make_shared<const configuration>()),
+      m_random(static_cast<std::uint32_t>(hash_bytes(m_entry_id)) | 1U) {}
+
+void owned_fleet::set_configuration(std::shared_ptr<const configuration> settings) {
+    m_settings = std::move(settings);
+    for (const auto& batch : m_settings->batches) {
+        m_models.interference.set_prior(m_models.batches.get(batch.name), batch.noise);
+    }
+    rebuild_tables({});
+}
+
+// ---- ownership
+
+void owned_fleet::set_owned(const std::vector<wire::worker>& owned, time_point now) {
+    std::set<std::string> names;
+    for (const auto& record : owned) {
+        names.insert(record.id());
+        auto& worker = m_workers[record.id()];
+        if (worker.epoch != record.epoch()) {
+            // A new epoch: nothing is known of what runs there until the worker has told it.
+            const auto number = m_models.workers.get(record.id());
+            worker = owned_worker{};
+            worker.id = record.id();
+            worker.number = number;
+            worker.epoch = record.epoch();
+            worker.last_heard = now;
+            worker.is_silent = record.silent();
+        }
+        worker.address = record.address();
+        worker.data_centre = record.data_centre();
+        worker.services.assign(record.services().begin(), record.services().end());
+        worker.logged_incarnation = record.incarnation();
+        worker.ledger.set_capacity(decode(record.capacity()));
+    }
+    std::erase_if(m_workers, [&](const auto& item) { return !names.contains(item.first); });
+    rebuild_tables(now);
+}
+
+owned_worker* owned_fleet::find(const std::string& id) {
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+void owned_fleet::rebuild_tables(time_point now) {
+    m_tables.clear();
+    for (const auto& service : m_settings->services) {
+        const auto number = m_models.services.get(service.name);
+        if (m_tables.size() <= number) {
+            m_tables.resize(number + 1);
+        }
+        m_tables[number].need = service.need;
+    }
+    for (auto& [id, worker] : m_workers) {
+        worker.rows.clear();
+        for (const auto& name : worker.services) {
+            if (m_settings->find_service(name) == nullptr) {
+                continue;
+            }
+            const auto number = m_models.services.get(name);
+            auto& table = m_tables[number];
+            worker.rows.push_back({number, table.candidates.size()});
+            table.candidates.emplace_back();
+            table.workers.push_back(id);
+        }
+        refresh(worker, now);
+    }
+}
+
+const owned_fleet::service_table* owned_fleet::find_table(const std::string& service) const {
+    const auto number = m_models.services.find(service);
+    return number.has_value() && *number < m_tables.size() ? &m_tables[*number] : nullptr;
+}
+
+void owned_fleet::refresh(owned_worker& worker, time_point now) {
+    refresh_factors(worker);
+    refresh_counts(worker, now);
+}
+
+void owned_fleet::refresh_factors(owned_worker& worker) {
+    const auto runners = get_co_runners(worker);
+    const double speed = m_models.speed.get_factor(worker.number);
+    for (const auto& row : worker.rows) {
+        auto& candidate = m_tables[row.service].candidates[row.row];
+        candidate.factor = static_cast<float>(speed * m_models.interference.predict(row.service, runners));
+    }
+}
+
+void owned_fleet::refresh_counts(owned_worker& worker, time_point now) {
+    const auto trust = worker.health.get_trust(now);
+    const bool is_blocked =
+        trust == worker_trust::quarantined || (trust == worker_trust::probation && worker.outstanding > 0);
+    for (const auto& row : worker.rows) {
+        auto& table = m_tables[row.service];
+        auto& candidate = table.candidates[row.row];
+        candidate.outstanding = worker.outstanding;
+        candidate.total_slots = count_fits(worker.ledger.get_capacity(), table.need);
+        candidate.free_slots =
+            worker.is_usable() && !is_blocked ? count_fits(worker.ledger.get_free(), table.need) : 0;
+    }
+}
+
+// ---- announcements
+
+void owned_fleet::take_announcement(const announcement& told, time_point now) {
+    auto* worker = find(told.id);
+    if (worker == nullptr) {
+        return;
+    }
+    if (told.incarnation != worker->incarnation) {
+        // The process that ran the doubtful requests is gone, and its numbers with it.
+        for (const auto& [request, doubt] : worker->doubtful) {
+            worker->ledger.release(doubt.grant);
+            --worker->outstanding;
+        }
+        worker->doubtful.clear();
+        worker->ledger.set_open(false);
+    } else if (told.sequence < worker->sequence) {
+        return; // late: a newer one has been taken
+    }
+    worker->sequence = told.sequence;
+    worker->last_heard = now;
+    worker->incarnation = told.incarnation;
+    worker->is_leaving = told.is_leaving;
+    if (told.epoch == worker->epoch) {
+        worker->ledger.set_capacity(told.capacity);
+        worker->ledger.set_foreign(told.old_work);
+        clear_doubts(*worker, told);
+        // The complete list under this epoch is the proof that nothing unknown runs there. Control must know
+        // the process first: an assignment names it.
+        if (told.is_complete && told.incarnation == worker->logged_incarnation && !worker->is_silent) {
+            worker->ledger.set_open(true);
+        }
+    }
+    refresh(*worker, now);
+}
+
+void owned_fleet::clear_doubts(owned_worker& worker, const announcement& told) {
+    std::erase_if(worker.doubtful, [&](const auto& item) {
+        const bool is_listed =
+            std::find(told.requests.begin(), told.requests.end(), item.first) != told.requests.end();
+        if (is_listed || told.sequence <= item.second.sequence) {
+            return false;
+        }
+        worker.ledger.release(item.second.grant);
+        --worker.outstanding;
+        return true;
+    });
+}
+
+// ---- requests
+
+std::optional<request_grant> owned_fleet::start_request(const std::string& service, const std::string& tenant,
+                                                        const std::string& request_id, time_point now) {
+    const auto* found = find_table(service);
+    if (found == nullptr) {
+        return std::nullopt;
+    }
+    const auto& table = *found;
+    const auto picked = m_router.pick(table.candidates, m_random);
+    if (!picked.has_value()) {
+        return std::nullopt;
+    }
+    auto& worker = m_workers.at(table.workers[*picked]);
+    const auto id = make_grant_id();
+    if (!worker.ledger.try_acquire(id, table.need)) {
+        refresh_counts(worker, now); // the row was out of date; the ledger has the last word
+        return std::nullopt;
+    }
+    ++worker.outstanding;
+    worker.request_peak.slots =
+        std::max<std::int64_t>(worker.request_peak.slots, worker.outstanding * table.need.slots);
+    worker.request_peak.millicores =
+        std::max<std::int64_t>(worker.request_peak.millicores, worker.outstanding * table.need.millicores);
+    worker.request_peak.memory =
+        std::max<std::int64_t>(worker.request_peak.memory, worker.outstanding * table.need.memory);
+    request_grant grant;
+    grant.id = id;
+    grant.worker = worker.id;
+    grant.address = worker.address;
+    grant.epoch = worker.epoch;
+    grant.service = service;
+    grant.tenant = tenant;
+    grant.request_id = request_id;
+    grant.started = now;
+    const auto speed = m_models.speed.get_factor(worker.number);
+    grant.interference = static_cast<double>(table.candidates[*picked].factor) / speed;
+    refresh_counts(worker, now);
+    return grant;
+}
+
+void owned_fleet::end_request(const request_grant& grant, attempt_result ended, duration latency,
+                              time_point now) {
+    auto* worker = find(grant.worker);
+    if (worker == nullptr || worker->epoch != grant.epoch || !worker->ledger.has(grant.id)) {
+        return; // given on since: the new owner counts what the worker reports
+    }
+    if (ended == attempt_result::maybe_running) {
+        // It may run on there. The slot is free again when the worker's own list says so.
+        worker->doubtful[grant.request_id] = {grant.id, worker->sequence + 1};
+        worker->health.on_failure(now);
+        refresh_counts(*worker, now);
+        return;
+    }
+    worker->ledger.release(grant.id);
+    --worker->outstanding;
+    if (ended == attempt_result::answered) {
+        worker->health.on_success();
+        learn(*worker, grant, latency);
+    } else if (ended != attempt_result::refused) {
+        worker->health.on_failure(now);
+    }
+    refresh_counts(*worker, now);
+}
+
+void owned_fleet::learn(owned_worker& worker, const request_grant& grant, duration latency) {
+    const auto service = m_models.services.get(grant.service);
+    const double time_us = to_microseconds(latency);
+    const double base_us = m_models.speed.get_base_us(service) * m_models.speed.get_factor(worker.number);
+    m_models.speed.add(service, worker.number, time_us, grant.interference);
+    if (base_us <= 0) {
+        return;
+    }
+    const double ratio = time_us / base_us;
+    m_models.interference.add(service, get_co_runners(worker), ratio);
+    worker.slowdown += (std::min(ratio, slowdown_cut) - worker.slowdown) / slowdown_memory;
+}
+
+// ---- tasks
+
+std::vector<co_runner> owned_fleet::get_co_runners(const owned_worker& worker) {
+    std::vector<co_runner> runners;
+    const auto capacity = std::max<std::int64_t>(worker.ledger.get_capacity().millicores, 1);
+    for (const auto& [job, task] : worker.tasks) {
+        if (task.grant == 0) {
+            continue;
+        }
+        const auto batch = m_models.batches.get(task.batch);
+        const double share = static_cast<double>(task.reserved.millicores) / static_cast<double>(capacity);
+        const auto same = std::find_if(runners.begin(), runners.end(),
+                                       [&](const co_runner& runner) { return runner.batch == batch; });
+        if (same == runners.end()) {
+            runners.push_back({batch, share});
+        } else {
+            same->share += share;
+        }
+    }
+    return runners;
+}
+
+bool owned_fleet::start_task(owned_worker& worker, owned_task& task) {
+    const auto id = make_grant_id();
+    if (!worker.is_usable() || !worker.ledger.try_acquire(id, task.reserved)) {
+        return false;
+    }
+    task.grant = id;
+    refresh(worker, {});
+    return true;
+}
+
+void owned_fleet::adopt_task(owned_worker& worker, owned_task& task) {
+    if (task.grant == 0) {
+        task.grant = make_grant_id();
+        worker.ledger.adopt(task.grant, task.reserved);
+        refresh(worker, {});
+    }
+}
+
+void owned_fleet::end_task(owned_worker& worker, owned_task& task) {
+    if (task.grant != 0) {
+        worker.ledger.release(task.grant);
+        task.grant = 0;
+        refresh(worker, {});
+    }
+}
+
+// ---- upkeep
+
+void owned_fleet::tick(time_point now) {
+    const auto fade = [](std::int64_t value) {
+        return static_cast<std::int64_t>(static_cast<double>(value) * peak_fade);
+    };
+    for (auto& [id, worker] : m_workers) {
+        auto& peak = worker.request_peak;
+        peak = {fade(peak.slots), fade(peak.millicores), fade(peak.memory), fade(peak.accelerators)};
+        if (worker.outstanding == 0) {
+            worker.slowdown += (1 - worker.slowdown) / slowdown_memory;
+        }
+        refresh(worker, now);
+    }
+}
+
+std::int64_t owned_fleet::get_free_slots(const std::string& service) const {
+    std::int64_t sum = 0;
+    if (const auto* table = find_table(service)) {
+        for (const auto& candidate : table->candidates) {
+            sum += candidate.free_slots;
+        }
+    }
+    return sum;
+}
+
+std::int64_t owned_fleet::get_total_slots(const std::string& service) const {
+    std::int64_t sum = 0;
+    if (const auto* table = find_table(service)) {
+        for (std::size_t row = 0; row < table->candidates.size(); ++row) {
+            if (m_workers.at(table->workers[row]).is_usable()) {
+                sum += table->candidates[row].total_slots;
+            }
+        }
+    }
+    return sum;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/owned_task.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "poplarpitch/core/resources.h"
+#include "poplarpitch/core/time.h"
+#include "poplarpitch/policy/worker_ledger.h"
+
+#include <cstdint>
+#include <string>
+
+namespace poplarpitch {
+
+/// How far an entry has come with a task on a worker it owns.
+enum class task_phase : std::uint8_t {
+    to_start, ///< assigned under this epoch; not sent yet
+    starting, ///< sent; no answer yet
+    unseen,   ///< of an earlier owner; the worker has not said yet whether it runs
+    running,
+    stopping, ///< told to stop, for a cancellation
+    evicting, ///< told to checkpoint and stop
+    ended,    ///< its end is being committed
+};
+
+/// A task on an owned worker, as its owner sees it.
+struct owned_task {
+    std::string job;
+    std::uint64_t attempt = 0;
+    std::string tenant;
+    std::string batch;
+    std::string payload;
+    std::string checkpoint;
+    resources reserved;
+    duration run_time{}; ///< declared
+    bool is_idempotent = true;
+    bool is_urgent = false;
+    bool is_throttled = false;
+    int evictions = 0;
+    std::uint64_t incarnation = 0;  ///< of the worker's process when it was assigned
+    bool is_running_in_log = false; ///< control knows that it was started
+    bool is_maybe_sent = false;     ///< a start was sent and its answer lost
+    task_phase phase = task_phase::to_start;
+    grant_id grant = 0; ///< in the worker's ledger; 0 while it holds nothing
+    time_point since{}; ///< when the phase began
+    duration unsaved{}; ///< as the worker last told
+
+    friend bool operator==(const owned_task&, const owned_task&) = default;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/request_dispatcher.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "poplarpitch/config/configuration.h"
+#include "poplarpitch/entry/call_info.h"
+#include "poplarpitch/entry/forward_router.h"
+#include "poplarpitch/entry/owned_fleet.h"
+#include "poplarpitch/entry/refusal.h"
+#include "poplarpitch/entry/request_grant.h"
+#include "poplarpitch/policy/admission_queue.h"
+#include "poplarpitch/policy/concurrency_limit.h"
+#include "poplarpitch/policy/dependency_graph.h"
+#include "poplarpitch/policy/latency_model.h"
+#include "poplarpitch/policy/retry_budget.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace poplarpitch {
+
+/// The request is to be sent to another entry.
+struct forward_decision {
+    std::string entry;
+    std::string address;
+    friend auto operator<=>(const forward_decision&, const forward_decision&) = default;
+};
+
+/// The request waits for a slot.
+struct wait_decision {
+    admission_ticket ticket;
+    time_point give_up{}; ///< when it cannot end in time any more
+    friend auto operator<=>(const wait_decision&, const wait_decision&) = default;
+};
+
+/// What becomes of a request that arrives.
+using admission_decision = std::variant<request_grant, forward_decision, wait_decision, refusal>;
+
+/// A waiting request that got its slot.
+struct served_ticket {
+    std::uint64_t ticket = 0;
+    request_grant grant;
+    friend auto operator<=>(const served_ticket&, const served_ticket&) = default;
+};
+
+/// Decides for each request: a slot here, another entry, the queue, or a refusal that says when to come back.
+/// What it refuses was surely not run. Pure: time is passed in, threads wait elsewhere. Thread safety: none,
+/// as for all methods; `entry_state` guards it.
+class request_dispatcher {
+public:
+    /// Precondition: `fleet` outlives the dispatcher.
+    request_dispatcher(owned_fleet& fleet, std::uint32_t seed);
+
+    /// Takes a configuration. Precondition: not null.
+    void set_configuration(std::shared_ptr<const configuration> settings);
+    /// Takes what the other entries advertise.
+    void set_entries(std::vector<remote_entry> entries);
+
+    /// Decides for a request that arrives.
+    admission_decision admit(const call_info& call, time_point now);
+    /// Gives free slots to waiting requests, in their order.
+    std::vector<served_ticket> serve_waiting(time_point now);
+    /// Takes a waiting request out: its caller gave up, or its time is over.
+    void abandon(const std::string& service, const admission_ticket& ticket);
+    /// Takes the end of an attempt that had a grant.
+    void finish(const request_grant& grant, attempt_result ended, duration latency, time_point now);
+    /// Takes the end of a forwarded request.
+    void finish_forwarded(const call_info& call);
+
+    /// Returns true when one more attempt is within the service's budget, and takes it.
+    bool try_retry(const std::string& service);
+    /// Returns when a hedge of a request that starts now is due; empty while too little is known.
+    [[nodiscard]] std::optional<duration> get_hedge_delay(const std::string& service) const;
+    /// Returns the requests of a tenant that run or wait here.
+    [[nodiscard]] std::size_t get_waiting_count() const;
+    /// Returns what this entry advertises.
+    [[nodiscard]] wire::entry_digest make_digest() const;
+    [[nodiscard]] duration get_median(const std::string& service) const;
+
+private:
+    struct service_state {
+        service_settings settings;
+        admission_queue queue;
+        concurrency_limit limit;
+        latency_model latency;
+        retry_budget retries;
+        int running = 0;
+    };
+
+    std::optional<refusal> check_limits(const call_info& call, service_state& state);
+    admission_decision admit_here(const call_info& call, service_state& state, time_point now);
+    [[nodiscard]] refusal make_busy(const service_state& state, const std::string& code,
+                                    const std::string& text) const;
+    [[nodiscard]] duration estimate_wait(const service_state& state, time_point deadline) const;
+    std::optional<request_grant> start(service_state& state, const std::string& tenant,
+                                       const std::string& request_id, time_point now);
+
+    owned_fleet& m_fleet;
+    forward_router m_forward;
+    std::shared_ptr<const configuration> m_settings;
+    std::unique_ptr<dependency_graph> m_dependencies;
+    std::map<std::string, service_state> m_services;
+    std::map<std::string, std::int64_t> m_tenant_load;  ///< running, waiting and forwarded requests
+    std::map<std::uint64_t, std::string> m_waiting_ids; ///< request id of each ticket
+    std::uint64_t m_last_ticket = 0;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/task_agent.cpp
@@ -0,0 +1,404 @@
+#include "poplarpitch/entry/task_agent.h"
+
+#include "poplarpitch/policy/eviction_candidate.h"
+#include "poplarpitch/state/amounts_codec.h"
+
+#include <algorithm>
+#include <set>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration resend_after = seconds{1}; // a call to a worker without effect is made again
+constexpr duration room_wait =
+    milliseconds{800}; // how long a task may wait for room before control places it anew
+constexpr duration missing_wait =
+    seconds{2}; // a running task that the worker no longer lists is lost after this
+
+bool is_told(const task_phase phase) {
+    return phase == task_phase::stopping || phase == task_phase::evicting;
+}
+
+} // namespace
+
+task_agent::task_agent(owned_fleet& fleet) : m_fleet(fleet) {}
+
+// ---- what control says
+
+void task_agent::take_jobs(const wire::renew_answer& answer, time_point now) {
+    if (answer.owned_changed()) {
+        const std::set<std::string> ids(answer.job_ids().begin(), answer.job_ids().end());
+        for (auto& [id, worker] : m_fleet.get_workers()) {
+            for (auto item = worker.tasks.begin(); item != worker.tasks.end();) {
+                if (ids.contains(item->first)) {
+                    ++item;
+                    continue;
+                }
+                m_fleet.end_task(worker, item->second);
+                item = worker.tasks.erase(item);
+            }
+        }
+    }
+    for (const auto& job : answer.jobs()) {
+        if (auto* worker = m_fleet.find(job.worker())) {
+            take_job(*worker, job, now);
+        }
+    }
+}
+
+void task_agent::take_job(owned_worker& worker, const wire::job& job, time_point now) {
+    auto& task = worker.tasks[job.id()];
+    const bool is_new = task.job.empty() || task.attempt != job.attempt();
+    if (is_new) {
+        m_fleet.end_task(worker, task);
+        task = owned_task{};
+        task.job = job.id();
+        task.attempt = job.attempt();
+        task.tenant = job.tenant();
+        task.batch = job.batch();
+        task.payload = job.payload();
+        task.checkpoint = job.checkpoint();
+        task.reserved = decode(job.reserved());
+        task.run_time = milliseconds{job.run_time_ms()};
+        task.is_idempotent = job.idempotent();
+        task.is_urgent = job.urgent();
+        task.evictions = static_cast<int>(job.evictions());
+        task.incarnation = job.worker_incarnation();
+        task.since = now;
+        const bool is_own = job.state() == wire::job_assigned && job.epoch() == worker.epoch;
+        task.phase = is_own ? task_phase::to_start : task_phase::unseen;
+        if (!is_own) {
+            // It may run there: it counts from now on, whether it fits or not.
+            m_fleet.adopt_task(worker, task);
+        }
+    }
+    task.is_running_in_log = job.state() == wire::job_running;
+    if (job.cancel_requested() && !is_told(task.phase) && task.phase != task_phase::ended) {
+        task.phase = task_phase::stopping;
+        task.since = {};
+    } else if (job.evict_requested() && task.phase == task_phase::running) {
+        task.phase = task_phase::evicting;
+        task.since = {};
+        ++m_evictions;
+    }
+}
+
+// ---- what is to be done
+
+std::vector<task_action> task_agent::get_actions(time_point now) {
+    auto actions = std::exchange(m_orphans, {});
+    for (auto& [id, worker] : m_fleet.get_workers()) {
+        if (worker.is_silent || !worker.ledger.is_open()) {
+            continue;
+        }
+        relieve(worker, now);
+        const bool is_pressed = worker.ladder.get_step() >= relief_step::throttle;
+        for (auto& [job, task] : worker.tasks) {
+            task_action action;
+            action.worker = id;
+            action.address = worker.address;
+            action.epoch = worker.epoch;
+            const bool is_due = now - task.since >= resend_after || task.since == time_point{};
+            if (task.phase == task_phase::to_start && !worker.is_leaving) {
+                if (!m_fleet.start_task(worker, task)) {
+                    continue;
+                }
+                task.phase = task_phase::starting;
+                action.verb = task_verb::start;
+            } else if (task.phase == task_phase::starting && is_due) {
+                action.verb = task_verb::start;
+            } else if (task.phase == task_phase::stopping && is_due) {
+                action.verb = task_verb::stop;
+            } else if (task.phase == task_phase::evicting && is_due) {
+                action.verb = task_verb::evict;
+            } else if (task.phase == task_phase::running && task.is_throttled != is_pressed &&
+                       !task.is_urgent) {
+                action.verb = is_pressed ? task_verb::throttle : task_verb::unthrottle;
+                task.is_throttled = is_pressed;
+            } else {
+                continue;
+            }
+            task.since = now;
+            action.task = task;
+            actions.push_back(std::move(action));
+        }
+    }
+    return actions;
+}
+
+double task_agent::get_growth(owned_worker& worker, const owned_task& task) {
+    const auto capacity = std::max<std::int64_t>(worker.ledger.get_capacity().millicores, 1);
+    const double share = static_cast<double>(task.reserved.millicores) / static_cast<double>(capacity);
+    auto& models = m_fleet.get_models();
+    const auto batch = models.batches.get(task.batch);
+    double growth = 0;
+    for (const auto& row : worker.rows) {
+        growth = std::max(growth, models.interference.get_coefficient(row.service, batch) * share);
+    }
+    return growth;
+}
+
+void task_agent::relieve(owned_worker& worker, time_point now) {
+    worker.ladder.update(worker.slowdown, now);
+    const bool has_own_trouble = worker.is_leaving; // a leaving worker's tasks move in any case
+    if (!worker.ladder.is_eviction_due(now) && !has_own_trouble) {
+        return;
+    }
+    std::vector<eviction_candidate> candidates;
+    std::vector<owned_task*> tasks;
+    for (auto& [job, task] : worker.tasks) {
+        if (task.phase != task_phase::running) {
+            continue;
+        }
+        const bool is_movable = task.is_idempotent && !task.is_urgent;
+        candidates.push_back({get_growth(worker, task), task.unsaved, task.evictions, is_movable});
+        tasks.push_back(&task);
+    }
+    const auto evict = [&](owned_task& task) {
+        task.phase = task_phase::evicting;
+        task.since = {};
+        ++m_evictions;
+    };
+    if (has_own_trouble) {
+        for (auto* task : tasks) {
+            if (task->is_idempotent) {
+                evict(*task);
+            }
+        }
+        return;
+    }
+    const auto picked = pick_eviction(candidates);
+    if (picked.has_value() && m_budget.try_take(now)) {
+        evict(*tasks[*picked]);
+        worker.ladder.on_evicted(now);
+    }
+}
+
+// ---- events
+
+wire::command task_agent::make_event(const owned_task& task, const std::string& worker,
+                                     wire::job_event_kind kind, const std::string& detail,
+                                     std::int64_t wall_ms) {
+    wire::command command;
+    auto& event = *command.mutable_event();
+    event.set_job(task.job);
+    event.set_attempt(task.attempt);
+    event.set_kind(kind);
+    event.set_detail(detail);
+    event.set_worker(worker);
+    event.set_at_ms(wall_ms);
+    return command;
+}
+
+std::vector<wire::command> task_agent::get_events(time_point now, duration silence, std::int64_t wall_ms) {
+    std::vector<wire::command> events;
+    for (auto& [id, worker] : m_fleet.get_workers()) {
+        if (!worker.is_silent && now - worker.last_heard > silence) {
+            // From here on no lease is renewed; only then may anybody count on its end.
+            worker.is_silent = true;
+            worker.ledger.set_open(false);
+            m_fleet.refresh(worker, now);
+            wire::command mark;
+            mark.mutable_mark()->set_worker(id);
+            mark.mutable_mark()->set_epoch(worker.epoch);
+            mark.mutable_mark()->set_silent(true);
+            events.push_back(std::move(mark));
+        }
+        for (auto& [job, task] : worker.tasks) {
+            const bool is_due = now - task.since >= resend_after;
+            if (task.phase == task_phase::to_start && (worker.is_leaving || now - task.since > room_wait)) {
+                events.push_back(make_event(task, id, wire::event_refused, "no room on the worker", wall_ms));
+            } else if (worker.is_silent && task.phase != task_phase::ended && is_due) {
+                // One that was never sent is not lost; it is given back.
+                const bool is_unsent = task.phase == task_phase::to_start;
+                events.push_back(make_event(task, id, is_unsent ? wire::event_refused : wire::event_lost,
+                                            "its worker is silent", wall_ms));
+                task.since = now;
+            }
+        }
+    }
+    return events;
+}
+
+std::vector<wire::command> task_agent::on_start_answered(const task_action& action, start_result answer,
+                                                         time_point now, std::int64_t wall_ms) {
+    auto* worker = m_fleet.find(action.worker);
+    if (worker == nullptr || worker->epoch != action.epoch) {
+        return {};
+    }
+    const auto found = worker->tasks.find(action.task.job);
+    if (found == worker->tasks.end() || found->second.attempt != action.task.attempt) {
+        return {};
+    }
+    auto& task = found->second;
+    if (answer == start_result::unknown) {
+        task.is_maybe_sent = true;
+        return {}; // stays `starting` and is sent again
+    }
+    if (answer == start_result::stale_epoch && task.is_maybe_sent) {
+        return {};
+    }
+    if (answer == start_result::other_process && task.is_maybe_sent) {
+        return {make_event(task, action.worker, wire::event_lost, "its worker was restarted", wall_ms)};
+    }
+    if (answer != start_result::started) {
+        m_fleet.end_task(*worker, task);
+        task.phase = task_phase::ended;
+        return {make_event(task, action.worker, wire::event_refused, "the worker refused it", wall_ms)};
+    }
+    if (task.phase == task_phase::starting) {
+        task.phase = task_phase::running;
+        task.since = now;
+    }
+    return {make_event(task, action.worker, wire::event_started, "", wall_ms)};
+}
+
+std::vector<task_agent::reported_event> task_agent::on_announced(const announcement& told, time_point now,
+                                                                 std::int64_t wall_ms) {
+    std::vector<reported_event> events;
+    auto* worker = m_fleet.find(told.id);
+    if (worker == nullptr) {
+        return events;
+    }
+    for (const auto& running : told.tasks) {
+        const auto found = worker->tasks.find(running.job);
+        if (found != worker->tasks.end() && found->second.attempt == running.attempt) {
+            found->second.unsaved = running.unsaved;
+        } else if (told.epoch == worker->epoch) {
+            // The log has moved the job on, so nobody waits for this run of it.
+            task_action stop;
+            stop.verb = task_verb::stop;
+            stop.worker = worker->id;
+            stop.address = worker->address;
+            stop.epoch = worker->epoch;
+            stop.task.job = running.job;
+            stop.task.attempt = running.attempt;
+            m_orphans.push_back(std::move(stop));
+        }
+    }
+    for (const auto& report : told.reports) {
+        owned_task task; // the log decides by job and attempt; the task may be unknown here
+        task.job = report.job;
+        task.attempt = report.attempt;
+        const auto found = worker->tasks.find(report.job);
+        if (found != worker->tasks.end() && found->second.attempt == report.attempt) {
+            task = found->second;
+        }
+        auto kind = wire::event_checkpointed;
+        if (report.kind == "finished") {
+            kind = wire::event_finished;
+        } else if (report.kind == "failed") {
+            kind = wire::event_failed;
+        } else if (report.kind == "evicted") {
+            kind = wire::event_evicted;
+        } else if (report.kind == "stopped") {
+            kind = wire::event_stopped;
+        }
+        reported_event event{report.number, make_event(task, told.id, kind, report.detail, wall_ms)};
+        event.command.mutable_event()->set_checkpoint(report.checkpoint);
+        events.push_back(std::move(event));
+        if (kind == wire::event_finished && !task.batch.empty()) {
+            wire::usage_sample sample;
+            sample.set_tenant(task.tenant);
+            sample.set_batch(task.batch);
+            sample.set_millicores_ratio(report.cores_ratio);
+            sample.set_memory_ratio(report.memory_ratio);
+            sample.set_run_time_ratio(report.time_ratio);
+            m_usage.push_back(std::move(sample));
+        }
+    }
+    if (told.is_complete && told.epoch == worker->epoch) {
+        check_unseen(*worker, told, now, wall_ms, events);
+    }
+    return events;
+}
+
+void task_agent::check_unseen(owned_worker& worker, const announcement& told, time_point now,
+                              std::int64_t wall_ms, std::vector<reported_event>& events) {
+    const auto lists = [&](const owned_task& task) {
+        return std::any_of(told.tasks.begin(), told.tasks.end(), [&](const running_task& running) {
+            return running.job == task.job && running.attempt == task.attempt;
+        });
+    };
+    const auto reports = [&](const owned_task& task) {
+        return std::any_of(told.reports.begin(), told.reports.end(), [&](const task_report& report) {
+            return report.job == task.job && report.attempt == task.attempt && report.kind != "checkpointed";
+        });
+    };
+    for (auto& [job, task] : worker.tasks) {
+        if (task.phase == task_phase::to_start || task.phase == task_phase::starting ||
+            task.phase == task_phase::ended || reports(task)) {
+            continue;
+        }
+        if (lists(task)) {
+            if (task.phase == task_phase::unseen) {
+                events.push_back({0, make_event(task, told.id, wire::event_started, "", wall_ms)});
+            }
+            continue;
+        }
+        const bool is_same_process = task.incarnation == told.incarnation;
+        if (!task.is_running_in_log && is_same_process) {
+            // Assigned under an older epoch, which the worker refuses by now, and never started there.
+            events.push_back({0, make_event(task, told.id, wire::event_absent, "", wall_ms)});
+        } else if (!is_same_process || now - task.since > missing_wait) {
+            const auto* reason = is_same_process ? "its worker does not know it" : "its worker was restarted";
+            events.push_back({0, make_event(task, told.id, wire::event_lost, reason, wall_ms)});
+        }
+    }
+}
+
+void task_agent::on_event_committed(const std::string& worker, const wire::job_event& event) {
+    auto* owner = m_fleet.find(worker);
+    if (owner == nullptr) {
+        return;
+    }
+    const auto found = owner->tasks.find(event.job());
+    if (found == owner->tasks.end() || found->second.attempt != event.attempt()) {
+        return;
+    }
+    switch (event.kind()) {
+    case wire::event_finished:
+    case wire::event_failed:
+    case wire::event_evicted:
+    case wire::event_stopped:
+    case wire::event_refused:
+    case wire::event_absent:
+        m_fleet.end_task(*owner, found->second);
+        owner->tasks.erase(found);
+        break;
+    case wire::event_started:
+        found->second.is_running_in_log = true;
+        if (found->second.phase == task_phase::unseen) {
+            found->second.phase = task_phase::running;
+        }
+        break;
+    default:
+        break; // a lost one keeps its place until its lease is over and control takes it off the list
+    }
+}
+
+bool task_agent::may_renew(const owned_worker& worker) const {
+    return !worker.is_silent && std::none_of(worker.tasks.begin(), worker.tasks.end(), [](const auto& item) {
+        return item.second.phase == task_phase::unseen;
+    });
+}
+
+void task_agent::revive(owned_worker& worker, time_point now) {
+    worker.is_silent = false;
+    worker.last_heard = now;
+    worker.ledger.set_open(false);
+    for (auto& [job, task] : worker.tasks) {
+        if (task.phase != task_phase::to_start) {
+            m_fleet.adopt_task(worker, task);
+            task.phase = task_phase::unseen;
+            task.since = now;
+        }
+    }
+    m_fleet.refresh(worker, now);
+}
+
+std::vector<wire::usage_sample> task_agent::take_usage() {
+    return std::exchange(m_usage, {});
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/task_agent.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "poplarpitch/entry/announcement.h"
+#include "poplarpitch/entry/owned_fleet.h"
+#include "poplarpitch/entry/task_action.h"
+#include "poplarpitch/policy/eviction_budget.h"
+#include "poplarpitch/wire/poplarpitch.pb.h"
+
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+
+/// The tasks on the workers that this entry owns: starts what control assigned, adopts what an earlier owner
+/// started, stops what was cancelled, evicts under pressure, and turns what workers report into events for
+/// the log. Pure: calls and events come back as values. Every event names the attempt, so one that is late
+/// does nothing. Thread safety: none, as for all methods; `entry_state` guards it.
+class task_agent {
+public:
+    /// Precondition: `fleet` outlives the agent.
+    explicit task_agent(owned_fleet& fleet);
+
+    /// Takes the jobs of a renewal; with `is_complete` the ids are all there are on owned workers.
+    void take_jobs(const wire::renew_answer& answer, time_point now);
+    /// Returns the calls to workers that are due. `now` also drives the relief ladder.
+    std::vector<task_action> get_actions(time_point now);
+    /// Returns events for the log that are due: refusals, losses, marks. They stay due until control confirms
+    /// them.
+    std::vector<wire::command> get_events(time_point now, duration silence, std::int64_t wall_ms);
+    /// Takes the worker's answer to a start; returns the event for the log.
+    std::vector<wire::command> on_start_answered(const task_action& action, start_result answer,
+                                                 time_point now, std::int64_t wall_ms);
+    /// Takes what a worker told, after the fleet did; returns events, each with the number of its report or
+    /// 0.
+    struct reported_event {
+        std::uint64_t report = 0;
+        wire::command command;
+    };
+    std::vector<reported_event> on_announced(const announcement& told, time_point now, std::int64_t wall_ms);
+    /// Takes control's answer to an event of a job: the present record, or that it is stale.
+    void on_event_committed(const std::string& worker, const wire::job_event& event);
+    /// Takes and returns what finished tasks used, for control.
+    std::vector<wire::usage_sample> take_usage();
+    /// Returns true when the worker's task leases may go on: not while it is silent, and not while control
+    /// may still count one of its tasks as lost, whose lease is about to end.
+    [[nodiscard]] bool may_renew(const owned_worker& worker) const;
+    /// Takes a worker that was silent as heard again: what runs there must be told anew.
+    void revive(owned_worker& worker, time_point now);
+    /// Returns the evictions begun since start.
+    [[nodiscard]] std::uint64_t get_eviction_count() const { return m_evictions; }
+
+private:
+    void take_job(owned_worker& worker, const wire::job& job, time_point now);
+    void relieve(owned_worker& worker, time_point now);
+    void check_unseen(owned_worker& worker, const announcement& told, time_point now, std::int64_t wall_ms,
+                      std::vector<reported_event>& events);
+    [[nodiscard]] static wire::command make_event(const owned_task& task, const std::string& worker,
+                                                  wire::job_event_kind kind, const std::string& detail,
+                                                  std::int64_t wall_ms);
+    double get_growth(owned_worker& worker, const owned_task& task);
+
+    owned_fleet& m_fleet;
+    eviction_budget m_budget;
+    std::vector<task_action> m_orphans; ///< stops of tasks that nobody waits for
+    std::vector<wire::usage_sample> m_usage;
+    std::uint64_t m_evictions = 0;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/entry/task_caller.cpp
@@ -0,0 +1,115 @@
+#include "poplarpitch/entry/task_caller.h"
+
+#include "poplarpitch/entry/entry_state.h"
+#include "poplarpitch/entry/protocol_names.h"
+#include "poplarpitch/entry/session_lease.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/transport/control_client.h"
+#include "poplarpitch/transport/http_client_pool.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration call_wait = seconds{2};
+constexpr duration commit_wait = seconds{3};
+
+std::int64_t get_wall_ms() {
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+task_caller::task_caller(entry_state& state, http_client_pool& workers, control_client& control,
+                         const session_lease& lease)
+    : m_state(state), m_workers(workers), m_control(control), m_lease(lease) {}
+
+void task_caller::call(const task_action& action) {
+    switch (action.verb) {
+    case task_verb::stop:
+        return tell(action, "stop");
+    case task_verb::evict:
+        return tell(action, "evict");
+    case task_verb::throttle:
+        return tell(action, "throttle");
+    case task_verb::unthrottle:
+        return tell(action, "unthrottle");
+    case task_verb::start:
+        break;
+    }
+    const auto answer = start(action);
+    for (const auto& event : m_state.on_start_answered(action, answer, get_wall_ms())) {
+        const auto outcome = m_control.propose(event, m_clock.now() + commit_wait);
+        if (outcome) {
+            m_state.on_event_committed(action.worker, event.event());
+        }
+    }
+}
+
+start_result task_caller::start(const task_action& action) {
+    const auto settings = m_state.get_configuration();
+    const nlohmann::json body = {{"lease", absl::StrCat(action.task.job, "#", action.task.attempt)},
+                                 {"job", action.task.job},
+                                 {"attempt", action.task.attempt},
+                                 {"epoch", action.epoch},
+                                 {"incarnation", action.task.incarnation},
+                                 {"tenant", action.task.tenant},
+                                 {"batch", action.task.batch},
+                                 {"payload", action.task.payload},
+                                 {"checkpoint", action.task.checkpoint},
+                                 {"run_time_ms", to_milliseconds(action.task.run_time)},
+                                 {"lease_ms", to_milliseconds(settings->system.task_lease)},
+                                 {"slots", action.task.reserved.slots},
+                                 {"millicores", action.task.reserved.millicores},
+                                 {"memory", action.task.reserved.memory},
+                                 {"accelerators", action.task.reserved.accelerators}};
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/tasks";
+    request.body = body.dump();
+    request.headers.add("Content-Type", "application/json");
+    if (!m_lease.is_valid(m_clock.now())) {
+        return start_result::unknown; // not sent; sent again once the session is back
+    }
+    const auto exchange =
+        m_workers.send(action.address, request, m_clock.now() + call_wait, connection_choice::pooled);
+    if (exchange.progress != exchange_progress::answered) {
+        m_workers.drop(action.address);
+        return start_result::unknown;
+    }
+    if (exchange.response.status == 200) {
+        return start_result::started;
+    }
+    const auto refused = exchange.response.headers.get(header_refused);
+    log_event(log_level::info, "task_refused")
+        .add("job", action.task.job)
+        .add("worker", action.worker)
+        .add("status", exchange.response.status)
+        .add("reason", refused);
+    if (refused == "stale-epoch") {
+        return start_result::stale_epoch;
+    }
+    if (refused == "other-process") {
+        return start_result::other_process;
+    }
+    return refused.empty() ? start_result::unknown : start_result::refused;
+}
+
+void task_caller::tell(const task_action& action, const char* verb) {
+    http_request request;
+    request.method = "POST";
+    request.target = absl::StrCat("/v1/tasks/", action.task.job, "%23", action.task.attempt, "/", verb);
+    request.headers.add(header_epoch, absl::StrCat(action.epoch));
+    const auto exchange =
+        m_workers.send(action.address, request, m_clock.now() + call_wait, connection_choice::pooled);
+    if (exchange.progress != exchange_progress::answered) {
+        m_workers.drop(action.address); // told again by the agent
+    }
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/policy/baseline_placers.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "poplarpitch/policy/task_placer.h"
+
+namespace poplarpitch {
+
+/// Baseline: the first worker that holds the task. Thread safety: any thread.
+struct first_fit_placer {
+    std::optional<std::size_t> pick(std::span<const placement_candidate> candidates,
+                                    const placement_request& request,
+                                    const interference_model& interference) const;
+};
+
+/// Baseline: the worker with the most free cores. Thread safety: any thread.
+struct least_loaded_placer {
+    std::optional<std::size_t> pick(std::span<const placement_candidate> candidates,
+                                    const placement_request& request,
+                                    const interference_model& interference) const;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/policy/cost_placer.cpp
@@ -0,0 +1,89 @@
+#include "poplarpitch/policy/cost_placer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace poplarpitch {
+namespace {
+
+/// Returns `part / whole`, 0 for an empty whole.
+float get_share(std::int64_t part, std::int64_t whole) {
+    return whole > 0 ? static_cast<float>(part) / static_cast<float>(whole) : 0.0F;
+}
+
+constexpr float idle_rate = 0.01F; // requests a second; below, a service does not count
+
+} // namespace
+
+cost_placer::cost_placer(const objective_settings& objective, const cost_placer_settings& settings)
+    : m_settings(settings) {
+    const double sum = objective.tail + objective.throughput;
+    if (sum > 0) {
+        m_tail = static_cast<float>(objective.tail / sum);
+        m_throughput = static_cast<float>(objective.throughput / sum);
+    }
+}
+
+float cost_placer::get_growth(const placement_candidate& candidate, const placement_request& request,
+                              const interference_model& interference) {
+    const float share = get_share(request.need.millicores, candidate.capacity.millicores);
+    float growth = 0;
+    float rate_sum = 0;
+    for (const auto& load : candidate.services) {
+        const float rate = std::max(load.rate, idle_rate);
+        growth += rate *
+                  static_cast<float>(interference.get_cautious_coefficient(load.service, request.batch)) *
+                  share;
+        rate_sum += rate;
+    }
+    return rate_sum > 0 ? growth / rate_sum : 0;
+}
+
+bool cost_placer::is_refused(const placement_candidate& candidate, float growth) const {
+    // The bounds tighten with the weight of the tail: with equal weights they stand at twice the settings.
+    const float slack = m_tail > 0 ? 1 / m_tail : 1e6F;
+    return growth > m_settings.max_growth * slack || candidate.slowdown > m_settings.refuse_slowdown * slack;
+}
+
+float cost_placer::get_cost(const placement_candidate& candidate, const placement_request& request,
+                            float growth) const {
+    const float trouble = std::max(candidate.slowdown - 1, 0.0F) * m_settings.trouble_weight;
+    const float tail =
+        m_tail * (growth + trouble * get_share(request.need.millicores, candidate.capacity.millicores));
+    const float time = m_throughput * (candidate.speed - 1);
+    // Waste: how differently cores and memory would be used up, so that neither is left without the other.
+    const auto left = candidate.free - request.need;
+    const float cores = get_share(left.millicores, candidate.capacity.millicores);
+    const float memory = get_share(left.memory, candidate.capacity.memory);
+    float waste = m_settings.waste_weight * std::abs(cores - memory);
+    if (request.need.accelerators == 0 && candidate.free.accelerators > 0) {
+        waste += m_settings.accelerator_weight;
+    }
+    const float spread = m_settings.spread_weight * static_cast<float>(candidate.same_job_tenant);
+    return tail + time + waste * m_throughput + spread;
+}
+
+std::optional<std::size_t> cost_placer::pick(std::span<const placement_candidate> candidates,
+                                             const placement_request& request,
+                                             const interference_model& interference) const {
+    std::optional<std::size_t> best;
+    float best_cost = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto& candidate = candidates[index];
+        if (!candidate.is_open || candidate.is_failed_before || !candidate.free.holds(request.need)) {
+            continue;
+        }
+        const float growth = get_growth(candidate, request, interference);
+        if (!request.is_urgent && is_refused(candidate, growth)) {
+            continue;
+        }
+        const float cost = get_cost(candidate, request, growth);
+        if (!best.has_value() || cost < best_cost) {
+            best = index;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/policy/eviction_budget.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+
+#include <compare>
+
+namespace poplarpitch {
+
+/// Bounds of the evictions of one entry.
+struct eviction_budget_settings {
+    double per_minute = 4; ///< over all its workers
+    double burst = 3;      ///< at once after a quiet time
+
+    friend auto operator<=>(const eviction_budget_settings&, const eviction_budget_settings&) = default;
+};
+
+/// A token bucket over all workers of an entry: when many are under pressure at once, moving their tasks
+/// would only move the pressure. Thread safety: none, as for all methods.
+class eviction_budget {
+public:
+    explicit eviction_budget(const eviction_budget_settings& settings = {});
+
+    /// Takes one eviction; false when the budget is used up.
+    bool try_take(time_point now);
+
+private:
+    eviction_budget_settings m_settings;
+    double m_tokens;
+    time_point m_last{};
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/policy/eviction_candidate.cpp
@@ -0,0 +1,31 @@
+#include "poplarpitch/policy/eviction_candidate.h"
+
+namespace poplarpitch {
+namespace {
+
+constexpr double least_growth = 0.02; // a task that slows nobody is not worth moving
+constexpr double move_seconds = 5;    // cost of a move beside the lost work
+constexpr double again_seconds = 30;  // added for each earlier eviction
+
+} // namespace
+
+std::optional<std::size_t> pick_eviction(std::span<const eviction_candidate> candidates) {
+    std::optional<std::size_t> best;
+    double best_gain = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto& candidate = candidates[index];
+        if (!candidate.is_movable || candidate.growth < least_growth) {
+            continue;
+        }
+        const double cost =
+            move_seconds + to_seconds(candidate.unsaved) + again_seconds * candidate.evictions;
+        const double gain = candidate.growth / cost;
+        if (!best.has_value() || gain > best_gain) {
+            best = index;
+            best_gain = gain;
+        }
+    }
+    return best;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/policy/latency_model.cpp
@@ -0,0 +1,34 @@
+#include "poplarpitch/policy/latency_model.h"
+
+namespace poplarpitch {
+namespace {
+
+constexpr double low_us = 10;     // shorter times are all alike to a deadline
+constexpr double high_us = 600e6; // ten minutes
+constexpr double memory_samples =
+    2000; // forgets a load shift within seconds at hundreds of requests a second
+constexpr std::uint64_t refresh_every = 32;
+
+duration from_us(double value) {
+    return duration{static_cast<std::int64_t>(value * 1000)};
+}
+
+} // namespace
+
+latency_model::latency_model() : m_histogram(low_us, high_us, memory_samples) {}
+
+void latency_model::add(duration time) {
+    m_histogram.add(to_microseconds(time));
+    ++m_count;
+    if (m_count < refresh_every || m_count % refresh_every == 0) {
+        refresh();
+    }
+}
+
+void latency_model::refresh() {
+    m_median = from_us(m_histogram.get_quantile(0.5));
+    m_p95 = from_us(m_histogram.get_quantile(0.95));
+    m_p99 = from_us(m_histogram.get_quantile(0.99));
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/policy/task_placer.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "poplarpitch/policy/placement_candidate.h"
+
+#include <concepts>
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace poplarpitch {
+
+/// Anything that picks a worker for a task, or none. The shipped one is `cost_placer`; the baselines stay in
+/// the tree to be measured against.
+template <class T>
+concept task_placer = requires(T& placer, std::span<const placement_candidate> candidates,
+                               const placement_request& request, const interference_model& interference) {
+    { placer.pick(candidates, request, interference) } -> std::same_as<std::optional<std::size_t>>;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/policy/usage_model.cpp
@@ -0,0 +1,64 @@
+#include "poplarpitch/policy/usage_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace poplarpitch {
+namespace {
+
+constexpr double lowest_ratio = 1.0 / 64;
+constexpr double highest_ratio = 64;
+constexpr double memory_samples = 200;
+constexpr std::int64_t least_millicores = 50;
+constexpr std::int64_t least_memory = 16LL << 20;
+
+std::int64_t scale(std::int64_t declared, double ratio, std::int64_t least) {
+    const auto scaled = static_cast<std::int64_t>(std::llround(static_cast<double>(declared) * ratio));
+    return declared == 0 ? 0 : std::max(scaled, std::min(least, declared));
+}
+
+} // namespace
+
+usage_model::ratios::ratios()
+    : cores(lowest_ratio, highest_ratio, memory_samples), memory(lowest_ratio, highest_ratio, memory_samples),
+      time(lowest_ratio, highest_ratio, memory_samples) {}
+
+usage_model::usage_model(const usage_settings& settings) : m_settings(settings) {}
+
+void usage_model::add(const std::string& tenant, const std::string& batch, double cores_ratio,
+                      double memory_ratio, double time_ratio) {
+    auto& found = m_ratios[{tenant, batch}];
+    found.cores.add(cores_ratio);
+    found.memory.add(memory_ratio);
+    found.time.add(time_ratio);
+}
+
+const usage_model::ratios* usage_model::find(const std::string& tenant, const std::string& batch) const {
+    const auto found = m_ratios.find(std::pair(tenant, batch));
+    if (found == m_ratios.end() || found->second.cores.get_weight() < m_settings.min_samples) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+resources usage_model::get_reservation(const std::string& tenant, const std::string& batch,
+                                       const resources& declared) const {
+    const auto* known = find(tenant, batch);
+    if (known == nullptr) {
+        return declared;
+    }
+    auto reservation = declared;
+    reservation.millicores =
+        scale(declared.millicores, known->cores.get_quantile(m_settings.cores_quantile), least_millicores);
+    reservation.memory = scale(
+        declared.memory, known->memory.get_quantile(m_settings.memory_quantile) * m_settings.memory_headroom,
+        least_memory);
+    return reservation;
+}
+
+double usage_model::get_time_ratio(const std::string& tenant, const std::string& batch) const {
+    const auto* known = find(tenant, batch);
+    return known == nullptr ? 1.0 : known->time.get_quantile(0.5);
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/stand_in/stand_in_worker.cpp
@@ -0,0 +1,491 @@
+#include "poplarpitch/stand_in/stand_in_worker.h"
+
+#include "poplarpitch/entry/announcement_codec.h"
+#include "poplarpitch/entry/protocol_names.h"
+#include "poplarpitch/stand_in/run_record.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <absl/strings/str_split.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <unistd.h>
+
+namespace poplarpitch {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const char* check_header = "X-Check-Id"; ///< the caller's own number of a request, for the record
+constexpr duration checkpoint_every = seconds{1};
+constexpr double throttle_factor = 0.5;
+constexpr duration announce_wait = seconds{2};
+constexpr duration first_interval = milliseconds{200};
+constexpr duration task_step = milliseconds{50};
+constexpr int server_threads = 256;
+
+std::uint64_t make_incarnation(int number) {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    const auto ms = std::chrono::duration_cast<milliseconds>(since).count();
+    return static_cast<std::uint64_t>(ms) * 4096 + static_cast<std::uint64_t>(number % 4096);
+}
+
+http_server_settings make_server_settings(const stand_in_settings& settings) {
+    http_server_settings server;
+    server.host = settings.host;
+    server.max_connections = server_threads;
+    return server;
+}
+
+std::string make_lease(const std::string& job, std::uint64_t attempt) {
+    return absl::StrCat(job, "#", attempt);
+}
+
+/// Reads `ms=1500` out of a payload such as `ms=1500;fail`.
+duration read_total(const std::string& payload, duration declared) {
+    for (const auto part : absl::StrSplit(payload, ';')) {
+        std::int64_t value = 0;
+        if (absl::StartsWith(part, "ms=") && absl::SimpleAtoi(part.substr(3), &value)) {
+            return milliseconds{value};
+        }
+    }
+    return declared;
+}
+
+} // namespace
+
+stand_in_worker::stand_in_worker(const stand_in_settings& settings, int number, run_record& record)
+    : m_settings(settings), m_id(absl::StrCat(settings.id, "-", number)),
+      m_data_centre(settings.data_centres[static_cast<std::size_t>(number) % settings.data_centres.size()]),
+      m_rack(absl::StrCat("rack-", number / settings.rack_size)),
+      m_factor(number % 100 < settings.old_share * 100 || (settings.old_share >= 0.5 && number % 2 == 0)
+                   ? settings.old_factor
+                   : 1.0),
+      m_incarnation(make_incarnation(number)), m_record(record), m_entries(http_client_settings{}),
+      m_server(make_server_settings(settings),
+               [this](const http_request& request) { return handle(request); }),
+      m_random(static_cast<std::uint64_t>(number)) {}
+
+stand_in_worker::~stand_in_worker() {
+    stop();
+}
+
+int stand_in_worker::start() {
+    const auto port = m_server.start();
+    if (!port) {
+        return 0;
+    }
+    m_address = absl::StrCat(m_settings.host, ":", port.value());
+    m_announcer = std::thread([this] { announce_until_stopped(); });
+    return port.value();
+}
+
+void stand_in_worker::leave() {
+    const absl::MutexLock lock(&m_mutex);
+    m_is_leaving = true;
+}
+
+void stand_in_worker::stop() {
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_is_stopped = true;
+    }
+    m_server.stop();
+    if (m_announcer.joinable()) {
+        m_announcer.join();
+    }
+}
+
+bool stand_in_worker::is_idle() {
+    const absl::MutexLock lock(&m_mutex);
+    return m_requests.empty() && m_tasks.empty() && m_reports.empty();
+}
+
+// ---- requests and tasks
+
+http_response stand_in_worker::refuse(const std::string& reason) {
+    auto response = make_error_response(409, "refused", reason);
+    response.headers.add(header_refused, reason);
+    return response;
+}
+
+http_response stand_in_worker::handle(const http_request& request) {
+    const auto path = request.get_path();
+    http_response response;
+    if (absl::StartsWith(path, "/v1/requests/")) {
+        response = serve(request);
+    } else if (path == "/v1/tasks" && request.method == "POST") {
+        response = start_task(request);
+    } else if (absl::StartsWith(path, "/v1/tasks/")) {
+        const std::vector<std::string> parts = absl::StrSplit(path, '/', absl::SkipEmpty());
+        response = parts.size() == 4
+                       ? tell_task(absl::StrReplaceAll(parts[2], {{"%23", "#"}}), parts[3], request)
+                       : make_error_response(404, "not_found", "no such path");
+    } else if (absl::StartsWith(path, "/stand-in/")) {
+        response = set_fault(path.substr(std::string_view("/stand-in/").size()), request);
+    } else {
+        response = make_error_response(404, "not_found", "no such path");
+    }
+    const auto id = request.headers.get(header_request_id);
+    if (!id.empty()) {
+        response.headers.add(header_request_id, id);
+    }
+    return response;
+}
+
+bool stand_in_worker::has_room(const resources& need) const {
+    resources used;
+    used.slots = static_cast<std::int64_t>(m_requests.size());
+    for (const auto& [lease, task] : m_tasks) {
+        used += task.reserved;
+    }
+    return m_settings.capacity.holds(used + need);
+}
+
+duration stand_in_worker::draw_time(const std::string& service) {
+    stand_in_service shape;
+    for (const auto& known : m_settings.services) {
+        if (known.name == service) {
+            shape = known;
+        }
+    }
+    double growth = 0;
+    for (const auto& [lease, task] : m_tasks) {
+        const auto noise = m_settings.noise.find(task.batch);
+        const double share = static_cast<double>(task.reserved.millicores) /
+                             static_cast<double>(m_settings.capacity.millicores);
+        growth += noise == m_settings.noise.end()
+                      ? 0
+                      : noise->second * share * (task.is_throttled ? throttle_factor : 1);
+    }
+    std::normal_distribution<double> normal(0, shape.jitter);
+    const double factor = m_factor * (1 + growth) * std::exp(normal(m_random));
+    return duration{static_cast<std::int64_t>(static_cast<double>(shape.time.count()) * factor)};
+}
+
+http_response stand_in_worker::serve(const http_request& request) {
+    const std::vector<std::string> parts = absl::StrSplit(request.get_path(), '/', absl::SkipEmpty());
+    if (parts.size() < 3) {
+        return make_error_response(404, "not_found", "no service named");
+    }
+    const auto id = request.headers.get(header_request_id);
+    const auto check = absl::StrCat(request.headers.get(check_header), "|", parts[2], "|",
+                                    request.headers.get(header_idempotent));
+    std::uint64_t epoch = 0;
+    static_cast<void>(absl::SimpleAtoi(request.headers.get(header_epoch), &epoch));
+    duration time{};
+    bool is_failing = false;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (epoch < m_epoch) {
+            return refuse("stale-epoch");
+        }
+        if (!has_room({1, 0, 0, 0})) {
+            m_record.write("overcommit", m_id, id, check);
+            return refuse("full");
+        }
+        m_requests[id] = {epoch};
+        is_failing = m_is_failing;
+        time = draw_time(parts[2]);
+        if (time.count() == 0) {
+            time = duration{1};
+        }
+    }
+    m_record.write("request-start", m_id, id, check);
+    if (time > std::chrono::microseconds{2}) {
+        absl::SleepFor(absl::Nanoseconds(time.count()));
+    }
+    m_record.write("request-end", m_id, id, check);
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_requests.erase(id);
+    }
+    if (is_failing) {
+        return make_error_response(500, "broken", "this target fails everything");
+    }
+    http_response response;
+    response.content_type = request.headers.get("Content-Type");
+    response.headers.add("X-Worker", m_id);
+    response.body = request.body;
+    return response;
+}
+
+http_response stand_in_worker::start_task(const http_request& request) {
+    const auto object = json::parse(request.body, nullptr, false);
+    if (object.is_discarded()) {
+        return make_error_response(400, "bad_task", "no JSON");
+    }
+    simulated_task task;
+    task.job = object.value("job", "");
+    task.attempt = object.value("attempt", std::uint64_t{0});
+    task.batch = object.value("batch", "");
+    task.payload = object.value("payload", "");
+    task.reserved = {object.value("slots", std::int64_t{0}), object.value("millicores", std::int64_t{0}),
+                     object.value("memory", std::int64_t{0}), object.value("accelerators", std::int64_t{0})};
+    task.declared = milliseconds{object.value("run_time_ms", std::int64_t{0})};
+    task.total = read_total(task.payload, task.declared);
+    std::int64_t saved_ms = 0;
+    static_cast<void>(absl::SimpleAtoi(object.value("checkpoint", ""), &saved_ms));
+    task.saved = milliseconds{saved_ms};
+    task.done = task.saved;
+    const auto lease = make_lease(task.job, task.attempt);
+    const auto epoch = object.value("epoch", std::uint64_t{0});
+
+    const absl::MutexLock lock(&m_mutex);
+    if (m_tasks.contains(lease) || m_ended.contains(lease)) {
+        http_response response; // it was started by an earlier copy of this call
+        response.body = "{\"started\":true}";
+        return response;
+    }
+    if (epoch < m_epoch) {
+        return refuse("stale-epoch");
+    }
+    if (object.value("incarnation", std::uint64_t{0}) != m_incarnation) {
+        return refuse("other-process");
+    }
+    if (m_is_leaving) {
+        return refuse("leaving");
+    }
+    if (!has_room(task.reserved)) {
+        m_record.write("overcommit", m_id, lease, task.batch);
+        return refuse("full");
+    }
+    const auto now = m_clock.now();
+    task.updated = now;
+    task.lease_end = now + milliseconds{object.value("lease_ms", std::int64_t{10000})};
+    m_record.write("task-start", m_id, lease, task.batch);
+    m_tasks.emplace(lease, std::move(task));
+    http_response response;
+    response.body = "{\"started\":true}";
+    return response;
+}
+
+http_response stand_in_worker::tell_task(const std::string& lease, const std::string& verb,
+                                         const http_request& request) {
+    std::uint64_t epoch = 0;
+    static_cast<void>(absl::SimpleAtoi(request.headers.get(header_epoch), &epoch));
+    const absl::MutexLock lock(&m_mutex);
+    if (epoch < m_epoch) {
+        return refuse("stale-epoch");
+    }
+    advance_tasks();
+    const auto found = m_tasks.find(lease);
+    http_response response;
+    response.body = "{}";
+    if (found == m_tasks.end()) {
+        if (!m_ended.contains(lease) && verb == "stop") {
+            // Never started here, and after this never will be.
+            m_ended[lease] = 0;
+        }
+        return response;
+    }
+    auto& task = found->second;
+    if (verb == "throttle" || verb == "unthrottle") {
+        task.is_throttled = verb == "throttle";
+    } else if (verb == "checkpoint") {
+        task.saved = task.done;
+    } else if (verb == "evict") {
+        task.saved = task.done;
+        end_task(lease, "evicted", "");
+    } else if (verb == "stop") {
+        end_task(lease, "stopped", "");
+    } else if (verb == "renew") {
+        task.lease_end = std::max(task.lease_end, m_clock.now() + m_task_lease);
+    } else {
+        return make_error_response(404, "not_found", "no such verb");
+    }
+    return response;
+}
+
+http_response stand_in_worker::set_fault(const std::string& name, const http_request& request) {
+    const bool is_on = request.get_query("on") != "false";
+    const absl::MutexLock lock(&m_mutex);
+    if (name == "leave") {
+        m_is_leaving = is_on;
+    } else if (name == "fail") {
+        m_is_failing = is_on;
+    } else if (name == "mute") {
+        m_is_mute = is_on;
+    } else {
+        return make_error_response(404, "not_found", "no such fault");
+    }
+    http_response response;
+    response.body = "{}";
+    return response;
+}
+
+void stand_in_worker::end_task(const std::string& lease, const std::string& kind, const std::string& detail) {
+    const auto found = m_tasks.find(lease);
+    const auto& task = found->second;
+    m_record.write("task-" + kind, m_id, lease, task.batch);
+    task_report report;
+    report.number = ++m_last_report;
+    report.job = task.job;
+    report.attempt = task.attempt;
+    report.kind = kind;
+    report.detail = detail;
+    report.checkpoint = absl::StrCat(to_milliseconds(task.saved));
+    if (task.declared.count() > 0) {
+        report.time_ratio = to_seconds(task.total) / to_seconds(task.declared);
+    }
+    m_reports.push_back(report);
+    m_ended[lease] = report.number;
+    m_tasks.erase(found);
+}
+
+void stand_in_worker::advance_tasks() {
+    const auto now = m_clock.now();
+    std::vector<std::string> finished;
+    std::vector<std::string> failed;
+    std::vector<std::string> expired;
+    for (auto& [lease, task] : m_tasks) {
+        const double speed = m_settings.task_speed / m_factor * (task.is_throttled ? throttle_factor : 1);
+        task.done +=
+            duration{static_cast<std::int64_t>(static_cast<double>((now - task.updated).count()) * speed)};
+        task.updated = now;
+        if (task.done - task.saved >= checkpoint_every) {
+            task.saved = task.done;
+        }
+        if (now >= task.lease_end) {
+            expired.push_back(lease);
+        } else if (m_is_failing || (task.done >= task.total / 2 && absl::StrContains(task.payload, "fail"))) {
+            failed.push_back(lease);
+        } else if (task.done >= task.total) {
+            finished.push_back(lease);
+        }
+    }
+    for (const auto& lease : expired) {
+        // Nobody renewed: it stops and says nothing, since nobody may count on hearing it.
+        m_record.write("task-expired", m_id, lease, "");
+        m_ended[lease] = 0;
+        m_tasks.erase(lease);
+    }
+    for (const auto& lease : failed) {
+        end_task(lease, "failed", "it was made to fail");
+    }
+    for (const auto& lease : finished) {
+        end_task(lease, "finished", "ok");
+    }
+}
+
+// ---- announcements
+
+announcement stand_in_worker::make_announcement() {
+    const absl::MutexLock lock(&m_mutex);
+    advance_tasks();
+    announcement told;
+    told.id = m_id;
+    told.address = m_address;
+    told.data_centre = m_data_centre;
+    told.rack = m_rack;
+    told.speed_class = m_factor > 1 ? "old" : "new";
+    for (const auto& service : m_settings.services) {
+        told.services.push_back(service.name);
+    }
+    told.capacity = m_settings.capacity;
+    told.epoch = m_epoch;
+    told.incarnation = m_incarnation;
+    told.sequence = ++m_sequence;
+    told.is_leaving = m_is_leaving;
+    told.is_complete = m_wants_complete || m_sequence % 16 == 0;
+    for (const auto& [id, request] : m_requests) {
+        told.requests.push_back(id);
+        if (request.epoch < m_epoch) {
+            told.old_work.slots += 1;
+        }
+    }
+    if (told.is_complete) {
+        for (const auto& [lease, task] : m_tasks) {
+            told.tasks.push_back({task.job, task.attempt, task.done - task.saved});
+        }
+    }
+    told.reports = m_reports;
+    return told;
+}
+
+void stand_in_worker::take_answer(const announce_answer& answer, time_point sent) {
+    const absl::MutexLock lock(&m_mutex);
+    m_wants_complete = answer.wants_complete;
+    if (answer.epoch > m_epoch) {
+        m_epoch = answer.epoch;
+        m_wants_complete = true;
+    }
+    if (answer.interval.count() > 0) {
+        m_interval = answer.interval;
+    }
+    if (answer.task_lease.count() > 0) {
+        m_task_lease = answer.task_lease;
+    }
+    m_owner_address = answer.owner_address;
+    std::erase_if(m_reports, [&](const task_report& report) {
+        return std::find(answer.acknowledged.begin(), answer.acknowledged.end(), report.number) !=
+               answer.acknowledged.end();
+    });
+    if (answer.is_renewed) {
+        for (auto& [lease, task] : m_tasks) {
+            // The lease counts from when we asked: an answer may have been under way for long.
+            task.lease_end = std::max(task.lease_end, sent + m_task_lease);
+        }
+    }
+}
+
+void stand_in_worker::announce_once() {
+    std::string address;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_is_mute) {
+            return;
+        }
+        address = m_owner_address.empty() ? m_settings.entries[m_next_entry % m_settings.entries.size()]
+                                          : m_owner_address;
+    }
+    const auto told = make_announcement();
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/targets/announce";
+    request.body = encode_announcement(told);
+    request.headers.add("Content-Type", "application/json");
+    const auto sent = m_clock.now();
+    const auto exchange = m_entries.send(address, request, sent + announce_wait, connection_choice::pooled);
+    const bool is_good = exchange.progress == exchange_progress::answered && exchange.response.status == 200;
+    if (is_good) {
+        const auto decoded = decode_announce_answer(exchange.response.body);
+        if (const auto* answer = std::get_if<announce_answer>(&decoded)) {
+            take_answer(*answer, sent);
+            return;
+        }
+    }
+    m_entries.drop(address);
+    const absl::MutexLock lock(&m_mutex);
+    m_owner_address.clear();
+    ++m_next_entry;
+}
+
+void stand_in_worker::announce_until_stopped() {
+    auto next = m_clock.now();
+    while (true) {
+        {
+            const absl::MutexLock lock(&m_mutex);
+            if (m_is_stopped) {
+                return;
+            }
+            advance_tasks();
+        }
+        if (m_clock.now() >= next) {
+            announce_once();
+            const absl::MutexLock lock(&m_mutex);
+            // Soon again when there is news to get or to give; else in the usual rhythm.
+            const bool is_eager = m_wants_complete || m_owner_address.empty() || !m_reports.empty();
+            next = m_clock.now() + (is_eager ? std::min(first_interval, m_interval) : m_interval);
+        }
+        absl::SleepFor(absl::Nanoseconds(task_step.count()));
+    }
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/stand_in/stand_in_worker.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/entry/announcement.h"
+#include "poplarpitch/stand_in/simulated_task.h"
+#include "poplarpitch/stand_in/stand_in_settings.h"
+#include "poplarpitch/transport/http_client_pool.h"
+#include "poplarpitch/transport/http_server.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace poplarpitch {
+
+class run_record;
+
+/// One pretended target and worker: serves requests by waiting, runs tasks by counting time, slows its
+/// requests by what runs beside them, announces itself, refuses older epochs, keeps leases, reports until
+/// acknowledged. It keeps its side of the protocol exactly, so that a broken promise on our side shows in its
+/// record. Thread safety: any thread, for all methods.
+class stand_in_worker {
+public:
+    /// Precondition: `record` outlives the worker. `number` picks data centre, rack and generation.
+    stand_in_worker(const stand_in_settings& settings, int number, run_record& record);
+    ~stand_in_worker();
+    stand_in_worker(const stand_in_worker&) = delete;
+    stand_in_worker& operator=(const stand_in_worker&) = delete;
+
+    /// Listens and begins to announce itself. Returns the port, or 0 when it cannot listen.
+    int start();
+    /// Says that it leaves; goes on with what it runs.
+    void leave();
+    /// Stops announcing and serving.
+    void stop();
+
+    [[nodiscard]] const std::string& get_id() const { return m_id; }
+    [[nodiscard]] bool is_idle();
+
+private:
+    struct running_request {
+        std::uint64_t epoch = 0;
+    };
+
+    http_response handle(const http_request& request);
+    http_response serve(const http_request& request);
+    http_response start_task(const http_request& request);
+    http_response tell_task(const std::string& lease, const std::string& verb, const http_request& request);
+    http_response set_fault(const std::string& name, const http_request& request);
+    duration draw_time(const std::string& service) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool has_room(const resources& need) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    void announce_until_stopped();
+    void announce_once();
+    [[nodiscard]] announcement make_announcement();
+    void take_answer(const announce_answer& answer, time_point sent);
+    void advance_tasks() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void end_task(const std::string& lease, const std::string& kind, const std::string& detail)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    static http_response refuse(const std::string& reason);
+
+    const stand_in_settings m_settings;
+    const std::string m_id;
+    const std::string m_data_centre;
+    const std::string m_rack;
+    const double m_factor; ///< how much longer work takes here
+    const std::uint64_t m_incarnation;
+    const system_clock m_clock{};
+    run_record& m_record;
+    http_client_pool m_entries;
+    http_server m_server;
+    std::string m_address;
+    std::thread m_announcer;
+
+    absl::Mutex m_mutex;
+    std::mt19937_64 m_random ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_epoch ABSL_GUARDED_BY(m_mutex) = 0;
+    std::uint64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
+    std::uint64_t m_last_report ABSL_GUARDED_BY(m_mutex) = 0;
+    std::map<std::string, running_request> m_requests ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, simulated_task> m_tasks ABSL_GUARDED_BY(m_mutex); ///< by lease
+    std::map<std::string, std::uint64_t>
+        m_ended ABSL_GUARDED_BY(m_mutex); ///< leases that ended, with their report
+    std::vector<task_report> m_reports ABSL_GUARDED_BY(m_mutex);
+    bool m_wants_complete ABSL_GUARDED_BY(m_mutex) = true;
+    bool m_is_leaving ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_is_stopped ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_is_failing ABSL_GUARDED_BY(m_mutex) = false; ///< fault: every request and task fails
+    bool m_is_mute ABSL_GUARDED_BY(m_mutex) = false;    ///< fault: no announcements
+    std::string m_owner_address ABSL_GUARDED_BY(m_mutex);
+    std::size_t m_next_entry ABSL_GUARDED_BY(m_mutex) = 0;
+    duration m_interval ABSL_GUARDED_BY(m_mutex) = milliseconds{200};
+    duration m_task_lease ABSL_GUARDED_BY(m_mutex) = seconds{10};
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/state/fleet_table.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "poplarpitch/consensus/node_id.h"
+#include "poplarpitch/core/resources.h"
+#include "poplarpitch/state/state_error.h"
+#include "poplarpitch/state/state_rules.h"
+#include "poplarpitch/wire/poplarpitch.pb.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+
+#include <string>
+
+namespace poplarpitch {
+
+/// Entry sessions, workers, and which entry owns which worker under which epoch. Every change of owner raises
+/// the worker's epoch by one; the worker refuses anything of an older one, so two owners can never both start
+/// work. Thread safety: none, as for all methods.
+class fleet_table {
+public:
+    explicit fleet_table(const state_rules& rules);
+
+    /// Opens a session, replacing an older incarnation of the same entry, whose workers become free.
+    std::error_code open(const wire::session& opened, log_index index);
+    /// Ends a session; its workers become free.
+    std::error_code close(const wire::close_session& command, log_index index);
+    /// Marks a session as leaving: it gets no more workers.
+    std::error_code drain(const wire::drain_session& command);
+    /// Adds a worker or takes its changed description.
+    std::error_code register_worker(const wire::worker& registered, log_index index);
+    /// Gives a worker to an entry, raising its epoch.
+    std::error_code assign_owner(const wire::assign_owner& command, log_index index);
+    /// Notes that the owner does not hear from the worker, or hears again, or distrusts it.
+    std::error_code mark(const wire::mark_worker& command, log_index index);
+    /// Makes the worker's owner read its list of workers and tasks anew.
+    void touch_worker(const std::string& id, log_index index);
+    /// Forgets a worker.
+    std::error_code remove(const wire::remove_worker& command, log_index index);
+
+    [[nodiscard]] const wire::session* find_session(const std::string& entry) const;
+    [[nodiscard]] const wire::worker* find_worker(const std::string& id) const;
+    [[nodiscard]] const absl::btree_map<std::string, wire::session>& get_sessions() const {
+        return m_sessions;
+    }
+    [[nodiscard]] const absl::btree_map<std::string, wire::worker>& get_workers() const { return m_workers; }
+    /// Returns the ids of the workers that `entry` owns.
+    [[nodiscard]] const absl::btree_set<std::string>& get_owned(const std::string& entry) const;
+    /// Returns the ids of the workers without an owner.
+    [[nodiscard]] const absl::btree_set<std::string>& get_free() const { return get_owned(""); }
+    /// Returns the index at which the set of `entry`'s workers last changed.
+    [[nodiscard]] log_index get_owned_change(const std::string& entry) const;
+    /// Returns true when some registered worker, empty, would hold `need`.
+    [[nodiscard]] bool can_ever_hold(const resources& need) const;
+
+    void save(wire::state_snapshot& snapshot) const;
+    void load(const wire::state_snapshot& snapshot);
+
+private:
+    void set_owner(wire::worker& record, const std::string& owner, log_index index);
+    void free_workers(const std::string& entry, log_index index);
+    void touch(const std::string& owner, log_index index) { m_owned_change[owner] = index; }
+
+    state_rules m_rules;
+    absl::btree_map<std::string, wire::session> m_sessions;
+    absl::btree_map<std::string, wire::worker> m_workers;
+    absl::btree_map<std::string, absl::btree_set<std::string>> m_owned;
+    absl::btree_map<std::string, log_index> m_owned_change;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/state/state_machine.cpp
@@ -0,0 +1,210 @@
+#include "poplarpitch/state/state_machine.h"
+
+#include "poplarpitch/core/hash.h"
+#include "poplarpitch/state/amounts_codec.h"
+
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+
+namespace poplarpitch {
+
+state_machine::state_machine(const state_settings& settings, const state_rules& rules)
+    : m_settings(settings), m_rules(rules), m_configs(rules, settings), m_fleet(rules),
+      m_jobs(rules, settings.max_jobs), m_intents(rules, settings.max_intents, settings.max_intent_body) {}
+
+wire::command_result state_machine::apply_bytes(log_index index, std::string_view payload) {
+    wire::command command;
+    if (!command.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        command.Clear(); // applies as a command without a body: malformed
+    }
+    return apply(index, command);
+}
+
+wire::command_result state_machine::apply(log_index index, const wire::command& command) {
+    wire::command_result outcome;
+    const auto error = dispatch(index, command, outcome);
+    outcome.set_code(static_cast<std::uint32_t>(error.value()));
+    if (error) {
+        outcome.set_message(error.message());
+    }
+    outcome.set_index(index);
+    m_applied = index;
+    return outcome;
+}
+
+std::error_code state_machine::dispatch(log_index index, const wire::command& command,
+                                        wire::command_result& outcome) {
+    switch (command.body_case()) {
+    case wire::command::kOpen: {
+        const auto& opened = command.open().opened();
+        const auto* session = m_fleet.find_session(opened.entry());
+        if (session != nullptr && session->incarnation() < opened.incarnation()) {
+            m_intents.mark_unknown(opened.entry());
+        }
+        return m_fleet.open(opened, index);
+    }
+    case wire::command::kClose: {
+        const auto error = m_fleet.close(command.close(), index);
+        if (!error) {
+            m_intents.mark_unknown(command.close().entry());
+        }
+        return error;
+    }
+    case wire::command::kDrain:
+        return m_fleet.drain(command.drain());
+    case wire::command::kConfig:
+        return m_configs.put(command.config(), outcome);
+    case wire::command::kRegisterTarget: {
+        const auto error = m_fleet.register_worker(command.register_target().registered(), index);
+        report_worker(command.register_target().registered().id(), outcome);
+        return error;
+    }
+    case wire::command::kOwner: {
+        const auto error = m_fleet.assign_owner(command.owner(), index);
+        report_worker(command.owner().worker(), outcome);
+        return error;
+    }
+    case wire::command::kMark:
+        return m_fleet.mark(command.mark(), index);
+    case wire::command::kRemove:
+        return m_fleet.remove(command.remove(), index);
+    case wire::command::kSubmit:
+        return submit(index, command.submit(), outcome);
+    case wire::command::kAssign:
+        return assign(index, command.assign());
+    case wire::command::kEvent: {
+        const auto attempts = m_configs.get_configuration()->system.max_attempts;
+        const auto* before = m_jobs.find(command.event().job());
+        const std::string worker = before == nullptr ? "" : before->worker();
+        const auto error = m_jobs.take_event(command.event(), attempts, index);
+        if (!error && command.event().kind() == wire::event_lease_over) {
+            m_fleet.touch_worker(worker, index); // its owner may still count the task
+        }
+        report_job(command.event().job(), outcome);
+        return error;
+    }
+    case wire::command::kCancel: {
+        const auto error = m_jobs.cancel(command.cancel(), index);
+        report_job(command.cancel().job(), outcome);
+        return error;
+    }
+    case wire::command::kResolve: {
+        const auto error = m_jobs.resolve(command.resolve(), index);
+        report_job(command.resolve().job(), outcome);
+        return error;
+    }
+    case wire::command::kBegin: {
+        const auto error = m_intents.begin(command.begin().begun());
+        report_intent(command.begin().begun().key(), outcome);
+        return error;
+    }
+    case wire::command::kEnd: {
+        const auto error = m_intents.end(command.end().ended());
+        report_intent(command.end().ended().key(), outcome);
+        return error;
+    }
+    case wire::command::kExpire:
+        m_intents.expire(command.expire().intents_before_ms());
+        m_jobs.expire(command.expire().jobs_before_ms());
+        return {};
+    case wire::command::BODY_NOT_SET:
+        return state_errc::malformed;
+    }
+    return state_errc::malformed;
+}
+
+std::error_code state_machine::submit(log_index index, const wire::submit_job& command,
+                                      wire::command_result& outcome) {
+    const auto& submitted = command.submitted();
+    std::error_code error;
+    const auto settings = m_configs.get_configuration();
+    const auto* tenant = settings->find_tenant(submitted.tenant());
+    if (submitted.id().empty()) {
+        error = state_errc::malformed;
+    } else if (tenant == nullptr) {
+        error = state_errc::unknown_tenant;
+    } else if (settings->find_batch(submitted.batch()) == nullptr) {
+        error = state_errc::unknown_batch;
+    } else if (m_jobs.find(submitted.id()) == nullptr && !m_fleet.get_workers().empty() &&
+               !m_fleet.can_ever_hold(decode(submitted.need()))) {
+        error = state_errc::never_fits;
+    } else {
+        error = m_jobs.submit(submitted, tenant->max_jobs, index);
+    }
+    report_job(submitted.id(), outcome);
+    return error;
+}
+
+std::error_code state_machine::assign(log_index index, const wire::assign_job& command) {
+    const auto* worker = m_fleet.find_worker(command.worker());
+    if (worker == nullptr) {
+        return state_errc::unknown_worker;
+    }
+    const bool is_current = worker->epoch() == command.epoch() || !m_rules.epoch_is_compared;
+    if (!is_current || worker->owner().empty() || worker->silent()) {
+        return state_errc::stale_epoch;
+    }
+    return m_jobs.assign(command, worker->incarnation(), index);
+}
+
+void state_machine::report_job(const std::string& id, wire::command_result& outcome) const {
+    if (const auto* record = m_jobs.find(id)) {
+        *outcome.mutable_job_record() = *record;
+    }
+}
+
+void state_machine::report_intent(const std::string& key, wire::command_result& outcome) const {
+    if (const auto* record = m_intents.find(key)) {
+        *outcome.mutable_intent_record() = *record;
+    }
+}
+
+void state_machine::report_worker(const std::string& id, wire::command_result& outcome) const {
+    if (const auto* record = m_fleet.find_worker(id)) {
+        *outcome.mutable_worker_record() = *record;
+    }
+}
+
+// ---- snapshots
+
+std::string state_machine::save() const {
+    wire::state_snapshot snapshot;
+    snapshot.set_applied_index(m_applied);
+    m_configs.save(snapshot);
+    m_fleet.save(snapshot);
+    m_jobs.for_each([&](const wire::job& record) { *snapshot.add_jobs() = record; });
+    m_intents.for_each([&](const wire::intent& record) { *snapshot.add_intents() = record; });
+    std::string bytes;
+    {
+        google::protobuf::io::StringOutputStream stream(&bytes);
+        google::protobuf::io::CodedOutputStream coded(&stream);
+        coded.SetSerializationDeterministic(true);
+        snapshot.SerializeToCodedStream(&coded);
+    }
+    return bytes;
+}
+
+bool state_machine::load(std::string_view bytes) {
+    wire::state_snapshot snapshot;
+    if (!snapshot.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return false;
+    }
+    m_configs.load(snapshot);
+    m_fleet.load(snapshot);
+    m_jobs = job_table(m_rules, m_settings.max_jobs);
+    for (const auto& record : snapshot.jobs()) {
+        m_jobs.restore(record);
+    }
+    m_intents = intent_table(m_rules, m_settings.max_intents, m_settings.max_intent_body);
+    for (const auto& record : snapshot.intents()) {
+        m_intents.restore(record);
+    }
+    m_applied = snapshot.applied_index();
+    return true;
+}
+
+std::uint64_t state_machine::hash_state() const {
+    return hash_bytes(save());
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/state/state_machine.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "poplarpitch/consensus/node_id.h"
+#include "poplarpitch/state/config_table.h"
+#include "poplarpitch/state/fleet_table.h"
+#include "poplarpitch/state/intent_table.h"
+#include "poplarpitch/state/job_table.h"
+#include "poplarpitch/state/state_rules.h"
+#include "poplarpitch/state/state_settings.h"
+#include "poplarpitch/wire/poplarpitch.pb.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace poplarpitch {
+
+/// All replicated state: applies the log's commands in order. Deterministic: commands carry every time and
+/// choice they need, so equal logs give equal snapshots on every replica, byte for byte (see `hash_state`).
+/// Thread safety: none, as for all methods; the control thread owns it.
+class state_machine {
+public:
+    explicit state_machine(const state_settings& settings = {}, const state_rules& rules = {});
+
+    /// Applies one command and returns its outcome. Precondition: `index` is above all before.
+    wire::command_result apply(log_index index, const wire::command& command);
+    /// Reads and applies a log entry's payload; an unreadable one changes nothing and answers `malformed`.
+    wire::command_result apply_bytes(log_index index, std::string_view payload);
+
+    [[nodiscard]] const config_table& get_configs() const { return m_configs; }
+    [[nodiscard]] const fleet_table& get_fleet() const { return m_fleet; }
+    [[nodiscard]] const job_table& get_jobs() const { return m_jobs; }
+    [[nodiscard]] const intent_table& get_intents() const { return m_intents; }
+    [[nodiscard]] log_index get_applied() const { return m_applied; }
+
+    /// Returns the bytes of a snapshot.
+    [[nodiscard]] std::string save() const;
+    /// Replaces everything by a snapshot. Returns false, changing nothing, when the bytes are not one.
+    bool load(std::string_view bytes);
+    /// Returns a hash over everything, to compare replicas and builds.
+    [[nodiscard]] std::uint64_t hash_state() const;
+
+private:
+    std::error_code dispatch(log_index index, const wire::command& command, wire::command_result& outcome);
+    std::error_code submit(log_index index, const wire::submit_job& command, wire::command_result& outcome);
+    std::error_code assign(log_index index, const wire::assign_job& command);
+    void report_job(const std::string& id, wire::command_result& outcome) const;
+    void report_intent(const std::string& key, wire::command_result& outcome) const;
+    void report_worker(const std::string& id, wire::command_result& outcome) const;
+
+    state_settings m_settings;
+    state_rules m_rules;
+    config_table m_configs;
+    fleet_table m_fleet;
+    job_table m_jobs;
+    intent_table m_intents;
+    log_index m_applied = 0;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/telemetry/log_event.cpp
@@ -0,0 +1,82 @@
+#include "poplarpitch/telemetry/log_event.h"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace poplarpitch {
+namespace {
+
+log4cplus::LogLevel get_library_level(log_level level) {
+    switch (level) {
+    case log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::warn:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::ERROR_LOG_LEVEL;
+}
+
+/// Appends `value`, quoted where a reader could not tell its end otherwise.
+void append_value(std::string& line, std::string_view value) {
+    const bool is_plain = !value.empty() && value.find_first_of(" \t\r\n\"=\\") == std::string_view::npos;
+    if (is_plain) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char letter : value) {
+        if (letter == '\n' || letter == '\r') {
+            line += ' ';
+            continue;
+        }
+        if (letter == '"' || letter == '\\') {
+            line += '\\';
+        }
+        line += letter;
+    }
+    line += '"';
+}
+
+} // namespace
+
+log_event::log_event(log_level level, std::string_view name) : m_level(level), m_line("event=") {
+    append_value(m_line, name);
+}
+
+log_event::~log_event() {
+    static const auto logger = log4cplus::Logger::getRoot();
+    const auto level = get_library_level(m_level);
+    if (logger.isEnabledFor(level)) {
+        logger.log(level, m_line);
+    }
+}
+
+log_event& log_event::add(std::string_view key, std::string_view value) {
+    m_line += ' ';
+    m_line += key;
+    m_line += '=';
+    append_value(m_line, value);
+    return *this;
+}
+
+log_event& log_event::add(std::string_view key, std::int64_t value) {
+    return add(key, std::to_string(value));
+}
+
+log_event& log_event::add(std::string_view key, std::uint64_t value) {
+    return add(key, std::to_string(value));
+}
+
+log_event& log_event::add(std::string_view key, double value) {
+    return add(key, std::to_string(value));
+}
+
+log_event& log_event::add(std::string_view key, const std::error_code& value) {
+    return add(key, value.message());
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/telemetry/log_event.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace poplarpitch {
+
+/// How important an event is.
+enum class log_level : std::uint8_t { debug, info, warn, error };
+
+/// One event; written as one line when it goes out of scope:
+///
+///     log_event(log_level::info, "session_opened").add("entry", id).add("lease_ms", 1500);
+///
+/// Values with blanks or quotes are quoted, so that a line can be split again.
+/// Thread safety: none; different threads write different events at the same time.
+class log_event {
+public:
+    log_event(log_level level, std::string_view name);
+    ~log_event();
+    log_event(const log_event&) = delete;
+    log_event& operator=(const log_event&) = delete;
+
+    log_event& add(std::string_view key, std::string_view value);
+    log_event& add(std::string_view key, const char* value) { return add(key, std::string_view(value)); }
+    log_event& add(std::string_view key, std::int64_t value);
+    log_event& add(std::string_view key, std::uint64_t value);
+    log_event& add(std::string_view key, int value) { return add(key, static_cast<std::int64_t>(value)); }
+    log_event& add(std::string_view key, double value);
+    log_event& add(std::string_view key, const std::error_code& value);
+
+    /// Returns the line as far as it was added. Thread safety: none.
+    [[nodiscard]] const std::string& get_line() const { return m_line; }
+
+private:
+    log_level m_level;
+    std::string m_line;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/tools/version.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace poplarpitch {
+
+inline constexpr const char* version_text = "0.1.0"; ///< of all programs
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/transport/control_client.cpp
@@ -0,0 +1,191 @@
+#include "poplarpitch/transport/control_client.h"
+
+#include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/transport/channel_factory.h"
+#include "poplarpitch/transport/transport_error.h"
+#include "poplarpitch/wire/poplarpitch.grpc.pb.h"
+
+#include <absl/time/clock.h>
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration pause_without_leader = milliseconds{40};
+constexpr duration longest_attempt =
+    milliseconds{700}; // then another instance is asked, on a fresh connection
+constexpr duration renew_attempt = milliseconds{400};
+
+using control_stub = wire::control_service::Stub;
+
+/// The ways in which the answers say that they come from the leader.
+bool is_from_leader(const wire::propose_answer& answer) {
+    return answer.committed() || answer.unknown();
+}
+bool is_from_leader(const wire::renew_answer& answer) {
+    return answer.accepted() || !answer.refusal().empty();
+}
+bool is_from_leader(const wire::query_answer& answer) {
+    return answer.answered();
+}
+bool is_from_leader(const wire::member_answer& answer) {
+    return answer.done() || !answer.refusal().empty();
+}
+
+} // namespace
+
+struct control_client::link {
+    std::shared_ptr<grpc::Channel> channel;
+    std::unique_ptr<control_stub> stub;
+};
+
+control_client::control_client(std::vector<peer_address> peers) : m_peers(std::move(peers)) {
+    const absl::MutexLock lock(&m_mutex);
+    m_links.resize(m_peers.size());
+}
+
+control_client::~control_client() = default;
+
+std::shared_ptr<control_client::link> control_client::get_link(std::size_t index) {
+    const absl::MutexLock lock(&m_mutex);
+    auto& entry = m_links[index];
+    if (entry == nullptr) {
+        entry = std::make_shared<link>();
+        entry->channel = make_fresh_channel(m_peers[index].address);
+        entry->stub = wire::control_service::NewStub(entry->channel);
+    }
+    return entry;
+}
+
+void control_client::drop_link(std::size_t index, const std::shared_ptr<link>& used) {
+    const absl::MutexLock lock(&m_mutex);
+    if (m_links[index] == used) {
+        m_links[index] = nullptr;
+    }
+}
+
+std::size_t control_client::get_leader() {
+    const absl::MutexLock lock(&m_mutex);
+    return m_leader;
+}
+
+void control_client::follow(std::size_t asked, std::uint64_t leader) {
+    const auto found = std::find_if(m_peers.begin(), m_peers.end(),
+                                    [&](const peer_address& peer) { return peer.id == leader; });
+    const absl::MutexLock lock(&m_mutex);
+    if (found != m_peers.end()) {
+        m_leader = static_cast<std::size_t>(found - m_peers.begin());
+    } else if (m_leader == asked) {
+        m_leader = (asked + 1) % m_peers.size();
+    }
+}
+
+template <class Request, class Answer, class Call>
+result<Answer> control_client::call_leader(const Request& request, time_point deadline, duration attempt,
+                                           Call call) {
+    const system_clock clock;
+    bool is_maybe_done = false;
+    bool is_anyone_reached = false;
+    for (auto now = clock.now(); now < deadline; now = clock.now()) {
+        const auto index = get_leader();
+        const auto used = get_link(index);
+        grpc::ClientContext context;
+        const auto limit = std::min<duration>(deadline - now, attempt);
+        context.set_deadline(std::chrono::system_clock::now() +
+                             std::chrono::duration_cast<milliseconds>(limit));
+        Answer answer;
+        const auto status = call(*used->stub, context, request, answer);
+        if (status.ok()) {
+            is_anyone_reached = true;
+            if (is_from_leader(answer)) {
+                return answer;
+            }
+            follow(index, answer.leader());
+            if (answer.leader() == 0 || answer.leader() == m_peers[index].id) {
+                absl::SleepFor(absl::Nanoseconds(pause_without_leader.count()));
+            }
+            continue;
+        }
+        // The connection may be silent for good: whatever the peer's state, the next try opens a fresh one.
+        is_maybe_done = is_maybe_done || status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+        drop_link(index, used);
+        follow(index, 0);
+        absl::SleepFor(absl::Nanoseconds(pause_without_leader.count()));
+    }
+    if (is_maybe_done) {
+        return make_error_code(transport_errc::timed_out);
+    }
+    return make_error_code(is_anyone_reached ? transport_errc::no_leader : transport_errc::unreachable);
+}
+
+result<wire::command_result> control_client::propose(const wire::command& command, time_point deadline) {
+    wire::propose_request request;
+    *request.mutable_proposed() = command;
+    const auto call = [](control_stub& stub, grpc::ClientContext& context, const wire::propose_request& sent,
+                         wire::propose_answer& received) {
+        return stub.propose(&context, sent, &received);
+    };
+    const system_clock clock;
+    while (true) {
+        auto answer = call_leader<wire::propose_request, wire::propose_answer>(request, deadline,
+                                                                               longest_attempt, call);
+        if (!answer) {
+            return answer.error();
+        }
+        if (answer.value().committed()) {
+            return std::move(*answer.value().mutable_outcome());
+        }
+        // The leader lost its place with the command in its log; asking again finds out what became of it.
+        if (clock.now() >= deadline) {
+            return make_error_code(transport_errc::timed_out);
+        }
+        absl::SleepFor(absl::Nanoseconds(pause_without_leader.count()));
+    }
+}
+
+result<wire::renew_answer> control_client::renew(const wire::renew_request& request, time_point deadline) {
+    return call_leader<wire::renew_request, wire::renew_answer>(
+        request, deadline, renew_attempt,
+        [](control_stub& stub, grpc::ClientContext& context, const wire::renew_request& sent,
+           wire::renew_answer& received) { return stub.renew(&context, sent, &received); });
+}
+
+result<wire::query_answer> control_client::query(const wire::query_request& request, time_point deadline) {
+    return call_leader<wire::query_request, wire::query_answer>(
+        request, deadline, longest_attempt,
+        [](control_stub& stub, grpc::ClientContext& context, const wire::query_request& sent,
+           wire::query_answer& received) { return stub.query(&context, sent, &received); });
+}
+
+result<wire::member_answer> control_client::change_members(const wire::member_request& request,
+                                                           time_point deadline) {
+    return call_leader<wire::member_request, wire::member_answer>(
+        request, deadline, longest_attempt,
+        [](control_stub& stub, grpc::ClientContext& context, const wire::member_request& sent,
+           wire::member_answer& received) { return stub.change_members(&context, sent, &received); });
+}
+
+result<wire::query_answer> control_client::query_node(std::uint64_t node, const wire::query_request& request,
+                                                      time_point deadline) {
+    const auto found = std::find_if(m_peers.begin(), m_peers.end(),
+                                    [&](const peer_address& peer) { return peer.id == node; });
+    if (found == m_peers.end()) {
+        return make_error_code(transport_errc::unreachable);
+    }
+    const auto index = static_cast<std::size_t>(found - m_peers.begin());
+    const auto used = get_link(index);
+    const system_clock clock;
+    const auto limit = std::chrono::duration_cast<milliseconds>(deadline - clock.now());
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + limit);
+    wire::query_answer answer;
+    if (!used->stub->query(&context, request, &answer).ok()) {
+        drop_link(index, used);
+        return make_error_code(transport_errc::unreachable);
+    }
+    return answer;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/transport/control_handler.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "poplarpitch/consensus/raft_message.h"
+#include "poplarpitch/wire/poplarpitch.pb.h"
+
+#include <functional>
+
+namespace poplarpitch {
+
+/// What a control instance does with what comes in from own processes. Each is called on many threads at once
+/// and may wait.
+struct control_handler {
+    std::function<void(raft_message)> on_message;
+    std::function<wire::renew_answer(const wire::renew_request&)> on_renew;
+    std::function<wire::propose_answer(const wire::propose_request&)> on_propose;
+    std::function<wire::query_answer(const wire::query_request&)> on_query;
+    std::function<wire::member_answer(const wire::member_request&)> on_members;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/transport/growing_task_queue.cpp
@@ -0,0 +1,53 @@
+#include "poplarpitch/transport/growing_task_queue.h"
+
+namespace poplarpitch {
+
+growing_task_queue::growing_task_queue(int max_threads) : m_max_threads(max_threads) {}
+
+growing_task_queue::~growing_task_queue() {
+    finish();
+}
+
+void growing_task_queue::run(std::function<void()> task) {
+    const absl::MutexLock lock(&m_mutex);
+    m_tasks.push_back(std::move(task));
+    const bool is_short = m_idle < static_cast<int>(m_tasks.size());
+    if (is_short && static_cast<int>(m_threads.size()) < m_max_threads) {
+        m_threads.emplace_back([this] { work(); });
+    }
+}
+
+void growing_task_queue::work() {
+    while (true) {
+        std::function<void()> task;
+        {
+            const absl::MutexLock lock(&m_mutex);
+            ++m_idle;
+            const auto is_ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+                return m_is_finished || !m_tasks.empty();
+            };
+            m_mutex.Await(absl::Condition(&is_ready));
+            --m_idle;
+            if (m_tasks.empty()) {
+                return;
+            }
+            task = std::move(m_tasks.front());
+            m_tasks.pop_front();
+        }
+        task();
+    }
+}
+
+void growing_task_queue::finish() {
+    std::list<std::thread> threads;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_is_finished = true;
+        threads.swap(m_threads);
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/transport/http_client_pool.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+#include "poplarpitch/transport/http_exchange.h"
+#include "poplarpitch/transport/http_request.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+
+/// Bounds of the pooled connections.
+struct http_client_settings {
+    duration max_idle_age = seconds{3}; ///< an idle connection is closed after this; below the peers' 5 s
+    duration alive_window = milliseconds{500};    ///< a connection that answered within it counts as alive
+    duration connect_timeout = milliseconds{500}; ///< a SYN lost once is sent again after 1 s: give up before
+    std::size_t max_idle = 64;                    ///< idle connections kept for each peer
+    std::int64_t max_body = 8LL << 20;            ///< bytes of the largest answer
+
+    friend auto operator<=>(const http_client_settings&, const http_client_settings&) = default;
+};
+
+/// Whether a request may travel on a connection that might have died silently.
+enum class connection_choice : std::uint8_t {
+    pooled,      ///< any idle one: a retry is possible
+    known_alive, ///< one that answered within the window, or a fresh one: the request can be sent only once
+    fresh,       ///< a new one: pooled ones have just proved silent
+};
+
+/// HTTP connections to targets and other entries. Each exchange has a connection to itself and one that
+/// failed or was late is closed, so an answer can never reach another request's caller. Thread safety: any
+/// thread, for all methods.
+class http_client_pool {
+public:
+    explicit http_client_pool(const http_client_settings& settings);
+    ~http_client_pool();
+    http_client_pool(const http_client_pool&) = delete;
+    http_client_pool& operator=(const http_client_pool&) = delete;
+
+    /// Sends `request` to `address` (host:port) and waits for the whole answer, at most until `deadline`.
+    http_exchange send(const std::string& address, const http_request& request, time_point deadline,
+                       connection_choice choice);
+    /// Closes all idle connections to `address`: the peer was silent, so they may be dead.
+    void drop(const std::string& address);
+
+private:
+    struct connection;
+
+    std::unique_ptr<connection> take(const std::string& address, connection_choice choice, time_point now);
+    void put_back(const std::string& address, std::unique_ptr<connection> used, time_point now);
+
+    http_client_settings m_settings;
+    absl::Mutex m_mutex;
+    absl::flat_hash_map<std::string, std::vector<std::unique_ptr<connection>>>
+        m_idle ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/transport/http_response.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "poplarpitch/transport/header_list.h"
+
+#include <string>
+
+namespace poplarpitch {
+
+/// An answer, whole.
+struct http_response {
+    int status = 200;
+    header_list headers; ///< without Content-Type, Content-Length and connection headers
+    std::string content_type = "application/json";
+    std::string body;
+
+    friend bool operator==(const http_response&, const http_response&) = default;
+};
+
+/// Returns an answer with a JSON body of error code and message. Thread safety: any thread.
+[[nodiscard]] http_response make_error_response(int status, const std::string& code,
+                                                const std::string& message);
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/transport/http_server.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "poplarpitch/core/result.h"
+#include "poplarpitch/transport/http_request.h"
+#include "poplarpitch/transport/http_response.h"
+#include "poplarpitch/transport/http_server_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace poplarpitch {
+
+/// An HTTP/1.1 server on cpp-httplib that hands every request, whole, to one function.
+class http_server {
+public:
+    using handler = std::function<http_response(const http_request&)>;
+
+    /// `handle` is called on many threads at once.
+    http_server(const http_server_settings& settings, handler handle);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Binds, and serves on threads of its own. Returns the port. Precondition: called once. Thread safety:
+    /// none.
+    result<int> start();
+    /// Stops accepting, lets requests in flight end, closes. Thread safety: any thread.
+    void stop();
+    /// Returns the number of requests being handled. Thread safety: any thread.
+    [[nodiscard]] int get_active() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/programs/poplarpitch_control.cpp
@@ -0,0 +1,14 @@
+#include "poplarpitch/control/control_daemon.h"
+#include "poplarpitch/telemetry/logging.h"
+#include "poplarpitch/tools/daemon_command_line.h"
+
+int main(int count, char** arguments) {
+    const auto line = poplarpitch::read_daemon_command_line(
+        count, arguments, "poplarpitch-control", "Keeps the replicated state: configuration, workers, jobs.",
+        true);
+    if (line.exit_code.has_value()) {
+        return *line.exit_code;
+    }
+    poplarpitch::start_logging(line.settings.log_level);
+    return poplarpitch::run_control_daemon(line.settings);
+}
--- /dev/null
+++ b/programs/poplarpitch_entry.cpp
@@ -0,0 +1,13 @@
+#include "poplarpitch/entry/entry_daemon.h"
+#include "poplarpitch/telemetry/logging.h"
+#include "poplarpitch/tools/daemon_command_line.h"
+
+int main(int count, char** arguments) {
+    const auto line = poplarpitch::read_daemon_command_line(
+        count, arguments, "poplarpitch-entry", "Takes callers' requests and targets' announcements.", false);
+    if (line.exit_code.has_value()) {
+        return *line.exit_code;
+    }
+    poplarpitch::start_logging(line.settings.log_level);
+    return poplarpitch::run_entry_daemon(line.settings);
+}
