Join the path: announcements with large incarnations are taken

Cause: the decoder's bound for amounts also held for process numbers, so no stand-in could announce itself. Change: numbers have a bound of their own; both sides log a refused announcement with its reason.

--- a/poplarpitch/entry/announce_handler.cpp
+++ b/poplarpitch/entry/announce_handler.cpp
@@ -43,6 +43,7 @@
 http_response announce_handler::handle(const http_request& request) {
     auto decoded = decode_announcement(request.body);
     if (const auto* error = std::get_if<codec_error>(&decoded)) {
+        log_event(log_level::warn, "bad_announcement").add("reason", error->message);
         return make_error_response(400, "bad_announcement", error->message);
     }
     const auto& told = std::get<announcement>(decoded);
--- a/poplarpitch/entry/announcement_codec.cpp
+++ b/poplarpitch/entry/announcement_codec.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t max_name = 128;
 constexpr std::size_t max_list = 100'000;
 constexpr std::int64_t max_amount = 1LL << 50;
+constexpr std::int64_t max_number = 1LL << 62;
 
 /// Thrown inside this file only, and turned into a codec_error at its border.
 class bad_field : public std::runtime_error {
@@ -40,7 +41,7 @@
     return text;
 }
 
-std::int64_t read_amount(const json& object, const char* key) {
+std::int64_t read_amount(const json& object, const char* key, std::int64_t limit = max_amount) {
     const auto found = object.find(key);
     if (found == object.end()) {
         return 0;
@@ -49,14 +50,14 @@
         throw bad_field(std::string("'") + key + "' must be a whole number");
     }
     const auto value = found->get<std::int64_t>();
-    if (value < 0 || value > max_amount) {
+    if (value < 0 || value > limit) {
         throw bad_field(std::string("'") + key + "' is negative or too large");
     }
     return value;
 }
 
 std::uint64_t read_number(const json& object, const char* key) {
-    return static_cast<std::uint64_t>(read_amount(object, key));
+    return static_cast<std::uint64_t>(read_amount(object, key, max_number));
 }
 
 double read_ratio(const json& object, const char* key) {
--- a/poplarpitch/stand_in/stand_in_worker.cpp
+++ b/poplarpitch/stand_in/stand_in_worker.cpp
@@ -3,6 +3,7 @@
 #include "poplarpitch/entry/announcement_codec.h"
 #include "poplarpitch/entry/protocol_names.h"
 #include "poplarpitch/stand_in/run_record.h"
+#include "poplarpitch/telemetry/log_event.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -460,6 +461,10 @@
             take_answer(*answer, sent);
             return;
         }
+    } else if (exchange.progress == exchange_progress::answered && exchange.response.status / 100 == 4) {
+        log_event(log_level::warn, "announcement_refused")
+            .add("worker", m_id)
+            .add("reason", exchange.response.body);
     }
     m_entries.drop(address);
     const absl::MutexLock lock(&m_mutex);
