--- /dev/null
+++ b/performance_test/admission_decisions.cpp
@@ -0,0 +1,3 @@
+int main() {
+    return 0;
+}
