--- a/performance_test/log_benchmark.cpp
+++ b/performance_test/log_benchmark.cpp
@@ -133,8 +133,8 @@
 
 void measure_recovery(const std::string& folder, int entries) {
     std::filesystem::remove_all(folder);
-    posix_file_system files(folder);
     {
+        posix_file_system files(folder);
         raft_storage<posix_file_system> storage(files, {"bench", 1});
         static_cast<void>(storage.open());
         static_cast<void>(storage.form({{1}, {}}));
@@ -149,6 +149,7 @@
     }
     const system_clock clock;
     const auto begin = clock.now();
+    posix_file_system files(folder);
     raft_storage<posix_file_system> storage(files, {"bench", 1});
     const auto state = storage.open();
     state_machine machine;
--- a/poplarpitch/consensus/raft_settings.h
+++ b/poplarpitch/consensus/raft_settings.h
@@ -10,7 +10,7 @@
 
 /// Timing and bounds of a raft node. Defaults suit links of about 1 ms one way.
 struct raft_settings {
-    duration heartbeat_interval = milliseconds{50}; ///< a tenth of an election timeout leaves room for losses
+    duration heartbeat_interval = milliseconds{100}; ///< a quarter of an election timeout: three may be lost
     duration election_timeout_min = milliseconds{400}; ///< failover under a second; also the leader lease
     duration election_timeout_max = milliseconds{700}; ///< the spread keeps two candidates apart
     duration drift_margin = milliseconds{40};          ///< taken off the leader lease: 10% clock drift
--- a/poplarpitch/entry/entry_settings.h
+++ b/poplarpitch/entry/entry_settings.h
@@ -8,8 +8,9 @@
 
 /// How an entry runs.
 struct entry_settings {
-    duration renew_interval = milliseconds{250}; ///< of the control session, which is also how news comes
-    duration tick_interval = milliseconds{100};  ///< of tasks, silence and relief
+    duration renew_interval =
+        milliseconds{400}; ///< of the control session, which is also how news comes; three fit into a lease
+    duration tick_interval = milliseconds{100}; ///< of tasks, silence and relief
     duration propose_timeout = seconds{3}; ///< of a change that nobody waits for with a deadline of his own
     duration drain_wait = seconds{30};     ///< longest wait for requests in flight at a planned stop
     duration drain_grace =
--- a/poplarpitch/stand_in/stand_in_worker.cpp
+++ b/poplarpitch/stand_in/stand_in_worker.cpp
@@ -453,7 +453,10 @@
     request.body = encode_announcement(told);
     request.headers.add("Content-Type", "application/json");
     const auto sent = m_clock.now();
-    const auto exchange = m_entries.send(address, request, sent + announce_wait, connection_choice::pooled);
+    // A connection of its own, closed at once: cpp-httplib wakes a server thread 100 times a second for each
+    // idle one, which costs an entry more than the connect.
+    const auto exchange = m_entries.send(address, request, sent + announce_wait, connection_choice::fresh);
+    m_entries.drop(address);
     const bool is_good = exchange.progress == exchange_progress::answered && exchange.response.status == 200;
     if (is_good) {
         const auto decoded = decode_announce_answer(exchange.response.body);
