Hedge slow idempotent requests

Cause: 'hedge' was a setting without an effect. Change: a second copy goes to another worker once the answer is later than the 95th percentile, within the retry budget and only when nobody waits; the first good answer counts and breaks the other copy off, whose slot stays doubtful.

--- a/poplarpitch/entry/call_handler.cpp
+++ b/poplarpitch/entry/call_handler.cpp
@@ -3,11 +3,13 @@
 #include "poplarpitch/core/hash.h"
 #include "poplarpitch/entry/call_reader.h"
 #include "poplarpitch/entry/entry_state.h"
+#include "poplarpitch/entry/hedged_call.h"
 #include "poplarpitch/entry/protocol_names.h"
 #include "poplarpitch/entry/session_lease.h"
 #include "poplarpitch/state/intent_table.h"
 #include "poplarpitch/telemetry/metrics_registry.h"
 #include "poplarpitch/transport/control_client.h"
+#include "poplarpitch/transport/http_cancel.h"
 #include "poplarpitch/transport/http_client_pool.h"
 #include "poplarpitch/transport/transport_error.h"
 
@@ -21,6 +23,7 @@
 namespace {
 
 constexpr int max_attempts = 3;
+constexpr int hedge_threads = 64;
 constexpr duration retry_after_default = seconds{1};
 constexpr duration intent_commit_wait = seconds{2};
 
@@ -53,7 +56,7 @@
                            const session_lease& lease, metrics_registry& metrics, std::string entry_id,
                            std::string prefix)
     : m_state(state), m_targets(targets), m_control(control), m_lease(lease), m_metrics(metrics),
-      m_entry_id(std::move(entry_id)), m_prefix(std::move(prefix)) {}
+      m_entry_id(std::move(entry_id)), m_prefix(std::move(prefix)), m_hedges(hedge_threads) {}
 
 http_response call_handler::handle(const http_request& request) {
     const auto started = m_clock.now();
@@ -177,7 +180,11 @@
             return result;
         }
         const bool is_retry = record.attempts > 1;
-        auto attempt = send_attempt(call, request, std::get<request_grant>(decision), is_retry);
+        const auto& grant = std::get<request_grant>(decision);
+        const auto delay =
+            call.is_idempotent && !is_retry ? m_state.get_hedge_delay(call.service) : std::nullopt;
+        auto attempt = delay.has_value() ? send_hedged(call, request, grant, *delay)
+                                         : send_attempt(call, request, grant, is_retry, nullptr);
         const bool was_unknown = is_retry && last.outcome == call_outcome::unknown;
         last = std::move(attempt.result);
         if (was_unknown && last.outcome == call_outcome::not_run) {
@@ -213,7 +220,8 @@
 }
 
 call_handler::attempt_outcome call_handler::send_attempt(const call_info& call, const http_request& request,
-                                                         const request_grant& grant, bool is_retry) {
+                                                         const request_grant& grant, bool is_retry,
+                                                         http_cancel* cancel) {
     const auto outgoing = make_target_request(call, request, grant);
     auto choice = connection_choice::pooled;
     if (is_retry) {
@@ -230,12 +238,48 @@
             make_refused(503, "no_control", "this entry has lost contact with control", retry_after_default),
             false};
     }
-    auto exchange = m_targets.send(grant.address, outgoing, call.deadline, choice);
-    return read_attempt(call, grant, std::move(exchange), m_clock.now() - sent);
+    auto exchange = m_targets.send(grant.address, outgoing, call.deadline, choice, cancel);
+    const bool is_cancelled = cancel != nullptr && cancel->is_cancelled();
+    return read_attempt(call, grant, std::move(exchange), m_clock.now() - sent, is_cancelled);
+}
+
+call_handler::attempt_outcome call_handler::send_hedged(const call_info& call, const http_request& request,
+                                                        const request_grant& grant, duration delay) {
+    const auto race = std::make_shared<hedged_call<attempt_outcome>>();
+    const auto is_good = [](const attempt_outcome& attempt) {
+        return attempt.result.outcome == call_outcome::done && !attempt.may_retry;
+    };
+    // The first copy waits for a second one that has begun, so `call` and `request` outlive it.
+    const auto second =
+        m_hedges.schedule(m_clock.now() + delay, [this, race, &call, &request, &grant, is_good] {
+            if (!race->start_second()) {
+                return;
+            }
+            attempt_outcome attempt;
+            if (const auto other = m_state.try_hedge(call, grant.worker)) {
+                attempt = send_attempt(call, request, *other, true, &race->second);
+                m_metrics.count("poplarpitch_hedges_total", {call.tenant, call.service, ""});
+            }
+            const bool is_winner = is_good(attempt);
+            race->finish(std::move(attempt), is_winner, true, race->first);
+        });
+    auto own = send_attempt(call, request, grant, false, &race->first);
+    m_hedges.cancel(second);
+    if (is_good(own)) {
+        race->finish(own, true, false, race->second);
+    }
+    auto answer = race->take_answer();
+    return answer.has_value() ? std::move(*answer) : std::move(own);
 }
 
 call_handler::attempt_outcome call_handler::read_attempt(const call_info& call, const request_grant& grant,
-                                                         http_exchange exchange, duration latency) {
+                                                         http_exchange exchange, duration latency,
+                                                         bool is_cancelled) {
+    if (is_cancelled && exchange.progress != exchange_progress::answered) {
+        const bool is_sent = exchange.progress == exchange_progress::maybe_sent;
+        m_state.finish(grant, is_sent ? attempt_result::abandoned : attempt_result::refused, latency);
+        return {make_unknown("cancelled", "another copy was faster"), false};
+    }
     if (exchange.progress == exchange_progress::not_sent) {
         m_state.finish(grant, attempt_result::not_sent, latency);
         return {
--- a/poplarpitch/entry/call_handler.h
+++ b/poplarpitch/entry/call_handler.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/system_clock.h"
 #include "poplarpitch/entry/call_info.h"
 #include "poplarpitch/entry/call_outcome.h"
+#include "poplarpitch/entry/hedge_timer.h"
 #include "poplarpitch/entry/request_grant.h"
 #include "poplarpitch/transport/http_exchange.h"
 #include "poplarpitch/transport/http_request.h"
@@ -16,6 +17,7 @@
 
 class control_client;
 class entry_state;
+class http_cancel;
 class http_client_pool;
 class metrics_registry;
 class session_lease;
@@ -57,9 +59,13 @@
         bool may_retry = false;
     };
     attempt_outcome send_attempt(const call_info& call, const http_request& request,
-                                 const request_grant& grant, bool is_retry);
+                                 const request_grant& grant, bool is_retry, http_cancel* cancel);
+    /// Sends an attempt and, when its answer is late, a second copy to another worker; the first good answer
+    /// counts.
+    attempt_outcome send_hedged(const call_info& call, const http_request& request,
+                                const request_grant& grant, duration delay);
     attempt_outcome read_attempt(const call_info& call, const request_grant& grant, http_exchange exchange,
-                                 duration latency);
+                                 duration latency, bool is_cancelled);
     [[nodiscard]] http_request make_target_request(const call_info& call, const http_request& request,
                                                    const request_grant& grant) const;
     void finish_intent(const call_info& call, const std::string& key, const call_result& result);
@@ -77,6 +83,7 @@
     const std::string m_prefix;
     const system_clock m_clock{};
     std::atomic<std::uint64_t> m_next_request{1};
+    hedge_timer m_hedges; ///< last: its threads use the members above
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/entry/entry_state.cpp
+++ b/poplarpitch/entry/entry_state.cpp
@@ -184,6 +184,11 @@
     return m_dispatcher.try_retry(service);
 }
 
+std::optional<request_grant> entry_state::try_hedge(const call_info& call, const std::string& first_worker) {
+    const absl::MutexLock lock(&m_mutex);
+    return m_dispatcher.try_hedge(call, first_worker, m_clock.now());
+}
+
 std::optional<duration> entry_state::get_hedge_delay(const std::string& service) const {
     const absl::MutexLock lock(&m_mutex);
     return m_dispatcher.get_hedge_delay(service);
--- a/poplarpitch/entry/entry_state.h
+++ b/poplarpitch/entry/entry_state.h
@@ -39,6 +39,7 @@
     void finish(const request_grant& grant, attempt_result ended, duration latency);
     void finish_forwarded(const call_info& call);
     bool try_retry(const std::string& service);
+    std::optional<request_grant> try_hedge(const call_info& call, const std::string& first_worker);
     [[nodiscard]] std::optional<duration> get_hedge_delay(const std::string& service) const;
 
     /// What an entry knows of a worker that announces itself.
--- /dev/null
+++ b/poplarpitch/entry/hedged_call.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "poplarpitch/transport/http_cancel.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <optional>
+
+namespace poplarpitch {
+
+/// Two copies of one request that race. The first good answer wins and breaks the other copy off.
+/// Thread safety: any thread, for all methods.
+template <class Answer>
+class hedged_call {
+public:
+    /// Notes that the second copy is on its way. Returns false when the race is over already.
+    bool start_second() {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_is_over) {
+            return false;
+        }
+        m_is_second_running = true;
+        return true;
+    }
+
+    /// Takes the end of a copy. A good answer that comes first wins and cancels `other`.
+    void finish(Answer answer, bool is_good, bool is_second, http_cancel& other) {
+        bool has_won = false;
+        {
+            const absl::MutexLock lock(&m_mutex);
+            if (is_second) {
+                m_is_second_running = false;
+            }
+            if (is_good && !m_is_over) {
+                m_answer = std::move(answer);
+                m_is_over = true;
+                has_won = true;
+            }
+        }
+        if (has_won) {
+            other.cancel();
+        }
+    }
+
+    /// Called by the first copy after its end: waits for a second copy that still runs, ends the race, and
+    /// returns the winner's answer, if there is one.
+    std::optional<Answer> take_answer() {
+        const absl::MutexLock lock(&m_mutex);
+        // Even a race that is won waits for the second copy's thread: it uses the request.
+        const auto is_settled = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+            return !m_is_second_running;
+        };
+        m_mutex.Await(absl::Condition(&is_settled));
+        m_is_over = true;
+        return std::move(m_answer);
+    }
+
+    http_cancel first;  ///< breaks the first copy off
+    http_cancel second; ///< breaks the second copy off
+
+private:
+    absl::Mutex m_mutex;
+    std::optional<Answer> m_answer ABSL_GUARDED_BY(m_mutex);
+    bool m_is_over ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_is_second_running ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+} // namespace poplarpitch
--- a/poplarpitch/entry/owned_fleet.cpp
+++ b/poplarpitch/entry/owned_fleet.cpp
@@ -232,10 +232,12 @@
     if (worker == nullptr || worker->epoch != grant.epoch || !worker->ledger.has(grant.id)) {
         return; // given on since: the new owner counts what the worker reports
     }
-    if (ended == attempt_result::maybe_running) {
+    if (ended == attempt_result::maybe_running || ended == attempt_result::abandoned) {
         // It may run on there. The slot is free again when the worker's own list says so.
         worker->doubtful[grant.request_id] = {grant.id, worker->sequence + 1};
-        worker->health.on_failure(now);
+        if (ended == attempt_result::maybe_running) {
+            worker->health.on_failure(now);
+        }
         refresh_counts(*worker, now);
         return;
     }
--- a/poplarpitch/entry/request_dispatcher.cpp
+++ b/poplarpitch/entry/request_dispatcher.cpp
@@ -219,6 +219,26 @@
     return found != m_services.end() && found->second.retries.try_take();
 }
 
+std::optional<request_grant> request_dispatcher::try_hedge(const call_info& call,
+                                                           const std::string& first_worker, time_point now) {
+    const auto found = m_services.find(call.service);
+    if (found == m_services.end() || found->second.queue.get_size() > 0 ||
+        !found->second.retries.try_take()) {
+        return std::nullopt;
+    }
+    auto grant = start(found->second, call.tenant, call.request_id, now);
+    if (!grant.has_value()) {
+        return std::nullopt;
+    }
+    ++m_tenant_load[call.tenant];
+    if (grant->worker == first_worker) {
+        // The same worker is as slow as before; and its list could not tell the copies apart.
+        finish(*grant, attempt_result::refused, {}, now);
+        return std::nullopt;
+    }
+    return grant;
+}
+
 std::optional<duration> request_dispatcher::get_hedge_delay(const std::string& service) const {
     const auto found = m_services.find(service);
     if (found == m_services.end() || !found->second.settings.hedge ||
--- a/poplarpitch/entry/request_grant.h
+++ b/poplarpitch/entry/request_grant.h
@@ -30,6 +30,7 @@
     failed,        ///< the worker answered with a fault of its own (5xx)
     refused,       ///< the worker did not run it
     not_sent,      ///< no byte left
+    abandoned,     ///< broken off because another copy was faster: as maybe_running, but nobody is to blame
     maybe_running, ///< no whole answer: the slot counts as taken until the worker reports otherwise
 };
 
--- /dev/null
+++ b/poplarpitch/transport/http_cancel.cpp
@@ -0,0 +1,32 @@
+#include "poplarpitch/transport/http_cancel.h"
+
+namespace poplarpitch {
+
+void http_cancel::cancel() {
+    const absl::MutexLock lock(&m_mutex);
+    m_is_cancelled = true;
+    if (m_stop) {
+        m_stop();
+    }
+}
+
+bool http_cancel::is_cancelled() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_is_cancelled;
+}
+
+bool http_cancel::attach(std::function<void()> stop) {
+    const absl::MutexLock lock(&m_mutex);
+    if (m_is_cancelled) {
+        return false;
+    }
+    m_stop = std::move(stop);
+    return true;
+}
+
+void http_cancel::detach() {
+    const absl::MutexLock lock(&m_mutex);
+    m_stop = nullptr;
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/transport/http_client_pool.cpp
+++ b/poplarpitch/transport/http_client_pool.cpp
@@ -1,6 +1,7 @@
 #include "poplarpitch/transport/http_client_pool.h"
 
 #include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/transport/http_cancel.h"
 #include "poplarpitch/transport/transport_error.h"
 
 #include <httplib.h>
@@ -95,7 +96,7 @@
 }
 
 http_exchange http_client_pool::send(const std::string& address, const http_request& request,
-                                     time_point deadline, connection_choice choice) {
+                                     time_point deadline, connection_choice choice, http_cancel* cancel) {
     const system_clock clock;
     const auto started = clock.now();
     http_exchange exchange;
@@ -136,7 +137,14 @@
         body.append(data, length);
         return true;
     };
+    if (cancel != nullptr && !cancel->attach([&client] { client.stop(); })) {
+        exchange.error = transport_errc::timed_out;
+        return exchange; // cancelled before anything was sent
+    }
     const auto answer = client.send(outgoing);
+    if (cancel != nullptr) {
+        cancel->detach();
+    }
     exchange.progress = get_progress(answer.error());
     if (exchange.progress != exchange_progress::answered) {
         const bool is_reached = exchange.progress == exchange_progress::maybe_sent;
@@ -154,7 +162,8 @@
             exchange.response.headers.add(name, value);
         }
     }
-    if (answer->get_header_value("Connection") != "close") {
+    const bool is_stopped = cancel != nullptr && cancel->is_cancelled();
+    if (answer->get_header_value("Connection") != "close" && !is_stopped) {
         put_back(address, std::move(used), clock.now());
     }
     return exchange;
--- a/poplarpitch/transport/http_client_pool.h
+++ b/poplarpitch/transport/http_client_pool.h
@@ -14,6 +14,8 @@
 
 namespace poplarpitch {
 
+class http_cancel;
+
 /// Bounds of the pooled connections.
 struct http_client_settings {
     duration max_idle_age = seconds{3}; ///< an idle connection is closed after this; below the peers' 5 s
@@ -43,8 +45,9 @@
     http_client_pool& operator=(const http_client_pool&) = delete;
 
     /// Sends `request` to `address` (host:port) and waits for the whole answer, at most until `deadline`.
+    /// With `cancel` another thread may break the exchange off.
     http_exchange send(const std::string& address, const http_request& request, time_point deadline,
-                       connection_choice choice);
+                       connection_choice choice, http_cancel* cancel = nullptr);
     /// Closes all idle connections to `address`: the peer was silent, so they may be dead.
     void drop(const std::string& address);
 
--- a/unit_tests/transport/http_test.cpp
+++ b/unit_tests/transport/http_test.cpp
@@ -1,4 +1,5 @@
 #include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/transport/http_cancel.h"
 #include "poplarpitch/transport/http_client_pool.h"
 #include "poplarpitch/transport/http_server.h"
 #include "poplarpitch/transport/transport_error.h"
@@ -96,6 +97,30 @@
     }
 }
 
+TEST_F(http_test, exchange_can_be_broken_off) {
+    absl::Notification entered;
+    absl::Notification release;
+    start([&](const http_request& request) {
+        entered.Notify();
+        release.WaitForNotification();
+        return echo(request);
+    });
+    http_cancel cancel;
+    http_exchange exchange;
+    std::thread caller([&] {
+        exchange = m_pool.send(m_address, make_post("/", "x"), system_clock().now() + generous,
+                               connection_choice::pooled, &cancel);
+    });
+    entered.WaitForNotification();
+    cancel.cancel();
+    caller.join(); // long before the answer
+    EXPECT_EQ(exchange.progress, exchange_progress::maybe_sent);
+    release.Notify();
+    const auto late = m_pool.send(m_address, make_post("/", "y"), system_clock().now() + generous,
+                                  connection_choice::pooled, &cancel);
+    EXPECT_EQ(late.progress, exchange_progress::not_sent);
+}
+
 TEST_F(http_test, stop_lets_requests_in_flight_end) {
     absl::Notification entered;
     absl::Notification release;
