--- /dev/null
+++ b/poplarpitch/core/malloc_settings.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace poplarpitch {
+
+/// Bounds the number of malloc's arenas. The C library makes up to 8 for each core, and memory freed in one
+/// is not used by another; a daemon with many threads and little memory does with few. Thread safety: none;
+/// called before threads start.
+void limit_malloc_arenas(int count);
+
+} // namespace poplarpitch
--- a/poplarpitch/state/intent_table.cpp
+++ b/poplarpitch/state/intent_table.cpp
@@ -35,7 +35,7 @@
     }
     auto record = begun;
     record.set_phase(to_number(intent_phase::begun));
-    restore(record);
+    restore(std::move(record));
     return {};
 }
 
@@ -106,12 +106,13 @@
     }
 }
 
-void intent_table::restore(const wire::intent& record) {
+void intent_table::restore(wire::intent record) {
     m_by_time.insert({record.begun_ms(), record.key()});
     if (record.phase() == to_number(intent_phase::begun)) {
         m_begun_by_entry[record.entry()].insert(record.key());
     }
-    m_intents.emplace(record.key(), record);
+    auto key = record.key();
+    m_intents.emplace(std::move(key), std::move(record));
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/state/intent_table.h
+++ b/poplarpitch/state/intent_table.h
@@ -7,6 +7,7 @@
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
 
 #include <functional>
 #include <string>
@@ -44,13 +45,14 @@
     /// Calls `visit` for every intent, ordered by begin time and key.
     void for_each(const std::function<void(const wire::intent&)>& visit) const;
     /// Puts an intent of a snapshot in place. Precondition: its key is not here.
-    void restore(const wire::intent& record);
+    void restore(wire::intent record);
 
 private:
     state_rules m_rules;
     std::size_t m_max_intents;
     std::size_t m_max_body;
-    absl::flat_hash_map<std::string, wire::intent> m_intents;
+    absl::node_hash_map<std::string, wire::intent>
+        m_intents; ///< records are large: an empty slot must be small
     absl::btree_set<std::pair<std::int64_t, std::string>> m_by_time;
     absl::flat_hash_map<std::string, absl::btree_set<std::string>> m_begun_by_entry;
 };
--- a/poplarpitch/state/job_table.cpp
+++ b/poplarpitch/state/job_table.cpp
@@ -359,10 +359,11 @@
     return found == m_usage.end() ? tenant_usage{} : found->second;
 }
 
-void job_table::restore(const wire::job& record) {
+void job_table::restore(wire::job record) {
     link(record);
     m_ids.insert(record.id());
-    m_jobs.emplace(record.id(), record);
+    auto id = record.id();
+    m_jobs.emplace(std::move(id), std::move(record));
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/state/job_table.h
+++ b/poplarpitch/state/job_table.h
@@ -8,6 +8,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
 
 #include <functional>
 #include <set>
@@ -74,7 +75,7 @@
     [[nodiscard]] std::size_t get_count() const { return m_jobs.size(); }
 
     /// Puts a job of a snapshot in place. Precondition: its id is not here.
-    void restore(const wire::job& record);
+    void restore(wire::job record);
 
 private:
     /// Order in which queued jobs are considered.
@@ -98,8 +99,8 @@
 
     state_rules m_rules;
     std::size_t m_max_jobs;
-    absl::flat_hash_map<std::string, wire::job> m_jobs;
-    absl::btree_set<std::string> m_ids;                                ///< for ordered listing and snapshots
+    absl::node_hash_map<std::string, wire::job> m_jobs; ///< records are large: an empty slot must be small
+    absl::btree_set<std::string> m_ids;                 ///< for ordered listing and snapshots
     absl::btree_map<std::string, absl::btree_set<queue_key>> m_queued; ///< by tenant
     std::size_t m_queued_count = 0;
     absl::flat_hash_map<std::string, absl::btree_set<std::string>> m_by_worker;
--- a/poplarpitch/state/state_machine.cpp
+++ b/poplarpitch/state/state_machine.cpp
@@ -7,6 +7,18 @@
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 
 namespace poplarpitch {
+namespace {
+
+/// Writes one element of a repeated message field, as protobuf itself would.
+void write_record(google::protobuf::io::CodedOutputStream& stream, int field,
+                  const google::protobuf::MessageLite& record) {
+    constexpr std::uint32_t length_delimited = 2; // protobuf's wire type
+    stream.WriteTag(static_cast<std::uint32_t>(field) << 3U | length_delimited);
+    stream.WriteVarint32(static_cast<std::uint32_t>(record.ByteSizeLong()));
+    record.SerializeWithCachedSizes(&stream);
+}
+
+} // namespace
 
 state_machine::state_machine(const state_settings& settings, const state_rules& rules)
     : m_settings(settings), m_rules(rules), m_configs(rules, settings), m_fleet(rules),
@@ -168,18 +180,22 @@
 // ---- snapshots
 
 std::string state_machine::save() const {
-    wire::state_snapshot snapshot;
-    snapshot.set_applied_index(m_applied);
-    m_configs.save(snapshot);
-    m_fleet.save(snapshot);
-    m_jobs.for_each([&](const wire::job& record) { *snapshot.add_jobs() = record; });
-    m_intents.for_each([&](const wire::intent& record) { *snapshot.add_intents() = record; });
-    std::string bytes;
+    // Configuration and fleet are small. Jobs and intents are many and are written one by one: a message that
+    // held them all would copy the whole state for a moment, and its memory would stay with the process.
+    wire::state_snapshot head;
+    head.set_applied_index(m_applied);
+    m_configs.save(head);
+    m_fleet.save(head);
+    std::string bytes = head.SerializeAsString();
     {
         google::protobuf::io::StringOutputStream stream(&bytes);
         google::protobuf::io::CodedOutputStream coded(&stream);
-        coded.SetSerializationDeterministic(true);
-        snapshot.SerializeToCodedStream(&coded);
+        m_jobs.for_each([&](const wire::job& record) {
+            write_record(coded, wire::state_snapshot::kJobsFieldNumber, record);
+        });
+        m_intents.for_each([&](const wire::intent& record) {
+            write_record(coded, wire::state_snapshot::kIntentsFieldNumber, record);
+        });
     }
     return bytes;
 }
@@ -192,12 +208,12 @@
     m_configs.load(snapshot);
     m_fleet.load(snapshot);
     m_jobs = job_table(m_rules, m_settings.max_jobs);
-    for (const auto& record : snapshot.jobs()) {
-        m_jobs.restore(record);
+    for (auto& record : *snapshot.mutable_jobs()) {
+        m_jobs.restore(std::move(record));
     }
     m_intents = intent_table(m_rules, m_settings.max_intents, m_settings.max_intent_body);
-    for (const auto& record : snapshot.intents()) {
-        m_intents.restore(record);
+    for (auto& record : *snapshot.mutable_intents()) {
+        m_intents.restore(std::move(record));
     }
     m_applied = snapshot.applied_index();
     return true;
