Send loads to control only when they matter

Cause: by the slopes in CAPACITY an entry with 107 workers sends 12.3 KB with each renewal, 30.7 KB/s against a budget of 16, and the leader takes in 189 KB/s. Change: loads go out when a placement could come out differently, all every 5 s, all to a leader of a new term, and again when a renewal was not granted; usage samples of a failed renewal are kept for the next.

--- a/poplarpitch/control/control_node.cpp
+++ b/poplarpitch/control/control_node.cpp
@@ -314,7 +314,10 @@
     }
     if (session != nullptr && session->incarnation() == request.incarnation()) {
         m_duties.renew(m_machine, request, now);
-        answer(make_renew_answer(m_machine, m_duties.get_sessions(), request));
+        auto granted = make_renew_answer(m_machine, m_duties.get_sessions(), request);
+        granted.set_leader(m_daemon.node_id);
+        granted.set_term(m_node->get_term());
+        answer(granted);
         return;
     }
     wire::command command;
--- a/poplarpitch/entry/entry_state.cpp
+++ b/poplarpitch/entry/entry_state.cpp
@@ -64,6 +64,7 @@
     if (answer.owned_changed()) {
         m_fleet.set_owned({answer.owned().begin(), answer.owned().end()}, now);
     }
+    m_loads.set_term(answer.term());
     m_tasks.take_jobs(answer, now);
     m_dispatcher.set_entries(read_entries(answer, m_data_centre));
     m_revision = answer.revision();
@@ -91,7 +92,7 @@
     *request.mutable_digest() = m_dispatcher.make_digest();
     auto& models = m_fleet.get_models();
     for (auto& [id, worker] : m_fleet.get_workers()) {
-        auto& load = *request.add_loads();
+        wire::worker_load load;
         load.set_worker(id);
         encode(worker.ledger.get_free(), *load.mutable_free());
         encode(worker.request_peak, *load.mutable_requests());
@@ -104,6 +105,9 @@
             (*load.mutable_rates())[service] = static_cast<double>(count) / elapsed;
             count = 0;
         }
+        if (m_loads.take(load, now)) {
+            *request.add_loads() = std::move(load);
+        }
     }
     for (auto& sample : m_tasks.take_usage()) {
         *request.add_usage() = std::move(sample);
@@ -124,6 +128,14 @@
     }
 }
 
+void entry_state::on_renewal_failed(const wire::renew_request& request) {
+    const absl::MutexLock lock(&m_mutex);
+    for (const auto& load : request.loads()) {
+        m_loads.forget(load.worker());
+    }
+    m_tasks.return_usage({request.usage().begin(), request.usage().end()});
+}
+
 // ---- requests
 
 std::variant<request_grant, forward_decision, refusal> entry_state::admit(const call_info& call) {
--- a/poplarpitch/entry/entry_state.h
+++ b/poplarpitch/entry/entry_state.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/config/configuration.h"
 #include "poplarpitch/core/system_clock.h"
 #include "poplarpitch/entry/announcement.h"
+#include "poplarpitch/entry/load_reporter.h"
 #include "poplarpitch/entry/owned_fleet.h"
 #include "poplarpitch/entry/request_dispatcher.h"
 #include "poplarpitch/entry/task_agent.h"
@@ -31,6 +32,8 @@
     [[nodiscard]] std::uint64_t get_config_version() const;
     /// Fills in what this entry reports with a renewal.
     void fill_renewal(wire::renew_request& request);
+    /// Notes that a renewal was not granted: what it reported is to be reported again.
+    void on_renewal_failed(const wire::renew_request& request);
 
     /// Decides for a request; waits for a slot where that is the decision, at most until it can end in time
     /// no more.
@@ -104,6 +107,7 @@
     std::uint64_t m_revision ABSL_GUARDED_BY(m_mutex) = 0;
     std::map<std::uint64_t, waiter*> m_waiters ABSL_GUARDED_BY(m_mutex); ///< by ticket
     std::map<std::string, std::map<std::string, std::int64_t>> m_request_counts ABSL_GUARDED_BY(m_mutex);
+    load_reporter m_loads ABSL_GUARDED_BY(m_mutex);
     time_point m_last_report ABSL_GUARDED_BY(m_mutex){};
 };
 
--- a/poplarpitch/entry/session_keeper.cpp
+++ b/poplarpitch/entry/session_keeper.cpp
@@ -44,7 +44,10 @@
         const auto margin = m_state.get_configuration()->system.drift_margin;
         m_lease.renew(sent, milliseconds{answer.value().lease_ms()}, margin);
         m_state.take_renewal(answer.value(), m_clock.now());
-    } else if (m_was_granted) {
+    } else {
+        m_state.on_renewal_failed(request);
+    }
+    if (!is_granted && m_was_granted) {
         log_event(log_level::warn, "session_not_renewed")
             .add("entry", m_entry_id)
             .add("reason", answer ? answer.value().refusal() : answer.error().message());
--- a/poplarpitch/entry/task_agent.cpp
+++ b/poplarpitch/entry/task_agent.cpp
@@ -407,4 +407,12 @@
     return std::exchange(m_usage, {});
 }
 
+void task_agent::return_usage(const std::vector<wire::usage_sample>& samples) {
+    constexpr std::size_t most_kept = 1000; // without control for long, the newest say enough
+    m_usage.insert(m_usage.end(), samples.begin(), samples.end());
+    if (m_usage.size() > most_kept) {
+        m_usage.erase(m_usage.begin(), m_usage.end() - most_kept);
+    }
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/entry/task_agent.h
+++ b/poplarpitch/entry/task_agent.h
@@ -41,6 +41,8 @@
     void on_event_committed(const std::string& worker, const wire::job_event& event);
     /// Takes and returns what finished tasks used, for control.
     std::vector<wire::usage_sample> take_usage();
+    /// Gives samples back that did not reach control.
+    void return_usage(const std::vector<wire::usage_sample>& samples);
     /// Returns true when the worker's task leases may go on: not while it is silent, and not while control
     /// may still count one of its tasks as lost, whose lease is about to end.
     [[nodiscard]] bool may_renew(const owned_worker& worker) const;
--- a/unit_tests/telemetry/metrics_registry_test.cpp
+++ b/unit_tests/telemetry/metrics_registry_test.cpp
@@ -49,8 +49,14 @@
 
 TEST(log_event, quotes_what_could_not_be_split_again) {
     log_event event(log_level::debug, "test");
-    event.add("plain", "a-b").add("blank", "a b").add("quote", "a\"b").add("line", "a\nb").add("empty", "").add("n", 5);
-    EXPECT_EQ(event.get_line(), "event=test plain=a-b blank=\"a b\" quote=\"a\\\"b\" line=\"a b\" empty=\"\" n=5");
+    event.add("plain", "a-b")
+        .add("blank", "a b")
+        .add("quote", "a\"b")
+        .add("line", "a\nb")
+        .add("empty", "")
+        .add("n", 5);
+    EXPECT_EQ(event.get_line(),
+              "event=test plain=a-b blank=\"a b\" quote=\"a\\\"b\" line=\"a b\" empty=\"\" n=5");
 }
 
 } // namespace
