Stand-ins stop only once their owner knows; split the log's node by side

The stand-in closed as soon as nothing ran, before any owner knew that it leaves, so a request that was sent to it in good faith was cut off. Ruled out: the entry sent nothing after it was told.

--- /dev/null
+++ b/poplarpitch/consensus/raft_node_follower.cpp
@@ -0,0 +1,138 @@
+// A follower's side of replication: entries and snapshots that come in.
+#include "poplarpitch/consensus/raft_node.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace poplarpitch {
+
+// ---- follower
+
+void raft_node::on_append_request(const raft_message& message, time_point now) {
+    auto answer = make_message(raft_message_type::append_answer, message.from);
+    answer.round = message.round;
+    if (message.term < m_state.term) {
+        answer.reject = true;
+        m_output.messages.push_back(std::move(answer));
+        return;
+    }
+    if (m_role != raft_role::follower || m_leader != message.from) {
+        become_follower(message.term, message.from, now);
+    }
+    m_last_heard = now;
+    reset_election_timer(now);
+
+    // 1. What the snapshot or the commit index already covers matches by definition.
+    if (message.index < m_log.get_base_index()) {
+        answer.index = m_commit;
+        m_output.messages.push_back(std::move(answer));
+        return;
+    }
+    // 2. The entry before the new ones must be the leader's.
+    const auto previous = m_log.find_term(message.index);
+    const bool is_match =
+        previous.has_value() && (*previous == message.index_term || !m_rules.append_checks_previous);
+    if (!is_match) {
+        answer.reject = true;
+        // Skip the whole conflicting term at once, but never below what is committed.
+        auto hint = std::min(message.index == 0 ? 0 : message.index - 1, m_log.get_last_index());
+        while (hint > m_commit && previous.has_value() && m_log.find_term(hint) == previous) {
+            --hint;
+        }
+        answer.index = hint;
+        m_output.messages.push_back(std::move(answer));
+        return;
+    }
+    // 3. Store what is new, and follow the leader's commit index as far as this message vouches for.
+    store_entries(message.entries);
+    const auto vouched = message.index + message.entries.size();
+    answer.index = vouched;
+    set_commit(std::min<log_index>(message.commit, vouched));
+    m_output.messages.push_back(std::move(answer));
+}
+
+void raft_node::store_entries(const std::vector<log_entry>& entries) {
+    for (const auto& entry : entries) {
+        const auto term = m_log.find_term(entry.index);
+        if (term.has_value() && *term == entry.term) {
+            continue;
+        }
+        if (entry.index <= m_log.get_base_index()) {
+            continue;
+        }
+        if (term.has_value()) {
+            truncate(entry.index);
+        }
+        m_log.append(entry);
+        m_output.entries.push_back(entry);
+        if (entry.kind == entry_kind::membership) {
+            m_members = raft_membership::decode(entry.payload);
+            m_members_index = entry.index;
+        }
+    }
+}
+
+void raft_node::truncate(log_index index) {
+    assert(index > m_commit || m_rules != raft_rules{}); // committed entries never go
+    m_log.truncate_from(index);
+    std::erase_if(m_output.entries, [&](const log_entry& entry) { return entry.index >= index; });
+    if (m_output.truncate_from == 0 || index < m_output.truncate_from) {
+        m_output.truncate_from = index;
+    }
+    if (m_members_index >= index) {
+        refresh_membership();
+    }
+}
+
+void raft_node::on_snapshot_request(const raft_message& message, time_point now) {
+    if (message.term < m_state.term) {
+        auto answer = make_message(raft_message_type::snapshot_answer, message.from);
+        answer.reject = true;
+        m_output.messages.push_back(std::move(answer));
+        return;
+    }
+    if (m_role != raft_role::follower || m_leader != message.from) {
+        become_follower(message.term, message.from, now);
+    }
+    m_last_heard = now;
+    reset_election_timer(now);
+    auto answer = make_message(raft_message_type::snapshot_answer, message.from);
+    answer.index = message.index;
+    answer.round = message.round;
+    if (message.index <= m_commit) {
+        answer.last = true;
+        m_output.messages.push_back(std::move(answer));
+        return;
+    }
+    if (m_incoming_index != message.index || m_incoming_term != message.index_term || message.offset == 0) {
+        m_incoming.clear();
+        m_incoming_index = message.index;
+        m_incoming_term = message.index_term;
+    }
+    if (message.offset == m_incoming.size()) {
+        m_incoming += message.data;
+        if (message.last) {
+            raft_snapshot snapshot{message.index, message.index_term, message.members,
+                                   std::make_shared<const std::string>(std::move(m_incoming))};
+            m_incoming = {};
+            m_incoming_index = 0;
+            m_log.reset(snapshot.index, snapshot.term);
+            m_snapshot = snapshot;
+            m_members = snapshot.members;
+            m_members_index = snapshot.index;
+            m_commit = snapshot.index;
+            m_output_commit = snapshot.index;
+            m_output.entries.clear();
+            m_output.committed.clear();
+            m_output.truncate_from = 0;
+            m_output.install = std::move(snapshot);
+            answer.last = true;
+            m_output.messages.push_back(std::move(answer));
+            return;
+        }
+    }
+    answer.offset = m_incoming.size();
+    m_output.messages.push_back(std::move(answer));
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/control/control_daemon.cpp
+++ b/poplarpitch/control/control_daemon.cpp
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <thread>
@@ -19,11 +20,13 @@
 
 constexpr int cannot_start_code = 1;
 constexpr duration forming_interval = milliseconds{100};
+constexpr duration founder_wait = milliseconds{300};
 constexpr int http_threads = 8; // health checks only
 
-/// Asks the other founders what they hold. Blank instances answer with the role "blank".
-std::vector<peer_sighting> look_at_founders(const daemon_settings& settings, control_client& client) {
-    std::vector<peer_sighting> founders;
+/// Asks the other founders for their status; an answer that did not come is empty. Blank instances answer
+/// too.
+std::vector<wire::query_answer> ask_founders(const daemon_settings& settings, control_client& client) {
+    std::vector<wire::query_answer> answers;
     for (const auto& peer : settings.control) {
         if (peer.id == settings.node_id || peer.is_spare) {
             continue;
@@ -31,17 +34,18 @@
         wire::query_request request;
         request.set_kind(wire::query_status);
         request.set_stale_allowed(true);
-        const auto answer = client.query_node(peer.id, request, system_clock().now() + milliseconds{300});
-        peer_sighting sighting;
-        sighting.is_reached = answer.has_value() && answer.value().answered();
-        if (sighting.is_reached) {
-            const auto& status = answer.value().status();
-            const auto& voters = status.members().voters();
-            sighting.has_cluster = status.commit() > 0;
-            sighting.is_own_id_voter =
-                std::find(voters.begin(), voters.end(), settings.node_id) != voters.end();
-        }
-        founders.push_back(sighting);
+        auto answer = client.query_node(peer.id, request, system_clock().now() + founder_wait);
+        answers.push_back(answer ? std::move(answer.value()) : wire::query_answer{});
+    }
+    return answers;
+}
+
+std::vector<peer_sighting> look_at_founders(const daemon_settings& settings, control_client& client) {
+    std::vector<peer_sighting> founders;
+    for (const auto& answer : ask_founders(settings, client)) {
+        const auto& voters = answer.status().members().voters();
+        const bool is_voter = std::find(voters.begin(), voters.end(), settings.node_id) != voters.end();
+        founders.push_back({answer.answered(), answer.status().commit() > 0, is_voter});
     }
     return founders;
 }
@@ -100,19 +104,11 @@
 void wait_for_founders(const daemon_settings& settings, stop_signal& signal) {
     control_client client(settings.control);
     while (!signal.is_raised()) {
-        bool is_complete = true;
-        for (const auto& peer : settings.control) {
-            if (peer.id == settings.node_id || peer.is_spare) {
-                continue;
-            }
-            wire::query_request request;
-            request.set_kind(wire::query_status);
-            request.set_stale_allowed(true);
-            const auto answer = client.query_node(peer.id, request, system_clock().now() + milliseconds{300});
-            const bool is_formed =
-                answer.has_value() && answer.value().answered() && answer.value().status().role() != "blank";
-            is_complete = is_complete && is_formed;
-        }
+        const auto answers = ask_founders(settings, client);
+        const bool is_complete =
+            std::all_of(answers.begin(), answers.end(), [](const wire::query_answer& answer) {
+                return answer.answered() && answer.status().role() != "blank";
+            });
         if (is_complete) {
             return;
         }
--- a/poplarpitch/control/control_node.cpp
+++ b/poplarpitch/control/control_node.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/control/query_answerer.h"
 #include "poplarpitch/control/renew_answerer.h"
+#include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/transport/peer_link.h"
 
@@ -18,11 +19,6 @@
 
 constexpr int storage_failure_code = 3; // exit code, documented for operators
 
-std::int64_t get_wall_ms() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 /// What a waiting caller and the control thread share; the caller may have gone when the answer comes.
 template <class Answer>
 struct answer_slot {
--- a/poplarpitch/entry/announce_handler.cpp
+++ b/poplarpitch/entry/announce_handler.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/entry/announce_handler.h"
 
+#include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/entry/announcement_codec.h"
 #include "poplarpitch/entry/entry_state.h"
 #include "poplarpitch/entry/session_lease.h"
@@ -16,11 +17,6 @@
 
 constexpr duration control_wait = seconds{2};
 
-std::int64_t get_wall_ms() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 http_response make_answer(const announce_answer& answer) {
     http_response response;
     response.body = encode_announce_answer(answer);
--- a/poplarpitch/entry/call_handler.cpp
+++ b/poplarpitch/entry/call_handler.cpp
@@ -1,6 +1,7 @@
 #include "poplarpitch/entry/call_handler.h"
 
 #include "poplarpitch/core/hash.h"
+#include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/entry/call_reader.h"
 #include "poplarpitch/entry/entry_state.h"
 #include "poplarpitch/entry/hedged_call.h"
@@ -39,11 +40,6 @@
     return outcome_unknown;
 }
 
-std::int64_t get_wall_ms() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 /// Headers that the entry itself sets or that speak of one connection only.
 bool is_passed_on(const std::string& name) {
     return !absl::StartsWithIgnoreCase(name, "poplarpitch-") && !absl::EqualsIgnoreCase(name, "host") &&
--- a/poplarpitch/entry/entry_daemon.cpp
+++ b/poplarpitch/entry/entry_daemon.cpp
@@ -1,6 +1,7 @@
 #include "poplarpitch/entry/entry_daemon.h"
 
 #include "poplarpitch/core/stop_signal.h"
+#include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/entry/announce_handler.h"
 #include "poplarpitch/entry/call_handler.h"
 #include "poplarpitch/entry/entry_settings.h"
@@ -31,11 +32,6 @@
 
 constexpr int cannot_start_code = 1;
 
-std::int64_t get_wall_ms() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 /// The parts of one entry and their threads: the control thread renews and keeps up, the traffic threads
 /// serve.
 class entry_daemon {
--- a/poplarpitch/entry/operator_handler.cpp
+++ b/poplarpitch/entry/operator_handler.cpp
@@ -1,6 +1,7 @@
 #include "poplarpitch/entry/operator_handler.h"
 
 #include "poplarpitch/config/configuration_parser.h"
+#include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/entry/entry_state.h"
 #include "poplarpitch/entry/job_codec.h"
 #include "poplarpitch/entry/protocol_names.h"
@@ -26,11 +27,6 @@
 constexpr duration control_wait = seconds{5};
 constexpr std::size_t max_config = 1 << 20;
 
-std::int64_t get_wall_ms() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 http_response make_json(const json& body, int status = 200) {
     http_response response;
     response.status = status;
--- a/poplarpitch/entry/task_caller.cpp
+++ b/poplarpitch/entry/task_caller.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/entry/task_caller.h"
 
+#include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/entry/entry_state.h"
 #include "poplarpitch/entry/protocol_names.h"
 #include "poplarpitch/entry/session_lease.h"
@@ -18,11 +19,6 @@
 constexpr duration call_wait = seconds{2};
 constexpr duration commit_wait = seconds{3};
 
-std::int64_t get_wall_ms() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 task_caller::task_caller(entry_state& state, http_client_pool& workers, control_client& control,
--- a/poplarpitch/stand_in/stand_in_worker.cpp
+++ b/poplarpitch/stand_in/stand_in_worker.cpp
@@ -28,6 +28,7 @@
 constexpr double throttle_factor = 0.5;
 constexpr duration announce_wait = seconds{2};
 constexpr duration first_interval = milliseconds{200};
+constexpr duration leave_grace = milliseconds{300}; // for requests that were sent before the owner knew
 constexpr duration task_step = milliseconds{50};
 constexpr int server_threads = 256;
 
@@ -103,9 +104,10 @@
     }
 }
 
-bool stand_in_worker::is_idle() {
+bool stand_in_worker::may_stop() {
     const absl::MutexLock lock(&m_mutex);
-    return m_requests.empty() && m_tasks.empty() && m_reports.empty();
+    const bool is_known = m_leaving_told != time_point{} && m_clock.now() - m_leaving_told >= leave_grace;
+    return is_known && m_requests.empty() && m_tasks.empty() && m_reports.empty();
 }
 
 // ---- requests and tasks
@@ -410,8 +412,12 @@
     return told;
 }
 
-void stand_in_worker::take_answer(const announce_answer& answer, time_point sent) {
+void stand_in_worker::take_answer(const announcement& told, const announce_answer& answer, time_point sent) {
     const absl::MutexLock lock(&m_mutex);
+    const bool is_owner = answer.epoch != 0 && answer.epoch == told.epoch;
+    if (told.is_leaving && is_owner && m_leaving_told == time_point{}) {
+        m_leaving_told = m_clock.now();
+    }
     m_wants_complete = answer.wants_complete;
     if (answer.epoch > m_epoch) {
         m_epoch = answer.epoch;
@@ -461,7 +467,7 @@
     if (is_good) {
         const auto decoded = decode_announce_answer(exchange.response.body);
         if (const auto* answer = std::get_if<announce_answer>(&decoded)) {
-            take_answer(*answer, sent);
+            take_answer(told, *answer, sent);
             return;
         }
     } else if (exchange.progress == exchange_progress::answered && exchange.response.status / 100 == 4) {
@@ -489,7 +495,8 @@
             announce_once();
             const absl::MutexLock lock(&m_mutex);
             // Soon again when there is news to get or to give; else in the usual rhythm.
-            const bool is_eager = m_wants_complete || m_owner_address.empty() || !m_reports.empty();
+            const bool is_eager = m_wants_complete || m_owner_address.empty() || !m_reports.empty() ||
+                                  (m_is_leaving && m_leaving_told == time_point{});
             next = m_clock.now() + (is_eager ? std::min(first_interval, m_interval) : m_interval);
         }
         absl::SleepFor(absl::Nanoseconds(task_step.count()));
--- a/poplarpitch/stand_in/stand_in_worker.h
+++ b/poplarpitch/stand_in/stand_in_worker.h
@@ -40,7 +40,9 @@
     void stop();
 
     [[nodiscard]] const std::string& get_id() const { return m_id; }
-    [[nodiscard]] bool is_idle();
+    /// Returns true when it may stop: its owner knows that it leaves, what was on its way has come in, and
+    /// nothing runs.
+    [[nodiscard]] bool may_stop();
 
 private:
     struct running_request {
@@ -58,7 +60,7 @@
     void announce_until_stopped();
     void announce_once();
     [[nodiscard]] announcement make_announcement();
-    void take_answer(const announce_answer& answer, time_point sent);
+    void take_answer(const announcement& told, const announce_answer& answer, time_point sent);
     void advance_tasks() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void end_task(const std::string& lease, const std::string& kind, const std::string& detail)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -89,6 +91,8 @@
     std::vector<task_report> m_reports ABSL_GUARDED_BY(m_mutex);
     bool m_wants_complete ABSL_GUARDED_BY(m_mutex) = true;
     bool m_is_leaving ABSL_GUARDED_BY(m_mutex) = false;
+    time_point
+        m_leaving_told ABSL_GUARDED_BY(m_mutex){}; ///< when the owner first answered an announcement of it
     bool m_is_stopped ABSL_GUARDED_BY(m_mutex) = false;
     bool m_is_failing ABSL_GUARDED_BY(m_mutex) = false; ///< fault: every request and task fails
     bool m_is_mute ABSL_GUARDED_BY(m_mutex) = false;    ///< fault: no announcements
--- a/programs/poplarpitch_stand_in.cpp
+++ b/programs/poplarpitch_stand_in.cpp
@@ -29,7 +29,7 @@
     const poplarpitch::system_clock clock;
     const auto end = clock.now() + leave_limit;
     for (auto& worker : workers) {
-        while (!worker->is_idle() && clock.now() < end && !signal.wait_for(std::chrono::milliseconds{20})) {
+        while (!worker->may_stop() && clock.now() < end && !signal.wait_for(std::chrono::milliseconds{20})) {
         }
     }
     for (auto& worker : workers) {
