--- a/poplarpitch/state/intent_table.cpp
+++ b/poplarpitch/state/intent_table.cpp
@@ -106,7 +106,7 @@
     }
 }
 
-void intent_table::restore(wire::intent record) {
+void intent_table::restore(wire::intent&& record) {
     m_by_time.insert({record.begun_ms(), record.key()});
     if (record.phase() == to_number(intent_phase::begun)) {
         m_begun_by_entry[record.entry()].insert(record.key());
--- a/poplarpitch/state/intent_table.h
+++ b/poplarpitch/state/intent_table.h
@@ -45,7 +45,7 @@
     /// Calls `visit` for every intent, ordered by begin time and key.
     void for_each(const std::function<void(const wire::intent&)>& visit) const;
     /// Puts an intent of a snapshot in place. Precondition: its key is not here.
-    void restore(wire::intent record);
+    void restore(wire::intent&& record);
 
 private:
     state_rules m_rules;
--- a/poplarpitch/state/job_table.cpp
+++ b/poplarpitch/state/job_table.cpp
@@ -359,7 +359,7 @@
     return found == m_usage.end() ? tenant_usage{} : found->second;
 }
 
-void job_table::restore(wire::job record) {
+void job_table::restore(wire::job&& record) {
     link(record);
     m_ids.insert(record.id());
     auto id = record.id();
--- a/poplarpitch/state/job_table.h
+++ b/poplarpitch/state/job_table.h
@@ -75,7 +75,7 @@
     [[nodiscard]] std::size_t get_count() const { return m_jobs.size(); }
 
     /// Puts a job of a snapshot in place. Precondition: its id is not here.
-    void restore(wire::job record);
+    void restore(wire::job&& record);
 
 private:
     /// Order in which queued jobs are considered.
