--- a/poplarpitch/consensus/raft_node.h
+++ b/poplarpitch/consensus/raft_node.h
@@ -102,6 +102,10 @@
     [[nodiscard]] bool has_recent_leader(time_point now) const;
 
     // replication
+    /// Takes the sender as the leader of this term and starts the election timer anew.
+    void follow_leader(const raft_message& message, time_point now);
+    /// Notes that a follower answered; returns its progress, or null when the answer does not count.
+    raft_progress* take_answer(const raft_message& message, time_point now);
     void on_append_request(const raft_message& message, time_point now);
     void on_append_answer(const raft_message& message, time_point now);
     void on_snapshot_request(const raft_message& message, time_point now);
--- a/poplarpitch/consensus/raft_node_follower.cpp
+++ b/poplarpitch/consensus/raft_node_follower.cpp
@@ -8,6 +8,14 @@
 
 // ---- follower
 
+void raft_node::follow_leader(const raft_message& message, time_point now) {
+    if (m_role != raft_role::follower || m_leader != message.from) {
+        become_follower(message.term, message.from, now);
+    }
+    m_last_heard = now;
+    reset_election_timer(now);
+}
+
 void raft_node::on_append_request(const raft_message& message, time_point now) {
     auto answer = make_message(raft_message_type::append_answer, message.from);
     answer.round = message.round;
@@ -16,11 +24,7 @@
         m_output.messages.push_back(std::move(answer));
         return;
     }
-    if (m_role != raft_role::follower || m_leader != message.from) {
-        become_follower(message.term, message.from, now);
-    }
-    m_last_heard = now;
-    reset_election_timer(now);
+    follow_leader(message, now);
 
     // 1. What the snapshot or the commit index already covers matches by definition.
     if (message.index < m_log.get_base_index()) {
@@ -91,11 +95,7 @@
         m_output.messages.push_back(std::move(answer));
         return;
     }
-    if (m_role != raft_role::follower || m_leader != message.from) {
-        become_follower(message.term, message.from, now);
-    }
-    m_last_heard = now;
-    reset_election_timer(now);
+    follow_leader(message, now);
     auto answer = make_message(raft_message_type::snapshot_answer, message.from);
     answer.index = message.index;
     answer.round = message.round;
--- a/poplarpitch/consensus/raft_node_leader.cpp
+++ b/poplarpitch/consensus/raft_node_leader.cpp
@@ -97,18 +97,23 @@
     m_output.messages.push_back(std::move(request));
 }
 
-void raft_node::on_append_answer(const raft_message& message, time_point now) {
+raft_progress* raft_node::take_answer(const raft_message& message, time_point now) {
     const auto found = m_progress.find(message.from);
     if (m_role != raft_role::leader || message.term != m_state.term || found == m_progress.end()) {
-        return;
+        return nullptr;
     }
-    auto& progress = found->second;
-    progress.last_answer = now;
-    progress.acked_round = std::max(progress.acked_round, message.round);
+    found->second.last_answer = now;
+    found->second.acked_round = std::max(found->second.acked_round, message.round);
     confirm_rounds();
-    if (m_role != raft_role::leader) {
+    return &found->second;
+}
+
+void raft_node::on_append_answer(const raft_message& message, time_point now) {
+    auto* answered = take_answer(message, now);
+    if (answered == nullptr) {
         return;
     }
+    auto& progress = *answered;
     progress.inflight = progress.inflight > 0 ? progress.inflight - 1 : 0;
     if (message.reject) {
         if (message.index < progress.match) {
@@ -133,14 +138,11 @@
 }
 
 void raft_node::on_snapshot_answer(const raft_message& message, time_point now) {
-    const auto found = m_progress.find(message.from);
-    if (m_role != raft_role::leader || message.term != m_state.term || found == m_progress.end()) {
+    auto* answered = take_answer(message, now);
+    if (answered == nullptr) {
         return;
     }
-    auto& progress = found->second;
-    progress.last_answer = now;
-    progress.acked_round = std::max(progress.acked_round, message.round);
-    confirm_rounds();
+    auto& progress = *answered;
     if (message.reject || !progress.is_sending_snapshot || message.index != progress.snapshot_index) {
         return;
     }
