Free both slots of a request that was retried at the same worker

Cause: found on re-reading. Doubtful requests were kept by request id, so a retry that came to the same worker and had no answer either took the first attempt's place, and its slot was never given back until the worker changed owner. Change: kept by grant, which is unique; the worker's list is still compared by request id.

--- a/poplarpitch/entry/owned_fleet.cpp
+++ b/poplarpitch/entry/owned_fleet.cpp
@@ -146,8 +146,8 @@
     }
     if (told.incarnation != worker->incarnation) {
         // The process that ran the doubtful requests is gone, and its numbers with it.
-        for (const auto& [request, doubt] : worker->doubtful) {
-            worker->ledger.release(doubt.grant);
+        for (const auto& [grant, doubt] : worker->doubtful) {
+            worker->ledger.release(grant);
             --worker->outstanding;
         }
         worker->doubtful.clear();
@@ -175,11 +175,11 @@
 void owned_fleet::clear_doubts(owned_worker& worker, const announcement& told) {
     std::erase_if(worker.doubtful, [&](const auto& item) {
         const bool is_listed =
-            std::find(told.requests.begin(), told.requests.end(), item.first) != told.requests.end();
+            std::find(told.requests.begin(), told.requests.end(), item.second.request) != told.requests.end();
         if (is_listed || told.sequence <= item.second.sequence) {
             return false;
         }
-        worker.ledger.release(item.second.grant);
+        worker.ledger.release(item.first);
         --worker.outstanding;
         return true;
     });
@@ -234,7 +234,7 @@
     }
     if (ended == attempt_result::maybe_running || ended == attempt_result::abandoned) {
         // It may run on there. The slot is free again when the worker's own list says so.
-        worker->doubtful[grant.request_id] = {grant.id, worker->sequence + 1};
+        worker->doubtful[grant.id] = {grant.request_id, worker->sequence + 1};
         if (ended == attempt_result::maybe_running) {
             worker->health.on_failure(now);
         }
--- a/poplarpitch/entry/owned_worker.h
+++ b/poplarpitch/entry/owned_worker.h
@@ -15,7 +15,7 @@
 
 /// A request whose end nobody saw: its slot counts as taken until the worker's list no longer names it.
 struct doubtful_request {
-    grant_id grant = 0;
+    std::string request;
     std::uint64_t sequence = 0; ///< only announcements after this one may clear it
 
     friend auto operator<=>(const doubtful_request&, const doubtful_request&) = default;
@@ -45,12 +45,13 @@
     relief_ladder ladder{};
     time_point last_heard{};
     bool is_leaving = false;
-    bool is_silent = false;                           ///< no lease is renewed and nothing is started
-    int outstanding = 0;                              ///< requests in flight
-    double slowdown = 1;                              ///< running mean of measured over expected latency
-    resources request_peak;                           ///< recent peak of what requests take
-    std::map<std::string, doubtful_request> doubtful; ///< by request id
-    std::map<std::string, owned_task> tasks;          ///< by job
+    bool is_silent = false; ///< no lease is renewed and nothing is started
+    int outstanding = 0;    ///< requests in flight
+    double slowdown = 1;    ///< running mean of measured over expected latency
+    resources request_peak; ///< recent peak of what requests take
+    std::map<grant_id, doubtful_request>
+        doubtful; ///< by grant: a retry may come to the same worker under the same request id
+    std::map<std::string, owned_task> tasks; ///< by job
     std::vector<routing_row> rows;
 
     /// Returns true when requests may be sent to it. Thread safety: none.
--- a/unit_tests/entry/request_dispatcher_test.cpp
+++ b/unit_tests/entry/request_dispatcher_test.cpp
@@ -67,6 +67,21 @@
     EXPECT_EQ(m_dispatcher.serve_waiting(m_now).size(), 1U);
 }
 
+TEST_F(request_dispatcher_test, retry_at_the_same_worker_keeps_and_frees_both_slots) {
+    own();
+    announce(tell(2, true));
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const auto grant = admit_as<request_grant>(make_call("a"));
+        m_dispatcher.finish(grant, attempt_result::maybe_running, {}, m_now);
+    }
+    EXPECT_EQ(m_fleet.get_free_slots("s"), 0);
+    announce(tell(2, false, {"a"}));
+    EXPECT_EQ(m_fleet.get_free_slots("s"), 0);
+    announce(tell(2, false));
+    announce(tell(2, false));
+    EXPECT_EQ(m_fleet.get_free_slots("s"), 2);
+}
+
 TEST_F(request_dispatcher_test, bounds_queue_and_tenant) {
     own();
     announce(tell(2, true));
