Say things once in the entry

Cause: re-read of the change. The loop that passes headers on stood four times in call_handler; a request that had waited was counted twice in its worker's rate, at its start and at its end. Change: pass_on serves all four; requests are counted at their end only, so the rates that placement sees are true. Two members' comments stand where the formatter leaves them whole.

--- a/poplarpitch/entry/call_handler.cpp
+++ b/poplarpitch/entry/call_handler.cpp
@@ -46,6 +46,15 @@
            !absl::EqualsIgnoreCase(name, "connection") && !absl::EqualsIgnoreCase(name, "keep-alive");
 }
 
+/// Copies the headers that callers and targets say to each other.
+void pass_on(const header_list& from, header_list& to) {
+    for (const auto& header : from.get_all()) {
+        if (is_passed_on(header.name)) {
+            to.add(header.name, header.value);
+        }
+    }
+}
+
 } // namespace
 
 call_handler::call_handler(entry_state& state, http_client_pool& targets, control_client& control,
@@ -200,11 +209,7 @@
     outgoing.method = request.method;
     outgoing.target = absl::StrCat("/v1/requests/", call.service, call.rest);
     outgoing.body = request.body;
-    for (const auto& header : request.headers.get_all()) {
-        if (is_passed_on(header.name)) {
-            outgoing.headers.add(header.name, header.value);
-        }
-    }
+    pass_on(request.headers, outgoing.headers);
     const auto left = to_milliseconds(call.deadline - m_clock.now());
     outgoing.headers.add(header_request_id, call.request_id);
     outgoing.headers.add(header_tenant, call.tenant);
@@ -307,11 +312,7 @@
     result.response.status = exchange.response.status;
     result.response.content_type = exchange.response.content_type;
     result.response.body = std::move(exchange.response.body);
-    for (const auto& header : exchange.response.headers.get_all()) {
-        if (is_passed_on(header.name)) {
-            result.response.headers.add(header.name, header.value);
-        }
-    }
+    pass_on(exchange.response.headers, result.response.headers);
     return {std::move(result), is_fault && call.is_idempotent};
 }
 
@@ -321,11 +322,7 @@
     outgoing.method = request.method;
     outgoing.target = request.target;
     outgoing.body = request.body;
-    for (const auto& header : request.headers.get_all()) {
-        if (is_passed_on(header.name)) {
-            outgoing.headers.add(header.name, header.value);
-        }
-    }
+    pass_on(request.headers, outgoing.headers);
     const auto now = m_clock.now();
     const auto left = std::max<std::int64_t>(to_milliseconds(call.deadline - now), 1);
     outgoing.headers.add(header_request_id, call.request_id);
@@ -354,11 +351,7 @@
     result.response.status = exchange.response.status;
     result.response.content_type = exchange.response.content_type;
     result.response.body = std::move(exchange.response.body);
-    for (const auto& header : exchange.response.headers.get_all()) {
-        if (is_passed_on(header.name)) {
-            result.response.headers.add(header.name, header.value);
-        }
-    }
+    pass_on(exchange.response.headers, result.response.headers);
     return result;
 }
 
--- a/poplarpitch/entry/entry_state.cpp
+++ b/poplarpitch/entry/entry_state.cpp
@@ -174,7 +174,6 @@
     }
     for (auto& served : m_dispatcher.serve_waiting(now)) {
         auto* waiting = m_waiters.at(served.ticket);
-        ++m_request_counts[served.grant.worker][served.grant.service];
         waiting->grant = std::move(served.grant);
         waiting->ready.Signal();
     }
--- a/poplarpitch/entry/entry_state.h
+++ b/poplarpitch/entry/entry_state.h
@@ -94,15 +94,15 @@
     const system_clock m_clock{};
     const std::string m_id;
     const std::string m_data_centre;
-    mutable absl::Mutex
-        m_settings_mutex; ///< taken inside m_mutex; apart, since every request reads the configuration
+    /// Taken inside m_mutex; apart from it, since every request reads the configuration.
+    mutable absl::Mutex m_settings_mutex;
     mutable absl::Mutex m_mutex;
     owned_fleet m_fleet ABSL_GUARDED_BY(m_mutex);
     request_dispatcher m_dispatcher ABSL_GUARDED_BY(m_mutex);
     task_agent m_tasks ABSL_GUARDED_BY(m_mutex);
     std::shared_ptr<const configuration> m_settings ABSL_GUARDED_BY(m_mutex);
-    std::shared_ptr<const configuration>
-        m_published ABSL_GUARDED_BY(m_settings_mutex); ///< the same, for readers
+    /// The same as m_settings, for readers.
+    std::shared_ptr<const configuration> m_published ABSL_GUARDED_BY(m_settings_mutex);
     std::uint64_t m_config_version ABSL_GUARDED_BY(m_mutex) = 0;
     std::uint64_t m_revision ABSL_GUARDED_BY(m_mutex) = 0;
     std::map<std::uint64_t, waiter*> m_waiters ABSL_GUARDED_BY(m_mutex); ///< by ticket
