--- a/unit_tests/process/test_cluster.cpp
+++ b/unit_tests/process/test_cluster.cpp
@@ -5,33 +5,18 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/time/clock.h>
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 
 namespace poplarpitch {
 namespace {
 
-/// Takes a free port and gives it back; peers must know each other's ports before they start.
-int find_free_port() {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
-    socklen_t size = sizeof(address);
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
-}
-
 std::string make_folder() {
     static std::atomic<int> next{0};
     const auto name = absl::StrCat("poplarpitch-test-", ::getpid(), "-", next.fetch_add(1));
@@ -50,12 +35,11 @@
     : m_folder(make_folder()), m_workers_each(workers_each), m_pool(http_client_settings{}) {
     std::vector<std::string> peers;
     for (int number = 1; number <= controls; ++number) {
-        m_control_ports[number] = find_free_port();
-        peers.push_back(absl::StrCat(number, "@127.0.0.1:", m_control_ports[number]));
+        peers.push_back(absl::StrCat(number, "@127.0.0.1:", m_control_ports[number].get_port()));
     }
     m_control_list = absl::StrJoin(peers, ", ");
     for (int number = 1; number <= entries; ++number) {
-        m_entry_ports[number] = find_free_port();
+        m_entry_ports[number]; // reserved before anybody starts
     }
     for (int number = 1; number <= controls; ++number) {
         start_control(number);
@@ -73,11 +57,31 @@
     m_controls.clear();
     if (testing::Test::HasFailure()) {
         std::cerr << "logs are kept in " << m_folder << "\n";
+        print_log_ends();
     } else {
         std::filesystem::remove_all(m_folder);
     }
 }
 
+void test_cluster::print_log_ends() const {
+    constexpr std::size_t shown_lines = 6; // a daemon that could not start says why in its last line
+    for (const auto& file : std::filesystem::directory_iterator(m_folder)) {
+        if (file.path().extension() != ".log") {
+            continue;
+        }
+        std::deque<std::string> lines;
+        std::ifstream log(file.path());
+        for (std::string line; std::getline(log, line);) {
+            lines.push_back(line);
+            if (lines.size() > shown_lines) {
+                lines.pop_front();
+            }
+        }
+        std::cerr << "-- end of " << file.path().filename().string() << "\n"
+                  << absl::StrJoin(lines, "\n") << "\n";
+    }
+}
+
 void test_cluster::write_file(const std::string& name, const std::string& text) const {
     std::ofstream(m_folder + "/" + name) << text;
 }
@@ -85,7 +89,7 @@
 void test_cluster::start_control(int number) {
     const auto name = absl::StrCat("control-", number);
     write_file(name + ".ini", absl::StrCat("[daemon]\nid = ", name, "\nnode_id = ", number, "\ngrpc_port = ",
-                                           m_control_ports[number], "\ncontrol = ", m_control_list,
+                                           m_control_ports[number].get_port(), "\ncontrol = ", m_control_list,
                                            "\ndata_folder = ", m_folder, "/data-", number, "\n"));
     m_controls[number] = std::make_unique<child_process>(
         std::vector<std::string>{get_program("poplarpitch-control"), "--settings",
@@ -95,8 +99,9 @@
 
 void test_cluster::start_entry(int number) {
     const auto name = absl::StrCat("entry-", number);
-    write_file(name + ".ini", absl::StrCat("[daemon]\nid = ", name, "\nhttp_port = ", m_entry_ports[number],
-                                           "\ncontrol = ", m_control_list, "\n"));
+    write_file(name + ".ini",
+               absl::StrCat("[daemon]\nid = ", name, "\nhttp_port = ", m_entry_ports[number].get_port(),
+                            "\ncontrol = ", m_control_list, "\n"));
     m_entries[number] = std::make_unique<child_process>(
         std::vector<std::string>{get_program("poplarpitch-entry"), "--settings",
                                  m_folder + "/" + name + ".ini"},
@@ -106,7 +111,7 @@
 void test_cluster::start_workers(int process) {
     std::vector<std::string> entries;
     for (const auto& [number, port] : m_entry_ports) {
-        entries.push_back(absl::StrCat("127.0.0.1:", port));
+        entries.push_back(absl::StrCat("127.0.0.1:", port.get_port()));
     }
     const auto name = absl::StrCat("workers-", process);
     write_file(
@@ -135,7 +140,7 @@
     for (const auto& header : headers) {
         request.headers.add(header.name, header.value);
     }
-    return m_pool.send(absl::StrCat("127.0.0.1:", m_entry_ports.at(entry)), request,
+    return m_pool.send(absl::StrCat("127.0.0.1:", get_entry_port(entry)), request,
                        system_clock().now() + limit, connection_choice::known_alive);
 }
 
--- a/unit_tests/support/test_cluster.h
+++ b/unit_tests/support/test_cluster.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/transport/http_client_pool.h"
 #include "unit_tests/support/child_process.h"
+#include "unit_tests/support/port_reservation.h"
 
 #include <functional>
 #include <map>
@@ -46,15 +47,17 @@
 
     [[nodiscard]] const std::string& get_folder() const { return m_folder; }
     [[nodiscard]] std::string get_record(int process) const;
-    [[nodiscard]] int get_entry_port(int number) const { return m_entry_ports.at(number); }
+    [[nodiscard]] int get_entry_port(int number) const { return m_entry_ports.at(number).get_port(); }
 
 private:
+    /// Shows how each daemon's log ends, for failures on machines whose files nobody can look at.
+    void print_log_ends() const;
     void write_file(const std::string& name, const std::string& text) const;
 
     std::string m_folder;
     std::string m_control_list;
-    std::map<int, int> m_control_ports;
-    std::map<int, int> m_entry_ports;
+    std::map<int, port_reservation> m_control_ports;
+    std::map<int, port_reservation> m_entry_ports;
     int m_workers_each;
     std::map<int, std::unique_ptr<child_process>> m_controls;
     std::map<int, std::unique_ptr<child_process>> m_entries;
