Keep job records as bytes, and sum each worker's claims as jobs change

Change: job_table keeps each record as the bytes of its message (packed_job); indexes hold pointers. link and unlink keep each worker's claims (job_claims), so a turn of the scheduler reads one sum a worker. Spread is counted by dense numbers of tenant and rack. A need that found no room is not tried again in the same turn for the same batch class. An urgent job looks for a task to displace only when the budget allows one.

--- a/poplarpitch/control/job_scheduler.cpp
+++ b/poplarpitch/control/job_scheduler.cpp
@@ -6,6 +6,9 @@
 #include "poplarpitch/state/state_machine.h"
 
 #include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
 
 namespace poplarpitch {
 namespace {
@@ -23,20 +26,31 @@
 
 } // namespace
 
-/// A tenant's queue in one turn of the scheduler.
+/// A tenant's queue in one turn of the scheduler. Records are read one at a time: most are never reached.
 struct job_scheduler::tenant_turn {
     std::string name;
     tenant_settings settings;
     tenant_usage usage;
-    std::vector<const wire::job*> jobs; ///< in order, as many as may be looked at
+    std::vector<const packed_job*> jobs; ///< in order, as many as may be looked at
     std::size_t next = 0;
+    std::optional<wire::job> head; ///< the record of `next`; none when the turn is over
     int misses = 0;
 
-    [[nodiscard]] bool is_over() const { return next >= jobs.size() || misses >= max_misses; }
-    [[nodiscard]] bool is_urgent() const { return !is_over() && jobs[next]->urgent(); }
+    [[nodiscard]] bool is_over() const { return !head.has_value() || misses >= max_misses; }
+    [[nodiscard]] bool is_urgent() const { return !is_over() && head->urgent(); }
     [[nodiscard]] double get_share() const {
         return static_cast<double>(usage.active_millicores) / settings.weight;
     }
+
+    /// Returns the head and reads the next one. Precondition: the turn is not over.
+    wire::job take_head() {
+        auto taken = std::move(*head);
+        ++next;
+        read_head();
+        return taken;
+    }
+
+    void read_head() { head = next < jobs.size() ? std::optional(jobs[next]->unpack()) : std::nullopt; }
 };
 
 void job_scheduler::add_usage(const wire::usage_sample& sample) {
@@ -68,20 +82,35 @@
     }
 }
 
+void job_scheduler::add_to_spread(const std::string& tenant, std::uint32_t rack, std::uint32_t tasks) {
+    const auto number = m_tenants.get(tenant);
+    if (m_spread.size() <= number) {
+        m_spread.resize(number + 1);
+    }
+    auto& by_rack = m_spread[number];
+    if (by_rack.size() <= rack) {
+        by_rack.resize(rack + 1);
+    }
+    by_rack[rack] = static_cast<std::uint16_t>(by_rack[rack] + tasks);
+}
+
 void job_scheduler::build_candidates(const state_machine& state, const session_registry& sessions) {
     m_candidates.clear();
     m_candidate_ids.clear();
     m_spread.clear();
+    m_missed.clear();
     for (const auto& [id, worker] : state.get_fleet().get_workers()) {
         const auto* load = sessions.find_load(worker.owner(), id);
         placement_candidate candidate;
         candidate.capacity = decode(worker.capacity());
         candidate.free = candidate.capacity;
         candidate.rack = m_racks.get(worker.data_centre() + "/" + worker.rack());
-        state.get_jobs().for_each_on(id, [&](const wire::job& job) {
-            candidate.free -= decode(job.reserved());
-            ++m_spread[{job.tenant(), candidate.rack}];
-        });
+        if (const auto* claims = state.get_jobs().find_claims(id)) {
+            candidate.free -= claims->reserved;
+            for (const auto& [tenant, tasks] : claims->tasks_by_tenant) {
+                add_to_spread(tenant, candidate.rack, tasks);
+            }
+        }
         candidate.is_open = !worker.owner().empty() && !worker.silent() && !worker.quarantined() &&
                             load != nullptr && load->ready() && !load->leaving() && !load->relieved();
         if (load != nullptr) {
@@ -109,10 +138,8 @@
         const auto* tenant = settings->find_tenant(name);
         turn.settings = tenant == nullptr ? tenant_settings{} : *tenant;
         turn.usage = state.get_jobs().get_usage(name);
-        state.get_jobs().for_each_queued(name, [&](const wire::job& job) {
-            turn.jobs.push_back(&job);
-            return turn.jobs.size() < looked_at;
-        });
+        turn.jobs = state.get_jobs().get_queued(name, looked_at);
+        turn.read_head();
         turns.push_back(std::move(turn));
     }
     return turns;
@@ -128,12 +155,12 @@
     return request;
 }
 
-bool job_scheduler::place(const wire::job& job, const state_machine& state,
-                          std::vector<wire::command>& commands) {
-    const auto request = make_request(job);
+void job_scheduler::mark_candidates(const wire::job& job) {
+    const auto tenant = m_tenants.get(job.tenant());
+    const auto* by_rack = tenant < m_spread.size() ? &m_spread[tenant] : nullptr;
     for (auto& candidate : m_candidates) {
-        const auto spread = m_spread.find({job.tenant(), candidate.rack});
-        candidate.same_job_tenant = spread == m_spread.end() ? 0 : spread->second;
+        const bool has_tasks = by_rack != nullptr && candidate.rack < by_rack->size();
+        candidate.same_job_tenant = has_tasks ? (*by_rack)[candidate.rack] : std::uint16_t{0};
         candidate.is_failed_before = false;
     }
     for (const auto& failed : job.failed_workers()) {
@@ -142,14 +169,33 @@
             m_candidates[static_cast<std::size_t>(found - m_candidate_ids.begin())].is_failed_before = true;
         }
     }
+}
+
+bool job_scheduler::is_hopeless(const placement_request& request) const {
+    return std::any_of(m_missed.begin(), m_missed.end(), [&](const missed_need& missed) {
+        return missed.batch == request.batch && missed.is_urgent == request.is_urgent &&
+               request.need.holds(missed.need);
+    });
+}
+
+bool job_scheduler::place(const wire::job& job, const state_machine& state,
+                          std::vector<wire::command>& commands) {
+    const auto request = make_request(job);
+    if (is_hopeless(request)) {
+        return false;
+    }
+    mark_candidates(job);
     const cost_placer placer(state.get_configs().get_configuration()->objective);
     const auto picked = placer.pick(m_candidates, request, m_interference);
     if (!picked.has_value()) {
+        if (job.failed_workers().empty()) { // else others may still find room where this one must not go
+            m_missed.push_back({request.need, request.batch, request.is_urgent});
+        }
         return false;
     }
     auto& candidate = m_candidates[*picked];
     candidate.free -= request.need;
-    ++m_spread[{job.tenant(), candidate.rack}];
+    add_to_spread(job.tenant(), candidate.rack, 1);
     wire::command command;
     auto& assign = *command.mutable_assign();
     assign.set_job(job.id());
@@ -163,26 +209,29 @@
 
 void job_scheduler::displace(const wire::job& urgent, const state_machine& state, time_point now,
                              std::vector<wire::command>& commands) {
+    if (!m_displacements.has_any(now)) {
+        return; // before the search, which reads every running task
+    }
     const auto need = make_request(urgent).need;
-    const wire::job* victim = nullptr;
+    std::optional<wire::job> victim;
     for (std::size_t index = 0; index < m_candidates.size(); ++index) {
         const auto& candidate = m_candidates[index];
         if (!candidate.is_open || !candidate.capacity.holds(need)) {
             continue;
         }
-        state.get_jobs().for_each_on(m_candidate_ids[index], [&](const wire::job& job) {
+        state.get_jobs().for_each_on(m_candidate_ids[index], 0, [&](const wire::job& job) {
             const bool is_on_its_way = job.evict_requested() || job.cancel_requested();
             const bool is_enough = (candidate.free + decode(job.reserved())).holds(need);
             if (job.urgent() || is_on_its_way || !is_enough || job.state() != wire::job_running) {
                 return;
             }
             // The one that started last has the least to lose.
-            if (victim == nullptr || job.started_ms() > victim->started_ms()) {
-                victim = &job;
+            if (!victim.has_value() || job.started_ms() > victim->started_ms()) {
+                victim = job;
             }
         });
     }
-    if (victim == nullptr || !m_displacements.try_take(now)) {
+    if (!victim.has_value() || !m_displacements.try_take(now)) {
         return;
     }
     wire::command command;
@@ -217,7 +266,7 @@
         if (best == nullptr) {
             break;
         }
-        const auto& job = *best->jobs[best->next++];
+        const auto job = best->take_head();
         const auto need = decode(job.need());
         if (!state.get_fleet().get_workers().empty() && !state.get_fleet().can_ever_hold(need)) {
             wire::command command;
--- a/poplarpitch/control/job_scheduler.h
+++ b/poplarpitch/control/job_scheduler.h
@@ -8,7 +8,7 @@
 #include "poplarpitch/policy/usage_model.h"
 #include "poplarpitch/wire/poplarpitch.pb.h"
 
-#include <map>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -34,9 +34,20 @@
 private:
     struct tenant_turn;
 
+    /// A need that found no room in this turn. Room only shrinks within a turn, so neither does one as large.
+    struct missed_need {
+        resources need;
+        std::uint32_t batch = 0; ///< dense number of the batch class
+        bool is_urgent = false;
+    };
+
+    void add_to_spread(const std::string& tenant, std::uint32_t rack, std::uint32_t tasks);
     void build_candidates(const state_machine& state, const session_registry& sessions);
     void learn_interference(const configuration& settings, const session_registry& sessions);
     [[nodiscard]] static std::vector<tenant_turn> make_turns(const state_machine& state);
+    /// Fills in what differs from job to job: spread and past failures.
+    void mark_candidates(const wire::job& job);
+    [[nodiscard]] bool is_hopeless(const placement_request& request) const;
     bool place(const wire::job& job, const state_machine& state, std::vector<wire::command>& commands);
     void displace(const wire::job& urgent, const state_machine& state, time_point now,
                   std::vector<wire::command>& commands);
@@ -45,13 +56,14 @@
     name_index m_services;
     name_index m_batches;
     name_index m_racks;
+    name_index m_tenants;
     usage_model m_usage;
     interference_model m_interference;
     eviction_budget m_displacements;
     std::vector<placement_candidate> m_candidates;
-    std::vector<std::string> m_candidate_ids; ///< worker of each candidate
-    std::map<std::pair<std::string, std::uint32_t>, std::uint16_t>
-        m_spread; ///< active tasks by tenant and rack
+    std::vector<std::string> m_candidate_ids;         ///< worker of each candidate
+    std::vector<std::vector<std::uint16_t>> m_spread; ///< active tasks by tenant, then rack
+    std::vector<missed_need> m_missed;                ///< of this turn
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/control/query_answerer.cpp
+++ b/poplarpitch/control/query_answerer.cpp
@@ -31,8 +31,8 @@
 }
 
 void fill_job(const state_machine& state, const wire::query_request& request, wire::query_answer& answer) {
-    if (const auto* job = state.get_jobs().find(request.name())) {
-        *answer.add_jobs() = *job;
+    if (auto job = state.get_jobs().find(request.name())) {
+        *answer.add_jobs() = std::move(*job);
         answer.set_found(true);
     }
 }
--- a/poplarpitch/control/renew_answerer.cpp
+++ b/poplarpitch/control/renew_answerer.cpp
@@ -22,14 +22,11 @@
         if (is_owned_changed) {
             *answer.add_owned() = *fleet.find_worker(id);
         }
-        state.get_jobs().for_each_on(id, [&](const wire::job& job) {
-            if (is_owned_changed) {
-                answer.add_job_ids(job.id());
-            }
-            if (is_owned_changed || job.changed_index() > known) {
-                *answer.add_jobs() = job;
-            }
-        });
+        if (is_owned_changed) {
+            state.get_jobs().for_each_id_on(id, [&](const std::string& job) { answer.add_job_ids(job); });
+        }
+        const log_index since = is_owned_changed ? 0 : known;
+        state.get_jobs().for_each_on(id, since, [&](const wire::job& job) { *answer.add_jobs() = job; });
     }
     for (const auto& [entry, report] : sessions.get_reports()) {
         const auto* session = fleet.find_session(entry);
--- a/poplarpitch/policy/eviction_budget.h
+++ b/poplarpitch/policy/eviction_budget.h
@@ -20,10 +20,14 @@
 public:
     explicit eviction_budget(const eviction_budget_settings& settings = {});
 
+    /// Returns true when `try_take` would succeed.
+    [[nodiscard]] bool has_any(time_point now);
     /// Takes one eviction; false when the budget is used up.
     bool try_take(time_point now);
 
 private:
+    void refill(time_point now);
+
     eviction_budget_settings m_settings;
     double m_tokens;
     time_point m_last{};
--- a/poplarpitch/state/job_table.cpp
+++ b/poplarpitch/state/job_table.cpp
@@ -1,7 +1,8 @@
 #include "poplarpitch/state/job_table.h"
 
+#include "poplarpitch/state/amounts_codec.h"
+
 #include <algorithm>
-#include <vector>
 
 namespace poplarpitch {
 
@@ -17,73 +18,93 @@
 
 // ---- indexes
 
-wire::job* job_table::find_mutable(const std::string& id) {
+job_table::job_node* job_table::find_node(const std::string& id) {
     const auto found = m_jobs.find(id);
-    return found == m_jobs.end() ? nullptr : &found->second;
+    return found == m_jobs.end() ? nullptr : &*found;
 }
 
-const wire::job* job_table::find(const std::string& id) const {
-    const auto found = m_jobs.find(id);
-    return found == m_jobs.end() ? nullptr : &found->second;
-}
-
-void job_table::unlink(const wire::job& record) {
+void job_table::unlink(const job_node& node, const wire::job& record) {
     auto& usage = m_usage[record.tenant()];
     if (record.state() == wire::job_queued) {
         auto& queue = m_queued[record.tenant()];
-        queue.erase({!record.urgent(), record.submitted_ms(), record.id()});
+        queue.erase({!record.urgent(), record.submitted_ms(), &node});
         if (queue.empty()) {
             m_queued.erase(record.tenant());
         }
         --m_queued_count;
     }
     if (is_active(record.state())) {
-        const auto found = m_by_worker.find(record.worker());
-        if (found != m_by_worker.end()) {
-            found->second.erase(record.id());
-            if (found->second.empty()) {
-                m_by_worker.erase(found);
-            }
-        }
-        m_lost.erase(record.id());
+        unlink_from_worker(node, record);
+        m_lost.erase(&node);
         --m_active_count;
         usage.active_millicores -= record.need().millicores();
         usage.active_accelerators -= record.need().accelerators();
     }
     if (is_ended(record.state())) {
-        m_ended.erase({record.ended_ms(), record.id()});
+        m_ended.erase({false, record.ended_ms(), &node});
     } else {
         --usage.open_jobs;
     }
 }
 
-void job_table::link(const wire::job& record) {
+void job_table::link(const job_node& node, const wire::job& record) {
     auto& usage = m_usage[record.tenant()];
     if (record.state() == wire::job_queued) {
-        m_queued[record.tenant()].insert({!record.urgent(), record.submitted_ms(), record.id()});
+        m_queued[record.tenant()].insert({!record.urgent(), record.submitted_ms(), &node});
         ++m_queued_count;
     }
     if (is_active(record.state())) {
-        m_by_worker[record.worker()].insert(record.id());
+        link_to_worker(node, record);
         if (record.lost()) {
-            m_lost.insert(record.id());
+            m_lost.insert(&node);
         }
         ++m_active_count;
         usage.active_millicores += record.need().millicores();
         usage.active_accelerators += record.need().accelerators();
     }
     if (is_ended(record.state())) {
-        m_ended.insert({record.ended_ms(), record.id()});
+        m_ended.insert({false, record.ended_ms(), &node});
     } else {
         ++usage.open_jobs;
     }
 }
 
+void job_table::link_to_worker(const job_node& node, const wire::job& record) {
+    auto& worker = m_by_worker[record.worker()];
+    worker.jobs.insert(&node);
+    worker.claims.reserved += decode(record.reserved());
+    ++worker.claims.tasks_by_tenant[record.tenant()];
+}
+
+void job_table::unlink_from_worker(const job_node& node, const wire::job& record) {
+    const auto found = m_by_worker.find(record.worker());
+    if (found == m_by_worker.end()) {
+        return;
+    }
+    auto& worker = found->second;
+    worker.jobs.erase(&node);
+    if (worker.jobs.empty()) {
+        m_by_worker.erase(found);
+        return;
+    }
+    worker.claims.reserved -= decode(record.reserved());
+    const auto tenant = worker.claims.tasks_by_tenant.find(record.tenant());
+    if (--tenant->second == 0) {
+        worker.claims.tasks_by_tenant.erase(tenant);
+    }
+}
+
+void job_table::store(job_node& node, wire::job& record, log_index index) {
+    record.set_changed_index(index);
+    node.second.pack(record);
+    link(node, record);
+}
+
 // ---- commands
 
 std::error_code job_table::submit(const wire::job& submitted, std::int64_t tenant_limit, log_index index) {
-    const auto* existing = find(submitted.id());
-    if (existing != nullptr) {
+    const auto existing = find(submitted.id());
+    if (existing.has_value()) {
         const bool is_same = existing->request_hash() == submitted.request_hash();
         return is_same ? std::error_code{} : make_error_code(state_errc::conflicting_job);
     }
@@ -94,52 +115,49 @@
     record.set_state(wire::job_queued);
     record.set_attempt(0);
     record.set_changed_index(index);
-    link(record);
-    m_ids.insert(record.id());
-    m_jobs.emplace(record.id(), std::move(record));
+    restore(record);
     return {};
 }
 
 std::error_code job_table::assign(const wire::assign_job& command, std::uint64_t incarnation,
                                   log_index index) {
-    auto* record = find_mutable(command.job());
-    if (record == nullptr) {
+    auto* node = find_node(command.job());
+    if (node == nullptr) {
         return state_errc::unknown_job;
     }
-    if (record->state() != wire::job_queued || command.attempt() != record->attempt() + 1) {
+    auto record = node->second.unpack();
+    if (record.state() != wire::job_queued || command.attempt() != record.attempt() + 1) {
         return state_errc::stale_attempt;
     }
-    unlink(*record);
-    record->set_state(wire::job_assigned);
-    record->set_attempt(command.attempt());
-    record->set_worker(command.worker());
-    record->set_epoch(command.epoch());
-    *record->mutable_reserved() = command.has_reserved() ? command.reserved() : record->need();
-    record->set_worker_incarnation(incarnation);
-    record->set_lost(false);
-    record->set_changed_index(index);
-    link(*record);
+    unlink(*node, record);
+    record.set_state(wire::job_assigned);
+    record.set_attempt(command.attempt());
+    record.set_worker(command.worker());
+    record.set_epoch(command.epoch());
+    *record.mutable_reserved() = command.has_reserved() ? command.reserved() : record.need();
+    record.set_worker_incarnation(incarnation);
+    record.set_lost(false);
+    store(*node, record, index);
     return {};
 }
 
 std::error_code job_table::take_event(const wire::job_event& event, int max_attempts, log_index index) {
-    auto* record = find_mutable(event.job());
-    if (record == nullptr) {
+    auto* node = find_node(event.job());
+    if (node == nullptr) {
         return state_errc::unknown_job;
     }
+    auto record = node->second.unpack();
     const bool is_unplaceable = event.kind() == wire::event_unplaceable;
-    const bool is_current = event.attempt() == record->attempt() || !m_rules.job_compares_attempt;
-    if (!is_current || is_ended(record->state()) ||
-        (is_unplaceable != (record->state() == wire::job_queued))) {
+    const bool is_current = event.attempt() == record.attempt() || !m_rules.job_compares_attempt;
+    if (!is_current || is_ended(record.state()) || (is_unplaceable != (record.state() == wire::job_queued))) {
         return state_errc::stale_attempt;
     }
-    if (event.kind() == wire::event_lost && record->lost()) {
+    if (event.kind() == wire::event_lost && record.lost()) {
         return {}; // told again: the wait for the lease goes on and does not begin anew
     }
-    unlink(*record);
-    apply_event(*record, event, max_attempts);
-    record->set_changed_index(index);
-    link(*record);
+    unlink(*node, record);
+    apply_event(record, event, max_attempts);
+    store(*node, record, index);
     return {};
 }
 
@@ -253,66 +271,85 @@
 }
 
 std::error_code job_table::cancel(const wire::cancel_job& command, log_index index) {
-    auto* record = find_mutable(command.job());
-    if (record == nullptr) {
+    auto* node = find_node(command.job());
+    if (node == nullptr) {
         return state_errc::unknown_job;
     }
-    if (record->state() == wire::job_cancelled || record->cancel_requested()) {
+    auto record = node->second.unpack();
+    if (record.state() == wire::job_cancelled || record.cancel_requested()) {
         return {};
     }
-    if (record->state() == wire::job_done || record->state() == wire::job_failed) {
+    if (record.state() == wire::job_done || record.state() == wire::job_failed) {
         return state_errc::not_allowed;
     }
-    unlink(*record);
-    record->set_cancel_requested(true);
-    if (!is_active(record->state())) {
-        finish(*record, wire::job_cancelled, command.at_ms(), "cancelled");
+    unlink(*node, record);
+    record.set_cancel_requested(true);
+    if (!is_active(record.state())) {
+        finish(record, wire::job_cancelled, command.at_ms(), "cancelled");
     }
-    record->set_changed_index(index);
-    link(*record);
+    store(*node, record, index);
     return {};
 }
 
 std::error_code job_table::resolve(const wire::resolve_job& command, log_index index) {
-    auto* record = find_mutable(command.job());
-    if (record == nullptr) {
+    auto* node = find_node(command.job());
+    if (node == nullptr) {
         return state_errc::unknown_job;
     }
-    const bool is_open = record->state() == wire::job_unknown || record->state() == wire::job_parked ||
-                         record->state() == wire::job_failed;
+    auto record = node->second.unpack();
+    const bool is_open = record.state() == wire::job_unknown || record.state() == wire::job_parked ||
+                         record.state() == wire::job_failed;
     if (!is_open) {
         return state_errc::not_allowed;
     }
-    unlink(*record);
+    unlink(*node, record);
     if (command.action() == wire::resolve_rerun) {
-        record->set_failures(0);
-        record->clear_failed_workers();
-        requeue(*record);
+        record.set_failures(0);
+        record.clear_failed_workers();
+        requeue(record);
     } else {
         const bool is_done = command.action() == wire::resolve_done;
-        finish(*record, is_done ? wire::job_done : wire::job_failed, command.at_ms(),
+        finish(record, is_done ? wire::job_done : wire::job_failed, command.at_ms(),
                "resolved by an operator");
     }
-    record->set_changed_index(index);
-    link(*record);
+    store(*node, record, index);
     return {};
 }
 
 void job_table::expire(std::int64_t before_ms) {
-    while (!m_ended.empty() && m_ended.begin()->first < before_ms) {
-        const auto id = m_ended.begin()->second;
-        const auto found = m_jobs.find(id);
-        unlink(found->second);
-        m_ids.erase(id);
-        m_jobs.erase(found);
+    while (!m_ended.empty() && m_ended.begin()->at_ms < before_ms) {
+        const auto* node = m_ended.begin()->node;
+        unlink(*node, node->second.unpack());
+        m_jobs.erase(m_jobs.find(node->first));
     }
 }
 
 // ---- queries
 
+std::optional<wire::job> job_table::find(const std::string& id) const {
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? std::nullopt : std::optional(found->second.unpack());
+}
+
+std::vector<const job_table::job_node*> job_table::get_sorted() const {
+    std::vector<const job_node*> sorted;
+    sorted.reserve(m_jobs.size());
+    for (const auto& node : m_jobs) {
+        sorted.push_back(&node);
+    }
+    std::sort(sorted.begin(), sorted.end(), by_id{});
+    return sorted;
+}
+
 void job_table::for_each(const std::function<void(const wire::job&)>& visit) const {
-    for (const auto& id : m_ids) {
-        visit(m_jobs.at(id));
+    for (const auto* node : get_sorted()) {
+        visit(node->second.unpack());
+    }
+}
+
+void job_table::for_each_packed(const std::function<void(std::string_view)>& visit) const {
+    for (const auto* node : get_sorted()) {
+        visit(node->second.get_bytes());
     }
 }
 
@@ -324,33 +361,54 @@
     return tenants;
 }
 
-void job_table::for_each_queued(const std::string& tenant,
-                                const std::function<bool(const wire::job&)>& visit) const {
+std::vector<const packed_job*> job_table::get_queued(const std::string& tenant, std::size_t limit) const {
+    std::vector<const packed_job*> jobs;
     const auto found = m_queued.find(tenant);
     if (found == m_queued.end()) {
-        return;
+        return jobs;
     }
-    for (const auto& key : found->second) {
-        if (!visit(m_jobs.at(key.id))) {
-            return;
+    jobs.reserve(std::min(limit, found->second.size()));
+    for (const auto& place : found->second) {
+        if (jobs.size() == limit) {
+            break;
         }
+        jobs.push_back(&place.node->second);
     }
+    return jobs;
 }
 
-void job_table::for_each_on(const std::string& worker,
+void job_table::for_each_on(const std::string& worker, log_index since,
                             const std::function<void(const wire::job&)>& visit) const {
     const auto found = m_by_worker.find(worker);
     if (found == m_by_worker.end()) {
         return;
     }
-    for (const auto& id : found->second) {
-        visit(m_jobs.at(id));
+    for (const auto* node : found->second.jobs) {
+        if (node->second.get_changed_index() > since) {
+            visit(node->second.unpack());
+        }
+    }
+}
+
+void job_table::for_each_id_on(const std::string& worker,
+                               const std::function<void(const std::string&)>& visit) const {
+    const auto found = m_by_worker.find(worker);
+    if (found == m_by_worker.end()) {
+        return;
+    }
+    for (const auto* node : found->second.jobs) {
+        visit(node->first);
     }
 }
 
+const job_claims* job_table::find_claims(const std::string& worker) const {
+    const auto found = m_by_worker.find(worker);
+    return found == m_by_worker.end() ? nullptr : &found->second.claims;
+}
+
 void job_table::for_each_lost(const std::function<void(const wire::job&)>& visit) const {
-    for (const auto& id : m_lost) {
-        visit(m_jobs.at(id));
+    for (const auto* node : m_lost) {
+        visit(node->second.unpack());
     }
 }
 
@@ -359,11 +417,9 @@
     return found == m_usage.end() ? tenant_usage{} : found->second;
 }
 
-void job_table::restore(wire::job&& record) {
-    link(record);
-    m_ids.insert(record.id());
-    auto id = record.id();
-    m_jobs.emplace(std::move(id), std::move(record));
+void job_table::restore(const wire::job& record) {
+    const auto added = m_jobs.emplace(record.id(), packed_job(record)).first;
+    link(*added, record);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/state/job_table.h
+++ b/poplarpitch/state/job_table.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "poplarpitch/consensus/node_id.h"
+#include "poplarpitch/state/job_claims.h"
+#include "poplarpitch/state/packed_job.h"
 #include "poplarpitch/state/state_error.h"
 #include "poplarpitch/state/state_rules.h"
 #include "poplarpitch/wire/poplarpitch.pb.h"
@@ -11,8 +13,11 @@
 #include <absl/container/node_hash_map.h>
 
 #include <functional>
-#include <set>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace poplarpitch {
@@ -35,11 +40,17 @@
 /// Every event names the attempt it tells of and is refused when the job has moved on, so events may come
 /// late, twice or out of order. `lost` marks an attempt of which nobody can say whether it still runs: the
 /// job keeps its worker and starts nowhere else until the lease has surely run out. Each event costs O(log
-/// jobs); a cancellation touches one job and no other. Thread safety: none, as for all methods; replicas
-/// apply the same calls in the same order.
+/// jobs); a cancellation touches one job and no other. Records are kept as bytes and the indexes hold
+/// pointers to them, so that 10,000 tasks and a day's ended jobs fit beside the rest of a small instance.
+/// Thread safety: none, as for all methods; replicas apply the same calls in the same order.
 class job_table {
 public:
     explicit job_table(const state_rules& rules, std::size_t max_jobs);
+    job_table(const job_table&) = delete; // the indexes point into the table
+    job_table& operator=(const job_table&) = delete;
+    job_table(job_table&&) = default;
+    job_table& operator=(job_table&&) = default;
+    ~job_table() = default;
 
     /// Adds a queued job, or answers for the one that exists with the same content.
     std::error_code submit(const wire::job& submitted, std::int64_t tenant_limit, log_index index);
@@ -54,17 +65,26 @@
     /// Forgets jobs that ended before `before_ms`.
     void expire(std::int64_t before_ms);
 
-    /// Returns the job called `id`, or null.
-    [[nodiscard]] const wire::job* find(const std::string& id) const;
+    /// Returns the job called `id`, or nothing.
+    [[nodiscard]] std::optional<wire::job> find(const std::string& id) const;
     /// Calls `visit` for every job, ordered by id.
     void for_each(const std::function<void(const wire::job&)>& visit) const;
+    /// Calls `visit` with the bytes of every job's record, ordered by id.
+    void for_each_packed(const std::function<void(std::string_view)>& visit) const;
     /// Returns the tenants that have queued jobs, sorted.
     [[nodiscard]] std::vector<std::string> get_queued_tenants() const;
-    /// Calls `visit` for the queued jobs of `tenant` in the order of submission, urgent ones first, until it
-    /// returns false.
-    void for_each_queued(const std::string& tenant, const std::function<bool(const wire::job&)>& visit) const;
-    /// Calls `visit` for every assigned or running job of `worker`.
-    void for_each_on(const std::string& worker, const std::function<void(const wire::job&)>& visit) const;
+    /// Returns at most `limit` queued jobs of `tenant`, in the order of submission, urgent ones first. Valid
+    /// until the next change.
+    [[nodiscard]] std::vector<const packed_job*> get_queued(const std::string& tenant,
+                                                            std::size_t limit) const;
+    /// Calls `visit` for the assigned and running jobs of `worker` that changed after `since`, ordered by id.
+    void for_each_on(const std::string& worker, log_index since,
+                     const std::function<void(const wire::job&)>& visit) const;
+    /// Calls `visit` for the id of every assigned or running job of `worker`, in order.
+    void for_each_id_on(const std::string& worker,
+                        const std::function<void(const std::string&)>& visit) const;
+    /// Returns what the assigned and running jobs of `worker` claim, or null when it has none.
+    [[nodiscard]] const job_claims* find_claims(const std::string& worker) const;
     /// Calls `visit` for every lost job.
     void for_each_lost(const std::function<void(const wire::job&)>& visit) const;
 
@@ -75,22 +95,48 @@
     [[nodiscard]] std::size_t get_count() const { return m_jobs.size(); }
 
     /// Puts a job of a snapshot in place. Precondition: its id is not here.
-    void restore(wire::job&& record);
+    void restore(const wire::job& record);
 
 private:
-    /// Order in which queued jobs are considered.
-    struct queue_key {
-        bool is_ordinary;
-        std::int64_t submitted_ms;
-        std::string id;
-        friend auto operator<=>(const queue_key&, const queue_key&) = default;
+    /// A job in the table; its place in memory stays the same for its life.
+    using job_node = std::pair<const std::string, packed_job>;
+
+    struct by_id {
+        bool operator()(const job_node* left, const job_node* right) const {
+            return left->first < right->first;
+        }
+    };
+    using node_set = absl::btree_set<const job_node*, by_id>;
+
+    /// Place of a job in an order that time decides first.
+    struct timed_node {
+        bool is_ordinary; ///< urgent ones first; the same for all where urgency plays no part
+        std::int64_t at_ms;
+        const job_node* node;
+
+        friend bool operator<(const timed_node& left, const timed_node& right) {
+            return std::tie(left.is_ordinary, left.at_ms, left.node->first) <
+                   std::tie(right.is_ordinary, right.at_ms, right.node->first);
+        }
+    };
+
+    /// The assigned and running jobs of one worker.
+    struct worker_jobs {
+        job_claims claims;
+        node_set jobs;
     };
 
-    wire::job* find_mutable(const std::string& id);
-    /// Takes the job out of every index, before a change.
-    void unlink(const wire::job& record);
+    job_node* find_node(const std::string& id);
+    /// Returns all jobs, ordered by id.
+    [[nodiscard]] std::vector<const job_node*> get_sorted() const;
+    /// Takes the job out of every index, before a change. `record` is what the node holds.
+    void unlink(const job_node& node, const wire::job& record);
     /// Puts the job into every index that its state asks for, after a change.
-    void link(const wire::job& record);
+    void link(const job_node& node, const wire::job& record);
+    void link_to_worker(const job_node& node, const wire::job& record);
+    void unlink_from_worker(const job_node& node, const wire::job& record);
+    /// Ends a change that began with `unlink`: writes the record into the node and links it.
+    void store(job_node& node, wire::job& record, log_index index);
     void finish(wire::job& record, wire::job_state state, std::int64_t at_ms, const std::string& reason);
     void requeue(wire::job& record);
     void apply_event(wire::job& record, const wire::job_event& event, int max_attempts);
@@ -99,13 +145,12 @@
 
     state_rules m_rules;
     std::size_t m_max_jobs;
-    absl::node_hash_map<std::string, wire::job> m_jobs; ///< records are large: an empty slot must be small
-    absl::btree_set<std::string> m_ids;                 ///< for ordered listing and snapshots
-    absl::btree_map<std::string, absl::btree_set<queue_key>> m_queued; ///< by tenant
+    absl::node_hash_map<std::string, packed_job> m_jobs;                ///< by id
+    absl::btree_map<std::string, absl::btree_set<timed_node>> m_queued; ///< by tenant, by time of submission
     std::size_t m_queued_count = 0;
-    absl::flat_hash_map<std::string, absl::btree_set<std::string>> m_by_worker;
-    absl::btree_set<std::string> m_lost;
-    absl::btree_set<std::pair<std::int64_t, std::string>> m_ended; ///< by end time
+    absl::flat_hash_map<std::string, worker_jobs> m_by_worker;
+    node_set m_lost;
+    absl::btree_set<timed_node> m_ended; ///< by end time
     absl::flat_hash_map<std::string, tenant_usage> m_usage;
     std::size_t m_active_count = 0;
 };
--- /dev/null
+++ b/poplarpitch/state/packed_job.cpp
@@ -0,0 +1,21 @@
+#include "poplarpitch/state/packed_job.h"
+
+#include "poplarpitch/wire/poplarpitch.pb.h"
+
+namespace poplarpitch {
+
+packed_job::packed_job(const wire::job& record)
+    : m_bytes(record.SerializeAsString()), m_changed_index(record.changed_index()) {}
+
+wire::job packed_job::unpack() const {
+    wire::job record;
+    record.ParseFromString(m_bytes); // written by `pack`, so it always reads
+    return record;
+}
+
+void packed_job::pack(const wire::job& record) {
+    m_bytes = record.SerializeAsString(); // a new string: its room is as large as the bytes and no larger
+    m_changed_index = record.changed_index();
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/state/state_machine.cpp
+++ b/poplarpitch/state/state_machine.cpp
@@ -10,12 +10,11 @@
 namespace {
 
 /// Writes one element of a repeated message field, as protobuf itself would.
-void write_record(google::protobuf::io::CodedOutputStream& stream, int field,
-                  const google::protobuf::MessageLite& record) {
+void write_record(google::protobuf::io::CodedOutputStream& stream, int field, std::string_view record) {
     constexpr std::uint32_t length_delimited = 2; // protobuf's wire type
     stream.WriteTag(static_cast<std::uint32_t>(field) << 3U | length_delimited);
-    stream.WriteVarint32(static_cast<std::uint32_t>(record.ByteSizeLong()));
-    record.SerializeWithCachedSizes(&stream);
+    stream.WriteVarint32(static_cast<std::uint32_t>(record.size()));
+    stream.WriteRaw(record.data(), static_cast<int>(record.size()));
 }
 
 } // namespace
@@ -86,11 +85,11 @@
         return assign(index, command.assign());
     case wire::command::kEvent: {
         const auto attempts = m_configs.get_configuration()->system.max_attempts;
-        const auto* before = m_jobs.find(command.event().job());
-        const std::string worker = before == nullptr ? "" : before->worker();
+        const bool is_lease_over = command.event().kind() == wire::event_lease_over;
+        const auto before = is_lease_over ? m_jobs.find(command.event().job()) : std::nullopt;
         const auto error = m_jobs.take_event(command.event(), attempts, index);
-        if (!error && command.event().kind() == wire::event_lease_over) {
-            m_fleet.touch_worker(worker, index); // its owner may still count the task
+        if (!error && before.has_value()) {
+            m_fleet.touch_worker(before->worker(), index); // its owner may still count the task
         }
         report_job(command.event().job(), outcome);
         return error;
@@ -137,7 +136,7 @@
         error = state_errc::unknown_tenant;
     } else if (settings->find_batch(submitted.batch()) == nullptr) {
         error = state_errc::unknown_batch;
-    } else if (m_jobs.find(submitted.id()) == nullptr && !m_fleet.get_workers().empty() &&
+    } else if (!m_jobs.find(submitted.id()).has_value() && !m_fleet.get_workers().empty() &&
                !m_fleet.can_ever_hold(decode(submitted.need()))) {
         error = state_errc::never_fits;
     } else {
@@ -160,8 +159,8 @@
 }
 
 void state_machine::report_job(const std::string& id, wire::command_result& outcome) const {
-    if (const auto* record = m_jobs.find(id)) {
-        *outcome.mutable_job_record() = *record;
+    if (auto record = m_jobs.find(id)) {
+        *outcome.mutable_job_record() = std::move(*record);
     }
 }
 
@@ -190,11 +189,11 @@
     {
         google::protobuf::io::StringOutputStream stream(&bytes);
         google::protobuf::io::CodedOutputStream coded(&stream);
-        m_jobs.for_each([&](const wire::job& record) {
+        m_jobs.for_each_packed([&](std::string_view record) {
             write_record(coded, wire::state_snapshot::kJobsFieldNumber, record);
         });
         m_intents.for_each([&](const wire::intent& record) {
-            write_record(coded, wire::state_snapshot::kIntentsFieldNumber, record);
+            write_record(coded, wire::state_snapshot::kIntentsFieldNumber, record.SerializeAsString());
         });
     }
     return bytes;
@@ -208,8 +207,8 @@
     m_configs.load(snapshot);
     m_fleet.load(snapshot);
     m_jobs = job_table(m_rules, m_settings.max_jobs);
-    for (auto& record : *snapshot.mutable_jobs()) {
-        m_jobs.restore(std::move(record));
+    for (const auto& record : snapshot.jobs()) {
+        m_jobs.restore(record);
     }
     m_intents = intent_table(m_rules, m_settings.max_intents, m_settings.max_intent_body);
     for (auto& record : *snapshot.mutable_intents()) {
--- a/unit_tests/state/job_table_test.cpp
+++ b/unit_tests/state/job_table_test.cpp
@@ -9,7 +9,7 @@
 
 class job_table_test : public testing::Test {
 protected:
-    const wire::job& add(const std::string& id, bool is_idempotent = true) {
+    wire::job add(const std::string& id, bool is_idempotent = true) {
         wire::job job;
         job.set_id(id);
         job.set_tenant("t");
@@ -173,8 +173,8 @@
     assign("a");
     tell("a", wire::event_finished);
     m_table.expire(1);
-    EXPECT_EQ(m_table.find("a"), nullptr);
-    EXPECT_NE(m_table.find("b"), nullptr);
+    EXPECT_FALSE(m_table.find("a").has_value());
+    EXPECT_TRUE(m_table.find("b").has_value());
 }
 
 TEST_F(job_table_test, holds_tenants_to_their_number_of_jobs) {
--- a/unit_tests/state/job_world.cpp
+++ b/unit_tests/state/job_world.cpp
@@ -12,9 +12,9 @@
 
 job_world::job_world(const state_rules& rules, std::uint64_t seed) : m_random(seed), m_table(rules, 1000) {}
 
-const wire::job* job_world::any_job() {
+std::optional<wire::job> job_world::any_job() {
     if (m_submitted == 0) {
-        return nullptr;
+        return std::nullopt;
     }
     return m_table.find("job-" + std::to_string(pick(m_submitted)));
 }
@@ -41,8 +41,8 @@
 }
 
 void job_world::assign() {
-    const auto* job = any_job();
-    if (job == nullptr || job->state() != wire::job_queued) {
+    const auto job = any_job();
+    if (!job.has_value() || job->state() != wire::job_queued) {
         return;
     }
     wire::assign_job command;
@@ -53,8 +53,8 @@
 }
 
 void job_world::start_run() {
-    const auto* job = any_job();
-    if (job == nullptr || job->state() != wire::job_assigned || job->lost()) {
+    const auto job = any_job();
+    if (!job.has_value() || job->state() != wire::job_assigned || job->lost()) {
         return;
     }
     auto& truth = m_truth[job->id()];
@@ -84,8 +84,8 @@
 }
 
 void job_world::end_run() {
-    const auto* job = any_job();
-    if (job == nullptr) {
+    const auto job = any_job();
+    if (!job.has_value()) {
         return;
     }
     for (auto& [attempt, run] : m_truth[job->id()].runs) {
@@ -100,8 +100,8 @@
 }
 
 void job_world::evict_run() {
-    const auto* job = any_job();
-    if (job == nullptr) {
+    const auto job = any_job();
+    if (!job.has_value()) {
         return;
     }
     for (auto& [attempt, run] : m_truth[job->id()].runs) {
@@ -114,8 +114,8 @@
 }
 
 void job_world::cut_off_worker() {
-    const auto* job = any_job();
-    if (job == nullptr || !is_active(job->state())) {
+    const auto job = any_job();
+    if (!job.has_value() || !is_active(job->state())) {
         return;
     }
     // The owner no longer renews, then says that it lost the worker. The run goes on until its lease ends.
@@ -123,8 +123,8 @@
 }
 
 void job_world::watch_leases() {
-    const auto* job = any_job();
-    if (job == nullptr) {
+    const auto job = any_job();
+    if (!job.has_value()) {
         return;
     }
     auto& truth = m_truth[job->id()];
@@ -204,7 +204,7 @@
         watch_leases();
         break;
     case 9:
-        if (const auto* job = any_job(); job != nullptr && pick(10) == 0) {
+        if (const auto job = any_job(); job.has_value() && pick(10) == 0) {
             wire::cancel_job cancel;
             cancel.set_job(job->id());
             m_table.cancel(cancel, ++m_index);
--- a/unit_tests/state/job_world.h
+++ b/unit_tests/state/job_world.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -42,7 +43,7 @@
     void deliver();
     void send(const std::string& job, std::uint64_t attempt, wire::job_event_kind kind);
     void check();
-    const wire::job* any_job();
+    std::optional<wire::job> any_job();
     int pick(int bound) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(bound)); }
 
     std::mt19937_64 m_random;
