Tell a finish that nobody could know of from a job that ran twice

Cause: cluster_test.killed_worker_frees_its_jobs_only_after_their_leases failed once events wait up to 100 ms: eight jobs of a worker had ended in the moment before its kill, their reports were never acknowledged, and being idempotent they ran again. No system can tell that from a loss, so the check was wrong: it had only held because the window was short.

Change: the stand-in records what was acknowledged to it.

--- a/poplarpitch/stand_in/stand_in_worker.cpp
+++ b/poplarpitch/stand_in/stand_in_worker.cpp
@@ -431,8 +431,12 @@
     }
     m_owner_address = answer.owner_address;
     std::erase_if(m_reports, [&](const task_report& report) {
-        return std::find(answer.acknowledged.begin(), answer.acknowledged.end(), report.number) !=
-               answer.acknowledged.end();
+        const bool is_known = std::find(answer.acknowledged.begin(), answer.acknowledged.end(),
+                                        report.number) != answer.acknowledged.end();
+        if (is_known) {
+            m_record.write("report-known", m_id, make_lease(report.job, report.attempt), report.kind);
+        }
+        return is_known;
     });
     if (answer.is_renewed) {
         for (auto& [lease, task] : m_tasks) {
