Restore a cluster from a backup by a command

Ways weighed: loading the bytes as they are (workers refuse every call as stale, entries take every change for old, and a worker answers for an attempt that it ran before the loss); asking workers and entries for what they know (needs all of them there, and trusts the last to answer); raising what is compared by a step no cluster takes between two backups.

Tests: five on the state; cluster_test.backup_founds_the_cluster_anew kills every control and entry, restores, and runs the old and a new job on workers that stayed up.

--- a/programs/poplarpitch_control.cpp
+++ b/programs/poplarpitch_control.cpp
@@ -1,4 +1,5 @@
 #include "poplarpitch/control/control_daemon.h"
+#include "poplarpitch/control/data_folder_restorer.h"
 #include "poplarpitch/core/process_settings.h"
 #include "poplarpitch/telemetry/logging.h"
 #include "poplarpitch/tools/daemon_command_line.h"
@@ -13,5 +14,8 @@
     poplarpitch::skip_mutex_checks();
     poplarpitch::limit_malloc_arenas(1); // one thread does nearly all of the work
     poplarpitch::start_logging(line.settings.log_level);
+    if (!line.restored_file.empty()) {
+        return poplarpitch::restore_data_folder(line.settings, line.restored_file);
+    }
     return poplarpitch::run_control_daemon(line.settings);
 }
