--- a/unit_tests/consensus/raft_harness.cpp
+++ b/unit_tests/consensus/raft_harness.cpp
@@ -55,6 +55,7 @@
         persist(self.stored, self.node->take_output());
     }
     self.node = nullptr;
+    self.is_frozen = false;
     self.reads.clear();
 }
 
@@ -141,6 +142,9 @@
     }
     const auto place = static_cast<std::size_t>(pick(static_cast<int>(m_messages.size())));
     const auto message = m_messages[place];
+    if (m_slots[message.to].is_frozen) {
+        return; // its sockets keep it until it wakes
+    }
     const int fate = pick(20);
     if (fate != 0) { // 0: doubled, it stays in flight too
         m_messages[place] = m_messages.back();
@@ -204,11 +208,19 @@
     if (choice < 82) {
         m_now += milliseconds{pick(60)};
         for (auto& [other_id, other] : m_slots) {
-            if (other.node != nullptr) {
+            if (other.node != nullptr && !other.is_frozen) {
                 other.node->tick(now_of(other));
                 carry_out(other_id);
             }
         }
+    } else if (pick(100) == 0) {
+        self.is_frozen = self.node != nullptr && !self.is_frozen;
+    } else if (pick(400) == 0) {
+        for (auto& [other_id, other] : m_slots) {
+            crash(other_id); // the power of all fails at once
+        }
+    } else if (self.is_frozen) {
+        self.is_frozen = pick(3) != 0;
     } else if (choice == 82) {
         m_cuts.clear();
         for (int cut = pick(4); cut > 0; --cut) {
@@ -253,6 +265,7 @@
 std::string raft_harness::settle() {
     m_cuts.clear();
     for (auto& [id, self] : m_slots) {
+        self.is_frozen = false;
         if (self.node == nullptr) {
             start(id);
         }
--- a/unit_tests/process/cluster_test.cpp
+++ b/unit_tests/process/cluster_test.cpp
@@ -11,6 +11,8 @@
 #include <atomic>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
+#include <set>
 #include <thread>
 
 namespace poplarpitch {
@@ -80,11 +82,13 @@
 class cluster_test : public testing::Test {
 protected:
     void check_promises(const std::vector<observed_call>& calls,
-                        const std::vector<std::string>& done_jobs = {}) {
+                        const std::vector<std::string>& done_jobs = {},
+                        const std::set<std::string>& killed_workers = {}) {
         record_checker checker;
         checker.read_file(m_cluster.get_record(1));
         checker.read_file(m_cluster.get_record(2));
-        for (const auto& report : {checker.check_calls(calls), checker.check_tasks(done_jobs)}) {
+        for (const auto& report :
+             {checker.check_calls(calls), checker.check_tasks(done_jobs, killed_workers)}) {
             for (const auto& broken : report.broken) {
                 ADD_FAILURE() << broken;
             }
@@ -157,6 +161,103 @@
     check_promises({{"keyed", "pay", false, "done", true}});
 }
 
+TEST_F(cluster_test, keyed_request_runs_once_at_most_when_its_entry_is_killed) {
+    m_cluster.make_ready(config_text);
+    const auto call = [&](int entry) {
+        return m_cluster.send(
+            entry, "POST", "/v1/call/slow", "charge",
+            {{header_tenant, "t"}, {header_key, "k"}, {header_idempotent, "false"}, {"X-Check-Id", "keyed"}});
+    };
+    std::thread first([&] { call(1); }); // runs 400 ms, which its entry does not survive
+    EXPECT_TRUE(test_cluster::wait_until([&] { return m_cluster.get_status_number(2, "keys") == 1; }));
+    m_cluster.get_entry(1).kill();
+    first.join();
+    // Until control knows that the entry is gone the key is in use; then nobody can say what became of it.
+    observed_call seen{"keyed", "slow", false, "", true};
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        const auto again = call(2 + attempt % 2);
+        EXPECT_EQ(again.response.status, 504);
+        seen.outcome = again.response.headers.get(header_outcome);
+        EXPECT_EQ(seen.outcome, outcome_unknown);
+    }
+    EXPECT_TRUE(test_cluster::wait_until([&] {
+        return m_cluster.get_status_number(2, "ready_workers") +
+                   m_cluster.get_status_number(3, "ready_workers") ==
+               4;
+    }));
+    EXPECT_EQ(call(2).response.headers.get(header_outcome), outcome_unknown);
+    check_promises({seen});
+}
+
+TEST_F(cluster_test, keyed_requests_run_once_at_most_while_the_leader_is_killed) {
+    m_cluster.make_ready(config_text);
+    constexpr int callers = 4;
+    std::atomic<bool> is_stopped{false};
+    std::atomic<std::size_t> done{0};
+    absl::Mutex mutex;
+    std::vector<observed_call> calls;
+    std::vector<std::thread> threads;
+    threads.reserve(callers);
+    for (int caller = 0; caller < callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            for (int number = 0; !is_stopped; ++number) {
+                const auto id = absl::StrCat("key", caller, "-", number);
+                observed_call call{id, "pay", false, "", true};
+                // As a caller should: asked again with the same key, through another entry, while unknown.
+                for (int attempt = 0; attempt < 40 && call.outcome != outcome_done; ++attempt) {
+                    const auto exchange =
+                        m_cluster.send(1 + (number + attempt) % 3, "POST", "/v1/call/pay", id,
+                                       {{header_tenant, "t"}, {header_key, id}, {"X-Check-Id", id}});
+                    call.outcome = exchange.response.headers.get(header_outcome);
+                    call.is_whole = call.outcome != outcome_done || exchange.response.body == id;
+                }
+                done += call.outcome == outcome_done ? 1 : 0;
+                const absl::MutexLock lock(&mutex);
+                calls.push_back(std::move(call));
+            }
+        });
+    }
+    for (int kill = 0; kill < 2; ++kill) {
+        const auto before = done.load();
+        EXPECT_TRUE(test_cluster::wait_until([&] { return done > before + 50; }));
+        const int leader = m_cluster.find_leader(1);
+        ASSERT_GT(leader, 0);
+        m_cluster.get_control(leader).kill();
+        const auto after = done.load();
+        EXPECT_TRUE(test_cluster::wait_until([&] { return done > after + 50; }));
+        m_cluster.start_control(leader);
+    }
+    is_stopped = true;
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    check_promises(calls);
+}
+
+TEST_F(cluster_test, killed_worker_and_leader_and_a_frozen_entry_at_once) {
+    m_cluster.make_ready(config_text);
+    load traffic(m_cluster, {2, 3}, 4);
+    std::vector<std::string> jobs;
+    for (int index = 0; index < 20; ++index) {
+        jobs.push_back("j" + std::to_string(index));
+        EXPECT_EQ(submit(jobs.back(), "b", 2), 202);
+    }
+    const int leader = m_cluster.find_leader(2);
+    ASSERT_GT(leader, 0);
+    m_cluster.get_entry(1).send(SIGSTOP);
+    m_cluster.get_control(leader).kill();
+    m_cluster.get_workers(1).kill();
+    for (const auto& job : jobs) {
+        EXPECT_TRUE(test_cluster::wait_until([&] { return m_cluster.get_job_state(2, job) == "done"; }));
+    }
+    m_cluster.get_entry(1).send(SIGCONT);
+    EXPECT_TRUE(
+        test_cluster::wait_until([&] { return m_cluster.send(1, "GET", "/readyz").response.status == 200; }));
+    const auto before = traffic.count();
+    EXPECT_TRUE(test_cluster::wait_until([&] { return traffic.count() > before + 100; }));
+    check_promises(traffic.stop(), jobs, {"w1-1", "w1-2"});
+}
+
 TEST_F(cluster_test, keeps_promises_while_the_leader_and_an_entry_are_killed) {
     m_cluster.make_ready(config_text);
     load traffic(m_cluster, {2, 3}, 6);
@@ -237,7 +338,9 @@
     EXPECT_TRUE(test_cluster::wait_until([&] { return m_cluster.get_job_state(1, "once") == "running"; }));
     const auto body = nlohmann::json::parse(m_cluster.send(1, "GET", "/v1/jobs/once").response.body);
     const auto worker = body.value("worker", "");
-    m_cluster.get_workers(worker.substr(0, 2) == "w1" ? 1 : 2).kill();
+    const int process = worker.substr(0, 2) == "w1" ? 1 : 2;
+    m_cluster.get_workers(process).kill();
+    const auto killed = absl::StrCat("w", process, "-");
     std::vector<std::string> jobs;
     for (int index = 0; index < 40; ++index) {
         jobs.push_back("j" + std::to_string(index));
@@ -249,7 +352,7 @@
         const auto state = m_cluster.get_job_state(1, "once");
         return state == "outcome_unknown" || state == "done";
     }));
-    check_promises({}, jobs);
+    check_promises({}, jobs, {killed + "1", killed + "2"});
 }
 
 TEST_F(cluster_test, planned_stop_cuts_off_no_request) {
@@ -383,5 +486,102 @@
     check_promises({}, {"j"});
 }
 
+TEST_F(cluster_test, backup_founds_the_cluster_anew) {
+    m_cluster.make_ready(config_text);
+    EXPECT_EQ(submit("once", "once"), 202);
+    EXPECT_TRUE(test_cluster::wait_until([&] { return m_cluster.get_job_state(1, "once") == "running"; }));
+    EXPECT_EQ(submit("again"), 202);
+    const auto backup = m_cluster.get_folder() + "/backup";
+    std::ofstream(backup, std::ios::binary) << m_cluster.send(1, "GET", "/v1/snapshot").response.body;
+    for (int number = 1; number <= 3; ++number) {
+        m_cluster.get_control(number).kill();
+        m_cluster.get_entry(number).kill();
+    }
+    EXPECT_EQ(m_cluster.restore_control(1, backup), 1); // its old data folder is still there
+    for (int number = 1; number <= 3; ++number) {
+        std::filesystem::remove_all(m_cluster.get_folder() + "/data-" + std::to_string(number));
+        EXPECT_EQ(m_cluster.restore_control(number, backup), 0);
+    }
+    for (int number = 1; number <= 3; ++number) {
+        m_cluster.start_control(number);
+        m_cluster.start_entry(number);
+    }
+    // Workers that know higher epochs than the backup take work again.
+    EXPECT_TRUE(test_cluster::wait_until([&] { return m_cluster.get_job_state(1, "again") == "done"; }));
+    EXPECT_EQ(m_cluster.get_job_state(1, "once"), "outcome_unknown");
+    EXPECT_EQ(m_cluster.get_status_number(1, "config_version"), 1U);
+    EXPECT_EQ(submit("new"), 202);
+    EXPECT_TRUE(test_cluster::wait_until([&] { return m_cluster.get_job_state(1, "new") == "done"; }));
+    EXPECT_TRUE(test_cluster::wait_until([&] {
+        return m_cluster.send(1, "POST", "/v1/call/fast", "x", {{header_tenant, "t"}}).response.status == 200;
+    }));
+    check_promises({}, {"again", "new"});
+}
+
+TEST_F(cluster_test, drained_entry_serves_by_others_until_it_is_resumed) {
+    m_cluster.make_ready(config_text);
+    load traffic(m_cluster, {1, 2, 3}, 4);
+    EXPECT_EQ(m_cluster.send(2, "POST", "/v1/members/entry-1/drain").response.status, 200);
+    EXPECT_TRUE(test_cluster::wait_until([&] {
+        return m_cluster.send(1, "GET", "/readyz").response.status == 503 &&
+               m_cluster.get_status_number(1, "owned_workers") == 0;
+    }));
+    const auto before = traffic.count();
+    EXPECT_TRUE(test_cluster::wait_until([&] { return traffic.count() > before + 200; }));
+    EXPECT_EQ(m_cluster.send(2, "POST", "/v1/members/entry-1/resume").response.status, 200);
+    EXPECT_TRUE(test_cluster::wait_until([&] {
+        return m_cluster.send(1, "GET", "/readyz").response.status == 200 &&
+               m_cluster.get_status_number(1, "ready_workers") >= 1;
+    }));
+    EXPECT_EQ(m_cluster.send(2, "POST", "/v1/members/nobody/drain").response.status, 404);
+    EXPECT_EQ(m_cluster.send(2, "POST", "/v1/members/entry-1/promote").response.status, 404);
+    const auto calls = traffic.stop();
+    EXPECT_EQ(count_outcome(calls, outcome_unknown), 0U);
+    EXPECT_EQ(count_outcome(calls, "cut"), 0U);
+    check_promises(calls);
+}
+
+TEST_F(cluster_test, many_jobs_with_a_call_are_answered_one_by_one) {
+    m_cluster.make_ready(config_text);
+    nlohmann::json jobs = nlohmann::json::array();
+    nlohmann::json ids = nlohmann::json::array();
+    for (int number = 0; number < 100; ++number) {
+        const auto id = "m" + std::to_string(number);
+        jobs.push_back({{"id", id}, {"tenant", "t"}, {"batch", "b"}});
+        ids.push_back(id);
+    }
+    jobs.push_back({{"id", "bad"}, {"tenant", "nobody"}, {"batch", "b"}});
+    jobs.push_back({{"id", "large"}, {"tenant", "t"}, {"batch", "b"}, {"millicores", 99'000'000}});
+    const auto answer =
+        m_cluster.send(1, "POST", "/v1/jobs/submit", nlohmann::json{{"jobs", jobs}}.dump()).response;
+    EXPECT_EQ(answer.status, 200);
+    std::map<std::string, int> statuses;
+    const auto body = nlohmann::json::parse(answer.body);
+    for (const auto& item : body["jobs"]) {
+        statuses[item.value("id", "")] = item.value("status", 0);
+    }
+    EXPECT_EQ(statuses.size(), 102U);
+    EXPECT_EQ(statuses["m0"], 202);
+    EXPECT_EQ(statuses["m99"], 202);
+    EXPECT_EQ(statuses["bad"], 400);
+    EXPECT_EQ(statuses["large"], 422);
+    const auto cancelled =
+        m_cluster.send(2, "POST", "/v1/jobs/cancel", nlohmann::json{{"ids", ids}}.dump()).response;
+    EXPECT_EQ(cancelled.status, 200);
+    // Some were done before; each ends.
+    for (int number = 0; number < 100; ++number) {
+        EXPECT_TRUE(test_cluster::wait_until([&] {
+            const auto state = m_cluster.get_job_state(3, "m" + std::to_string(number));
+            return state == "cancelled" || state == "done";
+        }));
+    }
+    const auto status = [&](const std::string& target, const std::string& body) {
+        return m_cluster.send(1, "POST", target, body).response.status;
+    };
+    EXPECT_EQ(status("/v1/jobs/submit", "{\"jobs\":[]}"), 400);
+    EXPECT_EQ(status("/v1/jobs/submit", "[1]"), 400);
+    EXPECT_EQ(status("/v1/jobs/cancel", "{\"ids\":\"all\"}"), 400);
+}
+
 } // namespace
 } // namespace poplarpitch
--- a/unit_tests/process/test_cluster.cpp
+++ b/unit_tests/process/test_cluster.cpp
@@ -86,15 +86,29 @@
     std::ofstream(m_folder + "/" + name) << text;
 }
 
-void test_cluster::start_control(int number) {
+void test_cluster::write_control_settings(int number) const {
     const auto name = absl::StrCat("control-", number);
-    write_file(name + ".ini", absl::StrCat("[daemon]\nid = ", name, "\nnode_id = ", number, "\ngrpc_port = ",
-                                           m_control_ports[number].get_port(), "\ncontrol = ", m_control_list,
-                                           "\ndata_folder = ", m_folder, "/data-", number, "\n"));
+    write_file(name + ".ini", absl::StrCat("[daemon]\nid = ", name, "\nnode_id = ", number,
+                                           "\ngrpc_port = ", m_control_ports.at(number).get_port(),
+                                           "\ncontrol = ", m_control_list, "\ndata_folder = ", m_folder,
+                                           "/data-", number, "\n"));
+}
+
+void test_cluster::start_control(int number) {
+    write_control_settings(number);
+    const auto name = absl::StrCat(m_folder, "/control-", number);
     m_controls[number] = std::make_unique<child_process>(
-        std::vector<std::string>{get_program("poplarpitch-control"), "--settings",
-                                 m_folder + "/" + name + ".ini"},
-        m_folder + "/" + name + ".log");
+        std::vector<std::string>{get_program("poplarpitch-control"), "--settings", name + ".ini"},
+        name + ".log");
+}
+
+int test_cluster::restore_control(int number, const std::string& backup) {
+    write_control_settings(number);
+    const auto name = absl::StrCat(m_folder, "/control-", number);
+    child_process restore(
+        {get_program("poplarpitch-control"), "--settings", name + ".ini", "--restore", backup},
+        name + ".log");
+    return restore.wait();
 }
 
 void test_cluster::start_entry(int number) {
--- a/unit_tests/storage/raft_storage_test.cpp
+++ b/unit_tests/storage/raft_storage_test.cpp
@@ -76,6 +76,28 @@
     EXPECT_EQ(again.get_error_place(), "log-000000000001 at offset " + std::to_string(first_end));
 }
 
+TEST(raft_storage, refuses_a_corrupt_snapshot_with_its_place) {
+    memory_file_system files;
+    memory_storage storage(files, own);
+    ASSERT_TRUE(storage.open());
+    ASSERT_TRUE(storage.form({{1}, {}}));
+    ASSERT_TRUE(storage.save(make_entries(1, 2, 1)));
+    const raft_snapshot snapshot{2, 1, {{1}, {}}, std::make_shared<const std::string>("state")};
+    ASSERT_TRUE(storage.save_snapshot(snapshot, {1, 1}, {}));
+    const auto whole = files.get_files()["snapshot"];
+    for (std::size_t place = 0; place < whole.size(); ++place) {
+        files.get_files()["snapshot"] = whole;
+        files.get_files()["snapshot"][place] ^= 0x10;
+        memory_storage again(files, own);
+        EXPECT_EQ(again.open().error(), make_error_code(storage_errc::corrupt)) << "byte " << place;
+        EXPECT_EQ(again.get_error_place(), "snapshot at offset 0");
+    }
+    // Cut short, it is refused too: the log that it stands for is gone, so nothing may be made up for it.
+    files.get_files()["snapshot"] = whole.substr(0, whole.size() / 2);
+    memory_storage again(files, own);
+    EXPECT_EQ(again.open().error(), make_error_code(storage_errc::corrupt));
+}
+
 TEST(raft_storage, refuses_a_damaged_length_in_the_middle) {
     memory_file_system files;
     memory_storage storage(files, own);
--- a/unit_tests/support/raft_harness.h
+++ b/unit_tests/support/raft_harness.h
@@ -22,8 +22,9 @@
 };
 
 /// A few raft nodes driven by hand from a seed: messages are lost, doubled, delayed and reordered, nodes
-/// crash before and after their disk was written, links are cut. It checks Raft's safety properties after
-/// every step and notes the first one that is broken. It models neither disks nor networks beyond that.
+/// crash before and after their disk was written, one by one or all at once, or freeze and wake, links are
+/// cut. It checks Raft's safety properties after every step and notes the first one that is broken. It models
+/// neither disks nor networks beyond that.
 class raft_harness {
 public:
     raft_harness(const harness_settings& settings, std::uint64_t seed);
@@ -47,7 +48,8 @@
     struct slot {
         std::unique_ptr<raft_node> node; ///< null while crashed
         disk stored;
-        double rate = 1.0; ///< of its clock
+        double rate = 1.0;      ///< of its clock
+        bool is_frozen = false; ///< neither runs nor loses what is sent to it
         log_index applied = 0;
         raft_membership applied_members;
         std::map<std::uint64_t, log_index> reads; ///< token and what was committed when it was asked
--- /dev/null
+++ b/unit_tests/support/silent_relay.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace poplarpitch {
+
+/// A TCP relay on loopback whose connections can go silent for good: they stay open and carry nothing any
+/// more, as behind a firewall that has forgotten them. New connections work. Thread safety: any thread, for
+/// all methods.
+class silent_relay {
+public:
+    /// Relays to `target_port` of loopback.
+    explicit silent_relay(int target_port);
+    ~silent_relay();
+    silent_relay(const silent_relay&) = delete;
+    silent_relay& operator=(const silent_relay&) = delete;
+
+    [[nodiscard]] int get_port() const { return m_port; }
+    /// Silences all connections that are open now.
+    void silence();
+    /// Returns how many connections were ever accepted.
+    [[nodiscard]] int get_accepted_count() const { return m_accepted; }
+
+private:
+    struct connection {
+        int near = -1;
+        int far = -1;
+        bool is_silent = false;
+    };
+
+    void run();
+    void accept_one();
+    /// Carries what can be read from one side to the other; false when that side has ended.
+    static bool carry(int from, int to);
+
+    int m_target_port;
+    int m_listener = -1;
+    int m_port = 0;
+    std::atomic<bool> m_is_stopped{false};
+    std::atomic<int> m_accepted{0};
+    absl::Mutex m_mutex;
+    std::vector<connection> m_connections ABSL_GUARDED_BY(m_mutex);
+    std::thread m_thread;
+};
+
+} // namespace poplarpitch
--- a/unit_tests/support/test_cluster.h
+++ b/unit_tests/support/test_cluster.h
@@ -24,6 +24,8 @@
     test_cluster& operator=(const test_cluster&) = delete;
 
     void start_control(int number);
+    /// Runs a control instance with `--restore`; returns its exit code.
+    int restore_control(int number, const std::string& backup);
     void start_entry(int number);
     void start_workers(int process);
     child_process& get_control(int number) { return *m_controls.at(number); }
@@ -53,6 +55,7 @@
     /// Shows how each daemon's log ends, for failures on machines whose files nobody can look at.
     void print_log_ends() const;
     void write_file(const std::string& name, const std::string& text) const;
+    void write_control_settings(int number) const;
 
     std::string m_folder;
     std::string m_control_list;
--- /dev/null
+++ b/unit_tests/transport/control_link_test.cpp
@@ -0,0 +1,133 @@
+#include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/transport/control_client.h"
+#include "poplarpitch/transport/control_server.h"
+#include "poplarpitch/transport/peer_link.h"
+#include "poplarpitch/transport/transport_error.h"
+#include "unit_tests/support/silent_relay.h"
+
+#include <absl/synchronization/mutex.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <memory>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration generous = seconds{20};
+
+/// A control instance that leads and commits everything, behind a relay that can go silent.
+class control_link_test : public testing::Test {
+protected:
+    control_link_test() {
+        control_handler handler;
+        handler.on_message = [this](const raft_message& message) {
+            const absl::MutexLock lock(&m_mutex);
+            m_newest_round = std::max(m_newest_round, message.round);
+        };
+        handler.on_renew = [this](const wire::renew_request& request) {
+            ++m_renewals;
+            wire::renew_answer answer;
+            answer.set_accepted(true);
+            answer.set_revision(request.known_revision() + 1);
+            return answer;
+        };
+        handler.on_propose = [](const wire::propose_request& /*request*/) {
+            wire::propose_answer answer;
+            answer.set_committed(true);
+            return answer;
+        };
+        handler.on_propose_batch = [this](const wire::propose_batch_request& request) {
+            wire::propose_batch_answer answer;
+            for (int place = 0; place < request.commands_size(); ++place) {
+                answer.add_answers()->set_committed(place != m_unsettled_place);
+            }
+            return answer;
+        };
+        handler.on_query = [](const wire::query_request& /*request*/) {
+            wire::query_answer answer;
+            answer.set_answered(true);
+            return answer;
+        };
+        handler.on_members = [](const wire::member_request& /*request*/) {
+            return wire::member_answer{};
+        };
+        m_server = std::make_unique<control_server>("test", handler);
+        m_relay = std::make_unique<silent_relay>(m_server->start("127.0.0.1", 0).value());
+        m_address = "127.0.0.1:" + std::to_string(m_relay->get_port());
+        m_client =
+            std::make_unique<control_client>(std::vector<peer_address>{peer_address{1, m_address, false}});
+    }
+
+    static time_point make_deadline() { return system_clock().now() + generous; }
+
+    absl::Mutex m_mutex;
+    std::uint64_t m_newest_round ABSL_GUARDED_BY(m_mutex) = 0;
+    std::atomic<int> m_renewals{0};
+    std::atomic<int> m_unsettled_place{-1};
+    std::unique_ptr<control_server> m_server;
+    std::unique_ptr<silent_relay> m_relay;
+    std::string m_address;
+    std::unique_ptr<control_client> m_client;
+};
+
+TEST_F(control_link_test, silent_connection_of_a_session_is_replaced) {
+    EXPECT_TRUE(m_client->renew({}, make_deadline()));
+    const int before = m_relay->get_accepted_count();
+    m_relay->silence();
+    EXPECT_TRUE(m_client->renew({}, make_deadline()));
+    EXPECT_EQ(m_relay->get_accepted_count(), before + 1);
+    EXPECT_EQ(m_renewals, 2); // what went into the silent one never arrived
+}
+
+TEST_F(control_link_test, silent_connection_of_changes_and_queries_is_replaced) {
+    EXPECT_TRUE(m_client->propose({}, make_deadline()));
+    m_relay->silence();
+    EXPECT_TRUE(m_client->propose({}, make_deadline()));
+    m_relay->silence();
+    EXPECT_TRUE(m_client->query({}, make_deadline()));
+    m_relay->silence();
+    EXPECT_EQ(m_client->propose_batch({wire::command{}, wire::command{}}, make_deadline()).value().size(),
+              2U);
+}
+
+TEST_F(control_link_test, silent_stream_between_peers_is_replaced) {
+    peer_link link(m_address, "test");
+    const auto send_until_heard = [&](std::uint64_t round) {
+        const system_clock clock;
+        const auto end = clock.now() + generous;
+        while (clock.now() < end) {
+            raft_message message;
+            message.round = round;
+            link.send(message);
+            const absl::MutexLock lock(&m_mutex);
+            const auto is_heard = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+                return m_newest_round == round;
+            };
+            if (m_mutex.AwaitWithTimeout(absl::Condition(&is_heard), absl::Milliseconds(50))) {
+                return true;
+            }
+        }
+        return false;
+    };
+    EXPECT_TRUE(send_until_heard(1));
+    m_relay->silence();
+    link.reset(); // what the node does with a peer that has been silent for long
+    EXPECT_TRUE(send_until_heard(2));
+}
+
+TEST_F(control_link_test, batch_that_is_not_settled_whole_is_no_success) {
+    m_unsettled_place = 1;
+    const auto soon = system_clock().now() + milliseconds{300};
+    EXPECT_EQ(m_client->propose_batch({wire::command{}, wire::command{}}, soon).error(),
+              make_error_code(transport_errc::no_leader));
+}
+
+TEST_F(control_link_test, instance_that_is_gone_is_unreachable) {
+    m_server->stop();
+    const auto soon = system_clock().now() + milliseconds{300};
+    EXPECT_FALSE(m_client->propose({}, soon));
+}
+
+} // namespace
+} // namespace poplarpitch
