Keep what http tests' handlers look at until the server has stopped

Cause: http_test.exchange_can_be_broken_off aborted once in about 30 runs (mutex corrupt): the handler of an exchange that was broken off still woke from a Notification that was a local of the test. Change: the two Notifications are members of the fixture, before the server. Tried first: stopping the server at the end of the test, which takes 5 s, as the pool's idle connections are still open then.

--- a/unit_tests/transport/http_test.cpp
+++ b/unit_tests/transport/http_test.cpp
@@ -48,6 +48,9 @@
         return response;
     }
 
+    // Before the server: its handlers may look at them until it has stopped.
+    absl::Notification m_entered; ///< a handler that is to wait has begun
+    absl::Notification m_release; ///< it may go on
     std::unique_ptr<http_server> m_server;
     http_client_pool m_pool{http_client_settings{}};
     std::string m_address;
@@ -81,16 +84,15 @@
 }
 
 TEST_F(http_test, late_answer_reaches_nobody_else) {
-    absl::Notification release;
     start([&](const http_request& request) {
         if (request.body == "slow") {
-            release.WaitForNotification();
+            m_release.WaitForNotification();
         }
         return echo(request);
     });
     const auto late = send(make_post("/", "slow"), milliseconds{50});
     EXPECT_EQ(late.progress, exchange_progress::maybe_sent);
-    release.Notify();
+    m_release.Notify();
     for (int index = 0; index < 20; ++index) {
         const auto body = std::to_string(index);
         EXPECT_EQ(send(make_post("/", body)).response.body, "/|" + body);
@@ -98,11 +100,9 @@
 }
 
 TEST_F(http_test, exchange_can_be_broken_off) {
-    absl::Notification entered;
-    absl::Notification release;
     start([&](const http_request& request) {
-        entered.Notify();
-        release.WaitForNotification();
+        m_entered.Notify();
+        m_release.WaitForNotification();
         return echo(request);
     });
     http_cancel cancel;
@@ -111,29 +111,27 @@
         exchange = m_pool.send(m_address, make_post("/", "x"), system_clock().now() + generous,
                                connection_choice::pooled, &cancel);
     });
-    entered.WaitForNotification();
+    m_entered.WaitForNotification();
     cancel.cancel();
     caller.join(); // long before the answer
     EXPECT_EQ(exchange.progress, exchange_progress::maybe_sent);
-    release.Notify();
+    m_release.Notify();
     const auto late = m_pool.send(m_address, make_post("/", "y"), system_clock().now() + generous,
                                   connection_choice::pooled, &cancel);
     EXPECT_EQ(late.progress, exchange_progress::not_sent);
 }
 
 TEST_F(http_test, stop_lets_requests_in_flight_end) {
-    absl::Notification entered;
-    absl::Notification release;
     start([&](const http_request& request) {
-        entered.Notify();
-        release.WaitForNotification();
+        m_entered.Notify();
+        m_release.WaitForNotification();
         return echo(request);
     });
     http_exchange exchange;
     std::thread caller([&] { exchange = send(make_post("/", "x")); });
-    entered.WaitForNotification();
+    m_entered.WaitForNotification();
     std::thread stopper([&] { m_server->stop(); });
-    release.Notify();
+    m_release.Notify();
     caller.join();
     stopper.join();
     EXPECT_EQ(exchange.progress, exchange_progress::answered);
