Learn sizes in the placement measurement, set aside what is declared where that is true, and probe classes kept out

With reports in (5 s late), reservations that follow them and cores shared when wanted twice, two faults of the policies showed: 1. A ratio of exactly 1 fell on the edge of a bin and counted as its upper end: 9% more set aside than was used, and with the memory headroom 20%. Now 1 lies in the middle of a bin and the middle is taken. 2. A coefficient learned at one size of reservations kept a class out at another, and a class that is out everywhere gives no samples. probe_timer lets one task of a class in, every 60 s at equal weights, 20 s for the association, 27 min for the ring.

--- a/performance_test/fake_workers.h
+++ b/performance_test/fake_workers.h
@@ -19,9 +19,12 @@
 /// A batch task on a fake worker.
 struct fake_task {
     std::uint32_t batch = 0;
-    double cores = 1;
-    double left_s = 1;  ///< work that is left, in seconds on a new worker
-    double saved_s = 0; ///< work since the last checkpoint
+    double cores = 1;    ///< that it really takes
+    double left_s = 1;   ///< work that is left, in seconds on a new worker
+    double saved_s = 0;  ///< work since the last checkpoint
+    double reserved = 0; ///< cores set aside for it; 0 for what it takes
+
+    [[nodiscard]] double get_reserved() const { return reserved > 0 ? reserved : cores; }
 };
 
 /// One fake worker at the policies' interface: slots, a speed, and a hidden matrix of how much each batch
@@ -49,7 +52,7 @@
     [[nodiscard]] std::vector<co_runner> get_runners() const {
         std::vector<co_runner> runners;
         for (const auto& task : tasks) {
-            runners.push_back({task.batch, task.cores / cores});
+            runners.push_back({task.batch, task.get_reserved() / cores});
         }
         return runners;
     }
--- a/performance_test/placement_decisions.cpp
+++ b/performance_test/placement_decisions.cpp
@@ -6,7 +6,9 @@
 #include "poplarpitch/policy/cost_placer.h"
 #include "poplarpitch/policy/eviction_budget.h"
 #include "poplarpitch/policy/eviction_candidate.h"
+#include "poplarpitch/policy/probe_timer.h"
 #include "poplarpitch/policy/relief_ladder.h"
+#include "poplarpitch/policy/usage_model.h"
 
 #include <cstdio>
 #include <deque>
@@ -18,6 +20,7 @@
 constexpr int workers_count = 16;
 constexpr int ticks = 6000; // of 100 ms: ten minutes
 constexpr double tick_s = 0.1;
+constexpr int usage_lag_ticks = 50; // workers report what a task took five seconds after its end
 
 /// How one policy places and relieves.
 struct policy_shape {
@@ -40,6 +43,12 @@
     double evictions = 0;
 };
 
+/// A worker's report of what a task took, under way.
+struct usage_report {
+    int due_tick = 0;
+    std::uint32_t batch = 0;
+};
+
 class placement_run {
 public:
     placement_run(const policy_shape& policy, const scenario& shape, std::uint64_t seed)
@@ -52,10 +61,12 @@
             // Half of the workers carry most of the requests.
             m_workers[index].busy = index < workers_count / 2 ? 6 : 1;
         }
+        m_probes.set_objective(policy.objective);
     }
 
     outcome run() {
         for (m_tick = 0; m_tick < ticks; ++m_tick) {
+            learn_usage();
             arrive();
             place();
             work();
@@ -75,12 +86,43 @@
         }
     }
 
-    [[nodiscard]] double get_free_cores(const fake_worker& worker) const {
-        double used = 0;
+    /// Returns what the system takes for free: it knows what it set aside, not what tasks take.
+    [[nodiscard]] static double get_free_cores(const fake_worker& worker) {
+        double reserved = 0;
+        for (const auto& task : worker.tasks) {
+            reserved += task.get_reserved();
+        }
+        return worker.cores - reserved;
+    }
+
+    /// Returns the share of the cores that its tasks want which the worker has.
+    [[nodiscard]] static double get_supply(const fake_worker& worker) {
+        double wanted = 0;
         for (const auto& task : worker.tasks) {
-            used += task.cores;
+            wanted += task.cores;
+        }
+        return wanted > worker.cores ? worker.cores / wanted : 1;
+    }
+
+    /// Returns the cores to set aside for a task.
+    [[nodiscard]] double get_reservation(const fake_task& task) const {
+        const auto declared = static_cast<std::int64_t>(task.cores * 1000 * m_shape.declared_factor);
+        const resources need{0, declared, 0, 0};
+        const auto reserved =
+            m_policy.is_own ? m_usage.get_reservation("t", std::to_string(task.batch), need) : need;
+        return std::min(static_cast<double>(reserved.millicores) / 1000, 64.0);
+    }
+
+    [[nodiscard]] time_point get_now() const {
+        return time_point{seconds{1000} + milliseconds{100} * m_tick};
+    }
+
+    /// Takes the usage reports that are due: they come with a lag.
+    void learn_usage() {
+        while (!m_reports.empty() && m_reports.front().due_tick <= m_tick) {
+            m_usage.add("t", std::to_string(m_reports.front().batch), 1 / m_shape.declared_factor, 1, 1);
+            m_reports.pop_front();
         }
-        return worker.cores - used;
     }
 
     void place() {
@@ -97,13 +139,20 @@
                 candidate.services = {{0, static_cast<float>(worker.busy)}};
                 candidate.is_open = !m_policy.is_own || m_ladders[index].get_step() == relief_step::none;
             }
-            const auto task = m_queue.front();
-            const auto millicores = static_cast<std::int64_t>(task.cores * 1000 * m_shape.declared_factor);
-            const placement_request request{
-                {0, std::min<std::int64_t>(millicores, 64000), 0, 0}, task.batch, 30, false};
+            auto task = m_queue.front();
+            task.reserved = get_reservation(task);
+            const auto millicores = static_cast<std::int64_t>(task.reserved * 1000);
+            placement_request request{{0, millicores, 0, 0}, task.batch, 30, false};
             std::optional<std::size_t> picked;
             if (m_policy.is_own) {
                 picked = m_placer.pick(candidates, request, m_interference);
+                if (!picked.has_value() && m_probes.is_due(task.batch, get_now())) {
+                    request.is_probe = true;
+                    picked = m_placer.pick(candidates, request, m_interference);
+                    if (picked.has_value()) {
+                        m_probes.on_probed(task.batch, get_now());
+                    }
+                }
             } else if (m_policy.is_first_fit) {
                 picked = first_fit_placer{}.pick(candidates, request, m_interference);
             } else {
@@ -124,13 +173,19 @@
         for (int index = 0; index < workers_count; ++index) {
             auto& worker = m_workers[index];
             const bool is_throttled = m_policy.is_own && m_ladders[index].get_step() >= relief_step::throttle;
+            const double supply = get_supply(worker);
             for (auto& task : worker.tasks) {
-                const double done = tick_s / worker.speed * (is_throttled ? 0.5 : 1.0);
+                const double done = tick_s / worker.speed * supply * (is_throttled ? 0.5 : 1.0);
                 task.left_s -= done;
                 task.saved_s = task.saved_s > 10 ? 0 : task.saved_s + done; // a checkpoint every 10 s
                 m_done += done;
             }
-            std::erase_if(worker.tasks, [](const fake_task& task) { return task.left_s <= 0; });
+            std::erase_if(worker.tasks, [this](const fake_task& task) {
+                if (task.left_s <= 0) {
+                    m_reports.push_back({m_tick + usage_lag_ticks, task.batch});
+                }
+                return task.left_s <= 0;
+            });
         }
     }
 
@@ -154,7 +209,7 @@
     }
 
     void relieve() {
-        const auto now = time_point{seconds{1000} + milliseconds{100} * m_tick};
+        const auto now = get_now();
         for (int index = 0; index < workers_count; ++index) {
             auto& worker = m_workers[index];
             if (!m_policy.is_own) {
@@ -171,7 +226,7 @@
             std::vector<eviction_candidate> candidates;
             for (const auto& task : worker.tasks) {
                 const double growth =
-                    m_interference.get_coefficient(0, task.batch) * task.cores / worker.cores;
+                    m_interference.get_coefficient(0, task.batch) * task.get_reserved() / worker.cores;
                 candidates.push_back(
                     {growth, duration{static_cast<std::int64_t>(task.saved_s * 1e9)}, 0, true});
             }
@@ -201,6 +256,9 @@
     std::mt19937_64 m_random;
     cost_placer m_placer;
     interference_model m_interference;
+    usage_model m_usage;
+    probe_timer m_probes;
+    std::deque<usage_report> m_reports; ///< by due tick
     std::vector<fake_worker> m_workers;
     std::vector<relief_ladder> m_ladders;
     std::vector<double> m_seen;
--- a/poplarpitch/control/job_scheduler.cpp
+++ b/poplarpitch/control/job_scheduler.cpp
@@ -59,6 +59,7 @@
 }
 
 void job_scheduler::learn_interference(const configuration& settings, const session_registry& sessions) {
+    m_probes.set_objective(settings.objective);
     for (const auto& batch : settings.batches) {
         m_interference.set_prior(m_batches.get(batch.name), batch.noise);
     }
@@ -178,15 +179,28 @@
     });
 }
 
-bool job_scheduler::place(const wire::job& job, const state_machine& state,
+std::optional<std::size_t> job_scheduler::pick(placement_request request, const state_machine& state,
+                                               time_point now) {
+    const cost_placer placer(state.get_configs().get_configuration()->objective);
+    auto picked = placer.pick(m_candidates, request, m_interference);
+    if (!picked.has_value() && m_probes.is_due(request.batch, now)) {
+        request.is_probe = true;
+        picked = placer.pick(m_candidates, request, m_interference);
+        if (picked.has_value()) {
+            m_probes.on_probed(request.batch, now);
+        }
+    }
+    return picked;
+}
+
+bool job_scheduler::place(const wire::job& job, const state_machine& state, time_point now,
                           std::vector<wire::command>& commands) {
     const auto request = make_request(job);
     if (is_hopeless(request)) {
         return false;
     }
     mark_candidates(job);
-    const cost_placer placer(state.get_configs().get_configuration()->objective);
-    const auto picked = placer.pick(m_candidates, request, m_interference);
+    const auto picked = pick(request, state, now);
     if (!picked.has_value()) {
         if (job.failed_workers().empty()) { // else others may still find room where this one must not go
             m_missed.push_back({request.need, request.batch, request.is_urgent});
@@ -283,7 +297,7 @@
             ++best->misses;
             continue;
         }
-        if (place(job, state, commands)) {
+        if (place(job, state, now, commands)) {
             best->usage.active_millicores += need.millicores;
             best->usage.active_accelerators += need.accelerators;
             continue;
--- a/poplarpitch/control/job_scheduler.h
+++ b/poplarpitch/control/job_scheduler.h
@@ -5,10 +5,12 @@
 #include "poplarpitch/policy/interference_model.h"
 #include "poplarpitch/policy/name_index.h"
 #include "poplarpitch/policy/placement_candidate.h"
+#include "poplarpitch/policy/probe_timer.h"
 #include "poplarpitch/policy/usage_model.h"
 #include "poplarpitch/wire/poplarpitch.pb.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,7 +50,10 @@
     /// Fills in what differs from job to job: spread and past failures.
     void mark_candidates(const wire::job& job);
     [[nodiscard]] bool is_hopeless(const placement_request& request) const;
-    bool place(const wire::job& job, const state_machine& state, std::vector<wire::command>& commands);
+    bool place(const wire::job& job, const state_machine& state, time_point now,
+               std::vector<wire::command>& commands);
+    /// Returns the candidate for a task, as a probe where nothing else is left and one is due.
+    std::optional<std::size_t> pick(placement_request request, const state_machine& state, time_point now);
     void displace(const wire::job& urgent, const state_machine& state, time_point now,
                   std::vector<wire::command>& commands);
     [[nodiscard]] placement_request make_request(const wire::job& job);
@@ -60,6 +65,7 @@
     usage_model m_usage;
     interference_model m_interference;
     eviction_budget m_displacements;
+    probe_timer m_probes;
     std::vector<placement_candidate> m_candidates;
     std::vector<std::string> m_candidate_ids;         ///< worker of each candidate
     std::vector<std::vector<std::uint16_t>> m_spread; ///< active tasks by tenant, then rack
--- a/poplarpitch/policy/cost_placer.cpp
+++ b/poplarpitch/policy/cost_placer.cpp
@@ -46,7 +46,7 @@
     if (candidate.slowdown > m_settings.refuse_slowdown * slack) {
         return true;
     }
-    if (growth <= m_settings.max_growth * slack) {
+    if (request.is_probe || growth <= m_settings.max_growth * slack) {
         return false;
     }
     return std::any_of(candidate.services.begin(), candidate.services.end(), [&](const service_load& load) {
--- a/poplarpitch/policy/cost_placer.h
+++ b/poplarpitch/policy/cost_placer.h
@@ -22,8 +22,9 @@
 
 /// Picks the worker with the lowest predicted cost: the growth of its services' latency that the learned
 /// interference predicts, weighed against how long the task would run there, how it spreads and what it
-/// wastes. The operators' objective weighs tail against throughput; urgent tasks ignore the refusal bounds.
-/// Thread safety: none.
+/// wastes. The operators' objective weighs tail against throughput; urgent tasks ignore the refusal bounds,
+/// and a probe ignores what was learned: a class that is refused everywhere would never be seen to have
+/// changed. Thread safety: none.
 class cost_placer {
 public:
     explicit cost_placer(const objective_settings& objective, const cost_placer_settings& settings = {});
--- a/poplarpitch/policy/decaying_histogram.cpp
+++ b/poplarpitch/policy/decaying_histogram.cpp
@@ -59,21 +59,32 @@
     }
 }
 
-double decaying_histogram::get_quantile(double q) const {
+int decaying_histogram::find_bin(double q) const {
     const auto& data = *m_storage;
-    if (data.total <= 0) {
-        return 0;
-    }
-    const auto& axis = data.histogram.axis(0);
+    const int bins = data.histogram.axis(0).size();
     const double goal = std::clamp(q, 0.0, 1.0) * data.total;
     double sum = 0;
-    for (int bin = 0; bin < axis.size(); ++bin) {
+    for (int bin = 0; bin < bins; ++bin) {
         sum += data.histogram.at(bin);
         if (sum >= goal) {
-            return axis.bin(bin).upper();
+            return bin;
         }
     }
-    return data.high;
+    return bins - 1; // rounding left the sum below the total
+}
+
+double decaying_histogram::get_quantile(double q) const {
+    const auto& data = *m_storage;
+    return data.total <= 0 ? 0 : data.histogram.axis(0).bin(find_bin(q)).upper();
+}
+
+double decaying_histogram::get_middle_quantile(double q) const {
+    const auto& data = *m_storage;
+    if (data.total <= 0) {
+        return 0;
+    }
+    const auto bin = data.histogram.axis(0).bin(find_bin(q));
+    return std::sqrt(bin.lower() * bin.upper()); // the axis is logarithmic
 }
 
 double decaying_histogram::get_share_below(double value) const {
--- a/poplarpitch/policy/decaying_histogram.h
+++ b/poplarpitch/policy/decaying_histogram.h
@@ -20,6 +20,9 @@
     void add(double value);
     /// Returns the value that the share `q` of the weight does not exceed; 0 when nothing was added.
     [[nodiscard]] double get_quantile(double q) const;
+    /// Returns the middle of the bin that holds the quantile: the best guess, where `get_quantile` is the
+    /// safe one.
+    [[nodiscard]] double get_middle_quantile(double q) const;
     /// Returns the share of the weight at or below `value`; 1 when nothing was added.
     [[nodiscard]] double get_share_below(double value) const;
     /// Returns the faded number of samples.
@@ -27,6 +30,10 @@
 
 private:
     struct storage;
+
+    /// Returns the bin that holds the quantile. Precondition: something was added.
+    [[nodiscard]] int find_bin(double q) const;
+
     std::unique_ptr<storage> m_storage;
 };
 
--- a/poplarpitch/policy/placement_candidate.h
+++ b/poplarpitch/policy/placement_candidate.h
@@ -38,6 +38,7 @@
     std::uint32_t batch = 0; ///< dense number of the batch class
     float run_seconds = 60;  ///< expected on an ordinary worker
     bool is_urgent = false;
+    bool is_probe = false; ///< tries anew whether its class still slows services as was learned
 
     friend bool operator==(const placement_request&, const placement_request&) = default;
 };
--- /dev/null
+++ b/poplarpitch/policy/probe_timer.cpp
@@ -0,0 +1,33 @@
+#include "poplarpitch/policy/probe_timer.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+
+void probe_timer::set_objective(const objective_settings& objective) {
+    constexpr double even_s = 60;      // when tail and throughput weigh the same
+    constexpr double shortest_s = 20;  // a probe must end before the next tells anything new
+    constexpr double longest_s = 1800; // even a tail-first fleet wants to know within a few of these
+    constexpr double tiny_weight = 1e-6;
+    const double ratio = objective.tail / std::max(objective.throughput, tiny_weight);
+    const double interval_s = std::clamp(even_s * ratio * ratio * ratio, shortest_s, longest_s);
+    m_interval = duration{static_cast<std::int64_t>(interval_s * 1e9)};
+}
+
+bool probe_timer::is_due(std::uint32_t batch, time_point now) {
+    const bool is_new = batch >= m_last.size() || m_last[batch] == time_point{};
+    if (is_new) {
+        on_probed(batch, now);
+        return false;
+    }
+    return now - m_last[batch] >= m_interval;
+}
+
+void probe_timer::on_probed(std::uint32_t batch, time_point now) {
+    if (m_last.size() <= batch) {
+        m_last.resize(batch + 1);
+    }
+    m_last[batch] = now;
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/policy/usage_model.cpp
+++ b/poplarpitch/policy/usage_model.cpp
@@ -6,8 +6,10 @@
 namespace poplarpitch {
 namespace {
 
-constexpr double lowest_ratio = 1.0 / 64;
-constexpr double highest_ratio = 64;
+// Twelve octaves, shifted by half a bin of the histogram: a job that takes what it declares has a ratio of 1,
+// and with 1 in the middle of a bin exactly that is set aside for it.
+constexpr double lowest_ratio = 0.01496255; // 2^(-6 - 1/16)
+constexpr double highest_ratio = 61.2866;   // 2^(6 - 1/16)
 constexpr double memory_samples = 200;
 constexpr std::int64_t least_millicores = 50;
 constexpr std::int64_t least_memory = 16LL << 20;
@@ -48,17 +50,18 @@
         return declared;
     }
     auto reservation = declared;
-    reservation.millicores =
-        scale(declared.millicores, known->cores.get_quantile(m_settings.cores_quantile), least_millicores);
-    reservation.memory = scale(
-        declared.memory, known->memory.get_quantile(m_settings.memory_quantile) * m_settings.memory_headroom,
-        least_memory);
+    reservation.millicores = scale(
+        declared.millicores, known->cores.get_middle_quantile(m_settings.cores_quantile), least_millicores);
+    reservation.memory =
+        scale(declared.memory,
+              known->memory.get_middle_quantile(m_settings.memory_quantile) * m_settings.memory_headroom,
+              least_memory);
     return reservation;
 }
 
 double usage_model::get_time_ratio(const std::string& tenant, const std::string& batch) const {
     const auto* known = find(tenant, batch);
-    return known == nullptr ? 1.0 : known->time.get_quantile(0.5);
+    return known == nullptr ? 1.0 : known->time.get_middle_quantile(0.5);
 }
 
 } // namespace poplarpitch
--- a/unit_tests/control/leader_duties_test.cpp
+++ b/unit_tests/control/leader_duties_test.cpp
@@ -48,6 +48,7 @@
         worker.set_id(id);
         worker.set_address(id + ":1");
         worker.set_data_centre(data_centre);
+        worker.add_services("s");
         worker.mutable_capacity()->set_millicores(64000);
         worker.mutable_capacity()->set_memory(256LL << 30);
         apply(command);
@@ -150,6 +151,39 @@
     EXPECT_TRUE(is_closed);
 }
 
+TEST_F(leader_duties_test, class_that_is_kept_out_is_probed_once_in_a_while) {
+    renew("e1");
+    add_worker("w1");
+    run();
+    wire::renew_request request;
+    request.set_entry("e1");
+    request.set_incarnation(1);
+    request.add_loads()->set_worker("w1");
+    request.mutable_loads(0)->set_ready(true);
+    (*request.mutable_loads(0)->mutable_rates())["s"] = 10;
+    auto& learned =
+        *request.add_interference(); // what one task of the class does to the service of the worker
+    learned.set_service("s");
+    learned.set_batch("b");
+    learned.set_slowdown(20);
+    learned.set_weight(1000);
+    const auto renew_all = [&] {
+        m_duties.renew(m_state, request, m_now);
+    };
+    renew_all();
+    for (int index = 0; index < 3; ++index) {
+        submit("j" + std::to_string(index), "big", "b", 16000);
+    }
+    run(5);
+    EXPECT_EQ(m_state.get_jobs().get_active_count(), 0U);
+    for (std::size_t probes = 1; probes <= 2; ++probes) {
+        m_now += seconds{61};
+        renew_all();
+        run(5);
+        EXPECT_EQ(m_state.get_jobs().get_active_count(), probes);
+    }
+}
+
 TEST_F(leader_duties_test, places_jobs_within_quota_and_in_fair_order) {
     renew("e1");
     add_worker("w1");
--- a/unit_tests/policy/limits_test.cpp
+++ b/unit_tests/policy/limits_test.cpp
@@ -3,6 +3,7 @@
 #include "poplarpitch/policy/dependency_graph.h"
 #include "poplarpitch/policy/eviction_budget.h"
 #include "poplarpitch/policy/eviction_candidate.h"
+#include "poplarpitch/policy/probe_timer.h"
 #include "poplarpitch/policy/relief_ladder.h"
 #include "poplarpitch/policy/retry_budget.h"
 #include "poplarpitch/policy/worker_health.h"
@@ -134,13 +135,38 @@
 TEST(dependency_graph, finds_what_is_down_over_any_number_of_steps) {
     const auto parsed =
         parse_configuration("[service a]\ndepends = b\n[service b]\ndepends = c\n[service c]\n[service d]\n");
-    dependency_graph graph(parsed.value);
-    EXPECT_EQ(graph.find_unavailable("a"), "");
-    graph.set_available("c", false);
-    EXPECT_EQ(graph.find_unavailable("a"), "c");
-    EXPECT_EQ(graph.find_unavailable("d"), "");
-    graph.set_available("c", true);
-    EXPECT_EQ(graph.find_unavailable("a"), "");
+    const dependency_graph graph(parsed.value);
+    const auto all_but = [](const std::string& down) {
+        return [down](const std::string& service) {
+            return service != down;
+        };
+    };
+    EXPECT_EQ(graph.find_unavailable("a", all_but("")), "");
+    EXPECT_EQ(graph.find_unavailable("a", all_but("c")), "c");
+    EXPECT_EQ(graph.find_unavailable("b", all_but("c")), "c");
+    EXPECT_EQ(graph.find_unavailable("a", all_but("a")), ""); // it does not need itself
+    EXPECT_EQ(graph.find_unavailable("d", all_but("c")), "");
+}
+
+TEST(probe_timer, probes_a_class_once_in_an_interval_that_grows_with_the_tails_weight) {
+    const time_point begin{seconds{100}};
+    probe_timer timer;
+    timer.set_objective({1, 1, 1});
+    EXPECT_FALSE(timer.is_due(3, begin)); // here its interval begins
+    EXPECT_FALSE(timer.is_due(3, begin + seconds{59}));
+    EXPECT_TRUE(timer.is_due(3, begin + seconds{60}));
+    timer.on_probed(3, begin + seconds{60});
+    EXPECT_FALSE(timer.is_due(3, begin + seconds{119}));
+    EXPECT_FALSE(timer.is_due(2, begin + seconds{119})); // each class by itself
+    EXPECT_TRUE(timer.is_due(3, begin + seconds{120}));
+    timer.set_objective({3, 1, 1});
+    EXPECT_FALSE(timer.is_due(3, begin + seconds{1679}));
+    EXPECT_TRUE(timer.is_due(3, begin + seconds{1681}));
+    timer.set_objective({1, 3, 3});
+    EXPECT_FALSE(timer.is_due(3, begin + seconds{79}));
+    EXPECT_TRUE(timer.is_due(3, begin + seconds{80}));
+    timer.set_objective({1, 0, 1}); // tail alone: rare, not never
+    EXPECT_TRUE(timer.is_due(3, begin + seconds{1860}));
 }
 
 } // namespace
--- a/unit_tests/policy/models_test.cpp
+++ b/unit_tests/policy/models_test.cpp
@@ -100,5 +100,17 @@
     EXPECT_EQ(model.get_reservation("other", "b", declared), declared);
 }
 
+TEST(usage_model, job_that_takes_what_it_declares_gets_that) {
+    usage_model model;
+    const resources declared{0, 4000, 4LL << 30, 0};
+    for (int index = 0; index < 50; ++index) {
+        model.add("t", "b", 1.0, 1.0, 1.0);
+    }
+    const auto reserved = model.get_reservation("t", "b", declared);
+    EXPECT_NEAR(static_cast<double>(reserved.millicores), 4000, 1);
+    EXPECT_NEAR(static_cast<double>(reserved.memory) / (1LL << 30), 4.4, 0.001); // with its headroom
+    EXPECT_NEAR(model.get_time_ratio("t", "b"), 1, 0.001);
+}
+
 } // namespace
 } // namespace poplarpitch
