--- a/poplarpitch/entry/owned_task.h
+++ b/poplarpitch/entry/owned_task.h
@@ -28,6 +28,7 @@
     std::string batch;
     std::string payload;
     std::string checkpoint;
+    resources declared; ///< need that its submitter declared
     resources reserved;
     duration run_time{}; ///< declared
     bool is_idempotent = true;
--- a/poplarpitch/entry/task_agent.cpp
+++ b/poplarpitch/entry/task_agent.cpp
@@ -15,6 +15,16 @@
 constexpr duration missing_wait =
     seconds{2}; // a running task that the worker no longer lists is lost after this
 
+wire::usage_sample make_usage(const owned_task& task, const task_report& report) {
+    wire::usage_sample sample;
+    sample.set_tenant(task.tenant);
+    sample.set_batch(task.batch);
+    sample.set_millicores_ratio(report.cores_ratio);
+    sample.set_memory_ratio(report.memory_ratio);
+    sample.set_run_time_ratio(report.time_ratio);
+    return sample;
+}
+
 bool is_told(const task_phase phase) {
     return phase == task_phase::stopping || phase == task_phase::evicting;
 }
@@ -58,6 +68,7 @@
         task.batch = job.batch();
         task.payload = job.payload();
         task.checkpoint = job.checkpoint();
+        task.declared = decode(job.need());
         task.reserved = decode(job.reserved());
         task.run_time = milliseconds{job.run_time_ms()};
         task.is_idempotent = job.idempotent();
@@ -299,13 +310,7 @@
         event.command.mutable_event()->set_checkpoint(report.checkpoint);
         events.push_back(std::move(event));
         if (kind == wire::event_finished && !task.batch.empty()) {
-            wire::usage_sample sample;
-            sample.set_tenant(task.tenant);
-            sample.set_batch(task.batch);
-            sample.set_millicores_ratio(report.cores_ratio);
-            sample.set_memory_ratio(report.memory_ratio);
-            sample.set_run_time_ratio(report.time_ratio);
-            m_usage.push_back(std::move(sample));
+            m_usage.push_back(make_usage(task, report));
         }
     }
     if (told.is_complete && told.epoch == worker->epoch) {
--- a/poplarpitch/entry/task_caller.cpp
+++ b/poplarpitch/entry/task_caller.cpp
@@ -60,7 +60,9 @@
                                  {"slots", action.task.reserved.slots},
                                  {"millicores", action.task.reserved.millicores},
                                  {"memory", action.task.reserved.memory},
-                                 {"accelerators", action.task.reserved.accelerators}};
+                                 {"accelerators", action.task.reserved.accelerators},
+                                 {"declared_millicores", action.task.declared.millicores},
+                                 {"declared_memory", action.task.declared.memory}};
     http_request request;
     request.method = "POST";
     request.target = "/v1/tasks";
--- a/poplarpitch/stand_in/simulated_task.h
+++ b/poplarpitch/stand_in/simulated_task.h
@@ -15,7 +15,8 @@
     std::string batch;
     std::string payload;
     resources reserved;
-    duration total{}; ///< work on an ordinary worker
+    std::int64_t declared_millicores = 0; ///< what its submitter said that it takes
+    duration total{};                     ///< work on an ordinary worker
     duration declared{};
     duration done{};  ///< work done, checkpoints of earlier attempts included
     duration saved{}; ///< work in the last checkpoint
--- a/poplarpitch/stand_in/stand_in_settings.cpp
+++ b/poplarpitch/stand_in/stand_in_settings.cpp
@@ -54,7 +54,9 @@
             service.jitter = reader.get_number("jitter", service.jitter, 0, 5);
             parsed.value.services.push_back(service);
         } else if (section.kind == "noise") {
-            parsed.value.noise[section.name] = reader.get_number("growth", 0, 0, 1000);
+            auto& noise = parsed.value.noise[section.name];
+            noise.growth = reader.get_number("growth", 0, 0, 1000);
+            noise.millicores = reader.get_integer("cores", 0, 0, max_amount) * 1000;
         } else {
             parsed.errors.push_back({section.line, absl::StrCat("unknown section [", section.kind, "]")});
             continue;
--- a/poplarpitch/stand_in/stand_in_settings.h
+++ b/poplarpitch/stand_in/stand_in_settings.h
@@ -20,6 +20,14 @@
     friend auto operator<=>(const stand_in_service&, const stand_in_service&) = default;
 };
 
+/// What tasks of a batch class do to a worker, whatever was declared for them.
+struct stand_in_noise {
+    double growth = 0;           ///< of service times, were it to take the whole worker
+    std::int64_t millicores = 0; ///< what a task really takes; 0 takes what was declared for it
+
+    friend auto operator<=>(const stand_in_noise&, const stand_in_noise&) = default;
+};
+
 /// How the stand-in's workers behave: `[stand_in]`, `[service NAME]` and `[noise BATCH]` of its settings
 /// file.
 struct stand_in_settings {
@@ -36,7 +44,7 @@
     double task_speed = 1;                            ///< tasks run this much faster than their declared time
     std::string record;                               ///< file of what ran; empty for none
     std::vector<stand_in_service> services;
-    std::map<std::string, double> noise; ///< growth of service times at a share of 1, by batch class
+    std::map<std::string, stand_in_noise> noise; ///< by batch class
 
     friend bool operator==(const stand_in_settings&, const stand_in_settings&) = default;
 };
--- a/poplarpitch/stand_in/stand_in_worker.cpp
+++ b/poplarpitch/stand_in/stand_in_worker.cpp
@@ -24,8 +24,6 @@
 using json = nlohmann::json;
 
 constexpr const char* check_header = "X-Check-Id"; ///< the caller's own number of a request, for the record
-constexpr duration checkpoint_every = seconds{1};
-constexpr double throttle_factor = 0.5;
 constexpr duration announce_wait = seconds{2};
 constexpr duration first_interval = milliseconds{200};
 constexpr duration leave_grace = milliseconds{300}; // for requests that were sent before the owner knew
@@ -45,10 +43,6 @@
     return server;
 }
 
-std::string make_lease(const std::string& job, std::uint64_t attempt) {
-    return absl::StrCat(job, "#", attempt);
-}
-
 /// Reads `ms=1500` out of a payload such as `ms=1500;fail`.
 duration read_total(const std::string& payload, duration declared) {
     for (const auto part : absl::StrSplit(payload, ';')) {
@@ -72,7 +66,7 @@
       m_incarnation(make_incarnation(number)), m_record(record), m_entries(http_client_settings{}),
       m_server(make_server_settings(settings),
                [this](const http_request& request) { return handle(request); }),
-      m_random(static_cast<std::uint64_t>(number)) {}
+      m_random(static_cast<std::uint64_t>(number)), m_tasks(settings, m_id, m_factor, record) {}
 
 stand_in_worker::~stand_in_worker() {
     stop();
@@ -107,7 +101,7 @@
 bool stand_in_worker::may_stop() {
     const absl::MutexLock lock(&m_mutex);
     const bool is_known = m_leaving_told != time_point{} && m_clock.now() - m_leaving_told >= leave_grace;
-    return is_known && m_requests.empty() && m_tasks.empty() && m_reports.empty();
+    return is_known && m_requests.empty() && m_tasks.is_idle();
 }
 
 // ---- requests and tasks
@@ -143,11 +137,8 @@
 }
 
 bool stand_in_worker::has_room(const resources& need) const {
-    resources used;
-    used.slots = static_cast<std::int64_t>(m_requests.size());
-    for (const auto& [lease, task] : m_tasks) {
-        used += task.reserved;
-    }
+    auto used = m_tasks.get_reserved();
+    used.slots += static_cast<std::int64_t>(m_requests.size());
     return m_settings.capacity.holds(used + need);
 }
 
@@ -158,17 +149,10 @@
             shape = known;
         }
     }
-    double growth = 0;
-    for (const auto& [lease, task] : m_tasks) {
-        const auto noise = m_settings.noise.find(task.batch);
-        const double share = static_cast<double>(task.reserved.millicores) /
-                             static_cast<double>(m_settings.capacity.millicores);
-        growth += noise == m_settings.noise.end()
-                      ? 0
-                      : noise->second * share * (task.is_throttled ? throttle_factor : 1);
-    }
     std::normal_distribution<double> normal(0, shape.jitter);
-    const double factor = m_factor * (1 + growth) * std::exp(normal(m_random));
+    const auto slowed = m_slowed.find(service);
+    const double fault = slowed == m_slowed.end() ? 1 : slowed->second;
+    const double factor = m_factor * fault * (1 + m_tasks.get_growth()) * std::exp(normal(m_random));
     return duration{static_cast<std::int64_t>(static_cast<double>(shape.time.count()) * factor)};
 }
 
@@ -231,17 +215,18 @@
     task.payload = object.value("payload", "");
     task.reserved = {object.value("slots", std::int64_t{0}), object.value("millicores", std::int64_t{0}),
                      object.value("memory", std::int64_t{0}), object.value("accelerators", std::int64_t{0})};
+    task.declared_millicores = object.value("declared_millicores", task.reserved.millicores);
     task.declared = milliseconds{object.value("run_time_ms", std::int64_t{0})};
     task.total = read_total(task.payload, task.declared);
     std::int64_t saved_ms = 0;
     static_cast<void>(absl::SimpleAtoi(object.value("checkpoint", ""), &saved_ms));
     task.saved = milliseconds{saved_ms};
     task.done = task.saved;
-    const auto lease = make_lease(task.job, task.attempt);
+    const auto lease = task_simulator::make_lease(task.job, task.attempt);
     const auto epoch = object.value("epoch", std::uint64_t{0});
 
     const absl::MutexLock lock(&m_mutex);
-    if (m_tasks.contains(lease) || m_ended.contains(lease)) {
+    if (m_tasks.knows(lease)) {
         http_response response; // it was started by an earlier copy of this call
         response.body = "{\"started\":true}";
         return response;
@@ -260,10 +245,8 @@
         return refuse("full");
     }
     const auto now = m_clock.now();
-    task.updated = now;
     task.lease_end = now + milliseconds{object.value("lease_ms", std::int64_t{10000})};
-    m_record.write("task-start", m_id, lease, task.batch);
-    m_tasks.emplace(lease, std::move(task));
+    m_tasks.start(std::move(task), now);
     http_response response;
     response.body = "{\"started\":true}";
     return response;
@@ -277,32 +260,13 @@
     if (epoch < m_epoch) {
         return refuse("stale-epoch");
     }
-    advance_tasks();
-    const auto found = m_tasks.find(lease);
-    http_response response;
-    response.body = "{}";
-    if (found == m_tasks.end()) {
-        if (!m_ended.contains(lease) && verb == "stop") {
-            // Never started here, and after this never will be.
-            m_ended[lease] = 0;
-        }
-        return response;
-    }
-    auto& task = found->second;
-    if (verb == "throttle" || verb == "unthrottle") {
-        task.is_throttled = verb == "throttle";
-    } else if (verb == "checkpoint") {
-        task.saved = task.done;
-    } else if (verb == "evict") {
-        task.saved = task.done;
-        end_task(lease, "evicted", "");
-    } else if (verb == "stop") {
-        end_task(lease, "stopped", "");
-    } else if (verb == "renew") {
-        task.lease_end = std::max(task.lease_end, m_clock.now() + m_task_lease);
-    } else {
+    const auto now = m_clock.now();
+    m_tasks.advance(now, m_is_failing);
+    if (!m_tasks.tell(lease, verb, now, m_task_lease)) {
         return make_error_response(404, "not_found", "no such verb");
     }
+    http_response response;
+    response.body = "{}";
     return response;
 }
 
@@ -315,6 +279,10 @@
         m_is_failing = is_on;
     } else if (name == "mute") {
         m_is_mute = is_on;
+    } else if (name == "slow") {
+        double factor = 1;
+        static_cast<void>(absl::SimpleAtod(request.get_query("factor"), &factor));
+        m_slowed[request.get_query("service")] = is_on ? factor : 1;
     } else {
         return make_error_response(404, "not_found", "no such fault");
     }
@@ -323,65 +291,11 @@
     return response;
 }
 
-void stand_in_worker::end_task(const std::string& lease, const std::string& kind, const std::string& detail) {
-    const auto found = m_tasks.find(lease);
-    const auto& task = found->second;
-    m_record.write("task-" + kind, m_id, lease, task.batch);
-    task_report report;
-    report.number = ++m_last_report;
-    report.job = task.job;
-    report.attempt = task.attempt;
-    report.kind = kind;
-    report.detail = detail;
-    report.checkpoint = absl::StrCat(to_milliseconds(task.saved));
-    if (task.declared.count() > 0) {
-        report.time_ratio = to_seconds(task.total) / to_seconds(task.declared);
-    }
-    m_reports.push_back(report);
-    m_ended[lease] = report.number;
-    m_tasks.erase(found);
-}
-
-void stand_in_worker::advance_tasks() {
-    const auto now = m_clock.now();
-    std::vector<std::string> finished;
-    std::vector<std::string> failed;
-    std::vector<std::string> expired;
-    for (auto& [lease, task] : m_tasks) {
-        const double speed = m_settings.task_speed / m_factor * (task.is_throttled ? throttle_factor : 1);
-        task.done +=
-            duration{static_cast<std::int64_t>(static_cast<double>((now - task.updated).count()) * speed)};
-        task.updated = now;
-        if (task.done - task.saved >= checkpoint_every) {
-            task.saved = task.done;
-        }
-        if (now >= task.lease_end) {
-            expired.push_back(lease);
-        } else if (m_is_failing || (task.done >= task.total / 2 && absl::StrContains(task.payload, "fail"))) {
-            failed.push_back(lease);
-        } else if (task.done >= task.total) {
-            finished.push_back(lease);
-        }
-    }
-    for (const auto& lease : expired) {
-        // Nobody renewed: it stops and says nothing, since nobody may count on hearing it.
-        m_record.write("task-expired", m_id, lease, "");
-        m_ended[lease] = 0;
-        m_tasks.erase(lease);
-    }
-    for (const auto& lease : failed) {
-        end_task(lease, "failed", "it was made to fail");
-    }
-    for (const auto& lease : finished) {
-        end_task(lease, "finished", "ok");
-    }
-}
-
 // ---- announcements
 
 announcement stand_in_worker::make_announcement() {
     const absl::MutexLock lock(&m_mutex);
-    advance_tasks();
+    m_tasks.advance(m_clock.now(), m_is_failing);
     announcement told;
     told.id = m_id;
     told.address = m_address;
@@ -404,11 +318,9 @@
         }
     }
     if (told.is_complete) {
-        for (const auto& [lease, task] : m_tasks) {
-            told.tasks.push_back({task.job, task.attempt, task.done - task.saved});
-        }
+        told.tasks = m_tasks.list_running();
     }
-    told.reports = m_reports;
+    told.reports = m_tasks.get_reports();
     return told;
 }
 
@@ -430,19 +342,10 @@
         m_task_lease = answer.task_lease;
     }
     m_owner_address = answer.owner_address;
-    std::erase_if(m_reports, [&](const task_report& report) {
-        const bool is_known = std::find(answer.acknowledged.begin(), answer.acknowledged.end(),
-                                        report.number) != answer.acknowledged.end();
-        if (is_known) {
-            m_record.write("report-known", m_id, make_lease(report.job, report.attempt), report.kind);
-        }
-        return is_known;
-    });
+    m_tasks.acknowledge(answer.acknowledged);
     if (answer.is_renewed) {
-        for (auto& [lease, task] : m_tasks) {
-            // The lease counts from when we asked: an answer may have been under way for long.
-            task.lease_end = std::max(task.lease_end, sent + m_task_lease);
-        }
+        // The lease counts from when we asked: an answer may have been under way for long.
+        m_tasks.renew(sent + m_task_lease);
     }
 }
 
@@ -493,13 +396,14 @@
             if (m_is_stopped) {
                 return;
             }
-            advance_tasks();
+            m_tasks.advance(m_clock.now(), m_is_failing);
         }
         if (m_clock.now() >= next) {
             announce_once();
             const absl::MutexLock lock(&m_mutex);
             // Soon again when there is news to get or to give; else in the usual rhythm.
-            const bool is_eager = m_wants_complete || m_owner_address.empty() || !m_reports.empty() ||
+            const bool is_eager = m_wants_complete || m_owner_address.empty() ||
+                                  !m_tasks.get_reports().empty() ||
                                   (m_is_leaving && m_leaving_told == time_point{});
             next = m_clock.now() + (is_eager ? std::min(first_interval, m_interval) : m_interval);
         }
--- a/poplarpitch/stand_in/stand_in_worker.h
+++ b/poplarpitch/stand_in/stand_in_worker.h
@@ -2,8 +2,8 @@
 
 #include "poplarpitch/core/system_clock.h"
 #include "poplarpitch/entry/announcement.h"
-#include "poplarpitch/stand_in/simulated_task.h"
 #include "poplarpitch/stand_in/stand_in_settings.h"
+#include "poplarpitch/stand_in/task_simulator.h"
 #include "poplarpitch/transport/http_client_pool.h"
 #include "poplarpitch/transport/http_server.h"
 
@@ -61,9 +61,6 @@
     void announce_once();
     [[nodiscard]] announcement make_announcement();
     void take_answer(const announcement& told, const announce_answer& answer, time_point sent);
-    void advance_tasks() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    void end_task(const std::string& lease, const std::string& kind, const std::string& detail)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     static http_response refuse(const std::string& reason);
 
     const stand_in_settings m_settings;
@@ -83,19 +80,16 @@
     std::mt19937_64 m_random ABSL_GUARDED_BY(m_mutex);
     std::uint64_t m_epoch ABSL_GUARDED_BY(m_mutex) = 0;
     std::uint64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
-    std::uint64_t m_last_report ABSL_GUARDED_BY(m_mutex) = 0;
     std::map<std::string, running_request> m_requests ABSL_GUARDED_BY(m_mutex);
-    std::map<std::string, simulated_task> m_tasks ABSL_GUARDED_BY(m_mutex); ///< by lease
-    std::map<std::string, std::uint64_t>
-        m_ended ABSL_GUARDED_BY(m_mutex); ///< leases that ended, with their report
-    std::vector<task_report> m_reports ABSL_GUARDED_BY(m_mutex);
+    task_simulator m_tasks ABSL_GUARDED_BY(m_mutex);
     bool m_wants_complete ABSL_GUARDED_BY(m_mutex) = true;
     bool m_is_leaving ABSL_GUARDED_BY(m_mutex) = false;
     time_point
         m_leaving_told ABSL_GUARDED_BY(m_mutex){}; ///< when the owner first answered an announcement of it
     bool m_is_stopped ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_is_failing ABSL_GUARDED_BY(m_mutex) = false; ///< fault: every request and task fails
-    bool m_is_mute ABSL_GUARDED_BY(m_mutex) = false;    ///< fault: no announcements
+    bool m_is_failing ABSL_GUARDED_BY(m_mutex) = false;              ///< fault: every request and task fails
+    bool m_is_mute ABSL_GUARDED_BY(m_mutex) = false;                 ///< fault: no announcements
+    std::map<std::string, double> m_slowed ABSL_GUARDED_BY(m_mutex); ///< fault: by service, how much slower
     std::string m_owner_address ABSL_GUARDED_BY(m_mutex);
     std::size_t m_next_entry ABSL_GUARDED_BY(m_mutex) = 0;
     duration m_interval ABSL_GUARDED_BY(m_mutex) = milliseconds{200};
--- /dev/null
+++ b/poplarpitch/stand_in/task_simulator.cpp
@@ -0,0 +1,174 @@
+#include "poplarpitch/stand_in/task_simulator.h"
+
+#include "poplarpitch/stand_in/run_record.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration checkpoint_every = seconds{1};
+constexpr double throttle_factor = 0.5;
+
+} // namespace
+
+task_simulator::task_simulator(const stand_in_settings& settings, std::string worker, double factor,
+                               run_record& record)
+    : m_settings(settings), m_worker(std::move(worker)), m_factor(factor), m_record(record) {}
+
+std::string task_simulator::make_lease(const std::string& job, std::uint64_t attempt) {
+    return absl::StrCat(job, "#", attempt);
+}
+
+bool task_simulator::knows(const std::string& lease) const {
+    return m_tasks.contains(lease) || m_ended.contains(lease);
+}
+
+void task_simulator::start(simulated_task&& task, time_point now) {
+    const auto lease = make_lease(task.job, task.attempt);
+    task.updated = now;
+    m_record.write("task-start", m_worker, lease, task.batch);
+    m_tasks.emplace(lease, std::move(task));
+}
+
+bool task_simulator::tell(const std::string& lease, const std::string& verb, time_point now,
+                          duration task_lease) {
+    const auto found = m_tasks.find(lease);
+    if (found == m_tasks.end()) {
+        if (!m_ended.contains(lease) && verb == "stop") {
+            m_ended[lease] = 0; // never started here, and after this never will be
+        }
+        return true;
+    }
+    auto& task = found->second;
+    if (verb == "throttle" || verb == "unthrottle") {
+        task.is_throttled = verb == "throttle";
+    } else if (verb == "checkpoint") {
+        task.saved = task.done;
+    } else if (verb == "evict") {
+        task.saved = task.done;
+        end(lease, "evicted", "");
+    } else if (verb == "stop") {
+        end(lease, "stopped", "");
+    } else if (verb == "renew") {
+        task.lease_end = std::max(task.lease_end, now + task_lease);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+void task_simulator::end(const std::string& lease, const std::string& kind, const std::string& detail) {
+    const auto found = m_tasks.find(lease);
+    const auto& task = found->second;
+    m_record.write("task-" + kind, m_worker, lease, task.batch);
+    task_report report;
+    report.number = ++m_last_report;
+    report.job = task.job;
+    report.attempt = task.attempt;
+    report.kind = kind;
+    report.detail = detail;
+    report.checkpoint = absl::StrCat(to_milliseconds(task.saved));
+    if (task.declared_millicores > 0) {
+        report.cores_ratio =
+            static_cast<double>(get_used_millicores(task)) / static_cast<double>(task.declared_millicores);
+    }
+    if (task.declared.count() > 0) {
+        report.time_ratio = to_seconds(task.total) / to_seconds(task.declared);
+    }
+    m_reports.push_back(report);
+    m_ended[lease] = report.number;
+    m_tasks.erase(found);
+}
+
+void task_simulator::advance(time_point now, bool is_failing) {
+    std::vector<std::string> finished;
+    std::vector<std::string> failed;
+    std::vector<std::string> expired;
+    for (auto& [lease, task] : m_tasks) {
+        const double speed = m_settings.task_speed / m_factor * (task.is_throttled ? throttle_factor : 1);
+        task.done +=
+            duration{static_cast<std::int64_t>(static_cast<double>((now - task.updated).count()) * speed)};
+        task.updated = now;
+        if (task.done - task.saved >= checkpoint_every) {
+            task.saved = task.done;
+        }
+        if (now >= task.lease_end) {
+            expired.push_back(lease);
+        } else if (is_failing || (task.done >= task.total / 2 && absl::StrContains(task.payload, "fail"))) {
+            failed.push_back(lease);
+        } else if (task.done >= task.total) {
+            finished.push_back(lease);
+        }
+    }
+    for (const auto& lease : expired) {
+        // Nobody renewed: it stops and says nothing, since nobody may count on hearing it.
+        m_record.write("task-expired", m_worker, lease, "");
+        m_ended[lease] = 0;
+        m_tasks.erase(lease);
+    }
+    for (const auto& lease : failed) {
+        end(lease, "failed", "it was made to fail");
+    }
+    for (const auto& lease : finished) {
+        end(lease, "finished", "ok");
+    }
+}
+
+void task_simulator::renew(time_point lease_end) {
+    for (auto& [lease, task] : m_tasks) {
+        task.lease_end = std::max(task.lease_end, lease_end);
+    }
+}
+
+void task_simulator::acknowledge(const std::vector<std::uint64_t>& numbers) {
+    std::erase_if(m_reports, [&](const task_report& report) {
+        const bool is_known = std::find(numbers.begin(), numbers.end(), report.number) != numbers.end();
+        if (is_known) {
+            m_record.write("report-known", m_worker, make_lease(report.job, report.attempt), report.kind);
+        }
+        return is_known;
+    });
+}
+
+std::vector<running_task> task_simulator::list_running() const {
+    std::vector<running_task> running;
+    running.reserve(m_tasks.size());
+    for (const auto& [lease, task] : m_tasks) {
+        running.push_back({task.job, task.attempt, task.done - task.saved});
+    }
+    return running;
+}
+
+resources task_simulator::get_reserved() const {
+    resources reserved;
+    for (const auto& [lease, task] : m_tasks) {
+        reserved += task.reserved;
+    }
+    return reserved;
+}
+
+std::int64_t task_simulator::get_used_millicores(const simulated_task& task) const {
+    const auto shape = m_settings.noise.find(task.batch);
+    const bool is_as_declared = shape == m_settings.noise.end() || shape->second.millicores == 0;
+    return is_as_declared ? task.declared_millicores : shape->second.millicores;
+}
+
+double task_simulator::get_growth() const {
+    double growth = 0;
+    for (const auto& [lease, task] : m_tasks) {
+        const auto shape = m_settings.noise.find(task.batch);
+        if (shape == m_settings.noise.end()) {
+            continue;
+        }
+        const double share = static_cast<double>(get_used_millicores(task)) /
+                             static_cast<double>(m_settings.capacity.millicores);
+        growth += shape->second.growth * share * (task.is_throttled ? throttle_factor : 1);
+    }
+    return growth;
+}
+
+} // namespace poplarpitch
