--- /dev/null
+++ b/poplarpitch/control/control_node_calls.cpp
@@ -0,0 +1,260 @@
+// What peers, entries and tools ask of a control instance: their threads post the work and wait for the
+// control thread's answer.
+#include "poplarpitch/control/control_node.h"
+
+#include "poplarpitch/control/query_answerer.h"
+#include "poplarpitch/control/renew_answerer.h"
+#include "poplarpitch/telemetry/log_event.h"
+
+#include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace poplarpitch {
+namespace {
+
+/// What a waiting caller and the control thread share; the caller may have gone when the answer comes.
+template <class Answer>
+struct answer_slot {
+    absl::Notification ready;
+    Answer answer{};
+};
+
+/// The commands of one batch; touched by the control thread alone once it is posted.
+struct batch_in_progress {
+    std::vector<std::string> payloads;
+    std::vector<bool> are_events; ///< by place: their senders want no whole record back
+    proposal_urgency urgency = proposal_urgency::may_wait;
+    std::size_t left = 0; ///< commands without an answer yet
+    wire::propose_batch_answer answer;
+
+    /// Takes one answer. Of an event's job only what the entry counts by is sent back.
+    void take(std::size_t place, const wire::propose_answer& one) {
+        auto& taken = *answer.mutable_answers(static_cast<int>(place));
+        taken = one;
+        if (are_events[place] && taken.outcome().has_job_record()) {
+            wire::job brief;
+            brief.set_tenant(one.outcome().job_record().tenant());
+            brief.set_batch(one.outcome().job_record().batch());
+            *taken.mutable_outcome()->mutable_job_record() = std::move(brief);
+        }
+        answer.set_leader(one.leader());
+    }
+};
+
+} // namespace
+
+// ---- calls, on the control thread
+
+void control_node::start_renewal(const wire::renew_request& request,
+                                 const std::function<void(const wire::renew_answer&)>& answer) {
+    const auto now = m_clock.now();
+    wire::renew_answer refusal;
+    refusal.set_leader(m_node->get_leader());
+    // A grant needs proof that no other leader can have been elected: the leader lease.
+    if (!m_is_duty_started || !m_node->has_lease(now)) {
+        answer(refusal);
+        return;
+    }
+    const auto* session = m_machine.get_fleet().find_session(request.entry());
+    if (session != nullptr && session->incarnation() > request.incarnation()) {
+        refusal.set_refusal("a newer process uses this entry id");
+        answer(refusal);
+        return;
+    }
+    if (session != nullptr && session->incarnation() == request.incarnation()) {
+        m_duties.renew(m_machine, request, now);
+        auto granted = make_renew_answer(m_machine, m_duties.get_sessions(), request);
+        granted.set_leader(m_daemon.node_id);
+        granted.set_term(m_node->get_term());
+        answer(granted);
+        return;
+    }
+    wire::command command;
+    auto& opened = *command.mutable_open()->mutable_opened();
+    opened.set_entry(request.entry());
+    opened.set_incarnation(request.incarnation());
+    opened.set_http_address(request.http_address());
+    opened.set_data_centre(request.data_centre());
+    const auto take = [this, request, answer](const wire::propose_answer& proposed) {
+        wire::renew_answer first;
+        first.set_leader(m_node->get_leader());
+        // The renewal itself is granted with the next call, under a lease checked then.
+        if (proposed.committed()) {
+            log_event(log_level::info, "session_opened").add("entry", request.entry());
+            first.set_leader(m_daemon.node_id);
+        }
+        answer(first);
+    };
+    m_proposals.add(command.SerializeAsString(), proposal_urgency::at_once, take);
+}
+
+void control_node::start_query(const wire::query_request& request,
+                               std::function<void(const wire::query_answer&)> answer) {
+    if (request.stale_allowed()) {
+        answer(make_answer(request));
+        return;
+    }
+    const auto token = m_node->request_read(m_clock.now());
+    if (!token) {
+        wire::query_answer refusal;
+        refusal.set_leader(m_node->get_leader());
+        answer(refusal);
+        return;
+    }
+    m_queries[token.value()] = {request, std::move(answer)};
+}
+
+wire::query_answer control_node::make_answer(const wire::query_request& request) const {
+    auto answer = make_query_answer(m_machine, request);
+    answer.set_leader(m_node->get_leader());
+    if (request.kind() == wire::query_status || request.kind() == wire::query_members) {
+        auto& status = *answer.mutable_status();
+        status.set_node(m_daemon.node_id);
+        status.set_leader(m_node->get_leader());
+        status.set_term(m_node->get_term());
+        status.set_commit(m_node->get_commit());
+        status.set_last_index(m_node->get_log().get_last_index());
+        status.set_role(get_role_name(m_node->get_role()));
+        const auto& members = m_node->get_membership();
+        status.mutable_members()->mutable_voters()->Assign(members.voters.begin(), members.voters.end());
+        status.mutable_members()->mutable_learners()->Assign(members.learners.begin(),
+                                                             members.learners.end());
+        for (const auto& [entry, report] : m_duties.get_sessions().get_reports()) {
+            auto& item = *status.add_in_force();
+            item.set_entry(entry);
+            item.set_version(report.known_config);
+        }
+    }
+    return answer;
+}
+
+wire::member_answer control_node::start_member_change(const wire::member_request& request) {
+    const auto now = m_clock.now();
+    wire::member_answer answer;
+    answer.set_leader(m_node->get_leader());
+    if (m_node->get_role() != raft_role::leader) {
+        return answer;
+    }
+    const auto take = [&](const auto& outcome) {
+        answer.set_done(outcome.has_value());
+        if (!outcome) {
+            answer.set_refusal(outcome.error().message());
+        }
+    };
+    switch (request.action()) {
+    case wire::member_add_learner:
+        take(m_node->add_learner(request.node(), now));
+        break;
+    case wire::member_promote:
+        take(m_node->promote(request.node(), now));
+        break;
+    case wire::member_remove:
+        take(m_node->remove(request.node(), now));
+        break;
+    case wire::member_transfer:
+        take(m_node->transfer_leadership(request.node(), now));
+        break;
+    default:
+        answer.set_refusal("unknown action");
+        break;
+    }
+    return answer;
+}
+
+// ---- calls, on other threads
+
+void control_node::deliver(raft_message message) {
+    m_loop.post([this, message = std::move(message)] {
+        const auto now = m_clock.now();
+        m_last_heard[message.from] = now;
+        m_node->step(message, now);
+    });
+}
+
+template <class Answer>
+Answer control_node::wait_for(std::function<void(std::function<void(const Answer&)>)> work) {
+    const auto slot = std::make_shared<answer_slot<Answer>>();
+    const bool is_posted = m_loop.post([work = std::move(work), slot] {
+        work([slot](const Answer& answer) {
+            slot->answer = answer;
+            slot->ready.Notify();
+        });
+    });
+    constexpr auto longest_wait = absl::Seconds(10); // callers have shorter deadlines of their own
+    if (!is_posted || !slot->ready.WaitForNotificationWithTimeout(longest_wait)) {
+        return {};
+    }
+    return slot->answer;
+}
+
+wire::renew_answer control_node::renew(const wire::renew_request& request) {
+    return wait_for<wire::renew_answer>([this, request](auto answer) { start_renewal(request, answer); });
+}
+
+wire::propose_answer control_node::propose(const wire::propose_request& request) {
+    const auto urgency = get_urgency(request.proposed());
+    return wait_for<wire::propose_answer>(
+        [this, urgency, payload = request.proposed().SerializeAsString()](auto answer) {
+            m_proposals.add(payload, urgency, std::move(answer));
+        });
+}
+
+wire::propose_batch_answer control_node::propose_batch(const wire::propose_batch_request& request) {
+    const auto batch = std::make_shared<batch_in_progress>();
+    for (const auto& command : request.commands()) {
+        batch->payloads.push_back(command.SerializeAsString());
+        batch->are_events.push_back(command.has_event());
+        batch->urgency = std::min(batch->urgency, get_urgency(command)); // `at_once` is the lower one
+        batch->answer.add_answers();
+    }
+    batch->left = batch->payloads.size();
+    if (batch->left == 0) {
+        return {};
+    }
+    return wait_for<wire::propose_batch_answer>([this, batch](const auto& answer) {
+        for (std::size_t place = 0; place < batch->payloads.size(); ++place) {
+            const auto take = [batch, place, answer](const wire::propose_answer& one) {
+                batch->take(place, one);
+                if (--batch->left == 0) {
+                    answer(batch->answer);
+                }
+            };
+            m_proposals.add(std::move(batch->payloads[place]), batch->urgency, take);
+        }
+    });
+}
+
+wire::query_answer control_node::query(const wire::query_request& request) {
+    return wait_for<wire::query_answer>(
+        [this, request](auto answer) { start_query(request, std::move(answer)); });
+}
+
+wire::member_answer control_node::change_members(const wire::member_request& request) {
+    return wait_for<wire::member_answer>(
+        [this, request](auto answer) { answer(start_member_change(request)); });
+}
+
+void control_node::resign() {
+    constexpr int tries = 20;
+    constexpr auto pause = absl::Milliseconds(50);
+    for (int attempt = 0; attempt < tries; ++attempt) {
+        const auto is_leader = wait_for<bool>([this](auto answer) {
+            const bool leads =
+                m_node->get_role() == raft_role::leader && m_node->get_membership().voters.size() > 1;
+            if (leads) {
+                static_cast<void>(
+                    m_node->transfer_leadership(0, m_clock.now())); // refused while one is under way
+            }
+            answer(leads);
+        });
+        if (!is_leader) {
+            return;
+        }
+        absl::SleepFor(pause);
+    }
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/entry/task_agent.h
+++ b/poplarpitch/entry/task_agent.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/entry/announcement.h"
 #include "poplarpitch/entry/owned_fleet.h"
 #include "poplarpitch/entry/task_action.h"
+#include "poplarpitch/entry/task_agent_settings.h"
 #include "poplarpitch/policy/eviction_budget.h"
 #include "poplarpitch/wire/poplarpitch.pb.h"
 
@@ -18,7 +19,7 @@
 class task_agent {
 public:
     /// Precondition: `fleet` outlives the agent.
-    explicit task_agent(owned_fleet& fleet);
+    explicit task_agent(owned_fleet& fleet, const task_agent_settings& settings = {});
 
     /// Takes the jobs of a renewal; with `is_complete` the ids are all there are on owned workers.
     void take_jobs(const wire::renew_answer& answer, time_point now);
@@ -62,6 +63,7 @@
     double get_growth(owned_worker& worker, const owned_task& task);
 
     owned_fleet& m_fleet;
+    const task_agent_settings m_settings;
     eviction_budget m_budget;
     std::vector<task_action> m_orphans; ///< stops of tasks that nobody waits for
     std::vector<wire::usage_sample> m_usage;
--- /dev/null
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -0,0 +1,255 @@
+// What happens to tasks, told by workers or by their silence, on its way into the log.
+#include "poplarpitch/entry/task_agent.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+wire::usage_sample make_usage(const owned_task& task, const task_report& report) {
+    wire::usage_sample sample;
+    sample.set_tenant(task.tenant);
+    sample.set_batch(task.batch);
+    sample.set_millicores_ratio(report.cores_ratio);
+    sample.set_memory_ratio(report.memory_ratio);
+    sample.set_run_time_ratio(report.time_ratio);
+    return sample;
+}
+
+} // namespace
+
+wire::command task_agent::make_event(const owned_task& task, const std::string& worker,
+                                     wire::job_event_kind kind, const std::string& detail,
+                                     std::int64_t wall_ms) {
+    wire::command command;
+    auto& event = *command.mutable_event();
+    event.set_job(task.job);
+    event.set_attempt(task.attempt);
+    event.set_kind(kind);
+    event.set_detail(detail);
+    event.set_worker(worker);
+    event.set_at_ms(wall_ms);
+    return command;
+}
+
+std::vector<wire::command> task_agent::get_events(time_point now, duration silence, std::int64_t wall_ms) {
+    std::vector<wire::command> events;
+    for (auto& [id, worker] : m_fleet.get_workers()) {
+        if (!worker.is_silent && now - worker.last_heard > silence) {
+            // From here on no lease is renewed; only then may anybody count on its end.
+            worker.is_silent = true;
+            worker.ledger.set_open(false);
+            m_fleet.refresh(worker, now);
+            wire::command mark;
+            mark.mutable_mark()->set_worker(id);
+            mark.mutable_mark()->set_epoch(worker.epoch);
+            mark.mutable_mark()->set_silent(true);
+            events.push_back(std::move(mark));
+        }
+        for (auto& [job, task] : worker.tasks) {
+            const bool is_due = now - task.since >= m_settings.resend_after;
+            if (task.phase == task_phase::to_start &&
+                (worker.is_leaving || now - task.since > m_settings.room_wait)) {
+                events.push_back(make_event(task, id, wire::event_refused, "no room on the worker", wall_ms));
+            } else if (worker.is_silent && task.phase != task_phase::ended && !task.is_lost_in_log &&
+                       is_due) {
+                // One that was never sent is not lost; it is given back.
+                const bool is_unsent = task.phase == task_phase::to_start;
+                events.push_back(make_event(task, id, is_unsent ? wire::event_refused : wire::event_lost,
+                                            "its worker is silent", wall_ms));
+                task.since = now;
+            }
+        }
+    }
+    return events;
+}
+
+std::vector<wire::command> task_agent::on_start_answered(const task_action& action, start_result answer,
+                                                         time_point now, std::int64_t wall_ms) {
+    auto* worker = m_fleet.find(action.worker);
+    if (worker == nullptr || worker->epoch != action.epoch) {
+        return {};
+    }
+    const auto found = worker->tasks.find(action.task.job);
+    if (found == worker->tasks.end() || found->second.attempt != action.task.attempt) {
+        return {};
+    }
+    auto& task = found->second;
+    if (answer == start_result::unknown) {
+        task.is_maybe_sent = true;
+        return {}; // stays `starting` and is sent again
+    }
+    if (answer == start_result::stale_epoch && task.is_maybe_sent) {
+        return {};
+    }
+    if (answer == start_result::other_process && task.is_maybe_sent) {
+        return {make_event(task, action.worker, wire::event_lost, "its worker was restarted", wall_ms)};
+    }
+    if (answer != start_result::started) {
+        m_fleet.end_task(*worker, task);
+        task.phase = task_phase::ended;
+        return {make_event(task, action.worker, wire::event_refused, "the worker refused it", wall_ms)};
+    }
+    if (task.phase == task_phase::starting) {
+        task.phase = task_phase::running;
+        task.since = now;
+    }
+    return {make_event(task, action.worker, wire::event_started, "", wall_ms)};
+}
+
+std::vector<task_agent::reported_event> task_agent::on_announced(const announcement& told, time_point now,
+                                                                 std::int64_t wall_ms) {
+    std::vector<reported_event> events;
+    auto* worker = m_fleet.find(told.id);
+    if (worker == nullptr) {
+        return events;
+    }
+    for (const auto& running : told.tasks) {
+        const auto found = worker->tasks.find(running.job);
+        if (found != worker->tasks.end() && found->second.attempt == running.attempt) {
+            found->second.unsaved = running.unsaved;
+        } else if (told.epoch == worker->epoch) {
+            // The log has moved the job on, so nobody waits for this run of it.
+            task_action stop;
+            stop.verb = task_verb::stop;
+            stop.worker = worker->id;
+            stop.address = worker->address;
+            stop.epoch = worker->epoch;
+            stop.task.job = running.job;
+            stop.task.attempt = running.attempt;
+            m_orphans.push_back(std::move(stop));
+        }
+    }
+    for (const auto& report : told.reports) {
+        owned_task task; // the log decides by job and attempt; the task may be unknown here
+        task.job = report.job;
+        task.attempt = report.attempt;
+        const auto found = worker->tasks.find(report.job);
+        if (found != worker->tasks.end() && found->second.attempt == report.attempt) {
+            task = found->second;
+        }
+        auto kind = wire::event_checkpointed;
+        if (report.kind == "finished") {
+            kind = wire::event_finished;
+        } else if (report.kind == "failed") {
+            kind = wire::event_failed;
+        } else if (report.kind == "evicted") {
+            kind = wire::event_evicted;
+        } else if (report.kind == "stopped") {
+            kind = wire::event_stopped;
+        }
+        reported_event event{report.number, make_event(task, told.id, kind, report.detail, wall_ms)};
+        event.command.mutable_event()->set_checkpoint(report.checkpoint);
+        events.push_back(std::move(event));
+        if (kind == wire::event_finished && !task.batch.empty()) {
+            m_usage.push_back(make_usage(task, report));
+        }
+    }
+    if (told.is_complete && told.epoch == worker->epoch) {
+        check_unseen(*worker, told, now, wall_ms, events);
+    }
+    return events;
+}
+
+void task_agent::check_unseen(owned_worker& worker, const announcement& told, time_point now,
+                              std::int64_t wall_ms, std::vector<reported_event>& events) {
+    const auto lists = [&](const owned_task& task) {
+        return std::any_of(told.tasks.begin(), told.tasks.end(), [&](const running_task& running) {
+            return running.job == task.job && running.attempt == task.attempt;
+        });
+    };
+    const auto reports = [&](const owned_task& task) {
+        return std::any_of(told.reports.begin(), told.reports.end(), [&](const task_report& report) {
+            return report.job == task.job && report.attempt == task.attempt && report.kind != "checkpointed";
+        });
+    };
+    for (auto& [job, task] : worker.tasks) {
+        if (task.phase == task_phase::to_start || task.phase == task_phase::starting ||
+            task.phase == task_phase::ended || reports(task)) {
+            continue;
+        }
+        if (lists(task)) {
+            if (task.phase == task_phase::unseen) {
+                events.push_back({0, make_event(task, told.id, wire::event_started, "", wall_ms)});
+            }
+            continue;
+        }
+        const bool is_same_process = task.incarnation == told.incarnation;
+        if (!task.is_running_in_log && is_same_process) {
+            // Assigned under an older epoch, which the worker refuses by now, and never started there.
+            events.push_back({0, make_event(task, told.id, wire::event_absent, "", wall_ms)});
+        } else if (!is_same_process || now - task.since > m_settings.missing_wait) {
+            const auto* reason = is_same_process ? "its worker does not know it" : "its worker was restarted";
+            events.push_back({0, make_event(task, told.id, wire::event_lost, reason, wall_ms)});
+        }
+    }
+}
+
+void task_agent::on_event_committed(const std::string& worker, const wire::job_event& event) {
+    auto* owner = m_fleet.find(worker);
+    if (owner == nullptr) {
+        return;
+    }
+    const auto found = owner->tasks.find(event.job());
+    if (found == owner->tasks.end() || found->second.attempt != event.attempt()) {
+        return;
+    }
+    switch (event.kind()) {
+    case wire::event_finished:
+    case wire::event_failed:
+    case wire::event_evicted:
+    case wire::event_stopped:
+    case wire::event_refused:
+    case wire::event_absent:
+        m_fleet.end_task(*owner, found->second);
+        owner->tasks.erase(found);
+        break;
+    case wire::event_lost:
+        // It keeps its place until its lease is over and control takes it off the list.
+        found->second.is_lost_in_log = true;
+        break;
+    case wire::event_started:
+        found->second.is_running_in_log = true;
+        found->second.is_lost_in_log = false;
+        if (found->second.phase == task_phase::unseen) {
+            found->second.phase = task_phase::running;
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+bool task_agent::may_renew(const owned_worker& worker) const {
+    return !worker.is_silent && std::none_of(worker.tasks.begin(), worker.tasks.end(), [](const auto& item) {
+        return item.second.phase == task_phase::unseen;
+    });
+}
+
+void task_agent::revive(owned_worker& worker, time_point now) {
+    worker.is_silent = false;
+    worker.last_heard = now;
+    worker.ledger.set_open(false);
+    for (auto& [job, task] : worker.tasks) {
+        if (task.phase != task_phase::to_start) {
+            m_fleet.adopt_task(worker, task);
+            task.phase = task_phase::unseen;
+            task.since = now;
+        }
+    }
+    m_fleet.refresh(worker, now);
+}
+
+std::vector<wire::usage_sample> task_agent::take_usage() {
+    return std::exchange(m_usage, {});
+}
+
+void task_agent::return_usage(const std::vector<wire::usage_sample>& samples) {
+    constexpr std::size_t most_kept = 1000; // without control for long, the newest say enough
+    m_usage.insert(m_usage.end(), samples.begin(), samples.end());
+    if (m_usage.size() > most_kept) {
+        m_usage.erase(m_usage.begin(), m_usage.end() - most_kept);
+    }
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/transport/http_client_pool.cpp
+++ b/poplarpitch/transport/http_client_pool.cpp
@@ -1,6 +1,7 @@
 #include "poplarpitch/transport/http_client_pool.h"
 
 #include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/transport/connection_headers.h"
 #include "poplarpitch/transport/http_cancel.h"
 #include "poplarpitch/transport/transport_error.h"
 
@@ -11,11 +12,6 @@
 namespace poplarpitch {
 namespace {
 
-bool is_own_header(const std::string& name) {
-    return name == "Content-Length" || name == "Content-Type" || name == "Transfer-Encoding" ||
-           name == "Connection" || name == "Keep-Alive";
-}
-
 exchange_progress get_progress(httplib::Error error) {
     switch (error) {
     case httplib::Error::Success:
@@ -117,7 +113,7 @@
     outgoing.path = request.target;
     outgoing.body = request.body;
     for (const auto& header : request.headers.get_all()) {
-        if (!is_own_header(header.name)) {
+        if (!is_connection_header(header.name)) {
             outgoing.headers.emplace(header.name, header.value);
         }
     }
@@ -158,7 +154,7 @@
     exchange.response.body = std::move(body);
     exchange.response.content_type = answer->get_header_value("Content-Type");
     for (const auto& [name, value] : answer->headers) {
-        if (!is_own_header(name)) {
+        if (!is_connection_header(name)) {
             exchange.response.headers.add(name, value);
         }
     }
--- a/poplarpitch/transport/http_server.cpp
+++ b/poplarpitch/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/transport/http_server.h"
 
+#include "poplarpitch/transport/connection_headers.h"
 #include "poplarpitch/transport/growing_task_queue.h"
 #include "poplarpitch/transport/transport_error.h"
 
@@ -25,12 +26,6 @@
     growing_task_queue m_threads;
 };
 
-bool is_hop_header(const std::string& name) {
-    return name == "Content-Length" || name == "Transfer-Encoding" || name == "Connection" ||
-           name == "Content-Type" || name == "Keep-Alive" || name == "REMOTE_ADDR" || name == "REMOTE_PORT" ||
-           name == "LOCAL_ADDR" || name == "LOCAL_PORT";
-}
-
 http_request read_request(const httplib::Request& source) {
     http_request request;
     request.method = source.method;
@@ -45,7 +40,7 @@
 void write_response(const http_response& source, httplib::Response& target) {
     target.status = source.status;
     for (const auto& header : source.headers.get_all()) {
-        if (!is_hop_header(header.name)) {
+        if (!is_connection_header(header.name)) {
             target.set_header(header.name, header.value);
         }
     }
