Pass on no framing header of a caller, in whatever case it was sent

A caller's `transfer-encoding: chunked` went along with a body that cpp-httplib had put together and framed anew; the target then waited for chunks and answered 400 after 10 s. `content-length` could contradict the body.

--- a/poplarpitch/transport/connection_headers.h
+++ b/poplarpitch/transport/connection_headers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <string>
+#include <string_view>
 
 namespace poplarpitch {
 
--- a/unit_tests/transport/http_test.cpp
+++ b/unit_tests/transport/http_test.cpp
@@ -66,6 +66,26 @@
     EXPECT_EQ(exchange.response.headers.get("x-own"), "v");
 }
 
+// A caller's framing headers, in whatever case, belong to the caller's connection: passed on, they would make
+// the target read another body than was sent.
+TEST_F(http_test, framing_headers_of_the_caller_are_not_passed_on) {
+    start([](const http_request& request) {
+        auto response = echo(request);
+        response.headers.add("X-Seen", request.headers.get("te") + request.headers.get("expect"));
+        return response;
+    });
+    auto request = make_post("/", "whole");
+    request.headers.add("transfer-encoding", "chunked");
+    request.headers.add("content-length", "3");
+    request.headers.add("TE", "trailers");
+    request.headers.add("expect", "100-continue");
+    request.headers.add("content-type", "text/plain");
+    const auto exchange = send(request);
+    ASSERT_EQ(exchange.progress, exchange_progress::answered);
+    EXPECT_EQ(exchange.response.body, "/|whole");
+    EXPECT_EQ(exchange.response.headers.get("X-Seen"), "");
+}
+
 TEST_F(http_test, refuses_a_body_above_the_bound) {
     http_server_settings settings;
     settings.max_body = 1000;
