Bound job records in bytes, drop payloads of done jobs, bound what reports leave in the log

A record may carry 64 KB of payload and 200,000 records were allowed: one tenant could fill control instances of 32 MB with 500 jobs. Done and cancelled jobs kept payload and checkpoint until they expired. A worker's report could put up to 8 MB of detail or checkpoint into the log.

Change: max_job_bytes (32 MB, the same on all instances) refuses a submission with jobs_full (429); finish drops payload, checkpoint and failed workers of done and cancelled jobs, parked, failed and unknown ones keep them for a rerun; detail has at most 4 KB and checkpoint 64 KB, else the announcement is refused with the field's name.

Tests: bytes are checked against the sum of the records after every step of the random world of jobs; each bound and the rerun of a parked job have one.

--- a/poplarpitch/entry/announcement_codec.cpp
+++ b/poplarpitch/entry/announcement_codec.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t max_name = 128;
 constexpr std::size_t max_list = 100'000;
+constexpr std::size_t max_detail = 4096;         // bytes; it stays in the job's record
+constexpr std::size_t max_checkpoint = 64 << 10; // bytes, as for payloads
 constexpr std::int64_t max_amount = 1LL << 50;
 constexpr std::int64_t max_number = 1LL << 62;
 
@@ -94,7 +96,7 @@
     return *found;
 }
 
-std::string read_text(const json& object, const char* key) {
+std::string read_text(const json& object, const char* key, std::size_t limit = max_name) {
     const auto found = object.find(key);
     if (found == object.end()) {
         return {};
@@ -102,7 +104,11 @@
     if (!found->is_string()) {
         throw bad_field(std::string("'") + key + "' must be a text");
     }
-    return found->get<std::string>();
+    auto text = found->get<std::string>();
+    if (text.size() > limit) {
+        throw bad_field(std::string("'") + key + "' has more than " + std::to_string(limit) + " bytes");
+    }
+    return text;
 }
 
 resources read_resources(const json& object, const char* key) {
@@ -134,8 +140,8 @@
     if (!kinds.contains(report.kind)) {
         throw bad_field("unknown kind of report '" + report.kind + "'");
     }
-    report.detail = read_text(item, "detail");
-    report.checkpoint = read_text(item, "checkpoint");
+    report.detail = read_text(item, "detail", max_detail);
+    report.checkpoint = read_text(item, "checkpoint", max_checkpoint);
     report.cores_ratio = read_ratio(item, "cores_ratio");
     report.memory_ratio = read_ratio(item, "memory_ratio");
     report.time_ratio = read_ratio(item, "time_ratio");
--- a/poplarpitch/entry/operator_answers.cpp
+++ b/poplarpitch/entry/operator_answers.cpp
@@ -39,6 +39,7 @@
     case state_errc::unknown_intent:
         return 404;
     case state_errc::over_quota:
+    case state_errc::jobs_full:
         return 429;
     case state_errc::unknown_tenant:
     case state_errc::unknown_batch:
@@ -59,6 +60,8 @@
         return "unknown_job";
     case state_errc::over_quota:
         return "over_quota";
+    case state_errc::jobs_full:
+        return "jobs_full";
     case state_errc::conflicting_job:
         return "conflicting_job";
     case state_errc::never_fits:
--- a/poplarpitch/state/job_table.cpp
+++ b/poplarpitch/state/job_table.cpp
@@ -14,7 +14,8 @@
     return state == wire::job_assigned || state == wire::job_running;
 }
 
-job_table::job_table(const state_rules& rules, std::size_t max_jobs) : m_rules(rules), m_max_jobs(max_jobs) {}
+job_table::job_table(const state_rules& rules, std::size_t max_jobs, std::size_t max_bytes)
+    : m_rules(rules), m_max_jobs(max_jobs), m_max_bytes(max_bytes) {}
 
 // ---- indexes
 
@@ -96,7 +97,9 @@
 
 void job_table::store(job_node& node, wire::job& record, log_index index) {
     record.set_changed_index(index);
+    m_bytes -= node.second.get_bytes().size();
     node.second.pack(record);
+    m_bytes += node.second.get_bytes().size();
     link(node, record);
 }
 
@@ -108,9 +111,12 @@
         const bool is_same = existing->request_hash() == submitted.request_hash();
         return is_same ? std::error_code{} : make_error_code(state_errc::conflicting_job);
     }
-    if (get_usage(submitted.tenant()).open_jobs >= tenant_limit || m_jobs.size() >= m_max_jobs) {
+    if (get_usage(submitted.tenant()).open_jobs >= tenant_limit) {
         return state_errc::over_quota;
     }
+    if (m_jobs.size() >= m_max_jobs || m_bytes + submitted.ByteSizeLong() > m_max_bytes) {
+        return state_errc::jobs_full;
+    }
     auto record = submitted;
     record.set_state(wire::job_queued);
     record.set_attempt(0);
@@ -265,6 +271,11 @@
     record.set_state(state);
     record.set_lost(false);
     record.set_ended_ms(at_ms);
+    if (state == wire::job_done || state == wire::job_cancelled) {
+        record.clear_payload(); // nothing runs it again; parked, failed and unknown ones may be rerun
+        record.clear_checkpoint();
+        record.clear_failed_workers();
+    }
     if (!reason.empty()) {
         record.set_reason(reason);
     }
@@ -320,12 +331,14 @@
     while (!m_ended.empty() && m_ended.begin()->at_ms < before_ms) {
         const auto* node = m_ended.begin()->node;
         unlink(*node, node->second.unpack());
+        m_bytes -= node->second.get_bytes().size();
         m_jobs.erase(m_jobs.find(node->first));
     }
 }
 
 void job_table::restore(const wire::job& record) {
     const auto added = m_jobs.emplace(record.id(), packed_job(record)).first;
+    m_bytes += added->second.get_bytes().size();
     link(*added, record);
 }
 
--- a/poplarpitch/state/job_table.h
+++ b/poplarpitch/state/job_table.h
@@ -45,7 +45,8 @@
 /// Thread safety: none, as for all methods; replicas apply the same calls in the same order.
 class job_table {
 public:
-    explicit job_table(const state_rules& rules, std::size_t max_jobs);
+    /// At most `max_jobs` records of together `max_bytes` bytes are taken in.
+    job_table(const state_rules& rules, std::size_t max_jobs, std::size_t max_bytes);
     job_table(const job_table&) = delete; // the indexes point into the table
     job_table& operator=(const job_table&) = delete;
     job_table(job_table&&) = default;
@@ -93,6 +94,8 @@
     [[nodiscard]] std::size_t get_queued_count() const { return m_queued_count; }
     [[nodiscard]] std::size_t get_active_count() const { return m_active_count; }
     [[nodiscard]] std::size_t get_count() const { return m_jobs.size(); }
+    /// Returns the bytes of all records.
+    [[nodiscard]] std::size_t get_bytes() const { return m_bytes; }
 
     /// Puts a job of a snapshot in place. Precondition: its id is not here.
     void restore(const wire::job& record);
@@ -145,6 +148,8 @@
 
     state_rules m_rules;
     std::size_t m_max_jobs;
+    std::size_t m_max_bytes;
+    std::size_t m_bytes = 0;                                            ///< of all records
     absl::node_hash_map<std::string, packed_job> m_jobs;                ///< by id
     absl::btree_map<std::string, absl::btree_set<timed_node>> m_queued; ///< by tenant, by time of submission
     std::size_t m_queued_count = 0;
--- a/poplarpitch/state/state_error.cpp
+++ b/poplarpitch/state/state_error.cpp
@@ -49,6 +49,8 @@
             return "no worker could ever hold the job";
         case state_errc::address_taken:
             return "another target uses this id";
+        case state_errc::jobs_full:
+            return "the records of all jobs take all the room there is; come back when some have ended";
         }
         return "unknown error";
     }
--- a/poplarpitch/state/state_error.h
+++ b/poplarpitch/state/state_error.h
@@ -25,6 +25,7 @@
     malformed = 17,     ///< the command could not be read
     never_fits = 18,    ///< no worker could hold the job
     address_taken = 19, ///< another target announced this id from another address and is alive
+    jobs_full = 20,     ///< the records of all jobs take all the room there is
 };
 
 /// Returns the error category of the replicated state. Thread safety: any thread.
--- a/poplarpitch/state/state_machine.cpp
+++ b/poplarpitch/state/state_machine.cpp
@@ -21,7 +21,8 @@
 
 state_machine::state_machine(const state_settings& settings, const state_rules& rules)
     : m_settings(settings), m_rules(rules), m_configs(rules, settings), m_fleet(rules),
-      m_jobs(rules, settings.max_jobs), m_intents(rules, settings.max_intents, settings.max_intent_body) {}
+      m_jobs(rules, settings.max_jobs, settings.max_job_bytes),
+      m_intents(rules, settings.max_intents, settings.max_intent_body) {}
 
 wire::command_result state_machine::apply_bytes(log_index index, std::string_view payload) {
     wire::command command;
@@ -206,7 +207,7 @@
     }
     m_configs.load(snapshot);
     m_fleet.load(snapshot);
-    m_jobs = job_table(m_rules, m_settings.max_jobs);
+    m_jobs = job_table(m_rules, m_settings.max_jobs, m_settings.max_job_bytes);
     for (const auto& record : snapshot.jobs()) {
         m_jobs.restore(record);
     }
--- a/poplarpitch/state/state_settings.h
+++ b/poplarpitch/state/state_settings.h
@@ -12,6 +12,8 @@
     std::size_t max_intents = 50000;     ///< idempotency keys remembered
     std::size_t max_intent_body = 16384; ///< bytes of a recorded answer; a larger one is not recorded
     std::size_t max_jobs = 200000;       ///< job records kept
+    std::size_t max_job_bytes =
+        32 << 20; ///< of all job records: payloads may have 64 KB each, instances are small
 
     friend auto operator<=>(const state_settings&, const state_settings&) = default;
 };
--- a/unit_tests/entry/codecs_test.cpp
+++ b/unit_tests/entry/codecs_test.cpp
@@ -35,6 +35,18 @@
     EXPECT_EQ(std::get<announcement>(decoded), told);
 }
 
+TEST(announcement_codec, bounds_what_a_report_leaves_in_the_log) {
+    const auto make = [](const std::string& key, std::size_t size) {
+        return R"({"id":"w","address":"a:1","reports":[{"number":1,"job":"j","kind":"finished",")" + key +
+               R"(":")" + std::string(size, 'x') + R"("}]})";
+    };
+    EXPECT_EQ(announcement_error(make("detail", 4096)), "");
+    EXPECT_NE(announcement_error(make("detail", 4097)).find("'detail' has more than 4096"),
+              std::string::npos);
+    EXPECT_EQ(announcement_error(make("checkpoint", 65536)), "");
+    EXPECT_NE(announcement_error(make("checkpoint", 65537)).find("'checkpoint'"), std::string::npos);
+}
+
 TEST(announcement_codec, refuses_lies_with_a_reason) {
     EXPECT_NE(announcement_error("{"), "");
     EXPECT_NE(announcement_error("[]"), "");
--- a/unit_tests/state/job_table_test.cpp
+++ b/unit_tests/state/job_table_test.cpp
@@ -37,7 +37,7 @@
         return m_table.take_event(event, 3, ++m_index);
     }
 
-    job_table m_table{{}, 1000};
+    job_table m_table{{}, 1000, 1 << 20};
     log_index m_index = 0;
 };
 
@@ -76,6 +76,50 @@
     EXPECT_EQ(m_table.get_queued_count(), 1U);
 }
 
+TEST_F(job_table_test, records_are_bounded_in_bytes_and_ended_ones_give_their_payload_back) {
+    job_table table({}, 1000, 10'000);
+    const auto submit = [&](const std::string& id) {
+        wire::job job;
+        job.set_id(id);
+        job.set_tenant("t");
+        job.set_payload(std::string(4000, 'p'));
+        return table.submit(job, 100, ++m_index);
+    };
+    EXPECT_FALSE(submit("a"));
+    EXPECT_FALSE(submit("b"));
+    EXPECT_EQ(submit("c"), make_error_code(state_errc::jobs_full));
+    EXPECT_FALSE(submit("a")); // it is there: the same answer as before
+    wire::cancel_job cancel;
+    cancel.set_job("a");
+    cancel.set_at_ms(5);
+    EXPECT_FALSE(table.cancel(cancel, ++m_index));
+    EXPECT_EQ(table.find("a")->payload(), "");
+    EXPECT_FALSE(submit("c"));
+    table.expire(6);
+    EXPECT_EQ(table.get_count(), 2U);
+    EXPECT_GT(table.get_bytes(), 8000U);
+    EXPECT_LT(table.get_bytes(), 8200U);
+}
+
+TEST_F(job_table_test, parked_job_keeps_its_payload_for_a_rerun) {
+    wire::job job;
+    job.set_id("a");
+    job.set_tenant("t");
+    job.set_payload("work");
+    EXPECT_FALSE(m_table.submit(job, 100, ++m_index));
+    EXPECT_FALSE(tell("a", wire::event_unplaceable));
+    EXPECT_EQ(m_table.find("a")->state(), wire::job_parked);
+    EXPECT_EQ(m_table.find("a")->payload(), "work");
+    wire::resolve_job resolve;
+    resolve.set_job("a");
+    resolve.set_action(wire::resolve_rerun);
+    EXPECT_FALSE(m_table.resolve(resolve, ++m_index));
+    assign("a");
+    tell("a", wire::event_started);
+    tell("a", wire::event_finished);
+    EXPECT_EQ(m_table.find("a")->payload(), "");
+}
+
 TEST_F(job_table_test, lost_job_waits_for_its_lease) {
     add("a");
     assign("a");
--- a/unit_tests/state/job_world.cpp
+++ b/unit_tests/state/job_world.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-job_world::job_world(const state_rules& rules, std::uint64_t seed) : m_random(seed), m_table(rules, 1000) {}
+job_world::job_world(const state_rules& rules, std::uint64_t seed)
+    : m_random(seed), m_table(rules, 1000, 1 << 20) {}
 
 std::optional<wire::job> job_world::any_job() {
     if (m_submitted == 0) {
@@ -190,6 +191,11 @@
             ++sums[job.worker()].tasks_by_tenant[job.tenant()];
         }
     });
+    std::size_t bytes = 0;
+    m_table.for_each_packed([&](std::string_view record) { bytes += record.size(); });
+    if (bytes != m_table.get_bytes()) {
+        m_violation = "the bytes of the table are not the sum of its records";
+    }
     for (int number = 0; number < workers; ++number) {
         const auto worker = "worker-" + std::to_string(number);
         const auto* claims = m_table.find_claims(worker);
