Let nobody wait longer than five seconds for a batch of events

Cause: read again with control gone in mind: commit waited for its turn without an end of its own, behind calls of which each may take two seconds, so a user's submission could hang for half a minute where it used to be told after five seconds. Change: commit_wait, after which the answer is timed_out (504: ask again with the same id), as before the batches. Test: caller_waits_no_longer_than_it_was_told.

--- a/poplarpitch/entry/event_batcher.h
+++ b/poplarpitch/entry/event_batcher.h
@@ -67,7 +67,8 @@
         done(make_error_code(transport_errc::unreachable));
     }
 
-    /// Queues events and waits for what became of them.
+    /// Queues events and waits for what became of them, at most for the settings' `commit_wait`: then they
+    /// may yet be committed.
     outcome commit(std::vector<wire::command>&& events, batch_pace pace = batch_pace::gather) {
         const auto slot = std::make_shared<answer_slot>();
         const auto take = [slot](const outcome& answer) {
@@ -75,7 +76,10 @@
             slot->ready.Notify();
         };
         post(std::move(events), take, pace);
-        slot->ready.WaitForNotification(); // each call has a timeout, so this ends
+        // Without control others wait in front, each for its own timeout.
+        if (!slot->ready.WaitForNotificationWithTimeout(absl::Nanoseconds(m_settings.commit_wait.count()))) {
+            return make_error_code(transport_errc::timed_out);
+        }
         return slot->answer;
     }
 
--- a/poplarpitch/entry/event_batcher_settings.h
+++ b/poplarpitch/entry/event_batcher_settings.h
@@ -12,6 +12,7 @@
     duration interval =
         milliseconds{100}; ///< least time between two calls; the first after a rest goes at once
     duration commit_timeout = seconds{2}; ///< of one call; its events are told again by whoever raised them
+    duration commit_wait = seconds{5};    ///< longest that a caller of `commit` waits
     std::size_t max_batch = 256;          ///< events of one call; that many go without waiting
     std::size_t max_waiting = 4096;       ///< events that wait; more are refused: without control they add up
 
--- a/unit_tests/entry/event_batcher_test.cpp
+++ b/unit_tests/entry/event_batcher_test.cpp
@@ -14,6 +14,9 @@
 public:
     result<std::vector<wire::command_result>> propose_batch(const std::vector<wire::command>& commands,
                                                             time_point /*deadline*/) {
+        if (gate != nullptr) {
+            gate->WaitForNotification();
+        }
         const absl::MutexLock lock(&m_mutex);
         m_calls.push_back(commands.size());
         if (m_is_gone) {
@@ -31,6 +34,8 @@
         return m_calls;
     }
 
+    absl::Notification* gate = nullptr; ///< calls wait for it; set before the first
+
     void go() {
         const absl::MutexLock lock(&m_mutex);
         m_is_gone = true;
@@ -125,5 +130,18 @@
     EXPECT_EQ(refused, 1);
 }
 
+TEST(event_batcher, caller_waits_no_longer_than_it_was_told) {
+    absl::Notification gate;
+    fake_control control;
+    control.gate = &gate;
+    auto settings = make_settings(100);
+    settings.commit_wait = milliseconds{1};
+    batcher events(control, settings);
+    EXPECT_EQ(events.commit(make_events(1, 1)).error(), make_error_code(transport_errc::timed_out));
+    gate.Notify();
+    events.finish();
+    EXPECT_EQ(control.get_calls(), (std::vector<std::size_t>{1})); // it was committed all the same
+}
+
 } // namespace
 } // namespace poplarpitch
