--- a/performance_test/placement_decisions.cpp
+++ b/performance_test/placement_decisions.cpp
@@ -6,7 +6,7 @@
 #include "poplarpitch/policy/cost_placer.h"
 #include "poplarpitch/policy/eviction_budget.h"
 #include "poplarpitch/policy/eviction_candidate.h"
-#include "poplarpitch/policy/probe_timer.h"
+#include "poplarpitch/policy/probing_pick.h"
 #include "poplarpitch/policy/relief_ladder.h"
 #include "poplarpitch/policy/usage_model.h"
 
@@ -142,17 +142,10 @@
             auto task = m_queue.front();
             task.reserved = get_reservation(task);
             const auto millicores = static_cast<std::int64_t>(task.reserved * 1000);
-            placement_request request{{0, millicores, 0, 0}, task.batch, 30, false};
+            const placement_request request{{0, millicores, 0, 0}, task.batch, 30, false};
             std::optional<std::size_t> picked;
             if (m_policy.is_own) {
-                picked = m_placer.pick(candidates, request, m_interference);
-                if (!picked.has_value() && m_probes.is_due(task.batch, get_now())) {
-                    request.is_probe = true;
-                    picked = m_placer.pick(candidates, request, m_interference);
-                    if (picked.has_value()) {
-                        m_probes.on_probed(task.batch, get_now());
-                    }
-                }
+                picked = pick_or_probe(m_placer, candidates, request, m_interference, m_probes, get_now());
             } else if (m_policy.is_first_fit) {
                 picked = first_fit_placer{}.pick(candidates, request, m_interference);
             } else {
--- a/poplarpitch/control/control_daemon.cpp
+++ b/poplarpitch/control/control_daemon.cpp
@@ -114,15 +114,6 @@
     return answer;
 }
 
-/// Answers each command of a batch as one that was not taken.
-wire::propose_batch_answer make_batch_refusal(const wire::propose_batch_request& request) {
-    wire::propose_batch_answer answer;
-    for (int place = 0; place < request.commands_size(); ++place) {
-        answer.add_answers();
-    }
-    return answer;
-}
-
 http_response answer_health(const http_request& request, bool is_ready) {
     const auto path = request.get_path();
     if (path == "/healthz" || (path == "/readyz" && is_ready)) {
@@ -161,7 +152,7 @@
         return is_running ? node.propose(request) : wire::propose_answer{};
     };
     handler.on_propose_batch = [&](const wire::propose_batch_request& request) {
-        return is_running ? node.propose_batch(request) : make_batch_refusal(request);
+        return is_running ? node.propose_batch(request) : wire::propose_batch_answer{};
     };
     handler.on_query = [&](const wire::query_request& request) {
         return is_running ? node.query(request) : make_forming_answer(settings, is_blank);
--- a/poplarpitch/control/control_node_calls.cpp
+++ b/poplarpitch/control/control_node_calls.cpp
@@ -4,9 +4,9 @@
 
 #include "poplarpitch/control/query_answerer.h"
 #include "poplarpitch/control/renew_answerer.h"
+#include "poplarpitch/core/answer_slot.h"
 #include "poplarpitch/telemetry/log_event.h"
 
-#include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
 
 #include <algorithm>
@@ -15,13 +15,6 @@
 namespace poplarpitch {
 namespace {
 
-/// What a waiting caller and the control thread share; the caller may have gone when the answer comes.
-template <class Answer>
-struct answer_slot {
-    absl::Notification ready;
-    Answer answer{};
-};
-
 /// The commands of one batch; touched by the control thread alone once it is posted.
 struct batch_in_progress {
     std::vector<std::string> payloads;
@@ -177,17 +170,10 @@
 template <class Answer>
 Answer control_node::wait_for(std::function<void(std::function<void(const Answer&)>)> work) {
     const auto slot = std::make_shared<answer_slot<Answer>>();
-    const bool is_posted = m_loop.post([work = std::move(work), slot] {
-        work([slot](const Answer& answer) {
-            slot->answer = answer;
-            slot->ready.Notify();
-        });
-    });
-    constexpr auto longest_wait = absl::Seconds(10); // callers have shorter deadlines of their own
-    if (!is_posted || !slot->ready.WaitForNotificationWithTimeout(longest_wait)) {
-        return {};
-    }
-    return slot->answer;
+    const bool is_posted = m_loop.post(
+        [work = std::move(work), slot] { work([slot](const Answer& answer) { slot->give(answer); }); });
+    constexpr duration longest_wait = seconds{10}; // callers have shorter deadlines of their own
+    return is_posted ? slot->wait_for(longest_wait).value_or(Answer{}) : Answer{};
 }
 
 wire::renew_answer control_node::renew(const wire::renew_request& request) {
@@ -197,8 +183,8 @@
 wire::propose_answer control_node::propose(const wire::propose_request& request) {
     const auto urgency = get_urgency(request.proposed());
     return wait_for<wire::propose_answer>(
-        [this, urgency, payload = request.proposed().SerializeAsString()](auto answer) {
-            m_proposals.add(payload, urgency, std::move(answer));
+        [this, urgency, payload = request.proposed().SerializeAsString()](auto answer) mutable {
+            m_proposals.add(std::move(payload), urgency, std::move(answer));
         });
 }
 
--- a/poplarpitch/control/data_folder_restorer.cpp
+++ b/poplarpitch/control/data_folder_restorer.cpp
@@ -2,27 +2,19 @@
 
 #include "poplarpitch/config/daemon_settings.h"
 #include "poplarpitch/control/cluster_former.h"
+#include "poplarpitch/core/text_file.h"
 #include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/state/snapshot_restorer.h"
 #include "poplarpitch/storage/posix_file_system.h"
 #include "poplarpitch/storage/raft_storage.h"
 #include "poplarpitch/telemetry/log_event.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace poplarpitch {
 namespace {
 
 constexpr int failed_code = 1;
 constexpr log_term first_term = 1; // the first election of the new cluster goes above it
 
-std::string read_bytes(const std::string& file) {
-    std::ostringstream bytes;
-    bytes << std::ifstream(file, std::ios::binary).rdbuf();
-    return bytes.str();
-}
-
 /// Returns false when the folder holds something already.
 result<bool> write_folder(const daemon_settings& settings, const restored_state& restored) {
     posix_file_system files(settings.data_folder);
@@ -49,7 +41,7 @@
     if (!get_founders(settings.control).is_voter(settings.node_id)) {
         return refuse("this node is no founder in its settings: restore the founders, then add it");
     }
-    const auto restored = restore_snapshot(read_bytes(backup_file), get_wall_ms());
+    const auto restored = restore_snapshot(read_text_file(backup_file).value_or(""), get_wall_ms());
     if (!restored.has_value()) {
         return refuse("the file cannot be read or is no backup");
     }
--- a/poplarpitch/control/job_scheduler.cpp
+++ b/poplarpitch/control/job_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/control/session_registry.h"
 #include "poplarpitch/policy/cost_placer.h"
+#include "poplarpitch/policy/probing_pick.h"
 #include "poplarpitch/state/amounts_codec.h"
 #include "poplarpitch/state/state_machine.h"
 
@@ -179,20 +180,6 @@
     });
 }
 
-std::optional<std::size_t> job_scheduler::pick(placement_request request, const state_machine& state,
-                                               time_point now) {
-    const cost_placer placer(state.get_configs().get_configuration()->objective);
-    auto picked = placer.pick(m_candidates, request, m_interference);
-    if (!picked.has_value() && m_probes.is_due(request.batch, now)) {
-        request.is_probe = true;
-        picked = placer.pick(m_candidates, request, m_interference);
-        if (picked.has_value()) {
-            m_probes.on_probed(request.batch, now);
-        }
-    }
-    return picked;
-}
-
 bool job_scheduler::place(const wire::job& job, const state_machine& state, time_point now,
                           std::vector<wire::command>& commands) {
     const auto request = make_request(job);
@@ -200,7 +187,8 @@
         return false;
     }
     mark_candidates(job);
-    const auto picked = pick(request, state, now);
+    const cost_placer placer(state.get_configs().get_configuration()->objective);
+    const auto picked = pick_or_probe(placer, m_candidates, request, m_interference, m_probes, now);
     if (!picked.has_value()) {
         if (job.failed_workers().empty()) { // else others may still find room where this one must not go
             m_missed.push_back({request.need, request.batch, request.is_urgent});
--- a/poplarpitch/control/job_scheduler.h
+++ b/poplarpitch/control/job_scheduler.h
@@ -10,7 +10,6 @@
 #include "poplarpitch/wire/poplarpitch.pb.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,8 +51,6 @@
     [[nodiscard]] bool is_hopeless(const placement_request& request) const;
     bool place(const wire::job& job, const state_machine& state, time_point now,
                std::vector<wire::command>& commands);
-    /// Returns the candidate for a task, as a probe where nothing else is left and one is due.
-    std::optional<std::size_t> pick(placement_request request, const state_machine& state, time_point now);
     void displace(const wire::job& urgent, const state_machine& state, time_point now,
                   std::vector<wire::command>& commands);
     [[nodiscard]] placement_request make_request(const wire::job& job);
--- a/poplarpitch/tools/text_file.cpp
+++ b/poplarpitch/core/text_file.cpp
@@ -1,4 +1,4 @@
-#include "poplarpitch/tools/text_file.h"
+#include "poplarpitch/core/text_file.h"
 
 #include <fstream>
 #include <iostream>
--- a/poplarpitch/entry/call_handler.cpp
+++ b/poplarpitch/entry/call_handler.cpp
@@ -40,10 +40,10 @@
     return outcome_unknown;
 }
 
-/// Headers that the entry itself sets or that speak of one connection only.
+/// Headers other than those that the entry itself sets. What speaks of one connection only is left out where
+/// connections are: see `is_connection_header`.
 bool is_passed_on(const std::string& name) {
-    return !absl::StartsWithIgnoreCase(name, "poplarpitch-") && !absl::EqualsIgnoreCase(name, "host") &&
-           !absl::EqualsIgnoreCase(name, "connection") && !absl::EqualsIgnoreCase(name, "keep-alive");
+    return !absl::StartsWithIgnoreCase(name, "poplarpitch-") && !absl::EqualsIgnoreCase(name, "host");
 }
 
 /// Copies the headers that callers and targets say to each other.
--- a/poplarpitch/entry/event_batcher.h
+++ b/poplarpitch/entry/event_batcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplarpitch/core/answer_slot.h"
 #include "poplarpitch/core/result.h"
 #include "poplarpitch/core/system_clock.h"
 #include "poplarpitch/entry/event_batcher_settings.h"
@@ -7,7 +8,6 @@
 #include "poplarpitch/wire/poplarpitch.pb.h"
 
 #include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
 
 #include <algorithm>
 #include <concepts>
@@ -70,17 +70,13 @@
     /// Queues events and waits for what became of them, at most for the settings' `commit_wait`: then they
     /// may yet be committed.
     outcome commit(std::vector<wire::command>&& events, batch_pace pace = batch_pace::gather) {
-        const auto slot = std::make_shared<answer_slot>();
+        const auto slot = std::make_shared<answer_slot<outcome>>();
         const auto take = [slot](const outcome& answer) {
-            slot->answer = answer;
-            slot->ready.Notify();
+            slot->give(answer);
         };
         post(std::move(events), take, pace);
         // Without control others wait in front, each for its own timeout.
-        if (!slot->ready.WaitForNotificationWithTimeout(absl::Nanoseconds(m_settings.commit_wait.count()))) {
-            return make_error_code(transport_errc::timed_out);
-        }
-        return slot->answer;
+        return slot->wait_for(m_settings.commit_wait).value_or(make_error_code(transport_errc::timed_out));
     }
 
     /// Sends what is queued, then ends the thread. Later events are refused.
@@ -95,10 +91,6 @@
     }
 
 private:
-    struct answer_slot {
-        absl::Notification ready;
-        outcome answer{make_error_code(transport_errc::unreachable)};
-    };
     struct group {
         std::vector<wire::command> events;
         callback done;
@@ -136,10 +128,10 @@
         return batch;
     }
 
-    void send(const std::vector<group>& batch) {
+    void send(std::vector<group>& batch) {
         std::vector<wire::command> events;
-        for (const auto& item : batch) {
-            events.insert(events.end(), item.events.begin(), item.events.end());
+        for (auto& item : batch) { // moved out one by one: each group still says how many it had
+            std::move(item.events.begin(), item.events.end(), std::back_inserter(events));
         }
         auto answer = m_control.propose_batch(events, m_clock.now() + m_settings.commit_timeout);
         std::size_t place = 0;
--- a/poplarpitch/stand_in/stand_in_worker.cpp
+++ b/poplarpitch/stand_in/stand_in_worker.cpp
@@ -382,7 +382,6 @@
             .add("worker", m_id)
             .add("reason", exchange.response.body);
     }
-    m_entries.drop(address);
     const absl::MutexLock lock(&m_mutex);
     m_owner_address.clear();
     ++m_next_entry;
--- a/poplarpitch/state/job_table.h
+++ b/poplarpitch/state/job_table.h
@@ -66,6 +66,8 @@
     /// Forgets jobs that ended before `before_ms`.
     void expire(std::int64_t before_ms);
 
+    /// Returns true when there is a job called `id`; cheaper than `find`, which reads its record.
+    [[nodiscard]] bool has(const std::string& id) const { return m_jobs.contains(id); }
     /// Returns the job called `id`, or nothing.
     [[nodiscard]] std::optional<wire::job> find(const std::string& id) const;
     /// Calls `visit` for every job, ordered by id.
--- a/poplarpitch/state/state_machine.cpp
+++ b/poplarpitch/state/state_machine.cpp
@@ -137,7 +137,7 @@
         error = state_errc::unknown_tenant;
     } else if (settings->find_batch(submitted.batch()) == nullptr) {
         error = state_errc::unknown_batch;
-    } else if (!m_jobs.find(submitted.id()).has_value() && !m_fleet.get_workers().empty() &&
+    } else if (!m_jobs.has(submitted.id()) && !m_fleet.get_workers().empty() &&
                !m_fleet.can_ever_hold(decode(submitted.need()))) {
         error = state_errc::never_fits;
     } else {
--- a/poplarpitch/tools/control_commands.cpp
+++ b/poplarpitch/tools/control_commands.cpp
@@ -2,7 +2,7 @@
 
 #include "poplarpitch/config/configuration_parser.h"
 #include "poplarpitch/core/system_clock.h"
-#include "poplarpitch/tools/text_file.h"
+#include "poplarpitch/core/text_file.h"
 #include "poplarpitch/wire/poplarpitch.pb.h"
 
 #include <absl/strings/match.h>
--- a/poplarpitch/tools/daemon_command_line.cpp
+++ b/poplarpitch/tools/daemon_command_line.cpp
@@ -1,6 +1,6 @@
 #include "poplarpitch/tools/daemon_command_line.h"
 
-#include "poplarpitch/tools/text_file.h"
+#include "poplarpitch/core/text_file.h"
 #include "poplarpitch/tools/version.h"
 
 #include <cxxopts.hpp>
--- a/programs/poplarpitch_stand_in.cpp
+++ b/programs/poplarpitch_stand_in.cpp
@@ -1,11 +1,11 @@
 #include "poplarpitch/core/process_settings.h"
 #include "poplarpitch/core/stop_signal.h"
+#include "poplarpitch/core/text_file.h"
 #include "poplarpitch/stand_in/run_record.h"
 #include "poplarpitch/stand_in/stand_in_settings.h"
 #include "poplarpitch/stand_in/stand_in_worker.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/telemetry/logging.h"
-#include "poplarpitch/tools/text_file.h"
 #include "poplarpitch/tools/version.h"
 
 #include <cxxopts.hpp>
