--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 // What becomes of jobs: opening, readiness, occurrences, ends.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -10,6 +11,7 @@
 namespace poplarpitch {
 namespace {
 
+constexpr duration report_interval = seconds{2}; // of the line that tells the load as a whole
 constexpr duration place_interval = milliseconds{100}; // while tasks wait; otherwise events ask for it
 
 } // namespace
@@ -171,7 +173,7 @@
         }
         return;
     case book_event::kind::run_refused: {
-        drop_track(event.run);
+        drop_track(event.run, now);
         const auto* task = m_book.find_task(event.run.task);
         if (task == nullptr || task->phase == task_phase::waiting) {
             make_ready(event.run.task);
@@ -212,7 +214,7 @@
         update_acknowledged(*worker);
     }
     const bool was_known = find(event.run) != nullptr;
-    drop_track(event.run);
+    drop_track(event.run, now);
     m_must_place = true;
     if (!was_known) {
         return;
@@ -318,6 +320,45 @@
         m_next_place = now + place_interval;
     }
     place(now);
+    report_load(now);
+}
+
+void dispatcher::report_load(time_point now) {
+    if (now < m_next_report) {
+        return;
+    }
+    m_next_report = now + report_interval;
+    std::uint64_t usable = 0;
+    std::uint64_t serving = 0;
+    std::uint64_t mixed = 0;
+    worker_amounts capacity;
+    worker_amounts reserved;
+    std::int64_t filling = 0;
+    for (const auto& [id, worker] : m_workers) {
+        usable += is_usable(worker, now) ? 1 : 0;
+        serving += worker.servings > 0 ? 1 : 0;
+        mixed += worker.servings > 0 && worker.fills > 0 ? 1 : 0;
+        capacity += worker.report.capacity;
+        reserved += worker.reserved;
+        filling += worker.fill_cores;
+    }
+    std::uint64_t waiting = 0;
+    for (const auto& [key, ready] : m_ready) {
+        waiting += ready.waiting.size();
+    }
+    log_event(log_level::info, "load")
+        .add("workers", static_cast<std::uint64_t>(m_workers.size()))
+        .add("usable", usable)
+        .add("serving", serving)
+        .add("mixed", mixed)
+        .add("cores", capacity.millicores / 1000)
+        .add("reserved_cores", reserved.millicores / 1000)
+        .add("filling_cores", filling / 1000)
+        .add("memory_mb", capacity.memory_mb)
+        .add("reserved_memory_mb", reserved.memory_mb)
+        .add("runs", static_cast<std::uint64_t>(m_tracks.size()))
+        .add("waiting", waiting)
+        .add("open_jobs", static_cast<std::uint64_t>(m_jobs.size()));
 }
 
 // ---- what is asked
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/consensus/node_id.h"
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
+#include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/worker_state.h"
 #include "poplarpitch/scheduling/book_event.h"
@@ -101,13 +102,14 @@
     void close(job_id id, time_point now);
     void on_run_ended(const book_event& event, time_point now);
     void break_gang(const run_key& ended, time_point now);
+    void report_load(time_point now);
     void begin_due_occurrences(std::int64_t wall_ms);
     void forget_old_jobs(time_point now);
 
     // runs
     run_track& add_track(const run_key& key, std::shared_ptr<const step_job> job, const std::string& worker,
                          run_stage stage, time_point now);
-    void drop_track(const run_key& key);
+    void drop_track(const run_key& key, time_point now);
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number);
     void send_start(run_track& track, time_point now);
@@ -134,6 +136,12 @@
     void update_acknowledged(worker_state& worker);
     [[nodiscard]] order_target make_target(const worker_state& worker, duration timeout) const;
 
+    // pressure of filling tasks on serving ones
+    void refresh_pressure(worker_state& worker);
+    void observe_pressure(worker_state& worker, time_point now);
+    void plan_paces(worker_state& worker, time_point now);
+    void order_pace(worker_state& worker, run_track& fill, time_point now);
+
     // placing
     void place(time_point now);
     [[nodiscard]] std::vector<std::pair<std::int64_t, step_key>> rank_ready(time_point now) const;
@@ -158,8 +166,10 @@
     std::vector<worker_order> m_orders;
     std::vector<job_wire::job_command> m_commands;
     dispatch_counts m_counts;
+    pressure_model m_pressure;
     bool m_must_place = false;
     time_point m_next_place{};
+    time_point m_next_report{};
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -74,6 +74,7 @@
     placement_request request;
     request.spec = &ready.job->steps[key.step.step];
     request.step = key.step;
+    request.pressure = &m_pressure;
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
     request.is_last_attempt =
         failed != m_failed_on.end() && failed->second.size() + 1 >= ready.job->queue.max_attempts;
@@ -137,7 +138,7 @@
             return true;
         }
         for (const auto& [member, worker] : placed) {
-            drop_track(member);
+            drop_track(member, now);
         }
     }
     return false;
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -28,19 +28,30 @@
     track.stage = stage;
     track.claimed_at = now;
     track.progressed_at = now;
-    add_load(get_worker(worker), track, 1);
+    auto& state = get_worker(worker);
+    add_load(state, track, 1);
+    if (track.get_spec().fills || track.get_spec().is_serving()) {
+        refresh_pressure(state);
+    }
     return track;
 }
 
-void dispatcher::drop_track(const run_key& key) {
+void dispatcher::drop_track(const run_key& key, time_point now) {
     const auto found = m_tracks.find(key);
     if (found == m_tracks.end()) {
         return;
     }
-    if (auto* worker = find_worker(found->second.worker); worker != nullptr) {
+    const bool presses = found->second.get_spec().fills;
+    const bool matters = presses || found->second.get_spec().is_serving();
+    auto* worker = find_worker(found->second.worker);
+    if (worker != nullptr) {
         add_load(*worker, found->second, -1);
     }
     m_tracks.erase(found);
+    if (worker != nullptr && matters) {
+        worker->last_fill_end = presses ? now : worker->last_fill_end;
+        refresh_pressure(*worker);
+    }
 }
 
 run_track* dispatcher::find(const run_key& key) {
@@ -241,15 +252,4 @@
     }
 }
 
-void dispatcher::on_pace(const run_key& key, int percent, const order_answer& answer, time_point now) {
-    auto* track = find(key);
-    if (track == nullptr || !is_leading()) {
-        return;
-    }
-    static_cast<void>(now);
-    if (!answer.failure.has_value()) {
-        track->pace = percent;
-    }
-}
-
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -48,6 +48,7 @@
     }
     if (spec.is_serving()) {
         worker.servings += static_cast<std::uint32_t>(sign);
+        worker.serving_cores += sign * spec.millicores;
     }
 }
 
@@ -131,8 +132,10 @@
 void dispatcher::send_hold(worker_state& worker, time_point now) {
     hold_order order;
     const bool has_runs = !worker.runs.empty() && worker.is_confirmed;
-    order.wait = has_runs && worker.hold_failures == 0 && worker.ends_committing == 0 ? m_settings.hold_wait
-                                                                                      : duration{};
+    if (has_runs && worker.hold_failures == 0 && worker.ends_committing == 0) {
+        const bool is_mixed = worker.servings > 0 && worker.fills > 0;
+        order.wait = is_mixed ? m_settings.mixed_hold_wait : m_settings.hold_wait;
+    }
     order.target = make_target(worker, order.wait + hold_slack);
     order.acknowledged = worker.acknowledged;
     // A worker that hears us while we do not hear it must not keep its lease: its runs could never be given
@@ -222,6 +225,7 @@
         find_vanished(worker, answer, listed);
     }
     update_acknowledged(worker);
+    observe_pressure(worker, now);
 }
 
 void dispatcher::take_end(worker_state& worker, const end_row& row, time_point now) {
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/dispatch/placement.h"
 
+#include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/worker_state.h"
 
 #include <algorithm>
@@ -11,7 +12,10 @@
 constexpr double far_from_data = 4; // remote work takes a multiple of the time
 constexpr double failed_there = 3;  // another worker may do better, this one may do too
 constexpr double doubtful = 1.5;    // its last run failed
-constexpr double apart = 2;         // a serving task on a worker that holds filling ones
+constexpr double apart = 0.3;          // a serving task on a worker that holds filling ones
+constexpr double no_servings = 0.8;    // a filling task where nothing serves: kept for those that press hard
+constexpr double fullness_weight = 0.3; // of how much of the unused processor time is taken
+constexpr double other_image = 0.7;    // each other image that serves on the worker
 constexpr double between = 0.5;     // a task of neither kind on a worker that fills
 
 double get_fill_cost(const worker_state& worker) {
@@ -19,6 +23,32 @@
     return 1.0 - static_cast<double>(worker.get_leftover()) / room;
 }
 
+/// Returns how near a filling task would bring the worker's serving tasks to their limit: 1 is there.
+std::optional<double> get_press_cost(const worker_state& worker, const placement_request& request) {
+    if (worker.pressure.groups.empty()) {
+        return no_servings;
+    }
+    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
+    const auto share = static_cast<double>(request.spec->millicores) / room;
+    double highest = 0;
+    for (const auto& group : worker.pressure.groups) {
+        const auto press = request.pressure->get_careful_factor(group.image, request.spec->image) * share;
+        const auto load = group.calm + group.press + press;
+        if (load > group.limit) {
+            return std::nullopt;
+        }
+        highest = std::max(highest, load / std::max(group.limit, 1e-6));
+    }
+    return highest;
+}
+
+/// Returns a cost for each other image that serves on the worker: the fewer images, the more filling tasks fit.
+double get_strangeness(const worker_state& worker, const std::string& image) {
+    const auto others = std::count_if(worker.pressure.groups.begin(), worker.pressure.groups.end(),
+                                      [&](const pressed_group& group) { return group.image != image; });
+    return other_image * static_cast<double>(others);
+}
+
 /// Best fit: the fuller a worker that still holds the task, the better.
 double get_pack_cost(const worker_state& worker) {
     const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
@@ -58,12 +88,17 @@
     }
     double cost = 0;
     if (spec.fills) {
-        if (worker.servings > 0 || worker.get_leftover() < spec.millicores) {
+        if (worker.get_leftover() < spec.millicores) {
+            return std::nullopt;
+        }
+        const auto press = get_press_cost(worker, request);
+        if (!press.has_value()) {
             return std::nullopt;
         }
-        cost += get_fill_cost(worker);
+        cost += *press + fullness_weight * get_fill_cost(worker);
     } else if (spec.is_serving()) {
-        cost += get_pack_cost(worker) + (worker.fills > 0 ? apart : 0) + (worker.servings > 0 ? 0 : 1);
+        cost += get_pack_cost(worker) + get_strangeness(worker, spec.image) + (worker.fills > 0 ? apart : 0) +
+                (worker.servings > 0 ? 0 : 1);
     } else {
         cost += get_pack_cost(worker) + (worker.fills > 0 ? between : 0);
     }
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/scheduling/step_job.h"
 #include "poplarpitch/scheduling/task_key.h"
 #include "poplarpitch/scheduling/worker_report.h"
@@ -37,7 +38,12 @@
     std::int64_t percent = 0;
     time_point progressed_at{}; ///< when `percent` last changed
     std::int64_t level = 0;     ///< as in `run_row`
-    int pace = 100;             ///< share that was ordered and answered
+    int pace = 100;                ///< share of its speed that was ordered and answered, percent
+    int planned_pace = 100;        ///< share that is wanted now
+    bool is_pacing = false;        ///< a pace order is under way
+    time_point slow_since{};       ///< since when it is wanted too slow to be of use; zero while it is not
+    serving_calm calm;             ///< of a serving task
+    time_point observed_at{};      ///< when its tail was last taken up
 
     /// Returns what the run takes of its worker. Thread safety: any thread while nobody changes it.
     [[nodiscard]] const step_spec& get_spec() const { return job->steps[key.task.step.step]; }
--- /dev/null
+++ b/poplarpitch/dispatch/worker_pressure.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "poplarpitch/scheduling/task_key.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+
+/// Serving tasks of one image on a worker, as far as filling tasks beside them matter.
+struct pressed_group {
+    std::string image;
+    double calm = 0;  ///< highest own load among them
+    double limit = 1; ///< utilisation that must not be passed
+    double press = 0; ///< that the filling tasks assigned to the worker add, as far as is known
+
+    friend bool operator==(const pressed_group&, const pressed_group&) = default;
+};
+
+/// What the serving tasks of a worker bear. Made anew from time to time, and added to at each placement.
+struct worker_pressure {
+    std::vector<pressed_group> groups;
+
+    friend bool operator==(const worker_pressure&, const worker_pressure&) = default;
+};
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/worker_pressure.h"
 #include "poplarpitch/dispatch/worker_trust.h"
 #include "poplarpitch/scheduling/task_key.h"
 #include "poplarpitch/scheduling/worker_report.h"
@@ -42,7 +43,10 @@
     worker_amounts reserved;                       ///< by tasks that count
     std::int64_t fill_cores = 0;                   ///< millicores wanted by tasks that fill
     std::uint32_t fills = 0;                       ///< runs that fill
-    std::uint32_t servings = 0;                    ///< runs whose answers are watched
+    std::uint32_t servings = 0;   ///< runs whose answers are watched
+    std::int64_t serving_cores = 0; ///< millicores reserved by them; they use less than half of it on average
+    time_point last_fill_end{};   ///< when a filling task last ended or was given up here
+    worker_pressure pressure;
     worker_trust trust;
 
     /// Returns what tasks that count may still take. Thread safety: as the state.
@@ -50,7 +54,8 @@
     /// Returns the processor time that tasks which fill may still share, millicores. Thread safety: as the
     /// state.
     [[nodiscard]] std::int64_t get_leftover() const {
-        return report.capacity.millicores - reserved.millicores - fill_cores;
+        constexpr std::int64_t unused_percent = 40; // of what serving tasks reserve, at the height of their load
+        return report.capacity.millicores - reserved.millicores + serving_cores * unused_percent / 100 - fill_cores;
     }
     /// Returns the worker's clock at `now`, never ahead of it; 0 while unknown. Thread safety: as the state.
     [[nodiscard]] std::int64_t estimate_clock(time_point now) const {
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -14,6 +14,7 @@
     double clock_drift = 0.02;   ///< a worker's clock may be this much slower
     duration lease_margin = milliseconds{250}; ///< on top of the drift: reading the clocks, scheduling
     duration hold_wait = milliseconds{1000};   ///< longest wait for an end; also how old progress may get
+    duration mixed_hold_wait = milliseconds{350}; ///< the same where tasks that fill run beside tasks that serve
     duration hold_pause =
         milliseconds{25}; ///< between an answer and the next hold, so that ends come together
     duration order_timeout =
