--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -12,7 +12,7 @@
 constexpr double placing_share = 0.72; // of a target: tails swing by a fifth within the life of a filling task
 constexpr double pacing_share = 0.82;  // of a target: paced from here on
 constexpr double swing = 0.03;         // own load that may come until the next look
-constexpr duration settle = milliseconds{650}; // a tail tells of the last half second
+constexpr duration tail_window = milliseconds{500}; // a tail tells of the last half second
 constexpr int pace_step = 20;          // percent; smaller changes are not worth an order
 constexpr int slowest_useful = 30;     // percent; a task slower than this is moved
 constexpr duration move_after = milliseconds{500}; // paced that low for this long
@@ -55,6 +55,14 @@
     }
 }
 
+void dispatcher::note_ended_fill(worker_state& worker, const run_track& track, time_point now) {
+    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
+    const auto share = static_cast<double>(track.level) / room;
+    if (worker.servings > 0 && share > 0) {
+        worker.ended_fills.push_back({track.get_spec().image, share, now});
+    }
+}
+
 void dispatcher::observe_pressure(worker_state& worker, time_point now) {
     if (worker.servings == 0) {
         return;
@@ -67,7 +75,11 @@
             others.push_back({track.get_spec().image, static_cast<double>(track.level) / room});
         }
     }
-    const bool learns = now - worker.last_fill_end > settle;
+    std::erase_if(worker.ended_fills, [now](const ended_fill& fill) { return now - fill.ended_at >= tail_window; });
+    for (const auto& fill : worker.ended_fills) {
+        const auto left = 1 - to_seconds(now - fill.ended_at) / to_seconds(tail_window);
+        others.push_back({fill.image, fill.share * left});
+    }
     for (const auto& key : worker.runs) {
         auto& track = *find(key);
         const auto& spec = track.get_spec();
@@ -77,7 +89,7 @@
         const auto since = track.observed_at == time_point{} ? 1.0 : to_seconds(now - track.observed_at);
         track.observed_at = now;
         m_pressure.observe(spec.image, static_cast<double>(track.level), static_cast<double>(spec.target_ms), others,
-                           since, learns, track.calm);
+                           since, track.calm);
     }
     plan_paces(worker, now);
     refresh_pressure(worker);
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -47,9 +47,12 @@
     if (worker != nullptr) {
         add_load(*worker, found->second, -1);
     }
+    const auto ended = std::move(found->second);
     m_tracks.erase(found);
     if (worker != nullptr && matters) {
-        worker->last_fill_end = presses ? now : worker->last_fill_end;
+        if (presses) {
+            note_ended_fill(*worker, ended, now);
+        }
         refresh_pressure(*worker);
     }
 }
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -15,6 +15,7 @@
 constexpr double apart = 0.3;          // a serving task on a worker that holds filling ones
 constexpr double no_servings = 0.8;    // a filling task where nothing serves: kept for those that press hard
 constexpr double fullness_weight = 0.3; // of how much of the unused processor time is taken
+constexpr double untouched = 3; // the first serving task of a worker
 constexpr double other_image = 0.7;    // each other image that serves on the worker
 constexpr double between = 0.5;     // a task of neither kind on a worker that fills
 
@@ -98,7 +99,7 @@
         cost += *press + fullness_weight * get_fill_cost(worker);
     } else if (spec.is_serving()) {
         cost += get_pack_cost(worker) + get_strangeness(worker, spec.image) + (worker.fills > 0 ? apart : 0) +
-                (worker.servings > 0 ? 0 : 1);
+                (worker.servings > 0 ? 0 : untouched);
     } else {
         cost += get_pack_cost(worker) + (worker.fills > 0 ? between : 0);
     }
--- a/poplarpitch/dispatch/pressure_model.cpp
+++ b/poplarpitch/dispatch/pressure_model.cpp
@@ -13,6 +13,7 @@
 constexpr double full = 0.955;             // from here on a tail only tells that it is too much
 constexpr double highest_factor = 8;
 constexpr double least_variance = 0.01;    // of a factor: it is never taken for certain
+constexpr double trust = 0.5; // of what one look tells of a pair
 constexpr double caution = 0.6;            // deviations added to a factor that decides
 
 } // namespace
@@ -44,8 +45,7 @@
 }
 
 void pressure_model::observe(const std::string& image, double tail_ms, double target_ms,
-                             const std::vector<image_share>& others, double seconds_since_last, bool learns,
-                             serving_calm& calm) {
+                             const std::vector<image_share>& others, double seconds_since_last, serving_calm& calm) {
     auto& lowest = m_lowest_tails.try_emplace(image, tail_ms).first->second;
     lowest = std::min(lowest, tail_ms);
     calm.variance = std::min(calm.variance + drift_variance * seconds_since_last, 0.09);
@@ -59,15 +59,16 @@
     }
     const double error = seen - expected;
     const bool is_full = seen >= full;
-    if ((is_full && error < 0) || (!learns && !others.empty())) {
-        return; // it tells no more than what is known, or of something else
+    if (is_full && error < 0) {
+        return; // it tells no more than what is known
     }
     const double gain = calm.variance / variance;
     calm.load = std::clamp(calm.load + gain * error, 0.0, 1.0);
     calm.variance *= 1 - gain;
     for (const auto& other : others) {
         auto& known = m_factors[{image, other.image}];
-        const double own_gain = known.variance * other.share / variance;
+        // Half a step: with the first look alone a pair would be blamed for what another one did.
+        const double own_gain = trust * known.variance * other.share / variance;
         known.mean = std::clamp(known.mean + own_gain * error, 0.0, highest_factor);
         known.variance = std::max(known.variance * (1 - own_gain * other.share), least_variance);
     }
--- a/poplarpitch/dispatch/pressure_model.h
+++ b/poplarpitch/dispatch/pressure_model.h
@@ -36,9 +36,9 @@
 class pressure_model {
 public:
     /// Notes the tail of a serving task of `image` that runs beside `others`; updates `calm` and what is known of
-    /// the pairs. `learns` is false while `others` is not all that pressed in the time that the tail tells of.
+    /// the pairs.
     void observe(const std::string& image, double tail_ms, double target_ms, const std::vector<image_share>& others,
-                 double seconds_since_last, bool learns, serving_calm& calm);
+                 double seconds_since_last, serving_calm& calm);
 
     /// Returns the utilisation that a tail tells of, 0 to 1.
     [[nodiscard]] double get_utilisation(const std::string& image, double tail_ms, double target_ms) const;
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -10,9 +10,17 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace poplarpitch {
 
+/// A filling task that has just ended.
+struct ended_fill {
+    std::string image;
+    double share = 0; ///< of the worker's processor time
+    time_point ended_at{};
+};
+
 /// What the leader knows of one life of a worker. Soft: a new leader learns it anew.
 struct worker_state {
     worker_report report;
@@ -45,7 +53,7 @@
     std::uint32_t fills = 0;                       ///< runs that fill
     std::uint32_t servings = 0;   ///< runs whose answers are watched
     std::int64_t serving_cores = 0; ///< millicores reserved by them; they use less than half of it on average
-    time_point last_fill_end{};   ///< when a filling task last ended or was given up here
+    std::vector<ended_fill> ended_fills; ///< of the last moment: tails still tell of them
     worker_pressure pressure;
     worker_trust trust;
 
