--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -138,9 +138,10 @@
 
     // pressure of filling tasks on serving ones
     void refresh_pressure(worker_state& worker);
-    static void note_ended_fill(worker_state& worker, const run_track& track, time_point now);
+    void smooth_fill_shares(worker_state& worker, time_point now);
     void observe_pressure(worker_state& worker, time_point now);
     void plan_paces(worker_state& worker, time_point now);
+    void slow_fills_for(const worker_state& worker, const run_track& serving, std::vector<run_track*>& fills);
     void order_pace(worker_state& worker, run_track& fill, time_point now);
 
     // placing
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -9,138 +9,132 @@
 namespace poplarpitch {
 namespace {
 
-constexpr double placing_share = 0.72; // of a target: tails swing by a fifth within the life of a filling task
-constexpr double pacing_share = 0.82;  // of a target: paced from here on
-constexpr double swing = 0.03;         // own load that may come until the next look
-constexpr duration tail_window = milliseconds{500}; // a tail tells of the last half second
+constexpr double placing_share = 0.8;  // of a target
+constexpr double placing_swing = 0.05; // own load that may come within the life of a filling task
+constexpr double pacing_share = 0.85;  // of a target: paced from here on
+constexpr double pacing_swing = 0.02;  // own load that may come until the next look
+constexpr double over_cut = 0.7;       // of all pressure on a tail over its target: enough at any load
+constexpr double tail_smoothing = 0.35; // s; a tail told after a change moves by two thirds in this time
+constexpr double unknown_phase = 0.5;  // of a filling task that has not told its use yet
+constexpr double negligible_share = 0.003;
+constexpr duration figure_life = milliseconds{600}; // a figure that stays the same for longer is a new one
 constexpr int pace_step = 20;          // percent; smaller changes are not worth an order
 constexpr int slowest_useful = 30;     // percent; a task slower than this is moved
 constexpr duration move_after = milliseconds{500}; // paced that low for this long
 constexpr std::int64_t lost_percent = 25; // of a task without checkpoints that a move may throw away
 
+double get_share(const worker_state& worker, std::int64_t millicores) {
+    const auto room = std::max<std::int64_t>(worker.report.capacity.millicores, 1);
+    return static_cast<double>(millicores) / static_cast<double>(room);
+}
+
 } // namespace
 
 void dispatcher::refresh_pressure(worker_state& worker) {
-    worker.pressure.groups.clear();
+    auto& groups = worker.pressure.groups;
+    groups.clear();
     if (worker.servings == 0) {
         return;
     }
-    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
     for (const auto& key : worker.runs) {
         const auto& track = *find(key);
         const auto& spec = track.get_spec();
         if (!spec.is_serving()) {
             continue;
         }
-        auto& groups = worker.pressure.groups;
-        auto group = std::find_if(groups.begin(), groups.end(),
-                                  [&](const pressed_group& item) { return item.image == spec.image; });
+        const auto room = m_pressure.get_room(spec.image, static_cast<double>(spec.target_ms), placing_share,
+                                              track.calm.load + placing_swing);
+        const auto group = std::find_if(groups.begin(), groups.end(),
+                                        [&](const pressed_group& item) { return item.image == spec.image; });
         if (group == groups.end()) {
-            groups.push_back({spec.image, 0, 1, 0});
-            group = groups.end() - 1;
+            groups.push_back({spec.image, room, 0});
+        } else {
+            group->room = std::min(group->room, room);
         }
-        group->calm = std::max(group->calm, track.calm.load + swing);
-        const auto target = static_cast<double>(spec.target_ms);
-        group->limit = std::min(group->limit, m_pressure.get_limit(spec.image, target, placing_share));
     }
     for (const auto& key : worker.runs) {
         const auto& spec = find(key)->get_spec();
-        if (!spec.fills) {
-            continue;
-        }
-        for (auto& group : worker.pressure.groups) {
-            group.press += m_pressure.get_careful_factor(group.image, spec.image) *
-                           static_cast<double>(spec.millicores) / room;
+        for (auto& group : groups) {
+            group.press += spec.fills ? m_pressure.get_careful_factor(group.image, spec.image) *
+                                            get_share(worker, spec.millicores)
+                                      : 0;
         }
     }
 }
 
-void dispatcher::note_ended_fill(worker_state& worker, const run_track& track, time_point now) {
-    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
-    const auto share = static_cast<double>(track.level) / room;
-    if (worker.servings > 0 && share > 0) {
-        worker.ended_fills.push_back({track.get_spec().image, share, now});
+/// Tails are smoothed over a moment; the pressure beside them is smoothed alike, so that the two fit.
+void dispatcher::smooth_fill_shares(worker_state& worker, time_point now) {
+    const auto passed = std::min(to_seconds(now - worker.fill_shares_at), 10.0);
+    const auto kept = std::exp(-passed / tail_smoothing);
+    worker.fill_shares_at = now;
+    for (auto& item : worker.fill_shares) {
+        item.share *= kept;
     }
+    for (const auto& key : worker.runs) {
+        const auto& track = *find(key);
+        const auto& spec = track.get_spec();
+        if (!spec.fills || track.stage != run_stage::running) {
+            continue;
+        }
+        const auto asked = static_cast<double>(spec.millicores) * track.pace / 100;
+        const auto phase = track.level > 0 ? pressure_model::get_phase(static_cast<double>(track.level), asked)
+                                           : unknown_phase;
+        const auto share = get_share(worker, spec.millicores) * phase * track.pace / 100;
+        auto item = std::find_if(worker.fill_shares.begin(), worker.fill_shares.end(),
+                                 [&](const image_share& other) { return other.image == spec.image; });
+        if (item == worker.fill_shares.end()) {
+            worker.fill_shares.push_back({spec.image, 0});
+            item = worker.fill_shares.end() - 1;
+        }
+        item->share += (1 - kept) * share;
+    }
+    std::erase_if(worker.fill_shares, [](const image_share& item) { return item.share < negligible_share; });
 }
 
 void dispatcher::observe_pressure(worker_state& worker, time_point now) {
     if (worker.servings == 0) {
         return;
     }
-    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
-    std::vector<image_share> others;
-    for (const auto& key : worker.runs) {
-        const auto& track = *find(key);
-        if (track.get_spec().fills && track.level > 0) {
-            others.push_back({track.get_spec().image, static_cast<double>(track.level) / room});
-        }
-    }
-    std::erase_if(worker.ended_fills, [now](const ended_fill& fill) { return now - fill.ended_at >= tail_window; });
-    for (const auto& fill : worker.ended_fills) {
-        const auto left = 1 - to_seconds(now - fill.ended_at) / to_seconds(tail_window);
-        others.push_back({fill.image, fill.share * left});
-    }
+    smooth_fill_shares(worker, now);
     for (const auto& key : worker.runs) {
         auto& track = *find(key);
         const auto& spec = track.get_spec();
         if (!spec.is_serving() || track.level <= 0 || track.percent < 100) {
             continue;
         }
+        const bool is_repeated = track.level == track.observed_level && now - track.observed_at < figure_life;
+        if (is_repeated) {
+            continue; // the worker makes the figure anew only a few times a second
+        }
         const auto since = track.observed_at == time_point{} ? 1.0 : to_seconds(now - track.observed_at);
         track.observed_at = now;
-        m_pressure.observe(spec.image, static_cast<double>(track.level), static_cast<double>(spec.target_ms), others,
-                           since, track.calm);
+        track.observed_level = track.level;
+        m_pressure.observe(spec.image, static_cast<double>(track.level), static_cast<double>(spec.target_ms),
+                           worker.fill_shares, since, track.calm);
     }
     plan_paces(worker, now);
     refresh_pressure(worker);
 }
 
-/// Paces are planned from what is expected of each filling task at full speed, so that a task gets its speed
-/// back as soon as the others' load allows; a tail over its target stops those that may cause it at once.
+/// Paces are planned from what is expected of each filling task, so that a task gets its speed back as soon as
+/// the others' load allows; a tail over its target slows those that may cause it at once.
 void dispatcher::plan_paces(worker_state& worker, time_point now) {
     if (worker.servings == 0 || worker.fills == 0) {
         return;
     }
-    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
     std::vector<run_track*> fills;
     for (const auto& key : worker.runs) {
         auto& track = *find(key);
-        if (track.get_spec().fills && track.stage == run_stage::running && !track.is_stop_wanted && !track.is_ending) {
+        if (track.get_spec().fills && track.stage == run_stage::running && !track.is_stop_wanted &&
+            !track.is_ending) {
             track.planned_pace = 100;
             fills.push_back(&track);
         }
     }
     for (const auto& key : worker.runs) {
         const auto& serving = *find(key);
-        const auto& spec = serving.get_spec();
-        if (!spec.is_serving() || serving.level <= 0) {
-            continue;
-        }
-        const auto target = static_cast<double>(spec.target_ms);
-        double excess = serving.calm.load + swing - m_pressure.get_limit(spec.image, target, pacing_share);
-        const auto get_press = [&](const run_track& fill) {
-            return m_pressure.get_factor(spec.image, fill.get_spec().image) *
-                   static_cast<double>(fill.get_spec().millicores) / room;
-        };
-        for (const auto* fill : fills) {
-            excess += get_press(*fill) * fill->planned_pace / 100;
-        }
-        const bool is_over = static_cast<double>(serving.level) > target;
-        if (is_over) {
-            const auto seen = m_pressure.get_utilisation(spec.image, static_cast<double>(serving.level), target);
-            excess = std::max(excess, seen - m_pressure.get_limit(spec.image, target, pacing_share));
-        }
-        std::sort(fills.begin(), fills.end(),
-                  [&](const run_track* left, const run_track* right) { return get_press(*left) > get_press(*right); });
-        for (auto* fill : fills) {
-            if (excess <= 0) {
-                break;
-            }
-            const double press = get_press(*fill) * fill->planned_pace / 100;
-            const double left = std::max(0.0, 1 - excess / std::max(press, 1e-6));
-            const int pace = static_cast<int>(left * fill->planned_pace);
-            excess -= press * (1 - left);
-            fill->planned_pace = pace;
+        if (serving.get_spec().is_serving() && serving.level > 0) {
+            slow_fills_for(worker, serving, fills);
         }
     }
     for (auto* fill : fills) {
@@ -148,6 +142,34 @@
     }
 }
 
+void dispatcher::slow_fills_for(const worker_state& worker, const run_track& serving, std::vector<run_track*>& fills) {
+    const auto& spec = serving.get_spec();
+    const auto target = static_cast<double>(spec.target_ms);
+    const auto get_press = [&](const run_track& fill) {
+        return m_pressure.get_factor(spec.image, fill.get_spec().image) * get_share(worker, fill.get_spec().millicores);
+    };
+    double excess = -m_pressure.get_room(spec.image, target, pacing_share, serving.calm.load + pacing_swing);
+    double total = 0;
+    for (const auto* fill : fills) {
+        total += get_press(*fill) * fill->planned_pace / 100;
+    }
+    excess += total;
+    if (static_cast<double>(serving.level) > target) {
+        excess = std::max(excess, total * over_cut); // whatever is expected, it is too much
+    }
+    std::sort(fills.begin(), fills.end(),
+              [&](const run_track* left, const run_track* right) { return get_press(*left) > get_press(*right); });
+    for (auto* fill : fills) {
+        const double press = get_press(*fill) * fill->planned_pace / 100;
+        if (excess <= 0 || press <= 0) {
+            return;
+        }
+        const double left = std::max(0.0, 1 - excess / press);
+        fill->planned_pace = static_cast<int>(left * fill->planned_pace);
+        excess -= press * (1 - left);
+    }
+}
+
 void dispatcher::order_pace(worker_state& worker, run_track& fill, time_point now) {
     if (fill.planned_pace >= slowest_useful) {
         fill.slow_since = time_point{};
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -41,18 +41,13 @@
     if (found == m_tracks.end()) {
         return;
     }
-    const bool presses = found->second.get_spec().fills;
-    const bool matters = presses || found->second.get_spec().is_serving();
+    const bool matters = found->second.get_spec().fills || found->second.get_spec().is_serving();
     auto* worker = find_worker(found->second.worker);
     if (worker != nullptr) {
         add_load(*worker, found->second, -1);
     }
-    const auto ended = std::move(found->second);
     m_tracks.erase(found);
     if (worker != nullptr && matters) {
-        if (presses) {
-            note_ended_fill(*worker, ended, now);
-        }
         refresh_pressure(*worker);
     }
 }
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -34,11 +34,10 @@
     double highest = 0;
     for (const auto& group : worker.pressure.groups) {
         const auto press = request.pressure->get_careful_factor(group.image, request.spec->image) * share;
-        const auto load = group.calm + group.press + press;
-        if (load > group.limit) {
+        if (group.press + press > group.room) {
             return std::nullopt;
         }
-        highest = std::max(highest, load / std::max(group.limit, 1e-6));
+        highest = std::max(highest, (group.press + press) / group.room);
     }
     return highest;
 }
--- a/poplarpitch/dispatch/pressure_model.cpp
+++ b/poplarpitch/dispatch/pressure_model.cpp
@@ -6,31 +6,36 @@
 namespace poplarpitch {
 namespace {
 
-constexpr double target_multiple = 5;      // a target lies at about five times the tail without load
-constexpr double lowest_share = 0.8;       // even the lowest tail seen has some load in it
-constexpr double noise_variance = 0.0025;  // tails are rough: 0.05 of utilisation
-constexpr double drift_variance = 0.008;   // of the own load, each second: 0.09
-constexpr double full = 0.955;             // from here on a tail only tells that it is too much
+constexpr double target_multiple = 5;     // a target lies at about five times the tail without load
+constexpr double lowest_share = 0.8;      // even the lowest tail seen has some load in it
+constexpr double model_variance = 0.002;  // of base / tail: what the model leaves out
+constexpr double tail_noise = 0.08;       // of a tail, relative: it is a rough figure
+constexpr double drift_variance = 0.01;   // of the own load, each second: 0.1
+constexpr double highest_variance = 0.06; // of the own load: it swings by half around its mean
+constexpr double full = 0.045;            // base / tail below this only tells that it is too much
 constexpr double highest_factor = 8;
-constexpr double least_variance = 0.01;    // of a factor: it is never taken for certain
-constexpr double trust = 0.5; // of what one look tells of a pair
-constexpr double caution = 0.6;            // deviations added to a factor that decides
+constexpr double highest_load = 0.9;
+constexpr double least_variance = 0.003; // of a factor: it is never taken for certain
+constexpr double caution = 0.6;          // deviations added to a factor that decides
+constexpr double light_use = 0.55;       // share of the asked processor time where the pressure is least
+constexpr double light_phase = 0.15;     // that least pressure
 
 } // namespace
 
+double pressure_model::get_phase(double used_millicores, double asked_millicores) {
+    const double use = used_millicores / std::max(asked_millicores, 1.0);
+    return std::clamp((use - light_use) / (1 - light_use), light_phase, 1.0);
+}
+
 double pressure_model::get_base(const std::string& image, double target_ms) const {
     const auto found = m_lowest_tails.find(image);
     const double assumed = target_ms / target_multiple;
     return found == m_lowest_tails.end() ? assumed : std::min(assumed, found->second * lowest_share);
 }
 
-double pressure_model::get_utilisation(const std::string& image, double tail_ms, double target_ms) const {
-    const double base = get_base(image, target_ms);
-    return 1 - base / std::max(tail_ms, base);
-}
-
-double pressure_model::get_limit(const std::string& image, double target_ms, double share) const {
-    return get_utilisation(image, target_ms * share, target_ms);
+double pressure_model::get_room(const std::string& image, double target_ms, double share, double load) const {
+    const double rise = target_ms * share / get_base(image, target_ms);
+    return rise / (1 + load * rise) - 1;
 }
 
 double pressure_model::get_factor(const std::string& serving, const std::string& filling) const {
@@ -45,32 +50,35 @@
 }
 
 void pressure_model::observe(const std::string& image, double tail_ms, double target_ms,
-                             const std::vector<image_share>& others, double seconds_since_last, serving_calm& calm) {
+                             const std::vector<image_share>& others, double seconds_since_last,
+                             serving_calm& calm) {
     auto& lowest = m_lowest_tails.try_emplace(image, tail_ms).first->second;
     lowest = std::min(lowest, tail_ms);
-    calm.variance = std::min(calm.variance + drift_variance * seconds_since_last, 0.09);
-    const double seen = get_utilisation(image, tail_ms, target_ms);
-    double expected = calm.load;
-    double variance = calm.variance + noise_variance;
+    calm.variance = std::min(calm.variance + drift_variance * seconds_since_last, highest_variance);
+    const double seen = std::min(1.0, get_base(image, target_ms) / tail_ms);
+    double slow = 1;
+    for (const auto& other : others) {
+        slow += m_factors[{image, other.image}].mean * other.share;
+    }
+    const double noise = tail_noise * seen;
+    double variance = calm.variance + model_variance + noise * noise;
     for (const auto& other : others) {
-        const auto& known = m_factors[{image, other.image}];
-        expected += known.mean * other.share;
-        variance += known.variance * other.share * other.share;
+        const double slope = other.share / (slow * slow);
+        variance += m_factors[{image, other.image}].variance * slope * slope;
     }
-    const double error = seen - expected;
-    const bool is_full = seen >= full;
-    if (is_full && error < 0) {
+    const double error = seen - (1 / slow - calm.load);
+    if (seen < full && error > 0) {
         return; // it tells no more than what is known
     }
     const double gain = calm.variance / variance;
-    calm.load = std::clamp(calm.load + gain * error, 0.0, 1.0);
+    calm.load = std::clamp(calm.load - gain * error, 0.0, highest_load);
     calm.variance *= 1 - gain;
     for (const auto& other : others) {
         auto& known = m_factors[{image, other.image}];
-        // Half a step: with the first look alone a pair would be blamed for what another one did.
-        const double own_gain = trust * known.variance * other.share / variance;
+        const double slope = -other.share / (slow * slow);
+        const double own_gain = known.variance * slope / variance;
         known.mean = std::clamp(known.mean + own_gain * error, 0.0, highest_factor);
-        known.variance = std::max(known.variance * (1 - own_gain * other.share), least_variance);
+        known.variance = std::max(known.variance * (1 - own_gain * slope), least_variance);
     }
 }
 
--- a/poplarpitch/dispatch/pressure_model.h
+++ b/poplarpitch/dispatch/pressure_model.h
@@ -17,7 +17,7 @@
     friend bool operator==(const serving_calm&, const serving_calm&) = default;
 };
 
-/// Processor time that tasks of one image took of a worker, as a share of it.
+/// Processor time that tasks of one image take of a worker, as a share of it.
 struct image_share {
     std::string image;
     double share = 0;
@@ -27,38 +27,40 @@
 
 /// How strongly tasks that fill disturb the tails of tasks that serve, learned for each pair of images.
 ///
-/// A tail behaves like a queue's: it is the tail without load over (1 - utilisation), and each filling task beside
-/// it adds to the utilisation in proportion to the processor time it takes. Seen on workers of 64 and 96 cores: the
-/// factor of that proportion lies near 0 for some pairs and at 3 to 5 for others, while the task's own load swings by
-/// half within 14 s. Own load and factors are told apart by a Kalman filter with a diagonal covariance: the own load
-/// drifts, the factors stay. A least-squares fit over a window was weighed: it forgets pairs that are rare.
-/// Thread safety: none, as for all methods.
+/// Filling tasks slow a serving task's answers by 1 + sum of factor x share of the worker; a queue does the rest:
+/// with the tail without load `base`, own load `load` and slowdown `slow` the tail is base x slow / (1 - load x
+/// slow). On workers of 64 and 96 cores the factor was seen to lie under 0.8 for half of the pairs and at 2 to 6
+/// for the others, the same at every load, while the load swings by half within 14 to 20 s; an additive model fits
+/// a third worse. Load and factors are told apart by an extended Kalman filter with a diagonal covariance on
+/// base / tail = 1 / slow - load, which is linear in the load: loads drift, factors stay. Thread safety: none, as
+/// for all methods.
 class pressure_model {
 public:
-    /// Notes the tail of a serving task of `image` that runs beside `others`; updates `calm` and what is known of
-    /// the pairs.
+    /// Notes the tail of a serving task of `image` beside `others`; updates `calm` and what is known of the pairs.
     void observe(const std::string& image, double tail_ms, double target_ms, const std::vector<image_share>& others,
                  double seconds_since_last, serving_calm& calm);
 
-    /// Returns the utilisation that a tail tells of, 0 to 1.
-    [[nodiscard]] double get_utilisation(const std::string& image, double tail_ms, double target_ms) const;
-    /// Returns the utilisation at which the tail reaches `share` of its target.
-    [[nodiscard]] double get_limit(const std::string& image, double target_ms, double share) const;
+    /// Returns by how much filling tasks may slow a serving task, sum of factor x share, before its tail passes
+    /// `share` of its target. Negative when it passes it by itself.
+    [[nodiscard]] double get_room(const std::string& image, double target_ms, double share, double load) const;
     /// Returns the expected factor of a pair.
     [[nodiscard]] double get_factor(const std::string& serving, const std::string& filling) const;
     /// Returns the factor of a pair with an allowance for what is not known of it.
     [[nodiscard]] double get_careful_factor(const std::string& serving, const std::string& filling) const;
+    /// Returns the share of its pressure that a filling task exerts at present: it has light and heavy phases that
+    /// last for seconds, and in a light one it uses about two thirds of the processor time it asked for.
+    [[nodiscard]] static double get_phase(double used_millicores, double asked_millicores);
 
 private:
     struct factor {
         double mean = 1.2;     ///< before anything is seen: between the light and the heavy pairs
-        double variance = 2.2; ///< the heavy pairs lie two deviations off
+        double variance = 2.5; ///< the heavy pairs lie two deviations off
     };
     using pair_key = std::pair<std::string, std::string>;
 
     [[nodiscard]] double get_base(const std::string& image, double target_ms) const;
 
-    absl::flat_hash_map<pair_key, factor> m_factors;        ///< serving image, filling image
+    absl::flat_hash_map<pair_key, factor> m_factors;         ///< serving image, filling image
     absl::flat_hash_map<std::string, double> m_lowest_tails; ///< ms, by serving image
 };
 
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -43,6 +43,7 @@
     bool is_pacing = false;        ///< a pace order is under way
     time_point slow_since{};       ///< since when it is wanted too slow to be of use; zero while it is not
     serving_calm calm;             ///< of a serving task
+    std::int64_t observed_level = 0; ///< tail that was last taken up
     time_point observed_at{};      ///< when its tail was last taken up
 
     /// Returns what the run takes of its worker. Thread safety: any thread while nobody changes it.
--- a/poplarpitch/dispatch/worker_pressure.h
+++ b/poplarpitch/dispatch/worker_pressure.h
@@ -11,9 +11,8 @@
 /// Serving tasks of one image on a worker, as far as filling tasks beside them matter.
 struct pressed_group {
     std::string image;
-    double calm = 0;  ///< highest own load among them
-    double limit = 1; ///< utilisation that must not be passed
-    double press = 0; ///< that the filling tasks assigned to the worker add, as far as is known
+    double room = 0;  ///< by how much filling tasks may slow them before a tail comes near its target
+    double press = 0; ///< by how much the filling tasks assigned to the worker slow them, as far as is known
 
     friend bool operator==(const pressed_group&, const pressed_group&) = default;
 };
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/worker_pressure.h"
 #include "poplarpitch/dispatch/worker_trust.h"
 #include "poplarpitch/scheduling/task_key.h"
@@ -14,13 +15,6 @@
 
 namespace poplarpitch {
 
-/// A filling task that has just ended.
-struct ended_fill {
-    std::string image;
-    double share = 0; ///< of the worker's processor time
-    time_point ended_at{};
-};
-
 /// What the leader knows of one life of a worker. Soft: a new leader learns it anew.
 struct worker_state {
     worker_report report;
@@ -53,7 +47,8 @@
     std::uint32_t fills = 0;                       ///< runs that fill
     std::uint32_t servings = 0;   ///< runs whose answers are watched
     std::int64_t serving_cores = 0; ///< millicores reserved by them; they use less than half of it on average
-    std::vector<ended_fill> ended_fills; ///< of the last moment: tails still tell of them
+    std::vector<image_share> fill_shares; ///< pressure by image, smoothed as the tails are
+    time_point fill_shares_at{};
     worker_pressure pressure;
     worker_trust trust;
 
