Let tasks that fill run beside tasks that serve, by what is learned of their images

Cause: serving tasks reserve 4,100 of 4,928 cores (load line) and use less than half; filling tasks that were kept off their workers found room for a third of their work.

--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -9,18 +9,19 @@
 namespace poplarpitch {
 namespace {
 
-constexpr double placing_share = 0.8;  // of a target
-constexpr double placing_swing = 0.05; // own load that may come within the life of a filling task
-constexpr double pacing_share = 0.85;  // of a target: paced from here on
-constexpr double pacing_swing = 0.02;  // own load that may come until the next look
-constexpr double over_cut = 0.7;       // of all pressure on a tail over its target: enough at any load
+constexpr double placing_share = 0.9;   // of a target
+constexpr double placing_swing = 0.0;   // own load that may come within the life of a filling task
+constexpr double placing_ahead = 0.5;   // s; filling tasks take 1 to 4
+constexpr double pacing_share = 0.85;   // of a target: paced from here on
+constexpr double pacing_swing = 0.02;   // own load that may come until the next look
+constexpr double over_cut = 0.7;        // of all pressure on a tail over its target: enough at any load
 constexpr double tail_smoothing = 0.35; // s; a tail told after a change moves by two thirds in this time
-constexpr double unknown_phase = 0.5;  // of a filling task that has not told its use yet
+constexpr double unknown_phase = 0.5;   // of a filling task that has not told its use yet
 constexpr double negligible_share = 0.003;
 constexpr duration figure_life = milliseconds{600}; // a figure that stays the same for longer is a new one
-constexpr int pace_step = 20;          // percent; smaller changes are not worth an order
-constexpr int slowest_useful = 30;     // percent; a task slower than this is moved
-constexpr duration move_after = milliseconds{500}; // paced that low for this long
+constexpr int pace_step = 20;                       // percent; smaller changes are not worth an order
+constexpr int slowest_useful = 30;                  // percent; a task slower than this is moved
+constexpr duration move_after = milliseconds{500};  // paced that low for this long
 constexpr std::int64_t lost_percent = 25; // of a task without checkpoints that a move may throw away
 
 double get_share(const worker_state& worker, std::int64_t millicores) {
@@ -42,12 +43,14 @@
         if (!spec.is_serving()) {
             continue;
         }
-        const auto room = m_pressure.get_room(spec.image, static_cast<double>(spec.target_ms), placing_share,
-                                              track.calm.load + placing_swing);
-        const auto group = std::find_if(groups.begin(), groups.end(),
-                                        [&](const pressed_group& item) { return item.image == spec.image; });
+        const auto room =
+            m_pressure.get_room(spec.image, static_cast<double>(spec.target_ms), placing_share,
+                                track.calm.load + placing_swing + placing_ahead * track.calm.trend);
+        const auto group = std::find_if(groups.begin(), groups.end(), [&](const pressed_group& item) {
+            return item.job == key.task.step.job;
+        });
         if (group == groups.end()) {
-            groups.push_back({spec.image, room, 0});
+            groups.push_back({spec.image, key.task.step.job, room, 0});
         } else {
             group->room = std::min(group->room, room);
         }
@@ -77,8 +80,9 @@
             continue;
         }
         const auto asked = static_cast<double>(spec.millicores) * track.pace / 100;
-        const auto phase = track.level > 0 ? pressure_model::get_phase(static_cast<double>(track.level), asked)
-                                           : unknown_phase;
+        const auto phase = track.level > 0
+                               ? pressure_model::get_phase(static_cast<double>(track.level), asked)
+                               : unknown_phase;
         const auto share = get_share(worker, spec.millicores) * phase * track.pace / 100;
         auto item = std::find_if(worker.fill_shares.begin(), worker.fill_shares.end(),
                                  [&](const image_share& other) { return other.image == spec.image; });
@@ -116,8 +120,8 @@
     refresh_pressure(worker);
 }
 
-/// Paces are planned from what is expected of each filling task, so that a task gets its speed back as soon as
-/// the others' load allows; a tail over its target slows those that may cause it at once.
+/// Paces are planned from what is expected of each filling task, so that a task gets its speed back as soon
+/// as the others' load allows; a tail over its target slows those that may cause it at once.
 void dispatcher::plan_paces(worker_state& worker, time_point now) {
     if (worker.servings == 0 || worker.fills == 0) {
         return;
@@ -142,11 +146,13 @@
     }
 }
 
-void dispatcher::slow_fills_for(const worker_state& worker, const run_track& serving, std::vector<run_track*>& fills) {
+void dispatcher::slow_fills_for(const worker_state& worker, const run_track& serving,
+                                std::vector<run_track*>& fills) {
     const auto& spec = serving.get_spec();
     const auto target = static_cast<double>(spec.target_ms);
     const auto get_press = [&](const run_track& fill) {
-        return m_pressure.get_factor(spec.image, fill.get_spec().image) * get_share(worker, fill.get_spec().millicores);
+        return m_pressure.get_factor(spec.image, fill.get_spec().image) *
+               get_share(worker, fill.get_spec().millicores);
     };
     double excess = -m_pressure.get_room(spec.image, target, pacing_share, serving.calm.load + pacing_swing);
     double total = 0;
@@ -157,8 +163,9 @@
     if (static_cast<double>(serving.level) > target) {
         excess = std::max(excess, total * over_cut); // whatever is expected, it is too much
     }
-    std::sort(fills.begin(), fills.end(),
-              [&](const run_track* left, const run_track* right) { return get_press(*left) > get_press(*right); });
+    std::sort(fills.begin(), fills.end(), [&](const run_track* left, const run_track* right) {
+        return get_press(*left) > get_press(*right);
+    });
     for (auto* fill : fills) {
         const double press = get_press(*fill) * fill->planned_pace / 100;
         if (excess <= 0 || press <= 0) {
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -9,15 +9,16 @@
 namespace {
 
 // Costs are compared only with each other. One unit is the difference between an empty and a full worker.
-constexpr double far_from_data = 4; // remote work takes a multiple of the time
-constexpr double failed_there = 3;  // another worker may do better, this one may do too
-constexpr double doubtful = 1.5;    // its last run failed
-constexpr double apart = 0.3;          // a serving task on a worker that holds filling ones
-constexpr double no_servings = 0.8;    // a filling task where nothing serves: kept for those that press hard
+constexpr double far_from_data = 4;     // remote work takes a multiple of the time
+constexpr double failed_there = 3;      // another worker may do better, this one may do too
+constexpr double doubtful = 1.5;        // its last run failed
+constexpr double apart = 0.3;           // a serving task on a worker that holds filling ones
+constexpr double no_servings = 0.8;     // a filling task where nothing serves: kept for those that press hard
 constexpr double fullness_weight = 0.3; // of how much of the unused processor time is taken
-constexpr double untouched = 3; // the first serving task of a worker
-constexpr double other_image = 0.7;    // each other image that serves on the worker
-constexpr double between = 0.5;     // a task of neither kind on a worker that fills
+constexpr double untouched = 3;         // the first serving task of a worker
+constexpr double other_image = 0.4;     // each other job of another image that serves on the worker
+constexpr double other_job = 0.4;       // each other job that serves on the worker
+constexpr double between = 0.5;         // a task of neither kind on a worker that fills
 
 double get_fill_cost(const worker_state& worker) {
     const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
@@ -42,11 +43,16 @@
     return highest;
 }
 
-/// Returns a cost for each other image that serves on the worker: the fewer images, the more filling tasks fit.
-double get_strangeness(const worker_state& worker, const std::string& image) {
-    const auto others = std::count_if(worker.pressure.groups.begin(), worker.pressure.groups.end(),
-                                      [&](const pressed_group& group) { return group.image != image; });
-    return other_image * static_cast<double>(others);
+/// Returns a cost for what else serves on the worker. The fewer images, the more kinds of filling tasks fit;
+/// and the tasks of one job rise and fall together, so that a worker of one job has time for those that press
+/// hard.
+double get_strangeness(const worker_state& worker, const placement_request& request) {
+    double cost = 0;
+    for (const auto& group : worker.pressure.groups) {
+        cost += (group.job != request.step.job ? other_job : 0) +
+                (group.image != request.spec->image ? other_image : 0);
+    }
+    return cost;
 }
 
 /// Best fit: the fuller a worker that still holds the task, the better.
@@ -97,7 +103,7 @@
         }
         cost += *press + fullness_weight * get_fill_cost(worker);
     } else if (spec.is_serving()) {
-        cost += get_pack_cost(worker) + get_strangeness(worker, spec.image) + (worker.fills > 0 ? apart : 0) +
+        cost += get_pack_cost(worker) + get_strangeness(worker, request) + (worker.fills > 0 ? apart : 0) +
                 (worker.servings > 0 ? 0 : untouched);
     } else {
         cost += get_pack_cost(worker) + (worker.fills > 0 ? between : 0);
--- a/poplarpitch/dispatch/pressure_model.cpp
+++ b/poplarpitch/dispatch/pressure_model.cpp
@@ -16,12 +16,18 @@
 constexpr double highest_factor = 8;
 constexpr double highest_load = 0.9;
 constexpr double least_variance = 0.003; // of a factor: it is never taken for certain
-constexpr double caution = 0.6;          // deviations added to a factor that decides
+constexpr double caution = 0.2;          // deviations added to a factor that decides
 constexpr double light_use = 0.55;       // share of the asked processor time where the pressure is least
 constexpr double light_phase = 0.15;     // that least pressure
 
 } // namespace
 
+void serving_calm::update_trend(double seconds) {
+    const double kept = std::exp(-seconds / trend_smoothing);
+    slow_load = kept * slow_load + (1 - kept) * load;
+    trend = (load - slow_load) / trend_smoothing;
+}
+
 double pressure_model::get_phase(double used_millicores, double asked_millicores) {
     const double use = used_millicores / std::max(asked_millicores, 1.0);
     return std::clamp((use - light_use) / (1 - light_use), light_phase, 1.0);
@@ -73,6 +79,7 @@
     const double gain = calm.variance / variance;
     calm.load = std::clamp(calm.load - gain * error, 0.0, highest_load);
     calm.variance *= 1 - gain;
+    calm.update_trend(seconds_since_last);
     for (const auto& other : others) {
         auto& known = m_factors[{image, other.image}];
         const double slope = -other.share / (slow * slow);
--- a/poplarpitch/dispatch/pressure_model.h
+++ b/poplarpitch/dispatch/pressure_model.h
@@ -13,10 +13,18 @@
 struct serving_calm {
     double load = 0.5;      ///< share of its own capacity that it uses by itself; 0.5 until it is known
     double variance = 0.04; ///< of `load`
+    double slow_load = 0.5; ///< `load`, smoothed over `trend_smoothing`
+    double trend = 0;       ///< of `load`, a second; the lag of the smoothed one over its time
 
     friend bool operator==(const serving_calm&, const serving_calm&) = default;
+
+    /// Moves the trend on by `seconds`. Thread safety: none.
+    void update_trend(double seconds);
 };
 
+/// Time over which the trend of an own load is taken, seconds: short against its swing of 14 to 20 s.
+inline constexpr double trend_smoothing = 1.0;
+
 /// Processor time that tasks of one image take of a worker, as a share of it.
 struct image_share {
     std::string image;
@@ -27,28 +35,30 @@
 
 /// How strongly tasks that fill disturb the tails of tasks that serve, learned for each pair of images.
 ///
-/// Filling tasks slow a serving task's answers by 1 + sum of factor x share of the worker; a queue does the rest:
-/// with the tail without load `base`, own load `load` and slowdown `slow` the tail is base x slow / (1 - load x
-/// slow). On workers of 64 and 96 cores the factor was seen to lie under 0.8 for half of the pairs and at 2 to 6
-/// for the others, the same at every load, while the load swings by half within 14 to 20 s; an additive model fits
-/// a third worse. Load and factors are told apart by an extended Kalman filter with a diagonal covariance on
-/// base / tail = 1 / slow - load, which is linear in the load: loads drift, factors stay. Thread safety: none, as
-/// for all methods.
+/// Filling tasks slow a serving task's answers by 1 + sum of factor x share of the worker; a queue does the
+/// rest: with the tail without load `base`, own load `load` and slowdown `slow` the tail is base x slow / (1
+/// - load x slow). On workers of 64 and 96 cores the factor was seen to lie under 0.8 for half of the pairs
+/// and at 2 to 6 for the others, the same at every load, while the load swings by half within 14 to 20 s; an
+/// additive model fits a third worse. Load and factors are told apart by an extended Kalman filter with a
+/// diagonal covariance on base / tail = 1 / slow - load, which is linear in the load: loads drift, factors
+/// stay. Thread safety: none, as for all methods.
 class pressure_model {
 public:
-    /// Notes the tail of a serving task of `image` beside `others`; updates `calm` and what is known of the pairs.
-    void observe(const std::string& image, double tail_ms, double target_ms, const std::vector<image_share>& others,
-                 double seconds_since_last, serving_calm& calm);
+    /// Notes the tail of a serving task of `image` beside `others`; updates `calm` and what is known of the
+    /// pairs.
+    void observe(const std::string& image, double tail_ms, double target_ms,
+                 const std::vector<image_share>& others, double seconds_since_last, serving_calm& calm);
 
-    /// Returns by how much filling tasks may slow a serving task, sum of factor x share, before its tail passes
-    /// `share` of its target. Negative when it passes it by itself.
-    [[nodiscard]] double get_room(const std::string& image, double target_ms, double share, double load) const;
+    /// Returns by how much filling tasks may slow a serving task, sum of factor x share, before its tail
+    /// passes `share` of its target. Negative when it passes it by itself.
+    [[nodiscard]] double get_room(const std::string& image, double target_ms, double share,
+                                  double load) const;
     /// Returns the expected factor of a pair.
     [[nodiscard]] double get_factor(const std::string& serving, const std::string& filling) const;
     /// Returns the factor of a pair with an allowance for what is not known of it.
     [[nodiscard]] double get_careful_factor(const std::string& serving, const std::string& filling) const;
-    /// Returns the share of its pressure that a filling task exerts at present: it has light and heavy phases that
-    /// last for seconds, and in a light one it uses about two thirds of the processor time it asked for.
+    /// Returns the share of its pressure that a filling task exerts at present: it has light and heavy phases
+    /// that last for seconds, and in a light one it uses about two thirds of the processor time it asked for.
     [[nodiscard]] static double get_phase(double used_millicores, double asked_millicores);
 
 private:
--- a/poplarpitch/dispatch/worker_pressure.h
+++ b/poplarpitch/dispatch/worker_pressure.h
@@ -11,6 +11,7 @@
 /// Serving tasks of one image on a worker, as far as filling tasks beside them matter.
 struct pressed_group {
     std::string image;
+    job_id job = 0;   ///< tasks of one job rise and fall together
     double room = 0;  ///< by how much filling tasks may slow them before a tail comes near its target
     double press = 0; ///< by how much the filling tasks assigned to the worker slow them, as far as is known
 
