Take a refusal for an older start as a sign that the run was there

Ruled out: lost acknowledgements of ends, lapsed leases (the worker was heard again 7 s before). The same hole stood where a refusal followed an unanswered start that may be carried out late: now a stop that the worker answered comes first.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -113,7 +113,7 @@
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number);
     void send_start(run_track& track, time_point now);
-    void send_stop(run_track& track, time_point now);
+    void send_stop(run_track& track);
     void stop_run(run_track& track, time_point now);
     void push_track(run_track& track, time_point now);
     void on_start_refused(run_track& track, order_failure failure, time_point now);
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -90,7 +90,7 @@
     }
     if (track.is_stop_wanted) {
         if (!track.is_stop_answered) {
-            send_stop(track, now);
+            send_stop(track);
         }
         return;
     }
@@ -117,12 +117,11 @@
     m_orders.emplace_back(std::move(order));
 }
 
-void dispatcher::send_stop(run_track& track, time_point now) {
+void dispatcher::send_stop(run_track& track) {
     auto* worker = find_worker(track.worker);
     if (worker == nullptr || !worker->has_report) {
         return; // its lease decides
     }
-    static_cast<void>(now);
     ++m_counts.stops;
     stop_order order;
     order.target = make_target(*worker, m_settings.order_timeout);
@@ -197,10 +196,20 @@
         event.add("worker", track.worker).add("reason", get_failure_name(failure));
     }
     switch (failure) {
-    case order_failure::unreachable:
     case order_failure::unanswered:
-    case order_failure::late_lease:
+        track.may_come_late = true;
         return; // repeated: the same start twice starts once
+    case order_failure::unreachable:
+    case order_failure::late_lease:
+        return; // repeated
+    case order_failure::old_run:
+        // An earlier start of this run was carried out, and the run has ended: the list says how.
+        track.stage = run_stage::running;
+        track.confirmed_at = now;
+        if (worker != nullptr) {
+            worker->next_hold = std::min(worker->next_hold, now);
+        }
+        return;
     case order_failure::other_life:
         if (worker != nullptr) {
             lose_worker(*worker, "another_life_answers");
@@ -225,6 +234,10 @@
             worker->trust.on_refusal(now);
         }
     }
+    if (track.may_come_late) {
+        stop_run(track, now); // once the worker has answered that, no earlier start is carried out
+        return;
+    }
     propose_end(track, run_end::not_started, {}, 0);
 }
 
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -34,6 +34,7 @@
     time_point confirmed_at{}; ///< when the start was answered or first listed; zero before
     time_point stop_answered_at{};
     time_point next_order{}; ///< earliest time of the next start or stop order
+    bool may_come_late = false;    ///< a start had no answer: it may be carried out seconds later
     int order_failures = 0;  ///< orders in a row without an answer
     std::int64_t percent = 0;
     time_point progressed_at{}; ///< when `percent` last changed
--- a/poplarpitch/replica/peer_mesh.cpp
+++ b/poplarpitch/replica/peer_mesh.cpp
@@ -59,7 +59,7 @@
     item.is_connecting = true;
     const auto address = format_address({ip, static_cast<std::uint16_t>(m_port)});
     connect_frames(m_loop, address, connect_timeout,
-                   [this, ip, alive = m_is_alive](std::shared_ptr<frame_socket> socket) {
+                   [this, ip, alive = m_is_alive](const std::shared_ptr<frame_socket>& socket) {
                        if (!*alive) {
                            return;
                        }
--- /dev/null
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -0,0 +1,161 @@
+#include "unit_tests/dispatch/dispatch_world.h"
+
+#include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+constexpr const char* pool = "mill";
+constexpr int max_turns = 50;
+constexpr duration step = milliseconds{20};
+
+} // namespace
+
+dispatch_world::dispatch_world() : scheduler(dispatch_settings{}, book) {
+    lead();
+}
+
+void dispatch_world::collect() {
+    for (auto& order : scheduler.take_orders()) {
+        m_orders.push_back(std::move(order));
+    }
+}
+
+void dispatch_world::lead() {
+    ++term;
+    scheduler.lead(term, now, wall_ms);
+    m_orders.clear();
+    settle();
+}
+
+void dispatch_world::settle() {
+    for (int turn = 0; turn < max_turns; ++turn) {
+        scheduler.tick(now, wall_ms);
+        const auto commands = scheduler.take_commands();
+        if (commands.empty()) {
+            return;
+        }
+        for (const auto& command : commands) {
+            std::vector<book_event> events;
+            book.apply(command, events);
+            for (const auto& event : events) {
+                scheduler.on_event(event, now, wall_ms);
+            }
+        }
+    }
+    ADD_FAILURE() << "the dispatcher never came to rest";
+}
+
+void dispatch_world::advance(duration length) {
+    now += length;
+    wall_ms += to_milliseconds(length);
+    settle();
+}
+
+void dispatch_world::add_worker(const std::string& id, const worker_amounts& capacity, const std::string& rack) {
+    worker_report report;
+    report.id = id;
+    report.address = "10.0.0." + std::to_string(m_reports.size() + 1) + ":80";
+    report.pool = pool;
+    report.labels = {"a", rack};
+    report.rack = rack;
+    report.capacity = capacity;
+    m_reports[id] = report;
+    beat(id);
+    wait_for_hold(id);
+    answer_hold(id, make_list());
+}
+
+void dispatch_world::beat(const std::string& id, bool is_leaving, std::int64_t remaining_ms) {
+    auto& report = m_reports[id];
+    ++report.sequence;
+    report.clock_ms = to_milliseconds(now.time_since_epoch());
+    report.is_leaving = is_leaving;
+    report.remaining_ms = remaining_ms;
+    if (scheduler.on_heartbeat(report, now)) {
+        job_wire::job_command command;
+        command.mutable_retire()->set_worker(id);
+        std::vector<book_event> events;
+        book.apply(command, events);
+        for (const auto& event : events) {
+            scheduler.on_event(event, now, wall_ms);
+        }
+    }
+    settle();
+}
+
+job_id dispatch_world::submit(const std::vector<step_spec>& steps, std::uint32_t max_attempts, int priority) {
+    step_job job;
+    job.id = m_next_job++;
+    job.payload = "payload";
+    job.steps = steps;
+    job.queue.name = "queue";
+    job.queue.pool = pool;
+    job.queue.max_attempts = max_attempts;
+    job.queue.priority = priority;
+    job.queue.stretch = 2;
+    job.queue.target_latency = seconds{1};
+    job.accepted_ms = wall_ms;
+    job_wire::job_command command;
+    encode(job, *command.mutable_submit()->mutable_job());
+    std::vector<book_event> events;
+    book.apply(command, events);
+    for (const auto& event : events) {
+        scheduler.on_event(event, now, wall_ms);
+    }
+    settle();
+    return job.id;
+}
+
+void dispatch_world::cancel(job_id id) {
+    job_wire::job_command command;
+    command.mutable_cancel()->set_id(id);
+    std::vector<book_event> events;
+    book.apply(command, events);
+    for (const auto& event : events) {
+        scheduler.on_event(event, now, wall_ms);
+    }
+    settle();
+}
+
+void dispatch_world::answer(const start_order& order, std::optional<order_failure> failure) {
+    scheduler.on_start(order.run, {failure, 0}, now);
+    settle();
+}
+
+void dispatch_world::answer(const stop_order& order, std::optional<order_failure> failure) {
+    scheduler.on_stop(order.run, order.target.worker, {failure, 0}, now);
+    settle();
+}
+
+void dispatch_world::answer_hold(const std::string& worker, const hold_answer& answer) {
+    auto told = answer;
+    told.clock_ms = to_milliseconds(now.time_since_epoch());
+    scheduler.on_hold(worker, {std::nullopt, told}, now);
+    settle();
+}
+
+void dispatch_world::fail_hold(const std::string& worker, order_failure failure) {
+    scheduler.on_hold(worker, {failure, {}}, now);
+    settle();
+}
+
+void dispatch_world::wait_for_hold(const std::string& worker) {
+    for (int turn = 0; turn < max_turns; ++turn) {
+        const auto found = scheduler.get_workers().find(worker);
+        if (found != scheduler.get_workers().end() && found->second.is_holding) {
+            return;
+        }
+        advance(step);
+    }
+    ADD_FAILURE() << "no hold at " << worker;
+}
+
+hold_answer dispatch_world::make_list() {
+    return {};
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "poplarpitch/dispatch/dispatcher.h"
+#include "poplarpitch/scheduling/job_book.h"
+
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+
+/// A dispatcher with a book that commits at once, and a clock that a test advances. Orders are kept for the test
+/// to answer, so that it can place a fault between any two steps.
+class dispatch_world {
+public:
+    dispatch_world();
+
+    /// Lets time pass in one step, then ticks and commits.
+    void advance(duration step);
+    /// Commits all commands and ticks until there are none.
+    void settle();
+    /// Leads in the next term with all soft state forgotten.
+    void lead();
+    /// Makes a worker known: heartbeat, and the first hold answered with an empty list.
+    void add_worker(const std::string& id, const worker_amounts& capacity = {64000, 256000, 0},
+                    const std::string& rack = "r1");
+    /// Sends a heartbeat of a worker that was added.
+    void beat(const std::string& id, bool is_leaving = false, std::int64_t remaining_ms = 0);
+    /// Submits a job of steps to a queue with these attempts. Returns its id.
+    job_id submit(const std::vector<step_spec>& steps, std::uint32_t max_attempts = 3, int priority = 0);
+    /// Cancels a job.
+    void cancel(job_id id);
+
+    /// Takes the orders of one kind that were given since the last call; the others are kept.
+    template <class Order>
+    std::vector<Order> take() {
+        collect();
+        std::vector<Order> found;
+        std::vector<worker_order> rest;
+        for (auto& order : m_orders) {
+            if (auto* item = std::get_if<Order>(&order); item != nullptr) {
+                found.push_back(*item);
+            } else {
+                rest.push_back(std::move(order));
+            }
+        }
+        m_orders = std::move(rest);
+        return found;
+    }
+
+    /// Answers a start and commits.
+    void answer(const start_order& order, std::optional<order_failure> failure = {});
+    /// Answers a stop and commits.
+    void answer(const stop_order& order, std::optional<order_failure> failure = {});
+    /// Answers the hold under way at a worker and commits.
+    void answer_hold(const std::string& worker, const hold_answer& answer);
+    /// Fails the hold under way at a worker and commits.
+    void fail_hold(const std::string& worker, order_failure failure = order_failure::unanswered);
+    /// Takes up the hold at a worker, letting time pass until there is one.
+    void wait_for_hold(const std::string& worker);
+    /// Returns the list of a worker that runs nothing.
+    [[nodiscard]] static hold_answer make_list();
+
+    job_book book;
+    dispatcher scheduler;
+    time_point now{seconds{1000}};
+    std::int64_t wall_ms = 1'700'000'000'000;
+    log_term term = 0;
+
+private:
+    void collect();
+
+    std::vector<worker_order> m_orders;
+    std::map<std::string, worker_report> m_reports;
+    job_id m_next_job = 1;
+};
+
+} // namespace poplarpitch
