Group serving tasks by image before anything else, and open another worker rather than mix images

Cause: most workers served 2 images of 3 jobs (looked at by a line of groups), and half of the pairs press hard, so a filling task found few workers.

--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -15,9 +15,9 @@
 constexpr double apart = 0.3;           // a serving task on a worker that holds filling ones
 constexpr double no_servings = 0.8;     // a filling task where nothing serves: kept for those that press hard
 constexpr double fullness_weight = 0.3; // of how much of the unused processor time is taken
-constexpr double untouched = 3;         // the first serving task of a worker
-constexpr double other_image = 0.4;     // each other job of another image that serves on the worker
-constexpr double other_job = 0.4;       // each other job that serves on the worker
+constexpr double untouched = 1.0;         // the first serving task of a worker
+constexpr double other_image = 1.5;     // each other job of another image that serves on the worker
+constexpr double other_job = 0.3;       // each other job that serves on the worker
 constexpr double between = 0.5;         // a task of neither kind on a worker that fills
 
 double get_fill_cost(const worker_state& worker) {
