--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -12,17 +12,17 @@
 
 constexpr std::int64_t priority_weight = 10'000'000; // ms: a better priority goes before any deadline
 constexpr std::int64_t late_weight = 1'000'000;      // ms: a job that is late goes behind all that are not
-constexpr std::int64_t late_multiple = 3;            // a job later than this multiple of its objective earns nothing
+constexpr std::int64_t late_multiple = 3; // a job later than this multiple of its objective earns nothing
 
-/// Earliest objective first, but a job that has missed its objective waits for those that can still meet theirs.
-/// Load pattern: a burst of 2.6 times the usual for seconds; by deadlines alone every job behind it is late.
-std::int64_t rank_by_time(std::int64_t allowed_ms, std::int64_t age_ms) {
-    const auto left = allowed_ms - age_ms;
-    if (left >= 0) {
-        return left;
+/// Least slack first, but a job that can meet its objective no more waits for those that still can. Load
+/// pattern: a burst of 2.6 times the usual for seconds; by deadlines alone every job behind it is late.
+std::int64_t rank_by_time(std::int64_t allowed_ms, std::int64_t age_ms, std::int64_t rest_ms) {
+    const auto slack = allowed_ms - age_ms - rest_ms;
+    if (slack >= 0) {
+        return slack;
     }
-    const bool is_worthless = age_ms > late_multiple * allowed_ms;
-    return (is_worthless ? 2 : 1) * late_weight + left;
+    const bool is_worthless = age_ms + rest_ms > late_multiple * allowed_ms;
+    return (is_worthless ? 2 : 1) * late_weight + slack;
 }
 
 } // namespace
@@ -40,7 +40,9 @@
             static_cast<std::int64_t>(queue.stretch * static_cast<double>(ready.job->estimate_chain_ms())) +
             to_milliseconds(queue.target_latency);
         const auto age = to_milliseconds(now - job->second.accepted);
-        ranked.emplace_back(queue.priority * priority_weight + rank_by_time(allowed, age), key);
+        ranked.emplace_back(queue.priority * priority_weight +
+                                rank_by_time(allowed, age, ready.job->estimate_rest_ms(key.step)),
+                            key);
     }
     std::sort(ranked.begin(), ranked.end());
     return ranked;
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -9,9 +9,11 @@
 namespace poplarpitch {
 namespace {
 
-constexpr double placing_share = 0.9;   // of a target
-constexpr double placing_swing = 0.0;   // own load that may come within the life of a filling task
-constexpr double placing_ahead = 0.5;   // s; filling tasks take 1 to 4
+constexpr double placing_share = 0.9; // of a target
+constexpr double placing_swing = 0.0; // own load that may come within the life of a filling task
+constexpr double placing_ahead = 0.5; // s; filling tasks take 1 to 4
+constexpr double load_margin =
+    0.05; // own load that filling tasks leave to serving ones on top of what is seen
 constexpr double pacing_share = 0.85;   // of a target: paced from here on
 constexpr double pacing_swing = 0.02;   // own load that may come until the next look
 constexpr double over_cut = 0.7;        // of all pressure on a tail over its target: enough at any load
@@ -34,6 +36,7 @@
 void dispatcher::refresh_pressure(worker_state& worker) {
     auto& groups = worker.pressure.groups;
     groups.clear();
+    worker.serving_unused = 0;
     if (worker.servings == 0) {
         return;
     }
@@ -46,6 +49,8 @@
         const auto room =
             m_pressure.get_room(spec.image, static_cast<double>(spec.target_ms), placing_share,
                                 track.calm.load + placing_swing + placing_ahead * track.calm.trend);
+        const auto load = std::min(track.calm.load + load_margin, 1.0);
+        worker.serving_unused += static_cast<std::int64_t>(static_cast<double>(spec.millicores) * (1 - load));
         const auto group = std::find_if(groups.begin(), groups.end(), [&](const pressed_group& item) {
             return item.job == key.task.step.job;
         });
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -48,7 +48,6 @@
     }
     if (spec.is_serving()) {
         worker.servings += static_cast<std::uint32_t>(sign);
-        worker.serving_cores += sign * spec.millicores;
     }
 }
 
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -45,8 +45,8 @@
     worker_amounts reserved;                       ///< by tasks that count
     std::int64_t fill_cores = 0;                   ///< millicores wanted by tasks that fill
     std::uint32_t fills = 0;                       ///< runs that fill
-    std::uint32_t servings = 0;   ///< runs whose answers are watched
-    std::int64_t serving_cores = 0; ///< millicores reserved by them; they use less than half of it on average
+    std::uint32_t servings = 0;                    ///< runs whose answers are watched
+    std::int64_t serving_unused = 0;      ///< millicores that they reserve and, by their own load, do not use
     std::vector<image_share> fill_shares; ///< pressure by image, smoothed as the tails are
     time_point fill_shares_at{};
     worker_pressure pressure;
@@ -57,8 +57,7 @@
     /// Returns the processor time that tasks which fill may still share, millicores. Thread safety: as the
     /// state.
     [[nodiscard]] std::int64_t get_leftover() const {
-        constexpr std::int64_t unused_percent = 40; // of what serving tasks reserve, at the height of their load
-        return report.capacity.millicores - reserved.millicores + serving_cores * unused_percent / 100 - fill_cores;
+        return report.capacity.millicores - reserved.millicores + serving_unused - fill_cores;
     }
     /// Returns the worker's clock at `now`, never ahead of it; 0 while unknown. Thread safety: as the state.
     [[nodiscard]] std::int64_t estimate_clock(time_point now) const {
--- a/poplarpitch/dispatch/worker_trust.cpp
+++ b/poplarpitch/dispatch/worker_trust.cpp
@@ -5,7 +5,8 @@
 namespace poplarpitch {
 namespace {
 
-constexpr duration rest = milliseconds{400}; // after one failure: a good worker loses 2% of a second each
+constexpr duration rest =
+    milliseconds{100}; // after one failure: 5% of 160 runs a second fail by their own fault
 constexpr duration first_aside = seconds{2}; // after the second; doubled each time
 constexpr std::uint32_t max_doublings = 2;   // 8 s: faults of this kind last 5 to 8 s
 constexpr duration refusal_rest = milliseconds{700};
--- a/poplarpitch/scheduling/step_job.cpp
+++ b/poplarpitch/scheduling/step_job.cpp
@@ -32,6 +32,21 @@
     return ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
 }
 
+std::int64_t step_job::estimate_rest_ms(std::uint32_t first) const {
+    std::vector<std::int64_t> ends(steps.size(), -1); // -1: not behind `first`
+    ends[first] = steps[first].estimate_ms;
+    auto last = ends[first];
+    for (std::size_t number = first + 1; number < steps.size(); ++number) {
+        for (const auto earlier : steps[number].depends_on) {
+            if (ends[earlier] >= 0) {
+                ends[number] = std::max(ends[number], ends[earlier] + steps[number].estimate_ms);
+            }
+        }
+        last = std::max(last, ends[number]);
+    }
+    return last;
+}
+
 std::optional<std::string> find_job_error(const step_job& job) {
     if (job.payload.size() > max_payload) {
         return "the payload is longer than 4,000 bytes";
--- a/poplarpitch/scheduling/step_job.h
+++ b/poplarpitch/scheduling/step_job.h
@@ -37,6 +37,9 @@
     [[nodiscard]] std::uint32_t get_occurrence_count() const;
     /// Returns the estimated time of the longest chain of steps, milliseconds. Thread safety: any thread.
     [[nodiscard]] std::int64_t estimate_chain_ms() const;
+    /// Returns the estimated time from the start of a step to the end of the last one behind it,
+    /// milliseconds. Thread safety: any thread.
+    [[nodiscard]] std::int64_t estimate_rest_ms(std::uint32_t first) const;
 };
 
 /// Returns why a job cannot be taken, or nothing when it is sound: counts, dependencies on earlier steps
