--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -14,8 +14,8 @@
 constexpr double placing_ahead = 0.5; // s; filling tasks take 1 to 4
 constexpr double load_margin =
     0.05; // own load that filling tasks leave to serving ones on top of what is seen
-constexpr double pacing_share = 0.85;   // of a target: paced from here on
-constexpr double pacing_swing = 0.02;   // own load that may come until the next look
+constexpr double pacing_share = 1.0;  // of a target: paced from here on
+constexpr double pacing_swing = 0.0; // own load that may come until the next look
 constexpr double over_cut = 0.7;        // of all pressure on a tail over its target: enough at any load
 constexpr double tail_smoothing = 0.35; // s; a tail told after a change moves by two thirds in this time
 constexpr double unknown_phase = 0.5;   // of a filling task that has not told its use yet
