--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -11,7 +11,7 @@
 namespace poplarpitch {
 namespace {
 
-constexpr duration report_interval = seconds{2}; // of the line that tells the load as a whole
+constexpr duration report_interval = seconds{2};       // of the line that tells the load as a whole
 constexpr duration place_interval = milliseconds{100}; // while tasks wait; otherwise events ask for it
 
 } // namespace
@@ -42,7 +42,7 @@
     for (const auto& [id, record] : m_book.get_jobs()) {
         if (record.phase == job_phase::open) {
             const auto age = std::max<std::int64_t>(wall_ms - record.job->accepted_ms, 0);
-            open(record, now - milliseconds{age}, wall_ms);
+            open(record, now - milliseconds{age}, now, wall_ms);
         } else {
             m_ended.emplace(now + m_settings.keep_ended, id);
         }
@@ -66,7 +66,7 @@
 
 // ---- jobs
 
-void dispatcher::open(const job_record& record, time_point accepted, std::int64_t wall_ms) {
+void dispatcher::open(const job_record& record, time_point accepted, time_point now, std::int64_t wall_ms) {
     auto& job = m_jobs[record.job->id];
     job.accepted = accepted;
     for (const auto& [number, occurrence] : record.occurrences) {
@@ -75,7 +75,7 @@
         }
     }
     if (!record.job->schedule.has_value()) {
-        begin_occurrence(record, 0);
+        begin_occurrence(record, 0, now);
         return;
     }
     const auto& schedule = *record.job->schedule;
@@ -86,20 +86,20 @@
         }
         const auto due = schedule.first_ms + static_cast<std::int64_t>(number) * schedule.interval_ms;
         if (due <= wall_ms) {
-            begin_occurrence(record, number);
+            begin_occurrence(record, number, now);
         } else {
             m_due.emplace(due, step_key{record.job->id, number, 0});
         }
     }
 }
 
-void dispatcher::begin_occurrence(const job_record& record, std::uint32_t occurrence) {
+void dispatcher::begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now) {
     for (std::uint32_t step = 0; step < record.job->steps.size(); ++step) {
-        consider_step(record, {record.job->id, occurrence, step});
+        consider_step(record, {record.job->id, occurrence, step}, now);
     }
 }
 
-void dispatcher::consider_step(const job_record& record, const step_key& key) {
+void dispatcher::consider_step(const job_record& record, const step_key& key, time_point now) {
     const auto& spec = record.job->steps[key.step];
     for (const auto earlier : spec.depends_on) {
         const auto* step = record.find_step(key.occurrence, earlier);
@@ -111,18 +111,19 @@
     for (std::uint32_t index = 0; index < spec.count; ++index) {
         // An occurrence without a record has not begun: all of its tasks wait.
         if (step == nullptr || step->tasks[index].phase == task_phase::waiting) {
-            make_ready({key, index});
+            make_ready({key, index}, now);
         }
     }
 }
 
-void dispatcher::make_ready(const task_key& key) {
+void dispatcher::make_ready(const task_key& key, time_point now) {
     const auto* record = m_book.find_job(key.step.job);
     if (record == nullptr || record->phase != job_phase::open) {
         return;
     }
     auto& ready = m_ready[key.step];
     ready.job = record->job;
+    ready.since = ready.waiting.empty() ? now : ready.since;
     ready.waiting.insert(key.index);
     m_must_place = true;
 }
@@ -161,7 +162,7 @@
     const auto id = event.run.task.step.job;
     switch (event.what) {
     case book_event::kind::job_accepted:
-        open(*m_book.find_job(id), now, wall_ms);
+        open(*m_book.find_job(id), now, now, wall_ms);
         return;
     case book_event::kind::job_ended:
         close(id, now);
@@ -176,7 +177,7 @@
         drop_track(event.run, now);
         const auto* task = m_book.find_task(event.run.task);
         if (task == nullptr || task->phase == task_phase::waiting) {
-            make_ready(event.run.task);
+            make_ready(event.run.task, now);
         }
         return;
     }
@@ -190,7 +191,7 @@
         for (key.step = done + 1; key.step < record->job->steps.size(); ++key.step) {
             const auto& after = record->job->steps[key.step].depends_on;
             if (std::find(after.begin(), after.end(), done) != after.end()) {
-                consider_step(*record, key);
+                consider_step(*record, key, now);
             }
         }
         return;
@@ -239,7 +240,7 @@
         return;
     }
     if (task->phase == task_phase::waiting) {
-        make_ready(event.run.task);
+        make_ready(event.run.task, now);
         break_gang(event.run, now);
     }
     if (task->phase == task_phase::done) {
@@ -265,13 +266,13 @@
     }
 }
 
-void dispatcher::begin_due_occurrences(std::int64_t wall_ms) {
+void dispatcher::begin_due_occurrences(time_point now, std::int64_t wall_ms) {
     while (!m_due.empty() && m_due.begin()->first <= wall_ms) {
         const auto key = m_due.begin()->second;
         m_due.erase(m_due.begin());
         const auto* record = m_book.find_job(key.job);
         if (record != nullptr && record->phase == job_phase::open) {
-            begin_occurrence(*record, key.occurrence);
+            begin_occurrence(*record, key.occurrence, now);
         }
     }
 }
@@ -289,7 +290,7 @@
     if (!is_leading()) {
         return;
     }
-    begin_due_occurrences(wall_ms);
+    begin_due_occurrences(now, wall_ms);
     forget_old_jobs(now);
     std::vector<std::string> dropped;
     for (auto& [id, worker] : m_workers) {
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -92,18 +92,19 @@
     struct ready_step {
         std::shared_ptr<const step_job> job;
         std::set<std::uint32_t> waiting;
+        time_point since{}; ///< when the first of them began to wait
     };
 
     // jobs
-    void open(const job_record& record, time_point accepted, std::int64_t wall_ms);
-    void begin_occurrence(const job_record& record, std::uint32_t occurrence);
-    void consider_step(const job_record& record, const step_key& key);
-    void make_ready(const task_key& key);
+    void open(const job_record& record, time_point accepted, time_point now, std::int64_t wall_ms);
+    void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
+    void consider_step(const job_record& record, const step_key& key, time_point now);
+    void make_ready(const task_key& key, time_point now);
     void close(job_id id, time_point now);
     void on_run_ended(const book_event& event, time_point now);
     void break_gang(const run_key& ended, time_point now);
     void report_load(time_point now);
-    void begin_due_occurrences(std::int64_t wall_ms);
+    void begin_due_occurrences(time_point now, std::int64_t wall_ms);
     void forget_old_jobs(time_point now);
 
     // runs
@@ -149,6 +150,8 @@
     [[nodiscard]] std::vector<std::pair<std::int64_t, step_key>> rank_ready(time_point now) const;
     bool place_task(const ready_step& ready, const task_key& key, const std::string& rack, time_point now);
     bool place_gang(const ready_step& ready, const step_key& key, time_point now);
+    void measure_short_demand(time_point now);
+    [[nodiscard]] bool may_open(const worker_state& worker) const;
     worker_state* choose(const ready_step& ready, const task_key& key, const std::string& rack,
                          time_point now);
     void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
@@ -170,6 +173,10 @@
     dispatch_counts m_counts;
     pressure_model m_pressure;
     bool m_must_place = false;
+    double m_short_cores = 0;       ///< millicores that tasks which neither serve nor fill want, smoothed
+    std::int64_t m_open_cores = 0;  ///< millicores of the usable workers on which nothing serves
+    std::int64_t m_total_cores = 0; ///< millicores of the usable workers
+    time_point m_measured_at{};
     time_point m_next_place{};
     time_point m_next_report{};
 };
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -6,12 +6,17 @@
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace poplarpitch {
 namespace {
 
-constexpr std::int64_t priority_weight = 10'000'000; // ms: a better priority goes before any deadline
-constexpr std::int64_t late_weight = 1'000'000;      // ms: a job that is late goes behind all that are not
+constexpr std::int64_t priority_weight = 10'000'000;      // ms: a better priority goes before any deadline
+constexpr double demand_smoothing = 8;                    // s; bursts last 4 to 6
+constexpr double demand_peak = 1.5;                       // of the smoothed demand: it varies by half
+constexpr double least_open = 0.05;                       // of all processor time, before anything is known
+constexpr duration serving_patience = milliseconds{1800}; // a serving task that could run waits no longer
+constexpr std::int64_t late_weight = 1'000'000; // ms: a job that is late goes behind all that are not
 constexpr std::int64_t late_multiple = 3; // a job later than this multiple of its objective earns nothing
 
 /// Least slack first, but a job that can meet its objective no more waits for those that still can. Load
@@ -53,6 +58,7 @@
         return;
     }
     m_must_place = false;
+    measure_short_demand(now);
     for (const auto& [rank, key] : rank_ready(now)) {
         const auto found = m_ready.find(key);
         auto& ready = found->second;
@@ -73,6 +79,38 @@
     }
 }
 
+/// Short tasks need whole cores at once, serving tasks leave a few on each worker: what is left over is too
+/// thin to be of use. Load pattern: serving tasks that last reserve nine tenths of a pool before the first
+/// short task comes.
+void dispatcher::measure_short_demand(time_point now) {
+    m_open_cores = 0;
+    m_total_cores = 0;
+    double wanted = 0;
+    for (const auto& [id, worker] : m_workers) {
+        if (!is_usable(worker, now)) {
+            continue;
+        }
+        m_total_cores += worker.report.capacity.millicores;
+        m_open_cores += worker.servings == 0 ? worker.report.capacity.millicores : 0;
+        wanted += static_cast<double>(worker.short_cores);
+    }
+    for (const auto& [key, ready] : m_ready) {
+        const auto& spec = ready.job->steps[key.step];
+        if (!spec.fills && !spec.is_serving()) {
+            wanted += static_cast<double>(spec.millicores) * static_cast<double>(ready.waiting.size());
+        }
+    }
+    const auto kept = std::exp(-to_seconds(now - m_measured_at) / demand_smoothing);
+    m_measured_at = now;
+    m_short_cores = kept * m_short_cores + (1 - kept) * wanted;
+}
+
+bool dispatcher::may_open(const worker_state& worker) const {
+    const auto kept_free =
+        std::max(m_short_cores * demand_peak, least_open * static_cast<double>(m_total_cores));
+    return static_cast<double>(m_open_cores - worker.report.capacity.millicores) >= kept_free;
+}
+
 bool dispatcher::place_task(const ready_step& ready, const task_key& key, const std::string& rack,
                             time_point now) {
     auto* worker = choose(ready, key, rack, now);
@@ -100,6 +138,10 @@
         if (worker.report.pool != ready.job->queue.pool || !is_usable(worker, now)) {
             continue;
         }
+        const bool is_patient = request.spec->is_serving() && now - ready.since < serving_patience;
+        if (is_patient && worker.servings == 0 && !may_open(worker)) {
+            continue;
+        }
         const auto cost = get_placement_cost(worker, request);
         if (cost.has_value() && (best == nullptr || *cost < best_cost)) {
             best = &worker;
@@ -162,6 +204,9 @@
 void dispatcher::claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now) {
     const auto* task = m_book.find_task(key);
     const run_key run{key, task == nullptr ? 1 : task->last_run + 1};
+    if (ready.job->steps[key.step.step].is_serving() && worker.servings == 0) {
+        m_open_cores -= worker.report.capacity.millicores;
+    }
     add_track(run, ready.job, worker.report.id, run_stage::committing, now);
     job_wire::job_command command;
     encode(key, *command.mutable_assign()->mutable_task());
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -46,6 +46,9 @@
         worker.fill_cores += sign * spec.millicores;
         worker.fills += static_cast<std::uint32_t>(sign);
     }
+    if (!spec.fills && !spec.is_serving()) {
+        worker.short_cores += sign * spec.millicores;
+    }
     if (spec.is_serving()) {
         worker.servings += static_cast<std::uint32_t>(sign);
     }
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -44,6 +44,7 @@
     std::map<step_key, std::uint32_t> step_counts; ///< runs of each step, for the limit on one worker
     worker_amounts reserved;                       ///< by tasks that count
     std::int64_t fill_cores = 0;                   ///< millicores wanted by tasks that fill
+    std::int64_t short_cores = 0;                  ///< millicores of tasks that neither fill nor serve
     std::uint32_t fills = 0;                       ///< runs that fill
     std::uint32_t servings = 0;                    ///< runs whose answers are watched
     std::int64_t serving_unused = 0;      ///< millicores that they reserve and, by their own load, do not use
