--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_job_test.cpp
@@ -0,0 +1,163 @@
+// What becomes of jobs: dependencies, attempts, gangs, copies, cancelling, occurrences.
+#include "unit_tests/dispatch/dispatch_world.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+step_spec make_step(std::uint32_t count = 1) {
+    step_spec step;
+    step.count = count;
+    step.millicores = 1000;
+    step.memory_mb = 100;
+    step.estimate_ms = 1000;
+    return step;
+}
+
+void end_run(dispatch_world& world, const start_order& order, std::uint64_t number, run_end end) {
+    world.wait_for_hold(order.target.worker);
+    hold_answer list;
+    for (const auto& key : world.scheduler.get_workers().at(order.target.worker).runs) {
+        if (key != order.run) {
+            list.running.push_back({key, "", 10, 0});
+        }
+    }
+    list.ended.push_back({number, order.run, end, ""});
+    world.answer_hold(order.target.worker, list);
+}
+
+TEST(dispatcher_job, starts_a_step_when_all_tasks_before_it_are_done) {
+    dispatch_world world;
+    world.add_worker("w1");
+    auto second = make_step();
+    second.depends_on = {0};
+    const auto job = world.submit({make_step(2), second});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    world.answer(starts[0]);
+    world.answer(starts[1]);
+    end_run(world, starts[0], 1, run_end::done);
+    EXPECT_TRUE(world.take<start_order>().empty());
+    end_run(world, starts[1], 2, run_end::done);
+    const auto last = world.take<start_order>();
+    ASSERT_EQ(last.size(), 1U);
+    EXPECT_EQ(last[0].run.task.step.step, 1U);
+    world.answer(last[0]);
+    end_run(world, last[0], 3, run_end::done);
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::completed);
+}
+
+TEST(dispatcher_job, fails_a_job_whose_task_failed_as_often_as_its_queue_allows) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.add_worker("w2");
+    const auto job = world.submit({make_step()}, 2);
+    for (std::uint64_t attempt = 1; attempt <= 2; ++attempt) {
+        world.advance(seconds{10}); // a worker that failed is rested
+        const auto starts = world.take<start_order>();
+        ASSERT_EQ(starts.size(), 1U);
+        world.answer(starts[0]);
+        end_run(world, starts[0], 1, run_end::failed);
+    }
+    world.advance(seconds{10});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::failed);
+}
+
+TEST(dispatcher_job, retries_a_failed_task_on_another_worker) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.add_worker("w2");
+    world.submit({make_step()}, 2);
+    const auto first = world.take<start_order>();
+    ASSERT_EQ(first.size(), 1U);
+    world.answer(first[0]);
+    end_run(world, first[0], 1, run_end::failed);
+    world.advance(seconds{1});
+    const auto second = world.take<start_order>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second[0].target.worker, first[0].target.worker);
+}
+
+TEST(dispatcher_job, starts_a_gang_whole_or_not_at_all_and_under_one_number) {
+    dispatch_world world;
+    world.add_worker("w1", {2000, 256000, 0});
+    auto gang = make_step(3);
+    gang.gang = true;
+    world.submit({gang});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    world.add_worker("w2", {2000, 256000, 0});
+    world.advance(milliseconds{200});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 3U);
+    for (const auto& start : starts) {
+        EXPECT_EQ(start.run.run, 1U);
+    }
+}
+
+TEST(dispatcher_job, takes_the_end_of_one_member_of_a_gang_for_all) {
+    dispatch_world world;
+    world.add_worker("w1");
+    auto gang = make_step(2);
+    gang.gang = true;
+    const auto job = world.submit({gang});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    world.answer(starts[0]);
+    world.answer(starts[1]);
+    end_run(world, starts[0], 1, run_end::done);
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::completed);
+}
+
+TEST(dispatcher_job, stops_what_runs_of_a_cancelled_job_and_starts_no_more_of_it) {
+    dispatch_world world;
+    world.add_worker("w1", {2000, 256000, 0});
+    const auto job = world.submit({make_step(3)});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U); // one waits for room
+    world.answer(starts[0]);
+    world.cancel(job); // the other start has no answer yet
+    const auto stops = world.take<stop_order>();
+    EXPECT_EQ(stops.size(), 2U);
+    world.advance(seconds{1});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::cancelled);
+}
+
+TEST(dispatcher_job, never_asks_more_of_a_worker_than_it_holds) {
+    dispatch_world world;
+    world.add_worker("w1", {3500, 250, 0});
+    world.submit({make_step(10)});
+    EXPECT_EQ(world.take<start_order>().size(), 2U); // memory binds
+}
+
+TEST(dispatcher_job, keeps_labels_and_the_limit_on_one_worker) {
+    dispatch_world world;
+    world.add_worker("w1", {64000, 256000, 0}, "r1");
+    world.add_worker("w2", {64000, 256000, 0}, "r2");
+    auto step = make_step(4);
+    step.required_label = "r2";
+    step.max_per_worker = 3;
+    world.submit({step});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 3U);
+    for (const auto& start : starts) {
+        EXPECT_EQ(start.target.worker, "w2");
+    }
+}
+
+TEST(dispatcher_job, counts_jobs_none_of_whose_tasks_has_started) {
+    dispatch_world world;
+    world.add_worker("w1", {1000, 256000, 0});
+    world.submit({make_step()});
+    world.submit({make_step()});
+    EXPECT_EQ(world.scheduler.count_pending("queue"), 2U);
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    world.answer(starts[0]);
+    EXPECT_EQ(world.scheduler.count_pending("queue"), 1U);
+}
+
+} // namespace
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -0,0 +1,180 @@
+// Workers that fall silent, die, leave or come back: every run is given up once, and only when it surely
+// ended.
+#include "unit_tests/dispatch/dispatch_world.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+step_spec make_step(std::uint32_t count = 1) {
+    step_spec step;
+    step.count = count;
+    step.millicores = 1000;
+    step.memory_mb = 100;
+    step.estimate_ms = 5000;
+    return step;
+}
+
+start_order start_one(dispatch_world& world) {
+    const auto starts = world.take<start_order>();
+    EXPECT_EQ(starts.size(), 1U);
+    world.answer(starts.at(0));
+    return starts.at(0);
+}
+
+void fail_holds(dispatch_world& world, const std::string& worker, duration length) {
+    const auto end = world.now + length;
+    while (world.now < end) {
+        const auto found = world.scheduler.get_workers().find(worker);
+        if (found != world.scheduler.get_workers().end() && found->second.is_holding) {
+            world.fail_hold(worker);
+        }
+        world.advance(milliseconds{50});
+    }
+}
+
+TEST(dispatcher_loss, waits_for_the_lease_of_a_silent_worker_before_it_starts_a_run_again) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto first = start_one(world);
+    world.add_worker("w2");
+    const dispatch_settings settings;
+    fail_holds(world, "w1", settings.lease - seconds{1});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    fail_holds(world, "w1", seconds{3});
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].target.worker, "w2");
+    EXPECT_EQ(again[0].run.task, first.run.task);
+    EXPECT_GT(again[0].run.run, first.run.run);
+}
+
+TEST(dispatcher_loss, grants_no_lease_to_a_worker_that_does_not_answer) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    start_one(world);
+    fail_holds(world, "w1", seconds{1});
+    world.take<hold_order>();
+    fail_holds(world, "w1", seconds{1});
+    const auto holds = world.take<hold_order>();
+    ASSERT_FALSE(holds.empty());
+    for (const auto& hold : holds) {
+        EXPECT_FALSE(hold.until_ms.has_value());
+    }
+}
+
+TEST(dispatcher_loss, starts_a_run_again_at_once_when_another_life_answers) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    start_one(world);
+    world.add_worker("w2");
+    world.wait_for_hold("w1");
+    world.fail_hold("w1", order_failure::other_life);
+    world.advance(milliseconds{20});
+    EXPECT_EQ(world.take<start_order>().size(), 1U);
+}
+
+TEST(dispatcher_loss, ignores_a_heartbeat_of_a_life_that_has_ended) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    start_one(world);
+    world.wait_for_hold("w1");
+    world.fail_hold("w1", order_failure::other_life);
+    world.beat("w1"); // delayed on its way
+    world.advance(seconds{1});
+    EXPECT_TRUE(world.take<start_order>().empty());
+}
+
+TEST(dispatcher_loss, starts_nothing_on_a_worker_that_leaves_and_moves_what_lasts) {
+    dispatch_world world;
+    world.add_worker("w1");
+    auto lasting = make_step();
+    lasting.long_running = true;
+    world.submit({lasting});
+    const auto first = start_one(world);
+    world.beat("w1", true, 2000);
+    EXPECT_TRUE(world.book.is_retired("w1"));
+    const auto stops = world.take<stop_order>();
+    ASSERT_EQ(stops.size(), 1U);
+    world.answer(stops[0]);
+    world.submit({make_step()});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    world.add_worker("w2");
+    world.advance(milliseconds{20});
+    EXPECT_EQ(world.take<start_order>().size(), 1U); // the new job; the stopped run has not been listed yet
+    world.wait_for_hold("w1");
+    world.fail_hold("w1"); // answered before the stop
+    world.advance(milliseconds{200});
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.ended.push_back({1, first.run, run_end::stopped, "saved"});
+    world.answer_hold("w1", list);
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].target.worker, "w2");
+    EXPECT_EQ(again[0].saved, "saved");
+}
+
+TEST(dispatcher_loss, a_new_leader_adopts_what_runs_and_restarts_what_never_came) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step(2)});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    world.answer(starts[0]); // the other start is lost with the leader
+    world.lead();
+    world.beat("w1");
+    world.wait_for_hold("w1");
+    EXPECT_TRUE(world.take<start_order>().empty());
+    hold_answer list;
+    list.running.push_back({starts[0].run, "", 10, 0});
+    world.answer_hold("w1", list);
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].run.task, starts[1].run.task);
+    EXPECT_EQ(again[0].run.run, 2U);
+    EXPECT_EQ(again[0].target.fence, world.term);
+}
+
+TEST(dispatcher_loss, stops_a_run_that_the_book_does_not_know) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto first = start_one(world);
+    world.wait_for_hold("w1");
+    auto stray = first.run;
+    stray.task.step.job = 77;
+    hold_answer list;
+    list.running.push_back({first.run, "", 10, 0});
+    list.running.push_back({stray, "", 10, 0});
+    world.answer_hold("w1", list);
+    const auto stops = world.take<stop_order>();
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].run, stray);
+}
+
+TEST(dispatcher_loss, acknowledges_an_end_only_after_it_is_committed) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step(2)});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    world.answer(starts[0]);
+    world.answer(starts[1]);
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.running.push_back({starts[1].run, "", 10, 0});
+    list.ended.push_back({1, starts[0].run, run_end::done, ""});
+    world.scheduler.on_hold("w1", {std::nullopt, list}, world.now); // not committed yet
+    EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 0U);
+    world.settle();
+    EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 1U);
+}
+
+} // namespace
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/dispatch/pressure_model_test.cpp
@@ -0,0 +1,86 @@
+// The pressure model tells light pairs of images from heavy ones while the serving task's own load swings.
+#include "poplarpitch/dispatch/pressure_model.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <random>
+
+namespace poplarpitch {
+namespace {
+
+constexpr double base_ms = 10;
+constexpr double target_ms = 50;
+constexpr double look = 0.35; // seconds between two looks
+constexpr double swing_seconds = 14;
+
+double get_load(double seconds) {
+    return 0.45 * (1 + 0.5 * std::sin(2 * M_PI * seconds / swing_seconds));
+}
+
+double get_tail(double load, double slow) {
+    const double room = 1 - load * slow;
+    return room < 0.02 ? 600 : base_ms * slow / room;
+}
+
+/// Shows the model `seconds` of a serving task beside a filling one that comes and goes.
+void show(pressure_model& model, serving_calm& calm, const std::string& filling, double factor,
+          double seconds, std::mt19937& random) {
+    std::normal_distribution<double> noise(1, 0.05);
+    for (double time = 0; time < seconds; time += look) {
+        const bool is_there = static_cast<int>(time / 2) % 2 == 1;
+        const double share = is_there ? 0.1 : 0.0;
+        const double tail = get_tail(get_load(time), 1 + factor * share) * noise(random);
+        std::vector<image_share> others;
+        if (is_there) {
+            others.push_back({filling, share});
+        }
+        model.observe("serving", tail, target_ms, others, look, calm);
+    }
+}
+
+TEST(pressure_model, follows_the_own_load_of_a_task_that_nothing_disturbs) {
+    pressure_model model;
+    serving_calm calm;
+    for (double time = 0; time < 30; time += look) {
+        model.observe("serving", get_tail(get_load(time), 1), target_ms, {}, look, calm);
+        if (time > 3) {
+            EXPECT_NEAR(calm.load, get_load(time), 0.08) << "at " << time << " s";
+        }
+    }
+}
+
+TEST(pressure_model, tells_a_light_pair_from_a_heavy_one_within_seconds) {
+    pressure_model model;
+    serving_calm calm;
+    std::mt19937 random(7);
+    show(model, calm, "light", 0.2, 14, random);
+    show(model, calm, "heavy", 4.5, 14, random);
+    EXPECT_LT(model.get_factor("serving", "light"), 0.9);
+    EXPECT_GT(model.get_factor("serving", "heavy"), 2.5);
+}
+
+TEST(pressure_model, gives_an_unknown_pair_neither_the_benefit_nor_the_blame) {
+    const pressure_model model;
+    EXPECT_GT(model.get_factor("serving", "unseen"), 0.8);
+    EXPECT_LT(model.get_factor("serving", "unseen"), 2.0);
+    EXPECT_GT(model.get_careful_factor("serving", "unseen"), model.get_factor("serving", "unseen"));
+}
+
+TEST(pressure_model, leaves_less_room_the_higher_the_load) {
+    const pressure_model model;
+    const auto calm = model.get_room("serving", target_ms, 0.9, 0.25);
+    const auto busy = model.get_room("serving", target_ms, 0.9, 0.65);
+    EXPECT_GT(calm, 1.0);
+    EXPECT_GT(busy, 0.0);
+    EXPECT_LT(busy, 0.3);
+    EXPECT_LT(model.get_room("serving", target_ms, 0.9, 0.85), 0.0);
+}
+
+TEST(pressure_model, takes_a_filling_task_that_uses_two_thirds_for_one_in_a_light_phase) {
+    EXPECT_NEAR(pressure_model::get_phase(8000, 8000), 1.0, 0.01);
+    EXPECT_LT(pressure_model::get_phase(5360, 8000), 0.35);
+}
+
+} // namespace
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/platform/dialect_test.cpp
@@ -0,0 +1,177 @@
+// Names, formats and calls of the users' platform, both ways.
+#include "platform/dialect.h"
+#include "platform/run_name.h"
+
+#include <nlohmann/json.hpp>
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch::platform {
+namespace {
+
+TEST(platform_job, reads_all_fields_of_a_step) {
+    const auto job =
+        read_job(R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"gpu":1,"estimateMs":900,
+        "affinity":"r1-3","requires":"a","antiAffinity":2,"checkpointing":true,"image":"x","fills":true},
+        {"count":2,"dependsOn":[0],"longRunning":true,"targetMs":50,"gang":true,"sameRack":true,
+        "speculative":true}],"repeatCount":3,"firstMs":1000,"intervalMs":500})");
+    ASSERT_TRUE(job.has_value());
+    EXPECT_EQ(job->payload, "text");
+    ASSERT_EQ(job->steps.size(), 2U);
+    const auto& first = job->steps[0];
+    EXPECT_EQ(first.count, 4U);
+    EXPECT_EQ(first.millicores, 500);
+    EXPECT_EQ(first.memory_mb, 256);
+    EXPECT_EQ(first.accelerators, 1);
+    EXPECT_EQ(first.max_per_worker, 2U);
+    EXPECT_EQ(first.affinity_rack, "r1-3");
+    EXPECT_EQ(first.required_label, "a");
+    EXPECT_TRUE(first.checkpointing);
+    EXPECT_TRUE(first.fills);
+    EXPECT_FALSE(first.miss_allowed.has_value());
+    const auto& second = job->steps[1];
+    EXPECT_EQ(second.depends_on, std::vector<std::uint32_t>{0});
+    EXPECT_TRUE(second.is_serving());
+    EXPECT_TRUE(second.gang);
+    EXPECT_TRUE(second.same_rack);
+    EXPECT_TRUE(second.speculative);
+    EXPECT_EQ(second.miss_allowed, 0U);
+    EXPECT_EQ(job->schedule, (job_schedule{3, 1000, 500}));
+}
+
+TEST(platform_job, refuses_what_it_cannot_read) {
+    EXPECT_FALSE(read_job("").has_value());
+    EXPECT_FALSE(read_job("[]").has_value());
+    EXPECT_FALSE(read_job(R"({"spec":"text"})").has_value());
+    EXPECT_FALSE(read_job(R"({"steps":[{"count":"four"}]})").has_value());
+    EXPECT_FALSE(read_job(R"({"steps":[{"count":4)").has_value());
+}
+
+TEST(platform_run_name, is_read_as_it_is_written) {
+    const task_key key{{0x5c0e7a21d94b36f8, 2, 1}, 17};
+    EXPECT_EQ(format_task_name(key), "5c0e7a21d94b36f8.2.1.17");
+    EXPECT_EQ(read_task_name("5c0e7a21d94b36f8.2.1.17"), key);
+    EXPECT_FALSE(read_task_name("5c0e7a21d94b36f8.2.1").has_value());
+    EXPECT_FALSE(read_task_name("5C0E7A21D94B36F8.2.1.17").has_value());
+    EXPECT_FALSE(read_task_name("5c0e7a21d94b36f8.2.x.17").has_value());
+}
+
+http_request make_post(const std::string& target, const std::string& body) {
+    http_request request;
+    request.method = "POST";
+    request.target = target;
+    request.body = body;
+    return request;
+}
+
+TEST(platform_control, reads_a_heartbeat) {
+    const auto call = read_control_call(make_post(
+        "/v1/Instances.Heartbeat/i-7f", R"({"service":"s","addr":"10.0.0.9:80","zone":"z","state":"draining",
+        "remainingMs":1500,"capacity":{"cpu":16000,"memMb":32768,"gpu":2},"labels":["a","r1-3"],"clockMs":48,"seq":4})"));
+    const auto* heartbeat = std::get_if<heartbeat_call>(&call);
+    ASSERT_NE(heartbeat, nullptr);
+    EXPECT_EQ(heartbeat->report.id, "i-7f");
+    EXPECT_EQ(heartbeat->report.rack, "r1-3");
+    EXPECT_EQ(heartbeat->report.capacity, (worker_amounts{16000, 32768, 2}));
+    EXPECT_TRUE(heartbeat->report.is_leaving);
+    EXPECT_EQ(heartbeat->report.remaining_ms, 1500);
+    EXPECT_EQ(heartbeat->report.sequence, 4U);
+}
+
+TEST(platform_control, reads_a_configuration_and_keeps_it_as_sent) {
+    const std::string document =
+        R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","kind":"unsafe","timeoutMs":3000,
+        "targetLatencyMs":250,"priority":2,"service":"s","maxAttempts":4,"stretch":1.5,
+        "advice":{"decideMs":5,"periodMs":1,"validMs":3000}}],
+        "services":[{"name":"s","maxConns":64,"enforcesCapacity":true,"standby":false}]})";
+    const auto call = read_control_call(make_post("/v1/Config.Put", document));
+    const auto* put = std::get_if<put_config_call>(&call);
+    ASSERT_NE(put, nullptr);
+    EXPECT_EQ(put->configuration.version, 7U);
+    EXPECT_EQ(put->configuration.document, document);
+    ASSERT_EQ(put->configuration.queues.size(), 1U);
+    const auto& queue = put->configuration.queues[0];
+    EXPECT_EQ(queue.priority, 2);
+    EXPECT_EQ(queue.max_attempts, 4U);
+    EXPECT_EQ(queue.target_latency, milliseconds{250});
+    EXPECT_EQ(queue.advice->valid, seconds{3});
+    EXPECT_TRUE(put->configuration.pools.at(0).enforces_capacity);
+}
+
+TEST(platform_control, tells_calls_that_cannot_be_read_from_unknown_ones) {
+    const auto is_malformed = [](const control_call& call) {
+        return std::holds_alternative<malformed_call>(call);
+    };
+    EXPECT_TRUE(is_malformed(read_control_call(make_post("/v1/Config.Put", R"({"version":7,"routes":[)"))));
+    EXPECT_TRUE(is_malformed(read_control_call(make_post("/v1/Instances.Heartbeat/i", "{}"))));
+    EXPECT_TRUE(std::holds_alternative<unknown_call>(read_control_call(make_post("/v1/else", "{}"))));
+}
+
+TEST(platform_worker, writes_orders_and_names_the_life_they_are_for) {
+    start_order order;
+    order.target.worker = "i-7f";
+    order.target.fence = 7;
+    order.run = {{{1, 0, 0}, 3}, 2};
+    step_job job;
+    job.payload = "text";
+    order.job = std::make_shared<const step_job>(job);
+    order.until_ms = 486000;
+    order.saved = "00ab";
+    const auto request = write_order(order);
+    EXPECT_EQ(request.target, "/v1/run-start");
+    EXPECT_EQ(request.headers.get("Expect-Instance"), "i-7f");
+    const auto body = nlohmann::json::parse(request.body);
+    EXPECT_EQ(body.at("task"), "0000000000000001.0.0.3");
+    EXPECT_EQ(body.at("run"), 2);
+    EXPECT_EQ(body.at("fence"), 7);
+    EXPECT_EQ(body.at("spec"), "text");
+    EXPECT_EQ(body.at("untilMs"), 486000);
+    EXPECT_EQ(body.at("checkpoint"), "00ab");
+    EXPECT_FALSE(body.contains("ticket"));
+}
+
+TEST(platform_worker, reads_both_lists_of_a_hold) {
+    http_response response;
+    response.body = R"({"clockMs":482113,"running":[["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,52]],
+        "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.8",3,"lapsed","77"]]})";
+    const auto outcome = read_hold_answer(response);
+    ASSERT_FALSE(outcome.failure.has_value());
+    EXPECT_EQ(outcome.answer.clock_ms, 482113);
+    ASSERT_EQ(outcome.answer.running.size(), 1U);
+    EXPECT_EQ(outcome.answer.running[0].percent, 41);
+    EXPECT_EQ(outcome.answer.running[0].level, 52);
+    ASSERT_EQ(outcome.answer.ended.size(), 2U);
+    EXPECT_EQ(outcome.answer.ended[0].end, run_end::done);
+    EXPECT_EQ(outcome.answer.ended[1].end, run_end::lapsed);
+    EXPECT_EQ(outcome.answer.ended[1].saved, "77");
+}
+
+TEST(platform_worker, takes_a_list_that_cannot_be_read_for_no_answer) {
+    http_response response;
+    response.body = R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.17","two"]],"ended":[]})";
+    EXPECT_EQ(read_hold_answer(response).failure, order_failure::unanswered);
+    response.body = "";
+    EXPECT_EQ(read_hold_answer(response).failure, order_failure::unanswered);
+}
+
+TEST(platform_worker, reads_why_an_order_was_refused) {
+    const auto read = [](int status, const std::string& reason) {
+        http_response response;
+        response.status = status;
+        response.body = R"({"clockMs":5,"reason":")" + reason + "\"}";
+        return read_order_answer(response).failure;
+    };
+    EXPECT_EQ(read(200, ""), std::nullopt);
+    EXPECT_EQ(read(409, "fence"), order_failure::lower_fence);
+    EXPECT_EQ(read(409, "old"), order_failure::old_run);
+    EXPECT_EQ(read(409, "late"), order_failure::late_lease);
+    EXPECT_EQ(read(409, "room"), order_failure::no_room);
+    EXPECT_EQ(read(409, "ticket"), order_failure::no_ticket);
+    EXPECT_EQ(read(421, ""), order_failure::other_life);
+    EXPECT_EQ(read(429, ""), order_failure::unhealthy);
+    EXPECT_EQ(read(503, ""), order_failure::unhealthy);
+    EXPECT_EQ(read(500, ""), order_failure::unanswered);
+}
+
+} // namespace
+} // namespace poplarpitch::platform
--- /dev/null
+++ b/unit_tests/scheduling/configuration_test.cpp
@@ -0,0 +1,84 @@
+#include "poplarpitch/scheduling/configuration_checker.h"
+#include "poplarpitch/scheduling/job_configuration.h"
+#include "poplarpitch/scheduling/step_job.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+job_configuration make_configuration() {
+    job_configuration configuration;
+    configuration.version = 3;
+    configuration.pools.push_back({"mill", true, false, 64});
+    queue_settings queue;
+    queue.name = "all";
+    queue.host = "mill.example";
+    queue.prefix = "/jobs/";
+    queue.pool = "mill";
+    queue.timeout = seconds{3};
+    configuration.queues.push_back(queue);
+    queue.name = "night";
+    queue.prefix = "/jobs/night/";
+    configuration.queues.push_back(queue);
+    return configuration;
+}
+
+TEST(job_configuration, finds_the_queue_with_the_longest_prefix_of_the_host) {
+    const auto configuration = make_configuration();
+    EXPECT_EQ(configuration.find_queue("mill.example", "/jobs/1")->name, "all");
+    EXPECT_EQ(configuration.find_queue("mill.example", "/jobs/night/1")->name, "night");
+    EXPECT_EQ(configuration.find_queue("other.example", "/jobs/1"), nullptr);
+    EXPECT_EQ(configuration.find_queue("mill.example", "/other/1"), nullptr);
+}
+
+TEST(configuration_checker, accepts_a_sound_configuration_and_names_what_is_wrong_with_others) {
+    EXPECT_FALSE(find_configuration_error(make_configuration()).has_value());
+    auto unknown_pool = make_configuration();
+    unknown_pool.queues[0].pool = "none";
+    EXPECT_TRUE(find_configuration_error(unknown_pool).has_value());
+    auto same_place = make_configuration();
+    same_place.queues[1].prefix = same_place.queues[0].prefix;
+    EXPECT_TRUE(find_configuration_error(same_place).has_value());
+    auto no_timeout = make_configuration();
+    no_timeout.queues[0].timeout = duration{0};
+    EXPECT_TRUE(find_configuration_error(no_timeout).has_value());
+    auto no_version = make_configuration();
+    no_version.version = 0;
+    EXPECT_TRUE(find_configuration_error(no_version).has_value());
+}
+
+TEST(step_job, names_what_is_wrong_with_a_job) {
+    step_job job;
+    EXPECT_TRUE(find_job_error(job).has_value()); // no steps
+    job.steps.resize(2);
+    EXPECT_FALSE(find_job_error(job).has_value());
+    job.steps[0].depends_on = {1};
+    EXPECT_TRUE(find_job_error(job).has_value());
+    job.steps[0].depends_on = {0};
+    EXPECT_TRUE(find_job_error(job).has_value());
+    job.steps[0].depends_on.clear();
+    job.steps[1].count = 0;
+    EXPECT_TRUE(find_job_error(job).has_value());
+    job.steps[1].count = 1;
+    job.payload = std::string(4001, 'x');
+    EXPECT_TRUE(find_job_error(job).has_value());
+}
+
+TEST(step_job, adds_up_the_longest_chain) {
+    step_job job;
+    job.steps.resize(4);
+    const std::vector<std::int64_t> lengths = {100, 500, 200, 50};
+    for (std::size_t step = 0; step < lengths.size(); ++step) {
+        job.steps[step].estimate_ms = lengths[step];
+    }
+    job.steps[1].depends_on = {0};
+    job.steps[2].depends_on = {0};
+    job.steps[3].depends_on = {2};
+    EXPECT_EQ(job.estimate_chain_ms(), 600);
+    EXPECT_EQ(job.estimate_rest_ms(2), 250);
+    EXPECT_EQ(job.estimate_rest_ms(0), 600);
+}
+
+} // namespace
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/scheduling/job_book_test.cpp
@@ -0,0 +1,189 @@
+// The replicated state of jobs: the same commands give the same state, also through a snapshot; nothing is
+// done twice.
+#include "poplarpitch/scheduling/job_book.h"
+#include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace poplarpitch {
+namespace {
+
+step_job make_job(job_id id, std::uint32_t tasks, std::uint32_t attempts = 2) {
+    step_job job;
+    job.id = id;
+    job.payload = "payload";
+    job.queue.name = "queue";
+    job.queue.max_attempts = attempts;
+    step_spec first;
+    first.count = tasks;
+    step_spec second = first;
+    second.depends_on = {0};
+    second.speculative = true;
+    job.steps = {first, second};
+    return job;
+}
+
+job_wire::job_command make_submit(const step_job& job) {
+    job_wire::job_command command;
+    encode(job, *command.mutable_submit()->mutable_job());
+    return command;
+}
+
+job_wire::job_command make_assign(const task_key& task, std::uint32_t run, const std::string& worker) {
+    job_wire::job_command command;
+    encode(task, *command.mutable_assign()->mutable_task());
+    command.mutable_assign()->set_run(run);
+    command.mutable_assign()->set_worker(worker);
+    return command;
+}
+
+job_wire::job_command make_end(const task_key& task, std::uint32_t run, const std::string& worker,
+                               run_end end) {
+    job_wire::job_command command;
+    auto& message = *command.mutable_end();
+    encode(task, *message.mutable_task());
+    message.set_run(run);
+    message.set_worker(worker);
+    message.set_kind(static_cast<std::uint32_t>(end));
+    return command;
+}
+
+command_outcome apply(job_book& book, const job_wire::job_command& command) {
+    std::vector<book_event> events;
+    return book.apply(command, events);
+}
+
+TEST(job_book, takes_the_same_submission_twice_for_one_job) {
+    job_book book;
+    EXPECT_EQ(apply(book, make_submit(make_job(1, 2))), command_outcome::applied);
+    EXPECT_EQ(apply(book, make_submit(make_job(1, 2))), command_outcome::repeated);
+    EXPECT_EQ(book.get_jobs().size(), 1U);
+}
+
+TEST(job_book, assigns_no_run_of_a_task_that_may_still_run) {
+    job_book book;
+    apply(book, make_submit(make_job(1, 1)));
+    const task_key task{{1, 0, 0}, 0};
+    EXPECT_EQ(apply(book, make_assign(task, 1, "w1")), command_outcome::applied);
+    EXPECT_EQ(apply(book, make_assign(task, 2, "w2")), command_outcome::refused);
+    EXPECT_EQ(apply(book, make_end(task, 1, "w1", run_end::lost)), command_outcome::applied);
+    EXPECT_EQ(apply(book, make_assign(task, 1, "w2")), command_outcome::refused); // numbers rise
+    EXPECT_EQ(apply(book, make_assign(task, 2, "w2")), command_outcome::applied);
+}
+
+TEST(job_book, assigns_nothing_to_a_worker_that_leaves) {
+    job_book book;
+    apply(book, make_submit(make_job(1, 1)));
+    job_wire::job_command retire;
+    retire.mutable_retire()->set_worker("w1");
+    apply(book, retire);
+    EXPECT_EQ(apply(book, make_assign({{1, 0, 0}, 0}, 1, "w1")), command_outcome::refused);
+}
+
+TEST(job_book, keeps_the_newest_configuration_whatever_the_order) {
+    job_book book;
+    const auto put = [&](std::uint64_t version) {
+        job_configuration configuration;
+        configuration.version = version;
+        configuration.document = "version " + std::to_string(version);
+        job_wire::job_command command;
+        encode(configuration, *command.mutable_config());
+        return apply(book, command);
+    };
+    EXPECT_EQ(put(7), command_outcome::applied);
+    EXPECT_EQ(put(5), command_outcome::repeated);
+    EXPECT_EQ(put(7), command_outcome::repeated);
+    EXPECT_EQ(book.get_configuration().document, "version 7");
+    EXPECT_EQ(put(9), command_outcome::applied);
+}
+
+TEST(job_book, counts_the_failures_of_a_gang_together) {
+    job_book book;
+    auto job = make_job(1, 2, 2);
+    job.steps.resize(1);
+    job.steps[0].gang = true;
+    apply(book, make_submit(job));
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        for (std::uint32_t index = 0; index < 2; ++index) {
+            apply(book, make_assign({{1, 0, 0}, index}, run, "w1"));
+        }
+        apply(book, make_end({{1, 0, 0}, run - 1}, run, "w1", run_end::failed));
+        apply(book, make_end({{1, 0, 0}, 2 - run}, run, "w1", run_end::broken));
+    }
+    EXPECT_EQ(book.find_job(1)->phase, job_phase::failed);
+}
+
+TEST(job_book, refuses_bytes_that_are_no_snapshot) {
+    job_book book;
+    apply(book, make_submit(make_job(1, 1)));
+    EXPECT_FALSE(book.load("\xff\xff\xff not one"));
+    EXPECT_TRUE(book.get_jobs().empty());
+}
+
+/// Applies random commands that a leader may propose, sound or not.
+void apply_random(job_book& book, std::mt19937& random) {
+    const auto draw = [&](std::uint32_t end) {
+        return static_cast<std::uint32_t>(random() % end);
+    };
+    const job_id id = 1 + draw(4);
+    const task_key task{{id, 0, draw(2)}, draw(3)};
+    const std::string worker = "w" + std::to_string(draw(3));
+    switch (draw(6)) {
+    case 0:
+        apply(book, make_submit(make_job(id, 3)));
+        return;
+    case 1:
+    case 2:
+        apply(book, make_assign(task, 1 + draw(6), worker));
+        return;
+    case 3:
+    case 4:
+        apply(book, make_end(task, 1 + draw(6), worker, static_cast<run_end>(1 + draw(8))));
+        return;
+    default:
+        if (draw(8) == 0) {
+            job_wire::job_command cancel;
+            cancel.mutable_cancel()->set_id(id);
+            apply(book, cancel);
+        }
+    }
+}
+
+RC_GTEST_PROP(job_book_property, is_the_same_on_every_instance_also_through_a_snapshot, ()) {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    std::mt19937 random(seed);
+    std::mt19937 same(seed);
+    job_book one;
+    job_book two;
+    for (int command = 0; command < 300; ++command) {
+        apply_random(one, random);
+        apply_random(two, same);
+        if (command == 150) {
+            job_book restored;
+            RC_ASSERT(restored.load(two.save()));
+            two = restored;
+        }
+    }
+    RC_ASSERT(one.save() == two.save());
+}
+
+RC_GTEST_PROP(job_book_property, never_assigns_two_runs_of_a_task_that_has_no_copies, ()) {
+    std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+    job_book book;
+    for (int command = 0; command < 300; ++command) {
+        apply_random(book, random);
+        for (const auto& [id, record] : book.get_jobs()) {
+            const auto* step = record.find_step(0, 0);
+            for (std::uint32_t index = 0; step != nullptr && index < step->tasks.size(); ++index) {
+                RC_ASSERT(step->tasks[index].runs.size() <= 1);
+            }
+        }
+    }
+}
+
+} // namespace
+} // namespace poplarpitch
