--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -141,6 +141,8 @@
     void refresh_pressure(worker_state& worker);
     void smooth_fill_shares(worker_state& worker, time_point now);
     void observe_pressure(worker_state& worker, time_point now);
+    [[nodiscard]] bool is_unsound(const worker_state& worker) const;
+    void leave_unsound(worker_state& worker, time_point now);
     void plan_paces(worker_state& worker, time_point now);
     void slow_fills_for(const worker_state& worker, const run_track& serving, std::vector<run_track*>& fills);
     void order_pace(worker_state& worker, run_track& fill, time_point now);
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -14,17 +14,20 @@
 constexpr double placing_ahead = 0.5; // s; filling tasks take 1 to 4
 constexpr double load_margin =
     0.05; // own load that filling tasks leave to serving ones on top of what is seen
-constexpr double pacing_share = 1.0;  // of a target: paced from here on
-constexpr double pacing_swing = 0.0; // own load that may come until the next look
+constexpr double pacing_share = 1.0;    // of a target: paced from here on
+constexpr double pacing_swing = 0.0;    // own load that may come until the next look
 constexpr double over_cut = 0.7;        // of all pressure on a tail over its target: enough at any load
 constexpr double tail_smoothing = 0.35; // s; a tail told after a change moves by two thirds in this time
 constexpr double unknown_phase = 0.5;   // of a filling task that has not told its use yet
 constexpr double negligible_share = 0.003;
 constexpr duration figure_life = milliseconds{600}; // a figure that stays the same for longer is a new one
-constexpr int pace_step = 20;                       // percent; smaller changes are not worth an order
-constexpr int slowest_useful = 30;                  // percent; a task slower than this is moved
-constexpr duration move_after = milliseconds{500};  // paced that low for this long
-constexpr std::int64_t lost_percent = 25; // of a task without checkpoints that a move may throw away
+constexpr std::int64_t unsound_multiple = 14; // of a target: filling tasks lengthen tails to 12 times at most
+constexpr std::int64_t nearly_done =
+    85;                            // percent; at a sixth of the speed the rest takes as long as a new run
+constexpr int pace_step = 20;      // percent; smaller changes are not worth an order
+constexpr int slowest_useful = 30; // percent; a task slower than this is moved
+constexpr duration move_after = milliseconds{500}; // paced that low for this long
+constexpr std::int64_t lost_percent = 25;          // of a task without checkpoints that a move may throw away
 
 double get_share(const worker_state& worker, std::int64_t millicores) {
     const auto room = std::max<std::int64_t>(worker.report.capacity.millicores, 1);
@@ -100,10 +103,44 @@
     std::erase_if(worker.fill_shares, [](const image_share& item) { return item.share < negligible_share; });
 }
 
+/// Filling tasks alone cannot lengthen a tail beyond a bound: whatever is far above it is the worker's own
+/// fault.
+bool dispatcher::is_unsound(const worker_state& worker) const {
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [this](const run_key& key) {
+        const auto& track = *find_track(key);
+        const auto& spec = track.get_spec();
+        return spec.is_serving() && track.level > unsound_multiple * spec.target_ms;
+    });
+}
+
+/// Load pattern: a tenth to a sixth of the workers turn slow (5 to 8 times) or stand still for 5 to 8 s; with
+/// 16 tasks a job nearly every job has one there. Its tasks go elsewhere at once, from their checkpoints
+/// where they have some; one that is nearly done stays.
+void dispatcher::leave_unsound(worker_state& worker, time_point now) {
+    if (!worker.trust.is_set_aside(now)) {
+        log_event(log_level::warn, "worker_unsound")
+            .add("worker", worker.report.id)
+            .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
+    }
+    worker.trust.on_unsound(now);
+    for (const auto& key : worker.runs) {
+        auto& track = *find(key);
+        const auto& spec = track.get_spec();
+        const bool is_movable = !spec.long_running && track.stage == run_stage::running && !track.is_ending;
+        if (is_movable && track.percent < nearly_done) {
+            stop_run(track, now);
+        }
+    }
+}
+
 void dispatcher::observe_pressure(worker_state& worker, time_point now) {
     if (worker.servings == 0) {
         return;
     }
+    if (is_unsound(worker)) {
+        leave_unsound(worker, now);
+        return;
+    }
     smooth_fill_shares(worker, now);
     for (const auto& key : worker.runs) {
         auto& track = *find(key);
--- a/poplarpitch/dispatch/worker_trust.cpp
+++ b/poplarpitch/dispatch/worker_trust.cpp
@@ -7,8 +7,9 @@
 
 constexpr duration rest =
     milliseconds{100}; // after one failure: 5% of 160 runs a second fail by their own fault
-constexpr duration first_aside = seconds{2}; // after the second; doubled each time
-constexpr std::uint32_t max_doublings = 2;   // 8 s: faults of this kind last 5 to 8 s
+constexpr duration first_aside = seconds{2};          // after the second; doubled each time
+constexpr std::uint32_t max_doublings = 2;            // 8 s: faults of this kind last 5 to 8 s
+constexpr duration unsound_rest = milliseconds{1500}; // longer than between two looks, so that it is renewed
 constexpr duration refusal_rest = milliseconds{700};
 
 } // namespace
@@ -38,4 +39,8 @@
     m_until = std::max(m_until, now + refusal_rest);
 }
 
+void worker_trust::on_unsound(time_point now) {
+    m_until = std::max(m_until, now + unsound_rest);
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/worker_trust.h
+++ b/poplarpitch/dispatch/worker_trust.h
@@ -22,6 +22,8 @@
     void on_failure(job_id job, time_point now);
     /// Notes that the worker refused everything or made no progress.
     void on_refusal(time_point now);
+    /// Notes that the worker is slow or stands still, whatever runs there.
+    void on_unsound(time_point now);
     /// Returns true while no task is to go there.
     [[nodiscard]] bool is_set_aside(time_point now) const { return now < m_until; }
     /// Returns true when its last run failed: a task with one attempt left goes elsewhere.
--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -0,0 +1,126 @@
+// Filling tasks beside serving ones: paced when a tail passes its target, moved away from workers that are unsound.
+#include "unit_tests/dispatch/dispatch_world.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::int64_t target_ms = 50;
+
+step_spec make_serving(std::uint32_t count) {
+    step_spec step;
+    step.count = count;
+    step.millicores = 10000;
+    step.memory_mb = 1000;
+    step.long_running = true;
+    step.target_ms = target_ms;
+    step.image = "serving";
+    return step;
+}
+
+step_spec make_filling(std::uint32_t count) {
+    step_spec step;
+    step.count = count;
+    step.millicores = 6000;
+    step.memory_mb = 1000;
+    step.estimate_ms = 2000;
+    step.fills = true;
+    step.checkpointing = true;
+    step.image = "filling";
+    return step;
+}
+
+/// Starts everything that waits and lists it as running with these levels.
+void run_all(dispatch_world& world, const std::string& worker, std::int64_t tail, std::int64_t used) {
+    for (const auto& start : world.take<start_order>()) {
+        world.answer(start);
+    }
+    world.wait_for_hold(worker);
+    hold_answer list;
+    for (const auto& key : world.scheduler.get_workers().at(worker).runs) {
+        const auto& spec = world.scheduler.find_track(key)->get_spec();
+        list.running.push_back({key, "", spec.long_running ? 100 : 20, spec.is_serving() ? tail : used});
+    }
+    world.answer_hold(worker, list);
+}
+
+TEST(dispatcher_pressure, slows_filling_tasks_beside_a_tail_over_its_target) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_serving(3)});
+    world.advance(seconds{2}); // the only worker is kept open for short tasks as long as they can wait
+    run_all(world, "w1", 15, 0);
+    world.submit({make_filling(2)}, 3, 2);
+    run_all(world, "w1", 15, 6000);
+    EXPECT_TRUE(world.take<pace_order>().empty());
+    world.advance(milliseconds{300});
+    run_all(world, "w1", 120, 6000);
+    const auto paces = world.take<pace_order>();
+    ASSERT_FALSE(paces.empty());
+    for (const auto& pace : paces) {
+        EXPECT_LT(pace.percent, 60);
+    }
+}
+
+TEST(dispatcher_pressure, gives_filling_tasks_their_speed_back_when_the_tail_allows) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_serving(3)});
+    world.advance(seconds{2}); // the only worker is kept open for short tasks as long as they can wait
+    run_all(world, "w1", 15, 0);
+    world.submit({make_filling(1)}, 3, 2);
+    run_all(world, "w1", 15, 6000);
+    world.advance(milliseconds{300});
+    run_all(world, "w1", 70, 6000);
+    for (const auto& pace : world.take<pace_order>()) {
+        world.scheduler.on_pace(pace.run, pace.percent, {}, world.now);
+    }
+    bool is_fast_again = false;
+    for (int look = 0; look < 10 && !is_fast_again; ++look) {
+        world.advance(milliseconds{300});
+        run_all(world, "w1", 13, 3000);
+        for (const auto& pace : world.take<pace_order>()) {
+            world.scheduler.on_pace(pace.run, pace.percent, {}, world.now);
+            is_fast_again = pace.percent == 100;
+        }
+    }
+    EXPECT_TRUE(is_fast_again);
+}
+
+TEST(dispatcher_pressure, takes_tasks_away_from_a_worker_whose_tails_no_filling_task_explains) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_serving(3)});
+    world.advance(seconds{2}); // the only worker is kept open for short tasks as long as they can wait
+    run_all(world, "w1", 15, 0);
+    world.submit({make_filling(2)}, 3, 2);
+    run_all(world, "w1", 15, 6000);
+    world.advance(milliseconds{300});
+    run_all(world, "w1", 2100, 6000); // the worker is slow
+    const auto stops = world.take<stop_order>();
+    EXPECT_EQ(stops.size(), 2U);
+    EXPECT_TRUE(world.take<pace_order>().empty()); // pacing would help nobody
+    world.submit({make_filling(1)}, 3, 2);
+    EXPECT_TRUE(world.take<start_order>().empty());
+}
+
+TEST(dispatcher_pressure, keeps_a_worker_open_for_short_tasks_while_serving_tasks_can_wait) {
+    dispatch_world world;
+    for (int number = 1; number <= 4; ++number) {
+        world.add_worker("w" + std::to_string(number), {20000, 256000, 0});
+    }
+    world.submit({make_serving(8)}); // would take all four
+    std::set<std::string> used;
+    for (const auto& start : world.take<start_order>()) {
+        used.insert(start.target.worker);
+    }
+    EXPECT_EQ(used.size(), 3U);
+    world.advance(seconds{1});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    world.advance(seconds{1}); // it may not wait longer while there is room
+    EXPECT_EQ(world.take<start_order>().size(), 2U);
+}
+
+} // namespace
+} // namespace poplarpitch
