--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -16,6 +16,8 @@
 constexpr double demand_peak = 1.5;                       // of the smoothed demand: it varies by half
 constexpr double least_open = 0.05;                       // of all processor time, before anything is known
 constexpr duration serving_patience = milliseconds{1800}; // a serving task that could run waits no longer
+constexpr std::int64_t started_lead =
+    3000; // ms: a job that has begun goes before new ones with as much slack
 constexpr std::int64_t late_weight = 1'000'000; // ms: a job that is late goes behind all that are not
 constexpr std::int64_t late_multiple = 3; // a job later than this multiple of its objective earns nothing
 
@@ -46,7 +48,8 @@
             to_milliseconds(queue.target_latency);
         const auto age = to_milliseconds(now - job->second.accepted);
         ranked.emplace_back(queue.priority * priority_weight +
-                                rank_by_time(allowed, age, ready.job->estimate_rest_ms(key.step)),
+                                rank_by_time(allowed, age, ready.job->estimate_rest_ms(key.step)) -
+                                (job->second.has_started ? started_lead : 0),
                             key);
     }
     std::sort(ranked.begin(), ranked.end());
