--- a/poplarpitch/core/process_settings.cpp
+++ b/poplarpitch/core/process_settings.cpp
@@ -1,5 +1,8 @@
 #include "poplarpitch/core/process_settings.h"
 
+#include <cstdio>
+#include <cstdlib>
+
 #include <absl/synchronization/mutex.h>
 #include <malloc.h>
 
@@ -13,4 +16,9 @@
     absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
 }
 
+void leave_process(int code) {
+    std::fflush(nullptr);
+    std::_Exit(code);
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/core/process_settings.h
+++ b/poplarpitch/core/process_settings.h
@@ -11,4 +11,9 @@
 /// the whole process at each lock. Tests keep it on. Thread safety: none; called before threads start.
 void skip_mutex_checks();
 
+/// Ends the process with `code` after its output is written, without waiting for idle threads that libraries
+/// keep: the logger's pool was seen to hold up processes past their time to stop. Thread safety: none; called
+/// last in a main.
+[[noreturn]] void leave_process(int code);
+
 } // namespace poplarpitch
--- a/programs/poplarpitch_gateway.cpp
+++ b/programs/poplarpitch_gateway.cpp
@@ -13,5 +13,5 @@
     }
     poplarpitch::limit_malloc_arenas(1);
     poplarpitch::start_logging(line.settings.log_level, poplarpitch::log_target::standard_output);
-    return poplarpitch::run_gateway_daemon(line.settings);
+    poplarpitch::leave_process(poplarpitch::run_gateway_daemon(line.settings));
 }
--- a/programs/poplarpitch_scheduler.cpp
+++ b/programs/poplarpitch_scheduler.cpp
@@ -16,5 +16,5 @@
     poplarpitch::limit_malloc_arenas(1);
     poplarpitch::start_logging(line.settings.log_level, poplarpitch::log_target::standard_output);
     poplarpitch::scheduler_daemon<poplarpitch::platform::dialect> daemon(line.settings);
-    return daemon.run();
+    poplarpitch::leave_process(daemon.run());
 }
