Note in the log what is learned of pressure, so that a new leader begins with it

Cause: a new leader took all pairs of images for unknown and disturbed serving tasks again to learn them. Kept, since what is learned costs promises to learn; 2 KB of log each 2 s.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -11,6 +11,7 @@
 namespace poplarpitch {
 namespace {
 
+constexpr duration note_interval = seconds{2};         // 45 pairs are 2 KB of log
 constexpr duration report_interval = seconds{2};       // of the line that tells the load as a whole
 constexpr duration place_interval = milliseconds{100}; // while tasks wait; otherwise events ask for it
 
@@ -26,6 +27,8 @@
 void dispatcher::lead(log_term term, time_point now, std::int64_t wall_ms) {
     retire();
     m_term = term;
+    m_pressure.load(m_book.get_pressure());
+    m_next_note = now + note_interval;
     // What an earlier leader allowed may have been allowed just now.
     const auto lease_end =
         now + std::chrono::duration_cast<duration>(m_settings.lease * (1 + m_settings.clock_drift)) +
@@ -321,9 +324,25 @@
         m_next_place = now + place_interval;
     }
     place(now);
+    note_pressure(now);
     report_load(now);
 }
 
+/// What is learned takes ten seconds of disturbed tails; a new leader is not to learn it again.
+void dispatcher::note_pressure(time_point now) {
+    if (now < m_next_note) {
+        return;
+    }
+    m_next_note = now + note_interval;
+    const auto factors = m_pressure.save();
+    if (factors == m_book.get_pressure()) {
+        return;
+    }
+    job_wire::job_command command;
+    encode(factors, *command.mutable_pressure());
+    m_commands.push_back(std::move(command));
+}
+
 void dispatcher::report_load(time_point now) {
     if (now < m_next_report) {
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -103,6 +103,7 @@
     void close(job_id id, time_point now);
     void on_run_ended(const book_event& event, time_point now);
     void break_gang(const run_key& ended, time_point now);
+    void note_pressure(time_point now);
     void report_load(time_point now);
     void begin_due_occurrences(time_point now, std::int64_t wall_ms);
     void forget_old_jobs(time_point now);
@@ -181,6 +182,7 @@
     time_point m_measured_at{};
     time_point m_next_place{};
     time_point m_next_report{};
+    time_point m_next_note{};
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/pressure_model.cpp
+++ b/poplarpitch/dispatch/pressure_model.cpp
@@ -33,6 +33,23 @@
     return std::clamp((use - light_use) / (1 - light_use), light_phase, 1.0);
 }
 
+void pressure_model::load(const std::vector<pressure_factor>& factors) {
+    m_factors.clear();
+    m_lowest_tails.clear();
+    for (const auto& known : factors) {
+        m_factors[{known.serving, known.filling}] = {known.mean, known.variance};
+    }
+}
+
+std::vector<pressure_factor> pressure_model::save() const {
+    std::vector<pressure_factor> factors;
+    for (const auto& [pair, known] : m_factors) {
+        factors.push_back({pair.first, pair.second, known.mean, known.variance});
+    }
+    std::sort(factors.begin(), factors.end());
+    return factors;
+}
+
 double pressure_model::get_base(const std::string& image, double target_ms) const {
     const auto found = m_lowest_tails.find(image);
     const double assumed = target_ms / target_multiple;
--- a/poplarpitch/dispatch/pressure_model.h
+++ b/poplarpitch/dispatch/pressure_model.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "poplarpitch/scheduling/pressure_factor.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
@@ -44,6 +46,10 @@
 /// stay. Thread safety: none, as for all methods.
 class pressure_model {
 public:
+    /// Forgets all and begins with what was learned before.
+    void load(const std::vector<pressure_factor>& factors);
+    /// Returns what was learned of the pairs that were seen, in the order of their names.
+    [[nodiscard]] std::vector<pressure_factor> save() const;
     /// Notes the tail of a serving task of `image` beside `others`; updates `calm` and what is known of the
     /// pairs.
     void observe(const std::string& image, double tail_ms, double target_ms,
--- a/poplarpitch/scheduling/job_book.cpp
+++ b/poplarpitch/scheduling/job_book.cpp
@@ -53,6 +53,9 @@
         events.push_back(std::move(event));
         return command_outcome::applied;
     }
+    case job_wire::job_command::kPressure:
+        m_pressure = decode(command.pressure());
+        return command_outcome::applied;
     case job_wire::job_command::kForget:
         m_jobs.erase(command.forget().id());
         return command_outcome::applied;
@@ -321,6 +324,7 @@
         encode(wave, *snapshot.add_waves());
     }
     snapshot.set_next_sequence(m_next_sequence);
+    encode(m_pressure, *snapshot.mutable_pressure());
     return snapshot.SerializeAsString();
 }
 
@@ -340,6 +344,7 @@
         m_waves.emplace(wave.number, std::move(wave));
     }
     m_next_sequence = snapshot.next_sequence();
+    m_pressure = decode(snapshot.pressure());
     return true;
 }
 
--- a/poplarpitch/scheduling/job_book.h
+++ b/poplarpitch/scheduling/job_book.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/scheduling/command_outcome.h"
 #include "poplarpitch/scheduling/job_configuration.h"
 #include "poplarpitch/scheduling/job_record.h"
+#include "poplarpitch/scheduling/pressure_factor.h"
 #include "poplarpitch/scheduling/wave_record.h"
 
 #include <absl/container/node_hash_map.h>
@@ -47,6 +48,8 @@
     /// Returns true when the worker has said that it leaves: nothing is started on it any more.
     [[nodiscard]] bool is_retired(const std::string& worker) const { return m_retired.contains(worker); }
     [[nodiscard]] const std::map<std::uint64_t, wave_record>& get_waves() const { return m_waves; }
+    /// Returns what a leader has noted of images that press on others; a new leader begins with it.
+    [[nodiscard]] const std::vector<pressure_factor>& get_pressure() const { return m_pressure; }
     /// Returns the runs that were assigned and have not ended, in the order of their keys.
     [[nodiscard]] std::vector<std::pair<run_key, std::string>> get_assigned_runs() const;
 
@@ -67,6 +70,7 @@
     absl::node_hash_map<job_id, job_record> m_jobs;
     std::set<std::string> m_retired;
     std::map<std::uint64_t, wave_record> m_waves;
+    std::vector<pressure_factor> m_pressure;
     std::uint64_t m_next_sequence = 1;
 };
 
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -258,4 +258,22 @@
     return record;
 }
 
+void encode(const std::vector<pressure_factor>& factors, job_wire::note_pressure& message) {
+    for (const auto& factor : factors) {
+        auto& item = *message.add_factors();
+        item.set_serving(factor.serving);
+        item.set_filling(factor.filling);
+        item.set_mean(factor.mean);
+        item.set_variance(factor.variance);
+    }
+}
+
+std::vector<pressure_factor> decode(const job_wire::note_pressure& message) {
+    std::vector<pressure_factor> factors;
+    for (const auto& item : message.factors()) {
+        factors.push_back({item.serving(), item.filling(), item.mean(), item.variance()});
+    }
+    return factors;
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/job_codec.h
+++ b/poplarpitch/scheduling/job_codec.h
@@ -2,12 +2,16 @@
 
 #include "poplarpitch/scheduling/job_configuration.h"
 #include "poplarpitch/scheduling/job_record.h"
+#include "poplarpitch/scheduling/pressure_factor.h"
 #include "poplarpitch/scheduling/step_job.h"
 #include "poplarpitch/scheduling/task_key.h"
 #include "poplarpitch/scheduling/wave_record.h"
 
+#include <vector>
+
 namespace poplarpitch::job_wire {
 class job_state_record;
+class note_pressure;
 class put_config;
 class step_job;
 class task_name;
@@ -27,5 +31,7 @@
 [[nodiscard]] job_record decode(const job_wire::job_state_record& message);
 void encode(const wave_record& record, job_wire::wave_state& message);
 [[nodiscard]] wave_record decode(const job_wire::wave_state& message);
+void encode(const std::vector<pressure_factor>& factors, job_wire::note_pressure& message);
+[[nodiscard]] std::vector<pressure_factor> decode(const job_wire::note_pressure& message);
 
 } // namespace poplarpitch
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -1,4 +1,5 @@
-// Filling tasks beside serving ones: paced when a tail passes its target, moved away from workers that are unsound.
+// Filling tasks beside serving ones: paced when a tail passes its target, moved away from workers that are
+// unsound.
 #include "unit_tests/dispatch/dispatch_world.h"
 
 #include <gtest/gtest.h>
@@ -57,10 +58,8 @@
     world.advance(milliseconds{300});
     run_all(world, "w1", 120, 6000);
     const auto paces = world.take<pace_order>();
-    ASSERT_FALSE(paces.empty());
-    for (const auto& pace : paces) {
-        EXPECT_LT(pace.percent, 60);
-    }
+    ASSERT_EQ(paces.size(), 2U);
+    EXPECT_LE(paces[0].percent + paces[1].percent, 61); // seven tenths of all pressure go
 }
 
 TEST(dispatcher_pressure, gives_filling_tasks_their_speed_back_when_the_tail_allows) {
@@ -122,5 +121,26 @@
     EXPECT_EQ(world.take<start_order>().size(), 2U);
 }
 
+TEST(dispatcher_pressure, a_new_leader_begins_with_what_was_learned) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_serving(3)});
+    world.advance(seconds{2});
+    run_all(world, "w1", 15, 0);
+    world.submit({make_filling(1)}, 3, 2);
+    for (int look = 0; look < 10; ++look) {
+        run_all(world, "w1", 15 + look % 2, 6000);
+        world.advance(milliseconds{300});
+    }
+    const auto noted = world.book.get_pressure();
+    ASSERT_EQ(noted.size(), 1U);
+    EXPECT_EQ(noted[0].serving, "serving");
+    EXPECT_EQ(noted[0].filling, "filling");
+    EXPECT_LT(noted[0].mean, 0.8); // a light pair
+    job_book restored;
+    ASSERT_TRUE(restored.load(world.book.save()));
+    EXPECT_EQ(restored.get_pressure(), noted);
+}
+
 } // namespace
 } // namespace poplarpitch
