--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -65,6 +65,7 @@
     m_ended.clear();
     m_orders.clear();
     m_commands.clear();
+    m_timings.clear();
 }
 
 // ---- jobs
@@ -131,7 +132,41 @@
     m_must_place = true;
 }
 
+void dispatcher::note_started(job_id id, time_point now) {
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second.has_started) {
+        return;
+    }
+    found->second.has_started = true;
+    const auto& queue = m_book.find_job(id)->job->queue.name;
+    m_timings.push_back({job_timing::kind::first_start, queue, now - found->second.accepted, true});
+}
+
+void dispatcher::note_ended(job_id id, time_point now) {
+    const auto found = m_jobs.find(id);
+    const auto* record = m_book.find_job(id);
+    if (found == m_jobs.end() || record == nullptr) {
+        return;
+    }
+    const auto& job = *record->job;
+    const auto length = now - found->second.accepted;
+    const auto objective =
+        job.queue.target_latency + duration{milliseconds{static_cast<std::int64_t>(
+                                       job.queue.stretch * static_cast<double>(job.estimate_chain_ms()))}};
+    const auto what = record->phase == job_phase::completed ? job_timing::kind::completed
+                      : record->phase == job_phase::failed  ? job_timing::kind::failed
+                                                            : job_timing::kind::cancelled;
+    m_timings.push_back({what, job.queue.name, length, length <= objective});
+    log_event(log_level::info, "job_ended")
+        .add("job", format_job_id(id))
+        .add("queue", job.queue.name)
+        .add("phase", get_phase_name(record->phase))
+        .add("took_ms", to_milliseconds(length))
+        .add("objective_ms", to_milliseconds(objective));
+}
+
 void dispatcher::close(job_id id, time_point now) {
+    note_ended(id, now);
     m_jobs.erase(id);
     const auto first = m_ready.lower_bound(step_key{id, 0, 0});
     auto last = first;
@@ -362,10 +397,6 @@
         reserved += worker.reserved;
         filling += worker.fill_cores;
     }
-    std::uint64_t waiting = 0;
-    for (const auto& [key, ready] : m_ready) {
-        waiting += ready.waiting.size();
-    }
     log_event(log_level::info, "load")
         .add("workers", static_cast<std::uint64_t>(m_workers.size()))
         .add("usable", usable)
@@ -377,7 +408,7 @@
         .add("memory_mb", capacity.memory_mb)
         .add("reserved_memory_mb", reserved.memory_mb)
         .add("runs", static_cast<std::uint64_t>(m_tracks.size()))
-        .add("waiting", waiting)
+        .add("waiting", count_waiting())
         .add("open_jobs", static_cast<std::uint64_t>(m_jobs.size()));
 }
 
@@ -399,6 +430,18 @@
     return found != m_jobs.end() && found->second.has_started;
 }
 
+std::vector<job_timing> dispatcher::take_timings() {
+    return std::exchange(m_timings, {});
+}
+
+std::uint64_t dispatcher::count_waiting() const {
+    std::uint64_t waiting = 0;
+    for (const auto& [key, ready] : m_ready) {
+        waiting += ready.waiting.size();
+    }
+    return waiting;
+}
+
 std::vector<worker_order> dispatcher::take_orders() {
     return std::exchange(m_orders, {});
 }
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #include "poplarpitch/scheduling/book_event.h"
 #include "poplarpitch/scheduling/dispatch_settings.h"
 #include "poplarpitch/scheduling/job_book.h"
+#include "poplarpitch/scheduling/job_timing.h"
 #include "poplarpitch/scheduling/worker_order.h"
 
 #include <absl/container/node_hash_map.h>
@@ -73,6 +74,10 @@
     /// Takes the commands to commit since the last call.
     [[nodiscard]] std::vector<job_wire::job_command> take_commands();
 
+    /// Takes how long things took since the last call.
+    [[nodiscard]] std::vector<job_timing> take_timings();
+    /// Returns how many tasks wait for a worker.
+    [[nodiscard]] std::uint64_t count_waiting() const;
     /// Returns how many accepted jobs of a queue have no task that started.
     [[nodiscard]] std::uint64_t count_pending(const std::string& queue) const;
     /// Returns true when a task of the job has started.
@@ -101,6 +106,8 @@
     void consider_step(const job_record& record, const step_key& key, time_point now);
     void make_ready(const task_key& key, time_point now);
     void close(job_id id, time_point now);
+    void note_started(job_id id, time_point now);
+    void note_ended(job_id id, time_point now);
     void on_run_ended(const book_event& event, time_point now);
     void break_gang(const run_key& ended, time_point now);
     void note_pressure(time_point now);
@@ -173,6 +180,7 @@
     std::multimap<time_point, job_id> m_ended;                ///< when ended jobs are forgotten
     std::vector<worker_order> m_orders;
     std::vector<job_wire::job_command> m_commands;
+    std::vector<job_timing> m_timings;
     dispatch_counts m_counts;
     pressure_model m_pressure;
     bool m_must_place = false;
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -177,9 +177,7 @@
         track->stage = run_stage::running;
         track->confirmed_at = now;
         track->progressed_at = now;
-        if (const auto job = m_jobs.find(key.task.step.job); job != m_jobs.end()) {
-            job->second.has_started = true;
-        }
+        note_started(key.task.step.job, now);
         auto event = log_event(log_level::info, "run_started");
         add_run(event, key);
         event.add("worker", track->worker).add("wait_ms", to_milliseconds(now - track->claimed_at));
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -209,9 +209,7 @@
         if (track->stage != run_stage::running) {
             track->stage = run_stage::running;
             track->confirmed_at = now;
-            if (const auto job = m_jobs.find(row.run.task.step.job); job != m_jobs.end()) {
-                job->second.has_started = true;
-            }
+            note_started(row.run.task.step.job, now);
         }
         if (row.percent != track->percent) {
             track->percent = row.percent;
--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -5,12 +5,15 @@
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_listener.h"
 #include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/telemetry/logging.h"
+#include "poplarpitch/telemetry/metrics_registry.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
 #include <csignal>
+#include <memory>
 
 namespace poplarpitch {
 namespace {
@@ -47,6 +50,8 @@
         m_loop.on_signal(SIGHUP, [] {
             log_event(log_level::info, "reload_ignored").add("reason", "seeds only count at the start");
         });
+        m_loop.on_turn_end([] { flush_logs(); });
+        start_metrics();
         m_link.start();
         log_event(log_level::info, "started").add("id", m_settings.id).add("port", callers.value());
         m_loop.run();
@@ -62,6 +67,33 @@
         return listener;
     }
 
+    /// Metrics help to explain, they are not needed to serve: a port that is taken is told and borne.
+    void start_metrics() {
+        if (m_settings.metrics_port == 0) {
+            return;
+        }
+        m_metrics_listener = std::make_unique<http_listener>(
+            m_loop, make_listener(m_settings.callers_host, m_settings.metrics_port),
+            [this](const http_request& request, const http_responder& respond) {
+                if (request.get_path() != "/metrics") {
+                    respond(make_error_response(404, "not_found", "metrics are at /metrics"));
+                    return;
+                }
+                m_metrics.set("poplarpitch_leader_connected", {}, m_link.is_connected() ? 1 : 0);
+                m_metrics.set("poplarpitch_open_requests", {},
+                              static_cast<double>(m_link.get_open_requests()));
+                m_metrics.set("poplarpitch_caller_connections", {},
+                              static_cast<double>(m_callers.get_connections()));
+                http_response response;
+                response.content_type = "text/plain; version=0.0.4";
+                response.body = m_metrics.format();
+                respond(response);
+            });
+        if (const auto port = m_metrics_listener->start(); !port) {
+            log_event(log_level::warn, "metrics_not_served").add("error", port.error());
+        }
+    }
+
     [[nodiscard]] duration read_deadline(const http_request& request) const {
         std::int64_t limit = 0;
         const auto text = request.headers.get(m_settings.deadline_header);
@@ -80,7 +112,12 @@
         const auto limit = std::max(read_deadline(request) - answer_margin, answer_margin);
         message.set_remaining_ms(to_milliseconds(limit));
         m_link.relay(std::move(message), m_loop.now() + limit,
-                     [respond](const relay_outcome& outcome) { respond(make_answer(outcome)); });
+                     [this, respond, since = m_loop.now()](const relay_outcome& outcome) {
+                         const auto answer = make_answer(outcome);
+                         m_metrics.observe("poplarpitch_request_seconds",
+                                           {"", "", std::to_string(answer.status)}, m_loop.now() - since);
+                         respond(answer);
+                     });
     }
 
     static http_response make_answer(const relay_outcome& outcome) {
@@ -141,6 +178,8 @@
     leader_link m_link;
     http_listener m_callers;
     http_listener m_ready;
+    metrics_registry m_metrics;
+    std::unique_ptr<http_listener> m_metrics_listener;
     bool m_is_stopping = false;
     time_point m_stop_deadline{};
 };
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -4,12 +4,15 @@
 #include "poplarpitch/scheduler/caller_service.h"
 #include "poplarpitch/scheduler/control_service.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
+#include "poplarpitch/scheduler/scheduler_metrics.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduler/worker_orders.h"
 #include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/telemetry/logging.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <csignal>
+#include <memory>
 #include <vector>
 
 namespace poplarpitch {
@@ -41,6 +44,8 @@
             return cannot_start_code;
         }
         loop.on_turn_end([this] { m_orders.send_all(); });
+        loop.on_turn_end([] { flush_logs(); });
+        start_metrics();
         loop.on_signal(SIGTERM, [this] { stop(); });
         loop.on_signal(SIGINT, [this] { stop(); });
         loop.on_signal(SIGHUP, [] {
@@ -102,6 +107,30 @@
         return handler;
     }
 
+    /// Metrics help to explain, they are not needed to serve: a port that is taken is told and borne.
+    void start_metrics() {
+        if (m_parts.settings.metrics_port == 0) {
+            return;
+        }
+        http_listener_settings listener;
+        listener.host = m_parts.settings.replica.host;
+        listener.port = m_parts.settings.metrics_port;
+        m_metrics_listener = std::make_unique<http_listener>(
+            m_parts.loop, listener, [this](const http_request& request, const http_responder& respond) {
+                if (request.get_path() != "/metrics") {
+                    respond(make_error_response(404, "not_found", "metrics are at /metrics"));
+                    return;
+                }
+                http_response response;
+                response.content_type = "text/plain; version=0.0.4";
+                response.body = m_metrics.format(m_parts);
+                respond(response);
+            });
+        if (const auto port = m_metrics_listener->start(); !port) {
+            log_event(log_level::warn, "metrics_not_served").add("error", port.error());
+        }
+    }
+
     void on_command(const log_entry& entry) {
         m_events.clear();
         m_parts.batcher.apply(entry, m_events);
@@ -120,6 +149,9 @@
             m_parts.batcher.add(std::move(command), nullptr);
         }
         m_parts.batcher.flush();
+        for (const auto& timing : m_parts.dispatch.take_timings()) {
+            m_metrics.observe(timing);
+        }
     }
 
     void tick() {
@@ -150,6 +182,8 @@
     caller_service<Dialect> m_callers;
     control_service<Dialect> m_control;
     http_listener m_listener;
+    scheduler_metrics m_metrics;
+    std::unique_ptr<http_listener> m_metrics_listener;
     time_point m_stop_deadline{};
 };
 
--- /dev/null
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -0,0 +1,64 @@
+#include "poplarpitch/scheduler/scheduler_metrics.h"
+
+#include "poplarpitch/scheduler/scheduler_parts.h"
+#include "poplarpitch/scheduling/job_timing.h"
+#include "poplarpitch/telemetry/logging.h"
+
+namespace poplarpitch {
+namespace {
+
+const char* get_name(job_timing::kind what) {
+    switch (what) {
+    case job_timing::kind::first_start:
+        return "first_start";
+    case job_timing::kind::completed:
+        return "completed";
+    case job_timing::kind::failed:
+        return "failed";
+    case job_timing::kind::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+void scheduler_metrics::observe(const job_timing& timing) {
+    const metric_labels labels{"", timing.queue, get_name(timing.what)};
+    m_registry.observe("poplarpitch_job_seconds", labels, timing.length);
+    if (timing.what == job_timing::kind::completed) {
+        m_registry.count("poplarpitch_jobs_completed_total",
+                         {"", timing.queue, timing.is_in_time ? "in_time" : "late"});
+    }
+}
+
+std::string scheduler_metrics::format(const scheduler_parts& parts) {
+    const auto set = [this](const char* name, auto value, const char* outcome = "") {
+        m_registry.set(name, {"", "", outcome}, static_cast<double>(value));
+    };
+    const auto& counts = parts.dispatch.get_counts();
+    set("poplarpitch_runs_total", counts.assigned, "assigned");
+    set("poplarpitch_runs_total", counts.started, "started");
+    set("poplarpitch_runs_total", counts.done_runs, "done");
+    set("poplarpitch_runs_total", counts.failed_runs, "failed");
+    set("poplarpitch_runs_total", counts.lost_runs, "lost");
+    set("poplarpitch_starts_refused_total", counts.refused_room, "no_room");
+    set("poplarpitch_starts_refused_total", counts.refused_other, "other");
+    set("poplarpitch_orders_total", counts.stops, "stop");
+    set("poplarpitch_orders_total", counts.paces, "pace");
+    set("poplarpitch_orders_total", counts.holds, "hold");
+    set("poplarpitch_orders_unanswered_total", counts.unanswered);
+    set("poplarpitch_worker_connections_total", parts.caller.get_opened());
+    set("poplarpitch_log_batches_total", parts.batcher.get_batches());
+    set("poplarpitch_log_commands_total", parts.batcher.get_commands());
+    set("poplarpitch_log_lines_left_out_total", get_left_out_log_lines());
+    set("poplarpitch_leading", parts.log.is_leading() ? 1 : 0);
+    set("poplarpitch_voters", parts.log.get_voter_count());
+    set("poplarpitch_config_version", parts.book.get_configuration().version);
+    set("poplarpitch_jobs_known", parts.book.get_jobs().size());
+    set("poplarpitch_workers", parts.dispatch.get_workers().size());
+    set("poplarpitch_tasks_waiting", parts.dispatch.count_waiting());
+    return m_registry.format();
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/scheduling/job_timing.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace poplarpitch {
+
+/// How long something in a job's life took, for histograms.
+struct job_timing {
+    enum class kind : std::uint8_t {
+        first_start, ///< from acceptance to the first start
+        completed,   ///< from acceptance to the last end
+        failed,
+        cancelled,
+    };
+    kind what = kind::first_start;
+    std::string queue;
+    duration length{};
+    bool is_in_time = false; ///< within the objective by the caller's estimates
+
+    friend auto operator<=>(const job_timing&, const job_timing&) = default;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/telemetry/line_ring.cpp
@@ -0,0 +1,71 @@
+#include "poplarpitch/telemetry/line_ring.h"
+
+#include <cerrno>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::size_t chunk = 4096; // PIPE_BUF: a pipe that polls as writable takes this much without waiting
+
+bool is_writable(int descriptor) {
+    pollfd item{descriptor, POLLOUT, 0};
+    return ::poll(&item, 1, 0) > 0;
+}
+
+} // namespace
+
+void line_ring::add(std::string line) {
+    if (m_bytes + line.size() > m_capacity) {
+        ++m_left_out;
+        ++m_untold;
+        return;
+    }
+    add_count();
+    m_bytes += line.size();
+    m_lines.push_back(std::move(line));
+}
+
+void line_ring::add_count() {
+    if (m_untold == 0) {
+        return;
+    }
+    auto line = "level=WARN event=log_lines_left_out count=" + std::to_string(m_untold) + "\n";
+    m_untold = 0;
+    m_bytes += line.size();
+    m_lines.push_back(std::move(line));
+}
+
+void line_ring::write_to(int descriptor) {
+    while (!m_lines.empty() && is_writable(descriptor)) {
+        std::string bytes;
+        for (const auto& line : m_lines) {
+            const auto first = bytes.empty() ? m_written : 0;
+            if (!bytes.empty() && bytes.size() + line.size() > chunk) {
+                break;
+            }
+            bytes.append(line, first, chunk);
+        }
+        const auto count = ::write(descriptor, bytes.data(), std::min(bytes.size(), chunk));
+        if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return;
+        }
+        auto left = count < 0 ? bytes.size() : static_cast<std::size_t>(count); // broken: nobody reads it
+        while (left > 0 && !m_lines.empty()) {
+            const auto rest = m_lines.front().size() - m_written;
+            if (left < rest) {
+                m_written += left;
+                break;
+            }
+            left -= rest;
+            m_bytes -= m_lines.front().size();
+            m_written = 0;
+            m_lines.pop_front();
+        }
+    }
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/telemetry/ring_appender.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "poplarpitch/telemetry/line_ring.h"
+
+#include <log4cplus/appender.h>
+
+namespace poplarpitch {
+
+/// Takes log4cplus' events into a ring of lines, which the daemon's loop writes out when there is time:
+/// logging never waits for who reads the logs. Thread safety: as log4cplus' appenders; `flush` on the
+/// daemon's thread.
+class ring_appender : public log4cplus::Appender {
+public:
+    explicit ring_appender(std::size_t capacity) : m_ring(capacity) {}
+    ~ring_appender() override;
+    ring_appender(const ring_appender&) = delete;
+    ring_appender& operator=(const ring_appender&) = delete;
+
+    /// Writes what standard output takes without waiting.
+    void flush();
+    void close() override;
+    [[nodiscard]] const line_ring& get_ring() const { return m_ring; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override;
+
+private:
+    line_ring m_ring;
+};
+
+} // namespace poplarpitch
--- a/programs/poplarpitch_gateway.cpp
+++ b/programs/poplarpitch_gateway.cpp
@@ -12,6 +12,8 @@
         return *line.exit_code;
     }
     poplarpitch::limit_malloc_arenas(1);
-    poplarpitch::start_logging(line.settings.log_level, poplarpitch::log_target::standard_output);
-    poplarpitch::leave_process(poplarpitch::run_gateway_daemon(line.settings));
+    poplarpitch::start_ring_logging(line.settings.log_level);
+    const int code = poplarpitch::run_gateway_daemon(line.settings);
+    poplarpitch::flush_logs();
+    poplarpitch::leave_process(code);
 }
--- a/programs/poplarpitch_scheduler.cpp
+++ b/programs/poplarpitch_scheduler.cpp
@@ -14,7 +14,9 @@
         return *line.exit_code;
     }
     poplarpitch::limit_malloc_arenas(1);
-    poplarpitch::start_logging(line.settings.log_level, poplarpitch::log_target::standard_output);
+    poplarpitch::start_ring_logging(line.settings.log_level);
     poplarpitch::scheduler_daemon<poplarpitch::platform::dialect> daemon(line.settings);
-    poplarpitch::leave_process(daemon.run());
+    const int code = daemon.run();
+    poplarpitch::flush_logs();
+    poplarpitch::leave_process(code);
 }
