--- a/poplarpitch/replica/replica_settings.h
+++ b/poplarpitch/replica/replica_settings.h
@@ -20,7 +20,8 @@
     std::vector<std::string> seeds;    ///< addresses of up to three control instances, without port
     bool may_found = false;            ///< the whole system starts for the first time
     std::size_t voters = 5;            ///< tolerates the loss of two disks
-    duration voter_loss = seconds{12}; ///< a voter silent for this long is replaced where another can be
+    duration voter_loss = milliseconds{2500}; ///< a voter silent for this long is replaced where another can be: a replaced
+                                              ///< instance must count again within 4 s, an election takes 1
     std::uint64_t snapshot_bytes = 8U << 20; ///< of log since the last snapshot; replays in under a second
     std::uint64_t kept_entries = 500; ///< before the snapshot, so that a follower a little behind needs none
     raft_settings raft;
--- a/unit_tests/replica/membership_test.cpp
+++ b/unit_tests/replica/membership_test.cpp
@@ -2,6 +2,7 @@
 #include "poplarpitch/replica/founding.h"
 #include "poplarpitch/replica/member_planner.h"
 #include "poplarpitch/replica/node_address.h"
+#include "poplarpitch/replica/replica_settings.h"
 
 #include <gtest/gtest.h>
 
@@ -104,6 +105,17 @@
     EXPECT_EQ(planner.plan(sight, now), (member_step{member_step::kind::remove, make_node(4)}));
 }
 
+TEST(member_planner, replaces_an_instance_that_is_gone_for_good_before_two_more_may_be_lost) {
+    // A replaced instance counts as lost until its successor has had 4 s; two disks may be lost right after that.
+    const replica_settings settings;
+    member_planner planner(settings.voters, settings.voter_loss);
+    const auto now = start + seconds{3};
+    auto sight = make_sight(now);
+    sight.progress[make_node(4)].last_answer = start;
+    planner.on_join(make_node(6), now);
+    EXPECT_EQ(planner.plan(sight, now), (member_step{member_step::kind::add_learner, make_node(6)}));
+}
+
 TEST(node_address, holds_the_address_of_the_instance) {
     EXPECT_EQ(get_node_ip(make_node_id(0x0a010203, 0x7fffffff)), 0x0a010203U);
     EXPECT_NE(make_node_id(0x0a010203, 1), make_node_id(0x0a010203, 2));
