Never take a lasting task for late, and let it go first once it has waited

Ruled out: orders without an answer (none over 3 s old but those of ended jobs), room held by runs that had ended.

--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -18,6 +18,9 @@
 constexpr duration serving_patience = milliseconds{1800}; // a serving task that could run waits no longer
 constexpr std::int64_t started_lead =
     3000; // ms: a job that has begun goes before new ones with as much slack
+constexpr std::int64_t lasting_lead = 100'000; // ms: tasks that last go before all others of their priority
+constexpr std::int64_t lasting_slack = 2000; // ms: the rank of a task that lasts among others of its priority
+constexpr duration lasting_patience = milliseconds{1800}; // a task that lasts and could run may wait 3 s
 constexpr std::int64_t late_weight = 1'000'000; // ms: a job that is late goes behind all that are not
 constexpr std::int64_t late_multiple = 3; // a job later than this multiple of its objective earns nothing
 
@@ -43,6 +46,13 @@
             continue;
         }
         const auto& queue = ready.job->queue;
+        if (ready.job->steps[key.step].long_running) {
+            // It has no end to be late for; one that has waited goes first.
+            const bool is_urgent = now - ready.since > lasting_patience;
+            ranked.emplace_back(
+                queue.priority * priority_weight + (is_urgent ? -lasting_lead : lasting_slack), key);
+            continue;
+        }
         const auto allowed =
             static_cast<std::int64_t>(queue.stretch * static_cast<double>(ready.job->estimate_chain_ms())) +
             to_milliseconds(queue.target_latency);
@@ -132,8 +142,8 @@
     request.step = key.step;
     request.pressure = &m_pressure;
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
-    request.is_last_attempt =
-        failed != m_failed_on.end() && failed->second.size() + 1 >= ready.job->queue.max_attempts;
+    request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
+                              failed->second.size() + 1 >= ready.job->queue.max_attempts;
     request.rack = rack;
     worker_state* best = nullptr;
     double best_cost = 0;
--- a/unit_tests/dispatch/dispatcher_job_test.cpp
+++ b/unit_tests/dispatch/dispatcher_job_test.cpp
@@ -159,5 +159,41 @@
     EXPECT_EQ(world.scheduler.count_pending("queue"), 1U);
 }
 
+TEST(dispatcher_job, starts_a_lasting_task_that_has_waited_before_short_ones_however_old_its_job_is) {
+    dispatch_world world;
+    world.add_worker("w1", {1000, 256000, 0});
+    auto lasting = make_step();
+    lasting.long_running = true;
+    world.submit({lasting});
+    const auto first = world.take<start_order>();
+    ASSERT_EQ(first.size(), 1U);
+    world.answer(first[0]);
+    world.advance(seconds{60}); // far beyond what a job that ends may take
+    world.beat("w1", true, 5000);
+    end_run(world, first[0], 1, run_end::failed);
+    world.advance(seconds{3});
+    world.submit({make_step()});
+    world.add_worker("w2", {1000, 256000, 0});
+    world.advance(milliseconds{200});
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].run.task, first[0].run.task);
+}
+
+TEST(dispatcher_job, starts_a_lasting_task_again_wherever_there_is_room_however_often_it_failed) {
+    dispatch_world world;
+    world.add_worker("w1");
+    auto lasting = make_step();
+    lasting.long_running = true;
+    world.submit({lasting}, 2);
+    for (std::uint64_t failure = 1; failure <= 4; ++failure) {
+        const auto starts = world.take<start_order>();
+        ASSERT_EQ(starts.size(), 1U) << "after " << failure - 1 << " failures";
+        world.answer(starts[0]);
+        end_run(world, starts[0], failure, run_end::failed);
+        world.advance(seconds{3});
+    }
+}
+
 } // namespace
 } // namespace poplarpitch
