--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -16,6 +16,7 @@
 constexpr double demand_peak = 1.5;                       // of the smoothed demand: it varies by half
 constexpr double least_open = 0.05;                       // of all processor time, before anything is known
 constexpr duration serving_patience = milliseconds{1800}; // a serving task that could run waits no longer
+constexpr std::int64_t retry_lead = 4000; // ms: a task that failed holds up all that its job has done so far
 constexpr std::int64_t started_lead =
     3000; // ms: a job that has begun goes before new ones with as much slack
 constexpr std::int64_t lasting_lead = 100'000; // ms: tasks that last go before all others of their priority
@@ -57,10 +58,12 @@
             static_cast<std::int64_t>(queue.stretch * static_cast<double>(ready.job->estimate_chain_ms())) +
             to_milliseconds(queue.target_latency);
         const auto age = to_milliseconds(now - job->second.accepted);
-        ranked.emplace_back(queue.priority * priority_weight +
-                                rank_by_time(allowed, age, ready.job->estimate_rest_ms(key.step)) -
-                                (job->second.has_started ? started_lead : 0),
-                            key);
+        ranked.emplace_back(
+            queue.priority * priority_weight +
+                rank_by_time(allowed, age, ready.job->estimate_rest_ms(key.step)) -
+                (job->second.has_started ? started_lead : 0) -
+                (m_failed_on.contains(task_key{key, *ready.waiting.begin()}) ? retry_lead : 0),
+            key);
     }
     std::sort(ranked.begin(), ranked.end());
     return ranked;
