Test the whole path with real processes and pretended workers; lock a data folder once

Six tests: a job from submission to its end; the leader killed while it runs; all instances killed; a lost disk and the old majority gone; planned stops; a refusal while nobody leads.

--- a/poplarpitch/storage/posix_file_system.cpp
+++ b/poplarpitch/storage/posix_file_system.cpp
@@ -46,6 +46,9 @@
 }
 
 result<void> posix_file_system::lock() {
+    if (m_lock >= 0) {
+        return boost::outcome_v2::success(); // a second lock of its own would meet the first
+    }
     if (::mkdir(m_folder.c_str(), folder_mode) != 0 && errno != EEXIST) {
         return make_error_code(storage_errc::folder_missing);
     }
--- a/poplarpitch/storage/posix_file_system.h
+++ b/poplarpitch/storage/posix_file_system.h
@@ -20,7 +20,8 @@
     posix_file_system(const posix_file_system&) = delete;
     posix_file_system& operator=(const posix_file_system&) = delete;
 
-    /// Makes the folder where it is missing and locks it against other processes.
+    /// Makes the folder where it is missing and locks it against other processes. Locked already, it does
+    /// nothing.
     result<void> lock();
     /// Returns the names of the files, sorted.
     result<std::vector<std::string>> list();
--- /dev/null
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -0,0 +1,203 @@
+#include "unit_tests/platform/scheduler_cluster.h"
+
+#include "poplarpitch/core/system_clock.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/time/clock.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration call_limit = seconds{2};
+constexpr duration step = milliseconds{20};
+
+std::string make_folder() {
+    static std::atomic<int> next{0};
+    const auto name = absl::StrCat("poplarpitch-scheduler-", ::getpid(), "-", next.fetch_add(1));
+    const auto folder = std::filesystem::temp_directory_path() / name;
+    std::filesystem::create_directories(folder);
+    return folder.string();
+}
+
+std::string get_program(const std::string& name) {
+    return std::string(POPLARPITCH_BIN) + "/" + name;
+}
+
+/// Asks again until `is_done` or the limit; a wait for an event, bounded so that a failure ends.
+template <class Condition>
+bool wait_until(duration limit, Condition is_done) {
+    const system_clock clock;
+    const auto end = clock.now() + limit;
+    while (clock.now() < end) {
+        if (is_done()) {
+            return true;
+        }
+        absl::SleepFor(absl::Nanoseconds(step.count()));
+    }
+    return false;
+}
+
+} // namespace
+
+scheduler_cluster::scheduler_cluster(int schedulers)
+    : m_folder(make_folder()), m_count(schedulers), m_pool(http_client_settings{}) {
+    for (int number = 1; number <= schedulers; ++number) {
+        start_scheduler(number, true);
+    }
+    start_gateway();
+}
+
+scheduler_cluster::~scheduler_cluster() {
+    m_gateway.reset();
+    m_schedulers.clear();
+    if (testing::Test::HasFailure()) {
+        std::cerr << "logs are kept in " << m_folder << "\n";
+        return;
+    }
+    std::error_code ignored; // a folder that stays does no harm
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::string scheduler_cluster::get_host(int number) {
+    return absl::StrCat("127.0.0.", 10 + number);
+}
+
+std::vector<std::string> scheduler_cluster::get_controls() const {
+    std::vector<std::string> controls;
+    for (int number = 1; number <= m_count; ++number) {
+        controls.push_back(absl::StrCat(get_host(number), ":", m_control_port.get_port()));
+    }
+    return controls;
+}
+
+void scheduler_cluster::start_scheduler(int number, bool may_found) {
+    const auto controls = get_controls();
+    const auto seeds = std::vector<std::string>(controls.begin(), controls.begin() + std::min(m_count, 3));
+    const auto name = absl::StrCat("scheduler-", number);
+    const auto file = absl::StrCat(m_folder, "/", name, ".ini");
+    std::ofstream(file) << "[instance]\nid = " << name << "\nhost = " << get_host(number)
+                        << "\nlink_port = " << m_link_port.get_port()
+                        << "\nseeds = " << absl::StrJoin(seeds, ",")
+                        << "\n[control]\nlisten = " << controls[static_cast<std::size_t>(number) - 1]
+                        << "\ndata_folder = " << m_folder << "/data-" << number
+                        << "\nmay_found = " << (may_found ? "true" : "false")
+                        << "\ntolerated_losses = " << (m_count - 1) / 2 << "\n[workers]\nlease = 2s\n";
+    m_schedulers[number] = std::make_unique<child_process>(
+        std::vector<std::string>{get_program("poplarpitch-scheduler"), "--settings", file},
+        absl::StrCat(m_folder, "/", name, ".log"));
+}
+
+void scheduler_cluster::start_gateway() {
+    const auto file = absl::StrCat(m_folder, "/gateway.ini");
+    std::ofstream(file) << "[instance]\nid = gateway\nlink_port = " << m_link_port.get_port()
+                        << "\nseeds = " << absl::StrJoin(get_controls(), ",")
+                        << "\n[entry]\nlisten = 127.0.0.1:" << m_callers_port.get_port()
+                        << "\nready = 127.0.0.1:" << m_ready_port.get_port() << "\ndrain_wait = 100ms\n";
+    m_gateway = std::make_unique<child_process>(
+        std::vector<std::string>{get_program("poplarpitch-gateway"), "--settings", file},
+        absl::StrCat(m_folder, "/gateway.log"));
+}
+
+void scheduler_cluster::wipe(int number) const {
+    std::filesystem::remove_all(absl::StrCat(m_folder, "/data-", number));
+}
+
+std::optional<http_response> scheduler_cluster::send(const std::string& address, const std::string& method,
+                                                     const std::string& path, const std::string& body) {
+    http_request request;
+    request.method = method;
+    request.target = path;
+    request.headers.add("Host", "mill.example");
+    request.body = body;
+    const auto exchange =
+        m_pool.send(address, request, system_clock().now() + call_limit, connection_choice::fresh);
+    if (exchange.progress != exchange_progress::answered) {
+        return std::nullopt;
+    }
+    return exchange.response;
+}
+
+std::optional<http_response> scheduler_cluster::ask_control(int number, const std::string& method,
+                                                            const std::string& path,
+                                                            const std::string& body) {
+    auto response = send(get_controls()[static_cast<std::size_t>(number) - 1], method, path, body);
+    if (!response.has_value() || response->status != 307) {
+        return response;
+    }
+    const auto location = response->headers.get("Location"); // http://ADDRESS/path
+    const auto address = location.substr(7, location.find('/', 7) - 7);
+    return send(address, method, path, body);
+}
+
+std::optional<http_response> scheduler_cluster::ask(const std::string& method, const std::string& path,
+                                                    const std::string& body) {
+    return send(absl::StrCat("127.0.0.1:", m_callers_port.get_port()), method, path, body);
+}
+
+void scheduler_cluster::put_config(std::uint64_t version) {
+    const nlohmann::json document = {{"version", version},
+                                     {"routes",
+                                      {{{"name", "jobs"},
+                                        {"host", "mill.example"},
+                                        {"pathPrefix", "/jobs/"},
+                                        {"timeoutMs", 3000},
+                                        {"targetLatencyMs", 1000},
+                                        {"service", "mill"},
+                                        {"maxAttempts", 3},
+                                        {"stretch", 2.0}}}},
+                                     {"services", {{{"name", "mill"}, {"enforcesCapacity", true}}}}};
+    const bool is_put = wait_until(seconds{20}, [&] {
+        for (int number = 1; number <= m_count; ++number) {
+            const auto response = ask_control(number, "POST", "/v1/Config.Put", document.dump());
+            if (response.has_value() && response->status == 200) {
+                return true;
+            }
+        }
+        return false;
+    });
+    EXPECT_TRUE(is_put) << "the configuration was never acknowledged";
+}
+
+bool scheduler_cluster::submit(const std::string& id, int tasks, duration limit) {
+    const nlohmann::json job = {
+        {"spec", "text"}, {"steps", {{{"count", tasks}, {"cpu", 500}, {"memMb", 100}, {"estimateMs", 200}}}}};
+    return wait_until(limit, [&] {
+        const auto response = ask("POST", "/jobs/" + id, job.dump());
+        return response.has_value() && response->status == 200;
+    });
+}
+
+bool scheduler_cluster::wait_for_state(const std::string& id, const std::string& state, duration limit) {
+    return wait_until(limit, [&] {
+        const auto response = ask("GET", "/jobs/" + id);
+        if (!response.has_value() || response->status != 200) {
+            return false;
+        }
+        return nlohmann::json::parse(response->body).at("state") == state;
+    });
+}
+
+int scheduler_cluster::find_leader() {
+    for (int number = 1; number <= m_count; ++number) {
+        if (!m_schedulers.contains(number) || !m_schedulers[number]->is_alive()) {
+            continue;
+        }
+        const auto response =
+            send(get_controls()[static_cast<std::size_t>(number) - 1], "GET", "/v1/Config.Get", "");
+        if (response.has_value() && response->status == 200) {
+            return number;
+        }
+    }
+    return 0;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/platform/scheduler_cluster_test.cpp
@@ -0,0 +1,129 @@
+// The whole path with real processes and pretended workers: jobs end once, whatever happens to the instances.
+#include "unit_tests/platform/scheduler_cluster.h"
+#include "unit_tests/platform/stand_in_workers.h"
+
+#include <absl/time/clock.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration patience = seconds{20}; // bounds a failure; each wait ends with its event
+constexpr int task_count = 6;
+
+void expect_each_done_once(const stand_in_workers& workers, const std::string& id) {
+    int done = 0;
+    for (const auto& [task, count] : workers.get_done_counts()) {
+        if (task.starts_with(id)) {
+            EXPECT_EQ(count, 1) << task;
+            ++done;
+        }
+    }
+    EXPECT_EQ(done, task_count);
+    EXPECT_EQ(workers.get_overlaps(), 0);
+}
+
+TEST(scheduler_cluster, runs_a_job_from_submission_to_its_end) {
+    scheduler_cluster cluster(3);
+    const stand_in_workers workers(2, cluster.get_controls(), milliseconds{100});
+    cluster.put_config(1);
+    const std::string id = "00000000000000a1";
+    ASSERT_TRUE(cluster.submit(id, task_count, patience));
+    ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
+    expect_each_done_once(workers, id);
+    EXPECT_EQ(cluster.ask("GET", "/jobs/00000000000000ff")->status, 410);
+    EXPECT_EQ(cluster.ask("GET", "/none/00000000000000a1")->status, 404);
+    EXPECT_EQ(cluster.ask("POST", "/jobs/00000000000000a2", "{\"steps\":")->status, 400);
+}
+
+TEST(scheduler_cluster, goes_on_when_the_leader_is_killed_while_a_job_runs) {
+    scheduler_cluster cluster(3);
+    const stand_in_workers workers(2, cluster.get_controls(), milliseconds{1500});
+    cluster.put_config(1);
+    const std::string id = "00000000000000b1";
+    ASSERT_TRUE(cluster.submit(id, task_count, patience));
+    while (workers.get_running() < task_count) {
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    const int leader = cluster.find_leader();
+    ASSERT_NE(leader, 0);
+    cluster.get_scheduler(leader).kill();
+    ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
+    expect_each_done_once(workers, id);
+}
+
+TEST(scheduler_cluster, knows_jobs_and_configuration_after_all_instances_were_killed) {
+    scheduler_cluster cluster(3);
+    const stand_in_workers workers(2, cluster.get_controls(), milliseconds{300});
+    cluster.put_config(7);
+    const std::string id = "00000000000000c1";
+    ASSERT_TRUE(cluster.submit(id, task_count, patience));
+    for (int number = 1; number <= 3; ++number) {
+        cluster.get_scheduler(number).kill();
+    }
+    for (int number = 1; number <= 3; ++number) {
+        cluster.start_scheduler(number);
+    }
+    ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
+    expect_each_done_once(workers, id);
+    const auto leader = cluster.find_leader();
+    ASSERT_NE(leader, 0);
+    const auto read = cluster.ask_control(leader, "GET", "/v1/Config.Get");
+    ASSERT_TRUE(read.has_value());
+    EXPECT_NE(read->body.find("\"version\":7"), std::string::npos);
+}
+
+TEST(scheduler_cluster, takes_back_an_instance_that_lost_its_disk) {
+    scheduler_cluster cluster(3);
+    const stand_in_workers workers(2, cluster.get_controls(), milliseconds{100});
+    cluster.put_config(1);
+    const int leader = cluster.find_leader();
+    ASSERT_NE(leader, 0);
+    const int lost = leader == 1 ? 2 : 1;
+    const int other = 6 - leader - lost;
+    cluster.get_scheduler(lost).kill();
+    cluster.wipe(lost);
+    cluster.start_scheduler(lost);
+    // It votes again once it is promoted; with the third one gone the two must be enough.
+    const auto has_joined = [&] {
+        return cluster.get_scheduler(leader).read_log().find("action=promote") != std::string::npos;
+    };
+    while (!has_joined()) {
+        absl::SleepFor(absl::Milliseconds(20));
+    }
+    const std::string first = "00000000000000d1";
+    ASSERT_TRUE(cluster.submit(first, task_count, patience)); // committed after the promotion
+    cluster.get_scheduler(other).kill();
+    const std::string id = "00000000000000d2";
+    ASSERT_TRUE(cluster.submit(id, task_count, patience));
+    ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
+    expect_each_done_once(workers, id);
+}
+
+TEST(scheduler_cluster, ends_by_itself_when_it_is_told_to_stop) {
+    scheduler_cluster cluster(3);
+    cluster.put_config(1);
+    cluster.get_gateway().send(SIGTERM);
+    EXPECT_EQ(cluster.get_gateway().wait(), 0);
+    for (int number = 1; number <= 3; ++number) {
+        cluster.get_scheduler(number).send(SIGTERM);
+        EXPECT_EQ(cluster.get_scheduler(number).wait(), 0);
+    }
+}
+
+TEST(scheduler_cluster, says_that_it_has_not_accepted_a_job_while_nobody_leads) {
+    scheduler_cluster cluster(3);
+    cluster.put_config(1);
+    cluster.get_scheduler(1).kill();
+    cluster.get_scheduler(2).kill();
+    cluster.get_scheduler(3).kill();
+    const auto response = cluster.ask("POST", "/jobs/00000000000000e1", R"({"steps":[{"count":1}]})");
+    ASSERT_TRUE(response.has_value());
+    EXPECT_EQ(response->status, 503);
+    EXPECT_TRUE(response->headers.has("Retry-After"));
+}
+
+} // namespace
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -0,0 +1,253 @@
+#include "unit_tests/platform/stand_in_workers.h"
+
+#include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/net/http_caller.h"
+#include "poplarpitch/net/http_listener.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration beat_interval = milliseconds{200};
+constexpr duration beat_timeout = milliseconds{500};
+
+using json = nlohmann::json;
+
+struct running_task {
+    std::uint32_t run = 0;
+    timer_id timer = 0;
+};
+
+struct ended_task {
+    std::uint64_t number = 0;
+    std::string task;
+    std::uint32_t run = 0;
+    std::string how;
+};
+
+/// One worker's state; all on the loop's thread.
+struct pretended_worker {
+    std::string id;
+    std::string address;
+    std::uint64_t fence = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t next_number = 1;
+    std::map<std::string, running_task> running;
+    std::map<std::string, std::uint32_t> highest_ended; ///< runs up to this are refused
+    std::vector<ended_task> ended;
+    std::vector<std::pair<http_responder, timer_id>> holds; ///< that wait for an end
+    std::unique_ptr<http_listener> listener;
+    std::size_t control = 0; ///< which address the next heartbeat goes to
+    std::string heartbeat_address;
+};
+
+} // namespace
+
+struct stand_in_workers::parts {
+    parts(std::vector<std::string> addresses, duration length)
+        : controls(std::move(addresses)), run_time(length), caller(loop, http_caller_settings{}) {}
+
+    std::int64_t get_clock() const { return to_milliseconds(loop.now().time_since_epoch()); }
+
+    http_response make_response(int status, json body) const {
+        http_response response;
+        response.status = status;
+        body["clockMs"] = get_clock();
+        response.body = body.dump();
+        return response;
+    }
+
+    json list(const pretended_worker& worker) const {
+        json body = {{"running", json::array()}, {"ended", json::array()}};
+        for (const auto& [task, run] : worker.running) {
+            body["running"].push_back({task, run.run, "", 50, 0});
+        }
+        for (const auto& end : worker.ended) {
+            body["ended"].push_back({end.number, end.task, end.run, end.how, ""});
+        }
+        return body;
+    }
+
+    void end(pretended_worker& worker, const std::string& task, const char* how) {
+        const auto found = worker.running.find(task);
+        if (found == worker.running.end()) {
+            return;
+        }
+        const auto run = found->second.run;
+        loop.cancel(found->second.timer);
+        worker.running.erase(found);
+        worker.highest_ended[task] = run;
+        worker.ended.push_back({worker.next_number++, task, run, how});
+        {
+            const absl::MutexLock lock(&mutex);
+            --running_now[task];
+            done[task] += std::string(how) == "done" ? 1 : 0;
+        }
+        auto holds = std::move(worker.holds);
+        worker.holds.clear();
+        for (auto& [respond, timer] : holds) {
+            loop.cancel(timer);
+            respond(make_response(200, list(worker)));
+        }
+    }
+
+    http_response start(pretended_worker& worker, const json& body) {
+        const auto task = body.at("task").get<std::string>();
+        const auto run = body.at("run").get<std::uint32_t>();
+        const auto found = worker.running.find(task);
+        if (found != worker.running.end() && found->second.run == run) {
+            return make_response(200, {});
+        }
+        if (run <= worker.highest_ended[task] || found != worker.running.end()) {
+            return make_response(409, {{"reason", "old"}});
+        }
+        {
+            const absl::MutexLock lock(&mutex);
+            overlaps += running_now[task]++ > 0 ? 1 : 0;
+        }
+        worker.running[task] = {
+            run, loop.call_after(run_time, [this, &worker, task] { end(worker, task, "done"); })};
+        return make_response(200, {});
+    }
+
+    void handle(pretended_worker& worker, const http_request& request, const http_responder& respond) {
+        const auto body = json::parse(request.body, nullptr, false);
+        if (request.headers.get("Expect-Instance") != worker.id) {
+            respond(make_response(421, {}));
+            return;
+        }
+        if (body.is_discarded()) {
+            respond(make_response(400, {}));
+            return;
+        }
+        const auto fence = body.value("fence", std::uint64_t{0});
+        if (fence < worker.fence) {
+            respond(make_response(409, {{"reason", "fence"}}));
+            return;
+        }
+        worker.fence = fence;
+        const auto path = request.get_path();
+        if (path == "/v1/run-start") {
+            respond(start(worker, body));
+        } else if (path == "/v1/run-stop") {
+            const auto task = body.at("task").get<std::string>();
+            auto& highest = worker.highest_ended[task];
+            highest = std::max(highest, body.at("run").get<std::uint32_t>());
+            end(worker, task, "stopped");
+            respond(make_response(200, {}));
+        } else if (path == "/v1/hold") {
+            hold(worker, body, respond);
+        } else {
+            respond(make_response(200, {}));
+        }
+    }
+
+    void hold(pretended_worker& worker, const json& body, const http_responder& respond) {
+        const auto acknowledged = body.value("ackedUpto", std::uint64_t{0});
+        std::erase_if(worker.ended, [&](const ended_task& item) { return item.number <= acknowledged; });
+        const auto wait = body.value("waitMs", 0);
+        if (!worker.ended.empty() || wait == 0) {
+            respond(make_response(200, list(worker)));
+            return;
+        }
+        const auto timer = loop.call_after(milliseconds{wait}, [this, &worker] {
+            auto holds = std::move(worker.holds);
+            worker.holds.clear();
+            for (auto& [answer, other] : holds) {
+                loop.cancel(other);
+                answer(make_response(200, list(worker)));
+            }
+        });
+        worker.holds.emplace_back(respond, timer);
+    }
+
+    void beat(pretended_worker& worker) {
+        http_call call;
+        const bool is_told = !worker.heartbeat_address.empty();
+        call.address = is_told ? worker.heartbeat_address : controls[worker.control++ % controls.size()];
+        call.timeout = beat_timeout;
+        call.request.method = "POST";
+        call.request.target = "/v1/Instances.Heartbeat/" + worker.id;
+        call.request.body = json{
+            {"service", "mill"},
+            {"addr", worker.address},
+            {"zone", "here"},
+            {"state", "ready"},
+            {"capacity", {{"cpu", 16000}, {"memMb", 32000}, {"gpu", 0}}},
+            {"labels", {"a", "r1"}},
+            {"clockMs", get_clock()},
+            {"seq",
+             ++worker.sequence}}.dump();
+        caller.send(std::move(call), [this, &worker](const result<http_response>& response) {
+            worker.heartbeat_address.clear();
+            if (response && response.value().status == 200) {
+                const auto body = json::parse(response.value().body, nullptr, false);
+                worker.heartbeat_address = body.is_object() ? body.value("heartbeatAddr", "") : "";
+            }
+            loop.call_after(beat_interval, [this, &worker] { beat(worker); });
+        });
+    }
+
+    void add_worker(int number) {
+        auto worker = std::make_unique<pretended_worker>();
+        worker->id = "w" + std::to_string(number);
+        worker->control = static_cast<std::size_t>(number);
+        auto& state = *worker;
+        http_listener_settings settings;
+        settings.host = "127.0.0.1";
+        worker->listener = std::make_unique<http_listener>(
+            loop, settings, [this, &state](const http_request& request, const http_responder& respond) {
+                handle(state, request, respond);
+            });
+        worker->address = "127.0.0.1:" + std::to_string(worker->listener->start().value());
+        workers.push_back(std::move(worker));
+        beat(state);
+    }
+
+    std::vector<std::string> controls;
+    duration run_time;
+    event_loop loop;
+    http_caller caller;
+    std::vector<std::unique_ptr<pretended_worker>> workers;
+    mutable absl::Mutex mutex;
+    std::map<std::string, int> running_now ABSL_GUARDED_BY(mutex);
+    std::map<std::string, int> done ABSL_GUARDED_BY(mutex);
+    int overlaps ABSL_GUARDED_BY(mutex) = 0;
+};
+
+stand_in_workers::stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time)
+    : m_parts(std::make_unique<parts>(std::move(control_addresses), run_time)) {
+    for (int number = 1; number <= count; ++number) {
+        m_parts->add_worker(number);
+    }
+    m_thread = std::thread([this] { m_parts->loop.run(); });
+}
+
+stand_in_workers::~stand_in_workers() {
+    m_parts->loop.stop();
+    m_thread.join();
+}
+
+std::map<std::string, int> stand_in_workers::get_done_counts() const {
+    const absl::MutexLock lock(&m_parts->mutex);
+    return m_parts->done;
+}
+
+int stand_in_workers::get_overlaps() const {
+    const absl::MutexLock lock(&m_parts->mutex);
+    return m_parts->overlaps;
+}
+
+int stand_in_workers::get_running() const {
+    const absl::MutexLock lock(&m_parts->mutex);
+    int sum = 0;
+    for (const auto& [task, count] : m_parts->running_now) {
+        sum += count;
+    }
+    return sum;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/platform/stand_in_workers.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace poplarpitch {
+
+/// Pretended workers that speak the platform's calls: they announce themselves, start, hold and stop runs,
+/// keep fences and ends as the platform's page says, and write down every start, so that a test can check the
+/// promises.
+///
+/// Each run takes a fixed time. Thread safety: any thread, for all methods.
+class stand_in_workers {
+public:
+    /// Starts `count` workers on loopback, which send heartbeats to these control addresses.
+    stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time);
+    ~stand_in_workers();
+    stand_in_workers(const stand_in_workers&) = delete;
+    stand_in_workers& operator=(const stand_in_workers&) = delete;
+
+    /// Returns how many runs of each task ended as done.
+    [[nodiscard]] std::map<std::string, int> get_done_counts() const;
+    /// Returns how often a task was started while another run of it was going on.
+    [[nodiscard]] int get_overlaps() const;
+    /// Returns how many tasks run now.
+    [[nodiscard]] int get_running() const;
+
+private:
+    struct parts;
+    std::unique_ptr<parts> m_parts;
+    std::thread m_thread;
+};
+
+} // namespace poplarpitch
