--- a/poplarpitch/scheduling/task_key.h
+++ b/poplarpitch/scheduling/task_key.h
@@ -17,6 +17,7 @@
     friend auto operator<=>(const step_key&, const step_key&) = default;
 
     template <typename H>
+    // NOLINTNEXTLINE(readability-identifier-naming): the name by which Abseil finds it
     friend H AbslHashValue(H state, const step_key& key) {
         return H::combine(std::move(state), key.job, key.occurrence, key.step);
     }
@@ -30,6 +31,7 @@
     friend auto operator<=>(const task_key&, const task_key&) = default;
 
     template <typename H>
+    // NOLINTNEXTLINE(readability-identifier-naming): the name by which Abseil finds it
     friend H AbslHashValue(H state, const task_key& key) {
         return H::combine(std::move(state), key.step, key.index);
     }
@@ -43,6 +45,7 @@
     friend auto operator<=>(const run_key&, const run_key&) = default;
 
     template <typename H>
+    // NOLINTNEXTLINE(readability-identifier-naming): the name by which Abseil finds it
     friend H AbslHashValue(H state, const run_key& key) {
         return H::combine(std::move(state), key.task, key.run);
     }
--- a/poplarpitch/tools/control_commands.cpp
+++ b/poplarpitch/tools/control_commands.cpp
@@ -3,6 +3,7 @@
 #include "poplarpitch/config/configuration_parser.h"
 #include "poplarpitch/core/system_clock.h"
 #include "poplarpitch/core/text_file.h"
+#include "poplarpitch/tools/log_explainer.h"
 #include "poplarpitch/wire/poplarpitch.pb.h"
 
 #include <absl/strings/match.h>
@@ -376,6 +377,28 @@
     return command_exit::good;
 }
 
+/// `explain ID LOG...`: what the logs say of a job, request or worker.
+command_exit explain(const std::vector<std::string>& words) {
+    std::vector<std::string> texts;
+    for (std::size_t word = 2; word < words.size(); ++word) {
+        auto text = read_text_file(words[word]);
+        if (!text.has_value()) {
+            return fail_usage(words[word] + " cannot be read");
+        }
+        texts.push_back(std::move(*text));
+    }
+    const auto story = explain_id(words[1], texts);
+    for (const auto& line : story.lines) {
+        std::cout << line << "\n";
+    }
+    if (story.lines.empty()) {
+        std::cerr << "no line names " << words[1] << "\n";
+        return command_exit::refused;
+    }
+    std::cout << "\ndecided by: " << (story.cause.empty() ? "nothing that went wrong" : story.cause) << "\n";
+    return command_exit::good;
+}
+
 } // namespace
 
 command_exit run_command(operator_client& client, const std::vector<std::string>& words,
@@ -399,6 +422,9 @@
     if (command == "top") {
         return run_top(client, options);
     }
+    if (command == "explain" && words.size() >= 3) {
+        return explain(words);
+    }
     if (command == "snapshot" && words.size() == 3) {
         return words[1] == "save" ? save_snapshot(client, words[2]) : inspect_snapshot(words[2]);
     }
--- a/programs/poplarctl.cpp
+++ b/programs/poplarctl.cpp
@@ -26,6 +26,7 @@
   top                           a live screen; with --wait one picture only
   snapshot save FILE            write a backup of the replicated state
   snapshot inspect FILE         say what a backup holds
+  explain ID LOG...             what the logs say of a job, request or worker, and which line decided
 
 Exit codes: 0 good, 1 refused, 2 bad usage or configuration, 3 no entry reached,
             4 outcome unknown (ask again with the same id), 5 --wait timed out.
