--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -212,7 +212,7 @@
         }
         return;
     case book_event::kind::run_refused: {
-        drop_track(event.run, now);
+        drop_track(event.run);
         const auto* task = m_book.find_task(event.run.task);
         if (task == nullptr || task->phase == task_phase::waiting) {
             make_ready(event.run.task, now);
@@ -253,7 +253,7 @@
         update_acknowledged(*worker);
     }
     const bool was_known = find(event.run) != nullptr;
-    drop_track(event.run, now);
+    drop_track(event.run);
     m_must_place = true;
     if (!was_known) {
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -78,6 +78,8 @@
     [[nodiscard]] std::vector<job_timing> take_timings();
     /// Returns how many tasks wait for a worker.
     [[nodiscard]] std::uint64_t count_waiting() const;
+    /// Returns how many accepted jobs have not ended.
+    [[nodiscard]] std::size_t count_open() const { return m_jobs.size(); }
     /// Returns how many accepted jobs of a queue have no task that started.
     [[nodiscard]] std::uint64_t count_pending(const std::string& queue) const;
     /// Returns true when a task of the job has started.
@@ -118,7 +120,7 @@
     // runs
     run_track& add_track(const run_key& key, std::shared_ptr<const step_job> job, const std::string& worker,
                          run_stage stage, time_point now);
-    void drop_track(const run_key& key, time_point now);
+    void drop_track(const run_key& key);
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number);
     void send_start(run_track& track, time_point now);
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -211,7 +211,7 @@
             return true;
         }
         for (const auto& [member, worker] : placed) {
-            drop_track(member, now);
+            drop_track(member);
         }
     }
     return false;
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -36,7 +36,7 @@
     return track;
 }
 
-void dispatcher::drop_track(const run_key& key, time_point now) {
+void dispatcher::drop_track(const run_key& key) {
     const auto found = m_tracks.find(key);
     if (found == m_tracks.end()) {
         return;
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -68,6 +68,8 @@
     }
 
 private:
+    static constexpr duration retry_after_load = seconds{5}; // bursts last 4 to 6 s
+
     static void finish(job_wire::relay_answer answer, int status, std::string body,
                        const answer_handler& on_answer) {
         answer.set_status(static_cast<std::uint32_t>(status));
@@ -97,6 +99,11 @@
             finish(answer, 200, "", on_answer); // sent again
             return;
         }
+        const auto open = static_cast<std::int64_t>(m_parts.dispatch.count_open());
+        if (open >= m_parts.settings.dispatch.max_open_jobs) {
+            refuse_for_load(id, open, answer, on_answer);
+            return;
+        }
         auto job = Dialect::read_job(request.body());
         if (!job.has_value()) {
             finish(answer, 400, "", on_answer);
@@ -120,6 +127,19 @@
         m_parts.batcher.add(std::move(command), make_fate_handler(answer, on_answer));
     }
 
+    /// Too many jobs are open to keep another: the caller is told when to come back. Below that bound every
+    /// job is taken, also under a burst: late is worth more to its caller than never, and what can still be
+    /// in time goes first.
+    static void refuse_for_load(job_id id, std::int64_t open, job_wire::relay_answer answer,
+                                const answer_handler& on_answer) {
+        log_event(log_level::warn, "job_refused")
+            .add("job", format_job_id(id))
+            .add("reason", "too many open jobs")
+            .add("open", open);
+        answer.set_retry_after_ms(to_milliseconds(retry_after_load));
+        finish(std::move(answer), 429, "", on_answer);
+    }
+
     void tell_state(const queue_settings& queue, job_id id, const job_wire::relay_answer& answer,
                     const answer_handler& on_answer) {
         const auto* record = find(queue, id);
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -14,7 +14,8 @@
     double clock_drift = 0.02;   ///< a worker's clock may be this much slower
     duration lease_margin = milliseconds{250}; ///< on top of the drift: reading the clocks, scheduling
     duration hold_wait = milliseconds{1000};   ///< longest wait for an end; also how old progress may get
-    duration mixed_hold_wait = milliseconds{350}; ///< the same where tasks that fill run beside tasks that serve
+    duration mixed_hold_wait =
+        milliseconds{350}; ///< the same where tasks that fill run beside tasks that serve
     duration hold_pause =
         milliseconds{25}; ///< between an answer and the next hold, so that ends come together
     duration order_timeout =
@@ -23,6 +24,7 @@
     duration stop_limit = milliseconds{900};  ///< a worker ends a stopped run within this
     duration forget_after = seconds{12};      ///< a worker without heartbeat and without runs is dropped
     duration keep_ended = seconds{125};       ///< state of an ended job is kept this long
+    std::int64_t max_open_jobs = 20'000;      ///< more are refused: 60 MB of records, an hour of a day's peak
     double remote_factor = 3;                 ///< work away from its data takes this many times as long
     duration early = milliseconds{0};         ///< an occurrence starts this long before its time at most
     duration harm_limit = seconds{4};         ///< a serving task disturbed for this long breaks a promise
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -48,8 +48,9 @@
 
 } // namespace
 
-scheduler_cluster::scheduler_cluster(int schedulers)
-    : m_folder(make_folder()), m_count(schedulers), m_pool(http_client_settings{}) {
+scheduler_cluster::scheduler_cluster(int schedulers, std::string workers_text)
+    : m_folder(make_folder()), m_count(schedulers), m_workers_text(std::move(workers_text)),
+      m_pool(http_client_settings{}) {
     for (int number = 1; number <= schedulers; ++number) {
         start_scheduler(number, true);
     }
@@ -90,7 +91,8 @@
                         << "\n[control]\nlisten = " << controls[static_cast<std::size_t>(number) - 1]
                         << "\ndata_folder = " << m_folder << "/data-" << number
                         << "\nmay_found = " << (may_found ? "true" : "false")
-                        << "\ntolerated_losses = " << (m_count - 1) / 2 << "\n[workers]\nlease = 2s\n";
+                        << "\ntolerated_losses = " << (m_count - 1) / 2 << "\n[workers]\nlease = 2s\n"
+                        << m_workers_text;
     m_schedulers[number] = std::make_unique<child_process>(
         std::vector<std::string>{get_program("poplarpitch-scheduler"), "--settings", file},
         absl::StrCat(m_folder, "/", name, ".log"));
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -18,7 +18,8 @@
 /// (127.0.0.11 and on), since control instances find each other by address and share their ports' numbers.
 class scheduler_cluster {
 public:
-    explicit scheduler_cluster(int schedulers);
+    /// `workers_text` is added to the section [workers] of the schedulers' settings.
+    explicit scheduler_cluster(int schedulers, std::string workers_text = {});
     ~scheduler_cluster();
     scheduler_cluster(const scheduler_cluster&) = delete;
     scheduler_cluster& operator=(const scheduler_cluster&) = delete;
@@ -56,6 +57,7 @@
 
     std::string m_folder;
     int m_count;
+    std::string m_workers_text;
     port_reservation m_link_port;
     port_reservation m_control_port;
     port_reservation m_callers_port;
--- a/unit_tests/platform/scheduler_cluster_test.cpp
+++ b/unit_tests/platform/scheduler_cluster_test.cpp
@@ -125,5 +125,19 @@
     EXPECT_TRUE(response->headers.has("Retry-After"));
 }
 
+TEST(scheduler_cluster, refuses_more_open_jobs_than_it_keeps_and_says_when_to_come_back) {
+    scheduler_cluster cluster(1, "max_open_jobs = 2\n");
+    cluster.put_config(1);
+    ASSERT_TRUE(cluster.submit("00000000000000f1", 1, patience)); // no worker: they stay open
+    ASSERT_TRUE(cluster.submit("00000000000000f2", 1, patience));
+    const auto third = cluster.ask("POST", "/jobs/00000000000000f3", R"({"steps":[{"count":1}]})");
+    ASSERT_TRUE(third.has_value());
+    EXPECT_EQ(third->status, 429);
+    EXPECT_TRUE(third->headers.has("Retry-After"));
+    const auto again = cluster.ask("POST", "/jobs/00000000000000f2", R"({"steps":[{"count":1}]})");
+    ASSERT_TRUE(again.has_value());
+    EXPECT_EQ(again->status, 200); // the same job sent again
+}
+
 } // namespace
 } // namespace poplarpitch
