Ask the advice service for queues whose policy allows only some workers, and start nothing there without a ticket

One call at a time, for the best 30 workers at most; what it denies is remembered, tickets are used until they run out.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -61,6 +61,8 @@
     m_jobs.clear();
     m_ready.clear();
     m_failed_on.clear();
+    m_advice.clear();
+    m_is_advising = false;
     m_due.clear();
     m_ended.clear();
     m_orders.clear();
@@ -185,6 +187,7 @@
     for (const auto& key : running) {
         stop_run(*find(key), now);
     }
+    std::erase_if(m_advice, [id](const auto& item) { return item.first.job == id; });
     const auto failed = m_failed_on.lower_bound(task_key{{id, 0, 0}, 0});
     auto failed_last = failed;
     while (failed_last != m_failed_on.end() && failed_last->first.step.job == id) {
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -5,7 +5,9 @@
 #include "poplarpitch/dispatch/dispatch_counts.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/run_track.h"
+#include "poplarpitch/dispatch/step_advice.h"
 #include "poplarpitch/dispatch/worker_state.h"
+#include "poplarpitch/scheduling/advice_outcome.h"
 #include "poplarpitch/scheduling/book_event.h"
 #include "poplarpitch/scheduling/dispatch_settings.h"
 #include "poplarpitch/scheduling/job_book.h"
@@ -64,6 +66,8 @@
     void on_stop(const run_key& key, const std::string& worker, const order_answer& answer, time_point now);
     /// Takes the answer to a pace order.
     void on_pace(const run_key& key, int percent, const order_answer& answer, time_point now);
+    /// Takes the answer of the advice service.
+    void on_advice(const advise_order& asked, const advice_outcome& outcome, time_point now);
     /// Takes what a committed command changed.
     void on_event(const book_event& event, time_point now, std::int64_t wall_ms);
     /// Lets time pass: leases, repeated orders, occurrences that fall due, placement.
@@ -147,6 +151,11 @@
     void update_acknowledged(worker_state& worker);
     [[nodiscard]] order_target make_target(const worker_state& worker, duration timeout) const;
 
+    // advice
+    [[nodiscard]] std::string find_ticket(const step_key& step, const std::string& worker, time_point now) const;
+    void ask_advice(const std::vector<std::pair<std::int64_t, step_key>>& ranked, time_point now);
+    std::vector<std::string> pick_unadvised(const ready_step& ready, const step_key& key, time_point now);
+
     // pressure of filling tasks on serving ones
     void refresh_pressure(worker_state& worker);
     void smooth_fill_shares(worker_state& worker, time_point now);
@@ -178,6 +187,9 @@
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
     std::map<task_key, std::vector<std::string>> m_failed_on; ///< where a task failed
+    std::map<step_key, step_advice> m_advice;
+    bool m_is_advising = false; ///< a call to the advice service is under way
+    time_point m_next_advice{};
     std::multimap<std::int64_t, step_key> m_due;              ///< wall time -> job and occurrence (step 0)
     std::multimap<time_point, job_id> m_ended;                ///< when ended jobs are forgotten
     std::vector<worker_order> m_orders;
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_advice.cpp
@@ -0,0 +1,111 @@
+// Queues whose policy allows only some workers: asking the advice service, and tickets.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+#include "poplarpitch/dispatch/placement.h"
+#include "poplarpitch/telemetry/log_event.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::size_t most_named = 30;             // workers a call: the time it takes grows with each
+constexpr std::size_t spare_named = 4;             // more than there are tasks: some will be denied
+constexpr duration retry_pause = milliseconds{200}; // after a call that got no answer
+constexpr duration answer_slack = seconds{1};      // over the time that the queue's policy names
+constexpr duration ticket_margin = milliseconds{400}; // a commit and a start come before the worker sees it
+
+} // namespace
+
+std::string dispatcher::find_ticket(const step_key& step, const std::string& worker, time_point now) const {
+    const auto found = m_advice.find(step);
+    return found == m_advice.end() ? std::string{} : found->second.find_ticket(worker, now + ticket_margin);
+}
+
+/// One call is under way at a time: the service answers a machine's calls in turn anyway, and what is asked next
+/// depends on the answer.
+void dispatcher::ask_advice(const std::vector<std::pair<std::int64_t, step_key>>& ranked, time_point now) {
+    if (m_is_advising || now < m_next_advice) {
+        return;
+    }
+    for (const auto& [rank, key] : ranked) {
+        const auto found = m_ready.find(key);
+        if (found == m_ready.end() || found->second.waiting.empty() || !found->second.job->queue.advice.has_value()) {
+            continue;
+        }
+        auto workers = pick_unadvised(found->second, key, now);
+        if (workers.empty()) {
+            continue;
+        }
+        const auto& policy = *found->second.job->queue.advice;
+        advise_order order;
+        order.fence = m_term;
+        order.step = key;
+        order.timeout = policy.decide + policy.each * static_cast<std::int64_t>(workers.size()) + answer_slack;
+        order.workers = std::move(workers);
+        m_is_advising = true;
+        m_orders.emplace_back(std::move(order));
+        return;
+    }
+}
+
+std::vector<std::string> dispatcher::pick_unadvised(const ready_step& ready, const step_key& key, time_point now) {
+    placement_request request;
+    request.spec = &ready.job->steps[key.step];
+    request.step = key;
+    request.pressure = &m_pressure;
+    std::vector<std::pair<double, std::string>> found;
+    for (const auto& [id, worker] : m_workers) {
+        const bool is_open = worker.report.pool == ready.job->queue.pool && is_usable(worker, now) &&
+                             !m_advice[key].is_denied(id) && find_ticket(key, id, now).empty();
+        const auto cost = is_open ? get_placement_cost(worker, request) : std::nullopt;
+        if (cost.has_value()) {
+            found.emplace_back(*cost, id);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    std::vector<std::string> workers;
+    for (const auto& [cost, id] : found) {
+        if (workers.size() < std::min(most_named, ready.waiting.size() + spare_named)) {
+            workers.push_back(id);
+        }
+    }
+    return workers;
+}
+
+void dispatcher::on_advice(const advise_order& asked, const advice_outcome& outcome, time_point now) {
+    if (!is_leading()) {
+        return;
+    }
+    m_is_advising = false;
+    if (!outcome.is_answered) {
+        m_next_advice = now + retry_pause;
+        log_event(log_level::warn, "advice_missing").add("job", format_job_id(asked.step.job));
+        return;
+    }
+    const auto* record = m_book.find_job(asked.step.job);
+    if (record == nullptr || !record->job->queue.advice.has_value()) {
+        return;
+    }
+    auto& advice = m_advice[asked.step];
+    // Counted from the answer less the whole call: the service may have decided at its start.
+    const auto expires = now + record->job->queue.advice->valid - asked.timeout + answer_slack;
+    for (const auto& item : outcome.allowed) {
+        advice.allow(item.worker, item.ticket, expires);
+    }
+    for (const auto& worker : asked.workers) {
+        const bool is_allowed = std::any_of(outcome.allowed.begin(), outcome.allowed.end(),
+                                            [&](const advice_ticket& item) { return item.worker == worker; });
+        if (!is_allowed) {
+            advice.deny(worker);
+        }
+    }
+    log_event(log_level::info, "advice_taken")
+        .add("job", format_job_id(asked.step.job))
+        .add("step", static_cast<std::uint64_t>(asked.step.step))
+        .add("asked", static_cast<std::uint64_t>(asked.workers.size()))
+        .add("allowed", static_cast<std::uint64_t>(outcome.allowed.size()));
+    m_must_place = true;
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -75,7 +75,8 @@
     }
     m_must_place = false;
     measure_short_demand(now);
-    for (const auto& [rank, key] : rank_ready(now)) {
+    const auto ranked = rank_ready(now);
+    for (const auto& [rank, key] : ranked) {
         const auto found = m_ready.find(key);
         auto& ready = found->second;
         if (ready.job->steps[key.step].gang) {
@@ -93,6 +94,7 @@
             m_ready.erase(found);
         }
     }
+    ask_advice(ranked, now);
 }
 
 /// Short tasks need whole cores at once, serving tasks leave a few on each worker: what is left over is too
@@ -148,6 +150,7 @@
     request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
                               failed->second.size() + 1 >= ready.job->queue.max_attempts;
     request.rack = rack;
+    const bool needs_ticket = ready.job->queue.advice.has_value();
     worker_state* best = nullptr;
     double best_cost = 0;
     for (auto& [id, worker] : m_workers) {
@@ -158,6 +161,9 @@
         if (is_patient && worker.servings == 0 && !may_open(worker)) {
             continue;
         }
+        if (needs_ticket && find_ticket(key.step, id, now).empty()) {
+            continue;
+        }
         const auto cost = get_placement_cost(worker, request);
         if (cost.has_value() && (best == nullptr || *cost < best_cost)) {
             best = &worker;
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -104,8 +104,17 @@
     if (worker == nullptr || !worker->has_report || worker->clock_ms == 0) {
         return; // its lease decides
     }
+    std::string ticket;
+    if (track.job->queue.advice.has_value()) {
+        ticket = find_ticket(track.key.task.step, track.worker, now);
+        if (ticket.empty()) { // it ran out on the way; another one may be had
+            on_start_refused(track, order_failure::no_ticket, now);
+            return;
+        }
+    }
     const auto* task = m_book.find_task(track.key.task);
     start_order order;
+    order.ticket = ticket;
     order.target = make_target(*worker, m_settings.order_timeout);
     order.target.is_fresh = track.order_failures > 0;
     order.run = track.key;
@@ -216,6 +225,12 @@
     case order_failure::no_room:
         ++m_counts.refused_room;
         break;
+    case order_failure::no_ticket:
+        ++m_counts.refused_other;
+        if (const auto found = m_advice.find(track.key.task.step); found != m_advice.end()) {
+            found->second.drop(track.worker);
+        }
+        break;
     case order_failure::unhealthy:
         ++m_counts.refused_other;
         if (worker != nullptr) {
--- /dev/null
+++ b/poplarpitch/dispatch/step_advice.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace poplarpitch {
+
+/// Which workers a queue's policy allows for a step, as far as the advice service was asked. What it says of a worker
+/// does not change; only a ticket runs out. Thread safety: none, as for all methods.
+class step_advice {
+public:
+    /// Notes that `worker` may run the step with `ticket` until `expires`.
+    void allow(const std::string& worker, std::string ticket, time_point expires) {
+        m_tickets[worker] = {std::move(ticket), expires};
+    }
+    /// Notes that `worker` may never run the step.
+    void deny(const std::string& worker) { m_denied.insert(worker); }
+    /// Forgets a ticket that the worker refused.
+    void drop(const std::string& worker) { m_tickets.erase(worker); }
+    /// Returns the ticket for `worker` that is good at `when`, or an empty text.
+    [[nodiscard]] std::string find_ticket(const std::string& worker, time_point when) const {
+        const auto found = m_tickets.find(worker);
+        return found == m_tickets.end() || found->second.expires <= when ? std::string{} : found->second.text;
+    }
+    [[nodiscard]] bool is_denied(const std::string& worker) const { return m_denied.contains(worker); }
+
+private:
+    struct ticket {
+        std::string text;
+        time_point expires{};
+    };
+
+    std::map<std::string, ticket> m_tickets; ///< by worker
+    std::set<std::string> m_denied;
+};
+
+} // namespace poplarpitch
--- a/poplarpitch/scheduler/scheduler_dialect.h
+++ b/poplarpitch/scheduler/scheduler_dialect.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/http/http_request.h"
 #include "poplarpitch/http/http_response.h"
+#include "poplarpitch/scheduling/advice_outcome.h"
 #include "poplarpitch/scheduling/control_call.h"
 #include "poplarpitch/scheduling/job_progress.h"
 #include "poplarpitch/scheduling/step_job.h"
@@ -17,8 +18,8 @@
 template <class T>
 concept scheduler_dialect = requires(const std::string& text, const http_request& request,
                                      const http_response& response, const hold_order& hold,
-                                     const start_order& start, const stop_order& stop,
-                                     const pace_order& pace) {
+                                     const start_order& start, const stop_order& stop, const pace_order& pace,
+                                     const advise_order& advise) {
     { T::read_job(text) } -> std::same_as<std::optional<step_job>>;
     { T::format_job_state(job_progress::queued) } -> std::same_as<std::string>;
     { T::format_pending(std::uint64_t{}) } -> std::same_as<std::string>;
@@ -29,6 +30,8 @@
     { T::write_order(start) } -> std::same_as<http_request>;
     { T::write_order(stop) } -> std::same_as<http_request>;
     { T::write_order(pace) } -> std::same_as<http_request>;
+    { T::write_order(advise) } -> std::same_as<http_request>;
+    { T::read_advice(response) } -> std::same_as<advice_outcome>;
     { T::read_order_answer(response) } -> std::same_as<order_answer>;
     { T::read_hold_answer(response) } -> std::same_as<hold_outcome>;
 };
--- a/poplarpitch/scheduler/scheduler_settings.h
+++ b/poplarpitch/scheduler/scheduler_settings.h
@@ -17,6 +17,7 @@
     std::string log_level = "info";
     std::string control_host = "127.0.0.1"; ///< where workers and operators call
     int control_port = 0;
+    std::string advice_address;      ///< of the advice service; empty where there is none
     int metrics_port = 0;            ///< 0: no metrics are served
     duration stop_wait = seconds{2}; ///< at a stop: how long answers under way may take
     replica_settings replica;
--- a/poplarpitch/scheduler/worker_orders.h
+++ b/poplarpitch/scheduler/worker_orders.h
@@ -90,6 +90,19 @@
         });
     }
 
+    void send(const advise_order& order) {
+        http_call call;
+        call.address = m_parts.settings.advice_address;
+        call.request = Dialect::write_order(order);
+        call.timeout = order.timeout;
+        m_parts.caller.send(std::move(call), [this, order](const result<http_response>& response) {
+            if (order.fence == m_parts.dispatch.get_term()) {
+                const auto outcome = response ? Dialect::read_advice(response.value()) : advice_outcome{};
+                m_parts.dispatch.on_advice(order, outcome, m_parts.loop.now());
+            }
+        });
+    }
+
     scheduler_parts& m_parts;
 };
 
--- a/poplarpitch/scheduling/worker_order.h
+++ b/poplarpitch/scheduling/worker_order.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace poplarpitch {
 
@@ -66,7 +67,17 @@
     friend bool operator==(const pace_order&, const pace_order&) = default;
 };
 
-using worker_order = std::variant<hold_order, start_order, stop_order, pace_order>;
+/// Asks the advice service which of these workers may run a step. It answers one such call at a time.
+struct advise_order {
+    std::uint64_t fence = 0; ///< term of the leader that asks
+    step_key step;
+    std::vector<std::string> workers;
+    duration timeout{};
+
+    friend bool operator==(const advise_order&, const advise_order&) = default;
+};
+
+using worker_order = std::variant<hold_order, start_order, stop_order, pace_order, advise_order>;
 
 /// A worker's answer to an order without a list.
 struct order_answer {
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -89,13 +89,25 @@
 
 job_id dispatch_world::submit(const std::vector<step_spec>& steps, std::uint32_t max_attempts, int priority) {
     step_job job;
+    job.steps = steps;
+    job.queue.max_attempts = max_attempts;
+    job.queue.priority = priority;
+    return submit_job(std::move(job));
+}
+
+job_id dispatch_world::submit_advised(const std::vector<step_spec>& steps) {
+    step_job job;
+    job.steps = steps;
+    job.queue.max_attempts = 3;
+    job.queue.advice = advice_settings{milliseconds{5}, milliseconds{1}, seconds{3}};
+    return submit_job(std::move(job));
+}
+
+job_id dispatch_world::submit_job(step_job job) {
     job.id = m_next_job++;
     job.payload = "payload";
-    job.steps = steps;
     job.queue.name = "queue";
     job.queue.pool = pool;
-    job.queue.max_attempts = max_attempts;
-    job.queue.priority = priority;
     job.queue.stretch = 2;
     job.queue.target_latency = seconds{1};
     job.accepted_ms = wall_ms;
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -27,6 +27,8 @@
     void beat(const std::string& id, bool is_leaving = false, std::int64_t remaining_ms = 0);
     /// Submits a job of steps to a queue with these attempts. Returns its id.
     job_id submit(const std::vector<step_spec>& steps, std::uint32_t max_attempts = 3, int priority = 0);
+    /// Submits a job to a queue whose policy needs advice; tickets hold for 3 s.
+    job_id submit_advised(const std::vector<step_spec>& steps);
     /// Cancels a job.
     void cancel(job_id id);
 
@@ -67,6 +69,7 @@
     log_term term = 0;
 
 private:
+    job_id submit_job(step_job job);
     void collect();
 
     std::vector<worker_order> m_orders;
--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_advice_test.cpp
@@ -0,0 +1,101 @@
+// Queues whose policy allows only some workers: no start without a ticket, few calls.
+#include "unit_tests/dispatch/dispatch_world.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+step_spec make_step(std::uint32_t count = 1) {
+    step_spec step;
+    step.count = count;
+    step.millicores = 1000;
+    step.memory_mb = 100;
+    return step;
+}
+
+TEST(dispatcher_advice, starts_only_on_workers_that_the_advice_service_allows_with_their_tickets) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.add_worker("w2");
+    world.submit_advised({make_step(2)});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    const auto asked = world.take<advise_order>();
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_EQ(asked[0].workers.size(), 2U);
+    world.scheduler.on_advice(asked[0], {true, {{"w2", "ticket"}}}, world.now);
+    world.settle();
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    for (const auto& start : starts) {
+        EXPECT_EQ(start.target.worker, "w2");
+        EXPECT_EQ(start.ticket, "ticket");
+    }
+}
+
+TEST(dispatcher_advice, never_asks_again_for_a_worker_that_was_denied) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit_advised({make_step()});
+    const auto asked = world.take<advise_order>();
+    ASSERT_EQ(asked.size(), 1U);
+    world.scheduler.on_advice(asked[0], {true, {}}, world.now);
+    world.advance(seconds{2});
+    EXPECT_TRUE(world.take<advise_order>().empty());
+    world.add_worker("w2");
+    world.advance(milliseconds{200});
+    const auto again = world.take<advise_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].workers, std::vector<std::string>{"w2"});
+}
+
+TEST(dispatcher_advice, asks_again_after_a_call_without_an_answer_and_for_a_ticket_that_a_worker_refused) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit_advised({make_step()});
+    const auto first = world.take<advise_order>();
+    ASSERT_EQ(first.size(), 1U);
+    world.scheduler.on_advice(first[0], {}, world.now);
+    world.advance(milliseconds{500});
+    const auto second = world.take<advise_order>();
+    ASSERT_EQ(second.size(), 1U);
+    world.scheduler.on_advice(second[0], {true, {{"w1", "old"}}}, world.now);
+    world.settle();
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    world.answer(starts[0], order_failure::no_ticket);
+    world.advance(milliseconds{200});
+    const auto third = world.take<advise_order>();
+    ASSERT_EQ(third.size(), 1U);
+    world.scheduler.on_advice(third[0], {true, {{"w1", "new"}}}, world.now);
+    world.settle();
+    const auto last = world.take<start_order>();
+    ASSERT_EQ(last.size(), 1U);
+    EXPECT_EQ(last[0].ticket, "new");
+    EXPECT_EQ(last[0].run.run, 2U);
+}
+
+TEST(dispatcher_advice, uses_no_ticket_that_has_run_out) {
+    dispatch_world world;
+    world.add_worker("w1", {1000, 256000, 0});
+    world.submit_advised({make_step(2)});
+    const auto asked = world.take<advise_order>();
+    ASSERT_EQ(asked.size(), 1U);
+    world.scheduler.on_advice(asked[0], {true, {{"w1", "first"}}}, world.now);
+    world.settle();
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U); // room for one
+    world.answer(starts[0]);
+    world.advance(seconds{10}); // valid for 3 s
+    world.beat("w1");
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.ended.push_back({1, starts[0].run, run_end::done, ""});
+    world.answer_hold("w1", list);
+    world.advance(milliseconds{200});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    EXPECT_EQ(world.take<advise_order>().size(), 1U);
+}
+
+} // namespace
+} // namespace poplarpitch
