--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -243,7 +243,6 @@
         }
         return;
     case book_event::kind::config_changed:
-    case book_event::kind::wave_changed:
         m_must_place = true;
         return;
     }
--- a/poplarpitch/scheduler/control_service.h
+++ b/poplarpitch/scheduler/control_service.h
@@ -116,23 +116,9 @@
         });
     }
 
-    void answer(start_wave_call& call, http_responder respond) {
-        job_wire::job_command command;
-        call.wave.started_ms = get_wall_ms();
-        job_wire::wave_state state;
-        encode(call.wave, state);
-        *command.mutable_wave() = state.wave();
-        m_parts.batcher.add(std::move(command), make_fate_handler({}, std::move(respond)));
-    }
-
-    void answer(const get_wave_call& call, const http_responder& respond) {
-        const auto& waves = m_parts.book.get_waves();
-        const auto found = waves.find(call.number);
-        if (found == waves.end()) {
-            respond(make_error_response(404, "unknown_wave", "no wave has this number"));
-            return;
-        }
-        respond(make_response(200, Dialect::format_wave_state(found->second.is_done)));
+    void answer(const unsupported_call& call, const http_responder& respond) {
+        log_event(log_level::warn, "call_refused").add("reason", call.reason);
+        respond(make_error_response(501, "not_supported", call.reason));
     }
 
     void answer(const malformed_call& call, const http_responder& respond) {
--- a/poplarpitch/scheduler/scheduler_dialect.h
+++ b/poplarpitch/scheduler/scheduler_dialect.h
@@ -25,7 +25,6 @@
     { T::format_pending(std::uint64_t{}) } -> std::same_as<std::string>;
     { T::read_control_call(request) } -> std::same_as<control_call>;
     { T::format_heartbeat_answer(text) } -> std::same_as<std::string>;
-    { T::format_wave_state(true) } -> std::same_as<std::string>;
     { T::write_order(hold) } -> std::same_as<http_request>;
     { T::write_order(start) } -> std::same_as<http_request>;
     { T::write_order(stop) } -> std::same_as<http_request>;
--- a/poplarpitch/scheduling/book_event.h
+++ b/poplarpitch/scheduling/book_event.h
@@ -20,7 +20,6 @@
         step_done,    ///< `run.task.step`
         config_changed,
         worker_retired, ///< `worker`
-        wave_changed,
     };
 
     kind what = kind::job_accepted;
--- a/poplarpitch/scheduling/control_call.h
+++ b/poplarpitch/scheduling/control_call.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "poplarpitch/scheduling/job_configuration.h"
-#include "poplarpitch/scheduling/wave_record.h"
 #include "poplarpitch/scheduling/worker_report.h"
 
 #include <cstdint>
@@ -24,13 +23,9 @@
 };
 /// An operator asks for the configuration.
 struct get_config_call {};
-/// An operator orders a wave of maintenance.
-struct start_wave_call {
-    wave_record wave;
-};
-/// An operator asks how far a wave is.
-struct get_wave_call {
-    std::uint64_t number = 0;
+/// A call of the deployment that this version does not carry out.
+struct unsupported_call {
+    std::string reason;
 };
 /// A call that is known but cannot be read.
 struct malformed_call {
@@ -41,6 +36,6 @@
 
 /// What workers and operators ask the control instances.
 using control_call = std::variant<heartbeat_call, goodbye_call, put_config_call, get_config_call,
-                                  start_wave_call, get_wave_call, malformed_call, unknown_call>;
+                                  unsupported_call, malformed_call, unknown_call>;
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/job_book.cpp
+++ b/poplarpitch/scheduling/job_book.cpp
@@ -60,7 +60,7 @@
         m_jobs.erase(command.forget().id());
         return command_outcome::applied;
     default:
-        return apply_wave(command, events);
+        return command_outcome::refused; // of a newer version
     }
 }
 
@@ -234,47 +234,6 @@
     });
 }
 
-command_outcome job_book::apply_wave(const job_wire::job_command& command, std::vector<book_event>& events) {
-    const auto find_wave = [this](std::uint64_t number) -> wave_record* {
-        const auto found = m_waves.find(number);
-        return found == m_waves.end() ? nullptr : &found->second;
-    };
-    wave_record* changed = nullptr;
-    if (command.has_wave()) {
-        const auto& order = command.wave();
-        const auto [item, is_new] = m_waves.try_emplace(order.number());
-        if (!is_new) {
-            return command_outcome::repeated;
-        }
-        changed = &item->second;
-        changed->number = order.number();
-        changed->machines.assign(order.machines().begin(), order.machines().end());
-        changed->duration_ms = order.duration_ms();
-        changed->max_down = order.max_down();
-        changed->started_ms = order.started_ms();
-    } else if (command.has_wave_done()) {
-        changed = find_wave(command.wave_done().number());
-        if (changed != nullptr) {
-            changed->is_done = true;
-        }
-    } else if (command.has_upkeep()) {
-        changed = find_wave(command.upkeep().wave());
-        if (changed != nullptr) {
-            changed->begun.insert(command.upkeep().machine());
-        }
-    } else if (command.has_upkeep_done()) {
-        changed = find_wave(command.upkeep_done().wave());
-        if (changed != nullptr) {
-            changed->finished.insert(command.upkeep_done().machine());
-        }
-    }
-    if (changed == nullptr) {
-        return command_outcome::refused;
-    }
-    events.push_back(make_job_event(book_event::kind::wave_changed, 0));
-    return command_outcome::applied;
-}
-
 const job_record* job_book::find_job(job_id id) const {
     const auto found = m_jobs.find(id);
     return found == m_jobs.end() ? nullptr : &found->second;
@@ -320,9 +279,6 @@
     for (const auto& worker : m_retired) {
         snapshot.add_retired(worker);
     }
-    for (const auto& [number, wave] : m_waves) {
-        encode(wave, *snapshot.add_waves());
-    }
     snapshot.set_next_sequence(m_next_sequence);
     encode(m_pressure, *snapshot.mutable_pressure());
     return snapshot.SerializeAsString();
@@ -339,10 +295,6 @@
         m_jobs.emplace(message.job().id(), decode(message));
     }
     m_retired.insert(snapshot.retired().begin(), snapshot.retired().end());
-    for (const auto& message : snapshot.waves()) {
-        auto wave = decode(message);
-        m_waves.emplace(wave.number, std::move(wave));
-    }
     m_next_sequence = snapshot.next_sequence();
     m_pressure = decode(snapshot.pressure());
     return true;
--- a/poplarpitch/scheduling/job_book.h
+++ b/poplarpitch/scheduling/job_book.h
@@ -5,11 +5,9 @@
 #include "poplarpitch/scheduling/job_configuration.h"
 #include "poplarpitch/scheduling/job_record.h"
 #include "poplarpitch/scheduling/pressure_factor.h"
-#include "poplarpitch/scheduling/wave_record.h"
 
 #include <absl/container/node_hash_map.h>
 
-#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -47,7 +45,6 @@
     [[nodiscard]] const task_record* find_task(const task_key& key) const;
     /// Returns true when the worker has said that it leaves: nothing is started on it any more.
     [[nodiscard]] bool is_retired(const std::string& worker) const { return m_retired.contains(worker); }
-    [[nodiscard]] const std::map<std::uint64_t, wave_record>& get_waves() const { return m_waves; }
     /// Returns what a leader has noted of images that press on others; a new leader begins with it.
     [[nodiscard]] const std::vector<pressure_factor>& get_pressure() const { return m_pressure; }
     /// Returns the runs that were assigned and have not ended, in the order of their keys.
@@ -64,12 +61,10 @@
     void fail_job(job_record& record, std::vector<book_event>& events);
     void end_job(job_record& record, job_phase phase, std::vector<book_event>& events);
     void drop_idle_tasks(job_record& record);
-    command_outcome apply_wave(const job_wire::job_command& command, std::vector<book_event>& events);
 
     job_configuration m_configuration;
     absl::node_hash_map<job_id, job_record> m_jobs;
     std::set<std::string> m_retired;
-    std::map<std::uint64_t, wave_record> m_waves;
     std::vector<pressure_factor> m_pressure;
     std::uint64_t m_next_sequence = 1;
 };
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -227,37 +227,6 @@
     return record;
 }
 
-void encode(const wave_record& record, job_wire::wave_state& message) {
-    auto& wave = *message.mutable_wave();
-    wave.set_number(record.number);
-    for (const auto& machine : record.machines) {
-        wave.add_machines(machine);
-    }
-    wave.set_duration_ms(record.duration_ms);
-    wave.set_max_down(record.max_down);
-    wave.set_started_ms(record.started_ms);
-    message.set_done(record.is_done);
-    for (const auto& machine : record.begun) {
-        message.add_begun(machine);
-    }
-    for (const auto& machine : record.finished) {
-        message.add_finished(machine);
-    }
-}
-
-wave_record decode(const job_wire::wave_state& message) {
-    wave_record record;
-    record.number = message.wave().number();
-    record.machines.assign(message.wave().machines().begin(), message.wave().machines().end());
-    record.duration_ms = message.wave().duration_ms();
-    record.max_down = message.wave().max_down();
-    record.started_ms = message.wave().started_ms();
-    record.is_done = message.done();
-    record.begun.insert(message.begun().begin(), message.begun().end());
-    record.finished.insert(message.finished().begin(), message.finished().end());
-    return record;
-}
-
 void encode(const std::vector<pressure_factor>& factors, job_wire::note_pressure& message) {
     for (const auto& factor : factors) {
         auto& item = *message.add_factors();
--- a/poplarpitch/scheduling/job_codec.h
+++ b/poplarpitch/scheduling/job_codec.h
@@ -5,7 +5,6 @@
 #include "poplarpitch/scheduling/pressure_factor.h"
 #include "poplarpitch/scheduling/step_job.h"
 #include "poplarpitch/scheduling/task_key.h"
-#include "poplarpitch/scheduling/wave_record.h"
 
 #include <vector>
 
@@ -15,7 +14,6 @@
 class put_config;
 class step_job;
 class task_name;
-class wave_state;
 } // namespace poplarpitch::job_wire
 
 namespace poplarpitch {
@@ -29,8 +27,6 @@
 [[nodiscard]] job_configuration decode(const job_wire::put_config& message);
 void encode(const job_record& record, job_wire::job_state_record& message);
 [[nodiscard]] job_record decode(const job_wire::job_state_record& message);
-void encode(const wave_record& record, job_wire::wave_state& message);
-[[nodiscard]] wave_record decode(const job_wire::wave_state& message);
 void encode(const std::vector<pressure_factor>& factors, job_wire::note_pressure& message);
 [[nodiscard]] std::vector<pressure_factor> decode(const job_wire::note_pressure& message);
 
--- a/unit_tests/platform/dialect_test.cpp
+++ b/unit_tests/platform/dialect_test.cpp
@@ -105,6 +105,8 @@
     EXPECT_TRUE(is_malformed(read_control_call(make_post("/v1/Config.Put", R"({"version":7,"routes":[)"))));
     EXPECT_TRUE(is_malformed(read_control_call(make_post("/v1/Instances.Heartbeat/i", "{}"))));
     EXPECT_TRUE(std::holds_alternative<unknown_call>(read_control_call(make_post("/v1/else", "{}"))));
+    EXPECT_TRUE(
+        std::holds_alternative<unsupported_call>(read_control_call(make_post("/v1/wave-start", "{}"))));
 }
 
 TEST(platform_worker, writes_orders_and_names_the_life_they_are_for) {
