--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -131,6 +131,8 @@
     void send_stop(run_track& track);
     void stop_run(run_track& track, time_point now);
     void push_track(run_track& track, time_point now);
+    /// Lets the task of a run that has not started go elsewhere.
+    void give_back(run_track& track, time_point now);
     void on_start_refused(run_track& track, order_failure failure, time_point now);
     void note_order_answer(run_track& track, const order_answer& answer, time_point now);
 
@@ -152,7 +154,8 @@
     [[nodiscard]] order_target make_target(const worker_state& worker, duration timeout) const;
 
     // advice
-    [[nodiscard]] std::string find_ticket(const step_key& step, const std::string& worker, time_point now) const;
+    [[nodiscard]] std::string find_ticket(const step_key& step, const std::string& worker,
+                                          time_point now) const;
     void ask_advice(const std::vector<std::pair<std::int64_t, step_key>>& ranked, time_point now);
     std::vector<std::string> pick_unadvised(const ready_step& ready, const step_key& key, time_point now);
 
@@ -190,8 +193,8 @@
     std::map<step_key, step_advice> m_advice;
     bool m_is_advising = false; ///< a call to the advice service is under way
     time_point m_next_advice{};
-    std::multimap<std::int64_t, step_key> m_due;              ///< wall time -> job and occurrence (step 0)
-    std::multimap<time_point, job_id> m_ended;                ///< when ended jobs are forgotten
+    std::multimap<std::int64_t, step_key> m_due; ///< wall time -> job and occurrence (step 0)
+    std::multimap<time_point, job_id> m_ended;   ///< when ended jobs are forgotten
     std::vector<worker_order> m_orders;
     std::vector<job_wire::job_command> m_commands;
     std::vector<job_timing> m_timings;
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -104,6 +104,10 @@
     if (worker == nullptr || !worker->has_report || worker->clock_ms == 0) {
         return; // its lease decides
     }
+    if (worker->is_leaving) { // it said so after it was chosen
+        give_back(track, now);
+        return;
+    }
     std::string ticket;
     if (track.job->queue.advice.has_value()) {
         ticket = find_ticket(track.key.task.step, track.worker, now);
@@ -247,6 +251,10 @@
             worker->trust.on_refusal(now);
         }
     }
+    give_back(track, now);
+}
+
+void dispatcher::give_back(run_track& track, time_point now) {
     if (track.may_come_late) {
         stop_run(track, now); // once the worker has answered that, no earlier start is carried out
         return;
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -14,6 +14,7 @@
 /// The platform of a deployment lists seeds with the port of another service; only the instance counts here.
 std::vector<std::string> read_seed_hosts(const std::vector<std::string>& seeds) {
     std::vector<std::string> hosts;
+    hosts.reserve(seeds.size());
     for (const auto& seed : seeds) {
         hosts.push_back(seed.substr(0, seed.rfind(':')));
     }
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -120,6 +120,19 @@
     EXPECT_EQ(again[0].saved, "saved");
 }
 
+TEST(dispatcher_loss, sends_no_start_to_a_worker_that_said_it_leaves_while_the_assignment_was_committed) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto first = world.take<start_order>();
+    ASSERT_EQ(first.size(), 1U);
+    world.answer(first[0], order_failure::unanswered); // it may be carried out
+    world.beat("w1", true, 2000);
+    world.advance(milliseconds{300});
+    EXPECT_TRUE(world.take<start_order>().empty()); // not repeated
+    EXPECT_EQ(world.take<stop_order>().size(), 1U); // but undone
+}
+
 TEST(dispatcher_loss, a_new_leader_adopts_what_runs_and_restarts_what_never_came) {
     dispatch_world world;
     world.add_worker("w1");
