--- /dev/null
+++ b/performance_test/dispatch_benchmark.cpp
@@ -0,0 +1,130 @@
+// What a leader's decisions cost: a pass over waiting tasks, and the list of one worker, by the number of
+// workers.
+#include "poplarpitch/dispatch/dispatcher.h"
+#include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <benchmark/benchmark.h>
+
+#include <memory>
+#include <string>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::uint32_t tasks_each = 20;
+constexpr int serving_each = 4; // tasks on each worker that last
+
+/// A leader with workers that all serve, and jobs of filling tasks that wait.
+class filled_leader {
+public:
+    filled_leader(int workers, int waiting_tasks) : dispatch({}, book) {
+        dispatch.lead(1, now, wall_ms);
+        for (int number = 0; number < workers; ++number) {
+            add_worker(number);
+        }
+        const int serving_jobs = workers * serving_each / static_cast<int>(tasks_each);
+        for (int number = 0; number < serving_jobs; ++number) {
+            submit(number + 1, true);
+        }
+        settle();
+        now += seconds{3};
+        settle();
+        for (int number = 0; number < waiting_tasks / static_cast<int>(tasks_each); ++number) {
+            submit(1'000'000 + number, false);
+        }
+    }
+
+    /// Lets one pass over the waiting tasks run, and forgets what it decided.
+    void pass() {
+        now += milliseconds{100};
+        dispatch.tick(now, wall_ms);
+        const auto commands = dispatch.take_commands();
+        benchmark::DoNotOptimize(commands.size());
+        static_cast<void>(dispatch.take_orders());
+    }
+
+    void settle() {
+        dispatch.tick(now, wall_ms);
+        for (const auto& command : dispatch.take_commands()) {
+            apply(command);
+        }
+        static_cast<void>(dispatch.take_orders());
+    }
+
+private:
+    void add_worker(int number) {
+        worker_report report;
+        report.id = "w" + std::to_string(number);
+        report.address = "10.0.0.1:80";
+        report.pool = "mill";
+        report.rack = "r" + std::to_string(number / 8);
+        report.capacity = {64'000, 256'000, 0};
+        report.clock_ms = 1'000'000;
+        report.sequence = 1;
+        dispatch.on_heartbeat(report, now);
+        dispatch.tick(now, wall_ms);
+        dispatch.on_hold(report.id, {std::nullopt, {1'000'000, {}, {}}}, now);
+    }
+
+    void submit(int id, bool is_serving) {
+        step_job job;
+        job.id = static_cast<job_id>(id);
+        job.queue.pool = "mill";
+        job.queue.priority = is_serving ? 0 : 2;
+        job.queue.stretch = 2;
+        step_spec step;
+        step.count = tasks_each;
+        step.millicores = is_serving ? 13'000 : 7'000;
+        step.memory_mb = is_serving ? 26'000 : 13'000;
+        step.long_running = is_serving;
+        step.target_ms = is_serving ? 50 : 0;
+        step.fills = !is_serving;
+        step.image = (is_serving ? "s" : "f") + std::to_string(id % 9);
+        step.estimate_ms = 1700;
+        job.steps = {step};
+        job_wire::job_command command;
+        encode(job, *command.mutable_submit()->mutable_job());
+        apply(command);
+    }
+
+    void apply(const job_wire::job_command& command) {
+        std::vector<book_event> events;
+        book.apply(command, events);
+        for (const auto& event : events) {
+            dispatch.on_event(event, now, wall_ms);
+        }
+    }
+
+    time_point now{seconds{1000}};
+    std::int64_t wall_ms = 1'700'000'000'000;
+    job_book book;
+    dispatcher dispatch;
+};
+
+/// One pass over 10,000 waiting tasks, most of which find no room any more.
+void run_pass(benchmark::State& state) {
+    filled_leader leader(static_cast<int>(state.range(0)), 10'000);
+    leader.settle(); // places what fits
+    for (auto _ : state) {
+        leader.pass();
+    }
+}
+BENCHMARK(run_pass)->Arg(66)->Arg(490)->Arg(640)->Unit(benchmark::kMicrosecond);
+
+/// Submission to placement of 10,000 tasks, from an empty queue.
+void place_all(benchmark::State& state) {
+    for (auto _ : state) {
+        state.PauseTiming();
+        auto leader = std::make_unique<filled_leader>(static_cast<int>(state.range(0)), 10'000);
+        state.ResumeTiming();
+        leader->pass();
+        state.PauseTiming();
+        leader.reset();
+        state.ResumeTiming();
+    }
+}
+BENCHMARK(place_all)->Arg(66)->Arg(490)->Arg(640)->Unit(benchmark::kMillisecond)->Iterations(5);
+
+} // namespace
+} // namespace poplarpitch
