Take the dispatcher's reports and the replica's membership into files of their own; listen and serve metrics in one place

No change of behaviour. The two daemons served metrics each in their own way, two listeners opened their sockets alike, four tests made the same step.

--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_reports.cpp
@@ -0,0 +1,137 @@
+// What a dispatcher tells of itself: load, timings, counts, and what it has learned.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+#include "poplarpitch/dispatch/placement.h"
+#include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration note_interval = seconds{2};   // 45 pairs are 2 KB of log
+constexpr duration report_interval = seconds{2}; // of the line that tells the load as a whole
+
+} // namespace
+
+void dispatcher::note_started(job_id id, time_point now) {
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second.has_started) {
+        return;
+    }
+    found->second.has_started = true;
+    const auto& queue = m_book.find_job(id)->job->queue.name;
+    m_timings.push_back({job_timing::kind::first_start, queue, now - found->second.accepted, true});
+}
+
+void dispatcher::note_ended(job_id id, time_point now) {
+    const auto found = m_jobs.find(id);
+    const auto* record = m_book.find_job(id);
+    if (found == m_jobs.end() || record == nullptr) {
+        return;
+    }
+    const auto& job = *record->job;
+    const auto length = now - found->second.accepted;
+    const auto objective =
+        job.queue.target_latency + duration{milliseconds{static_cast<std::int64_t>(
+                                       job.queue.stretch * static_cast<double>(job.estimate_chain_ms()))}};
+    const auto what = record->phase == job_phase::completed ? job_timing::kind::completed
+                      : record->phase == job_phase::failed  ? job_timing::kind::failed
+                                                            : job_timing::kind::cancelled;
+    m_timings.push_back({what, job.queue.name, length, length <= objective});
+    log_event(log_level::info, "job_ended")
+        .add("job", format_job_id(id))
+        .add("queue", job.queue.name)
+        .add("phase", get_phase_name(record->phase))
+        .add("took_ms", to_milliseconds(length))
+        .add("objective_ms", to_milliseconds(objective));
+}
+
+/// What is learned takes ten seconds of disturbed tails; a new leader is not to learn it again.
+void dispatcher::note_pressure(time_point now) {
+    if (now < m_next_note) {
+        return;
+    }
+    m_next_note = now + note_interval;
+    const auto factors = m_pressure.save();
+    if (factors == m_book.get_pressure()) {
+        return;
+    }
+    job_wire::job_command command;
+    encode(factors, *command.mutable_pressure());
+    m_commands.push_back(std::move(command));
+}
+
+void dispatcher::report_load(time_point now) {
+    if (now < m_next_report) {
+        return;
+    }
+    m_next_report = now + report_interval;
+    std::uint64_t usable = 0;
+    std::uint64_t serving = 0;
+    std::uint64_t mixed = 0;
+    worker_amounts capacity;
+    worker_amounts reserved;
+    std::int64_t filling = 0;
+    for (const auto& [id, worker] : m_workers) {
+        usable += is_usable(worker, now) ? 1 : 0;
+        serving += worker.servings > 0 ? 1 : 0;
+        mixed += worker.servings > 0 && worker.fills > 0 ? 1 : 0;
+        capacity += worker.report.capacity;
+        reserved += worker.reserved;
+        filling += worker.fill_cores;
+    }
+    log_event(log_level::info, "load")
+        .add("workers", static_cast<std::uint64_t>(m_workers.size()))
+        .add("usable", usable)
+        .add("serving", serving)
+        .add("mixed", mixed)
+        .add("cores", capacity.millicores / 1000)
+        .add("reserved_cores", reserved.millicores / 1000)
+        .add("filling_cores", filling / 1000)
+        .add("memory_mb", capacity.memory_mb)
+        .add("reserved_memory_mb", reserved.memory_mb)
+        .add("runs", static_cast<std::uint64_t>(m_tracks.size()))
+        .add("waiting", count_waiting())
+        .add("open_jobs", static_cast<std::uint64_t>(m_jobs.size()));
+}
+
+// ---- what is asked
+
+std::uint64_t dispatcher::count_pending(const std::string& queue) const {
+    std::uint64_t count = 0;
+    for (const auto& [id, job] : m_jobs) {
+        const auto* record = m_book.find_job(id);
+        if (!job.has_started && record != nullptr && record->job->queue.name == queue) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+bool dispatcher::has_started(job_id id) const {
+    const auto found = m_jobs.find(id);
+    return found != m_jobs.end() && found->second.has_started;
+}
+
+std::vector<job_timing> dispatcher::take_timings() {
+    return std::exchange(m_timings, {});
+}
+
+std::uint64_t dispatcher::count_waiting() const {
+    std::uint64_t waiting = 0;
+    for (const auto& [key, ready] : m_ready) {
+        waiting += ready.waiting.size();
+    }
+    return waiting;
+}
+
+std::vector<worker_order> dispatcher::take_orders() {
+    return std::exchange(m_orders, {});
+}
+
+std::vector<job_wire::job_command> dispatcher::take_commands() {
+    return std::exchange(m_commands, {});
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/gateway/leader_link.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_listener.h"
+#include "poplarpitch/net/metrics_endpoint.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/telemetry/logging.h"
 #include "poplarpitch/telemetry/metrics_registry.h"
@@ -67,33 +68,24 @@
         return listener;
     }
 
-    /// Metrics help to explain, they are not needed to serve: a port that is taken is told and borne.
     void start_metrics() {
         if (m_settings.metrics_port == 0) {
             return;
         }
-        m_metrics_listener = std::make_unique<http_listener>(
-            m_loop, make_listener(m_settings.callers_host, m_settings.metrics_port),
-            [this](const http_request& request, const http_responder& respond) {
-                if (request.get_path() != "/metrics") {
-                    respond(make_error_response(404, "not_found", "metrics are at /metrics"));
-                    return;
-                }
-                m_metrics.set("poplarpitch_leader_connected", {}, m_link.is_connected() ? 1 : 0);
-                m_metrics.set("poplarpitch_open_requests", {},
-                              static_cast<double>(m_link.get_open_requests()));
-                m_metrics.set("poplarpitch_caller_connections", {},
-                              static_cast<double>(m_callers.get_connections()));
-                http_response response;
-                response.content_type = "text/plain; version=0.0.4";
-                response.body = m_metrics.format();
-                respond(response);
-            });
-        if (const auto port = m_metrics_listener->start(); !port) {
-            log_event(log_level::warn, "metrics_not_served").add("error", port.error());
+        m_metrics_listener = serve_metrics(m_loop, m_settings.callers_host, m_settings.metrics_port,
+                                           [this] { return format_metrics(); });
+        if (m_metrics_listener == nullptr) {
+            log_event(log_level::warn, "metrics_not_served").add("port", m_settings.metrics_port);
         }
     }
 
+    std::string format_metrics() {
+        m_metrics.set("poplarpitch_leader_connected", {}, m_link.is_connected() ? 1 : 0);
+        m_metrics.set("poplarpitch_open_requests", {}, static_cast<double>(m_link.get_open_requests()));
+        m_metrics.set("poplarpitch_caller_connections", {}, static_cast<double>(m_callers.get_connections()));
+        return m_metrics.format();
+    }
+
     [[nodiscard]] duration read_deadline(const http_request& request) const {
         std::int64_t limit = 0;
         const auto text = request.headers.get(m_settings.deadline_header);
--- a/poplarpitch/net/frame_socket.cpp
+++ b/poplarpitch/net/frame_socket.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/net/frame_socket.h"
 
+#include "poplarpitch/net/acceptor.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/socket_address.h"
 
@@ -213,25 +214,8 @@
 }
 
 int frame_listener::start() {
-    const auto ip = read_ip(m_parts->host);
-    if (!ip.has_value()) {
-        return 0;
-    }
-    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(*ip),
-                                           static_cast<std::uint16_t>(m_parts->port));
-    boost::system::error_code error;
     auto& acceptor = m_parts->acceptor;
-    acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(listen_backlog, error);
-    }
-    if (error) {
+    if (!start_listening(acceptor, m_parts->host, m_parts->port, listen_backlog)) {
         return 0;
     }
     parts::accept(m_parts);
--- a/poplarpitch/net/http_listener.cpp
+++ b/poplarpitch/net/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/net/http_listener.h"
 
+#include "poplarpitch/net/acceptor.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/net_error.h"
 
@@ -196,24 +197,8 @@
 }
 
 result<int> http_listener::start() {
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address(m_parts->settings.host, error);
-    if (error) {
-        return make_error_code(net_errc::listen_failed);
-    }
-    const asio::ip::tcp::endpoint endpoint(address, static_cast<std::uint16_t>(m_parts->settings.port));
     auto& acceptor = m_parts->acceptor;
-    acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(listen_backlog, error);
-    }
-    if (error) {
+    if (!start_listening(acceptor, m_parts->settings.host, m_parts->settings.port, listen_backlog)) {
         return make_error_code(net_errc::listen_failed);
     }
     parts::accept(m_parts);
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -18,11 +18,8 @@
 namespace poplarpitch {
 namespace {
 
-constexpr int storage_failure_code = 3;                 // exit code, documented for operators
-constexpr duration look_interval = milliseconds{60};    // while founding: the system waits for it
-constexpr duration join_interval = milliseconds{250};   // while not a member
-constexpr duration member_interval = milliseconds{100}; // between two steps of a membership change
-constexpr duration told_life = seconds{2};              // how long the word of others on the leader counts
+constexpr int storage_failure_code = 3;    // exit code, documented for operators
+constexpr duration told_life = seconds{2}; // how long the word of others on the leader counts
 
 node_id draw_node_id(std::uint32_t ip) {
     std::random_device device;
@@ -89,17 +86,6 @@
     return boost::outcome_v2::success();
 }
 
-std::vector<std::uint32_t> replica::get_other_seeds() const {
-    std::vector<std::uint32_t> others;
-    for (const auto& seed : m_settings.seeds) {
-        const auto address = read_ip(seed);
-        if (address.has_value() && *address != m_ip) {
-            others.push_back(*address);
-        }
-    }
-    return others;
-}
-
 void replica::start_node(const raft_membership& initial) {
     m_phase = node_phase::formed;
     m_hard_state = m_stored.state;
@@ -115,71 +101,6 @@
     m_node = std::make_unique<raft_node>(m_settings.raft, std::move(start), now);
 }
 
-void replica::found_or_join() {
-    const auto pause = m_phase == node_phase::founding ? look_interval : join_interval;
-    look_around();
-    if (m_phase == node_phase::founding) {
-        std::vector<seed_sight> others;
-        for (const auto seed : get_other_seeds()) {
-            others.push_back(m_sights[seed]);
-        }
-        const auto decision = decide_founding(m_id, others);
-        if (decision.action == founding_decision::kind::join) {
-            m_phase = node_phase::joining;
-        }
-        if (decision.action == founding_decision::kind::found) {
-            const auto formed = m_storage->form(decision.members);
-            if (!formed) {
-                end_process(formed.error());
-            }
-            log_event(log_level::info, "cluster_founded")
-                .add("node", m_id)
-                .add("members", decision.members.encode());
-            start_node(decision.members);
-        }
-    }
-    if (m_phase == node_phase::joining && m_told_leader != 0) {
-        const auto formed = m_storage->form({});
-        if (!formed) {
-            end_process(formed.error());
-        }
-        log_event(log_level::info, "cluster_joining")
-            .add("node", m_id)
-            .add("leader", format_ip(m_told_leader));
-        start_node({});
-    }
-    ask_to_join();
-    m_loop.call_after(pause, [this] { found_or_join(); });
-}
-
-void replica::look_around() {
-    const bool is_member = m_node != nullptr && m_node->get_leader() != 0;
-    if (is_member) {
-        return; // the log tells who leads
-    }
-    job_wire::cluster_frame frame;
-    frame.mutable_ask_status();
-    for (const auto ip : m_known) {
-        if (ip != m_ip) {
-            m_mesh->send(ip, frame);
-        }
-    }
-}
-
-void replica::ask_to_join() {
-    const bool is_member = m_node == nullptr || m_node->get_membership().has(m_id);
-    const bool has_leader = m_told_leader != 0 && m_loop.now() - m_told_at < told_life;
-    if (!has_leader || (is_member && m_sights[m_told_leader].members.has(m_id))) {
-        return;
-    }
-    if (m_node == nullptr || m_node->get_leader() != 0) {
-        return; // followed by a leader, as a member or a learner
-    }
-    job_wire::cluster_frame frame;
-    frame.mutable_join()->set_node(m_id);
-    m_mesh->send(m_told_leader, frame);
-}
-
 // ---- frames
 
 void replica::accept(const std::shared_ptr<frame_socket>& socket) {
@@ -386,30 +307,6 @@
     }
 }
 
-void replica::keep_members() {
-    const auto now = m_loop.now();
-    if (!m_is_leading || now < m_next_member_check) {
-        return;
-    }
-    m_next_member_check = now + member_interval;
-    const member_sight sight{m_node->get_membership(), m_node->get_progress(), m_id,
-                             m_node->get_log().get_last_index(), m_leading_since};
-    const auto step = m_planner.plan(sight, now);
-    if (!step.has_value()) {
-        return;
-    }
-    const auto done = step->action == member_step::kind::add_learner ? m_node->add_learner(step->node, now)
-                      : step->action == member_step::kind::promote   ? m_node->promote(step->node, now)
-                                                                     : m_node->remove(step->node, now);
-    log_event(log_level::info, "membership_step")
-        .add("action", step->action == member_step::kind::add_learner ? "add_learner"
-                       : step->action == member_step::kind::promote   ? "promote"
-                                                                      : "remove")
-        .add("node", step->node)
-        .add("address", format_ip(get_node_ip(step->node)))
-        .add("outcome", done ? "proposed" : done.error().message());
-}
-
 void replica::take_snapshot_if_due() {
     if (m_storage->get_written_bytes() - m_snapshot_mark < m_settings.snapshot_bytes) {
         return;
@@ -475,7 +372,11 @@
     if (m_node != nullptr && m_node->get_leader() != 0) {
         return get_node_ip(m_node->get_leader());
     }
-    return m_loop.now() - m_told_at < told_life ? m_told_leader : 0;
+    return is_told_leader_fresh() ? m_told_leader : 0;
+}
+
+bool replica::is_told_leader_fresh() const {
+    return m_told_leader != 0 && m_loop.now() - m_told_at < told_life;
 }
 
 std::size_t replica::get_voter_count() const {
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -111,6 +111,7 @@
     void keep_members();
     void take_snapshot_if_due();
     void arm_tick();
+    [[nodiscard]] bool is_told_leader_fresh() const;
     [[noreturn]] void end_process(const std::error_code& error);
     [[nodiscard]] std::vector<std::uint32_t> get_other_seeds() const;
 
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/wall_time.h"
+#include "poplarpitch/net/metrics_endpoint.h"
 #include "poplarpitch/scheduler/caller_service.h"
 #include "poplarpitch/scheduler/control_service.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
@@ -107,27 +108,15 @@
         return handler;
     }
 
-    /// Metrics help to explain, they are not needed to serve: a port that is taken is told and borne.
     void start_metrics() {
-        if (m_parts.settings.metrics_port == 0) {
+        const auto& settings = m_parts.settings;
+        if (settings.metrics_port == 0) {
             return;
         }
-        http_listener_settings listener;
-        listener.host = m_parts.settings.replica.host;
-        listener.port = m_parts.settings.metrics_port;
-        m_metrics_listener = std::make_unique<http_listener>(
-            m_parts.loop, listener, [this](const http_request& request, const http_responder& respond) {
-                if (request.get_path() != "/metrics") {
-                    respond(make_error_response(404, "not_found", "metrics are at /metrics"));
-                    return;
-                }
-                http_response response;
-                response.content_type = "text/plain; version=0.0.4";
-                response.body = m_metrics.format(m_parts);
-                respond(response);
-            });
-        if (const auto port = m_metrics_listener->start(); !port) {
-            log_event(log_level::warn, "metrics_not_served").add("error", port.error());
+        m_metrics_listener = serve_metrics(m_parts.loop, settings.replica.host, settings.metrics_port,
+                                           [this] { return m_metrics.format(m_parts); });
+        if (m_metrics_listener == nullptr) {
+            log_event(log_level::warn, "metrics_not_served").add("port", settings.metrics_port);
         }
     }
 
--- a/unit_tests/dispatch/dispatcher_advice_test.cpp
+++ b/unit_tests/dispatch/dispatcher_advice_test.cpp
@@ -1,19 +1,12 @@
 // Queues whose policy allows only some workers: no start without a ticket, few calls.
 #include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
 
 #include <gtest/gtest.h>
 
 namespace poplarpitch {
 namespace {
 
-step_spec make_step(std::uint32_t count = 1) {
-    step_spec step;
-    step.count = count;
-    step.millicores = 1000;
-    step.memory_mb = 100;
-    return step;
-}
-
 TEST(dispatcher_advice, starts_only_on_workers_that_the_advice_service_allows_with_their_tickets) {
     dispatch_world world;
     world.add_worker("w1");
--- a/unit_tests/dispatch/dispatcher_job_test.cpp
+++ b/unit_tests/dispatch/dispatcher_job_test.cpp
@@ -1,20 +1,12 @@
 // What becomes of jobs: dependencies, attempts, gangs, copies, cancelling, occurrences.
 #include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
 
 #include <gtest/gtest.h>
 
 namespace poplarpitch {
 namespace {
 
-step_spec make_step(std::uint32_t count = 1) {
-    step_spec step;
-    step.count = count;
-    step.millicores = 1000;
-    step.memory_mb = 100;
-    step.estimate_ms = 1000;
-    return step;
-}
-
 void end_run(dispatch_world& world, const start_order& order, std::uint64_t number, run_end end) {
     world.wait_for_hold(order.target.worker);
     hold_answer list;
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -1,21 +1,13 @@
 // Workers that fall silent, die, leave or come back: every run is given up once, and only when it surely
 // ended.
 #include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
 
 #include <gtest/gtest.h>
 
 namespace poplarpitch {
 namespace {
 
-step_spec make_step(std::uint32_t count = 1) {
-    step_spec step;
-    step.count = count;
-    step.millicores = 1000;
-    step.memory_mb = 100;
-    step.estimate_ms = 5000;
-    return step;
-}
-
 start_order start_one(dispatch_world& world) {
     const auto starts = world.take<start_order>();
     EXPECT_EQ(starts.size(), 1U);
--- a/unit_tests/dispatch/dispatcher_start_test.cpp
+++ b/unit_tests/dispatch/dispatcher_start_test.cpp
@@ -1,20 +1,12 @@
 // A start whose answer is lost, or that a worker carries out late, never leads to a second run.
 #include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
 
 #include <gtest/gtest.h>
 
 namespace poplarpitch {
 namespace {
 
-step_spec make_step(std::uint32_t count = 1) {
-    step_spec step;
-    step.count = count;
-    step.millicores = 1000;
-    step.memory_mb = 100;
-    step.estimate_ms = 1000;
-    return step;
-}
-
 TEST(dispatcher_start, commits_the_assignment_before_it_sends_the_start) {
     dispatch_world world;
     world.add_worker("w1");
