--- a/poplarpitch/scheduler/worker_orders.h
+++ b/poplarpitch/scheduler/worker_orders.h
@@ -17,8 +17,8 @@
     /// Precondition: the parts outlive the object.
     explicit worker_orders(scheduler_parts& parts) : m_parts(parts) {}
 
-    /// Sends what the dispatcher wants sent. Nothing leaves without the leader's lease, since another instance may
-    /// lead by now: the orders wait until it is back, and go with the leadership.
+    /// Sends what the dispatcher wants sent. Nothing leaves without the leader's lease, since another
+    /// instance may lead by now: the orders wait until it is back, and go with the leadership.
     void send_all() {
         if (!m_parts.may_answer()) {
             return;
--- a/poplarpitch/tools/log_explainer.cpp
+++ b/poplarpitch/tools/log_explainer.cpp
@@ -13,18 +13,20 @@
 
 // The most telling first: a line of an earlier kind decides over all of later kinds.
 constexpr std::array<std::string_view, 6> deciding_events = {
-    "event=job_refused",   "event=request_given_up", "event=lease_lapsed", "event=start_refused",
-    "event=run_ended",     "event=job_ended",
+    "event=job_refused",   "event=request_given_up", "event=lease_lapsed",
+    "event=start_refused", "event=run_ended",        "event=job_ended",
 };
 
 std::string_view get_time(std::string_view line) {
     const auto start = line.find("time=");
-    return start == std::string_view::npos ? std::string_view{} : line.substr(start, line.find(' ', start) - start);
+    return start == std::string_view::npos ? std::string_view{}
+                                           : line.substr(start, line.find(' ', start) - start);
 }
 
 /// An end that is as it should be explains nothing.
 bool is_good_end(std::string_view line) {
-    return line.find("end=done") != std::string_view::npos || line.find("phase=completed") != std::string_view::npos;
+    return line.find("end=done") != std::string_view::npos ||
+           line.find("phase=completed") != std::string_view::npos;
 }
 
 std::string find_cause(const std::vector<std::string>& lines) {
@@ -50,9 +52,9 @@
             }
         }
     }
-    std::stable_sort(story.lines.begin(), story.lines.end(), [](const std::string& left, const std::string& right) {
-        return get_time(left) < get_time(right);
-    });
+    std::stable_sort(
+        story.lines.begin(), story.lines.end(),
+        [](const std::string& left, const std::string& right) { return get_time(left) < get_time(right); });
     story.cause = find_cause(story.lines);
     return story;
 }
--- a/poplarpitch/tools/log_explainer.h
+++ b/poplarpitch/tools/log_explainer.h
@@ -14,8 +14,9 @@
     friend bool operator==(const log_story&, const log_story&) = default;
 };
 
-/// Picks the lines that name `id` out of `texts`, the logs of several processes, orders them by time, and names the one
-/// that decided: the last of those that refuse, give up, lose or end something. Thread safety: any thread.
+/// Picks the lines that name `id` out of `texts`, the logs of several processes, orders them by time, and
+/// names the one that decided: the last of those that refuse, give up, lose or end something. Thread safety:
+/// any thread.
 [[nodiscard]] log_story explain_id(std::string_view id, const std::vector<std::string>& texts);
 
 } // namespace poplarpitch
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -55,7 +55,8 @@
     settle();
 }
 
-void dispatch_world::add_worker(const std::string& id, const worker_amounts& capacity, const std::string& rack) {
+void dispatch_world::add_worker(const std::string& id, const worker_amounts& capacity,
+                                const std::string& rack) {
     worker_report report;
     report.id = id;
     report.address = "10.0.0." + std::to_string(m_reports.size() + 1) + ":80";
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -8,8 +8,8 @@
 
 namespace poplarpitch {
 
-/// A dispatcher with a book that commits at once, and a clock that a test advances. Orders are kept for the test
-/// to answer, so that it can place a fault between any two steps.
+/// A dispatcher with a book that commits at once, and a clock that a test advances. Orders are kept for the
+/// test to answer, so that it can place a fault between any two steps.
 class dispatch_world {
 public:
     dispatch_world();
--- a/unit_tests/replica/membership_test.cpp
+++ b/unit_tests/replica/membership_test.cpp
@@ -106,7 +106,8 @@
 }
 
 TEST(member_planner, replaces_an_instance_that_is_gone_for_good_before_two_more_may_be_lost) {
-    // A replaced instance counts as lost until its successor has had 4 s; two disks may be lost right after that.
+    // A replaced instance counts as lost until its successor has had 4 s; two disks may be lost right after
+    // that.
     const replica_settings settings;
     member_planner planner(settings.voters, settings.voter_loss);
     const auto now = start + seconds{3};
--- a/unit_tests/telemetry/line_ring_test.cpp
+++ b/unit_tests/telemetry/line_ring_test.cpp
@@ -14,9 +14,7 @@
 /// A pipe whose reader a test controls.
 class test_pipe {
 public:
-    test_pipe() {
-        EXPECT_EQ(::pipe2(m_ends, O_NONBLOCK), 0);
-    }
+    test_pipe() { EXPECT_EQ(::pipe2(m_ends, O_NONBLOCK), 0); }
     ~test_pipe() {
         ::close(m_ends[0]);
         ::close(m_ends[1]);
