Count the age of an occurrence from when it is due

Found on reading: an occurrence was ranked by the age of its job, so that every one but the first went behind all others as late.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -96,6 +96,9 @@
 }
 
 void dispatcher::begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now) {
+    if (record.job->schedule.has_value()) {
+        m_jobs[record.job->id].due.emplace(occurrence, now);
+    }
     for (std::uint32_t step = 0; step < record.job->steps.size(); ++step) {
         consider_step(record, {record.job->id, occurrence, step}, now);
     }
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -98,6 +98,8 @@
     struct open_job {
         time_point accepted{};
         bool has_started = false;
+        std::map<std::uint32_t, time_point>
+            due; ///< of the occurrences that have begun; empty for a job that runs once
     };
     /// The tasks of a step that wait for a worker.
     struct ready_step {
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -61,7 +61,9 @@
         const auto allowed =
             static_cast<std::int64_t>(queue.stretch * static_cast<double>(ready.job->estimate_chain_ms())) +
             to_milliseconds(queue.target_latency);
-        const auto age = to_milliseconds(now - job->second.accepted);
+        const auto due = job->second.due.find(key.occurrence);
+        const auto since = due == job->second.due.end() ? job->second.accepted : due->second;
+        const auto age = to_milliseconds(now - since);
         ranked.emplace_back(
             queue.priority * priority_weight +
                 rank_by_time(allowed, age, ready.job->estimate_rest_ms(key.step)) -
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -104,6 +104,14 @@
     return submit_job(std::move(job));
 }
 
+job_id dispatch_world::submit_timed(const std::vector<step_spec>& steps, const job_schedule& schedule) {
+    step_job job;
+    job.steps = steps;
+    job.schedule = schedule;
+    job.queue.max_attempts = 3;
+    return submit_job(std::move(job));
+}
+
 job_id dispatch_world::submit_job(step_job job) {
     job.id = m_next_job++;
     job.payload = "payload";
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -29,6 +29,8 @@
     job_id submit(const std::vector<step_spec>& steps, std::uint32_t max_attempts = 3, int priority = 0);
     /// Submits a job to a queue whose policy needs advice; tickets hold for 3 s.
     job_id submit_advised(const std::vector<step_spec>& steps);
+    /// Submits a job that runs at its times.
+    job_id submit_timed(const std::vector<step_spec>& steps, const job_schedule& schedule);
     /// Cancels a job.
     void cancel(job_id id);
 
--- a/unit_tests/dispatch/dispatcher_job_test.cpp
+++ b/unit_tests/dispatch/dispatcher_job_test.cpp
@@ -158,6 +158,38 @@
     }
 }
 
+TEST(dispatcher_job, starts_an_occurrence_when_it_is_due_and_counts_its_age_from_then) {
+    dispatch_world world;
+    const auto timed = world.submit_timed({make_step()}, {2, world.wall_ms + 60'000, 60'000});
+    world.advance(seconds{59});
+    auto patient = make_step();
+    patient.estimate_ms = 9000;
+    world.submit({patient});
+    world.advance(seconds{1}); // due now, with less slack than the other job
+    world.add_worker("w1", {1000, 256000, 0});
+    auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].run.task.step,
+              (step_key{timed, 0, 0})); // its job is a minute old, the occurrence is not
+    world.answer(starts[0]);
+    end_run(world, starts[0], 1, run_end::done);
+    starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    world.answer(starts[0]);
+    end_run(world, starts[0], 2, run_end::done);
+    EXPECT_EQ(world.book.find_job(timed)->phase, job_phase::open);
+    world.advance(seconds{50});
+    world.beat("w1");
+    EXPECT_TRUE(world.take<start_order>().empty());
+    world.advance(seconds{10});
+    starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].run.task.step, (step_key{timed, 1, 0}));
+    world.answer(starts[0]);
+    end_run(world, starts[0], 3, run_end::done);
+    EXPECT_EQ(world.book.find_job(timed)->phase, job_phase::completed);
+}
+
 TEST(dispatcher_job, counts_jobs_none_of_whose_tasks_has_started) {
     dispatch_world world;
     world.add_worker("w1", {1000, 256000, 0});
