--- a/performance_test/dispatch_benchmark.cpp
+++ b/performance_test/dispatch_benchmark.cpp
@@ -18,8 +18,8 @@
 /// A leader with workers that all serve, and jobs of filling tasks that wait.
 class filled_leader {
 public:
-    filled_leader(int workers, int waiting_tasks) : dispatch({}, book) {
-        dispatch.lead(1, now, wall_ms);
+    filled_leader(int workers, int waiting_tasks) : m_dispatch({}, m_book) {
+        m_dispatch.lead(1, m_now, m_wall_ms);
         for (int number = 0; number < workers; ++number) {
             add_worker(number);
         }
@@ -28,7 +28,7 @@
             submit(number + 1, true);
         }
         settle();
-        now += seconds{3};
+        m_now += seconds{3};
         settle();
         for (int number = 0; number < waiting_tasks / static_cast<int>(tasks_each); ++number) {
             submit(1'000'000 + number, false);
@@ -37,19 +37,19 @@
 
     /// Lets one pass over the waiting tasks run, and forgets what it decided.
     void pass() {
-        now += milliseconds{100};
-        dispatch.tick(now, wall_ms);
-        const auto commands = dispatch.take_commands();
+        m_now += milliseconds{100};
+        m_dispatch.tick(m_now, m_wall_ms);
+        const auto commands = m_dispatch.take_commands();
         benchmark::DoNotOptimize(commands.size());
-        static_cast<void>(dispatch.take_orders());
+        static_cast<void>(m_dispatch.take_orders());
     }
 
     void settle() {
-        dispatch.tick(now, wall_ms);
-        for (const auto& command : dispatch.take_commands()) {
+        m_dispatch.tick(m_now, m_wall_ms);
+        for (const auto& command : m_dispatch.take_commands()) {
             apply(command);
         }
-        static_cast<void>(dispatch.take_orders());
+        static_cast<void>(m_dispatch.take_orders());
     }
 
 private:
@@ -62,9 +62,9 @@
         report.capacity = {64'000, 256'000, 0};
         report.clock_ms = 1'000'000;
         report.sequence = 1;
-        dispatch.on_heartbeat(report, now);
-        dispatch.tick(now, wall_ms);
-        dispatch.on_hold(report.id, {std::nullopt, {1'000'000, {}, {}}}, now);
+        m_dispatch.on_heartbeat(report, m_now);
+        m_dispatch.tick(m_now, m_wall_ms);
+        m_dispatch.on_hold(report.id, {std::nullopt, {1'000'000, {}, {}}}, m_now);
     }
 
     void submit(int id, bool is_serving) {
@@ -90,16 +90,16 @@
 
     void apply(const job_wire::job_command& command) {
         std::vector<book_event> events;
-        book.apply(command, events);
+        m_book.apply(command, events);
         for (const auto& event : events) {
-            dispatch.on_event(event, now, wall_ms);
+            m_dispatch.on_event(event, m_now, m_wall_ms);
         }
     }
 
-    time_point now{seconds{1000}};
-    std::int64_t wall_ms = 1'700'000'000'000;
-    job_book book;
-    dispatcher dispatch;
+    time_point m_now{seconds{1000}};
+    std::int64_t m_wall_ms = 1'700'000'000'000;
+    job_book m_book;
+    dispatcher m_dispatch;
 };
 
 /// One pass over 10,000 waiting tasks, most of which find no room any more.
