--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -146,8 +146,8 @@
     [[nodiscard]] bool needs_hold(const worker_state& worker) const;
     void take_rows(worker_state& worker, const hold_answer& answer, time_point now);
     void take_end(worker_state& worker, const end_row& row, time_point now);
-    void find_vanished(worker_state& worker, const hold_answer& answer, const std::set<run_key>& listed);
-    void stop_stray(worker_state& worker, const run_key& key, time_point now);
+    void find_vanished(worker_state& worker, const std::set<run_key>& listed);
+    void stop_stray(worker_state& worker, const run_key& key);
     void grant_lease(worker_state& worker, time_point now);
     void lose_worker(worker_state& worker, const char* reason);
     void evacuate(worker_state& worker, time_point now);
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -10,12 +10,10 @@
 namespace {
 
 constexpr double placing_share = 0.9; // of a target
-constexpr double placing_swing = 0.0; // own load that may come within the life of a filling task
 constexpr double placing_ahead = 0.5; // s; filling tasks take 1 to 4
 constexpr double load_margin =
     0.05; // own load that filling tasks leave to serving ones on top of what is seen
 constexpr double pacing_share = 1.0;    // of a target: paced from here on
-constexpr double pacing_swing = 0.0;    // own load that may come until the next look
 constexpr double over_cut = 0.7;        // of all pressure on a tail over its target: enough at any load
 constexpr double tail_smoothing = 0.35; // s; a tail told after a change moves by two thirds in this time
 constexpr double unknown_phase = 0.5;   // of a filling task that has not told its use yet
@@ -49,9 +47,8 @@
         if (!spec.is_serving()) {
             continue;
         }
-        const auto room =
-            m_pressure.get_room(spec.image, static_cast<double>(spec.target_ms), placing_share,
-                                track.calm.load + placing_swing + placing_ahead * track.calm.trend);
+        const auto room = m_pressure.get_room(spec.image, static_cast<double>(spec.target_ms), placing_share,
+                                              track.calm.load + placing_ahead * track.calm.trend);
         const auto load = std::min(track.calm.load + load_margin, 1.0);
         worker.serving_unused += static_cast<std::int64_t>(static_cast<double>(spec.millicores) * (1 - load));
         const auto group = std::find_if(groups.begin(), groups.end(), [&](const pressed_group& item) {
@@ -196,7 +193,7 @@
         return m_pressure.get_factor(spec.image, fill.get_spec().image) *
                get_share(worker, fill.get_spec().millicores);
     };
-    double excess = -m_pressure.get_room(spec.image, target, pacing_share, serving.calm.load + pacing_swing);
+    double excess = -m_pressure.get_room(spec.image, target, pacing_share, serving.calm.load);
     double total = 0;
     for (const auto* fill : fills) {
         total += get_press(*fill) * fill->planned_pace / 100;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -200,7 +200,7 @@
         listed.insert(row.run);
         auto* track = find(row.run);
         if (track == nullptr || track->worker != worker.report.id) {
-            stop_stray(worker, row.run, now);
+            stop_stray(worker, row.run);
             continue;
         }
         if (track->stage == run_stage::committing) {
@@ -222,7 +222,7 @@
         take_end(worker, row, now);
     }
     if (answer.ended.size() < max_ended_rows) {
-        find_vanished(worker, answer, listed);
+        find_vanished(worker, listed);
     }
     update_acknowledged(worker);
     observe_pressure(worker, now);
@@ -247,9 +247,7 @@
     propose_end(*track, row.end, row.saved, row.number);
 }
 
-void dispatcher::find_vanished(worker_state& worker, const hold_answer& answer,
-                               const std::set<run_key>& listed) {
-    static_cast<void>(answer);
+void dispatcher::find_vanished(worker_state& worker, const std::set<run_key>& listed) {
     for (const auto& key : worker.runs) {
         auto& track = *find(key);
         if (listed.contains(key) || track.is_ending) {
@@ -266,8 +264,7 @@
     }
 }
 
-void dispatcher::stop_stray(worker_state& worker, const run_key& key, time_point now) {
-    static_cast<void>(now);
+void dispatcher::stop_stray(worker_state& worker, const run_key& key) {
     log_event(log_level::warn, "stray_run_stopped")
         .add("job", format_job_id(key.task.step.job))
         .add("task", static_cast<std::uint64_t>(key.task.index))
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -62,10 +62,8 @@
     const auto longest = reader.get_duration("longest_lease", dispatch.lease);
     dispatch.lease = std::min(reader.get_duration("lease", dispatch.lease), longest);
     dispatch.stop_limit = reader.get_duration("stop_limit", dispatch.stop_limit);
-    dispatch.remote_factor = reader.get_number("remote_factor", dispatch.remote_factor, 1, 1000);
     dispatch.keep_ended = reader.get_duration("keep_ended", dispatch.keep_ended) + seconds{5};
     dispatch.max_open_jobs = reader.get_integer("max_open_jobs", dispatch.max_open_jobs, 1, 10'000'000);
-    dispatch.harm_limit = reader.get_duration("harm_limit", dispatch.harm_limit);
 }
 
 } // namespace
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -25,9 +25,6 @@
     duration forget_after = seconds{12};      ///< a worker without heartbeat and without runs is dropped
     duration keep_ended = seconds{125};       ///< state of an ended job is kept this long
     std::int64_t max_open_jobs = 20'000;      ///< more are refused: 60 MB of records, an hour of a day's peak
-    double remote_factor = 3;                 ///< work away from its data takes this many times as long
-    duration early = milliseconds{0};         ///< an occurrence starts this long before its time at most
-    duration harm_limit = seconds{4};         ///< a serving task disturbed for this long breaks a promise
 
     friend auto operator<=>(const dispatch_settings&, const dispatch_settings&) = default;
 };
--- /dev/null
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -0,0 +1,103 @@
+// Settings of the two programs: every mistake is told with its line, and the templates of deploy/ use only
+// known keys.
+#include "poplarpitch/core/text_file.h"
+#include "poplarpitch/gateway/gateway_settings.h"
+#include "poplarpitch/scheduler/scheduler_settings.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+namespace poplarpitch {
+namespace {
+
+/// Fills `{{name}}` in a template as the platform does.
+std::string fill(std::string text, const std::map<std::string, std::string>& values) {
+    for (const auto& [name, value] : values) {
+        const auto mark = "{{" + name + "}}";
+        for (auto place = text.find(mark); place != std::string::npos; place = text.find(mark)) {
+            text.replace(place, mark.size(), value);
+        }
+    }
+    return text;
+}
+
+std::string read_template(const std::string& name) {
+    const auto text = read_text_file(std::string(POPLARPITCH_SOURCE) + "/deploy/" + name);
+    EXPECT_TRUE(text.has_value());
+    return text.value_or("");
+}
+
+TEST(scheduler_settings, reads_the_filled_template) {
+    const auto text =
+        fill(read_template("scheduler.ini"), {{"node", "core-1"},
+                                              {"zone", "hall"},
+                                              {"ip", "10.1.0.16"},
+                                              {"portRange.0", "7720"},
+                                              {"seeds", "10.1.0.16:8166,10.2.0.32:8166,10.3.0.37:8166"},
+                                              {"listen.control", "10.1.0.16:8166"},
+                                              {"dataDir", "/data/core"},
+                                              {"bootstrap", "true"},
+                                              {"faultTolerance.machines", "2"},
+                                              {"advice", "10.200.1.9:8169"},
+                                              {"bounds.holdMaxMs", "10000"},
+                                              {"bounds.stopMs", "900"},
+                                              {"bounds.status_s", "120"}});
+    const auto parsed = parse_scheduler_settings(text);
+    for (const auto& error : parsed.errors) {
+        ADD_FAILURE() << error.format("scheduler.ini");
+    }
+    EXPECT_EQ(parsed.value.replica.seeds.size(), 3U);
+    EXPECT_EQ(parsed.value.replica.seeds[1], "10.2.0.32");
+    EXPECT_EQ(parsed.value.replica.voters, 5U);
+    EXPECT_TRUE(parsed.value.replica.may_found);
+    EXPECT_EQ(parsed.value.control_port, 8166);
+    EXPECT_EQ(parsed.value.dispatch.keep_ended, seconds{125});
+    EXPECT_EQ(parsed.value.advice_address, "10.200.1.9:8169");
+}
+
+TEST(scheduler_settings, grants_no_lease_longer_than_the_deployment_allows) {
+    const auto parsed =
+        parse_scheduler_settings("[instance]\nid = a\nhost = 127.0.0.1\n[control]\nlisten = 127.0.0.1:1\n"
+                                 "data_folder = d\n[workers]\nlease = 9s\nlongest_lease = 3s\n");
+    EXPECT_TRUE(parsed.errors.empty());
+    EXPECT_EQ(parsed.value.dispatch.lease, seconds{3});
+}
+
+TEST(scheduler_settings, tells_every_mistake_with_its_line) {
+    const auto parsed =
+        parse_scheduler_settings("[instance]\nhost = here\n[control]\nlisten = 8080\nlease = 3s\n[other]\n");
+    std::map<int, int> lines;
+    for (const auto& error : parsed.errors) {
+        ++lines[error.line];
+    }
+    EXPECT_GE(lines[2], 1); // host is no address
+    EXPECT_GE(lines[4], 1); // listen has no host
+    EXPECT_GE(lines[5], 1); // unknown key here
+    EXPECT_GE(lines[6], 1); // unknown section
+}
+
+TEST(gateway_settings, reads_the_filled_template) {
+    const auto text = fill(read_template("entry.ini"), {{"node", "front-1"},
+                                                        {"zone", "hall"},
+                                                        {"portRange.0", "7720"},
+                                                        {"seeds", "10.1.0.16:8166"},
+                                                        {"listen.front", "10.1.0.13:8161"},
+                                                        {"listen.ready", "10.1.0.13:8167"}});
+    const auto parsed = parse_gateway_settings(text);
+    for (const auto& error : parsed.errors) {
+        ADD_FAILURE() << error.format("entry.ini");
+    }
+    EXPECT_EQ(parsed.value.callers_port, 8161);
+    EXPECT_EQ(parsed.value.ready_port, 8167);
+    EXPECT_EQ(parsed.value.seeds.at(0), "10.1.0.16");
+}
+
+TEST(gateway_settings, needs_seeds_and_addresses) {
+    const auto parsed = parse_gateway_settings("[instance]\nid = g\n[entry]\nlisten = 10.0.0.1\n");
+    EXPECT_GE(parsed.errors.size(), 3U);
+}
+
+} // namespace
+} // namespace poplarpitch
