Let one piece of code serve where two said the same; drop what nothing reads

Found on reading the whole change once more. Behaviour is as it was.

Said twice, now once: - the assign command of one task and of a gang: dispatcher::propose_assignment - the span of a lease, at the start of a lead and at each grant: get_lease_span - the fields that name a run in a log line: dispatch/run_log - an amount as a share of a worker's processor time, four places: worker_state::get_share - a job's objective, in ranking and in its report: step_job::get_objective - seeds and addresses of the gateway's and the scheduler's settings: net/address_settings - the end of a process whose disk failed, in replica and in the first control node: telemetry/storage_failure - the command line of the first daemons (tools/daemon_command_line) beside that of the new ones: command_line serves all four

Dropped, nothing read them: run_track::progressed_at, worker_state::last_answer, the rack of place_task (always empty), job_book::fail_job (a second name), find_queue_by_name, step_job::is_long_running, http_caller::drop_idle and is_closed, frame_socket::get_last_heard.

No test was touched.

--- a/poplarpitch/command_line/settings_command_line.h
+++ b/poplarpitch/command_line/settings_command_line.h
@@ -2,9 +2,12 @@
 
 #include "poplarpitch/command_line/settings_file.h"
 
+#include <concepts>
 #include <iostream>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 
 namespace poplarpitch {
@@ -14,16 +17,20 @@
 struct settings_command_line {
     std::optional<int> exit_code; ///< set when there is nothing to run
     Settings settings;
+    std::string restored_file; ///< --restore: a backup to found the cluster from; else empty
 };
 
 /// Reads a daemon's command line and its settings by `parse`; prints every mistake with file and line. Thread
 /// safety: none.
-template <class Parsed>
+template <std::invocable<std::string_view> Parse>
 auto read_settings_command_line(int count, const char* const* arguments, const char* program,
-                                const char* about, Parsed (*parse)(std::string_view)) {
-    settings_command_line<decltype(Parsed::value)> line;
-    const auto file = read_settings_file(count, arguments, program, about);
+                                const char* about, const Parse& parse,
+                                const settings_file_options& choices = {}) {
+    using parsed_settings = std::invoke_result_t<Parse, std::string_view>;
+    settings_command_line<decltype(parsed_settings::value)> line;
+    const auto file = read_settings_file(count, arguments, program, about, choices);
     line.exit_code = file.exit_code;
+    line.restored_file = file.restored_file;
     if (line.exit_code.has_value()) {
         return line;
     }
--- a/poplarpitch/control/control_node.cpp
+++ b/poplarpitch/control/control_node.cpp
@@ -2,19 +2,14 @@
 
 #include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/telemetry/storage_failure.h"
 #include "poplarpitch/transport/peer_link.h"
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
 #include <unistd.h>
 
 namespace poplarpitch {
-namespace {
-
-constexpr int storage_failure_code = 3; // exit code, documented for operators
-
-} // namespace
 
 control_node::control_node(const daemon_settings& daemon, const control_settings& settings)
     : m_daemon(daemon), m_settings(settings), m_files(daemon.data_folder),
@@ -128,11 +123,7 @@
 }
 
 void control_node::end_process(const std::error_code& error) {
-    log_event(log_level::error, "storage_failed")
-        .add("error", error)
-        .add("place", m_storage.get_error_place())
-        .add("action", "process ends; nothing unsynced was acknowledged");
-    std::_Exit(storage_failure_code);
+    end_on_storage_failure(error, m_storage.get_error_place());
 }
 
 void control_node::apply(const log_entry& entry) {
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 // What becomes of jobs: opening, readiness, occurrences, ends.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -26,9 +27,7 @@
     m_term = term;
     m_pressure.load(m_book.get_pressure());
     // What an earlier leader allowed may have been allowed just now.
-    const auto lease_end =
-        now + std::chrono::duration_cast<duration>(m_settings.lease * (1 + m_settings.clock_drift)) +
-        m_settings.lease_margin;
+    const auto lease_end = now + get_lease_span();
     for (const auto& [key, worker] : m_book.get_assigned_runs()) {
         const auto* record = m_book.find_job(key.task.step.job);
         auto& state = get_worker(worker);
@@ -215,7 +214,6 @@
 }
 
 void dispatcher::on_run_ended(const book_event& event, time_point now) {
-    const auto id = event.run.task.step.job;
     if (auto* worker = find_worker(event.worker); worker != nullptr && event.number > 0) {
         worker->ends_committing -= worker->ends_committing > 0 ? 1 : 0;
         update_acknowledged(*worker);
@@ -226,14 +224,11 @@
     if (!was_known) {
         return;
     }
-    log_event(log_level::info, "run_ended")
-        .add("job", format_job_id(id))
-        .add("occurrence", static_cast<std::uint64_t>(event.run.task.step.occurrence))
-        .add("step", static_cast<std::uint64_t>(event.run.task.step.step))
-        .add("task", static_cast<std::uint64_t>(event.run.task.index))
-        .add("run", static_cast<std::uint64_t>(event.run.run))
-        .add("worker", event.worker)
-        .add("end", get_end_name(event.end));
+    {
+        auto line = log_event(log_level::info, "run_ended");
+        add_run(line, event.run);
+        line.add("worker", event.worker).add("end", get_end_name(event.end));
+    }
     if (event.end == run_end::done) {
         ++m_counts.done_runs;
     }
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -149,6 +149,8 @@
     void find_vanished(worker_state& worker, const std::set<run_key>& listed);
     void stop_stray(worker_state& worker, const run_key& key);
     void grant_lease(worker_state& worker, time_point now);
+    /// Returns how long after it was sent a lease may count at its worker, by this clock.
+    [[nodiscard]] duration get_lease_span() const;
     void lose_worker(worker_state& worker, const char* reason);
     void evacuate(worker_state& worker, time_point now);
     void watch_worker(worker_state& worker, time_point now);
@@ -174,13 +176,14 @@
     // placing
     void place(time_point now);
     [[nodiscard]] std::vector<std::pair<std::int64_t, step_key>> rank_ready(time_point now) const;
-    bool place_task(const ready_step& ready, const task_key& key, const std::string& rack, time_point now);
+    bool place_task(const ready_step& ready, const task_key& key, time_point now);
     bool place_gang(const ready_step& ready, const step_key& key, time_point now);
     void measure_short_demand(time_point now);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
     worker_state* choose(const ready_step& ready, const task_key& key, const std::string& rack,
                          time_point now);
     void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
+    void propose_assignment(const run_key& key, const std::string& worker);
 
     dispatch_settings m_settings;
     const job_book& m_book;
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -58,9 +58,7 @@
                 queue.priority * priority_weight + (is_urgent ? -lasting_lead : lasting_slack), key);
             continue;
         }
-        const auto allowed =
-            static_cast<std::int64_t>(queue.stretch * static_cast<double>(ready.job->estimate_chain_ms())) +
-            to_milliseconds(queue.target_latency);
+        const auto allowed = to_milliseconds(ready.job->get_objective());
         const auto due = job->second.due.find(key.occurrence);
         const auto since = due == job->second.due.end() ? job->second.accepted : due->second;
         const auto age = to_milliseconds(now - since);
@@ -98,7 +96,7 @@
         } else {
             const auto waiting = ready.waiting;
             for (const auto index : waiting) {
-                if (!place_task(ready, {key, index}, {}, now)) {
+                if (!place_task(ready, {key, index}, now)) {
                     if (is_plain && !m_failed_on.contains({key, index})) {
                         refused.add(ready.job->queue.pool, spec);
                     }
@@ -146,9 +144,8 @@
     return static_cast<double>(m_open_cores - worker.report.capacity.millicores) >= kept_free;
 }
 
-bool dispatcher::place_task(const ready_step& ready, const task_key& key, const std::string& rack,
-                            time_point now) {
-    auto* worker = choose(ready, key, rack, now);
+bool dispatcher::place_task(const ready_step& ready, const task_key& key, time_point now) {
+    auto* worker = choose(ready, key, {}, now);
     if (worker == nullptr) {
         return false;
     }
@@ -223,12 +220,7 @@
         }
         if (placed.size() == spec.count) {
             for (const auto& [member, worker] : placed) {
-                job_wire::job_command command;
-                encode(member.task, *command.mutable_assign()->mutable_task());
-                command.mutable_assign()->set_run(member.run);
-                command.mutable_assign()->set_worker(worker);
-                m_commands.push_back(std::move(command));
-                ++m_counts.assigned;
+                propose_assignment(member, worker);
             }
             m_ready[key].waiting.clear();
             return true;
@@ -247,10 +239,14 @@
         m_open_cores -= worker.report.capacity.millicores;
     }
     add_track(run, ready.job, worker.report.id, run_stage::committing, now);
+    propose_assignment(run, worker.report.id);
+}
+
+void dispatcher::propose_assignment(const run_key& key, const std::string& worker) {
     job_wire::job_command command;
-    encode(key, *command.mutable_assign()->mutable_task());
-    command.mutable_assign()->set_run(run.run);
-    command.mutable_assign()->set_worker(worker.report.id);
+    encode(key.task, *command.mutable_assign()->mutable_task());
+    command.mutable_assign()->set_run(key.run);
+    command.mutable_assign()->set_worker(worker);
     m_commands.push_back(std::move(command));
     ++m_counts.assigned;
 }
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -27,11 +27,6 @@
 constexpr duration move_after = milliseconds{500}; // paced that low for this long
 constexpr std::int64_t lost_percent = 25;          // of a task without checkpoints that a move may throw away
 
-double get_share(const worker_state& worker, std::int64_t millicores) {
-    const auto room = std::max<std::int64_t>(worker.report.capacity.millicores, 1);
-    return static_cast<double>(millicores) / static_cast<double>(room);
-}
-
 } // namespace
 
 void dispatcher::refresh_pressure(worker_state& worker) {
@@ -64,7 +59,7 @@
         const auto& spec = find(key)->get_spec();
         for (auto& group : groups) {
             group.press += spec.fills ? m_pressure.get_careful_factor(group.image, spec.image) *
-                                            get_share(worker, spec.millicores)
+                                            worker.get_share(spec.millicores)
                                       : 0;
         }
     }
@@ -88,7 +83,7 @@
         const auto phase = track.level > 0
                                ? pressure_model::get_phase(static_cast<double>(track.level), asked)
                                : unknown_phase;
-        const auto share = get_share(worker, spec.millicores) * phase * track.pace / 100;
+        const auto share = worker.get_share(spec.millicores) * phase * track.pace / 100;
         auto item = std::find_if(worker.fill_shares.begin(), worker.fill_shares.end(),
                                  [&](const image_share& other) { return other.image == spec.image; });
         if (item == worker.fill_shares.end()) {
@@ -191,7 +186,7 @@
     const auto target = static_cast<double>(spec.target_ms);
     const auto get_press = [&](const run_track& fill) {
         return m_pressure.get_factor(spec.image, fill.get_spec().image) *
-               get_share(worker, fill.get_spec().millicores);
+               worker.get_share(fill.get_spec().millicores);
     };
     double excess = -m_pressure.get_room(spec.image, target, pacing_share, serving.calm.load);
     double total = 0;
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -2,22 +2,12 @@
 #include "poplarpitch/dispatch/dispatcher.h"
 
 #include "poplarpitch/dispatch/placement.h"
+#include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 namespace poplarpitch {
-namespace {
-
-void add_run(log_event& event, const run_key& key) {
-    event.add("job", format_job_id(key.task.step.job))
-        .add("occurrence", static_cast<std::uint64_t>(key.task.step.occurrence))
-        .add("step", static_cast<std::uint64_t>(key.task.step.step))
-        .add("task", static_cast<std::uint64_t>(key.task.index))
-        .add("run", static_cast<std::uint64_t>(key.run));
-}
-
-} // namespace
 
 run_track& dispatcher::add_track(const run_key& key, std::shared_ptr<const step_job> job,
                                  const std::string& worker, run_stage stage, time_point now) {
@@ -27,7 +17,6 @@
     track.worker = worker;
     track.stage = stage;
     track.claimed_at = now;
-    track.progressed_at = now;
     auto& state = get_worker(worker);
     add_load(state, track, 1);
     if (track.get_spec().fills || track.get_spec().is_serving()) {
@@ -163,9 +152,6 @@
                                                               answer.failure != order_failure::unreachable);
     if (has_answered) {
         track.order_failures = 0;
-        if (worker != nullptr && answer.failure != order_failure::other_life) {
-            worker->last_answer = now;
-        }
         return;
     }
     ++m_counts.unanswered;
@@ -189,7 +175,6 @@
         ++m_counts.started;
         track->stage = run_stage::running;
         track->confirmed_at = now;
-        track->progressed_at = now;
         note_started(key.task.step.job, now);
         auto event = log_event(log_level::info, "run_started");
         add_run(event, key);
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -126,9 +126,12 @@
 }
 
 void dispatcher::grant_lease(worker_state& worker, time_point now) {
-    const auto span = std::chrono::duration_cast<duration>(m_settings.lease * (1 + m_settings.clock_drift)) +
-                      m_settings.lease_margin;
-    worker.lease_end = std::max(worker.lease_end, now + span);
+    worker.lease_end = std::max(worker.lease_end, now + get_lease_span());
+}
+
+duration dispatcher::get_lease_span() const {
+    return std::chrono::duration_cast<duration>(m_settings.lease * (1 + m_settings.clock_drift)) +
+           m_settings.lease_margin;
 }
 
 void dispatcher::send_hold(worker_state& worker, time_point now) {
@@ -180,7 +183,6 @@
         log_event(log_level::info, "worker_heard_again").add("worker", id);
     }
     worker->hold_failures = 0;
-    worker->last_answer = now;
     if (outcome.answer.clock_ms > 0) {
         worker->clock_ms = outcome.answer.clock_ms;
         worker->clock_at = now;
@@ -211,10 +213,7 @@
             track->confirmed_at = now;
             note_started(row.run.task.step.job, now);
         }
-        if (row.percent != track->percent) {
-            track->percent = row.percent;
-            track->progressed_at = now;
-        }
+        track->percent = row.percent;
         track->level = row.level;
     }
     for (const auto& row : answer.ended) {
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -21,8 +21,7 @@
 constexpr double between = 0.5;         // a task of neither kind on a worker that fills
 
 double get_fill_cost(const worker_state& worker) {
-    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
-    return 1.0 - static_cast<double>(worker.get_leftover()) / room;
+    return 1.0 - worker.get_share(worker.get_leftover());
 }
 
 /// Returns how near a filling task would bring the worker's serving tasks to their limit: 1 is there.
@@ -30,8 +29,7 @@
     if (worker.pressure.groups.empty()) {
         return no_servings;
     }
-    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
-    const auto share = static_cast<double>(request.spec->millicores) / room;
+    const auto share = worker.get_share(request.spec->millicores);
     double highest = 0;
     for (const auto& group : worker.pressure.groups) {
         const auto press = request.pressure->get_careful_factor(group.image, request.spec->image) * share;
@@ -57,8 +55,7 @@
 
 /// Best fit: the fuller a worker that still holds the task, the better.
 double get_pack_cost(const worker_state& worker) {
-    const auto room = static_cast<double>(std::max<std::int64_t>(worker.report.capacity.millicores, 1));
-    return static_cast<double>(worker.get_free().millicores) / room;
+    return worker.get_share(worker.get_free().millicores);
 }
 
 } // namespace
--- a/poplarpitch/dispatch/refused_shapes.h
+++ b/poplarpitch/dispatch/refused_shapes.h
@@ -2,8 +2,8 @@
 
 #include "poplarpitch/scheduling/step_spec.h"
 
+#include <cstdint>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace poplarpitch {
--- /dev/null
+++ b/poplarpitch/dispatch/run_log.cpp
@@ -0,0 +1,18 @@
+#include "poplarpitch/dispatch/run_log.h"
+
+#include "poplarpitch/scheduling/task_key.h"
+#include "poplarpitch/telemetry/log_event.h"
+
+#include <cstdint>
+
+namespace poplarpitch {
+
+void add_run(log_event& event, const run_key& key) {
+    event.add("job", format_job_id(key.task.step.job))
+        .add("occurrence", static_cast<std::uint64_t>(key.task.step.occurrence))
+        .add("step", static_cast<std::uint64_t>(key.task.step.step))
+        .add("task", static_cast<std::uint64_t>(key.task.index))
+        .add("run", static_cast<std::uint64_t>(key.run));
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -37,7 +37,6 @@
     bool may_come_late = false; ///< a start had no answer: it may be carried out seconds later
     int order_failures = 0;     ///< orders in a row without an answer
     std::int64_t percent = 0;
-    time_point progressed_at{};      ///< when `percent` last changed
     std::int64_t level = 0;          ///< as in `run_row`
     int pace = 100;                  ///< share of its speed that was ordered and answered, percent
     int planned_pace = 100;          ///< share that is wanted now
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -7,6 +7,7 @@
 #include "poplarpitch/scheduling/task_key.h"
 #include "poplarpitch/scheduling/worker_report.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -28,8 +29,7 @@
     bool is_holding = false; ///< a hold is under way
     time_point hold_sent{};
     time_point next_hold{};
-    int hold_failures = 0;    ///< in a row
-    time_point last_answer{}; ///< to any order
+    int hold_failures = 0; ///< in a row
 
     std::int64_t clock_ms = 0; ///< the worker's clock at `clock_at`; 0 while unknown
     time_point clock_at{};
@@ -60,6 +60,12 @@
     [[nodiscard]] std::int64_t get_leftover() const {
         return report.capacity.millicores - reserved.millicores + serving_unused - fill_cores;
     }
+    /// Returns an amount of processor time, millicores, as a share of all that the worker has. Thread safety:
+    /// as the state.
+    [[nodiscard]] double get_share(std::int64_t millicores) const {
+        const auto capacity = std::max<std::int64_t>(report.capacity.millicores, 1);
+        return static_cast<double>(millicores) / static_cast<double>(capacity);
+    }
     /// Returns the worker's clock at `now`, never ahead of it; 0 while unknown. Thread safety: as the state.
     [[nodiscard]] std::int64_t estimate_clock(time_point now) const {
         return clock_ms == 0 ? 0 : clock_ms + to_milliseconds(now - clock_at);
--- a/poplarpitch/gateway/gateway_settings.cpp
+++ b/poplarpitch/gateway/gateway_settings.cpp
@@ -2,7 +2,7 @@
 
 #include "poplarpitch/config/ini_document.h"
 #include "poplarpitch/config/section_reader.h"
-#include "poplarpitch/net/socket_address.h"
+#include "poplarpitch/net/address_settings.h"
 
 namespace poplarpitch {
 namespace {
@@ -15,9 +15,7 @@
     value.log_level = reader.get_text("log_level", value.log_level);
     value.link_port = static_cast<int>(reader.get_integer("link_port", 0, 0, max_port));
     value.metrics_port = static_cast<int>(reader.get_integer("metrics_port", 0, 0, max_port));
-    for (const auto& seed : reader.get_list("seeds")) {
-        value.seeds.push_back(seed.substr(0, seed.rfind(':')));
-    }
+    value.seeds = read_seed_hosts(reader, "seeds");
     if (value.id.empty()) {
         reader.add_error("id", "id is missing: the name of this instance");
     }
@@ -26,20 +24,15 @@
     }
 }
 
-void read_address(section_reader& reader, const char* key, std::string& host, int& port) {
-    const auto found = read_socket_address(reader.get_text(key, ""));
-    if (!found.has_value()) {
-        reader.add_error(key,
-                         std::string(key) + " must be an IPv4 address and a port, such as 10.0.0.4:8080");
-        return;
-    }
-    host = format_ip(found->ip);
-    port = found->port;
-}
-
 void read_entry(section_reader& reader, gateway_settings& value) {
-    read_address(reader, "listen", value.callers_host, value.callers_port);
-    read_address(reader, "ready", value.ready_host, value.ready_port);
+    if (const auto found = read_address(reader, "listen"); found.has_value()) {
+        value.callers_host = format_ip(found->ip);
+        value.callers_port = found->port;
+    }
+    if (const auto found = read_address(reader, "ready"); found.has_value()) {
+        value.ready_host = format_ip(found->ip);
+        value.ready_port = found->port;
+    }
     value.ready_path = reader.get_text("ready_path", value.ready_path);
     value.deadline_header = reader.get_text("deadline_header", value.deadline_header);
     value.default_deadline = reader.get_duration("default_deadline", value.default_deadline);
--- /dev/null
+++ b/poplarpitch/net/address_settings.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "poplarpitch/net/socket_address.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+
+class section_reader;
+
+/// Reads the address of `key`; notes an error and returns nothing when it is not one. Thread safety: none.
+[[nodiscard]] std::optional<socket_address> read_address(section_reader& reader, const std::string& key);
+/// Reads the hosts of the control instances of `key`. The platform of a deployment lists them with the port
+/// of another service; only the instance counts here. Thread safety: none.
+[[nodiscard]] std::vector<std::string> read_seed_hosts(section_reader& reader, const std::string& key);
+
+} // namespace poplarpitch
--- a/poplarpitch/net/frame_socket.cpp
+++ b/poplarpitch/net/frame_socket.cpp
@@ -52,8 +52,7 @@
 } // namespace
 
 struct frame_socket::parts {
-    parts(event_loop& owner, asio::ip::tcp::socket connected)
-        : loop(owner), socket(std::move(connected)), last_heard(owner.now()) {}
+    parts(event_loop& owner, asio::ip::tcp::socket connected) : loop(owner), socket(std::move(connected)) {}
 
     event_loop& loop;
     asio::ip::tcp::socket socket;
@@ -64,7 +63,6 @@
     std::string sending;
     std::string waiting; ///< frames behind `sending`
     bool is_writing = false;
-    time_point last_heard;
 };
 
 frame_socket::frame_socket(std::unique_ptr<parts> connected) : m_parts(std::move(connected)) {
@@ -93,7 +91,6 @@
 
 void frame_socket::on_bytes(std::size_t count) {
     auto& bytes = m_parts->received;
-    m_parts->last_heard = m_parts->loop.now();
     bytes.append(m_parts->buffer.data(), count);
     std::size_t offset = 0;
     while (bytes.size() - offset >= header_size) {
@@ -169,10 +166,6 @@
     m_parts->loop.post([self = shared_from_this()] { self->m_parts->on_frame = nullptr; });
 }
 
-time_point frame_socket::get_last_heard() const {
-    return m_parts->last_heard;
-}
-
 bool frame_socket::is_open() const {
     return m_parts->socket.is_open();
 }
--- a/poplarpitch/net/frame_socket.h
+++ b/poplarpitch/net/frame_socket.h
@@ -34,8 +34,6 @@
     void send(const std::string& frame);
     /// Ends the connection. Neither handler is called any more.
     void close();
-    /// Returns when bytes last arrived.
-    [[nodiscard]] time_point get_last_heard() const;
     [[nodiscard]] bool is_open() const;
 
 private:
--- a/poplarpitch/net/http_caller.cpp
+++ b/poplarpitch/net/http_caller.cpp
@@ -43,7 +43,6 @@
     std::map<std::string, std::vector<idle_connection>> idle;
     std::set<std::shared_ptr<exchange>> open;
     std::size_t opened = 0;
-    bool is_closed = false;
 
     std::unique_ptr<asio::ip::tcp::socket> take_idle(const std::string& address) {
         auto& list = idle[address];
@@ -243,7 +242,6 @@
     : m_parts(std::make_shared<parts>(loop, settings)) {}
 
 http_caller::~http_caller() {
-    m_parts->is_closed = true;
     const auto open = m_parts->open;
     for (const auto& item : open) {
         item->abandon();
@@ -257,10 +255,6 @@
     item->start();
 }
 
-void http_caller::drop_idle(const std::string& address) {
-    m_parts->idle.erase(address);
-}
-
 std::size_t http_caller::get_opened() const {
     return m_parts->opened;
 }
--- a/poplarpitch/net/http_caller.h
+++ b/poplarpitch/net/http_caller.h
@@ -51,8 +51,6 @@
 
     /// Sends a request; `on_answer` is called once, in a later turn, unless the caller is destroyed before.
     void send(http_call call, answer_handler on_answer);
-    /// Closes the idle connections to an address.
-    void drop_idle(const std::string& address);
     /// Returns how many connections were opened since the start.
     [[nodiscard]] std::size_t get_opened() const;
 
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -9,16 +9,15 @@
 #include "poplarpitch/storage/raft_codec.h"
 #include "poplarpitch/storage/raft_message_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/telemetry/storage_failure.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <random>
 
 namespace poplarpitch {
 namespace {
 
-constexpr int storage_failure_code = 3;    // exit code, documented for operators
 constexpr duration told_life = seconds{2}; // how long the word of others on the leader counts
 
 node_id draw_node_id(std::uint32_t ip) {
@@ -267,11 +266,7 @@
 }
 
 void replica::end_process(const std::error_code& error) {
-    log_event(log_level::error, "storage_failed")
-        .add("error", error)
-        .add("place", m_storage->get_error_place())
-        .add("action", "process ends; nothing unsynced was acknowledged");
-    std::_Exit(storage_failure_code);
+    end_on_storage_failure(error, m_storage->get_error_place());
 }
 
 void replica::watch_role() {
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -2,7 +2,7 @@
 
 #include "poplarpitch/config/ini_document.h"
 #include "poplarpitch/config/section_reader.h"
-#include "poplarpitch/net/socket_address.h"
+#include "poplarpitch/net/address_settings.h"
 
 #include <algorithm>
 
@@ -11,23 +11,13 @@
 
 constexpr int max_port = 65535;
 
-/// The platform of a deployment lists seeds with the port of another service; only the instance counts here.
-std::vector<std::string> read_seed_hosts(const std::vector<std::string>& seeds) {
-    std::vector<std::string> hosts;
-    hosts.reserve(seeds.size());
-    for (const auto& seed : seeds) {
-        hosts.push_back(seed.substr(0, seed.rfind(':')));
-    }
-    return hosts;
-}
-
 void read_instance(section_reader& reader, scheduler_settings& value) {
     value.id = reader.get_text("id", "");
     value.data_centre = reader.get_text("data_centre", value.data_centre);
     value.log_level = reader.get_text("log_level", value.log_level);
     value.replica.host = reader.get_text("host", value.replica.host);
     value.replica.port = static_cast<int>(reader.get_integer("link_port", 0, 0, max_port));
-    value.replica.seeds = read_seed_hosts(reader.get_list("seeds"));
+    value.replica.seeds = read_seed_hosts(reader, "seeds");
     value.metrics_port = static_cast<int>(reader.get_integer("metrics_port", 0, 0, max_port));
     if (value.id.empty()) {
         reader.add_error("id", "id is missing: the name of this instance");
@@ -38,12 +28,9 @@
 }
 
 void read_control(section_reader& reader, scheduler_settings& value) {
-    const auto address = reader.get_text("listen", "");
-    if (const auto found = read_socket_address(address); found.has_value()) {
+    if (const auto found = read_address(reader, "listen"); found.has_value()) {
         value.control_host = format_ip(found->ip);
         value.control_port = found->port;
-    } else {
-        reader.add_error("listen", "listen must be an IPv4 address and a port, such as 10.0.0.4:8080");
     }
     auto& replica = value.replica;
     replica.data_folder = reader.get_text("data_folder", "");
--- a/poplarpitch/scheduling/job_book.cpp
+++ b/poplarpitch/scheduling/job_book.cpp
@@ -162,7 +162,7 @@
         const auto failures = spec.gang ? count_failures(record, key.step) : task->failures;
         if (failures >= record.job->queue.max_attempts && record.phase == job_phase::open) {
             task->phase = task_phase::failed;
-            fail_job(record, events);
+            end_job(record, job_phase::failed, events);
             return command_outcome::applied;
         }
     }
@@ -213,10 +213,6 @@
     }
 }
 
-void job_book::fail_job(job_record& record, std::vector<book_event>& events) {
-    end_job(record, job_phase::failed, events);
-}
-
 void job_book::end_job(job_record& record, job_phase phase, std::vector<book_event>& events) {
     record.phase = phase;
     drop_idle_tasks(record);
--- a/poplarpitch/scheduling/job_book.h
+++ b/poplarpitch/scheduling/job_book.h
@@ -58,7 +58,6 @@
     static std::uint32_t count_failures(job_record& record, const step_key& key);
     void finish_gang(job_record& record, const step_key& key, std::vector<book_event>& events);
     void finish_task(job_record& record, const task_key& key, std::vector<book_event>& events);
-    void fail_job(job_record& record, std::vector<book_event>& events);
     void end_job(job_record& record, job_phase phase, std::vector<book_event>& events);
     void drop_idle_tasks(job_record& record);
 
--- a/poplarpitch/scheduling/job_configuration.cpp
+++ b/poplarpitch/scheduling/job_configuration.cpp
@@ -15,15 +15,6 @@
     return best;
 }
 
-const queue_settings* job_configuration::find_queue_by_name(std::string_view name) const {
-    for (const auto& queue : queues) {
-        if (queue.name == name) {
-            return &queue;
-        }
-    }
-    return nullptr;
-}
-
 const pool_settings* job_configuration::find_pool(std::string_view name) const {
     for (const auto& pool : pools) {
         if (pool.name == name) {
--- a/poplarpitch/scheduling/job_configuration.h
+++ b/poplarpitch/scheduling/job_configuration.h
@@ -22,8 +22,6 @@
     /// Returns the queue whose host matches and whose prefix is the longest that `path` begins with, or null.
     /// Thread safety: any thread.
     [[nodiscard]] const queue_settings* find_queue(std::string_view host, std::string_view path) const;
-    /// Returns the queue of that name, or null. Thread safety: any thread.
-    [[nodiscard]] const queue_settings* find_queue_by_name(std::string_view name) const;
     /// Returns the pool of that name, or null. Thread safety: any thread.
     [[nodiscard]] const pool_settings* find_pool(std::string_view name) const;
 };
--- a/poplarpitch/scheduling/step_job.cpp
+++ b/poplarpitch/scheduling/step_job.cpp
@@ -12,10 +12,6 @@
 
 } // namespace
 
-bool step_job::is_long_running() const {
-    return std::any_of(steps.begin(), steps.end(), [](const step_spec& step) { return step.long_running; });
-}
-
 std::uint32_t step_job::get_occurrence_count() const {
     return schedule.has_value() ? schedule->count : 1;
 }
@@ -32,6 +28,11 @@
     return ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
 }
 
+duration step_job::get_objective() const {
+    const auto stretched = queue.stretch * static_cast<double>(estimate_chain_ms());
+    return queue.target_latency + duration{milliseconds{static_cast<std::int64_t>(stretched)}};
+}
+
 std::int64_t step_job::estimate_rest_ms(std::uint32_t first) const {
     std::vector<std::int64_t> ends(steps.size(), -1); // -1: not behind `first`
     ends[first] = steps[first].estimate_ms;
--- a/poplarpitch/scheduling/step_job.h
+++ b/poplarpitch/scheduling/step_job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplarpitch/core/time.h"
 #include "poplarpitch/scheduling/job_id.h"
 #include "poplarpitch/scheduling/queue_settings.h"
 #include "poplarpitch/scheduling/step_spec.h"
@@ -31,12 +32,13 @@
 
     friend bool operator==(const step_job&, const step_job&) = default;
 
-    /// Returns true when a step has no end of its own. Thread safety: any thread.
-    [[nodiscard]] bool is_long_running() const;
     /// Returns how many occurrences there are in all. Thread safety: any thread.
     [[nodiscard]] std::uint32_t get_occurrence_count() const;
     /// Returns the estimated time of the longest chain of steps, milliseconds. Thread safety: any thread.
     [[nodiscard]] std::int64_t estimate_chain_ms() const;
+    /// Returns how long after acceptance the job, or an occurrence after it fell due, may end and still be
+    /// in time. Thread safety: any thread.
+    [[nodiscard]] duration get_objective() const;
     /// Returns the estimated time from the start of a step to the end of the last one behind it,
     /// milliseconds. Thread safety: any thread.
     [[nodiscard]] std::int64_t estimate_rest_ms(std::uint32_t first) const;
--- /dev/null
+++ b/poplarpitch/telemetry/storage_failure.cpp
@@ -0,0 +1,22 @@
+#include "poplarpitch/telemetry/storage_failure.h"
+
+#include "poplarpitch/telemetry/log_event.h"
+
+#include <cstdlib>
+
+namespace poplarpitch {
+namespace {
+
+constexpr int storage_failure_code = 3; // exit code, documented for operators
+
+} // namespace
+
+void end_on_storage_failure(const std::error_code& error, const std::string& place) {
+    log_event(log_level::error, "storage_failed")
+        .add("error", error)
+        .add("place", place)
+        .add("action", "process ends; nothing unsynced was acknowledged");
+    std::_Exit(storage_failure_code);
+}
+
+} // namespace poplarpitch
--- a/programs/poplarpitch_control.cpp
+++ b/programs/poplarpitch_control.cpp
@@ -1,13 +1,15 @@
+#include "poplarpitch/command_line/settings_command_line.h"
+#include "poplarpitch/config/daemon_settings.h"
 #include "poplarpitch/control/control_daemon.h"
 #include "poplarpitch/control/data_folder_restorer.h"
 #include "poplarpitch/core/process_settings.h"
 #include "poplarpitch/telemetry/logging.h"
-#include "poplarpitch/tools/daemon_command_line.h"
 
 int main(int count, char** arguments) {
-    const auto line = poplarpitch::read_daemon_command_line(
+    const auto line = poplarpitch::read_settings_command_line(
         count, arguments, "poplarpitch-control", "Keeps the replicated state: configuration, workers, jobs.",
-        true);
+        [](std::string_view text) { return poplarpitch::parse_daemon_settings(text, true); },
+        {.can_restore = true});
     if (line.exit_code.has_value()) {
         return *line.exit_code;
     }
--- a/programs/poplarpitch_entry.cpp
+++ b/programs/poplarpitch_entry.cpp
@@ -1,11 +1,14 @@
+#include "poplarpitch/command_line/settings_command_line.h"
+#include "poplarpitch/config/daemon_settings.h"
 #include "poplarpitch/core/process_settings.h"
 #include "poplarpitch/entry/entry_daemon.h"
 #include "poplarpitch/telemetry/logging.h"
-#include "poplarpitch/tools/daemon_command_line.h"
 
 int main(int count, char** arguments) {
-    const auto line = poplarpitch::read_daemon_command_line(
-        count, arguments, "poplarpitch-entry", "Takes callers' requests and targets' announcements.", false);
+    const auto line = poplarpitch::read_settings_command_line(
+        count, arguments, "poplarpitch-entry", "Takes callers' requests and targets' announcements.",
+        [](std::string_view text) { return poplarpitch::parse_daemon_settings(text, false); },
+        {.has_storage = false});
     if (line.exit_code.has_value()) {
         return *line.exit_code;
     }
