--- /dev/null
+++ b/performance_test/scheduler_load.cpp
@@ -0,0 +1,130 @@
+// Processor time of real scheduler processes under a steady load of tasks, on pretended workers: tasks that
+// last are held all the while, short jobs come at a fixed rate. Prints what each instance used by task.
+#include "poplarpitch/core/system_clock.h"
+#include "unit_tests/platform/scheduler_cluster.h"
+#include "unit_tests/platform/stand_in_workers.h"
+
+#include <absl/strings/str_format.h>
+#include <absl/time/clock.h>
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+using namespace poplarpitch;
+
+constexpr duration run_time = milliseconds{900};
+constexpr duration settle_time =
+    seconds{3}; // until tasks that last have started and the first short ones ended
+constexpr int tasks_of_a_job = 20;
+constexpr int schedulers = 3;
+
+struct load_shape {
+    int workers = 0;
+    int lasting = 0;
+    int starts_per_second = 0;
+    int seconds_long = 0;
+    bool prints_pids = false;
+};
+
+load_shape read_arguments(int count, char** values) {
+    cxxopts::Options options("scheduler_load", "Processor time of schedulers under a steady load");
+    options.add_options()("workers", "pretended workers", cxxopts::value<int>()->default_value("490"))(
+        "lasting", "tasks that last", cxxopts::value<int>()->default_value("2000"))(
+        "starts", "short tasks a second", cxxopts::value<int>()->default_value("400"))(
+        "seconds", "length of the measurement",
+        cxxopts::value<int>()->default_value("10"))("pids", "print the processes' numbers, for a profiler");
+    const auto parsed = options.parse(count, values);
+    return {parsed["workers"].as<int>(), parsed["lasting"].as<int>(), parsed["starts"].as<int>(),
+            parsed["seconds"].as<int>(), parsed.count("pids") > 0};
+}
+
+/// Returns the processor seconds that a process has used.
+double read_processor_seconds(pid_t pid) {
+    std::ifstream file(absl::StrFormat("/proc/%d/stat", pid));
+    std::string text;
+    std::getline(file, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string word;
+    double ticks = 0;
+    constexpr int user_field = 11; // after the name: utime and stime stand next to each other
+    for (int index = 0; index <= user_field + 1 && fields >> word; ++index) {
+        ticks += index >= user_field ? std::stod(word) : 0;
+    }
+    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+std::string make_job(const char* spec, int count, bool lasts) {
+    nlohmann::json step = {
+        {"count", count}, {"cpu", lasts ? 2000 : 500}, {"memMb", 100}, {"estimateMs", 900}};
+    if (lasts) {
+        step["longRunning"] = true;
+        step["targetMs"] = 50;
+        step["image"] = "serving";
+    } else {
+        step["fills"] = true;
+        step["image"] = "filling";
+    }
+    return nlohmann::json{{"spec", spec}, {"steps", {step}}}.dump();
+}
+
+int submit(scheduler_cluster& cluster, int number, const std::string& body) {
+    const auto response = cluster.ask("POST", absl::StrFormat("/jobs/%016x", number), body);
+    return response.has_value() ? response->status : 0;
+}
+
+} // namespace
+
+int main(int count, char** values) {
+    const auto shape = read_arguments(count, values);
+    scheduler_cluster cluster(schedulers);
+    const stand_in_workers workers(shape.workers, cluster.get_controls(), run_time);
+    cluster.put_config(1);
+    int number = 1;
+    for (int started = 0; started < shape.lasting; started += tasks_of_a_job) {
+        submit(cluster, number++, make_job(stand_in_workers::lasting_spec, tasks_of_a_job, true));
+    }
+    const system_clock clock;
+    const auto pause = duration{seconds{1}} * tasks_of_a_job / shape.starts_per_second;
+    const auto begin = clock.now() + settle_time;
+    const auto end = begin + seconds{shape.seconds_long};
+    std::vector<double> before;
+    std::size_t done_before = 0;
+    const auto short_job = make_job("text", tasks_of_a_job, false);
+    for (auto next = clock.now(); next < end; next += pause) {
+        const auto wait = next - clock.now();
+        if (wait > duration{0}) {
+            absl::SleepFor(absl::Nanoseconds(std::chrono::nanoseconds(wait).count()));
+        }
+        if (before.empty() && clock.now() >= begin) {
+            done_before = workers.get_done_counts().size();
+            for (int instance = 1; instance <= schedulers; ++instance) {
+                const auto pid = cluster.get_scheduler(instance).get_pid();
+                before.push_back(read_processor_seconds(pid));
+                if (shape.prints_pids) {
+                    std::cout << "scheduler " << instance << " pid " << pid << std::endl;
+                }
+            }
+        }
+        submit(cluster, number++, short_job);
+    }
+    const auto done = workers.get_done_counts().size() - done_before;
+    const int leader = cluster.find_leader();
+    std::cout << absl::StrFormat("workers=%d lasting=%d ended tasks=%d in %d s, twice at once=%d\n",
+                                 shape.workers, shape.lasting, done, shape.seconds_long,
+                                 workers.get_overlaps());
+    for (int instance = 1; instance <= schedulers; ++instance) {
+        const auto used = read_processor_seconds(cluster.get_scheduler(instance).get_pid()) -
+                          before[static_cast<std::size_t>(instance) - 1];
+        std::cout << absl::StrFormat(
+            "scheduler %d%s: %.2f processor seconds, %.1f%% of a core, %.0f us a task\n", instance,
+            instance == leader ? " (leads)" : "", used, 100 * used / shape.seconds_long,
+            1e6 * used / static_cast<double>(std::max<std::size_t>(done, 1)));
+    }
+    return workers.get_overlaps() == 0 ? 0 : 1;
+}
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -13,12 +13,14 @@
 
 constexpr duration beat_interval = milliseconds{200};
 constexpr duration beat_timeout = milliseconds{500};
+constexpr int lasting_tail_ms = 10; // what a task that lasts tells of its own answers
 
 using json = nlohmann::json;
 
 struct running_task {
     std::uint32_t run = 0;
-    timer_id timer = 0;
+    timer_id timer = 0; ///< of its end; 0 for one that lasts until it is stopped
+    bool lasts = false;
 };
 
 struct ended_task {
@@ -63,7 +65,8 @@
     json list(const pretended_worker& worker) const {
         json body = {{"running", json::array()}, {"ended", json::array()}};
         for (const auto& [task, run] : worker.running) {
-            body["running"].push_back({task, run.run, "", 50, 0});
+            body["running"].push_back(
+                {task, run.run, "", run.lasts ? 100 : 50, run.lasts ? lasting_tail_ms : 0});
         }
         for (const auto& end : worker.ended) {
             body["ended"].push_back({end.number, end.task, end.run, end.how, ""});
@@ -108,8 +111,10 @@
             const absl::MutexLock lock(&mutex);
             overlaps += running_now[task]++ > 0 ? 1 : 0;
         }
-        worker.running[task] = {
-            run, loop.call_after(run_time, [this, &worker, task] { end(worker, task, "done"); })};
+        const bool lasts = body.value("spec", std::string{}) == stand_in_workers::lasting_spec;
+        const auto timer =
+            lasts ? 0 : loop.call_after(run_time, [this, &worker, task] { end(worker, task, "done"); });
+        worker.running[task] = {run, timer, lasts};
         return make_response(200, {});
     }
 
--- a/unit_tests/platform/stand_in_workers.h
+++ b/unit_tests/platform/stand_in_workers.h
@@ -17,9 +17,13 @@
 /// keep fences and ends as the platform's page says, and write down every start, so that a test can check the
 /// promises.
 ///
-/// Each run takes a fixed time. Thread safety: any thread, for all methods.
+/// Each run takes a fixed time, or lasts until it is stopped where its job's payload says so. Thread safety:
+/// any thread, for all methods.
 class stand_in_workers {
 public:
+    /// Payload of jobs whose tasks last until they are stopped.
+    static constexpr const char* lasting_spec = "lasts";
+
     /// Starts `count` workers on loopback, which send heartbeats to these control addresses.
     stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time);
     ~stand_in_workers();
--- a/unit_tests/support/child_process.h
+++ b/unit_tests/support/child_process.h
@@ -21,6 +21,7 @@
     /// Sends SIGKILL and waits.
     void kill();
     [[nodiscard]] bool is_alive() const { return m_pid > 0; }
+    [[nodiscard]] pid_t get_pid() const { return m_pid; }
     /// Returns its log as far as it was written.
     [[nodiscard]] std::string read_log() const;
 
