Sync the log on a thread of its own, send entries before the leader's own sync, and watch workers each 5 ms

The log stands still while a sync is under way, as it did; the loop serves on. A leader's entries go out before its own sync, which spares one sync of two in each commit.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr duration place_interval = milliseconds{100}; // while tasks wait; otherwise events ask for it
+// Between looks at all workers and runs for what is due. A turn comes for each message, 2,000 a second with
+// 490 workers: a look at 490 workers and 5,000 runs in each took a tenth of the leader's time.
+constexpr duration watch_interval = milliseconds{5};
 
 } // namespace
 
@@ -63,6 +66,7 @@
     m_orders.clear();
     m_commands.clear();
     m_timings.clear();
+    m_next_watch = {};
 }
 
 // ---- jobs
@@ -287,12 +291,7 @@
     }
 }
 
-void dispatcher::tick(time_point now, std::int64_t wall_ms) {
-    if (!is_leading()) {
-        return;
-    }
-    begin_due_occurrences(now, wall_ms);
-    forget_old_jobs(now);
+void dispatcher::watch_workers(time_point now) {
     std::vector<std::string> dropped;
     for (auto& [id, worker] : m_workers) {
         watch_worker(worker, now);
@@ -305,6 +304,9 @@
     for (const auto& id : dropped) {
         m_workers.erase(id);
     }
+}
+
+void dispatcher::repeat_orders(time_point now) {
     std::vector<run_key> pushed;
     for (const auto& [key, track] : m_tracks) {
         const bool has_work =
@@ -317,6 +319,19 @@
     for (const auto& key : pushed) {
         push_track(*find(key), now);
     }
+}
+
+void dispatcher::tick(time_point now, std::int64_t wall_ms) {
+    if (!is_leading()) {
+        return;
+    }
+    begin_due_occurrences(now, wall_ms);
+    forget_old_jobs(now);
+    if (now >= m_next_watch) {
+        m_next_watch = now + watch_interval;
+        watch_workers(now);
+        repeat_orders(now);
+    }
     if (!m_ready.empty() && now >= m_next_place) {
         m_must_place = true; // a worker that was set aside may have come back
         m_next_place = now + place_interval;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -133,6 +133,8 @@
     void send_stop(run_track& track);
     void stop_run(run_track& track, time_point now);
     void push_track(run_track& track, time_point now);
+    /// Sends starts and stops again whose time has come.
+    void repeat_orders(time_point now);
     /// Lets the task of a run that has not started go elsewhere.
     void give_back(run_track& track, time_point now);
     void on_start_refused(run_track& track, order_failure failure, time_point now);
@@ -153,6 +155,7 @@
     [[nodiscard]] duration get_lease_span() const;
     void lose_worker(worker_state& worker, const char* reason);
     void evacuate(worker_state& worker, time_point now);
+    void watch_workers(time_point now);
     void watch_worker(worker_state& worker, time_point now);
     void update_acknowledged(worker_state& worker);
     [[nodiscard]] order_target make_target(const worker_state& worker, duration timeout) const;
@@ -212,6 +215,7 @@
     time_point m_measured_at{};
     time_point m_last_place{};
     time_point m_next_place{};
+    time_point m_next_watch{}; ///< when all workers and runs are looked at again
     time_point m_next_report{};
     time_point m_next_note{};
 };
--- a/poplarpitch/net/event_loop.h
+++ b/poplarpitch/net/event_loop.h
@@ -23,7 +23,7 @@
 /// set and cancelled for every call costs no system call. After the calls that were ready at the same time
 /// the turn hooks run: work that many events ask for, such as one commit for all of them, is done there
 /// once.
-/// Thread safety: all methods on the thread of `run`, but for `stop`, which any thread may call.
+/// Thread safety: all methods on the thread of `run`, but for `stop` and `post`, which any thread may call.
 class event_loop {
 public:
     event_loop();
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/net/frame_socket.h"
 #include "poplarpitch/net/net_error.h"
 #include "poplarpitch/net/socket_address.h"
+#include "poplarpitch/consensus/early_messages.h"
 #include "poplarpitch/replica/node_address.h"
 #include "poplarpitch/replica/node_identity.h"
 #include "poplarpitch/storage/raft_codec.h"
@@ -19,6 +20,9 @@
 namespace {
 
 constexpr duration told_life = seconds{2}; // how long the word of others on the leader counts
+// Messages of other nodes kept during one sync; a leader sends some 20 a second and repeats what is lost, so
+// only a disk that stalls for long comes here.
+constexpr std::size_t max_held_messages = 256;
 
 node_id draw_node_id(std::uint32_t ip) {
     std::random_device device;
@@ -30,7 +34,7 @@
 
 replica::replica(event_loop& loop, const replica_settings& settings, replica_handler handler)
     : m_loop(loop), m_settings(settings), m_handler(std::move(handler)), m_files(settings.data_folder),
-      m_planner(settings.voters, settings.voter_loss) {}
+      m_planner(settings.voters, settings.voter_loss), m_disk(loop) {}
 
 replica::~replica() {
     for (const auto& socket : m_accepted) {
@@ -134,7 +138,7 @@
         m_mesh->on_heard(ip);
         if (m_node != nullptr) {
             m_known.insert(get_node_ip(frame.raft().from()));
-            m_node->step(decode(frame.raft()), m_loop.now());
+            take_message(frame.raft());
         }
         return;
     case job_wire::cluster_frame::kAskStatus: {
@@ -184,16 +188,45 @@
 // ---- turns
 
 void replica::take_turn() {
-    if (m_node == nullptr) {
+    if (m_node == nullptr || m_disk.is_running()) {
         return;
     }
     m_node->tick(m_loop.now());
-    carry_out(m_node->take_output());
-    watch_role();
     keep_members();
-    carry_out(m_node->take_output());
-    take_snapshot_if_due();
-    arm_tick();
+    m_output = m_node->take_output();
+    if (m_output.needs_sync()) {
+        save_output();
+    } else {
+        finish_output();
+    }
+}
+
+void replica::when_saved(std::function<void()> work) {
+    if (m_disk.is_running()) {
+        m_held.push_back(std::move(work));
+    } else {
+        work();
+    }
+}
+
+void replica::run_held() {
+    const auto held = std::exchange(m_held, {});
+    m_held_messages = 0;
+    for (const auto& work : held) {
+        work();
+    }
+}
+
+void replica::take_message(const wire::raft_message& message) {
+    if (!m_disk.is_running()) {
+        m_node->step(decode(message), m_loop.now());
+        return;
+    }
+    if (m_held_messages >= max_held_messages) {
+        return; // as if lost on the way: its sender repeats what matters
+    }
+    ++m_held_messages;
+    m_held.emplace_back([this, kept = decode(message)] { m_node->step(kept, m_loop.now()); });
 }
 
 void replica::arm_tick() {
@@ -206,22 +239,38 @@
     m_tick = m_loop.call_at(m_tick_at, [this] { m_tick = 0; });
 }
 
-void replica::carry_out(raft_output output) {
-    // 1. What must survive is synced before anybody hears of it.
-    if (output.needs_sync()) {
-        if (output.state.has_value()) {
-            m_hard_state = *output.state;
-        }
-        const auto saved = m_storage->save(output);
-        if (!saved) {
-            end_process(saved.error());
+void replica::send(const raft_message& message) {
+    job_wire::cluster_frame frame;
+    encode(message, *frame.mutable_raft());
+    m_mesh->send(get_node_ip(message.to), frame);
+}
+
+void replica::save_output() {
+    if (m_output.state.has_value()) {
+        m_hard_state = *m_output.state;
+    }
+    for (const auto& message : m_output.messages) {
+        if (may_send_before_sync(m_output, message)) {
+            send(message);
         }
     }
-    // 2. Send, 3. apply, 4. answer reads, which wait for what was applied.
+    m_disk.run([this] { m_saved = m_storage->save(m_output); },
+               [this] {
+                   if (!m_saved) {
+                       end_process(m_saved.error());
+                   }
+                   finish_output();
+                   run_held();
+               });
+}
+
+/// What the node asked for is on disk: sends, applies, and answers reads, which wait for what was applied.
+void replica::finish_output() {
+    const auto output = std::exchange(m_output, {});
     for (const auto& message : output.messages) {
-        job_wire::cluster_frame frame;
-        encode(message, *frame.mutable_raft());
-        m_mesh->send(get_node_ip(message.to), frame);
+        if (!output.needs_sync() || !may_send_before_sync(output, message)) {
+            send(message);
+        }
     }
     if (output.install.has_value()) {
         m_handler.on_load(*output.install->data);
@@ -244,6 +293,9 @@
     };
     answer(output.reads, true);
     answer(output.failed_reads, false);
+    watch_role();
+    take_snapshot_if_due();
+    arm_tick();
 }
 
 void replica::apply(const log_entry& entry) {
@@ -327,6 +379,12 @@
 // ---- what others ask for
 
 void replica::propose(std::string payload, std::function<void(proposal_fate)> on_fate) {
+    when_saved([this, payload = std::move(payload), on_fate = std::move(on_fate)]() mutable {
+        propose_now(std::move(payload), std::move(on_fate));
+    });
+}
+
+void replica::propose_now(std::string payload, std::function<void(proposal_fate)> on_fate) {
     if (m_node == nullptr || !m_is_leading) {
         on_fate(proposal_fate::refused);
         return;
@@ -340,6 +398,10 @@
 }
 
 void replica::read(std::function<void(bool)> on_ready) {
+    when_saved([this, on_ready = std::move(on_ready)]() mutable { read_now(std::move(on_ready)); });
+}
+
+void replica::read_now(std::function<void(bool)> on_ready) {
     if (m_node == nullptr || !m_is_leading) {
         on_ready(false);
         return;
@@ -353,10 +415,12 @@
 }
 
 void replica::resign() {
-    if (m_node != nullptr && m_node->get_role() == raft_role::leader) {
-        static_cast<void>(
-            m_node->transfer_leadership(0, m_loop.now())); // where it fails, an election follows
-    }
+    when_saved([this] {
+        if (m_node != nullptr && m_node->get_role() == raft_role::leader) {
+            static_cast<void>(
+                m_node->transfer_leadership(0, m_loop.now())); // where it fails, an election follows
+        }
+    });
 }
 
 bool replica::has_lease() const {
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/consensus/raft_node.h"
 #include "poplarpitch/core/result.h"
+#include "poplarpitch/net/background_task.h"
 #include "poplarpitch/replica/founding.h"
 #include "poplarpitch/replica/member_planner.h"
 #include "poplarpitch/replica/node_phase.h"
@@ -16,6 +17,11 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
+
+namespace poplarpitch::wire {
+class raft_message;
+} // namespace poplarpitch::wire
 
 namespace poplarpitch::job_wire {
 class cluster_frame;
@@ -56,11 +62,12 @@
 /// A control instance's part in the replicated log, on an event loop: raft node, storage, peers, founding and
 /// membership.
 ///
-/// Each turn takes all that arrived, steps the log, syncs once, then sends and applies. The thread waits for
-/// the disk: nothing may be said before the sync anyway, and an instance whose disk stalls falls silent, so
-/// that another takes over. A failed write or sync ends the process: the state of the disk is not known any
-/// more, and an answer that was not given can be asked for again. Thread safety: the loop's thread, for all
-/// methods.
+/// Each turn takes all that arrived, steps the log, syncs once, then sends and applies. A thread of its own
+/// waits for the disk, so that the loop serves workers and callers meanwhile; the log itself stands still:
+/// what arrives for it is kept until the sync has ended, as if the sync had taken no time. So nothing is said
+/// before it is on disk, and an instance whose disk stalls falls silent, so that another takes over. A failed
+/// write or sync ends the process: the state of the disk is not known any more, and an answer that was not
+/// given can be asked for again. Thread safety: the loop's thread, for all methods.
 class replica {
 public:
     /// Precondition: `loop` outlives the replica.
@@ -104,7 +111,13 @@
     [[nodiscard]] job_wire::cluster_status make_status() const;
     void accept(const std::shared_ptr<frame_socket>& socket);
     void take_turn();
-    void carry_out(raft_output output);
+    void save_output();
+    void finish_output();
+    void send(const raft_message& message);
+    void take_message(const wire::raft_message& message);
+    /// Calls `work` now, or once the sync under way has ended.
+    void when_saved(std::function<void()> work);
+    void run_held();
     void apply(const log_entry& entry);
     void watch_role();
     void fail_pending();
@@ -114,6 +127,8 @@
     [[nodiscard]] bool is_told_leader_fresh() const;
     [[noreturn]] void end_process(const std::error_code& error);
     [[nodiscard]] std::vector<std::uint32_t> get_other_seeds() const;
+    void propose_now(std::string payload, std::function<void(proposal_fate)> on_fate);
+    void read_now(std::function<void(bool)> on_ready);
 
     event_loop& m_loop;
     replica_settings m_settings;
@@ -125,6 +140,10 @@
     std::unique_ptr<raft_storage<posix_file_system>> m_storage;
     stored_state m_stored;
     std::unique_ptr<raft_node> m_node;
+    raft_output m_output; ///< being carried out; belongs to the disk's thread while `m_disk` runs
+    result<void> m_saved = boost::outcome_v2::success(); ///< what became of the last sync; as above
+    std::vector<std::function<void()>> m_held;           ///< for the log, while `m_disk` runs
+    std::size_t m_held_messages = 0;                     ///< of other nodes, among them
     hard_state m_hard_state;
     raft_membership m_applied_members;
     log_index m_applied = 0;
@@ -146,6 +165,7 @@
     time_point m_next_member_check{};
     std::uint64_t m_tick = 0; ///< timer
     time_point m_tick_at{};
+    background_task m_disk; ///< last: its work ends before what it touches goes
 };
 
 } // namespace poplarpitch
--- a/unit_tests/consensus/raft_harness.cpp
+++ b/unit_tests/consensus/raft_harness.cpp
@@ -1,5 +1,6 @@
 #include "unit_tests/support/raft_harness.h"
 
+#include "poplarpitch/consensus/early_messages.h"
 #include "poplarpitch/core/hash.h"
 
 #include <algorithm>
@@ -49,10 +50,15 @@
 
 void raft_harness::crash(node_id id) {
     auto& self = m_slots[id];
-    // What the node has decided but not written is lost with it; what was written may also be all that it
-    // did.
-    if (self.node != nullptr && pick(2) == 0) {
-        persist(self.stored, self.node->take_output());
+    // What the node has decided but not written is lost with it, though some of it may have been sent; or
+    // what was written is all that it did.
+    if (self.node != nullptr) {
+        const auto output = self.node->take_output();
+        if (pick(2) == 0) {
+            persist(self.stored, output);
+        } else {
+            send_early(output);
+        }
     }
     self.node = nullptr;
     self.is_frozen = false;
@@ -76,6 +82,14 @@
     }
 }
 
+void raft_harness::send_early(const raft_output& output) {
+    for (const auto& message : output.messages) {
+        if (m_settings.sends_all_early || may_send_before_sync(output, message)) {
+            m_messages.push_back(message);
+        }
+    }
+}
+
 void raft_harness::carry_out(node_id id) {
     auto& self = m_slots[id];
     const auto output = self.node->take_output();
--- a/unit_tests/consensus/raft_safety_test.cpp
+++ b/unit_tests/consensus/raft_safety_test.cpp
@@ -91,5 +91,11 @@
     EXPECT_GT(find_violation(settings), 0);
 }
 
+TEST(raft_mutation, anything_sent_before_it_is_on_disk_is_found) {
+    harness_settings settings;
+    settings.sends_all_early = true;
+    EXPECT_GT(find_violation(settings), 0);
+}
+
 } // namespace
 } // namespace poplarpitch
--- a/unit_tests/support/raft_harness.h
+++ b/unit_tests/support/raft_harness.h
@@ -16,8 +16,9 @@
     int nodes = 3;  ///< founding voters
     int spares = 2; ///< further nodes, to be added
     int steps = 3000;
-    bool has_membership = true; ///< members are added, promoted and removed
-    bool has_drift = true;      ///< clocks run up to 5% fast or slow
+    bool has_membership = true;   ///< members are added, promoted and removed
+    bool has_drift = true;        ///< clocks run up to 5% fast or slow
+    bool sends_all_early = false; ///< breaks on purpose what may be sent before it is on disk
     raft_rules rules;
 };
 
@@ -60,6 +61,8 @@
     void crash(node_id id);
     void carry_out(node_id id);
     void persist(disk& stored, const raft_output& output);
+    /// Sends what may leave a node before its disk was written.
+    void send_early(const raft_output& output);
     void check_committed(slot& self, const log_entry& entry);
     void check_leaders();
     void change_members(node_id leader);
