Look at all workers once for each image in a pass over waiting tasks, and compare images by number

Each new smallest size of an image looked at all workers, and each look compared names of images through a map of pairs of strings.

--- a/performance_test/dispatch_benchmark.cpp
+++ b/performance_test/dispatch_benchmark.cpp
@@ -18,7 +18,9 @@
 /// A leader with workers that all serve, and jobs of filling tasks that wait.
 class filled_leader {
 public:
-    filled_leader(int workers, int waiting_tasks) : m_dispatch({}, m_book) {
+    /// `unevenness` is how far the sizes of filling tasks lie apart, millicores.
+    filled_leader(int workers, int waiting_tasks, std::int64_t unevenness = 0)
+        : m_unevenness(unevenness), m_dispatch({}, m_book) {
         m_dispatch.lead(1, m_now, m_wall_ms);
         for (int number = 0; number < workers; ++number) {
             add_worker(number);
@@ -75,7 +77,8 @@
         job.queue.stretch = 2;
         step_spec step;
         step.count = tasks_each;
-        step.millicores = is_serving ? 13'000 : 7'000;
+        const auto uneven = m_unevenness == 0 ? 0 : (id * 7'919) % m_unevenness; // a prime: all sizes come
+        step.millicores = is_serving ? 13'000 : 7'000 + uneven - m_unevenness / 2;
         step.memory_mb = is_serving ? 26'000 : 13'000;
         step.long_running = is_serving;
         step.target_ms = is_serving ? 50 : 0;
@@ -96,6 +99,7 @@
         }
     }
 
+    std::int64_t m_unevenness;
     time_point m_now{seconds{1000}};
     std::int64_t m_wall_ms = 1'700'000'000'000;
     job_book m_book;
@@ -110,6 +114,16 @@
         leader.pass();
     }
 }
+/// The same where hardly two jobs ask for the same amount, as callers do.
+void run_uneven_pass(benchmark::State& state) {
+    constexpr std::int64_t unevenness = 6'000; // millicores
+    filled_leader leader(static_cast<int>(state.range(0)), 10'000, unevenness);
+    leader.settle();
+    for (auto _ : state) {
+        leader.pass();
+    }
+}
+BENCHMARK(run_uneven_pass)->Arg(66)->Arg(490)->Arg(640)->Unit(benchmark::kMicrosecond);
 BENCHMARK(run_pass)->Arg(66)->Arg(490)->Arg(640)->Unit(benchmark::kMicrosecond);
 
 /// Submission to placement of 10,000 tasks, from an empty queue.
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -130,7 +130,11 @@
         return;
     }
     auto& ready = m_ready[key.step];
-    ready.job = record->job;
+    if (ready.job == nullptr) {
+        ready.job = record->job;
+        ready.objective_ms = to_milliseconds(record->job->get_objective());
+        ready.rest_ms = record->job->estimate_rest_ms(key.step.step);
+    }
     ready.since = ready.waiting.empty() ? now : ready.since;
     ready.waiting.insert(key.index);
     m_must_place = true;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
 #include "poplarpitch/dispatch/pressure_model.h"
+#include "poplarpitch/dispatch/refused_shapes.h"
 #include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/step_advice.h"
 #include "poplarpitch/dispatch/worker_state.h"
@@ -105,7 +106,20 @@
     struct ready_step {
         std::shared_ptr<const step_job> job;
         std::set<std::uint32_t> waiting;
-        time_point since{}; ///< when the first of them began to wait
+        time_point since{};            ///< when the first of them began to wait
+        std::int64_t objective_ms = 0; ///< of the job
+        std::int64_t rest_ms = 0;      ///< estimate of this step and what follows it
+    };
+    /// What one pass over the waiting tasks has found out so far.
+    struct placing_pass {
+        time_point now{};
+        std::map<std::string, std::vector<worker_state*>> usable; ///< workers by pool
+        refused_shapes refused;
+    };
+    /// Where a task goes, or how large one of its kind could be at most.
+    struct chosen_worker {
+        worker_state* worker = nullptr;
+        std::int64_t most_room = 0; ///< millicores; only where no worker was found
     };
 
     // jobs
@@ -173,18 +187,21 @@
     [[nodiscard]] bool is_unsound(const worker_state& worker) const;
     void leave_unsound(worker_state& worker, time_point now);
     void plan_paces(worker_state& worker, time_point now);
-    void slow_fills_for(const worker_state& worker, const run_track& serving, std::vector<run_track*>& fills);
+    void slow_fills_for(const worker_state& worker, const run_track& serving,
+                        const std::vector<run_track*>& fills);
     void order_pace(worker_state& worker, run_track& fill, time_point now);
 
     // placing
     void place(time_point now);
     [[nodiscard]] std::vector<std::pair<std::int64_t, step_key>> rank_ready(time_point now) const;
-    bool place_task(const ready_step& ready, const task_key& key, time_point now);
-    bool place_gang(const ready_step& ready, const step_key& key, time_point now);
+    [[nodiscard]] placing_pass begin_pass(time_point now);
+    /// Places tasks of a step one by one until one finds no room.
+    void place_tasks(placing_pass& pass, ready_step& ready, const step_key& key);
+    void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
     void measure_short_demand(time_point now);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
-    worker_state* choose(const ready_step& ready, const task_key& key, const std::string& rack,
-                         time_point now);
+    chosen_worker choose(const placing_pass& pass, const ready_step& ready, const task_key& key,
+                         const std::string& rack);
     void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
     void propose_assignment(const run_key& key, const std::string& worker);
 
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -2,7 +2,6 @@
 #include "poplarpitch/dispatch/dispatcher.h"
 
 #include "poplarpitch/dispatch/placement.h"
-#include "poplarpitch/dispatch/refused_shapes.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
@@ -58,13 +57,11 @@
                 queue.priority * priority_weight + (is_urgent ? -lasting_lead : lasting_slack), key);
             continue;
         }
-        const auto allowed = to_milliseconds(ready.job->get_objective());
         const auto due = job->second.due.find(key.occurrence);
         const auto since = due == job->second.due.end() ? job->second.accepted : due->second;
         const auto age = to_milliseconds(now - since);
         ranked.emplace_back(
-            queue.priority * priority_weight +
-                rank_by_time(allowed, age, ready.job->estimate_rest_ms(key.step)) -
+            queue.priority * priority_weight + rank_by_time(ready.objective_ms, age, ready.rest_ms) -
                 (job->second.has_started ? started_lead : 0) -
                 (m_failed_on.contains(task_key{key, *ready.waiting.begin()}) ? retry_lead : 0),
             key);
@@ -81,29 +78,15 @@
     m_must_place = false;
     m_last_place = now;
     measure_short_demand(now);
-    refused_shapes refused;
+    auto pass = begin_pass(now);
     const auto ranked = rank_ready(now);
     for (const auto& [rank, key] : ranked) {
         const auto found = m_ready.find(key);
         auto& ready = found->second;
-        const auto& spec = ready.job->steps[key.step];
-        const bool is_plain = refused_shapes::is_plain(spec) && !ready.job->queue.advice.has_value();
-        if (is_plain && refused.covers(ready.job->queue.pool, spec)) {
-            continue;
-        }
-        if (spec.gang) {
-            place_gang(ready, key, now);
+        if (ready.job->steps[key.step].gang) {
+            place_gang(pass, ready, key);
         } else {
-            const auto waiting = ready.waiting;
-            for (const auto index : waiting) {
-                if (!place_task(ready, {key, index}, now)) {
-                    if (is_plain && !m_failed_on.contains({key, index})) {
-                        refused.add(ready.job->queue.pool, spec);
-                    }
-                    break; // the others are alike
-                }
-                ready.waiting.erase(index);
-            }
+            place_tasks(pass, ready, key);
         }
         if (ready.waiting.empty()) {
             m_ready.erase(found);
@@ -112,6 +95,38 @@
     ask_advice(ranked, now);
 }
 
+dispatcher::placing_pass dispatcher::begin_pass(time_point now) {
+    placing_pass pass;
+    pass.now = now;
+    for (auto& [id, worker] : m_workers) {
+        if (is_usable(worker, now)) {
+            pass.usable[worker.report.pool].push_back(&worker);
+        }
+    }
+    return pass;
+}
+
+void dispatcher::place_tasks(placing_pass& pass, ready_step& ready, const step_key& key) {
+    const auto& spec = ready.job->steps[key.step];
+    const auto& pool = ready.job->queue.pool;
+    const bool is_plain = refused_shapes::is_plain(spec) && !ready.job->queue.advice.has_value();
+    if (is_plain && pass.refused.covers(pool, spec)) {
+        return;
+    }
+    while (!ready.waiting.empty()) {
+        const task_key task{key, *ready.waiting.begin()};
+        const auto chosen = choose(pass, ready, task, {});
+        if (chosen.worker == nullptr) {
+            if (is_plain && !m_failed_on.contains(task)) {
+                pass.refused.add(pool, spec, chosen.most_room);
+            }
+            return; // the others are alike
+        }
+        claim(ready, task, *chosen.worker, pass.now);
+        ready.waiting.erase(task.index);
+    }
+}
+
 /// Short tasks need whole cores at once, serving tasks leave a few on each worker: what is left over is too
 /// thin to be of use. Load pattern: serving tasks that last reserve nine tenths of a pool before the first
 /// short task comes.
@@ -144,53 +159,48 @@
     return static_cast<double>(m_open_cores - worker.report.capacity.millicores) >= kept_free;
 }
 
-bool dispatcher::place_task(const ready_step& ready, const task_key& key, time_point now) {
-    auto* worker = choose(ready, key, {}, now);
-    if (worker == nullptr) {
-        return false;
-    }
-    claim(ready, key, *worker, now);
-    return true;
-}
-
-worker_state* dispatcher::choose(const ready_step& ready, const task_key& key, const std::string& rack,
-                                 time_point now) {
+dispatcher::chosen_worker dispatcher::choose(const placing_pass& pass, const ready_step& ready,
+                                             const task_key& key, const std::string& rack) {
     const auto failed = m_failed_on.find(key);
     placement_request request;
     request.spec = &ready.job->steps[key.step.step];
     request.step = key.step;
-    request.pressure = &m_pressure;
+    const auto factors =
+        request.spec->fills ? m_pressure.get_careful_factors(request.spec->image) : std::vector<double>{};
+    request.factors = &factors;
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
     request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
                               failed->second.size() + 1 >= ready.job->queue.max_attempts;
     request.rack = rack;
     const bool needs_ticket = ready.job->queue.advice.has_value();
-    worker_state* best = nullptr;
+    const bool is_patient = request.spec->is_serving() && pass.now - ready.since < serving_patience;
+    chosen_worker best;
     double best_cost = 0;
-    for (auto& [id, worker] : m_workers) {
-        if (worker.report.pool != ready.job->queue.pool || !is_usable(worker, now)) {
-            continue;
-        }
-        const bool is_patient = request.spec->is_serving() && now - ready.since < serving_patience;
-        if (is_patient && worker.servings == 0 && !may_open(worker)) {
+    const auto usable = pass.usable.find(ready.job->queue.pool);
+    if (usable == pass.usable.end()) {
+        return best;
+    }
+    for (auto* worker : usable->second) {
+        if (is_patient && worker->servings == 0 && !may_open(*worker)) {
             continue;
         }
-        if (needs_ticket && find_ticket(key.step, id, now).empty()) {
+        if (needs_ticket && find_ticket(key.step, worker->report.id, pass.now).empty()) {
             continue;
         }
-        const auto cost = get_placement_cost(worker, request);
-        if (cost.has_value() && (best == nullptr || *cost < best_cost)) {
-            best = &worker;
+        best.most_room = std::max(best.most_room, get_room(*worker, request));
+        const auto cost = get_placement_cost(*worker, request);
+        if (cost.has_value() && (best.worker == nullptr || *cost < best_cost)) {
+            best.worker = worker;
             best_cost = *cost;
         }
     }
     return best;
 }
 
-bool dispatcher::place_gang(const ready_step& ready, const step_key& key, time_point now) {
+void dispatcher::place_gang(placing_pass& pass, ready_step& ready, const step_key& key) {
     const auto& spec = ready.job->steps[key.step];
     if (ready.waiting.size() != spec.count) {
-        return false; // some of the last run have not ended
+        return; // some of the last run have not ended
     }
     std::vector<std::string> racks = {{}};
     if (spec.same_rack) {
@@ -210,26 +220,26 @@
     for (const auto& rack : racks) {
         std::vector<std::pair<run_key, std::string>> placed;
         for (std::uint32_t index = 0; index < spec.count; ++index) {
-            auto* worker = choose(ready, {key, index}, rack, now);
-            if (worker == nullptr) {
+            const auto chosen = choose(pass, ready, {key, index}, rack);
+            if (chosen.worker == nullptr) {
                 break;
             }
             const run_key member{{key, index}, run};
-            add_track(member, ready.job, worker->report.id, run_stage::committing, now);
-            placed.emplace_back(member, worker->report.id);
+            const auto& worker = chosen.worker->report.id;
+            add_track(member, ready.job, worker, run_stage::committing, pass.now);
+            placed.emplace_back(member, worker);
         }
         if (placed.size() == spec.count) {
             for (const auto& [member, worker] : placed) {
                 propose_assignment(member, worker);
             }
-            m_ready[key].waiting.clear();
-            return true;
+            ready.waiting.clear();
+            return;
         }
         for (const auto& [member, worker] : placed) {
             drop_track(member);
         }
     }
-    return false;
 }
 
 void dispatcher::claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now) {
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -50,7 +50,7 @@
             return item.job == key.task.step.job;
         });
         if (group == groups.end()) {
-            groups.push_back({spec.image, key.task.step.job, room, 0});
+            groups.push_back({spec.image, m_pressure.get_number(spec.image), key.task.step.job, room, 0});
         } else {
             group->room = std::min(group->room, room);
         }
@@ -181,27 +181,35 @@
 }
 
 void dispatcher::slow_fills_for(const worker_state& worker, const run_track& serving,
-                                std::vector<run_track*>& fills) {
+                                const std::vector<run_track*>& fills) {
     const auto& spec = serving.get_spec();
     const auto target = static_cast<double>(spec.target_ms);
-    const auto get_press = [&](const run_track& fill) {
-        return m_pressure.get_factor(spec.image, fill.get_spec().image) *
-               worker.get_share(fill.get_spec().millicores);
+    struct pressing {
+        run_track* fill;
+        double press; ///< at full speed
     };
-    double excess = -m_pressure.get_room(spec.image, target, pacing_share, serving.calm.load);
+    std::vector<pressing> pressed;
+    pressed.reserve(fills.size());
     double total = 0;
-    for (const auto* fill : fills) {
-        total += get_press(*fill) * fill->planned_pace / 100;
+    for (auto* fill : fills) {
+        const auto& filling = fill->get_spec();
+        const double press =
+            m_pressure.get_factor(spec.image, filling.image) * worker.get_share(filling.millicores);
+        pressed.push_back({fill, press});
+        total += press * fill->planned_pace / 100;
     }
+    double excess = -m_pressure.get_room(spec.image, target, pacing_share, serving.calm.load);
     excess += total;
     if (static_cast<double>(serving.level) > target) {
         excess = std::max(excess, total * over_cut); // whatever is expected, it is too much
     }
-    std::sort(fills.begin(), fills.end(), [&](const run_track* left, const run_track* right) {
-        return get_press(*left) > get_press(*right);
-    });
-    for (auto* fill : fills) {
-        const double press = get_press(*fill) * fill->planned_pace / 100;
+    if (excess <= 0) {
+        return;
+    }
+    std::sort(pressed.begin(), pressed.end(),
+              [](const pressing& left, const pressing& right) { return left.press > right.press; });
+    for (const auto& [fill, full_press] : pressed) {
+        const double press = full_press * fill->planned_pace / 100;
         if (excess <= 0 || press <= 0) {
             return;
         }
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -1,6 +1,5 @@
 #include "poplarpitch/dispatch/placement.h"
 
-#include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/worker_state.h"
 
 #include <algorithm>
@@ -18,6 +17,7 @@
 constexpr double untouched = 1.0;       // the first serving task of a worker
 constexpr double other_image = 1.5;     // each other job of another image that serves on the worker
 constexpr double other_job = 0.3;       // each other job that serves on the worker
+constexpr std::int64_t no_room = -1;    // millicores: not even for a task that asks for none
 constexpr double between = 0.5;         // a task of neither kind on a worker that fills
 
 double get_fill_cost(const worker_state& worker) {
@@ -25,17 +25,14 @@
 }
 
 /// Returns how near a filling task would bring the worker's serving tasks to their limit: 1 is there.
-std::optional<double> get_press_cost(const worker_state& worker, const placement_request& request) {
+double get_press_cost(const worker_state& worker, const placement_request& request) {
     if (worker.pressure.groups.empty()) {
         return no_servings;
     }
     const auto share = worker.get_share(request.spec->millicores);
     double highest = 0;
     for (const auto& group : worker.pressure.groups) {
-        const auto press = request.pressure->get_careful_factor(group.image, request.spec->image) * share;
-        if (group.press + press > group.room) {
-            return std::nullopt;
-        }
+        const auto press = (*request.factors)[group.number] * share;
         highest = std::max(highest, (group.press + press) / group.room);
     }
     return highest;
@@ -69,6 +66,25 @@
            worker.hold_failures == 0 && worker.clock_ms != 0 && !worker.trust.is_set_aside(now);
 }
 
+std::int64_t get_room(const worker_state& worker, const placement_request& request) {
+    if (!request.spec->fills) {
+        return worker.get_free().millicores;
+    }
+    auto room = static_cast<double>(worker.get_leftover());
+    const auto capacity = static_cast<double>(worker.report.capacity.millicores);
+    for (const auto& group : worker.pressure.groups) {
+        const auto factor = (*request.factors)[group.number];
+        const auto spare = group.room - group.press;
+        if (spare <= 0) {
+            return no_room;
+        }
+        if (factor > 0) {
+            room = std::min(room, spare / factor * capacity);
+        }
+    }
+    return static_cast<std::int64_t>(room);
+}
+
 std::optional<double> get_placement_cost(const worker_state& worker, const placement_request& request) {
     const auto& spec = *request.spec;
     if (!spec.required_label.empty() && !worker.report.has_label(spec.required_label)) {
@@ -91,14 +107,10 @@
     }
     double cost = 0;
     if (spec.fills) {
-        if (worker.get_leftover() < spec.millicores) {
-            return std::nullopt;
-        }
-        const auto press = get_press_cost(worker, request);
-        if (!press.has_value()) {
+        if (get_room(worker, request) < spec.millicores) {
             return std::nullopt;
         }
-        cost += *press + fullness_weight * get_fill_cost(worker);
+        cost += get_press_cost(worker, request) + fullness_weight * get_fill_cost(worker);
     } else if (spec.is_serving()) {
         cost += get_pack_cost(worker) + get_strangeness(worker, request) + (worker.fills > 0 ? apart : 0) +
                 (worker.servings > 0 ? 0 : untouched);
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -12,14 +12,14 @@
 
 namespace poplarpitch {
 
-class pressure_model;
 struct worker_state;
 
 /// What a placement is asked for.
 struct placement_request {
     const step_spec* spec = nullptr;
     step_key step;
-    const pressure_model* pressure = nullptr;          ///< for tasks that fill
+    const std::vector<double>* factors =
+        nullptr; ///< for tasks that fill: of its image beside each serving one
     const std::vector<std::string>* avoided = nullptr; ///< workers on which the task failed; null for none
     bool is_last_attempt = false;                      ///< a worker whose last run failed is no choice
     std::string rack;                                  ///< only this rack; empty for any
@@ -34,6 +34,11 @@
 /// Returns true when the worker may be given work at all. Thread safety: any thread while nobody changes it.
 [[nodiscard]] bool is_usable(const worker_state& worker, time_point now);
 
+/// Returns the most processor time, millicores, that a task of the request's kind may ask for on a worker;
+/// less than 0 where none may go there. For a task that fills it is bounded by what serving tasks bear beside
+/// them. Thread safety: as above.
+[[nodiscard]] std::int64_t get_room(const worker_state& worker, const placement_request& request);
+
 /// Returns the cost of placing a task on a worker, lower is better, or nothing when it must not go there.
 ///
 /// Tasks whose answers are watched reserve most of a deployment and use less than half of it: tasks that fill
--- a/poplarpitch/dispatch/pressure_model.cpp
+++ b/poplarpitch/dispatch/pressure_model.cpp
@@ -72,6 +72,18 @@
     return known.mean + caution * std::sqrt(known.variance);
 }
 
+image_number pressure_model::get_number(const std::string& image) {
+    return m_numbers.try_emplace(image, static_cast<image_number>(m_numbers.size())).first->second;
+}
+
+std::vector<double> pressure_model::get_careful_factors(const std::string& filling) const {
+    std::vector<double> factors(m_numbers.size());
+    for (const auto& [serving, number] : m_numbers) {
+        factors[number] = get_careful_factor(serving, filling);
+    }
+    return factors;
+}
+
 void pressure_model::observe(const std::string& image, double tail_ms, double target_ms,
                              const std::vector<image_share>& others, double seconds_since_last,
                              serving_calm& calm) {
--- a/poplarpitch/dispatch/pressure_model.h
+++ b/poplarpitch/dispatch/pressure_model.h
@@ -27,6 +27,9 @@
 /// Time over which the trend of an own load is taken, seconds: short against its swing of 14 to 20 s.
 inline constexpr double trend_smoothing = 1.0;
 
+/// Number of an image within one pressure model, so that decisions over all workers compare no names.
+using image_number = std::uint32_t;
+
 /// Processor time that tasks of one image take of a worker, as a share of it.
 struct image_share {
     std::string image;
@@ -61,6 +64,10 @@
                                   double load) const;
     /// Returns the expected factor of a pair.
     [[nodiscard]] double get_factor(const std::string& serving, const std::string& filling) const;
+    /// Returns the number of an image; a new one where it has none yet.
+    image_number get_number(const std::string& image);
+    /// Returns the careful factors of a filling image beside every serving image, by the number of that one.
+    [[nodiscard]] std::vector<double> get_careful_factors(const std::string& filling) const;
     /// Returns the factor of a pair with an allowance for what is not known of it.
     [[nodiscard]] double get_careful_factor(const std::string& serving, const std::string& filling) const;
     /// Returns the share of its pressure that a filling task exerts at present: it has light and heavy phases
@@ -78,6 +85,7 @@
 
     absl::flat_hash_map<pair_key, factor> m_factors;         ///< serving image, filling image
     absl::flat_hash_map<std::string, double> m_lowest_tails; ///< ms, by serving image
+    absl::flat_hash_map<std::string, image_number> m_numbers;
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/refused_shapes.h
+++ b/poplarpitch/dispatch/refused_shapes.h
@@ -11,15 +11,18 @@
 /// What found no room in the present pass: a task at least as large of the same kind finds none either.
 ///
 /// Load pattern: in a burst hundreds of steps wait, of a few images, and each look at all workers finds
-/// nothing. With this a pass over 500 waiting steps costs as much as over the few that are the smallest of
-/// their image so far. Thread safety: none, as for all methods.
+/// nothing. With this a pass over 500 waiting steps looks at all workers about once for each image, since a
+/// look also tells how large a task of the image may be at most. Thread safety: none, as for all methods.
 class refused_shapes {
 public:
-    /// Notes that a task of `spec` in `pool` found no room. Precondition: nothing but its size and image kept
-    /// it out.
-    void add(const std::string& pool, const step_spec& spec) {
+    /// Notes that a task of `spec` in `pool` found no room, and that one of its kind may ask for `most_room`
+    /// millicores at most. Precondition: nothing but its size and image kept it out.
+    void add(const std::string& pool, const step_spec& spec, std::int64_t most_room) {
         m_shapes.push_back(
             {pool, spec.image, spec.fills, spec.millicores, spec.memory_mb, spec.accelerators});
+        if (most_room < spec.millicores) {
+            m_shapes.push_back({pool, spec.image, spec.fills, most_room + 1, 0, 0});
+        }
     }
 
     /// Returns true when a task of `spec` in `pool` cannot find room either.
