--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/consensus/node_id.h"
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
+#include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/refused_shapes.h"
 #include "poplarpitch/dispatch/run_track.h"
@@ -20,6 +21,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -116,10 +118,15 @@
         std::map<std::string, std::vector<worker_state*>> usable; ///< workers by pool
         refused_shapes refused;
     };
-    /// Where a task goes, or how large one of its kind could be at most.
-    struct chosen_worker {
+    /// A worker that holds a task; the first of those with the least cost is the best.
+    struct candidate {
+        double cost = 0;
+        std::size_t place = 0; ///< in the order of workers
         worker_state* worker = nullptr;
-        std::int64_t most_room = 0; ///< millicores; only where no worker was found
+
+        friend auto operator<=>(const candidate& left, const candidate& right) {
+            return std::tie(left.cost, left.place) <=> std::tie(right.cost, right.place);
+        }
     };
 
     // jobs
@@ -197,10 +204,12 @@
     [[nodiscard]] placing_pass begin_pass(time_point now);
     /// Places tasks of a step one by one until one finds no room.
     void place_tasks(placing_pass& pass, ready_step& ready, const step_key& key);
+    void place_alike(placing_pass& pass, ready_step& ready, const step_key& key);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
     void measure_short_demand(time_point now);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
-    chosen_worker choose(const placing_pass& pass, const ready_step& ready, const task_key& key,
+    [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key) const;
+    worker_state* choose(const placing_pass& pass, const ready_step& ready, const task_key& key,
                          const std::string& rack);
     void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
     void propose_assignment(const run_key& key, const std::string& worker);
--- a/poplarpitch/dispatch/dispatcher_advice.cpp
+++ b/poplarpitch/dispatch/dispatcher_advice.cpp
@@ -56,8 +56,7 @@
     placement_request request;
     request.spec = &ready.job->steps[key.step];
     request.step = key;
-    const auto factors = m_pressure.get_careful_factors(request.spec->image);
-    request.factors = &factors;
+    request.factors = m_pressure.get_careful_factors(request.spec->image);
     std::vector<std::pair<double, std::string>> found;
     for (const auto& [id, worker] : m_workers) {
         const bool is_open = worker.report.pool == ready.job->queue.pool && is_usable(worker, now) &&
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <queue>
 
 namespace poplarpitch {
 namespace {
@@ -108,25 +110,63 @@
 
 void dispatcher::place_tasks(placing_pass& pass, ready_step& ready, const step_key& key) {
     const auto& spec = ready.job->steps[key.step];
-    const auto& pool = ready.job->queue.pool;
     const bool is_plain = refused_shapes::is_plain(spec) && !ready.job->queue.advice.has_value();
-    if (is_plain && pass.refused.covers(pool, spec)) {
+    if (is_plain && pass.refused.covers(ready.job->queue.pool, spec)) {
+        return;
+    }
+    const auto failed = m_failed_on.lower_bound(task_key{key, 0});
+    const bool are_alike = is_plain && (failed == m_failed_on.end() || failed->first.step != key);
+    if (are_alike) {
+        place_alike(pass, ready, key);
         return;
     }
     while (!ready.waiting.empty()) {
         const task_key task{key, *ready.waiting.begin()};
-        const auto chosen = choose(pass, ready, task, {});
-        if (chosen.worker == nullptr) {
-            if (is_plain && !m_failed_on.contains(task)) {
-                pass.refused.add(pool, spec, chosen.most_room);
-            }
-            return; // the others are alike
+        auto* worker = choose(pass, ready, task, {});
+        if (worker == nullptr) {
+            return; // the others wait behind it
         }
-        claim(ready, task, *chosen.worker, pass.now);
+        claim(ready, task, *worker, pass.now);
         ready.waiting.erase(task.index);
     }
 }
 
+/// Tasks between which nothing but their number differs are placed by one look at all workers: what a task
+/// takes changes the cost of its own worker alone. Load pattern: jobs of 20 to 30 tasks a step, 1,400 starts
+/// a second on 490 workers; a look for each task took a quarter of the leader's time.
+void dispatcher::place_alike(placing_pass& pass, ready_step& ready, const step_key& key) {
+    const auto& pool = ready.job->queue.pool;
+    const auto request = make_request(ready, {key, *ready.waiting.begin()});
+    std::int64_t most_room = 0;
+    std::priority_queue<candidate, std::vector<candidate>, std::greater<>> candidates;
+    std::size_t place = 0;
+    for (auto* worker : pass.usable[pool]) {
+        ++place;
+        const auto room = get_room(*worker, request);
+        most_room = std::max(most_room, room);
+        if (room < request.spec->millicores) {
+            continue;
+        }
+        if (const auto cost = get_placement_cost(*worker, request); cost.has_value()) {
+            candidates.push({*cost, place, worker});
+        }
+    }
+    while (!ready.waiting.empty() && !candidates.empty()) {
+        auto best = candidates.top();
+        candidates.pop();
+        const task_key task{key, *ready.waiting.begin()};
+        claim(ready, task, *best.worker, pass.now);
+        ready.waiting.erase(task.index);
+        if (const auto cost = get_placement_cost(*best.worker, request); cost.has_value()) {
+            best.cost = *cost;
+            candidates.push(best);
+        }
+    }
+    if (!ready.waiting.empty()) {
+        pass.refused.add(pool, *request.spec, most_room);
+    }
+}
+
 /// Short tasks need whole cores at once, serving tasks leave a few on each worker: what is left over is too
 /// thin to be of use. Load pattern: serving tasks that last reserve nine tenths of a pool before the first
 /// short task comes.
@@ -159,22 +199,27 @@
     return static_cast<double>(m_open_cores - worker.report.capacity.millicores) >= kept_free;
 }
 
-dispatcher::chosen_worker dispatcher::choose(const placing_pass& pass, const ready_step& ready,
-                                             const task_key& key, const std::string& rack) {
+placement_request dispatcher::make_request(const ready_step& ready, const task_key& key) const {
     const auto failed = m_failed_on.find(key);
     placement_request request;
     request.spec = &ready.job->steps[key.step.step];
     request.step = key.step;
-    const auto factors =
-        request.spec->fills ? m_pressure.get_careful_factors(request.spec->image) : std::vector<double>{};
-    request.factors = &factors;
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
     request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
                               failed->second.size() + 1 >= ready.job->queue.max_attempts;
+    if (request.spec->fills) {
+        request.factors = m_pressure.get_careful_factors(request.spec->image);
+    }
+    return request;
+}
+
+worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready, const task_key& key,
+                                 const std::string& rack) {
+    auto request = make_request(ready, key);
     request.rack = rack;
     const bool needs_ticket = ready.job->queue.advice.has_value();
     const bool is_patient = request.spec->is_serving() && pass.now - ready.since < serving_patience;
-    chosen_worker best;
+    worker_state* best = nullptr;
     double best_cost = 0;
     const auto usable = pass.usable.find(ready.job->queue.pool);
     if (usable == pass.usable.end()) {
@@ -187,10 +232,9 @@
         if (needs_ticket && find_ticket(key.step, worker->report.id, pass.now).empty()) {
             continue;
         }
-        best.most_room = std::max(best.most_room, get_room(*worker, request));
         const auto cost = get_placement_cost(*worker, request);
-        if (cost.has_value() && (best.worker == nullptr || *cost < best_cost)) {
-            best.worker = worker;
+        if (cost.has_value() && (best == nullptr || *cost < best_cost)) {
+            best = worker;
             best_cost = *cost;
         }
     }
@@ -220,12 +264,12 @@
     for (const auto& rack : racks) {
         std::vector<std::pair<run_key, std::string>> placed;
         for (std::uint32_t index = 0; index < spec.count; ++index) {
-            const auto chosen = choose(pass, ready, {key, index}, rack);
-            if (chosen.worker == nullptr) {
+            const auto* chosen = choose(pass, ready, {key, index}, rack);
+            if (chosen == nullptr) {
                 break;
             }
             const run_key member{{key, index}, run};
-            const auto& worker = chosen.worker->report.id;
+            const auto& worker = chosen->report.id;
             add_track(member, ready.job, worker, run_stage::committing, pass.now);
             placed.emplace_back(member, worker);
         }
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -18,8 +18,7 @@
 struct placement_request {
     const step_spec* spec = nullptr;
     step_key step;
-    const std::vector<double>* factors =
-        nullptr; ///< for tasks that fill: of its image beside each serving one
+    std::vector<double> factors; ///< for tasks that fill: of its image beside each serving one, by number
     const std::vector<std::string>* avoided = nullptr; ///< workers on which the task failed; null for none
     bool is_last_attempt = false;                      ///< a worker whose last run failed is no choice
     std::string rack;                                  ///< only this rack; empty for any
