--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -225,6 +225,9 @@
     if (auto* worker = find_worker(event.worker); worker != nullptr && event.number > 0) {
         worker->ends_committing -= worker->ends_committing > 0 ? 1 : 0;
         update_acknowledged(*worker);
+        if (worker->ends_committing == 0) {
+            worker->next_hold = std::min(worker->next_hold, now);
+        }
     }
     const bool was_known = find(event.run) != nullptr;
     drop_track(event.run);
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int silent_after = 2; // holds in a row without an answer: no lease is granted any more
+// A list that is asked for before its ends are committed comes back at once with the same ends. Leases run on
+// meanwhile, so they are prolonged all the same where the log stands still.
+constexpr duration commit_patience = milliseconds{500};
 constexpr duration hold_slack = milliseconds{800};  // over the wait that was asked for
 constexpr duration leave_slack = milliseconds{300}; // before a leaving worker's last moment
 
@@ -193,7 +196,8 @@
     if (!was_confirmed) {
         m_must_place = true;
     }
-    worker->next_hold = std::max(worker->next_hold, now + m_settings.hold_pause);
+    const auto pause = worker->ends_committing > 0 ? commit_patience : m_settings.hold_pause;
+    worker->next_hold = std::max(worker->next_hold, now + pause);
 }
 
 void dispatcher::take_rows(worker_state& worker, const hold_answer& answer, time_point now) {
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -3,6 +3,8 @@
 #include "unit_tests/dispatch/dispatch_world.h"
 #include "unit_tests/dispatch/test_steps.h"
 
+#include "poplarpitch/wire/scheduling.pb.h"
+
 #include <gtest/gtest.h>
 
 namespace poplarpitch {
@@ -181,5 +183,58 @@
     EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 1U);
 }
 
+TEST(dispatcher_loss, asks_a_worker_again_only_once_its_ends_are_committed) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step(2)});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    world.answer(starts[0]);
+    world.answer(starts[1]);
+    world.wait_for_hold("w1");
+    static_cast<void>(world.take<hold_order>());
+    hold_answer list;
+    list.running.push_back({starts[1].run, "", 10, 0});
+    list.ended.push_back({1, starts[0].run, run_end::done, ""});
+    world.scheduler.on_hold("w1", {std::nullopt, list}, world.now);
+    const auto commands = world.scheduler.take_commands(); // a commit that takes its time
+    world.advance(milliseconds{100});
+    EXPECT_TRUE(world.take<hold_order>().empty()); // it would come back at once with the same end
+    for (const auto& command : commands) {
+        std::vector<book_event> events;
+        world.book.apply(command, events);
+        for (const auto& event : events) {
+            world.scheduler.on_event(event, world.now, world.wall_ms);
+        }
+    }
+    world.advance(milliseconds{10});
+    const auto holds = world.take<hold_order>();
+    ASSERT_EQ(holds.size(), 1U);
+    EXPECT_EQ(holds[0].acknowledged, 1U);
+    EXPECT_GT(holds[0].wait, duration{0});
+}
+
+TEST(dispatcher_loss, prolongs_leases_also_while_ends_cannot_be_committed) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step(2)});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    world.answer(starts[0]);
+    world.answer(starts[1]);
+    world.wait_for_hold("w1");
+    static_cast<void>(world.take<hold_order>());
+    hold_answer list;
+    list.running.push_back({starts[1].run, "", 10, 0});
+    list.ended.push_back({1, starts[0].run, run_end::done, ""});
+    world.scheduler.on_hold("w1", {std::nullopt, list}, world.now);
+    static_cast<void>(world.scheduler.take_commands());
+    world.advance(seconds{1});
+    const auto holds = world.take<hold_order>();
+    ASSERT_EQ(holds.size(), 1U);
+    EXPECT_TRUE(holds[0].until_ms.has_value());
+    EXPECT_EQ(holds[0].acknowledged, 0U);
+}
+
 } // namespace
 } // namespace poplarpitch
