--- a/unit_tests/platform/dialect_test.cpp
+++ b/unit_tests/platform/dialect_test.cpp
@@ -54,6 +54,10 @@
     EXPECT_FALSE(read_task_name("5c0e7a21d94b36f8.2.1").has_value());
     EXPECT_FALSE(read_task_name("5C0E7A21D94B36F8.2.1.17").has_value());
     EXPECT_FALSE(read_task_name("5c0e7a21d94b36f8.2.x.17").has_value());
+    EXPECT_FALSE(read_task_name("5c0e7a21d94b36f8.2.1.17.3").has_value());
+    EXPECT_FALSE(read_task_name("5c0e7a21d94b36f8.2.1.").has_value());
+    EXPECT_FALSE(read_task_name("5c0e7a21d94b36f8").has_value());
+    EXPECT_FALSE(read_task_name("").has_value());
 }
 
 http_request make_post(const std::string& target, const std::string& body) {
@@ -132,6 +136,42 @@
     EXPECT_FALSE(body.contains("ticket"));
 }
 
+TEST(platform_worker, says_nothing_of_a_list_that_it_cannot_read_in_full) {
+    http_response response;
+    response.status = 200;
+    for (const auto* body :
+         {"", "[]", "{}", R"({"clockMs":1,"running":[],"ended":{}})",
+          R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]]})",
+          R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.17","2","",41]],"ended":[]})",
+          R"({"clockMs":1,"running":[],"ended":[[-1,"5c0e7a21d94b36f8.0.1.17",2,"done",""]]})",
+          R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],"ended":[)"}) {
+        response.body = body;
+        const auto outcome = read_hold_answer(response);
+        EXPECT_EQ(outcome.failure, order_failure::unanswered) << body;
+        EXPECT_TRUE(outcome.answer.running.empty()) << body;
+    }
+}
+
+TEST(platform_worker, reads_figures_that_are_not_whole) {
+    http_response response;
+    response.status = 200;
+    response.body = R"({"clockMs":7.5,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41.5,12.9]],"ended":[]})";
+    const auto outcome = read_hold_answer(response);
+    ASSERT_EQ(outcome.answer.running.size(), 1U);
+    EXPECT_EQ(outcome.answer.clock_ms, 7);
+    EXPECT_EQ(outcome.answer.running[0].percent, 41);
+    EXPECT_EQ(outcome.answer.running[0].level, 12);
+}
+
+TEST(platform_worker, writes_text_so_that_it_can_be_read_again) {
+    step_job job;
+    job.payload = "a \"quoted\" line\nand \\ more";
+    start_order order;
+    order.job = std::make_shared<const step_job>(job);
+    const auto body = nlohmann::json::parse(write_order(order).body);
+    EXPECT_EQ(body.at("spec"), job.payload);
+}
+
 TEST(platform_worker, reads_both_lists_of_a_hold) {
     http_response response;
     response.body = R"({"clockMs":482113,"running":[["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,52]],
