--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -169,7 +169,8 @@
     [[nodiscard]] bool needs_hold(const worker_state& worker) const;
     void take_rows(worker_state& worker, const hold_answer& answer, time_point now);
     void take_end(worker_state& worker, const end_row& row, time_point now);
-    void find_vanished(worker_state& worker, const std::set<run_key>& listed);
+    /// Ends runs that the worker lacks in its list. Precondition: `listed` is sorted.
+    void find_vanished(worker_state& worker, const std::vector<run_key>& listed);
     void stop_stray(worker_state& worker, const run_key& key);
     void grant_lease(worker_state& worker, time_point now);
     /// Returns how long after it was sent a lease may count at its worker, by this clock.
@@ -208,7 +209,7 @@
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
     void measure_short_demand(time_point now);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
-    [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key) const;
+    [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key);
     worker_state* choose(const placing_pass& pass, const ready_step& ready, const task_key& key,
                          const std::string& rack);
     void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
--- a/poplarpitch/dispatch/dispatcher_advice.cpp
+++ b/poplarpitch/dispatch/dispatcher_advice.cpp
@@ -53,10 +53,7 @@
 
 std::vector<std::string> dispatcher::pick_unadvised(const ready_step& ready, const step_key& key,
                                                     time_point now) {
-    placement_request request;
-    request.spec = &ready.job->steps[key.step];
-    request.step = key;
-    request.factors = m_pressure.get_careful_factors(request.spec->image);
+    const auto request = make_request(ready, {key, *ready.waiting.begin()});
     std::vector<std::pair<double, std::string>> found;
     for (const auto& [id, worker] : m_workers) {
         const bool is_open = worker.report.pool == ready.job->queue.pool && is_usable(worker, now) &&
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -199,7 +199,7 @@
     return static_cast<double>(m_open_cores - worker.report.capacity.millicores) >= kept_free;
 }
 
-placement_request dispatcher::make_request(const ready_step& ready, const task_key& key) const {
+placement_request dispatcher::make_request(const ready_step& ready, const task_key& key) {
     const auto failed = m_failed_on.find(key);
     placement_request request;
     request.spec = &ready.job->steps[key.step.step];
@@ -207,8 +207,11 @@
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
     request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
                               failed->second.size() + 1 >= ready.job->queue.max_attempts;
+    if (request.spec->fills || request.spec->is_serving()) {
+        request.image = m_pressure.get_number(request.spec->image);
+    }
     if (request.spec->fills) {
-        request.factors = m_pressure.get_careful_factors(request.spec->image);
+        request.factors = m_pressure.get_careful_factors(request.image);
     }
     return request;
 }
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -42,7 +42,7 @@
         if (!spec.is_serving()) {
             continue;
         }
-        const auto room = m_pressure.get_room(spec.image, static_cast<double>(spec.target_ms), placing_share,
+        const auto room = m_pressure.get_room(track.image, static_cast<double>(spec.target_ms), placing_share,
                                               track.calm.load + placing_ahead * track.calm.trend);
         const auto load = std::min(track.calm.load + load_margin, 1.0);
         worker.serving_unused += static_cast<std::int64_t>(static_cast<double>(spec.millicores) * (1 - load));
@@ -50,17 +50,20 @@
             return item.job == key.task.step.job;
         });
         if (group == groups.end()) {
-            groups.push_back({spec.image, m_pressure.get_number(spec.image), key.task.step.job, room, 0});
+            groups.push_back({track.image, key.task.step.job, room, 0});
         } else {
             group->room = std::min(group->room, room);
         }
     }
     for (const auto& key : worker.runs) {
-        const auto& spec = find(key)->get_spec();
+        const auto& track = *find(key);
+        const auto& spec = track.get_spec();
+        if (!spec.fills) {
+            continue;
+        }
         for (auto& group : groups) {
-            group.press += spec.fills ? m_pressure.get_careful_factor(group.image, spec.image) *
-                                            worker.get_share(spec.millicores)
-                                      : 0;
+            group.press +=
+                m_pressure.get_careful_factor(group.image, track.image) * worker.get_share(spec.millicores);
         }
     }
 }
@@ -85,9 +88,9 @@
                                : unknown_phase;
         const auto share = worker.get_share(spec.millicores) * phase * track.pace / 100;
         auto item = std::find_if(worker.fill_shares.begin(), worker.fill_shares.end(),
-                                 [&](const image_share& other) { return other.image == spec.image; });
+                                 [&](const image_share& other) { return other.image == track.image; });
         if (item == worker.fill_shares.end()) {
-            worker.fill_shares.push_back({spec.image, 0});
+            worker.fill_shares.push_back({track.image, 0});
             item = worker.fill_shares.end() - 1;
         }
         item->share += (1 - kept) * share;
@@ -147,7 +150,7 @@
         const auto since = track.observed_at == time_point{} ? 1.0 : to_seconds(now - track.observed_at);
         track.observed_at = now;
         track.observed_level = track.level;
-        m_pressure.observe(spec.image, static_cast<double>(track.level), static_cast<double>(spec.target_ms),
+        m_pressure.observe(track.image, static_cast<double>(track.level), static_cast<double>(spec.target_ms),
                            worker.fill_shares, since, track.calm);
     }
     plan_paces(worker, now);
@@ -194,11 +197,11 @@
     for (auto* fill : fills) {
         const auto& filling = fill->get_spec();
         const double press =
-            m_pressure.get_factor(spec.image, filling.image) * worker.get_share(filling.millicores);
+            m_pressure.get_factor(serving.image, fill->image) * worker.get_share(filling.millicores);
         pressed.push_back({fill, press});
         total += press * fill->planned_pace / 100;
     }
-    double excess = -m_pressure.get_room(spec.image, target, pacing_share, serving.calm.load);
+    double excess = -m_pressure.get_room(serving.image, target, pacing_share, serving.calm.load);
     excess += total;
     if (static_cast<double>(serving.level) > target) {
         excess = std::max(excess, total * over_cut); // whatever is expected, it is too much
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -20,6 +20,7 @@
     auto& state = get_worker(worker);
     add_load(state, track, 1);
     if (track.get_spec().fills || track.get_spec().is_serving()) {
+        track.image = m_pressure.get_number(track.get_spec().image);
         refresh_pressure(state);
     }
     return track;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -201,9 +201,10 @@
 }
 
 void dispatcher::take_rows(worker_state& worker, const hold_answer& answer, time_point now) {
-    std::set<run_key> listed;
+    std::vector<run_key> listed;
+    listed.reserve(answer.running.size() + answer.ended.size());
     for (const auto& row : answer.running) {
-        listed.insert(row.run);
+        listed.push_back(row.run);
         auto* track = find(row.run);
         if (track == nullptr || track->worker != worker.report.id) {
             stop_stray(worker, row.run);
@@ -221,10 +222,11 @@
         track->level = row.level;
     }
     for (const auto& row : answer.ended) {
-        listed.insert(row.run);
+        listed.push_back(row.run);
         take_end(worker, row, now);
     }
     if (answer.ended.size() < max_ended_rows) {
+        std::sort(listed.begin(), listed.end());
         find_vanished(worker, listed);
     }
     update_acknowledged(worker);
@@ -250,10 +252,10 @@
     propose_end(*track, row.end, row.saved, row.number);
 }
 
-void dispatcher::find_vanished(worker_state& worker, const std::set<run_key>& listed) {
+void dispatcher::find_vanished(worker_state& worker, const std::vector<run_key>& listed) {
     for (const auto& key : worker.runs) {
         auto& track = *find(key);
-        if (listed.contains(key) || track.is_ending) {
+        if (track.is_ending || std::binary_search(listed.begin(), listed.end(), key)) {
             continue;
         }
         // Under this leader's fence a start of an earlier one is refused from now on.
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -32,7 +32,7 @@
     const auto share = worker.get_share(request.spec->millicores);
     double highest = 0;
     for (const auto& group : worker.pressure.groups) {
-        const auto press = request.factors[group.number] * share;
+        const auto press = request.factors[group.image] * share;
         highest = std::max(highest, (group.press + press) / group.room);
     }
     return highest;
@@ -45,7 +45,7 @@
     double cost = 0;
     for (const auto& group : worker.pressure.groups) {
         cost += (group.job != request.step.job ? other_job : 0) +
-                (group.image != request.spec->image ? other_image : 0);
+                (group.image != request.image ? other_image : 0);
     }
     return cost;
 }
@@ -73,7 +73,7 @@
     auto room = static_cast<double>(worker.get_leftover());
     const auto capacity = static_cast<double>(worker.report.capacity.millicores);
     for (const auto& group : worker.pressure.groups) {
-        const auto factor = request.factors[group.number];
+        const auto factor = request.factors[group.image];
         const auto spare = group.room - group.press;
         if (spare <= 0) {
             return no_room;
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/scheduling/step_spec.h"
 #include "poplarpitch/scheduling/task_key.h"
 #include "poplarpitch/scheduling/worker_report.h"
@@ -18,6 +19,7 @@
 struct placement_request {
     const step_spec* spec = nullptr;
     step_key step;
+    image_number image = 0;      ///< of what the task runs; only of tasks that fill or serve
     std::vector<double> factors; ///< for tasks that fill: of its image beside each serving one, by number
     const std::vector<std::string>* avoided = nullptr; ///< workers on which the task failed; null for none
     bool is_last_attempt = false;                      ///< a worker whose last run failed is no choice
--- a/poplarpitch/dispatch/pressure_model.cpp
+++ b/poplarpitch/dispatch/pressure_model.cpp
@@ -36,55 +36,62 @@
 void pressure_model::load(const std::vector<pressure_factor>& factors) {
     m_factors.clear();
     m_lowest_tails.clear();
+    m_numbers.clear();
+    m_names.clear();
     for (const auto& known : factors) {
-        m_factors[{known.serving, known.filling}] = {known.mean, known.variance};
+        const pair_key pair{get_number(known.serving), get_number(known.filling)};
+        m_factors[pair] = {known.mean, known.variance};
     }
 }
 
 std::vector<pressure_factor> pressure_model::save() const {
     std::vector<pressure_factor> factors;
     for (const auto& [pair, known] : m_factors) {
-        factors.push_back({pair.first, pair.second, known.mean, known.variance});
+        factors.push_back({m_names[pair.first], m_names[pair.second], known.mean, known.variance});
     }
     std::sort(factors.begin(), factors.end());
     return factors;
 }
 
-double pressure_model::get_base(const std::string& image, double target_ms) const {
+double pressure_model::get_base(image_number image, double target_ms) const {
     const auto found = m_lowest_tails.find(image);
     const double assumed = target_ms / target_multiple;
     return found == m_lowest_tails.end() ? assumed : std::min(assumed, found->second * lowest_share);
 }
 
-double pressure_model::get_room(const std::string& image, double target_ms, double share, double load) const {
+double pressure_model::get_room(image_number image, double target_ms, double share, double load) const {
     const double rise = target_ms * share / get_base(image, target_ms);
     return rise / (1 + load * rise) - 1;
 }
 
-double pressure_model::get_factor(const std::string& serving, const std::string& filling) const {
+double pressure_model::get_factor(image_number serving, image_number filling) const {
     const auto found = m_factors.find(pair_key{serving, filling});
     return found == m_factors.end() ? factor{}.mean : found->second.mean;
 }
 
-double pressure_model::get_careful_factor(const std::string& serving, const std::string& filling) const {
+double pressure_model::get_careful_factor(image_number serving, image_number filling) const {
     const auto found = m_factors.find(pair_key{serving, filling});
     const auto known = found == m_factors.end() ? factor{} : found->second;
     return known.mean + caution * std::sqrt(known.variance);
 }
 
 image_number pressure_model::get_number(const std::string& image) {
-    return m_numbers.try_emplace(image, static_cast<image_number>(m_numbers.size())).first->second;
+    const auto [found, is_new] = m_numbers.try_emplace(image, static_cast<image_number>(m_names.size()));
+    if (is_new) {
+        m_names.push_back(image);
+    }
+    return found->second;
 }
 
-std::vector<double> pressure_model::get_careful_factors(const std::string& filling) const {
-    std::vector<double> factors(m_numbers.size());
-    for (const auto& [serving, number] : m_numbers) {
-        factors[number] = get_careful_factor(serving, filling);
+std::vector<double> pressure_model::get_careful_factors(image_number filling) const {
+    std::vector<double> factors(m_names.size());
+    for (image_number serving = 0; serving < factors.size(); ++serving) {
+        factors[serving] = get_careful_factor(serving, filling);
     }
     return factors;
 }
 
-void pressure_model::observe(const std::string& image, double tail_ms, double target_ms,
+void pressure_model::observe(image_number image, double tail_ms, double target_ms,
                              const std::vector<image_share>& others, double seconds_since_last,
                              serving_calm& calm) {
     auto& lowest = m_lowest_tails.try_emplace(image, tail_ms).first->second;
--- a/poplarpitch/dispatch/pressure_model.h
+++ b/poplarpitch/dispatch/pressure_model.h
@@ -32,7 +32,7 @@
 
 /// Processor time that tasks of one image take of a worker, as a share of it.
 struct image_share {
-    std::string image;
+    image_number image = 0;
     double share = 0;
 
     friend bool operator==(const image_share&, const image_share&) = default;
@@ -55,21 +55,20 @@
     [[nodiscard]] std::vector<pressure_factor> save() const;
     /// Notes the tail of a serving task of `image` beside `others`; updates `calm` and what is known of the
     /// pairs.
-    void observe(const std::string& image, double tail_ms, double target_ms,
-                 const std::vector<image_share>& others, double seconds_since_last, serving_calm& calm);
+    void observe(image_number image, double tail_ms, double target_ms, const std::vector<image_share>& others,
+                 double seconds_since_last, serving_calm& calm);
 
     /// Returns by how much filling tasks may slow a serving task, sum of factor x share, before its tail
     /// passes `share` of its target. Negative when it passes it by itself.
-    [[nodiscard]] double get_room(const std::string& image, double target_ms, double share,
-                                  double load) const;
+    [[nodiscard]] double get_room(image_number image, double target_ms, double share, double load) const;
     /// Returns the expected factor of a pair.
-    [[nodiscard]] double get_factor(const std::string& serving, const std::string& filling) const;
+    [[nodiscard]] double get_factor(image_number serving, image_number filling) const;
     /// Returns the number of an image; a new one where it has none yet.
     image_number get_number(const std::string& image);
     /// Returns the careful factors of a filling image beside every serving image, by the number of that one.
-    [[nodiscard]] std::vector<double> get_careful_factors(const std::string& filling) const;
+    [[nodiscard]] std::vector<double> get_careful_factors(image_number filling) const;
     /// Returns the factor of a pair with an allowance for what is not known of it.
-    [[nodiscard]] double get_careful_factor(const std::string& serving, const std::string& filling) const;
+    [[nodiscard]] double get_careful_factor(image_number serving, image_number filling) const;
     /// Returns the share of its pressure that a filling task exerts at present: it has light and heavy phases
     /// that last for seconds, and in a light one it uses about two thirds of the processor time it asked for.
     [[nodiscard]] static double get_phase(double used_millicores, double asked_millicores);
@@ -79,13 +78,14 @@
         double mean = 1.2;     ///< before anything is seen: between the light and the heavy pairs
         double variance = 2.5; ///< the heavy pairs lie two deviations off
     };
-    using pair_key = std::pair<std::string, std::string>;
+    using pair_key = std::pair<image_number, image_number>;
 
-    [[nodiscard]] double get_base(const std::string& image, double target_ms) const;
+    [[nodiscard]] double get_base(image_number image, double target_ms) const;
 
-    absl::flat_hash_map<pair_key, factor> m_factors;         ///< serving image, filling image
-    absl::flat_hash_map<std::string, double> m_lowest_tails; ///< ms, by serving image
+    absl::flat_hash_map<pair_key, factor> m_factors;          ///< serving image, filling image
+    absl::flat_hash_map<image_number, double> m_lowest_tails; ///< ms, by serving image
     absl::flat_hash_map<std::string, image_number> m_numbers;
+    std::vector<std::string> m_names; ///< by number
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -25,6 +25,7 @@
     run_key key;
     std::shared_ptr<const step_job> job;
     std::string worker;
+    image_number image = 0; ///< of what it runs; only of runs that fill or serve
     run_stage stage = run_stage::committing;
     bool is_ending = false; ///< its end is on its way into the log
     bool is_stop_wanted = false;
--- a/poplarpitch/dispatch/worker_pressure.h
+++ b/poplarpitch/dispatch/worker_pressure.h
@@ -4,17 +4,15 @@
 #include "poplarpitch/scheduling/task_key.h"
 
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace poplarpitch {
 
 /// Serving tasks of one image on a worker, as far as filling tasks beside them matter.
 struct pressed_group {
-    std::string image;
-    image_number number = 0; ///< of the image
-    job_id job = 0;          ///< tasks of one job rise and fall together
-    double room = 0;         ///< by how much filling tasks may slow them before a tail comes near its target
+    image_number image = 0;
+    job_id job = 0;   ///< tasks of one job rise and fall together
+    double room = 0;  ///< by how much filling tasks may slow them before a tail comes near its target
     double press = 0; ///< by how much the filling tasks assigned to the worker slow them, as far as is known
 
     friend bool operator==(const pressed_group&, const pressed_group&) = default;
--- a/unit_tests/dispatch/placement_test.cpp
+++ b/unit_tests/dispatch/placement_test.cpp
@@ -50,13 +50,13 @@
 
 TEST(placement, a_filling_task_may_take_what_the_serving_ones_beside_it_bear) {
     auto worker = make_worker();
-    worker.pressure.groups = {{"calm", 0, 1, 0.9, 0.1}, {"tender", 1, 2, 0.5, 0.3}};
+    worker.pressure.groups = {{0, 1, 0.9, 0.1}, {1, 2, 0.5, 0.3}};
     expect_room_is_the_limit(worker, {0.5, 2.0});
 }
 
 TEST(placement, no_filling_task_goes_where_serving_ones_bear_nothing_more) {
     auto worker = make_worker();
-    worker.pressure.groups = {{"over", 0, 1, 0.2, 0.2}};
+    worker.pressure.groups = {{0, 1, 0.2, 0.2}};
     const auto spec = make_fill(0);
     placement_request request;
     request.spec = &spec;
--- a/unit_tests/dispatch/pressure_model_test.cpp
+++ b/unit_tests/dispatch/pressure_model_test.cpp
@@ -33,9 +33,9 @@
         const double tail = get_tail(get_load(time), 1 + factor * share) * noise(random);
         std::vector<image_share> others;
         if (is_there) {
-            others.push_back({filling, share});
+            others.push_back({model.get_number(filling), share});
         }
-        model.observe("serving", tail, target_ms, others, look, calm);
+        model.observe(model.get_number("serving"), tail, target_ms, others, look, calm);
     }
 }
 
@@ -43,7 +43,7 @@
     pressure_model model;
     serving_calm calm;
     for (double time = 0; time < 30; time += look) {
-        model.observe("serving", get_tail(get_load(time), 1), target_ms, {}, look, calm);
+        model.observe(model.get_number("serving"), get_tail(get_load(time), 1), target_ms, {}, look, calm);
         if (time > 3) {
             EXPECT_NEAR(calm.load, get_load(time), 0.08) << "at " << time << " s";
         }
@@ -56,25 +56,42 @@
     std::mt19937 random(7);
     show(model, calm, "light", 0.2, 14, random);
     show(model, calm, "heavy", 4.5, 14, random);
-    EXPECT_LT(model.get_factor("serving", "light"), 0.9);
-    EXPECT_GT(model.get_factor("serving", "heavy"), 2.5);
+    const auto serving = model.get_number("serving");
+    EXPECT_LT(model.get_factor(serving, model.get_number("light")), 0.9);
+    EXPECT_GT(model.get_factor(serving, model.get_number("heavy")), 2.5);
 }
 
 TEST(pressure_model, gives_an_unknown_pair_neither_the_benefit_nor_the_blame) {
-    const pressure_model model;
-    EXPECT_GT(model.get_factor("serving", "unseen"), 0.8);
-    EXPECT_LT(model.get_factor("serving", "unseen"), 2.0);
-    EXPECT_GT(model.get_careful_factor("serving", "unseen"), model.get_factor("serving", "unseen"));
+    pressure_model model;
+    const auto serving = model.get_number("serving");
+    const auto unseen = model.get_number("unseen");
+    EXPECT_GT(model.get_factor(serving, unseen), 0.8);
+    EXPECT_LT(model.get_factor(serving, unseen), 2.0);
+    EXPECT_GT(model.get_careful_factor(serving, unseen), model.get_factor(serving, unseen));
+}
+
+TEST(pressure_model, begins_with_what_another_leader_has_learned) {
+    pressure_model first;
+    serving_calm calm;
+    std::mt19937 random(7);
+    show(first, calm, "heavy", 4.5, 14, random);
+    pressure_model second;
+    second.get_number("another"); // numbers of images differ between leaders, their names do not
+    second.load(first.save());
+    EXPECT_EQ(second.save(), first.save());
+    EXPECT_EQ(second.get_factor(second.get_number("serving"), second.get_number("heavy")),
+              first.get_factor(first.get_number("serving"), first.get_number("heavy")));
 }
 
 TEST(pressure_model, leaves_less_room_the_higher_the_load) {
-    const pressure_model model;
-    const auto calm = model.get_room("serving", target_ms, 0.9, 0.25);
-    const auto busy = model.get_room("serving", target_ms, 0.9, 0.65);
+    pressure_model model;
+    const auto serving = model.get_number("serving");
+    const auto calm = model.get_room(serving, target_ms, 0.9, 0.25);
+    const auto busy = model.get_room(serving, target_ms, 0.9, 0.65);
     EXPECT_GT(calm, 1.0);
     EXPECT_GT(busy, 0.0);
     EXPECT_LT(busy, 0.3);
-    EXPECT_LT(model.get_room("serving", target_ms, 0.9, 0.85), 0.0);
+    EXPECT_LT(model.get_room(serving, target_ms, 0.9, 0.85), 0.0);
 }
 
 TEST(pressure_model, takes_a_filling_task_that_uses_two_thirds_for_one_in_a_light_phase) {
