--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_order_test.cpp
@@ -0,0 +1,75 @@
+// Which of several waiting jobs gets the room that comes free when there is too little for all.
+#include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::int64_t worker_cores = 8;
+
+/// A worker that one task fills.
+class full_worker {
+public:
+    full_worker() {
+        world.add_worker("w1", {worker_cores * 1000, 64'000, 0});
+        auto all = make_step();
+        all.millicores = worker_cores * 1000;
+        world.submit({all});
+        const auto starts = world.take<start_order>();
+        EXPECT_EQ(starts.size(), 1U);
+        m_filling = starts.at(0).run;
+        world.answer(starts.at(0));
+    }
+
+    job_id submit(std::uint32_t tasks, std::int64_t estimate_ms) {
+        auto step = make_step(tasks);
+        step.millicores = worker_cores * 1000;
+        step.estimate_ms = estimate_ms;
+        return world.submit({step});
+    }
+
+    /// Ends the task that fills the worker. Returns the job that gets its room.
+    job_id free_room() {
+        world.wait_for_hold("w1");
+        hold_answer list;
+        list.ended.push_back({1, m_filling, run_end::done, ""});
+        world.answer_hold("w1", list);
+        const auto starts = world.take<start_order>();
+        EXPECT_EQ(starts.size(), 1U);
+        return starts.empty() ? 0 : starts[0].run.task.step.job;
+    }
+
+    dispatch_world world;
+
+private:
+    run_key m_filling;
+};
+
+TEST(dispatcher_order, lets_a_small_job_go_before_a_large_one_in_a_burst) {
+    full_worker worker;
+    worker.submit(30, 1000);
+    worker.world.advance(milliseconds{200});
+    const auto small = worker.submit(1, 1000);
+    EXPECT_EQ(worker.free_room(), small);
+}
+
+TEST(dispatcher_order, lets_a_large_job_that_has_waited_go_before_a_small_one) {
+    full_worker worker;
+    const auto large = worker.submit(8, 20'000);
+    worker.world.advance(seconds{8});
+    worker.submit(1, 20'000);
+    EXPECT_EQ(worker.free_room(), large);
+}
+
+TEST(dispatcher_order, lets_a_job_that_can_be_in_time_go_before_one_that_cannot) {
+    full_worker worker;
+    worker.submit(1, 1000);
+    worker.world.advance(seconds{4}); // its objective is 3 s
+    const auto later = worker.submit(4, 1000);
+    EXPECT_EQ(worker.free_room(), later);
+}
+
+} // namespace
+} // namespace poplarpitch
