--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -98,6 +98,9 @@
         give_back(track, now);
         return;
     }
+    if (worker->is_silent()) {
+        return; // a start prolongs the lease of all that runs there, so it would never be given up
+    }
     std::string ticket;
     if (track.job->queue.advice.has_value()) {
         ticket = find_ticket(track.key.task.step, track.worker, now);
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -10,7 +10,6 @@
 namespace poplarpitch {
 namespace {
 
-constexpr int silent_after = 2; // holds in a row without an answer: no lease is granted any more
 // A list that is asked for before its ends are committed comes back at once with the same ends. Leases run on
 // meanwhile, so they are prolonged all the same where the log stands still.
 constexpr duration commit_patience = milliseconds{500};
@@ -148,7 +147,7 @@
     order.acknowledged = worker.acknowledged;
     // A worker that hears us while we do not hear it must not keep its lease: its runs could never be given
     // up.
-    if (worker.hold_failures < silent_after && worker.clock_ms != 0) {
+    if (!worker.is_silent() && worker.clock_ms != 0) {
         order.until_ms = worker.estimate_clock(now) + to_milliseconds(m_settings.lease);
         grant_lease(worker, now);
     }
@@ -182,7 +181,7 @@
         }
         return;
     }
-    if (worker->hold_failures >= silent_after) {
+    if (worker->is_silent()) {
         log_event(log_level::info, "worker_heard_again").add("worker", id);
     }
     worker->hold_failures = 0;
@@ -315,7 +314,7 @@
     if (worker.is_leaving && !worker.is_gone) {
         evacuate(worker, now);
     }
-    const bool is_out_of_reach = !worker.has_report || worker.hold_failures >= silent_after;
+    const bool is_out_of_reach = !worker.has_report || worker.is_silent();
     if (!is_out_of_reach || worker.runs.empty() || now <= worker.lease_end) {
         return;
     }
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -16,6 +16,9 @@
 
 namespace poplarpitch {
 
+/// Holds in a row without an answer after which a worker is taken for silent: one may be lost by chance.
+inline constexpr int silent_after = 2;
+
 /// What the leader knows of one life of a worker. Soft: a new leader learns it anew.
 struct worker_state {
     worker_report report;
@@ -53,6 +56,9 @@
     worker_pressure pressure;
     worker_trust trust;
 
+    /// Returns true when no lease is granted any more: it may hear us while we do not hear it. Thread safety:
+    /// as the state.
+    [[nodiscard]] bool is_silent() const { return hold_failures >= silent_after; }
     /// Returns what tasks that count may still take. Thread safety: as the state.
     [[nodiscard]] worker_amounts get_free() const { return report.capacity - reserved; }
     /// Returns the processor time that tasks which fill may still share, millicores. Thread safety: as the
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -214,6 +214,44 @@
     EXPECT_GT(holds[0].wait, duration{0});
 }
 
+TEST(dispatcher_loss, gives_up_what_ran_on_a_worker_that_is_gone_though_a_start_there_is_still_repeated) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto lasting = [] {
+        auto step = make_step();
+        step.long_running = true;
+        return step;
+    }();
+    world.submit({lasting});
+    const auto first = world.take<start_order>();
+    ASSERT_EQ(first.size(), 1U);
+    world.answer(first[0]);
+    world.submit({make_step()});
+    const auto unheard = world.take<start_order>();
+    ASSERT_EQ(unheard.size(), 1U);
+    world.add_worker("w2");
+    world.answer(unheard[0], order_failure::unreachable); // the worker crashed before it came
+    bool is_elsewhere = false;
+    for (int turn = 0; turn < 120 && !is_elsewhere; ++turn) {
+        world.advance(milliseconds{100});
+        for (const auto& order : world.take<hold_order>()) {
+            if (order.target.worker == "w1") {
+                world.fail_hold("w1", order_failure::unreachable);
+            } else {
+                world.answer_hold(order.target.worker, dispatch_world::make_list());
+            }
+        }
+        for (const auto& order : world.take<start_order>()) {
+            if (order.target.worker == "w1") {
+                world.answer(order, order_failure::unreachable);
+            } else {
+                is_elsewhere = is_elsewhere || order.run.task == first[0].run.task;
+            }
+        }
+    }
+    EXPECT_TRUE(is_elsewhere) << "its lease never lapsed";
+}
+
 TEST(dispatcher_loss, prolongs_leases_also_while_ends_cannot_be_committed) {
     dispatch_world world;
     world.add_worker("w1");
