Start tasks once more whose callers allow copies, where the first run is far behind and nobody waits

A run counts as far behind after 1.8 times its estimate, when a new run would end first by the speed it has shown; the copy goes to another worker, the first end counts, the other run is stopped. Six tests in dispatcher_copy and copy_need, which had no counterpart before.

--- a/performance_test/dispatch_benchmark.cpp
+++ b/performance_test/dispatch_benchmark.cpp
@@ -77,7 +77,8 @@
         job.queue.stretch = 2;
         step_spec step;
         step.count = tasks_each;
-        const auto uneven = m_unevenness == 0 ? 0 : (id * 7'919) % m_unevenness; // a prime: all sizes come
+        const auto uneven =
+            m_unevenness == 0 ? 0 : (std::int64_t{id} * 7'919) % m_unevenness; // a prime: all sizes come
         step.millicores = is_serving ? 13'000 : 7'000 + uneven - m_unevenness / 2;
         step.memory_mb = is_serving ? 26'000 : 13'000;
         step.long_running = is_serving;
--- /dev/null
+++ b/poplarpitch/dispatch/copy_need.cpp
@@ -0,0 +1,25 @@
+#include "poplarpitch/dispatch/copy_need.h"
+
+namespace poplarpitch {
+namespace {
+
+constexpr double overdue = 1.8;     // of the estimate: a sound run takes up to 1.5 times
+constexpr double new_run = 1.3;     // of the estimate: what a new run may take, with its start
+constexpr std::int64_t whole = 100; // percent
+
+} // namespace
+
+bool needs_copy(const run_progress& progress) {
+    const auto age = static_cast<double>(to_milliseconds(progress.age));
+    const auto estimate = static_cast<double>(progress.estimate_ms);
+    if (age < overdue * estimate) {
+        return false;
+    }
+    if (progress.percent <= 0) {
+        return true;
+    }
+    const auto done = static_cast<double>(progress.percent);
+    return age * (whole - done) / done > new_run * estimate;
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatch_counts.h
+++ b/poplarpitch/dispatch/dispatch_counts.h
@@ -12,6 +12,7 @@
     std::uint64_t refused_room = 0;  ///< starts refused for want of room
     std::uint64_t refused_other = 0; ///< starts refused for another reason
     std::uint64_t unanswered = 0;    ///< orders without an answer
+    std::uint64_t copies = 0;        ///< second runs of slow tasks, among `assigned`
     std::uint64_t stops = 0;         ///< stop orders
     std::uint64_t paces = 0;         ///< pace orders
     std::uint64_t holds = 0;         ///< looks at workers
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -345,6 +345,7 @@
         m_next_place = now + place_interval;
     }
     place(now);
+    start_copies(now);
     note_pressure(now);
     report_load(now);
 }
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -213,9 +213,12 @@
     void measure_short_demand(time_point now);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key);
-    worker_state* choose(const placing_pass& pass, const ready_step& ready, const task_key& key,
-                         const std::string& rack);
+    worker_state* choose(const placing_pass& pass, const ready_step& ready, const placement_request& request);
     void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
+    /// Returns true when a second run of the task may be started and would probably end first.
+    [[nodiscard]] bool may_copy(const run_track& track, time_point now) const;
+    void start_copies(time_point now);
+    void start_copy(const placing_pass& pass, const run_track& slow);
     void propose_assignment(const run_key& key, const std::string& worker);
 
     dispatch_settings m_settings;
@@ -245,7 +248,8 @@
     time_point m_measured_at{};
     time_point m_last_place{};
     time_point m_next_place{};
-    time_point m_next_watch{}; ///< when all workers and runs are looked at again
+    time_point m_next_watch{};  ///< when all workers and runs are looked at again
+    time_point m_next_copies{}; ///< when slow runs are looked for again
     time_point m_next_report{};
     time_point m_next_note{};
 };
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_copies.cpp
@@ -0,0 +1,74 @@
+// Second runs of tasks whose callers allow copies.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+#include "poplarpitch/dispatch/copy_need.h"
+#include "poplarpitch/dispatch/run_log.h"
+#include "poplarpitch/telemetry/log_event.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration copy_interval = milliseconds{200}; // lists of workers come each 350 ms to 1 s
+constexpr std::size_t most_copies = 1;                // beside the first run
+
+} // namespace
+
+bool dispatcher::may_copy(const run_track& track, time_point now) const {
+    const auto& spec = track.get_spec();
+    const bool is_kind = spec.speculative && !spec.gang && !spec.long_running;
+    if (!is_kind || track.stage != run_stage::running || track.is_ending || track.is_stop_wanted) {
+        return false;
+    }
+    const auto* task = m_book.find_task(track.key.task);
+    return task != nullptr && task->runs.size() <= most_copies &&
+           needs_copy({now - track.confirmed_at, track.percent, spec.estimate_ms});
+}
+
+/// Copies take only room that nobody waits for: they throw away what the slower run has done.
+void dispatcher::start_copies(time_point now) {
+    if (now < m_next_copies || !m_ready.empty()) {
+        return;
+    }
+    m_next_copies = now + copy_interval;
+    std::vector<run_key> slow;
+    for (const auto& [key, track] : m_tracks) {
+        if (may_copy(track, now)) {
+            slow.push_back(key);
+        }
+    }
+    if (slow.empty()) {
+        return;
+    }
+    std::sort(slow.begin(), slow.end()); // the map's order differs between processes
+    const auto pass = begin_pass(now);
+    for (const auto& key : slow) {
+        start_copy(pass, *find(key));
+    }
+}
+
+void dispatcher::start_copy(const placing_pass& pass, const run_track& slow) {
+    ready_step ready;
+    ready.job = slow.job;
+    ready.since = pass.now;
+    auto request = make_request(ready, slow.key.task);
+    request.excluded = slow.worker;
+    auto* worker = choose(pass, ready, request);
+    if (worker == nullptr) {
+        return;
+    }
+    {
+        auto line = log_event(log_level::info, "copy_started");
+        add_run(line, slow.key);
+        line.add("slow_worker", slow.worker)
+            .add("worker", worker->report.id)
+            .add("percent", slow.percent)
+            .add("age_ms", to_milliseconds(pass.now - slow.confirmed_at))
+            .add("estimate_ms", slow.get_spec().estimate_ms);
+    }
+    ++m_counts.copies;
+    claim(ready, slow.key.task, *worker, pass.now);
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -131,7 +131,7 @@
     }
     while (!ready.waiting.empty()) {
         const task_key task{key, *ready.waiting.begin()};
-        auto* worker = choose(pass, ready, task, {});
+        auto* worker = choose(pass, ready, make_request(ready, task));
         if (worker == nullptr) {
             return; // the others wait behind it
         }
@@ -225,10 +225,8 @@
     return request;
 }
 
-worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready, const task_key& key,
-                                 const std::string& rack) {
-    auto request = make_request(ready, key);
-    request.rack = rack;
+worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready,
+                                 const placement_request& request) {
     const bool needs_ticket = ready.job->queue.advice.has_value();
     const bool is_patient = request.spec->is_serving() && pass.now - ready.since < serving_patience;
     worker_state* best = nullptr;
@@ -238,10 +236,13 @@
         return best;
     }
     for (auto* worker : usable->second) {
+        if (worker->report.id == request.excluded) {
+            continue;
+        }
         if (is_patient && worker->servings == 0 && !may_open(*worker)) {
             continue;
         }
-        if (needs_ticket && find_ticket(key.step, worker->report.id, pass.now).empty()) {
+        if (needs_ticket && find_ticket(request.step, worker->report.id, pass.now).empty()) {
             continue;
         }
         const auto cost = get_placement_cost(*worker, request);
@@ -276,7 +277,9 @@
     for (const auto& rack : racks) {
         std::vector<std::pair<run_key, std::string>> placed;
         for (std::uint32_t index = 0; index < spec.count; ++index) {
-            const auto* chosen = choose(pass, ready, {key, index}, rack);
+            auto request = make_request(ready, {key, index});
+            request.rack = rack;
+            const auto* chosen = choose(pass, ready, request);
             if (chosen == nullptr) {
                 break;
             }
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -24,6 +24,7 @@
     const std::vector<std::string>* avoided = nullptr; ///< workers on which the task failed; null for none
     bool is_last_attempt = false;                      ///< a worker whose last run failed is no choice
     std::string rack;                                  ///< only this rack; empty for any
+    std::string excluded; ///< a worker that is no choice: a copy is to run elsewhere
 
     friend bool operator==(const placement_request&, const placement_request&) = default;
 };
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -38,6 +38,7 @@
     };
     const auto& counts = parts.dispatch.get_counts();
     set("poplarpitch_runs_total", counts.assigned, "assigned");
+    set("poplarpitch_runs_total", counts.copies, "copies");
     set("poplarpitch_runs_total", counts.started, "started");
     set("poplarpitch_runs_total", counts.done_runs, "done");
     set("poplarpitch_runs_total", counts.failed_runs, "failed");
--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_copy_test.cpp
@@ -0,0 +1,122 @@
+// Second runs of tasks that are far behind, where their callers allow copies.
+#include "poplarpitch/dispatch/copy_need.h"
+#include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::int64_t estimate_ms = 1000;
+
+step_spec make_copied_step() {
+    auto step = make_step();
+    step.speculative = true;
+    step.estimate_ms = estimate_ms;
+    return step;
+}
+
+/// Two workers, and a task that runs on one of them and is far from done after three times its estimate.
+class slow_task {
+public:
+    explicit slow_task(const step_spec& step, bool do_others_wait = false) {
+        constexpr std::int64_t percent = 10;
+        world.add_worker("w1");
+        world.add_worker("w2");
+        job = world.submit({step});
+        const auto starts = world.take<start_order>();
+        EXPECT_EQ(starts.size(), 1U);
+        first = starts.at(0);
+        world.answer(first);
+        tell(percent);
+        if (do_others_wait) {
+            auto large = make_step();
+            large.millicores = 1'000'000; // no worker holds it
+            world.submit({large});
+        }
+        world.advance(milliseconds{3 * estimate_ms});
+        tell(percent);
+    }
+
+    void tell(std::int64_t percent) {
+        world.wait_for_hold(first.target.worker);
+        hold_answer list;
+        list.running.push_back({first.run, "", percent, 0});
+        world.answer_hold(first.target.worker, list);
+    }
+
+    void end_first() {
+        world.wait_for_hold(first.target.worker);
+        hold_answer list;
+        list.ended.push_back({1, first.run, run_end::done, ""});
+        world.answer_hold(first.target.worker, list);
+    }
+
+    dispatch_world world;
+    job_id job = 0;
+    start_order first;
+};
+
+TEST(dispatcher_copy, starts_a_slow_task_once_more_on_another_worker) {
+    slow_task slow(make_copied_step());
+    slow.world.advance(milliseconds{300});
+    const auto copies = slow.world.take<start_order>();
+    ASSERT_EQ(copies.size(), 1U);
+    EXPECT_EQ(copies[0].run.task, slow.first.run.task);
+    EXPECT_GT(copies[0].run.run, slow.first.run.run);
+    EXPECT_NE(copies[0].target.worker, slow.first.target.worker);
+    slow.world.answer(copies[0]);
+    slow.world.advance(seconds{1});
+    EXPECT_TRUE(slow.world.take<start_order>().empty()) << "one copy is enough";
+}
+
+TEST(dispatcher_copy, takes_the_first_end_and_stops_the_other_run) {
+    slow_task slow(make_copied_step());
+    slow.world.advance(milliseconds{300});
+    const auto copies = slow.world.take<start_order>();
+    ASSERT_EQ(copies.size(), 1U);
+    slow.world.answer(copies[0]);
+    slow.end_first();
+    EXPECT_EQ(slow.world.book.find_job(slow.job)->phase, job_phase::completed);
+    const auto stops = slow.world.take<stop_order>();
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].run, copies[0].run);
+}
+
+TEST(dispatcher_copy, copies_nothing_whose_caller_does_not_allow_it) {
+    slow_task slow(make_step());
+    slow.world.advance(milliseconds{300});
+    EXPECT_TRUE(slow.world.take<start_order>().empty());
+}
+
+TEST(dispatcher_copy, copies_nothing_while_others_wait_for_room) {
+    slow_task slow(make_copied_step(), true);
+    slow.world.advance(milliseconds{300});
+    EXPECT_TRUE(slow.world.take<start_order>().empty());
+}
+
+TEST(dispatcher_copy, lets_the_slow_run_go_on_when_its_copy_fails) {
+    slow_task slow(make_copied_step());
+    slow.world.advance(milliseconds{300});
+    const auto copies = slow.world.take<start_order>();
+    ASSERT_EQ(copies.size(), 1U);
+    slow.world.answer(copies[0]);
+    slow.world.wait_for_hold(copies[0].target.worker);
+    hold_answer list;
+    list.ended.push_back({1, copies[0].run, run_end::failed, ""});
+    slow.world.answer_hold(copies[0].target.worker, list);
+    EXPECT_EQ(slow.world.book.find_job(slow.job)->phase, job_phase::open);
+    slow.end_first();
+    EXPECT_EQ(slow.world.book.find_job(slow.job)->phase, job_phase::completed);
+}
+
+TEST(copy_need, leaves_a_run_alone_that_is_within_what_estimates_are_off_by) {
+    EXPECT_FALSE(needs_copy({milliseconds{1500}, 0, estimate_ms}));
+    EXPECT_FALSE(needs_copy({milliseconds{3000}, 80, estimate_ms})); // 0.75 s more
+    EXPECT_TRUE(needs_copy({milliseconds{3000}, 40, estimate_ms}));  // 4.5 s more
+    EXPECT_TRUE(needs_copy({milliseconds{3000}, 0, estimate_ms}));
+}
+
+} // namespace
+} // namespace poplarpitch
