--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -134,7 +134,6 @@
         ready.job = record->job;
         ready.objective_ms = to_milliseconds(record->job->get_objective());
         ready.rest_ms = record->job->estimate_rest_ms(key.step.step);
-        ready.work_lag_ms = get_work_lag(record->job->estimate_rest_work(key.step.step));
     }
     ready.since = ready.waiting.empty() ? now : ready.since;
     ready.waiting.insert(key.index);
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -111,7 +111,6 @@
         time_point since{};            ///< when the first of them began to wait
         std::int64_t objective_ms = 0; ///< of the job
         std::int64_t rest_ms = 0;      ///< estimate of this step and what follows it
-        std::int64_t work_lag_ms = 0;  ///< by how much it stands behind others for its size
     };
     /// What one pass over the waiting tasks has found out so far.
     struct placing_pass {
@@ -203,8 +202,6 @@
     // placing
     void place(time_point now);
     [[nodiscard]] std::vector<std::pair<std::int64_t, step_key>> rank_ready(time_point now) const;
-    /// Returns by how much a job stands behind others, ms, for the core-seconds that it still needs.
-    [[nodiscard]] static std::int64_t get_work_lag(double core_seconds);
     [[nodiscard]] placing_pass begin_pass(time_point now);
     /// Places tasks of a step one by one until one finds no room.
     void place_tasks(placing_pass& pass, ready_step& ready, const step_key& key);
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -21,11 +21,6 @@
 constexpr std::int64_t retry_lead = 4000; // ms: a task that failed holds up all that its job has done so far
 constexpr std::int64_t started_lead =
     3000; // ms: a job that has begun goes before new ones with as much slack
-// For each doubling of the core-seconds that a job still needs: more callers get their jobs in time if small
-// ones go first. Load pattern: a burst of 2.6 times the usual, as for the slack; mean worth of hanbit-ring's
-// days with trouble 0.635 -> 0.650 over three plays each, sssa-payrun the same. With four times as much large
-// jobs starve.
-constexpr double work_lag = 2000;              // ms
 constexpr std::int64_t lasting_lead = 100'000; // ms: tasks that last go before all others of their priority
 constexpr std::int64_t lasting_slack = 2000; // ms: the rank of a task that lasts among others of its priority
 constexpr duration lasting_patience = milliseconds{1800}; // a task that lasts and could run may wait 3 s
@@ -48,10 +43,6 @@
 
 } // namespace
 
-std::int64_t dispatcher::get_work_lag(double core_seconds) {
-    return static_cast<std::int64_t>(work_lag * std::log2(1 + core_seconds));
-}
-
 std::vector<std::pair<std::int64_t, step_key>> dispatcher::rank_ready(time_point now) const {
     std::vector<std::pair<std::int64_t, step_key>> ranked;
     ranked.reserve(m_ready.size());
@@ -72,8 +63,8 @@
         const auto since = due == job->second.due.end() ? job->second.accepted : due->second;
         const auto age = to_milliseconds(now - since);
         ranked.emplace_back(
-            queue.priority * priority_weight + rank_by_time(ready.objective_ms, age, ready.rest_ms) +
-                ready.work_lag_ms - (job->second.has_started ? started_lead : 0) -
+            queue.priority * priority_weight + rank_by_time(ready.objective_ms, age, ready.rest_ms) -
+                (job->second.has_started ? started_lead : 0) -
                 (m_failed_on.contains(task_key{key, *ready.waiting.begin()}) ? retry_lead : 0),
             key);
     }
--- a/poplarpitch/scheduling/step_job.cpp
+++ b/poplarpitch/scheduling/step_job.cpp
@@ -48,17 +48,6 @@
     return last;
 }
 
-double step_job::estimate_rest_work(std::uint32_t first) const {
-    double work = 0;
-    for (std::size_t number = first; number < steps.size(); ++number) {
-        const auto& step = steps[number];
-        const auto core_milliseconds =
-            static_cast<double>(step.millicores) / 1000 * static_cast<double>(step.estimate_ms);
-        work += static_cast<double>(step.count) * core_milliseconds / 1000;
-    }
-    return work;
-}
-
 std::optional<std::string> find_job_error(const step_job& job) {
     if (job.payload.size() > max_payload) {
         return "the payload is longer than 4,000 bytes";
--- a/poplarpitch/scheduling/step_job.h
+++ b/poplarpitch/scheduling/step_job.h
@@ -42,9 +42,6 @@
     /// Returns the estimated time from the start of a step to the end of the last one behind it,
     /// milliseconds. Thread safety: any thread.
     [[nodiscard]] std::int64_t estimate_rest_ms(std::uint32_t first) const;
-    /// Returns the estimated work of a step and all steps behind it in the job's list, core-seconds. Thread
-    /// safety: any thread.
-    [[nodiscard]] double estimate_rest_work(std::uint32_t first) const;
 };
 
 /// Returns why a job cannot be taken, or nothing when it is sound: counts, dependencies on earlier steps
