--- a/poplarpitch/net/event_loop.cpp
+++ b/poplarpitch/net/event_loop.cpp
@@ -13,7 +13,7 @@
 namespace poplarpitch {
 
 struct event_loop::parts {
-    boost::asio::io_context context{1}; ///< one thread: Asio leaves its locks out
+    boost::asio::io_context context{1}; ///< one thread runs it; others may post, so Asio keeps its lock
     boost::asio::steady_timer timer{context};
     struct handled_signal {
         std::unique_ptr<boost::asio::signal_set> set;
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -1,10 +1,10 @@
 #include "poplarpitch/replica/replica.h"
 
+#include "poplarpitch/consensus/early_messages.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/frame_socket.h"
 #include "poplarpitch/net/net_error.h"
 #include "poplarpitch/net/socket_address.h"
-#include "poplarpitch/consensus/early_messages.h"
 #include "poplarpitch/replica/node_address.h"
 #include "poplarpitch/replica/node_identity.h"
 #include "poplarpitch/storage/raft_codec.h"
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -141,9 +141,10 @@
     stored_state m_stored;
     std::unique_ptr<raft_node> m_node;
     raft_output m_output; ///< being carried out; belongs to the disk's thread while `m_disk` runs
-    result<void> m_saved = boost::outcome_v2::success(); ///< what became of the last sync; as above
-    std::vector<std::function<void()>> m_held;           ///< for the log, while `m_disk` runs
-    std::size_t m_held_messages = 0;                     ///< of other nodes, among them
+    result<void> m_saved =
+        boost::outcome_v2::success(); ///< what became of the last sync; belongs to the disk's thread too
+    std::vector<std::function<void()>> m_held; ///< for the log, while `m_disk` runs
+    std::size_t m_held_messages = 0;           ///< of other nodes, among them
     hard_state m_hard_state;
     raft_membership m_applied_members;
     log_index m_applied = 0;
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -183,8 +183,8 @@
     EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 1U);
 }
 
-TEST(dispatcher_loss, asks_a_worker_again_only_once_its_ends_are_committed) {
-    dispatch_world world;
+/// Lets worker w1 run two tasks and list the end of the first, which is not committed yet.
+void list_one_end_of_two(dispatch_world& world) {
     world.add_worker("w1");
     world.submit({make_step(2)});
     const auto starts = world.take<start_order>();
@@ -197,6 +197,11 @@
     list.running.push_back({starts[1].run, "", 10, 0});
     list.ended.push_back({1, starts[0].run, run_end::done, ""});
     world.scheduler.on_hold("w1", {std::nullopt, list}, world.now);
+}
+
+TEST(dispatcher_loss, asks_a_worker_again_only_once_its_ends_are_committed) {
+    dispatch_world world;
+    list_one_end_of_two(world);
     const auto commands = world.scheduler.take_commands(); // a commit that takes its time
     world.advance(milliseconds{100});
     EXPECT_TRUE(world.take<hold_order>().empty()); // it would come back at once with the same end
@@ -254,18 +259,7 @@
 
 TEST(dispatcher_loss, prolongs_leases_also_while_ends_cannot_be_committed) {
     dispatch_world world;
-    world.add_worker("w1");
-    world.submit({make_step(2)});
-    const auto starts = world.take<start_order>();
-    ASSERT_EQ(starts.size(), 2U);
-    world.answer(starts[0]);
-    world.answer(starts[1]);
-    world.wait_for_hold("w1");
-    static_cast<void>(world.take<hold_order>());
-    hold_answer list;
-    list.running.push_back({starts[1].run, "", 10, 0});
-    list.ended.push_back({1, starts[0].run, run_end::done, ""});
-    world.scheduler.on_hold("w1", {std::nullopt, list}, world.now);
+    list_one_end_of_two(world);
     static_cast<void>(world.scheduler.take_commands());
     world.advance(seconds{1});
     const auto holds = world.take<hold_order>();
--- a/unit_tests/platform/scheduler_cluster_test.cpp
+++ b/unit_tests/platform/scheduler_cluster_test.cpp
@@ -25,6 +25,14 @@
     EXPECT_EQ(workers.get_overlaps(), 0);
 }
 
+void expect_config_version_7(scheduler_cluster& cluster) {
+    const auto leader = cluster.find_leader();
+    ASSERT_NE(leader, 0);
+    const auto read = cluster.ask_control(leader, "GET", "/v1/Config.Get");
+    ASSERT_TRUE(read.has_value());
+    EXPECT_NE(read->body.find("\"version\":7"), std::string::npos);
+}
+
 TEST(scheduler_cluster, runs_a_job_from_submission_to_its_end) {
     scheduler_cluster cluster(3);
     const stand_in_workers workers(2, cluster.get_controls(), milliseconds{100});
@@ -68,11 +76,7 @@
     }
     ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
     expect_each_done_once(workers, id);
-    const auto leader = cluster.find_leader();
-    ASSERT_NE(leader, 0);
-    const auto read = cluster.ask_control(leader, "GET", "/v1/Config.Get");
-    ASSERT_TRUE(read.has_value());
-    EXPECT_NE(read->body.find("\"version\":7"), std::string::npos);
+    expect_config_version_7(cluster);
 }
 
 TEST(scheduler_cluster, takes_back_an_instance_that_lost_its_disk) {
@@ -113,6 +117,32 @@
     }
 }
 
+TEST(scheduler_cluster, knows_what_it_acknowledged_when_two_of_five_disks_are_lost_right_after) {
+    constexpr int instances = 5;
+    scheduler_cluster cluster(instances);
+    const stand_in_workers workers(2, cluster.get_controls(), milliseconds{300});
+    cluster.put_config(7);
+    const auto leader = cluster.find_leader();
+    ASSERT_NE(leader, 0);
+    while (cluster.get_scheduler(leader).read_log().find("voters=5") == std::string::npos) {
+        ASSERT_EQ(cluster.find_leader(), leader);
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    const std::string id = "00000000000000f1";
+    ASSERT_TRUE(cluster.submit(id, task_count, patience));
+    const std::vector<int> lost = {leader, leader % instances + 1};
+    for (const int number : lost) {
+        cluster.get_scheduler(number).kill();
+        cluster.wipe(number);
+    }
+    for (const int number : lost) {
+        cluster.start_scheduler(number);
+    }
+    ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
+    expect_each_done_once(workers, id);
+    expect_config_version_7(cluster);
+}
+
 TEST(scheduler_cluster, says_that_it_has_not_accepted_a_job_while_nobody_leads) {
     scheduler_cluster cluster(3);
     cluster.put_config(1);
