--- a/performance_test/scheduler_load.cpp
+++ b/performance_test/scheduler_load.cpp
@@ -78,6 +78,52 @@
     return response.has_value() ? response->status : 0;
 }
 
+/// Processor seconds of all schedulers, in the order of their numbers.
+std::vector<double> read_all_processor_seconds(scheduler_cluster& cluster) {
+    std::vector<double> seconds_used;
+    for (int instance = 1; instance <= schedulers; ++instance) {
+        seconds_used.push_back(read_processor_seconds(cluster.get_scheduler(instance).get_pid()));
+    }
+    return seconds_used;
+}
+
+void print_pids(scheduler_cluster& cluster) {
+    for (int instance = 1; instance <= schedulers; ++instance) {
+        std::cout << "scheduler " << instance << " pid " << cluster.get_scheduler(instance).get_pid()
+                  << std::endl; // at once: a profiler waits for it
+    }
+}
+
+/// Submits short jobs at a fixed rate for `length`. Returns the number of the next job.
+int submit_steadily(scheduler_cluster& cluster, int number, int starts_per_second, duration length) {
+    const system_clock clock;
+    const auto pause = duration{seconds{1}} * tasks_of_a_job / starts_per_second;
+    const auto job = make_job("text", tasks_of_a_job, false);
+    const auto end = clock.now() + length;
+    for (auto next = clock.now(); next < end; next += pause) {
+        const auto wait = next - clock.now();
+        if (wait > duration{0}) {
+            absl::SleepFor(absl::Nanoseconds(std::chrono::nanoseconds(wait).count()));
+        }
+        submit(cluster, number++, job);
+    }
+    return number;
+}
+
+void print_usage(scheduler_cluster& cluster, const std::vector<double>& before, std::size_t done,
+                 int seconds_long) {
+    const int leader = cluster.find_leader();
+    const auto after = read_all_processor_seconds(cluster);
+    for (int instance = 1; instance <= schedulers; ++instance) {
+        const auto place = static_cast<std::size_t>(instance) - 1;
+        const auto used = after[place] - before[place];
+        std::cout << absl::StrFormat(
+            "scheduler %d%s: %.2f processor seconds, %.1f%% of a core, %.0f us a task\n", instance,
+            instance == leader ? " (leads)" : "", used, 100 * used / seconds_long,
+            1e6 * used / static_cast<double>(std::max<std::size_t>(done, 1)));
+    }
+}
+
 } // namespace
 
 int main(int count, char** values) {
@@ -89,42 +135,17 @@
     for (int started = 0; started < shape.lasting; started += tasks_of_a_job) {
         submit(cluster, number++, make_job(stand_in_workers::lasting_spec, tasks_of_a_job, true));
     }
-    const system_clock clock;
-    const auto pause = duration{seconds{1}} * tasks_of_a_job / shape.starts_per_second;
-    const auto begin = clock.now() + settle_time;
-    const auto end = begin + seconds{shape.seconds_long};
-    std::vector<double> before;
-    std::size_t done_before = 0;
-    const auto short_job = make_job("text", tasks_of_a_job, false);
-    for (auto next = clock.now(); next < end; next += pause) {
-        const auto wait = next - clock.now();
-        if (wait > duration{0}) {
-            absl::SleepFor(absl::Nanoseconds(std::chrono::nanoseconds(wait).count()));
-        }
-        if (before.empty() && clock.now() >= begin) {
-            done_before = workers.get_done_counts().size();
-            for (int instance = 1; instance <= schedulers; ++instance) {
-                const auto pid = cluster.get_scheduler(instance).get_pid();
-                before.push_back(read_processor_seconds(pid));
-                if (shape.prints_pids) {
-                    std::cout << "scheduler " << instance << " pid " << pid << std::endl;
-                }
-            }
-        }
-        submit(cluster, number++, short_job);
+    number = submit_steadily(cluster, number, shape.starts_per_second, settle_time);
+    if (shape.prints_pids) {
+        print_pids(cluster);
     }
+    const auto before = read_all_processor_seconds(cluster);
+    const auto done_before = workers.get_done_counts().size();
+    submit_steadily(cluster, number, shape.starts_per_second, seconds{shape.seconds_long});
     const auto done = workers.get_done_counts().size() - done_before;
-    const int leader = cluster.find_leader();
     std::cout << absl::StrFormat("workers=%d lasting=%d ended tasks=%d in %d s, twice at once=%d\n",
                                  shape.workers, shape.lasting, done, shape.seconds_long,
                                  workers.get_overlaps());
-    for (int instance = 1; instance <= schedulers; ++instance) {
-        const auto used = read_processor_seconds(cluster.get_scheduler(instance).get_pid()) -
-                          before[static_cast<std::size_t>(instance) - 1];
-        std::cout << absl::StrFormat(
-            "scheduler %d%s: %.2f processor seconds, %.1f%% of a core, %.0f us a task\n", instance,
-            instance == leader ? " (leads)" : "", used, 100 * used / shape.seconds_long,
-            1e6 * used / static_cast<double>(std::max<std::size_t>(done, 1)));
-    }
+    print_usage(cluster, before, done, shape.seconds_long);
     return workers.get_overlaps() == 0 ? 0 : 1;
 }
