--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -201,22 +201,6 @@
     }
 }
 
-void replica::when_saved(std::function<void()> work) {
-    if (m_disk.is_running()) {
-        m_held.push_back(std::move(work));
-    } else {
-        work();
-    }
-}
-
-void replica::run_held() {
-    const auto held = std::exchange(m_held, {});
-    m_held_messages = 0;
-    for (const auto& work : held) {
-        work();
-    }
-}
-
 void replica::take_message(const wire::raft_message& message) {
     if (!m_disk.is_running()) {
         m_node->step(decode(message), m_loop.now());
@@ -378,51 +362,6 @@
 
 // ---- what others ask for
 
-void replica::propose(std::string payload, std::function<void(proposal_fate)> on_fate) {
-    when_saved([this, payload = std::move(payload), on_fate = std::move(on_fate)]() mutable {
-        propose_now(std::move(payload), std::move(on_fate));
-    });
-}
-
-void replica::propose_now(std::string payload, std::function<void(proposal_fate)> on_fate) {
-    if (m_node == nullptr || !m_is_leading) {
-        on_fate(proposal_fate::refused);
-        return;
-    }
-    const auto index = m_node->propose(std::move(payload), m_loop.now());
-    if (!index) {
-        on_fate(proposal_fate::refused);
-        return;
-    }
-    m_proposals.emplace(index.value(), pending_proposal{m_node->get_term(), std::move(on_fate)});
-}
-
-void replica::read(std::function<void(bool)> on_ready) {
-    when_saved([this, on_ready = std::move(on_ready)]() mutable { read_now(std::move(on_ready)); });
-}
-
-void replica::read_now(std::function<void(bool)> on_ready) {
-    if (m_node == nullptr || !m_is_leading) {
-        on_ready(false);
-        return;
-    }
-    const auto token = m_node->request_read(m_loop.now());
-    if (!token) {
-        on_ready(false);
-        return;
-    }
-    m_reads.emplace(token.value(), std::move(on_ready));
-}
-
-void replica::resign() {
-    when_saved([this] {
-        if (m_node != nullptr && m_node->get_role() == raft_role::leader) {
-            static_cast<void>(
-                m_node->transfer_leadership(0, m_loop.now())); // where it fails, an election follows
-        }
-    });
-}
-
 bool replica::has_lease() const {
     return m_node != nullptr && m_node->has_lease(m_loop.now());
 }
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -165,24 +165,6 @@
     EXPECT_EQ(stops[0].run, stray);
 }
 
-TEST(dispatcher_loss, acknowledges_an_end_only_after_it_is_committed) {
-    dispatch_world world;
-    world.add_worker("w1");
-    world.submit({make_step(2)});
-    const auto starts = world.take<start_order>();
-    ASSERT_EQ(starts.size(), 2U);
-    world.answer(starts[0]);
-    world.answer(starts[1]);
-    world.wait_for_hold("w1");
-    hold_answer list;
-    list.running.push_back({starts[1].run, "", 10, 0});
-    list.ended.push_back({1, starts[0].run, run_end::done, ""});
-    world.scheduler.on_hold("w1", {std::nullopt, list}, world.now); // not committed yet
-    EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 0U);
-    world.settle();
-    EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 1U);
-}
-
 /// Lets worker w1 run two tasks and list the end of the first, which is not committed yet.
 void list_one_end_of_two(dispatch_world& world) {
     world.add_worker("w1");
@@ -199,6 +181,14 @@
     world.scheduler.on_hold("w1", {std::nullopt, list}, world.now);
 }
 
+TEST(dispatcher_loss, acknowledges_an_end_only_after_it_is_committed) {
+    dispatch_world world;
+    list_one_end_of_two(world);
+    EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 0U);
+    world.settle();
+    EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 1U);
+}
+
 TEST(dispatcher_loss, asks_a_worker_again_only_once_its_ends_are_committed) {
     dispatch_world world;
     list_one_end_of_two(world);
