Judge by learned lengths of steps, not by callers' guesses, whether a job can still be in time

Cause: objectives and slack were computed from the callers' guesses. Change: a regression of log(actual / guess) on log(guess) for each queue; the lengths of steps that are done and the time of failed runs, which objectives allow for, are taken as they were. The test of the order fails on the code before.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -59,6 +59,7 @@
     m_jobs.clear();
     m_ready.clear();
     m_failed_on.clear();
+    m_forecast.clear();
     m_advice.clear();
     m_is_advising = false;
     m_due.clear();
@@ -132,8 +133,9 @@
     auto& ready = m_ready[key.step];
     if (ready.job == nullptr) {
         ready.job = record->job;
-        ready.objective_ms = to_milliseconds(record->job->get_objective());
-        ready.rest_ms = record->job->estimate_rest_ms(key.step.step);
+        const auto lengths = m_forecast.get_lengths_ms(*record->job, key.step.occurrence);
+        ready.objective_ms = to_milliseconds(record->job->get_objective(lengths));
+        ready.rest_ms = record->job->get_rest_ms(key.step.step, lengths);
     }
     ready.since = ready.waiting.empty() ? now : ready.since;
     ready.waiting.insert(key.index);
@@ -142,6 +144,7 @@
 
 void dispatcher::close(job_id id, time_point now) {
     note_ended(id, now);
+    m_forecast.forget(id);
     m_jobs.erase(id);
     const auto first = m_ready.lower_bound(step_key{id, 0, 0});
     auto last = first;
@@ -202,6 +205,7 @@
         const auto* record = m_book.find_job(id);
         auto key = event.run.task.step;
         const auto done = key.step;
+        m_forecast.on_step_done(*record->job, key);
         for (key.step = done + 1; key.step < record->job->steps.size(); ++key.step) {
             const auto& after = record->job->steps[key.step].depends_on;
             if (std::find(after.begin(), after.end(), done) != after.end()) {
@@ -230,6 +234,7 @@
         }
     }
     const bool was_known = find(event.run) != nullptr;
+    note_run_time(event, now);
     drop_track(event.run);
     m_must_place = true;
     if (!was_known) {
@@ -264,6 +269,21 @@
     }
 }
 
+void dispatcher::note_run_time(const book_event& ended, time_point now) {
+    const auto* track = find(ended.run);
+    if (track == nullptr || !track->has_known_start || track->get_spec().long_running) {
+        return;
+    }
+    const auto took_ms = to_milliseconds(now - track->confirmed_at);
+    const bool is_first = ended.run.run == 1; // a later one may go on from a checkpoint
+    if (ended.end == run_end::done && is_first) {
+        m_forecast.on_done(ended.run.task, took_ms);
+    }
+    if (ended.end == run_end::failed) {
+        m_forecast.on_failed(ended.run.task, took_ms);
+    }
+}
+
 void dispatcher::break_gang(const run_key& ended, time_point now) {
     const auto* record = m_book.find_job(ended.task.step.job);
     const auto& spec = record->job->steps[ended.task.step.step];
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "poplarpitch/dispatch/refused_shapes.h"
 #include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/step_advice.h"
+#include "poplarpitch/dispatch/work_forecast.h"
 #include "poplarpitch/dispatch/worker_state.h"
 #include "poplarpitch/scheduling/advice_outcome.h"
 #include "poplarpitch/scheduling/book_event.h"
@@ -110,7 +111,7 @@
         std::set<std::uint32_t> waiting;
         time_point since{};            ///< when the first of them began to wait
         std::int64_t objective_ms = 0; ///< of the job
-        std::int64_t rest_ms = 0;      ///< estimate of this step and what follows it
+        std::int64_t rest_ms = 0;      ///< forecast for this step and what follows it
     };
     /// What one pass over the waiting tasks has found out so far.
     struct placing_pass {
@@ -138,6 +139,8 @@
     void note_started(job_id id, time_point now);
     void note_ended(job_id id, time_point now);
     void on_run_ended(const book_event& event, time_point now);
+    /// Tells the forecast how long an ending run took.
+    void note_run_time(const book_event& ended, time_point now);
     void break_gang(const run_key& ended, time_point now);
     void note_pressure(time_point now);
     void report_load(time_point now);
@@ -238,6 +241,7 @@
     std::vector<job_timing> m_timings;
     dispatch_counts m_counts;
     pressure_model m_pressure;
+    work_forecast m_forecast;
     bool m_must_place = false;
     double m_short_cores = 0;       ///< millicores that tasks which neither serve nor fill want, smoothed
     std::int64_t m_open_cores = 0;  ///< millicores of the usable workers on which nothing serves
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -179,6 +179,7 @@
         ++m_counts.started;
         track->stage = run_stage::running;
         track->confirmed_at = now;
+        track->has_known_start = true;
         note_started(key.task.step.job, now);
         auto event = log_event(log_level::info, "run_started");
         add_run(event, key);
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -32,7 +32,8 @@
     bool is_stop_answered = false; ///< the worker has taken the stop; `stop_answered_at` says when
     bool is_order_out = false;     ///< a start or stop is under way
     time_point claimed_at{};
-    time_point confirmed_at{}; ///< when the start was answered or first listed; zero before
+    time_point confirmed_at{};    ///< when the start was answered or first listed; zero before
+    bool has_known_start = false; ///< its start was answered: `confirmed_at` is when it began
     time_point stop_answered_at{};
     time_point next_order{};    ///< earliest time of the next start or stop order
     bool may_come_late = false; ///< a start had no answer: it may be carried out seconds later
--- /dev/null
+++ b/poplarpitch/dispatch/work_forecast.cpp
@@ -0,0 +1,64 @@
+#include "poplarpitch/dispatch/work_forecast.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+
+std::int64_t work_forecast::step_times::get_longest_failed_ms() const {
+    std::int64_t longest = 0;
+    for (const auto& [task, time_ms] : failed_ms) {
+        longest = std::max(longest, time_ms);
+    }
+    return longest;
+}
+
+void work_forecast::on_done(const task_key& task, std::int64_t took_ms) {
+    auto& step = m_steps[task.step];
+    step.longest_ms = std::max(step.longest_ms, took_ms);
+}
+
+void work_forecast::on_failed(const task_key& task, std::int64_t took_ms) {
+    m_steps[task.step].failed_ms[task.index] += took_ms;
+}
+
+void work_forecast::on_step_done(const step_job& job, const step_key& step) {
+    auto& times = m_steps[step];
+    times.is_done = true;
+    if (times.longest_ms > 0) {
+        m_durations.observe(job.queue.name, job.steps[step.step].estimate_ms, times.longest_ms);
+    }
+}
+
+void work_forecast::forget(job_id job) {
+    const auto first = m_steps.lower_bound(step_key{job, 0, 0});
+    auto last = first;
+    while (last != m_steps.end() && last->first.job == job) {
+        ++last;
+    }
+    m_steps.erase(first, last);
+}
+
+void work_forecast::clear() {
+    m_durations.clear();
+    m_steps.clear();
+}
+
+std::vector<std::int64_t> work_forecast::get_lengths_ms(const step_job& job, std::uint32_t occurrence) const {
+    std::vector<std::int64_t> lengths;
+    lengths.reserve(job.steps.size());
+    for (std::uint32_t number = 0; number < job.steps.size(); ++number) {
+        const auto seen = m_steps.find(step_key{job.id, occurrence, number});
+        const auto expected = m_durations.predict(job.queue.name, job.steps[number].estimate_ms);
+        if (seen == m_steps.end()) {
+            lengths.push_back(expected);
+            continue;
+        }
+        const auto& times = seen->second;
+        const bool is_known = times.is_done && times.longest_ms > 0;
+        const auto work = is_known ? times.longest_ms : std::max(expected, times.longest_ms);
+        lengths.push_back(work + times.get_longest_failed_ms());
+    }
+    return lengths;
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/scheduling/step_job.cpp
+++ b/poplarpitch/scheduling/step_job.cpp
@@ -16,31 +16,41 @@
     return schedule.has_value() ? schedule->count : 1;
 }
 
-std::int64_t step_job::estimate_chain_ms() const {
-    std::vector<std::int64_t> ends;
+std::vector<std::int64_t> step_job::get_estimates_ms() const {
+    std::vector<std::int64_t> estimates;
+    estimates.reserve(steps.size());
     for (const auto& step : steps) {
+        estimates.push_back(step.estimate_ms);
+    }
+    return estimates;
+}
+
+std::int64_t step_job::get_chain_ms(const std::vector<std::int64_t>& lengths_ms) const {
+    std::vector<std::int64_t> ends;
+    ends.reserve(steps.size());
+    for (std::size_t number = 0; number < steps.size(); ++number) {
         std::int64_t start = 0;
-        for (const auto earlier : step.depends_on) {
+        for (const auto earlier : steps[number].depends_on) {
             start = std::max(start, ends[earlier]);
         }
-        ends.push_back(start + step.estimate_ms);
+        ends.push_back(start + lengths_ms[number]);
     }
     return ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
 }
 
-duration step_job::get_objective() const {
-    const auto stretched = queue.stretch * static_cast<double>(estimate_chain_ms());
+duration step_job::get_objective(const std::vector<std::int64_t>& lengths_ms) const {
+    const auto stretched = queue.stretch * static_cast<double>(get_chain_ms(lengths_ms));
     return queue.target_latency + duration{milliseconds{static_cast<std::int64_t>(stretched)}};
 }
 
-std::int64_t step_job::estimate_rest_ms(std::uint32_t first) const {
+std::int64_t step_job::get_rest_ms(std::uint32_t first, const std::vector<std::int64_t>& lengths_ms) const {
     std::vector<std::int64_t> ends(steps.size(), -1); // -1: not behind `first`
-    ends[first] = steps[first].estimate_ms;
+    ends[first] = lengths_ms[first];
     auto last = ends[first];
     for (std::size_t number = first + 1; number < steps.size(); ++number) {
         for (const auto earlier : steps[number].depends_on) {
             if (ends[earlier] >= 0) {
-                ends[number] = std::max(ends[number], ends[earlier] + steps[number].estimate_ms);
+                ends[number] = std::max(ends[number], ends[earlier] + lengths_ms[number]);
             }
         }
         last = std::max(last, ends[number]);
--- a/poplarpitch/scheduling/step_job.h
+++ b/poplarpitch/scheduling/step_job.h
@@ -34,14 +34,18 @@
 
     /// Returns how many occurrences there are in all. Thread safety: any thread.
     [[nodiscard]] std::uint32_t get_occurrence_count() const;
-    /// Returns the estimated time of the longest chain of steps, milliseconds. Thread safety: any thread.
-    [[nodiscard]] std::int64_t estimate_chain_ms() const;
+    /// Returns the callers' guesses of how long each step takes, milliseconds. Thread safety: any thread.
+    [[nodiscard]] std::vector<std::int64_t> get_estimates_ms() const;
+    /// Returns the time of the longest chain of steps, milliseconds, by what each of them takes.
+    /// Precondition: one length for each step. Thread safety: any thread.
+    [[nodiscard]] std::int64_t get_chain_ms(const std::vector<std::int64_t>& lengths_ms) const;
     /// Returns how long after acceptance the job, or an occurrence after it fell due, may end and still be
-    /// in time. Thread safety: any thread.
-    [[nodiscard]] duration get_objective() const;
-    /// Returns the estimated time from the start of a step to the end of the last one behind it,
-    /// milliseconds. Thread safety: any thread.
-    [[nodiscard]] std::int64_t estimate_rest_ms(std::uint32_t first) const;
+    /// in time, by what each step takes. Precondition: one length for each step. Thread safety: any thread.
+    [[nodiscard]] duration get_objective(const std::vector<std::int64_t>& lengths_ms) const;
+    /// Returns the time from the start of a step to the end of the last one behind it, milliseconds, by what
+    /// each step takes. Precondition: one length for each step. Thread safety: any thread.
+    [[nodiscard]] std::int64_t get_rest_ms(std::uint32_t first,
+                                           const std::vector<std::int64_t>& lengths_ms) const;
 };
 
 /// Returns why a job cannot be taken, or nothing when it is sound: counts, dependencies on earlier steps
--- a/unit_tests/dispatch/dispatcher_order_test.cpp
+++ b/unit_tests/dispatch/dispatcher_order_test.cpp
@@ -17,10 +17,17 @@
         auto all = make_step();
         all.millicores = worker_cores * 1000;
         world.submit({all});
-        const auto starts = world.take<start_order>();
-        EXPECT_EQ(starts.size(), 1U);
-        m_filling = starts.at(0).run;
-        world.answer(starts.at(0));
+        take_start();
+    }
+
+    /// Runs jobs one after the other that all take as long, with guesses from a tenth to ten times of it.
+    void learn_lengths(duration length) {
+        for (const double off : {0.1, 0.3, 1.0, 3.0, 10.0, 0.1, 0.3, 1.0, 3.0, 10.0}) {
+            submit(1, static_cast<std::int64_t>(off * static_cast<double>(to_milliseconds(length))));
+            world.advance(length);
+            end_filling();
+            take_start();
+        }
     }
 
     job_id submit(std::uint32_t tasks, std::int64_t estimate_ms) {
@@ -32,10 +39,7 @@
 
     /// Ends the task that fills the worker. Returns the job that gets its room.
     job_id free_room() {
-        world.wait_for_hold("w1");
-        hold_answer list;
-        list.ended.push_back({1, m_filling, run_end::done, ""});
-        world.answer_hold("w1", list);
+        end_filling();
         const auto starts = world.take<start_order>();
         EXPECT_EQ(starts.size(), 1U);
         return starts.empty() ? 0 : starts[0].run.task.step.job;
@@ -44,7 +48,22 @@
     dispatch_world world;
 
 private:
+    void take_start() {
+        const auto starts = world.take<start_order>();
+        ASSERT_EQ(starts.size(), 1U);
+        m_filling = starts.at(0).run;
+        world.answer(starts.at(0));
+    }
+
+    void end_filling() {
+        world.wait_for_hold("w1");
+        hold_answer list;
+        list.ended.push_back({++m_ends, m_filling, run_end::done, ""});
+        world.answer_hold("w1", list);
+    }
+
     run_key m_filling;
+    std::uint64_t m_ends = 0;
 };
 
 TEST(dispatcher_order, lets_the_job_with_less_time_left_go_first_however_large_it_is) {
@@ -71,5 +90,16 @@
     EXPECT_EQ(worker.free_room(), later);
 }
 
+/// Load pattern: overload of jobs that all take 2 s, guessed at 200 ms to 20 s. By its guess alone a job
+/// guessed at 200 ms was taken for lost after 1.4 s, while it had three more, and waited behind all others.
+TEST(dispatcher_order, does_not_take_a_job_for_lost_for_a_guess_that_proved_worth_nothing) {
+    full_worker worker;
+    worker.learn_lengths(seconds{2});
+    const auto guessed_short = worker.submit(1, 200);
+    worker.world.advance(milliseconds{2500}); // its objective is about 5 s, and 1.4 s by the guess
+    worker.submit(1, 2000);
+    EXPECT_EQ(worker.free_room(), guessed_short);
+}
+
 } // namespace
 } // namespace poplarpitch
--- a/unit_tests/scheduling/configuration_test.cpp
+++ b/unit_tests/scheduling/configuration_test.cpp
@@ -75,9 +75,9 @@
     job.steps[1].depends_on = {0};
     job.steps[2].depends_on = {0};
     job.steps[3].depends_on = {2};
-    EXPECT_EQ(job.estimate_chain_ms(), 600);
-    EXPECT_EQ(job.estimate_rest_ms(2), 250);
-    EXPECT_EQ(job.estimate_rest_ms(0), 600);
+    EXPECT_EQ(job.get_chain_ms(job.get_estimates_ms()), 600);
+    EXPECT_EQ(job.get_rest_ms(2, job.get_estimates_ms()), 250);
+    EXPECT_EQ(job.get_rest_ms(0, job.get_estimates_ms()), 600);
 }
 
 } // namespace
