Let jobs that last reserve four fifths of a pool, and refuse the others at once

Short tasks, which need whole cores, waited 20 to 30 s for a gap, and filling tasks had to suit the most heavily loaded of several serving jobs. A linear program of one layout says why: 395 cores of filling tasks can run there, 692 if each worker bore one serving job, and 400 to 500 ran. Change: lasting_quota and dispatcher::admit; a refused job is told when, by the rate at which such jobs ended, there will be room, spread over half as long again. lasting_share is a setting; where others want less, more is let in.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 dispatcher::dispatcher(const dispatch_settings& settings, const job_book& book)
-    : m_settings(settings), m_book(book) {}
+    : m_settings(settings), m_book(book), m_lasting(settings.lasting_share) {}
 
 dispatcher::~dispatcher() = default;
 
@@ -28,6 +28,7 @@
 void dispatcher::lead(log_term term, time_point now, std::int64_t wall_ms) {
     retire();
     m_term = term;
+    m_lasting.clear(now);
     m_pressure.load(m_book.get_pressure());
     // What an earlier leader allowed may have been allowed just now.
     const auto lease_end = now + get_lease_span();
@@ -68,6 +69,7 @@
     m_commands.clear();
     m_timings.clear();
     m_next_watch = {};
+    m_next_pools = {};
 }
 
 // ---- jobs
@@ -75,6 +77,9 @@
 void dispatcher::open(const job_record& record, time_point accepted, time_point now, std::int64_t wall_ms) {
     auto& job = m_jobs[record.job->id];
     job.accepted = accepted;
+    if (const auto lasting = record.job->get_lasting_millicores(); lasting > 0) {
+        m_lasting.add(record.job->id, record.job->queue.pool, lasting);
+    }
     for (const auto& [number, occurrence] : record.occurrences) {
         for (const auto& step : occurrence.steps) {
             job.has_started = job.has_started || step.done > 0;
@@ -145,6 +150,7 @@
 void dispatcher::close(job_id id, time_point now) {
     note_ended(id, now);
     m_forecast.forget(id);
+    m_lasting.remove(id);
     m_jobs.erase(id);
     const auto first = m_ready.lower_bound(step_key{id, 0, 0});
     auto last = first;
@@ -365,6 +371,7 @@
     }
     place(now);
     start_copies(now);
+    observe_pools(now);
     note_pressure(now);
     report_load(now);
 }
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -2,7 +2,9 @@
 
 #include "poplarpitch/consensus/node_id.h"
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/admission.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
+#include "poplarpitch/dispatch/lasting_quota.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/refused_shapes.h"
@@ -57,6 +59,12 @@
     /// Returns the term it leads in; 0 while it does not.
     [[nodiscard]] log_term get_term() const { return m_term; }
 
+    /// Decides whether a job is taken. One that is taken counts as accepted until `on_not_accepted` is
+    /// called. Precondition: the dispatcher leads; the job is sound and not known yet.
+    [[nodiscard]] admission admit(const step_job& job, time_point now);
+    /// Takes that a job which was to be taken was surely not accepted.
+    void on_not_accepted(job_id job);
+
     /// Takes a heartbeat. Returns true when the worker leaves and the book does not say so yet: the heartbeat
     /// is to be answered once that is committed.
     bool on_heartbeat(const worker_report& report, time_point now);
@@ -142,6 +150,8 @@
     /// Tells the forecast how long an ending run took.
     void note_run_time(const book_event& ended, time_point now);
     void break_gang(const run_key& ended, time_point now);
+    /// Tells the quota what the pools are used for.
+    void observe_pools(time_point now);
     void note_pressure(time_point now);
     void report_load(time_point now);
     void begin_due_occurrences(time_point now, std::int64_t wall_ms);
@@ -242,6 +252,7 @@
     dispatch_counts m_counts;
     pressure_model m_pressure;
     work_forecast m_forecast;
+    lasting_quota m_lasting;
     bool m_must_place = false;
     double m_short_cores = 0;       ///< millicores that tasks which neither serve nor fill want, smoothed
     std::int64_t m_open_cores = 0;  ///< millicores of the usable workers on which nothing serves
@@ -251,6 +262,7 @@
     time_point m_next_place{};
     time_point m_next_watch{};  ///< when all workers and runs are looked at again
     time_point m_next_copies{}; ///< when slow runs are looked for again
+    time_point m_next_pools{};  ///< when the use of pools is looked at again
     time_point m_next_report{};
     time_point m_next_note{};
 };
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -0,0 +1,63 @@
+// Which jobs are taken.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration pool_interval = milliseconds{500}; // between looks at what the pools are used for
+
+} // namespace
+
+admission dispatcher::admit(const step_job& job, time_point now) {
+    admission decided;
+    decided.wanted = job.get_lasting_millicores();
+    if (decided.wanted == 0 ||
+        m_lasting.contains(job.id)) { // sent again while the first one is being decided
+        return decided;
+    }
+    const auto& pool = job.queue.pool;
+    decided.reserved = m_lasting.get_reserved(pool);
+    decided.allowed = m_lasting.get_allowed(pool, now);
+    if (m_lasting.has_room(pool, decided.wanted, now)) {
+        // It counts from now on, so that jobs that come at the same moment do not all find the same room.
+        m_lasting.add(job.id, pool, decided.wanted);
+        return decided;
+    }
+    ++m_counts.refused_jobs;
+    decided.what = admission::verdict::lasting_quota;
+    decided.retry_after = m_lasting.get_retry_after(job.id, pool, decided.wanted, now);
+    return decided;
+}
+
+void dispatcher::on_not_accepted(job_id job) {
+    if (!m_jobs.contains(job)) {
+        m_lasting.remove(job);
+    }
+}
+
+void dispatcher::observe_pools(time_point now) {
+    if (now < m_next_pools) {
+        return;
+    }
+    m_next_pools = now + pool_interval;
+    std::map<std::string, lasting_quota::pool_use> pools;
+    for (const auto& [id, worker] : m_workers) {
+        if (worker.has_report && !worker.is_gone && !worker.is_leaving) {
+            auto& use = pools[worker.report.pool];
+            use.capacity += worker.report.capacity.millicores;
+            use.other_demand += worker.short_cores + worker.fill_cores;
+        }
+    }
+    for (const auto& [key, ready] : m_ready) {
+        const auto& spec = ready.job->steps[key.step];
+        if (!spec.long_running) {
+            pools[ready.job->queue.pool].other_demand +=
+                spec.millicores * static_cast<std::int64_t>(ready.waiting.size());
+        }
+    }
+    for (const auto& [pool, use] : pools) {
+        m_lasting.observe(pool, use, now);
+    }
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/dispatch/lasting_quota.cpp
@@ -0,0 +1,107 @@
+#include "poplarpitch/dispatch/lasting_quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration settle = seconds{3};    // workers send heartbeats each 1 to 1.5 s; two of them
+constexpr duration learning = seconds{30}; // before what others want is believed to be all they want
+constexpr double peak_memory = 60;  // s: others' demand varies by half within 20 s, daily peaks are longer
+constexpr double peak_margin = 1.5; // of others' peak: their demand is half again as high in a burst
+constexpr duration soonest = seconds{5};        // a job that lasts a minute does not make room sooner
+constexpr duration latest = seconds{60};        // the caller may ask again then, whatever is known
+constexpr duration while_unknown = seconds{30}; // no job has ended yet
+constexpr duration unsettled_wait = seconds{1}; // workers are still being heard of
+constexpr job_id spread_steps = 16;             // of the times at which refused callers come back
+constexpr double spread_share = 0.5;            // the last come back after half as long again
+
+} // namespace
+
+void lasting_quota::clear(time_point now) {
+    m_cleared_at = now;
+    m_jobs.clear();
+    m_pools.clear();
+}
+
+void lasting_quota::add(job_id job, const std::string& pool, std::int64_t millicores) {
+    const auto [found, is_new] = m_jobs.try_emplace(job, job_share{pool, millicores});
+    if (is_new) {
+        m_pools[pool].reserved += millicores;
+    }
+}
+
+void lasting_quota::remove(job_id job) {
+    const auto found = m_jobs.find(job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto& state = m_pools[found->second.pool];
+    state.reserved -= found->second.millicores;
+    state.released += found->second.millicores;
+    m_jobs.erase(found);
+}
+
+void lasting_quota::observe(const std::string& pool, const pool_use& use, time_point now) {
+    auto& state = m_pools[pool];
+    if (state.first_observed == time_point{}) {
+        state.first_observed = now;
+        state.observed_at = now;
+    }
+    const double kept = std::exp(-to_seconds(now - state.observed_at) / peak_memory);
+    state.observed_at = now;
+    state.peak_demand = std::max(static_cast<double>(use.other_demand), kept * state.peak_demand);
+    state.use = use;
+}
+
+bool lasting_quota::is_settled(time_point now) const {
+    return now - m_cleared_at >= settle;
+}
+
+std::int64_t lasting_quota::get_allowed(const std::string& pool, time_point now) const {
+    const auto found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return 0;
+    }
+    const auto& state = found->second;
+    const auto capacity = static_cast<double>(state.use.capacity);
+    double allowed = m_share * capacity;
+    if (now - state.first_observed >= learning) {
+        allowed = std::max(allowed, capacity - peak_margin * state.peak_demand);
+    }
+    return static_cast<std::int64_t>(allowed);
+}
+
+std::int64_t lasting_quota::get_reserved(const std::string& pool) const {
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.reserved;
+}
+
+bool lasting_quota::has_room(const std::string& pool, std::int64_t millicores, time_point now) const {
+    const auto found = m_pools.find(pool);
+    if (found == m_pools.end() || found->second.use.capacity == 0) {
+        return true; // nothing is known of its workers, so nothing speaks against it
+    }
+    return found->second.reserved + millicores <= get_allowed(pool, now);
+}
+
+duration lasting_quota::get_retry_after(job_id job, const std::string& pool, std::int64_t millicores,
+                                        time_point now) const {
+    if (!is_settled(now)) {
+        return unsettled_wait;
+    }
+    double wait = to_seconds(while_unknown);
+    const auto found = m_pools.find(pool);
+    if (found != m_pools.end() && found->second.released > 0) {
+        const auto missing =
+            static_cast<double>(found->second.reserved + millicores - get_allowed(pool, now));
+        const double rate = static_cast<double>(found->second.released) / to_seconds(now - m_cleared_at);
+        wait = std::clamp(missing / rate, to_seconds(soonest), to_seconds(latest));
+    }
+    const double step = static_cast<double>(job % spread_steps) / static_cast<double>(spread_steps);
+    wait *= 1 + spread_share * step;
+    return milliseconds{static_cast<std::int64_t>(wait * 1000)};
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -117,6 +117,11 @@
             finish(answer, 400, "", on_answer);
             return;
         }
+        const auto decided = m_parts.dispatch.admit(*job, m_parts.loop.now());
+        if (!decided.is_taken()) {
+            refuse(id, decided, answer, on_answer);
+            return;
+        }
         job_wire::job_command command;
         encode(*job, *command.mutable_submit()->mutable_job());
         log_event(log_level::info, "job_submitted")
@@ -124,7 +129,28 @@
             .add("queue", queue.name)
             .add("config", m_parts.book.get_configuration().version)
             .add("steps", static_cast<std::uint64_t>(job->steps.size()));
-        m_parts.batcher.add(std::move(command), make_fate_handler(answer, on_answer));
+        m_parts.batcher.add(std::move(command), [this, id, answer = make_fate_handler(answer, on_answer)](
+                                                    command_fate fate) mutable {
+            const bool is_sure = fate == command_fate::refused || fate == command_fate::not_taken;
+            if (is_sure) {
+                m_parts.dispatch.on_not_accepted(id);
+            }
+            answer(fate);
+        });
+    }
+
+    /// The job was not taken: its caller is told when to come back.
+    static void refuse(job_id id, const admission& decided, job_wire::relay_answer answer,
+                       const answer_handler& on_answer) {
+        log_event(log_level::info, "job_refused")
+            .add("job", format_job_id(id))
+            .add("reason", "jobs that last reserve their share of the pool")
+            .add("wanted_millicores", decided.wanted)
+            .add("reserved_millicores", decided.reserved)
+            .add("allowed_millicores", decided.allowed)
+            .add("retry_after_ms", to_milliseconds(decided.retry_after));
+        answer.set_retry_after_ms(to_milliseconds(decided.retry_after));
+        finish(std::move(answer), 429, "", on_answer);
     }
 
     /// Too many jobs are open to keep another: the caller is told when to come back. Below that bound every
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -45,6 +45,7 @@
     set("poplarpitch_runs_total", counts.lost_runs, "lost");
     set("poplarpitch_starts_refused_total", counts.refused_room, "no_room");
     set("poplarpitch_starts_refused_total", counts.refused_other, "other");
+    set("poplarpitch_jobs_refused_total", counts.refused_jobs);
     set("poplarpitch_orders_total", counts.stops, "stop");
     set("poplarpitch_orders_total", counts.paces, "pace");
     set("poplarpitch_orders_total", counts.holds, "hold");
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -24,7 +24,9 @@
     duration stop_limit = milliseconds{900};  ///< a worker ends a stopped run within this
     duration forget_after = seconds{12};      ///< a worker without heartbeat and without runs is dropped
     duration keep_ended = seconds{125};       ///< state of an ended job is kept this long
-    std::int64_t max_open_jobs = 20'000;      ///< more are refused: 60 MB of records, an hour of a day's peak
+    double lasting_share = 0.8; ///< of a pool, that jobs which last may reserve while others want the rest:
+                                ///< at 0.75 and 0.82 as much is served in all, above it less
+    std::int64_t max_open_jobs = 20'000; ///< more are refused: 60 MB of records, an hour of a day's peak
 
     friend auto operator<=>(const dispatch_settings&, const dispatch_settings&) = default;
 };
--- a/poplarpitch/scheduling/step_job.cpp
+++ b/poplarpitch/scheduling/step_job.cpp
@@ -16,6 +16,14 @@
     return schedule.has_value() ? schedule->count : 1;
 }
 
+std::int64_t step_job::get_lasting_millicores() const {
+    std::int64_t sum = 0;
+    for (const auto& step : steps) {
+        sum += step.long_running && !step.fills ? step.millicores * step.count : 0;
+    }
+    return sum;
+}
+
 std::vector<std::int64_t> step_job::get_estimates_ms() const {
     std::vector<std::int64_t> estimates;
     estimates.reserve(steps.size());
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -8,7 +8,6 @@
 namespace poplarpitch {
 namespace {
 
-constexpr const char* pool = "mill";
 constexpr int max_turns = 50;
 constexpr duration step = milliseconds{20};
 
@@ -60,7 +59,7 @@
     worker_report report;
     report.id = id;
     report.address = "10.0.0." + std::to_string(m_reports.size() + 1) + ":80";
-    report.pool = pool;
+    report.pool = world_pool;
     report.labels = {"a", rack};
     report.rack = rack;
     report.capacity = capacity;
@@ -116,7 +115,7 @@
     job.id = m_next_job++;
     job.payload = "payload";
     job.queue.name = "queue";
-    job.queue.pool = pool;
+    job.queue.pool = world_pool;
     job.queue.stretch = 2;
     job.queue.target_latency = seconds{1};
     job.accepted_ms = wall_ms;
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -8,6 +8,9 @@
 
 namespace poplarpitch {
 
+/// Where all workers of a world belong.
+inline constexpr const char* world_pool = "mill";
+
 /// A dispatcher with a book that commits at once, and a clock that a test advances. Orders are kept for the
 /// test to answer, so that it can place a fault between any two steps.
 class dispatch_world {
--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_admission_test.cpp
@@ -0,0 +1,100 @@
+// Which jobs are taken when there is too little room for all.
+#include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+constexpr int workers = 8;
+constexpr std::int64_t worker_millicores = 32'000;
+
+step_job make_lasting(job_id id, std::uint32_t tasks) {
+    step_job job;
+    job.id = id;
+    job.queue.pool = world_pool;
+    auto step = make_step(tasks);
+    step.millicores = 6400;
+    step.long_running = true;
+    step.target_ms = 100;
+    step.image = "serving";
+    job.steps = {step};
+    return job;
+}
+
+void add_workers(dispatch_world& world) {
+    for (int number = 0; number < workers; ++number) {
+        world.add_worker("w" + std::to_string(number), {worker_millicores, 128'000, 0});
+    }
+    world.advance(seconds{4});
+}
+
+/// Load pattern, as recorded: within a second jobs that last ask for more than the whole pool, before any
+/// other job has come. All were taken, and short tasks found no whole core for as long as the jobs lasted.
+TEST(dispatcher_admission, keeps_room_for_short_tasks_when_jobs_that_last_ask_for_more_than_there_is) {
+    dispatch_world world;
+    add_workers(world);
+    std::int64_t taken = 0;
+    for (job_id id = 100; id < 107; ++id) { // 109% of the pool
+        const auto job = make_lasting(id, 6);
+        if (world.scheduler.admit(job, world.now).is_taken()) {
+            taken += job.get_lasting_millicores();
+            world.submit(job.steps);
+            world.scheduler.on_not_accepted(id); // counted under the number that the world gave it
+        }
+    }
+    EXPECT_LE(taken, workers * worker_millicores * 8 / 10);
+    EXPECT_GE(taken, workers * worker_millicores * 6 / 10);
+    world.advance(seconds{2});
+    world.take<start_order>();
+    world.submit({make_step(16)}); // short tasks
+    EXPECT_EQ(world.take<start_order>().size(), 16U);
+}
+
+TEST(dispatcher_admission, tells_a_refused_job_what_it_was_refused_for_and_when_to_come_back) {
+    dispatch_world world;
+    add_workers(world);
+    const auto decided = world.scheduler.admit(make_lasting(100, 40), world.now);
+    EXPECT_EQ(decided.what, admission::verdict::lasting_quota);
+    EXPECT_EQ(decided.wanted, 256'000);
+    EXPECT_EQ(decided.allowed, 204'800);
+    EXPECT_GE(decided.retry_after, seconds{5});
+    EXPECT_EQ(world.scheduler.get_counts().refused_jobs, 1U);
+}
+
+TEST(dispatcher_admission, counts_jobs_that_are_still_being_committed) {
+    dispatch_world world;
+    add_workers(world);
+    EXPECT_TRUE(world.scheduler.admit(make_lasting(100, 30), world.now).is_taken());
+    EXPECT_FALSE(world.scheduler.admit(make_lasting(101, 30), world.now).is_taken());
+    EXPECT_TRUE(world.scheduler.admit(make_lasting(100, 30), world.now).is_taken()); // sent again
+    world.scheduler.on_not_accepted(100);
+    EXPECT_TRUE(world.scheduler.admit(make_lasting(101, 30), world.now).is_taken());
+}
+
+TEST(dispatcher_admission, a_new_leader_counts_the_jobs_of_the_one_before) {
+    dispatch_world world;
+    add_workers(world);
+    world.submit(make_lasting(0, 30).steps);
+    world.lead();
+    for (int number = 0; number < workers; ++number) {
+        world.beat("w" + std::to_string(number));
+    }
+    world.advance(seconds{4});
+    EXPECT_FALSE(world.scheduler.admit(make_lasting(101, 30), world.now).is_taken());
+}
+
+TEST(dispatcher_admission, takes_jobs_that_end_whatever_jobs_that_last_hold) {
+    dispatch_world world;
+    add_workers(world);
+    EXPECT_TRUE(world.scheduler.admit(make_lasting(100, 32), world.now).is_taken());
+    step_job job;
+    job.id = 101;
+    job.queue.pool = world_pool;
+    job.steps = {make_step(1000)};
+    EXPECT_TRUE(world.scheduler.admit(job, world.now).is_taken());
+}
+
+} // namespace
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/dispatch/lasting_quota_test.cpp
@@ -0,0 +1,83 @@
+// How much of a pool jobs that last may reserve.
+#include "poplarpitch/dispatch/lasting_quota.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace poplarpitch {
+namespace {
+
+constexpr double share = 0.8;
+const std::string pool = "pool"; // NOLINT(cert-err58-cpp)
+constexpr time_point start{seconds{100}};
+
+TEST(lasting_quota, lets_jobs_reserve_their_share_and_no_more) {
+    lasting_quota quota(share);
+    quota.clear(start);
+    quota.observe(pool, {1000, 0}, start);
+    EXPECT_TRUE(quota.has_room(pool, 800, start));
+    quota.add(1, pool, 500);
+    EXPECT_TRUE(quota.has_room(pool, 300, start));
+    EXPECT_FALSE(quota.has_room(pool, 301, start));
+    quota.add(1, pool, 500); // told twice
+    EXPECT_EQ(quota.get_reserved(pool), 500);
+    quota.remove(1);
+    quota.remove(1);
+    EXPECT_TRUE(quota.has_room(pool, 800, start));
+}
+
+TEST(lasting_quota, takes_what_comes_while_no_worker_is_known) {
+    lasting_quota quota(share);
+    quota.clear(start);
+    EXPECT_TRUE(quota.has_room(pool, 1'000'000, start));
+}
+
+TEST(lasting_quota, lets_more_in_where_others_were_seen_to_want_little) {
+    lasting_quota quota(share);
+    quota.clear(start);
+    auto now = start;
+    for (; now < start + seconds{31}; now += milliseconds{500}) {
+        quota.observe(pool, {1000, 40}, now);
+    }
+    EXPECT_EQ(quota.get_allowed(pool, now), 940);
+    quota.observe(pool, {1000, 400}, now); // others come
+    EXPECT_EQ(quota.get_allowed(pool, now), 800);
+    quota.observe(pool, {1000, 40}, now + seconds{10}); // their peak is remembered
+    EXPECT_EQ(quota.get_allowed(pool, now + seconds{10}), 800);
+}
+
+TEST(lasting_quota, tells_refused_callers_to_come_back_when_jobs_end_at_the_rate_seen) {
+    lasting_quota quota(share);
+    quota.clear(start);
+    quota.observe(pool, {1000, 0}, start);
+    quota.add(1, pool, 400);
+    quota.add(2, pool, 400);
+    const auto now = start + seconds{20};
+    const auto blind = quota.get_retry_after(16, pool, 100, now);
+    EXPECT_EQ(blind, seconds{30});
+    quota.remove(1);
+    quota.add(3, pool, 400); // 400 millicores in 20 s
+    EXPECT_EQ(quota.get_retry_after(16, pool, 200, now), seconds{10});
+}
+
+TEST(lasting_quota, spreads_the_callers_that_it_refused) {
+    lasting_quota quota(share);
+    quota.clear(start);
+    const auto now = start + seconds{20};
+    std::set<duration> times;
+    for (job_id job = 0; job < 16; ++job) {
+        times.insert(quota.get_retry_after(job, pool, 100, now));
+    }
+    EXPECT_EQ(times.size(), 16U);
+    EXPECT_LT(*times.rbegin(), seconds{45});
+}
+
+TEST(lasting_quota, asks_for_patience_of_a_second_while_workers_are_still_heard_of) {
+    lasting_quota quota(share);
+    quota.clear(start);
+    EXPECT_EQ(quota.get_retry_after(5, pool, 100, start + seconds{1}), seconds{1});
+}
+
+} // namespace
+} // namespace poplarpitch
