Slow every task that presses on a tail, also behind one that is stopped already

Two others had been stopped for another serving task; the loop returned at the first that no longer pressed instead of going on. So the cut of 70 or 100% reached nobody. Ruled out: the factor (learned as 8, the highest), the watch (its cut stood at 100%), late figures. Change: continue in place of return. The test fails before: a pace of 34 beside a tail ten times over its target.

--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -213,9 +213,12 @@
               [](const pressing& left, const pressing& right) { return left.press > right.press; });
     for (const auto& [fill, full_press] : pressed) {
         const double press = full_press * fill->planned_pace / 100;
-        if (excess <= 0 || press <= 0) {
+        if (excess <= 0) {
             return;
         }
+        if (press <= 0) {
+            continue; // stopped already for another serving task; the ones behind it may press all the same
+        }
         const double left = std::max(0.0, 1 - excess / press);
         fill->planned_pace = static_cast<int>(left * fill->planned_pace);
         excess -= press * (1 - left);
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -99,6 +99,43 @@
     EXPECT_LT(over, seconds{3});
 }
 
+/// Load pattern, as recorded: beside three tasks that fill, one serving task asks to stop the first two;
+/// another one, ten times over its target, found the first one stopped and looked no further. The third ran
+/// on, faster and faster, for 4 s.
+TEST(dispatcher_pressure, slows_what_is_left_where_others_are_stopped_already) {
+    dispatch_world world;
+    world.add_worker("w1");
+    auto first = make_serving(1);
+    first.image = "first";
+    first.target_ms = 700; // under it, with little to spare
+    world.submit({first});
+    world.submit({make_serving(2)});
+    world.advance(seconds{2});
+    run_all(world, "w1", 15, 0);
+    auto filling = make_filling(3);
+    filling.checkpointing = false;
+    world.submit({filling}, 3, 2);
+    run_all(world, "w1", 15, 6000, 40);
+    std::map<run_key, int> paces;
+    for (const auto& key : world.scheduler.get_workers().at("w1").runs) {
+        if (world.scheduler.find_track(key)->get_spec().fills) {
+            paces[key] = 100;
+        }
+    }
+    ASSERT_EQ(paces.size(), 3U);
+    for (std::int64_t look = 0; look < 8; ++look) {
+        world.advance(milliseconds{380});
+        run_all(world, "w1", 500 + look, 3000, 40);
+        for (const auto& order : world.take<pace_order>()) {
+            world.scheduler.on_pace(order.run, order.percent, {}, world.now);
+            paces[order.run] = order.percent;
+        }
+    }
+    for (const auto& [key, pace] : paces) {
+        EXPECT_EQ(pace, 0) << key.task.index;
+    }
+}
+
 TEST(dispatcher_pressure, gives_filling_tasks_their_speed_back_when_the_tail_allows) {
     dispatch_world world;
     world.add_worker("w1");
