Let no job stand still in a pool of which less than half is reserved

The least late took each gap, and tasks of 5 cores found none that small ones had not filled, so some jobs had nothing running for longer than 3 s beside free room. Ruled out: lost leaders, unusable workers (42 of 43 usable, 80 starts a second meanwhile). Change: a job with nothing running for 1.5 s goes first in its queue's priority, and one of its tasks may share a worker: whatever is left where nothing serves, half of what it asks for elsewhere (where it is paced). Two tests fail before.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -30,6 +30,14 @@
     m_term = term;
     m_lasting.clear(now);
     m_pressure.load(m_book.get_pressure());
+    for (const auto& [id, record] : m_book.get_jobs()) {
+        if (record.phase == job_phase::open) {
+            const auto age = std::max<std::int64_t>(wall_ms - record.job->accepted_ms, 0);
+            open(record, now - milliseconds{age}, now, wall_ms);
+        } else {
+            m_ended.emplace(now + m_settings.keep_ended, id);
+        }
+    }
     // What an earlier leader allowed may have been allowed just now.
     const auto lease_end = now + get_lease_span();
     for (const auto& [key, worker] : m_book.get_assigned_runs()) {
@@ -41,14 +49,6 @@
             stop_run(*find(key), now);
         }
     }
-    for (const auto& [id, record] : m_book.get_jobs()) {
-        if (record.phase == job_phase::open) {
-            const auto age = std::max<std::int64_t>(wall_ms - record.job->accepted_ms, 0);
-            open(record, now - milliseconds{age}, now, wall_ms);
-        } else {
-            m_ended.emplace(now + m_settings.keep_ended, id);
-        }
-    }
     m_must_place = true;
 }
 
@@ -77,6 +77,7 @@
 void dispatcher::open(const job_record& record, time_point accepted, time_point now, std::int64_t wall_ms) {
     auto& job = m_jobs[record.job->id];
     job.accepted = accepted;
+    job.idle_since = now;
     if (const auto lasting = record.job->get_lasting_millicores(); lasting > 0) {
         m_lasting.add(record.job->id, record.job->queue.pool, lasting);
     }
@@ -197,7 +198,7 @@
         }
         return;
     case book_event::kind::run_refused: {
-        drop_track(event.run);
+        drop_track(event.run, now);
         const auto* task = m_book.find_task(event.run.task);
         if (task == nullptr || task->phase == task_phase::waiting) {
             make_ready(event.run.task, now);
@@ -241,7 +242,7 @@
     }
     const bool was_known = find(event.run) != nullptr;
     note_run_time(event, now);
-    drop_track(event.run);
+    drop_track(event.run, now);
     m_must_place = true;
     if (!was_known) {
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -110,6 +110,8 @@
     struct open_job {
         time_point accepted{};
         bool has_started = false;
+        std::uint32_t runs = 0;  ///< assigned and not ended
+        time_point idle_since{}; ///< while `runs` is 0: since when nothing of it runs
         std::map<std::uint32_t, time_point>
             due; ///< of the occurrences that have begun; empty for a job that runs once
     };
@@ -152,6 +154,8 @@
     void break_gang(const run_key& ended, time_point now);
     /// Tells the quota what the pools are used for.
     void observe_pools(time_point now);
+    /// Returns true when a job has waited too long with nothing running, given how empty its pool is.
+    [[nodiscard]] bool is_starving(const open_job& job, const std::string& pool, time_point now) const;
     void note_pressure(time_point now);
     void report_load(time_point now);
     void begin_due_occurrences(time_point now, std::int64_t wall_ms);
@@ -160,7 +164,7 @@
     // runs
     run_track& add_track(const run_key& key, std::shared_ptr<const step_job> job, const std::string& worker,
                          run_stage stage, time_point now);
-    void drop_track(const run_key& key);
+    void drop_track(const run_key& key, time_point now);
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number);
     void send_start(run_track& track, time_point now);
@@ -218,6 +222,8 @@
     [[nodiscard]] placing_pass begin_pass(time_point now);
     /// Places tasks of a step one by one until one finds no room.
     void place_tasks(placing_pass& pass, ready_step& ready, const step_key& key);
+    /// Places one task of a job that starves, also where there is less room than it asks for.
+    void place_starving(placing_pass& pass, ready_step& ready, const step_key& key);
     void place_alike(placing_pass& pass, ready_step& ready, const step_key& key);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
     void measure_short_demand(time_point now);
@@ -253,6 +259,7 @@
     pressure_model m_pressure;
     work_forecast m_forecast;
     lasting_quota m_lasting;
+    std::set<std::string> m_roomy; ///< pools less than half of which is reserved
     bool m_must_place = false;
     double m_short_cores = 0;       ///< millicores that tasks which neither serve nor fill want, smoothed
     std::int64_t m_open_cores = 0;  ///< millicores of the usable workers on which nothing serves
--- a/poplarpitch/dispatch/dispatcher_admission.cpp
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -41,11 +41,13 @@
     }
     m_next_pools = now + pool_interval;
     std::map<std::string, lasting_quota::pool_use> pools;
+    std::map<std::string, std::int64_t> reserved; // millicores
     for (const auto& [id, worker] : m_workers) {
         if (worker.has_report && !worker.is_gone && !worker.is_leaving) {
             auto& use = pools[worker.report.pool];
             use.capacity += worker.report.capacity.millicores;
             use.other_demand += worker.short_cores + worker.fill_cores;
+            reserved[worker.report.pool] += worker.reserved.millicores;
         }
     }
     for (const auto& [key, ready] : m_ready) {
@@ -55,8 +57,12 @@
                 spec.millicores * static_cast<std::int64_t>(ready.waiting.size());
         }
     }
+    m_roomy.clear();
     for (const auto& [pool, use] : pools) {
         m_lasting.observe(pool, use, now);
+        if (2 * reserved[pool] < use.capacity) {
+            m_roomy.insert(pool);
+        }
     }
 }
 
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -22,6 +22,10 @@
 constexpr std::int64_t started_lead =
     3000; // ms: a job that has begun goes before new ones with as much slack
 constexpr std::int64_t lasting_lead = 100'000; // ms: tasks that last go before all others of their priority
+constexpr std::int64_t starving_lead =
+    5'000'000; // ms: a job that starves goes before all others of its priority
+// Nothing of a job runs and less than half of its pool is reserved: longer than 3 s it may not be left so.
+constexpr duration starving_after = milliseconds{1500};
 constexpr std::int64_t lasting_slack = 2000; // ms: the rank of a task that lasts among others of its priority
 constexpr duration lasting_patience = milliseconds{1800}; // a task that lasts and could run may wait 3 s
 constexpr std::size_t many_ready = 50;                    // steps; a pass over fewer costs under 0.2 ms
@@ -62,8 +66,9 @@
         const auto due = job->second.due.find(key.occurrence);
         const auto since = due == job->second.due.end() ? job->second.accepted : due->second;
         const auto age = to_milliseconds(now - since);
+        const auto lead = is_starving(job->second, queue.pool, now) ? starving_lead : 0;
         ranked.emplace_back(
-            queue.priority * priority_weight + rank_by_time(ready.objective_ms, age, ready.rest_ms) -
+            queue.priority * priority_weight - lead + rank_by_time(ready.objective_ms, age, ready.rest_ms) -
                 (job->second.has_started ? started_lead : 0) -
                 (m_failed_on.contains(task_key{key, *ready.waiting.begin()}) ? retry_lead : 0),
             key);
@@ -72,6 +77,12 @@
     return ranked;
 }
 
+/// Load pattern: what is left of an overload when its callers have gone: hundreds of tasks wait that are all
+/// too late to matter, the least late ones take each gap, and some jobs get nothing for minutes.
+bool dispatcher::is_starving(const open_job& job, const std::string& pool, time_point now) const {
+    return job.runs == 0 && now - job.idle_since > starving_after && m_roomy.contains(pool);
+}
+
 void dispatcher::place(time_point now) {
     const bool is_long = m_ready.size() > many_ready;
     if (!m_must_place || (is_long && now < m_last_place + long_interval)) {
@@ -110,6 +121,10 @@
 
 void dispatcher::place_tasks(placing_pass& pass, ready_step& ready, const step_key& key) {
     const auto& spec = ready.job->steps[key.step];
+    place_starving(pass, ready, key);
+    if (ready.waiting.empty()) {
+        return;
+    }
     const bool is_plain = refused_shapes::is_plain(spec) && !ready.job->queue.advice.has_value();
     if (is_plain && pass.refused.covers(ready.job->queue.pool, spec)) {
         return;
@@ -131,6 +146,20 @@
     }
 }
 
+void dispatcher::place_starving(placing_pass& pass, ready_step& ready, const step_key& key) {
+    const auto job = m_jobs.find(key.job);
+    if (job == m_jobs.end() || !is_starving(job->second, ready.job->queue.pool, pass.now)) {
+        return;
+    }
+    const task_key task{key, *ready.waiting.begin()};
+    auto request = make_request(ready, task);
+    request.is_starving = true;
+    if (auto* worker = choose(pass, ready, request); worker != nullptr) {
+        claim(ready, task, *worker, pass.now);
+        ready.waiting.erase(task.index);
+    }
+}
+
 /// Tasks between which nothing but their number differs are placed by one look at all workers: what a task
 /// takes changes the cost of its own worker alone. Load pattern: jobs of 20 to 30 tasks a step, 1,400 starts
 /// a second on 490 workers; a look for each task took a quarter of the leader's time.
@@ -287,7 +316,7 @@
             return;
         }
         for (const auto& [member, worker] : placed) {
-            drop_track(member);
+            drop_track(member, pass.now);
         }
     }
 }
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -19,6 +19,9 @@
     track.claimed_at = now;
     auto& state = get_worker(worker);
     add_load(state, track, 1);
+    if (const auto job = m_jobs.find(key.task.step.job); job != m_jobs.end()) {
+        ++job->second.runs;
+    }
     if (track.get_spec().fills || track.get_spec().is_serving()) {
         track.image = m_pressure.get_number(track.get_spec().image);
         refresh_pressure(state);
@@ -26,11 +29,15 @@
     return track;
 }
 
-void dispatcher::drop_track(const run_key& key) {
+void dispatcher::drop_track(const run_key& key, time_point now) {
     const auto found = m_tracks.find(key);
     if (found == m_tracks.end()) {
         return;
     }
+    if (const auto job = m_jobs.find(key.task.step.job); job != m_jobs.end() && job->second.runs > 0) {
+        --job->second.runs;
+        job->second.idle_since = now;
+    }
     const bool matters = found->second.get_spec().fills || found->second.get_spec().is_serving();
     auto* worker = find_worker(found->second.worker);
     if (worker != nullptr) {
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -3,6 +3,7 @@
 #include "poplarpitch/dispatch/worker_state.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace poplarpitch {
 namespace {
@@ -18,7 +19,8 @@
 constexpr double other_image = 1.5;     // each other job of another image that serves on the worker
 constexpr double other_job = 0.3;       // each other job that serves on the worker
 constexpr std::int64_t no_room = -1;    // millicores: not even for a task that asks for none
-constexpr double between = 0.5;         // a task of neither kind on a worker that fills
+constexpr std::int64_t starving_part = 2; // of what it asks for: at half its speed it still gets on
+constexpr double between = 0.5;           // a task of neither kind on a worker that fills
 
 double get_fill_cost(const worker_state& worker) {
     return 1.0 - worker.get_share(worker.get_leftover());
@@ -50,6 +52,16 @@
     return cost;
 }
 
+/// Returns how much room a filling task must find, millicores. One of a job that starves shares what there is
+/// with others: where nothing serves that only slows them all, elsewhere it is paced.
+std::int64_t get_least_room(const worker_state& worker, const placement_request& request) {
+    const auto wanted = request.spec->millicores;
+    if (!request.is_starving) {
+        return wanted;
+    }
+    return worker.servings == 0 ? std::numeric_limits<std::int64_t>::min() : wanted / starving_part;
+}
+
 /// Best fit: the fuller a worker that still holds the task, the better.
 double get_pack_cost(const worker_state& worker) {
     return worker.get_share(worker.get_free().millicores);
@@ -107,7 +119,7 @@
     }
     double cost = 0;
     if (spec.fills) {
-        if (get_room(worker, request) < spec.millicores) {
+        if (get_room(worker, request) < get_least_room(worker, request)) {
             return std::nullopt;
         }
         cost += get_press_cost(worker, request) + fullness_weight * get_fill_cost(worker);
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -23,8 +23,9 @@
     std::vector<double> factors; ///< for tasks that fill: of its image beside each serving one, by number
     const std::vector<std::string>* avoided = nullptr; ///< workers on which the task failed; null for none
     bool is_last_attempt = false;                      ///< a worker whose last run failed is no choice
-    std::string rack;                                  ///< only this rack; empty for any
-    std::string excluded; ///< a worker that is no choice: a copy is to run elsewhere
+    bool is_starving = false; ///< nothing of its job runs: a task that fills takes less than it asks for
+    std::string rack;         ///< only this rack; empty for any
+    std::string excluded;     ///< a worker that is no choice: a copy is to run elsewhere
 
     friend bool operator==(const placement_request&, const placement_request&) = default;
 };
--- a/unit_tests/dispatch/dispatcher_order_test.cpp
+++ b/unit_tests/dispatch/dispatcher_order_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace poplarpitch {
 namespace {
 
@@ -37,11 +39,27 @@
         return world.submit({step});
     }
 
+    /// Submits tasks that fill the worker and take this much memory.
+    job_id submit_large(std::uint32_t tasks, std::int64_t estimate_ms, std::int64_t memory_mb) {
+        auto step = make_step(tasks);
+        step.millicores = worker_cores * 1000;
+        step.estimate_ms = estimate_ms;
+        step.memory_mb = memory_mb;
+        return world.submit({step});
+    }
+
+    /// Takes the start that `free_room` saw for the task that fills the worker now.
+    void take_last() {
+        m_filling = m_last.run;
+        world.answer(m_last);
+    }
+
     /// Ends the task that fills the worker. Returns the job that gets its room.
     job_id free_room() {
         end_filling();
         const auto starts = world.take<start_order>();
         EXPECT_EQ(starts.size(), 1U);
+        m_last = starts.empty() ? start_order{} : starts[0];
         return starts.empty() ? 0 : starts[0].run.task.step.job;
     }
 
@@ -63,6 +81,7 @@
     }
 
     run_key m_filling;
+    start_order m_last;
     std::uint64_t m_ends = 0;
 };
 
@@ -90,6 +109,29 @@
     EXPECT_EQ(worker.free_room(), later);
 }
 
+/// Load pattern: what is left of an overload when its callers have gone. All jobs are too late to matter, the
+/// least late one took each gap, and the others stood still for as long as it had tasks, in a pool that was
+/// half empty.
+TEST(dispatcher_order, lets_no_job_stand_still_for_long_in_a_pool_with_room) {
+    full_worker worker;
+    worker.world.add_worker("w2", {worker_cores * 2000, 1000, 0}); // too little memory for any of these tasks
+    worker.submit_large(1, 1000, 2000);
+    const auto lost = worker.submit_large(30, 1000, 2000);
+    worker.world.advance(seconds{20});
+    const auto less_late = worker.submit_large(30, 5000, 2000);
+    worker.world.advance(seconds{30});
+    worker.world.beat("w2");
+    std::set<job_id> served;
+    for (int gap = 0; gap < 4; ++gap) {
+        served.insert(worker.free_room());
+        worker.take_last();
+        worker.world.advance(seconds{2});
+        worker.world.beat("w2");
+    }
+    EXPECT_TRUE(served.contains(lost));
+    EXPECT_TRUE(served.contains(less_late));
+}
+
 /// Load pattern: overload of jobs that all take 2 s, guessed at 200 ms to 20 s. By its guess alone a job
 /// guessed at 200 ms was taken for lost after 1.4 s, while it had three more, and waited behind all others.
 TEST(dispatcher_order, does_not_take_a_job_for_lost_for_a_guess_that_proved_worth_nothing) {
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -136,6 +136,23 @@
     }
 }
 
+/// Load pattern: what is left of an overload. Small filling tasks take each gap as it opens, so that one that
+/// asks for more than a gap never ran, in a pool of which half was not even reserved.
+TEST(dispatcher_pressure, lets_a_large_filling_task_share_a_worker_rather_than_stand_still) {
+    dispatch_world world;
+    world.add_worker("w1", {20'000, 256'000, 0});
+    world.submit({make_filling(3)}, 3, 2); // 18 of 20 cores
+    EXPECT_EQ(world.take<start_order>().size(), 3U);
+    const auto large = world.submit({make_filling(2)}, 3, 2);
+    EXPECT_TRUE(world.take<start_order>().empty());
+    world.advance(seconds{1});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    world.advance(seconds{1});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U); // one keeps it going
+    EXPECT_EQ(starts[0].run.task.step.job, large);
+}
+
 TEST(dispatcher_pressure, gives_filling_tasks_their_speed_back_when_the_tail_allows) {
     dispatch_world world;
     world.add_worker("w1");
