--- /dev/null
+++ b/unit_tests/platform/malformed_call_test.cpp
@@ -0,0 +1,145 @@
+// Calls that another writer made, or that were damaged on the way: they are refused, never taken for
+// something else.
+#include "platform/config_dialect.h"
+#include "platform/control_dialect.h"
+#include "platform/job_dialect.h"
+
+#include "poplarpitch/http/http_request.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+
+namespace poplarpitch::platform {
+namespace {
+
+const char* const sound_heartbeat =
+    R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":8,
+    "state":"ready","coldLeftMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":2},"labels":["a","r1-3"],"clockMs":48,
+    "seq":4})";
+const char* const sound_job = R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900},
+    {"count":20,"cpu":2000,"memMb":1024,"estimateMs":7000,"dependsOn":[0],"checkpointing":true}]})";
+
+control_call read_heartbeat(const std::string& body) {
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/Instances.Heartbeat/i-7f";
+    request.body = body;
+    return read_control_call(request);
+}
+
+/// A value of a type that a field does not expect, or of a range that it does not.
+nlohmann::json draw_value() {
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+        return nullptr;
+    case 1:
+        return *rc::gen::arbitrary<bool>();
+    case 2:
+        return *rc::gen::arbitrary<std::int64_t>();
+    case 3:
+        return -1.5e300;
+    case 4:
+        return "unknown";
+    case 5:
+        return nlohmann::json::array({1, "two", nullptr});
+    case 6:
+        return nlohmann::json::object({{"cpu", "many"}});
+    default:
+        return "";
+    }
+}
+
+/// Takes out a field or gives it another value.
+nlohmann::json change_a_field(nlohmann::json source) {
+    auto field = source.begin();
+    std::advance(field, *rc::gen::inRange<int>(0, static_cast<int>(source.size())));
+    if (*rc::gen::arbitrary<bool>()) {
+        source.erase(field);
+    } else {
+        *field = draw_value();
+    }
+    return source;
+}
+
+/// Changes one byte or cuts the text short.
+std::string damage(std::string text) {
+    const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+    if (*rc::gen::arbitrary<bool>()) {
+        return text.substr(0, place);
+    }
+    text[place] = *rc::gen::arbitrary<char>();
+    return text;
+}
+
+/// It was refused, or what was read names a worker that may be used.
+bool is_harmless(const control_call& call) {
+    if (std::holds_alternative<malformed_call>(call)) {
+        return true;
+    }
+    const auto& report = std::get<heartbeat_call>(call).report;
+    return !report.id.empty() && !report.address.empty() && !report.pool.empty() &&
+           report.capacity.millicores >= 0 && report.capacity.memory_mb >= 0 && report.remaining_ms >= 0;
+}
+
+TEST(malformed_call, takes_the_sound_heartbeat) {
+    EXPECT_TRUE(std::holds_alternative<heartbeat_call>(read_heartbeat(sound_heartbeat)));
+}
+
+TEST(malformed_call, refuses_a_heartbeat_of_an_unknown_state) {
+    for (const char* state : {"broken", "", "READY", "ready "}) {
+        auto source = nlohmann::json::parse(sound_heartbeat);
+        source["state"] = state;
+        EXPECT_TRUE(std::holds_alternative<malformed_call>(read_heartbeat(source.dump()))) << state;
+    }
+    auto source = nlohmann::json::parse(sound_heartbeat);
+    source.erase("state");
+    EXPECT_TRUE(std::holds_alternative<malformed_call>(read_heartbeat(source.dump())));
+}
+
+TEST(malformed_call, refuses_a_heartbeat_without_a_readable_address) {
+    for (const char* address : {"", "10.0.0.9", "host:80", "10.0.0.9:port", "10.0.0.9:70000"}) {
+        auto source = nlohmann::json::parse(sound_heartbeat);
+        source["addr"] = address;
+        EXPECT_TRUE(std::holds_alternative<malformed_call>(read_heartbeat(source.dump()))) << address;
+    }
+}
+
+RC_GTEST_PROP(malformed_call, takes_a_changed_heartbeat_only_when_it_still_names_a_worker, ()) {
+    auto source = nlohmann::json::parse(sound_heartbeat);
+    const int changes = *rc::gen::inRange(1, 4);
+    for (int change = 0; change < changes && !source.empty(); ++change) {
+        source = change_a_field(source);
+    }
+    const auto call = read_heartbeat(source.dump());
+    RC_ASSERT(is_harmless(call));
+}
+
+RC_GTEST_PROP(malformed_call, takes_a_damaged_heartbeat_only_when_it_still_names_a_worker, ()) {
+    const auto call = read_heartbeat(damage(sound_heartbeat));
+    RC_ASSERT(is_harmless(call));
+}
+
+RC_GTEST_PROP(malformed_call, reads_no_job_of_negative_amounts_out_of_a_damaged_one, ()) {
+    const auto job = read_job(damage(sound_job));
+    const bool is_refused = !job.has_value() || find_job_error(*job).has_value();
+    const bool is_sound =
+        is_refused || std::all_of(job->steps.begin(), job->steps.end(), [](const step_spec& step) {
+            return step.count > 0 && step.millicores >= 0 && step.memory_mb >= 0 && step.estimate_ms >= 0;
+        });
+    RC_ASSERT(is_sound);
+}
+
+RC_GTEST_PROP(malformed_call, survives_any_bytes, ()) {
+    const auto bytes = *rc::gen::arbitrary<std::string>();
+    RC_ASSERT(std::holds_alternative<malformed_call>(read_heartbeat(bytes)));
+    RC_ASSERT(!read_job(bytes).has_value());
+    RC_ASSERT(!read_configuration(bytes).has_value());
+}
+
+} // namespace
+} // namespace poplarpitch::platform
