--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -122,6 +122,11 @@
         time_point since{};            ///< when the first of them began to wait
         std::int64_t objective_ms = 0; ///< of the job
         std::int64_t rest_ms = 0;      ///< forecast for this step and what follows it
+
+        /// Returns what its waiting tasks ask for, millicores.
+        [[nodiscard]] std::int64_t get_wanted(const step_key& key) const {
+            return job->steps[key.step].millicores * static_cast<std::int64_t>(waiting.size());
+        }
     };
     /// What one pass over the waiting tasks has found out so far.
     struct placing_pass {
@@ -154,6 +159,7 @@
     void break_gang(const run_key& ended, time_point now);
     /// Tells the quota what the pools are used for.
     void observe_pools(time_point now);
+    void measure_crowding();
     /// Returns true when a job has waited too long with nothing running, given how empty its pool is.
     [[nodiscard]] bool is_starving(const open_job& job, const std::string& pool, time_point now) const;
     void note_pressure(time_point now);
--- a/poplarpitch/dispatch/dispatcher_admission.cpp
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -54,22 +54,11 @@
             reserved[worker.report.pool] += worker.reserved.millicores;
         }
     }
-    std::int64_t filling = 0;        // millicores of filling tasks that run
-    std::int64_t filling_wanted = 0; // millicores of those that wait
-    for (const auto& [id, worker] : m_workers) {
-        filling += worker.fill_cores;
-    }
     for (const auto& [key, ready] : m_ready) {
-        const auto& spec = ready.job->steps[key.step];
-        const auto wanted = spec.millicores * static_cast<std::int64_t>(ready.waiting.size());
-        if (!spec.long_running) {
-            pools[ready.job->queue.pool].other_demand += wanted;
+        if (!ready.job->steps[key.step].long_running) {
+            pools[ready.job->queue.pool].other_demand += ready.get_wanted(key);
         }
-        filling_wanted += spec.fills ? wanted : 0;
     }
-    const auto crowding = std::min(1.0, static_cast<double>(filling_wanted) /
-                                            static_cast<double>(std::max<std::int64_t>(filling, 1)));
-    m_crowding += crowding_weight * (crowding - m_crowding);
     m_roomy.clear();
     for (const auto& [pool, use] : pools) {
         m_lasting.observe(pool, use, now);
@@ -77,6 +66,20 @@
             m_roomy.insert(pool);
         }
     }
+    measure_crowding();
+}
+
+void dispatcher::measure_crowding() {
+    std::int64_t running = 0; // millicores of filling tasks
+    std::int64_t waiting = 0;
+    for (const auto& [id, worker] : m_workers) {
+        running += worker.fill_cores;
+    }
+    for (const auto& [key, ready] : m_ready) {
+        waiting += ready.job->steps[key.step].fills ? ready.get_wanted(key) : 0;
+    }
+    const auto share = static_cast<double>(waiting) / static_cast<double>(std::max<std::int64_t>(running, 1));
+    m_crowding += crowding_weight * (std::min(share, 1.0) - m_crowding);
 }
 
 } // namespace poplarpitch
