--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 // What becomes of jobs: opening, readiness, occurrences, ends.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/erase_job.h"
 #include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
@@ -154,12 +155,8 @@
     m_forecast.forget(id);
     m_lasting.remove(id);
     m_jobs.erase(id);
-    const auto first = m_ready.lower_bound(step_key{id, 0, 0});
-    auto last = first;
-    while (last != m_ready.end() && last->first.job == id) {
-        ++last;
-    }
-    m_ready.erase(first, last);
+    const step_key first_step{id, 0, 0};
+    erase_job(m_ready, first_step);
     m_ended.emplace(now + m_settings.keep_ended, id);
     std::vector<run_key> running;
     for (const auto& [key, track] : m_tracks) {
@@ -171,13 +168,8 @@
     for (const auto& key : running) {
         stop_run(*find(key), now);
     }
-    std::erase_if(m_advice, [id](const auto& item) { return item.first.job == id; });
-    const auto failed = m_failed_on.lower_bound(task_key{{id, 0, 0}, 0});
-    auto failed_last = failed;
-    while (failed_last != m_failed_on.end() && failed_last->first.step.job == id) {
-        ++failed_last;
-    }
-    m_failed_on.erase(failed, failed_last);
+    erase_job(m_advice, first_step);
+    erase_job(m_failed_on, task_key{first_step, 0});
 }
 
 void dispatcher::on_event(const book_event& event, time_point now, std::int64_t wall_ms) {
@@ -241,13 +233,13 @@
             worker->next_hold = std::min(worker->next_hold, now);
         }
     }
-    const bool was_known = find(event.run) != nullptr;
-    note_run_time(event, now);
-    drop_track(event.run, now);
     m_must_place = true;
-    if (!was_known) {
+    const auto* ended = find(event.run);
+    if (ended == nullptr) {
         return;
     }
+    note_run_time(*ended, event.end, now);
+    drop_track(event.run, now);
     {
         auto line = log_event(log_level::info, "run_ended");
         add_run(line, event.run);
@@ -277,18 +269,17 @@
     }
 }
 
-void dispatcher::note_run_time(const book_event& ended, time_point now) {
-    const auto* track = find(ended.run);
-    if (track == nullptr || !track->has_known_start || track->get_spec().long_running) {
+void dispatcher::note_run_time(const run_track& track, run_end end, time_point now) {
+    if (!track.has_known_start || track.get_spec().long_running) {
         return;
     }
-    const auto took_ms = to_milliseconds(now - track->confirmed_at);
-    const bool is_first = ended.run.run == 1; // a later one may go on from a checkpoint
-    if (ended.end == run_end::done && is_first) {
-        m_forecast.on_done(ended.run.task, took_ms);
+    const auto took_ms = to_milliseconds(now - track.confirmed_at);
+    const bool is_first = track.key.run == 1; // a later one may go on from a checkpoint
+    if (end == run_end::done && is_first) {
+        m_forecast.on_done(track.key.task, took_ms);
     }
-    if (ended.end == run_end::failed) {
-        m_forecast.on_failed(ended.run.task, took_ms);
+    if (end == run_end::failed) {
+        m_forecast.on_failed(track.key.task, took_ms);
     }
 }
 
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -155,7 +155,7 @@
     void note_ended(job_id id, time_point now);
     void on_run_ended(const book_event& event, time_point now);
     /// Tells the forecast how long an ending run took.
-    void note_run_time(const book_event& ended, time_point now);
+    void note_run_time(const run_track& track, run_end end, time_point now);
     void break_gang(const run_key& ended, time_point now);
     /// Tells the quota what the pools are used for.
     void observe_pools(time_point now);
@@ -228,8 +228,9 @@
     [[nodiscard]] placing_pass begin_pass(time_point now);
     /// Places tasks of a step one by one until one finds no room.
     void place_tasks(placing_pass& pass, ready_step& ready, const step_key& key);
-    /// Places one task of a job that starves, also where there is less room than it asks for.
-    void place_starving(placing_pass& pass, ready_step& ready, const step_key& key);
+    /// Places the first waiting task of a step; one of a job that starves also where there is less room than
+    /// it asks for. Returns false when it finds none.
+    bool place_first(const placing_pass& pass, ready_step& ready, const step_key& key, bool starves);
     void place_alike(placing_pass& pass, ready_step& ready, const step_key& key);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
     void measure_short_demand(time_point now);
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -121,7 +121,9 @@
 
 void dispatcher::place_tasks(placing_pass& pass, ready_step& ready, const step_key& key) {
     const auto& spec = ready.job->steps[key.step];
-    place_starving(pass, ready, key);
+    if (is_starving(m_jobs.at(key.job), ready.job->queue.pool, pass.now)) {
+        place_first(pass, ready, key, true);
+    }
     if (ready.waiting.empty()) {
         return;
     }
@@ -136,28 +138,23 @@
         return;
     }
     while (!ready.waiting.empty()) {
-        const task_key task{key, *ready.waiting.begin()};
-        auto* worker = choose(pass, ready, make_request(ready, task));
-        if (worker == nullptr) {
+        if (!place_first(pass, ready, key, false)) {
             return; // the others wait behind it
         }
-        claim(ready, task, *worker, pass.now);
-        ready.waiting.erase(task.index);
     }
 }
 
-void dispatcher::place_starving(placing_pass& pass, ready_step& ready, const step_key& key) {
-    const auto job = m_jobs.find(key.job);
-    if (job == m_jobs.end() || !is_starving(job->second, ready.job->queue.pool, pass.now)) {
-        return;
-    }
+bool dispatcher::place_first(const placing_pass& pass, ready_step& ready, const step_key& key, bool starves) {
     const task_key task{key, *ready.waiting.begin()};
     auto request = make_request(ready, task);
-    request.is_starving = true;
-    if (auto* worker = choose(pass, ready, request); worker != nullptr) {
-        claim(ready, task, *worker, pass.now);
-        ready.waiting.erase(task.index);
+    request.is_starving = starves;
+    auto* worker = choose(pass, ready, request);
+    if (worker == nullptr) {
+        return false;
     }
+    claim(ready, task, *worker, pass.now);
+    ready.waiting.erase(task.index);
+    return true;
 }
 
 /// Tasks between which nothing but their number differs are placed by one look at all workers: what a task
@@ -214,7 +211,7 @@
     for (const auto& [key, ready] : m_ready) {
         const auto& spec = ready.job->steps[key.step];
         if (!spec.fills && !spec.is_serving()) {
-            wanted += static_cast<double>(spec.millicores) * static_cast<double>(ready.waiting.size());
+            wanted += static_cast<double>(ready.get_wanted(key));
         }
     }
     const auto kept = std::exp(-to_seconds(now - m_measured_at) / demand_smoothing);
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -153,8 +153,9 @@
         if (is_repeated) {
             continue; // the worker makes the figure anew only a few times a second
         }
-        const auto since = track.observed_at == time_point{} ? 1.0 : to_seconds(now - track.observed_at);
-        const auto passed = track.observed_at == time_point{} ? first_figure : now - track.observed_at;
+        const bool is_first = track.observed_at == time_point{};
+        const auto since = is_first ? 1.0 : to_seconds(now - track.observed_at);
+        const auto passed = is_first ? first_figure : now - track.observed_at;
         track.watch.observe(static_cast<double>(track.level), static_cast<double>(spec.target_ms), passed);
         track.observed_at = now;
         track.observed_level = track.level;
@@ -209,9 +210,8 @@
         pressed.push_back({fill, press});
         total += press * fill->planned_pace / 100;
     }
-    double excess = -m_pressure.get_room(serving.image, target, pacing_share, serving.calm.load);
-    excess += total;
-    excess = std::max(excess, total * serving.watch.get_cut()); // whatever is expected, it is too much
+    const double room = m_pressure.get_room(serving.image, target, pacing_share, serving.calm.load);
+    double excess = std::max(total - room, total * serving.watch.get_cut()); // whatever is expected
     if (excess <= 0) {
         return;
     }
--- a/poplarpitch/dispatch/work_forecast.cpp
+++ b/poplarpitch/dispatch/work_forecast.cpp
@@ -1,5 +1,7 @@
 #include "poplarpitch/dispatch/work_forecast.h"
 
+#include "poplarpitch/dispatch/erase_job.h"
+
 #include <algorithm>
 
 namespace poplarpitch {
@@ -30,12 +32,7 @@
 }
 
 void work_forecast::forget(job_id job) {
-    const auto first = m_steps.lower_bound(step_key{job, 0, 0});
-    auto last = first;
-    while (last != m_steps.end() && last->first.job == job) {
-        ++last;
-    }
-    m_steps.erase(first, last);
+    erase_job(m_steps, step_key{job, 0, 0});
 }
 
 void work_forecast::clear() {
--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -130,7 +130,9 @@
     m_asked.erase(ip);
     if (ip == m_leader) {
         m_leader_heard = m_loop.now();
-        send_held();
+        if (std::exchange(m_is_holding, false)) {
+            send_pending();
+        }
     }
     if (frame.has_status()) {
         on_status(ip, frame.status().status());
@@ -181,7 +183,7 @@
         m_asked.erase(m_leader);
     }
     m_leader = 0;
-    m_held.clear(); // they go to the next leader with all others
+    m_is_holding = false; // all go to the next leader
     for (auto& [number, item] : m_pending) {
         item->sent_to = 0;
     }
@@ -213,19 +215,10 @@
         send(stored);
         return;
     }
-    m_held.push_back(number);
+    m_is_holding = true;
     ask(m_leader);
 }
 
-void leader_link::send_held() {
-    for (const auto number : std::exchange(m_held, {})) {
-        const auto found = m_pending.find(number);
-        if (found != m_pending.end() && found->second->sent_to == 0) {
-            send(*found->second);
-        }
-    }
-}
-
 duration leader_link::get_retry_after() const {
     const bool was_heard = m_leader_heard != time_point{};
     return was_heard ? std::clamp(m_loop.now() - m_leader_heard, shortest_retry, longest_retry)
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -76,8 +76,6 @@
     void on_answer(const job_wire::relay_answer& answer);
     void lose_leader(const char* reason);
     void send_pending();
-    /// Sends what waits for a sign of life. Precondition: the leader was heard just now.
-    void send_held();
     [[nodiscard]] duration get_retry_after() const;
     void send(pending_request& item);
     void expire(std::uint64_t number);
@@ -92,7 +90,7 @@
     std::uint32_t m_leader = 0;
     time_point m_leader_heard{};
     std::map<std::uint64_t, std::unique_ptr<pending_request>> m_pending;
-    std::vector<std::uint64_t> m_held; ///< requests that wait for a sign of life of the leader
+    bool m_is_holding = false; ///< requests wait for a sign of life of the leader
     std::uint64_t m_next_number = 1;
     std::shared_ptr<bool> m_is_alive;
 };
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -139,6 +139,11 @@
         });
     }
 
+    static void send_away(duration wait, job_wire::relay_answer answer, const answer_handler& on_answer) {
+        answer.set_retry_after_ms(to_milliseconds(wait));
+        finish(std::move(answer), 429, "", on_answer);
+    }
+
     /// The job was not taken: its caller is told when to come back.
     static void refuse(job_id id, const admission& decided, job_wire::relay_answer answer,
                        const answer_handler& on_answer) {
@@ -149,8 +154,7 @@
             .add("reserved_millicores", decided.reserved)
             .add("allowed_millicores", decided.allowed)
             .add("retry_after_ms", to_milliseconds(decided.retry_after));
-        answer.set_retry_after_ms(to_milliseconds(decided.retry_after));
-        finish(std::move(answer), 429, "", on_answer);
+        send_away(decided.retry_after, std::move(answer), on_answer);
     }
 
     /// Too many jobs are open to keep another: the caller is told when to come back. Below that bound every
@@ -162,8 +166,7 @@
             .add("job", format_job_id(id))
             .add("reason", "too many open jobs")
             .add("open", open);
-        answer.set_retry_after_ms(to_milliseconds(retry_after_load));
-        finish(std::move(answer), 429, "", on_answer);
+        send_away(retry_after_load, std::move(answer), on_answer);
     }
 
     void tell_state(const queue_settings& queue, job_id id, const job_wire::relay_answer& answer,
--- a/poplarpitch/scheduling/step_job.cpp
+++ b/poplarpitch/scheduling/step_job.cpp
@@ -24,15 +24,6 @@
     return sum;
 }
 
-std::vector<std::int64_t> step_job::get_estimates_ms() const {
-    std::vector<std::int64_t> estimates;
-    estimates.reserve(steps.size());
-    for (const auto& step : steps) {
-        estimates.push_back(step.estimate_ms);
-    }
-    return estimates;
-}
-
 std::int64_t step_job::get_chain_ms(const std::vector<std::int64_t>& lengths_ms) const {
     std::vector<std::int64_t> ends;
     ends.reserve(steps.size());
--- a/poplarpitch/scheduling/step_job.h
+++ b/poplarpitch/scheduling/step_job.h
@@ -36,8 +36,6 @@
     [[nodiscard]] std::uint32_t get_occurrence_count() const;
     /// Returns what the job reserves for as long as it lasts, millicores. Thread safety: any thread.
     [[nodiscard]] std::int64_t get_lasting_millicores() const;
-    /// Returns the callers' guesses of how long each step takes, milliseconds. Thread safety: any thread.
-    [[nodiscard]] std::vector<std::int64_t> get_estimates_ms() const;
     /// Returns the time of the longest chain of steps, milliseconds, by what each of them takes.
     /// Precondition: one length for each step. Thread safety: any thread.
     [[nodiscard]] std::int64_t get_chain_ms(const std::vector<std::int64_t>& lengths_ms) const;
--- a/unit_tests/dispatch/dispatcher_copy_test.cpp
+++ b/unit_tests/dispatch/dispatcher_copy_test.cpp
@@ -53,9 +53,19 @@
         world.answer_hold(first.target.worker, list);
     }
 
+    /// Lets the copy be started, and confirms it.
+    void start_copy() {
+        world.advance(milliseconds{300});
+        const auto copies = world.take<start_order>();
+        ASSERT_EQ(copies.size(), 1U);
+        copy = copies[0];
+        world.answer(copy);
+    }
+
     dispatch_world world;
     job_id job = 0;
     start_order first;
+    start_order copy;
 };
 
 TEST(dispatcher_copy, starts_a_slow_task_once_more_on_another_worker) {
@@ -73,15 +83,12 @@
 
 TEST(dispatcher_copy, takes_the_first_end_and_stops_the_other_run) {
     slow_task slow(make_copied_step());
-    slow.world.advance(milliseconds{300});
-    const auto copies = slow.world.take<start_order>();
-    ASSERT_EQ(copies.size(), 1U);
-    slow.world.answer(copies[0]);
+    ASSERT_NO_FATAL_FAILURE(slow.start_copy());
     slow.end_first();
     EXPECT_EQ(slow.world.book.find_job(slow.job)->phase, job_phase::completed);
     const auto stops = slow.world.take<stop_order>();
     ASSERT_EQ(stops.size(), 1U);
-    EXPECT_EQ(stops[0].run, copies[0].run);
+    EXPECT_EQ(stops[0].run, slow.copy.run);
 }
 
 TEST(dispatcher_copy, copies_nothing_whose_caller_does_not_allow_it) {
@@ -98,14 +105,11 @@
 
 TEST(dispatcher_copy, lets_the_slow_run_go_on_when_its_copy_fails) {
     slow_task slow(make_copied_step());
-    slow.world.advance(milliseconds{300});
-    const auto copies = slow.world.take<start_order>();
-    ASSERT_EQ(copies.size(), 1U);
-    slow.world.answer(copies[0]);
-    slow.world.wait_for_hold(copies[0].target.worker);
+    ASSERT_NO_FATAL_FAILURE(slow.start_copy());
+    slow.world.wait_for_hold(slow.copy.target.worker);
     hold_answer list;
-    list.ended.push_back({1, copies[0].run, run_end::failed, ""});
-    slow.world.answer_hold(copies[0].target.worker, list);
+    list.ended.push_back({1, slow.copy.run, run_end::failed, ""});
+    slow.world.answer_hold(slow.copy.target.worker, list);
     EXPECT_EQ(slow.world.book.find_job(slow.job)->phase, job_phase::open);
     slow.end_first();
     EXPECT_EQ(slow.world.book.find_job(slow.job)->phase, job_phase::completed);
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -51,8 +51,14 @@
     world.answer_hold(worker, list);
 }
 
-/// Starts the filling tasks that wait at `w1`, two fifths done and at full speed. Returns their paces.
-std::map<run_key, int> start_fills(dispatch_world& world) {
+/// Lets the serving tasks that wait start at `w1`, and then so many filling ones that cannot be moved without
+/// loss, two fifths done and at full speed. Returns the paces of these.
+std::map<run_key, int> start_beside_serving(dispatch_world& world, std::uint32_t count) {
+    world.advance(seconds{2}); // the only worker is kept open for short tasks as long as they can wait
+    run_all(world, "w1", 15, 0);
+    auto filling = make_filling(count);
+    filling.checkpointing = false;
+    world.submit({filling}, 3, 2);
     run_all(world, "w1", 15, 6000, 40);
     std::map<run_key, int> paces;
     for (const auto& key : world.scheduler.get_workers().at("w1").runs) {
@@ -94,12 +100,7 @@
     dispatch_world world;
     world.add_worker("w1");
     world.submit({make_serving(3)});
-    world.advance(seconds{2});
-    run_all(world, "w1", 15, 0);
-    auto filling = make_filling(2);
-    filling.checkpointing = false;
-    world.submit({filling}, 3, 2);
-    auto paces = start_fills(world);
+    auto paces = start_beside_serving(world, 2);
     ASSERT_EQ(paces.size(), 2U);
     const auto is_calm = [&paces] {
         return std::all_of(paces.begin(), paces.end(), [](const auto& item) { return item.second == 0; });
@@ -125,12 +126,7 @@
     first.target_ms = 700; // under it, with little to spare
     world.submit({first});
     world.submit({make_serving(2)});
-    world.advance(seconds{2});
-    run_all(world, "w1", 15, 0);
-    auto filling = make_filling(3);
-    filling.checkpointing = false;
-    world.submit({filling}, 3, 2);
-    auto paces = start_fills(world);
+    auto paces = start_beside_serving(world, 3);
     ASSERT_EQ(paces.size(), 3U);
     for (std::int64_t look = 0; look < 8; ++look) {
         world.advance(milliseconds{380});
--- a/unit_tests/gateway/leader_link_test.cpp
+++ b/unit_tests/gateway/leader_link_test.cpp
@@ -83,6 +83,12 @@
         run();
     }
 
+    /// Lets the leader die without a sign, while its connection looks as before.
+    void lose_leader() {
+        wait_until_quiet();
+        leader.is_alive = false;
+    }
+
     /// Sends a request and runs until its outcome.
     relay_outcome relay(const std::string& method) {
         std::optional<relay_outcome> found;
@@ -130,8 +136,7 @@
 /// Load pattern: all control instances lose power at once; the connection looks as before for a second.
 TEST(leader_link, sends_no_change_to_a_leader_that_has_just_died_and_says_so) {
     link_world world;
-    world.wait_until_quiet();
-    world.leader.is_alive = false;
+    world.lose_leader();
     const auto outcome = world.relay("POST");
     EXPECT_EQ(outcome.what, relay_outcome::kind::never_sent);
     EXPECT_TRUE(world.leader.taken.empty()); // so "not accepted" is true
@@ -140,8 +145,7 @@
 
 TEST(leader_link, asks_a_silent_leader_for_a_state_all_the_same) {
     link_world world;
-    world.wait_until_quiet();
-    world.leader.is_alive = false;
+    world.lose_leader();
     const auto outcome = world.relay("GET");
     EXPECT_EQ(outcome.what, relay_outcome::kind::unknown);
     EXPECT_EQ(world.leader.taken.size(), 1U);
@@ -149,8 +153,7 @@
 
 TEST(leader_link, tells_callers_to_stay_away_longer_the_longer_no_leader_is_there) {
     link_world world;
-    world.wait_until_quiet();
-    world.leader.is_alive = false;
+    world.lose_leader();
     duration last{};
     for (int request = 0; request < 8; ++request) {
         const auto outcome = world.relay("POST");
--- a/unit_tests/scheduling/configuration_test.cpp
+++ b/unit_tests/scheduling/configuration_test.cpp
@@ -69,15 +69,12 @@
     step_job job;
     job.steps.resize(4);
     const std::vector<std::int64_t> lengths = {100, 500, 200, 50};
-    for (std::size_t step = 0; step < lengths.size(); ++step) {
-        job.steps[step].estimate_ms = lengths[step];
-    }
     job.steps[1].depends_on = {0};
     job.steps[2].depends_on = {0};
     job.steps[3].depends_on = {2};
-    EXPECT_EQ(job.get_chain_ms(job.get_estimates_ms()), 600);
-    EXPECT_EQ(job.get_rest_ms(2, job.get_estimates_ms()), 250);
-    EXPECT_EQ(job.get_rest_ms(0, job.get_estimates_ms()), 600);
+    EXPECT_EQ(job.get_chain_ms(lengths), 600);
+    EXPECT_EQ(job.get_rest_ms(2, lengths), 250);
+    EXPECT_EQ(job.get_rest_ms(0, lengths), 600);
 }
 
 } // namespace
