Send orders and take heartbeats through the other control instances

Cause: the leader did everything on 0.6 of a core while four instances like it idled; two fifths of its time were sockets and HTTP.

Change: poplarpitch/relay. The leader's hub gathers orders for workers and sends one frame a turn to the instance in the worker's data centre; that instance's agent carries them out by the deployment's calls and sends back what came in one frame. Relays decide nothing: fences, lease ends on the worker's clock and numbers of ends are the leader's. An order is answered once: by its relay, by the loss of its relay (a hold as not sent, all else as unknown), or by its time. Any instance takes heartbeats; one that says 'leaving' is the leader's to answer. A new leader gets all workers of a relay in its first frame. No relay there: the leader calls workers itself, as before (also with relayed = false).

Weighed: relays on the entry instances (147 of them see one order a turn: nothing to gather, twice the messages) and a cheaper leader alone.

Tests: relay_hub, relay_agent, relay_codec; relay_cluster with real processes (relay killed, standing still with orders in its queue, leader replaced by a relay).

--- /dev/null
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -0,0 +1,186 @@
+#include "poplarpitch/relay/relay_agent.h"
+
+#include "poplarpitch/core/hash.h"
+#include "poplarpitch/relay/relay_codec.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarpitch {
+namespace {
+
+/// Returns true when nothing but its time and number changed since the last report.
+bool is_alike(worker_report before, const worker_report& now) {
+    before.sequence = now.sequence;
+    before.clock_ms = now.clock_ms;
+    return before == now;
+}
+
+} // namespace
+
+relay_agent::relay_agent(const relay_settings& settings, relay_place place, performer perform)
+    : m_settings(settings), m_place(std::move(place)), m_perform(std::move(perform)),
+      m_is_alive(std::make_shared<bool>(true)) {}
+
+relay_agent::~relay_agent() {
+    *m_is_alive = false;
+}
+
+std::optional<job_wire::relay_answers> relay_agent::on_orders(const job_wire::relay_orders& frame,
+                                                              time_point now) {
+    const bool is_old = frame.term() < m_term || (frame.term() == m_term && m_leads);
+    if (is_old) {
+        job_wire::relay_answers refusal;
+        refusal.set_term(frame.term());
+        refusal.set_ip(m_place.ip);
+        refusal.set_data_centre(m_place.data_centre);
+        for (const auto& order : frame.orders()) {
+            auto& answer = *refusal.add_answers();
+            answer.set_number(order.number());
+            answer.set_failure(static_cast<std::uint32_t>(order_failure::not_sent));
+        }
+        return refusal;
+    }
+    if (frame.term() > m_term) {
+        begin_term(frame.term(), now);
+    }
+    m_heard = now;
+    m_owes_frame = true;
+    if (frame.has_places()) {
+        m_places.clear();
+        for (const auto& place : frame.places()) {
+            m_places.push_back({place.ip(), place.data_centre()});
+        }
+    }
+    for (const auto& worker : frame.unknown_workers()) {
+        if (const auto found = m_reports.find(worker); found != m_reports.end()) {
+            found->second.is_told = true;
+            tell(found->second);
+        }
+    }
+    carry_out(frame);
+    return std::nullopt;
+}
+
+void relay_agent::begin_term(log_term term, time_point now) {
+    m_term = term;
+    m_leads = false;
+    m_frame = nullptr;
+    m_places.clear();
+    forget_old_reports(now);
+    for (auto& [worker, known] : m_reports) {
+        known.is_told = true;
+        tell(known);
+    }
+    log_event(log_level::info, "relay_term")
+        .add("term", term)
+        .add("workers", static_cast<std::uint64_t>(m_reports.size()));
+}
+
+void relay_agent::forget_old_reports(time_point now) {
+    absl::erase_if(m_reports,
+                   [&](const auto& item) { return now - item.second.heard > m_settings.report_life; });
+}
+
+void relay_agent::on_own_term(log_term term) {
+    m_term = std::max(m_term, term);
+    m_leads = true;
+    m_frame = nullptr;
+    m_owes_frame = false;
+    m_heard = {};
+}
+
+void relay_agent::carry_out(const job_wire::relay_orders& frame) {
+    for (const auto& message : frame.orders()) {
+        ++m_taken;
+        const auto number = message.number();
+        const auto answer = [this, alive = m_is_alive, number,
+                             term = frame.term()](const hold_outcome& outcome) {
+            if (!*alive) {
+                return;
+            }
+            --m_open;
+            if (term != m_term || m_leads) {
+                return; // nobody waits for it any more
+            }
+            auto& back = *open_frame().add_answers();
+            back.set_number(number);
+            encode(outcome, back);
+        };
+        ++m_open;
+        const auto order = read_order(message, frame);
+        if (!order.has_value()) {
+            answer({order_failure::malformed, {}});
+            continue;
+        }
+        m_perform(*order, answer);
+    }
+}
+
+job_wire::relay_answers& relay_agent::open_frame() {
+    if (m_frame == nullptr) {
+        m_frame = std::make_unique<job_wire::relay_answers>();
+        m_frame->set_term(m_term);
+        m_frame->set_ip(m_place.ip);
+        m_frame->set_data_centre(m_place.data_centre);
+    }
+    return *m_frame;
+}
+
+void relay_agent::on_report(const worker_report& report, time_point now) {
+    if (now >= m_next_sweep) {
+        m_next_sweep = now + m_settings.report_life;
+        forget_old_reports(now);
+    }
+    auto& known = m_reports[report.id];
+    known.is_told = known.is_told && is_alike(known.report, report);
+    known.report = report;
+    known.heard = now;
+    if (known.is_told) {
+        auto& message = *open_frame().add_reports();
+        message.set_worker(report.id);
+        message.set_sequence(report.sequence);
+        message.set_clock_ms(report.clock_ms);
+        return;
+    }
+    known.is_told = true;
+    tell(known);
+}
+
+void relay_agent::tell(const known_report& known) {
+    encode(known.report, *open_frame().add_reports());
+}
+
+std::optional<job_wire::relay_answers> relay_agent::take_answers(time_point now) {
+    const auto due = get_due();
+    if (!due.has_value() || now < *due) {
+        return std::nullopt;
+    }
+    open_frame();
+    m_sent = now;
+    m_owes_frame = false;
+    auto frame = std::move(*m_frame);
+    m_frame = nullptr;
+    return frame;
+}
+
+/// Answers go soon, heartbeats with the next answers or the next frame of the leader's.
+std::optional<time_point> relay_agent::get_due() const {
+    const bool has_answers = m_frame != nullptr && m_frame->answers_size() > 0;
+    if (m_term == 0 || m_leads || (!has_answers && !m_owes_frame)) {
+        return std::nullopt;
+    }
+    return m_sent + m_settings.batch_pause;
+}
+
+bool relay_agent::is_serving(time_point now) const {
+    return m_settings.is_enabled && !m_leads && m_term != 0 && now - m_heard <= m_settings.silence;
+}
+
+std::uint32_t relay_agent::pick(const worker_report& report) const {
+    return pick_relay(m_places, report.data_centre, hash_bytes(report.id)).value_or(m_place.ip);
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/relay/relay_hub.cpp
@@ -0,0 +1,163 @@
+#include "poplarpitch/relay/relay_hub.h"
+
+#include "poplarpitch/relay/relay_codec.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarpitch {
+namespace {
+
+/// Returns what is known of an order that no relay answered.
+hold_outcome make_lost_outcome(const order_name& name) {
+    const bool is_hold = name.what == order_name::kind::hold;
+    return {is_hold ? order_failure::not_sent : order_failure::unanswered, {}};
+}
+
+} // namespace
+
+relay_hub::relay_hub(const relay_settings& settings) : m_settings(settings), m_roster(settings) {}
+
+relay_hub::~relay_hub() = default;
+
+void relay_hub::lead(log_term term, time_point /*now*/) {
+    retire();
+    m_term = term;
+}
+
+void relay_hub::retire() {
+    m_term = 0;
+    m_roster.clear();
+    m_open.clear();
+    m_deadlines = {};
+    m_outboxes.clear();
+    m_unknown.clear();
+}
+
+bool relay_hub::add(const worker_order& order, const std::string& data_centre, std::uint64_t spread,
+                    time_point now) {
+    const auto relay = m_roster.pick(data_centre, spread);
+    auto name = get_order_name(order);
+    if (!relay.has_value() || !name.has_value()) {
+        return false;
+    }
+    const auto number = m_next_number++;
+    append_order(order, number, open_frame(*relay));
+    m_open.emplace(number, open_order{std::move(*name), *relay});
+    m_deadlines.push({now + get_order_target(order)->timeout + m_settings.answer_slack, number});
+    ++m_relayed;
+    return true;
+}
+
+job_wire::relay_orders& relay_hub::open_frame(std::uint32_t ip) {
+    auto& box = m_outboxes[ip];
+    if (box.frame == nullptr) {
+        box.frame = std::make_shared<job_wire::relay_orders>();
+        box.frame->set_term(m_term);
+    }
+    return *box.frame;
+}
+
+void relay_hub::ask_report(const std::string& worker) {
+    m_unknown.push_back(worker);
+}
+
+std::vector<relayed_outcome> relay_hub::on_answers(const job_wire::relay_answers& frame, time_point now) {
+    std::vector<relayed_outcome> outcomes;
+    if (m_term == 0 || frame.term() != m_term) {
+        return outcomes;
+    }
+    if (m_roster.on_heard({frame.ip(), frame.data_centre()}, now)) {
+        on_relays_changed();
+        log_event(log_level::info, "relay_found")
+            .add("relay", static_cast<std::uint64_t>(frame.ip()))
+            .add("data_centre", frame.data_centre())
+            .add("relays", static_cast<std::uint64_t>(count_relays()));
+    }
+    outcomes.reserve(static_cast<std::size_t>(frame.answers_size()));
+    for (const auto& answer : frame.answers()) {
+        const auto found = m_open.find(answer.number());
+        if (found == m_open.end()) {
+            continue; // given up before
+        }
+        outcomes.push_back({std::move(found->second.name), decode(answer)});
+        m_open.erase(found);
+    }
+    return outcomes;
+}
+
+std::vector<relayed_outcome> relay_hub::take_lost(time_point now) {
+    std::vector<relayed_outcome> outcomes;
+    for (const auto ip : m_roster.take_lost(now)) {
+        on_relays_changed();
+        std::vector<std::uint64_t> numbers;
+        for (const auto& [number, order] : m_open) {
+            if (order.relay == ip) {
+                numbers.push_back(number);
+            }
+        }
+        std::sort(numbers.begin(), numbers.end()); // the map's order differs between processes
+        for (const auto number : numbers) {
+            const auto found = m_open.find(number);
+            outcomes.push_back({found->second.name, make_lost_outcome(found->second.name)});
+            m_open.erase(found);
+        }
+        m_outboxes.erase(ip);
+        log_event(log_level::warn, "relay_lost")
+            .add("relay", static_cast<std::uint64_t>(ip))
+            .add("orders", static_cast<std::uint64_t>(numbers.size()))
+            .add("relays", static_cast<std::uint64_t>(count_relays()));
+    }
+    while (!m_deadlines.empty() && m_deadlines.top().when <= now) {
+        const auto found = m_open.find(m_deadlines.top().number);
+        m_deadlines.pop();
+        if (found != m_open.end()) {
+            outcomes.push_back({found->second.name, make_lost_outcome(found->second.name)});
+            m_open.erase(found);
+        }
+    }
+    return outcomes;
+}
+
+std::vector<relay_frame> relay_hub::take_frames(const std::vector<std::uint32_t>& others, time_point now) {
+    std::vector<relay_frame> frames;
+    const auto unknown = std::exchange(m_unknown, {});
+    for (const auto ip : others) {
+        auto& box = m_outboxes[ip];
+        const bool has_orders = box.frame != nullptr || !unknown.empty();
+        if (now - box.sent < (has_orders ? m_settings.batch_pause : m_settings.beat)) {
+            for (const auto& worker : unknown) {
+                open_frame(ip).add_unknown_workers(worker);
+            }
+            continue;
+        }
+        auto& frame = open_frame(ip);
+        for (const auto& worker : unknown) {
+            frame.add_unknown_workers(worker);
+        }
+        if (box.told_places != m_places_version) {
+            box.told_places = m_places_version;
+            frame.set_has_places(true);
+            for (const auto& place : m_roster.get_places()) {
+                auto& item = *frame.add_places();
+                item.set_ip(place.ip);
+                item.set_data_centre(place.data_centre);
+            }
+        }
+        box.sent = now;
+        frames.push_back({ip, std::exchange(box.frame, nullptr)});
+    }
+    return frames;
+}
+
+void relay_hub::on_relays_changed() {
+    ++m_places_version;
+}
+
+std::optional<std::uint32_t> relay_hub::pick(const std::string& data_centre, std::uint64_t spread) const {
+    return m_roster.pick(data_centre, spread);
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/relay/relayed_outcome.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "poplarpitch/relay/order_name.h"
+#include "poplarpitch/scheduling/worker_order.h"
+
+namespace poplarpitch {
+
+/// What became of an order. Only the answer to a hold has lists.
+struct relayed_outcome {
+    order_name order;
+    hold_outcome outcome;
+
+    friend bool operator==(const relayed_outcome&, const relayed_outcome&) = default;
+};
+
+} // namespace poplarpitch
--- a/poplarpitch/replica/peer_mesh.cpp
+++ b/poplarpitch/replica/peer_mesh.cpp
@@ -73,7 +73,9 @@
                        item.first_unanswered = time_point{};
                        socket->start(
                            [this, ip](const std::string& bytes) {
-                               job_wire::cluster_frame frame;
+                               google::protobuf::Arena arena; // a frame has thousands of small messages
+                               auto& frame =
+                                   *google::protobuf::Arena::CreateMessage<job_wire::cluster_frame>(&arena);
                                if (frame.ParseFromString(bytes)) {
                                    on_heard(ip);
                                    m_on_frame(ip, frame);
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -111,7 +111,8 @@
     const std::weak_ptr<frame_socket> weak = socket;
     socket->start(
         [this, weak](const std::string& bytes) {
-            job_wire::cluster_frame frame;
+            google::protobuf::Arena arena; // a frame has thousands of small messages
+            auto& frame = *google::protobuf::Arena::CreateMessage<job_wire::cluster_frame>(&arena);
             if (!frame.ParseFromString(bytes)) {
                 log_event(log_level::warn, "frame_unreadable")
                     .add("bytes", static_cast<std::uint64_t>(bytes.size()));
@@ -377,6 +378,26 @@
     return m_told_leader != 0 && m_loop.now() - m_told_at < told_life;
 }
 
+void replica::send_frame(std::uint32_t ip, const job_wire::cluster_frame& frame) {
+    m_mesh->send(ip, frame);
+}
+
+std::vector<std::uint32_t> replica::get_other_members() const {
+    std::vector<std::uint32_t> others;
+    if (m_node == nullptr) {
+        return others;
+    }
+    const auto& members = m_node->get_membership();
+    for (const auto* list : {&members.voters, &members.learners}) {
+        for (const auto member : *list) {
+            if (const auto ip = get_node_ip(member); ip != m_ip) {
+                others.push_back(ip);
+            }
+        }
+    }
+    return others;
+}
+
 std::size_t replica::get_voter_count() const {
     return m_node == nullptr ? 0 : m_node->get_membership().voters.size();
 }
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -86,6 +86,11 @@
     /// Hands leadership on if this instance leads.
     void resign();
 
+    /// Sends a frame to the instance at `ip`; it may be lost on the way.
+    void send_frame(std::uint32_t ip, const job_wire::cluster_frame& frame);
+    /// Returns the addresses of all other members, in host order.
+    [[nodiscard]] std::vector<std::uint32_t> get_other_members() const;
+
     /// Returns true when this instance leads and no other can have been elected yet.
     [[nodiscard]] bool has_lease() const;
     /// Returns true when this instance leads and has applied everything committed before its term.
--- a/poplarpitch/scheduler/command_batcher.h
+++ b/poplarpitch/scheduler/command_batcher.h
@@ -46,6 +46,8 @@
 
     /// Adds a command to the next batch; `on_fate`, which may be empty, is called once.
     void add(job_wire::job_command command, fate_handler on_fate);
+    /// Returns true when the next flush proposes what is gathered until then.
+    [[nodiscard]] bool is_free() const { return m_under_way == 0; }
     /// Proposes what was gathered, unless a batch is on its way.
     void flush();
     /// Applies a committed batch to the book and appends what it changed to `events`.
--- a/poplarpitch/scheduler/control_service.h
+++ b/poplarpitch/scheduler/control_service.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "poplarpitch/core/hash.h"
 #include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/net/socket_address.h"
+#include "poplarpitch/relay/relay_agent.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduling/configuration_checker.h"
@@ -20,16 +22,18 @@
 template <scheduler_dialect Dialect>
 class control_service {
 public:
-    /// Precondition: the parts outlive the object.
-    explicit control_service(scheduler_parts& parts) : m_parts(parts) {}
+    /// Precondition: the parts and the agent outlive the object.
+    control_service(scheduler_parts& parts, relay_agent& agent) : m_parts(parts), m_agent(agent) {}
 
     /// Answers a request.
     void handle(http_request request, http_responder respond) {
+        auto call = Dialect::read_control_call(request);
         if (!m_parts.may_answer()) {
-            respond(make_redirect(request));
+            if (!is_relayed(call, respond)) {
+                respond(make_redirect(request));
+            }
             return;
         }
-        auto call = Dialect::read_control_call(request);
         std::visit([&](auto& item) { answer(item, std::move(respond)); }, call);
     }
 
@@ -41,6 +45,25 @@
         return response;
     }
 
+    /// Takes a heartbeat for the leader. One that says that its worker leaves is the leader's to answer: it
+    /// has to be committed first.
+    bool is_relayed(const control_call& call, const http_responder& respond) {
+        const auto now = m_parts.loop.now();
+        const auto* beat = std::get_if<heartbeat_call>(&call);
+        if (beat == nullptr || beat->report.is_leaving || !m_agent.is_serving(now)) {
+            return false;
+        }
+        m_agent.on_report(beat->report, now);
+        respond(make_response(200, make_heartbeat_answer(m_agent.pick(beat->report))));
+        return true;
+    }
+
+    /// Names the instance that is to take a worker's later heartbeats.
+    [[nodiscard]] std::string make_heartbeat_answer(std::uint32_t ip) const {
+        const auto port = static_cast<std::uint16_t>(m_parts.settings.control_port);
+        return Dialect::format_heartbeat_answer(format_address({ip, port}));
+    }
+
     [[nodiscard]] http_response make_redirect(const http_request& request) const {
         const auto leader = m_parts.log.get_leader_ip();
         const bool is_self = format_ip(leader) == m_parts.settings.replica.host;
@@ -65,9 +88,9 @@
     }
 
     void answer(const heartbeat_call& call, http_responder respond) {
-        const auto port = static_cast<std::uint16_t>(m_parts.settings.control_port);
-        auto body =
-            Dialect::format_heartbeat_answer(m_parts.settings.replica.host + ":" + std::to_string(port));
+        const auto& report = call.report;
+        const auto relay = m_parts.relays.pick(report.data_centre, hash_bytes(report.id));
+        auto body = make_heartbeat_answer(relay.value_or(read_ip(m_parts.settings.replica.host).value_or(0)));
         if (!m_parts.dispatch.on_heartbeat(call.report, m_parts.loop.now())) {
             respond(make_response(200, std::move(body)));
             return;
@@ -131,6 +154,7 @@
     }
 
     scheduler_parts& m_parts;
+    relay_agent& m_agent;
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -2,6 +2,8 @@
 
 #include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/net/metrics_endpoint.h"
+#include "poplarpitch/net/socket_address.h"
+#include "poplarpitch/relay/relay_agent.h"
 #include "poplarpitch/scheduler/caller_service.h"
 #include "poplarpitch/scheduler/control_service.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
@@ -13,6 +15,7 @@
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -26,7 +29,12 @@
 class scheduler_daemon {
 public:
     explicit scheduler_daemon(const scheduler_settings& settings)
-        : m_parts(settings, make_handler()), m_orders(m_parts), m_callers(m_parts), m_control(m_parts),
+        : m_parts(settings, make_handler()), m_link(m_parts.caller),
+          m_agent(settings.relay, {read_ip(settings.replica.host).value_or(0), settings.data_centre},
+                  [this](const worker_order& order, relay_agent::outcome_handler on_outcome) {
+                      m_link.send(order, std::move(on_outcome));
+                  }),
+          m_orders(m_parts, m_link), m_callers(m_parts), m_control(m_parts, m_agent),
           m_listener(m_parts.loop, make_listener_settings(settings),
                      [this](http_request request, http_responder respond) {
                          m_control.handle(std::move(request), std::move(respond));
@@ -45,6 +53,7 @@
             return cannot_start_code;
         }
         loop.on_turn_end([this] { m_orders.send_all(); });
+        loop.on_turn_end([this] { send_answers(); });
         loop.on_turn_end([] { flush_logs(); });
         start_metrics();
         loop.on_signal(SIGTERM, [this] { stop(); });
@@ -90,15 +99,22 @@
             }
         };
         handler.on_leading = [this](log_term term) {
+            m_agent.on_own_term(term);
+            m_parts.relays.lead(term, m_parts.loop.now());
             m_parts.dispatch.lead(term, m_parts.loop.now(), get_wall_ms());
             m_parts.loop.post([] {}); // another turn sends what that asked for
         };
         handler.on_leading_lost = [this] {
+            m_parts.relays.retire();
             m_parts.dispatch.retire();
             m_parts.batcher.drop();
         };
         handler.on_frame = [this](const job_wire::cluster_frame& frame, const auto& reply) {
-            if (frame.has_request()) {
+            if (frame.has_orders()) {
+                on_orders(frame.orders(), reply);
+            } else if (frame.has_answers()) {
+                m_orders.on_answers(frame.answers());
+            } else if (frame.has_request()) {
                 m_callers.handle(frame.request(), [reply](const job_wire::relay_answer& answer) {
                     job_wire::cluster_frame back;
                     *back.mutable_answer() = answer;
@@ -133,7 +149,7 @@
 
     void flush() {
         if (m_parts.may_answer()) {
-            m_parts.dispatch.tick(m_parts.loop.now(), get_wall_ms());
+            m_parts.dispatch.tick(m_parts.loop.now(), get_wall_ms(), m_parts.batcher.is_free());
         }
         for (auto& command : m_parts.dispatch.take_commands()) {
             m_parts.batcher.add(std::move(command), nullptr);
@@ -144,6 +160,31 @@
         }
     }
 
+    /// Takes a frame of the leader that this instance relays for.
+    void on_orders(const job_wire::relay_orders& frame,
+                   const std::function<void(const job_wire::cluster_frame&)>& reply) {
+        if (auto refusal = m_agent.on_orders(frame, m_parts.loop.now()); refusal.has_value()) {
+            job_wire::cluster_frame back;
+            *back.mutable_answers() = std::move(*refusal);
+            reply(back);
+            return;
+        }
+        m_to_leader = reply;
+    }
+
+    /// Tells the leader what there is to tell, a few frames a hundredth of a second at most.
+    void send_answers() {
+        if (auto answers = m_agent.take_answers(m_parts.loop.now()); answers.has_value()) {
+            job_wire::cluster_frame frame;
+            *frame.mutable_answers() = std::move(*answers);
+            m_to_leader(frame);
+        }
+        const auto due = m_agent.get_due();
+        if (due.has_value() && m_answer_timer == 0) {
+            m_answer_timer = m_parts.loop.call_at(*due, [this] { m_answer_timer = 0; });
+        }
+    }
+
     void tick() {
         const auto pause = m_parts.log.is_leading() ? tick_interval : idle_interval;
         m_parts.loop.call_after(pause, [this] { tick(); });
@@ -168,6 +209,10 @@
 
     std::vector<book_event> m_events;
     scheduler_parts m_parts;
+    worker_link<Dialect> m_link;
+    relay_agent m_agent; ///< while another instance leads
+    std::function<void(const job_wire::cluster_frame&)> m_to_leader;
+    timer_id m_answer_timer = 0;
     worker_orders<Dialect> m_orders;
     caller_service<Dialect> m_callers;
     control_service<Dialect> m_control;
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -59,6 +59,9 @@
     set("poplarpitch_orders_waiting_for_connection", use.waiting);
     set("poplarpitch_orders_not_sent_total", use.not_sent);
     set("poplarpitch_descriptors_exhausted_total", use.exhausted);
+    set("poplarpitch_relays", parts.relays.count_relays());
+    set("poplarpitch_relayed_orders_total", parts.relays.get_relayed());
+    set("poplarpitch_relayed_orders_open", parts.relays.count_open());
     set("poplarpitch_log_batches_total", parts.batcher.get_batches());
     set("poplarpitch_log_commands_total", parts.batcher.get_commands());
     set("poplarpitch_log_lines_left_out_total", get_left_out_log_lines());
--- a/poplarpitch/scheduler/scheduler_parts.h
+++ b/poplarpitch/scheduler/scheduler_parts.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_caller.h"
 #include "poplarpitch/net/http_listener.h"
+#include "poplarpitch/relay/relay_hub.h"
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/scheduler/command_batcher.h"
 #include "poplarpitch/scheduler/scheduler_settings.h"
@@ -15,7 +16,7 @@
 struct scheduler_parts {
     explicit scheduler_parts(const scheduler_settings& chosen, replica_handler handler)
         : settings(chosen), log(loop, settings.replica, std::move(handler)), batcher(loop, log, book),
-          dispatch(settings.dispatch, book), caller(loop, settings.caller) {}
+          dispatch(settings.dispatch, book), caller(loop, settings.caller), relays(settings.relay) {}
 
     scheduler_settings settings;
     event_loop loop;
@@ -24,6 +25,7 @@
     command_batcher batcher;
     dispatcher dispatch;
     http_caller caller;
+    relay_hub relays; ///< while this instance leads
 
     /// Returns true when this instance may answer for the whole system. Thread safety: the loop's thread.
     [[nodiscard]] bool may_answer() const { return log.is_leading() && log.has_lease(); }
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -56,6 +56,7 @@
 
 void read_workers(section_reader& reader, scheduler_settings& value) {
     value.advice_address = reader.get_text("advice", "");
+    value.relay.is_enabled = reader.get_flag("relayed", value.relay.is_enabled);
     auto& dispatch = value.dispatch;
     const auto longest = reader.get_duration("longest_lease", dispatch.lease);
     dispatch.lease = std::min(reader.get_duration("lease", dispatch.lease), longest);
--- a/poplarpitch/scheduler/scheduler_settings.h
+++ b/poplarpitch/scheduler/scheduler_settings.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/config/config_error.h"
 #include "poplarpitch/net/http_caller_settings.h"
+#include "poplarpitch/relay/relay_settings.h"
 #include "poplarpitch/replica/replica_settings.h"
 #include "poplarpitch/scheduling/dispatch_settings.h"
 
@@ -24,6 +25,7 @@
     duration stop_wait = seconds{2}; ///< at a stop: how long answers under way may take
     std::size_t max_accepted = 1750; ///< connections of workers and operators; the share of 6,000 descriptors
     http_caller_settings caller;     ///< its bound comes from the descriptors that the process may have
+    relay_settings relay;
     replica_settings replica;
     dispatch_settings dispatch;
 
--- a/poplarpitch/scheduler/worker_orders.h
+++ b/poplarpitch/scheduler/worker_orders.h
@@ -1,22 +1,24 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
-#include "poplarpitch/net/net_error.h"
+#include "poplarpitch/relay/relay_codec.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
+#include "poplarpitch/scheduler/worker_link.h"
+#include "poplarpitch/wire/scheduling.pb.h"
 
-#include <type_traits>
 #include <utility>
 #include <variant>
 
 namespace poplarpitch {
 
-/// Carries the dispatcher's orders to the workers and their answers back. Thread safety: the loop's thread.
+/// Carries the dispatcher's orders to the workers, by a relay where there is one, and their answers back.
+/// Thread safety: the loop's thread.
 template <scheduler_dialect Dialect>
 class worker_orders {
 public:
-    /// Precondition: the parts outlive the object.
-    explicit worker_orders(scheduler_parts& parts) : m_parts(parts) {}
+    /// Precondition: the parts and the link outlive the object.
+    worker_orders(scheduler_parts& parts, worker_link<Dialect>& link) : m_parts(parts), m_link(link) {}
 
     /// Sends what the dispatcher wants sent. Nothing leaves without the leader's lease, since another
     /// instance may lead by now: the orders wait until it is back, and go with the leadership.
@@ -24,89 +26,88 @@
         if (!m_parts.may_answer()) {
             return;
         }
-        for (auto& order : m_parts.dispatch.take_orders()) {
-            std::visit([this](auto& item) { send(item); }, order);
+        for (const auto& lost : m_parts.relays.take_lost(m_parts.loop.now())) {
+            deliver(lost);
         }
-    }
-
-private:
-    static order_failure get_failure(const std::error_code& error) {
-        if (error == make_error_code(net_errc::not_sent)) {
-            return order_failure::not_sent;
+        for (const auto& order : m_parts.dispatch.take_orders()) {
+            send(order);
         }
-        return error == make_error_code(net_errc::unreachable) ? order_failure::unreachable
-                                                               : order_failure::unanswered;
-    }
-
-    /// What ends runs and what keeps leases goes first, what only tunes goes last.
-    static call_importance get_importance(const hold_order& /*order*/) { return call_importance::high; }
-    static call_importance get_importance(const start_order& /*order*/) { return call_importance::normal; }
-    static call_importance get_importance(const stop_order& /*order*/) { return call_importance::high; }
-    static call_importance get_importance(const pace_order& /*order*/) { return call_importance::low; }
-
-    template <class Order, class Handler>
-    void call(const Order& order, Handler handler) {
-        http_call call;
-        call.address = order.target.address;
-        call.request = Dialect::write_order(order);
-        call.timeout = order.target.timeout;
-        call.is_fresh = order.target.is_fresh;
-        call.importance = get_importance(order);
-        call.is_long = std::is_same_v<Order, hold_order>;
-        m_parts.caller.send(std::move(call), std::move(handler));
+        send_frames();
     }
 
-    static order_answer read(const result<http_response>& response) {
-        if (!response) {
-            return {get_failure(response.error()), 0};
+    /// Takes what a relay says. Precondition: this instance leads.
+    void on_answers(const job_wire::relay_answers& frame) {
+        const auto now = m_parts.loop.now();
+        for (const auto& outcome : m_parts.relays.on_answers(frame, now)) {
+            deliver(outcome);
+        }
+        for (const auto& report : frame.reports()) {
+            if (report.is_whole()) {
+                m_parts.dispatch.on_heartbeat(decode(report), now);
+            } else if (!m_parts.dispatch.on_sign_of_life(report.worker(), report.sequence(),
+                                                         report.clock_ms(), now)) {
+                m_parts.relays.ask_report(report.worker());
+            }
         }
-        return Dialect::read_order_answer(response.value());
     }
 
-    void send(const hold_order& order) {
-        call(order, [this, worker = order.target.worker,
-                     term = order.target.fence](const result<http_response>& response) {
-            if (term != m_parts.dispatch.get_term()) {
-                return;
-            }
-            hold_outcome outcome;
-            if (response) {
-                outcome = Dialect::read_hold_answer(response.value());
-            } else {
-                outcome.failure = get_failure(response.error());
-            }
-            m_parts.dispatch.on_hold(worker, outcome, m_parts.loop.now());
-        });
+private:
+    void send(const worker_order& order) {
+        if (const auto* advice = std::get_if<advise_order>(&order); advice != nullptr) {
+            ask(*advice);
+            return;
+        }
+        if (is_relayed(order)) {
+            return;
+        }
+        auto name = get_order_name(order);
+        m_link.send(
+            order, [this, name = std::move(*name), term = m_parts.dispatch.get_term()](hold_outcome outcome) {
+                if (term == m_parts.dispatch.get_term()) {
+                    deliver({name, std::move(outcome)});
+                }
+            });
     }
 
-    void send(const start_order& order) {
-        call(order,
-             [this, run = order.run, term = order.target.fence](const result<http_response>& response) {
-                 if (term == m_parts.dispatch.get_term()) {
-                     m_parts.dispatch.on_start(run, read(response), m_parts.loop.now());
-                 }
-             });
+    bool is_relayed(const worker_order& order) {
+        const auto* worker = m_parts.dispatch.find_worker_state(get_order_target(order)->worker);
+        return m_parts.settings.relay.is_enabled && worker != nullptr &&
+               m_parts.relays.add(order, worker->report.data_centre, worker->spread, m_parts.loop.now());
     }
 
-    void send(const stop_order& order) {
-        call(order, [this, run = order.run, worker = order.target.worker,
-                     term = order.target.fence](const result<http_response>& response) {
-            if (term == m_parts.dispatch.get_term()) {
-                m_parts.dispatch.on_stop(run, worker, read(response), m_parts.loop.now());
-            }
-        });
+    void send_frames() {
+        if (!m_parts.settings.relay.is_enabled) {
+            return;
+        }
+        const auto others = m_parts.log.get_other_members();
+        for (const auto& frame : m_parts.relays.take_frames(others, m_parts.loop.now())) {
+            job_wire::cluster_frame message;
+            *message.mutable_orders() = *frame.orders;
+            m_parts.log.send_frame(frame.ip, message);
+        }
     }
 
-    void send(const pace_order& order) {
-        call(order, [this, run = order.run, percent = order.percent,
-                     term = order.target.fence](const result<http_response>& response) {
-            if (term == m_parts.dispatch.get_term()) {
-                m_parts.dispatch.on_pace(run, percent, read(response), m_parts.loop.now());
-            }
-        });
+    void deliver(const relayed_outcome& item) {
+        const auto now = m_parts.loop.now();
+        const auto& order = item.order;
+        const order_answer answer{item.outcome.failure, item.outcome.answer.clock_ms};
+        switch (order.what) {
+        case order_name::kind::hold:
+            m_parts.dispatch.on_hold(order.worker, item.outcome, now);
+            return;
+        case order_name::kind::start:
+            m_parts.dispatch.on_start(order.run, answer, now);
+            return;
+        case order_name::kind::stop:
+            m_parts.dispatch.on_stop(order.run, order.worker, answer, now);
+            return;
+        case order_name::kind::pace:
+            m_parts.dispatch.on_pace(order.run, order.percent, answer, now);
+            return;
+        }
     }
 
-    void send(const advise_order& order) {
+    void ask(const advise_order& order) {
         http_call call;
         call.address = m_parts.settings.advice_address;
         call.request = Dialect::write_order(order);
@@ -120,6 +121,7 @@
     }
 
     scheduler_parts& m_parts;
+    worker_link<Dialect>& m_link;
 };
 
 } // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/platform/relay_cluster_test.cpp
@@ -0,0 +1,126 @@
+// Orders and heartbeats through the other control instances, as real processes: no task runs twice and none
+// is lost when a relay is killed, stands still or is the next leader.
+#include "unit_tests/platform/scheduler_cluster.h"
+#include "unit_tests/platform/stand_in_workers.h"
+
+#include <absl/time/clock.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration patience = seconds{20}; // bounds a failure; each wait ends with its event
+constexpr int task_count = 24;
+constexpr int worker_count = 6;
+
+/// A cluster of which all instances but the leader relay, with jobs that run.
+class relaying_cluster {
+public:
+    explicit relaying_cluster(duration run_time, const std::string& settings = {})
+        : cluster(3, settings), workers(worker_count, cluster.get_controls(), run_time) {
+        cluster.put_config(1);
+        leader = cluster.find_leader();
+    }
+
+    /// Waits until the leader has said `text` this often.
+    void wait_for_line(const std::string& text, int times) {
+        const auto count = [&] {
+            const auto log = cluster.get_scheduler(leader).read_log();
+            int found = 0;
+            for (auto place = log.find(text); place != std::string::npos; place = log.find(text, place + 1)) {
+                ++found;
+            }
+            return found;
+        };
+        while (count() < times) {
+            absl::SleepFor(absl::Milliseconds(10));
+        }
+    }
+    [[nodiscard]] int get_relay() const { return leader == 1 ? 2 : 1; }
+    void wait_until_all_run() const {
+        while (workers.get_running() < task_count) {
+            absl::SleepFor(absl::Milliseconds(5));
+        }
+    }
+    void expect_each_done_once(const std::string& id) const {
+        int done = 0;
+        for (const auto& [task, count] : workers.get_done_counts()) {
+            if (task.starts_with(id)) {
+                EXPECT_EQ(count, 1) << task;
+                ++done;
+            }
+        }
+        EXPECT_EQ(done, task_count);
+        EXPECT_EQ(workers.get_overlaps(), 0);
+    }
+
+    scheduler_cluster cluster;
+    stand_in_workers workers;
+    int leader = 0;
+};
+
+TEST(relay_cluster, sends_orders_through_both_other_instances) {
+    relaying_cluster world(milliseconds{100});
+    world.wait_for_line("event=relay_found", 2);
+    const std::string id = "0000000000000a01";
+    ASSERT_TRUE(world.cluster.submit(id, task_count, patience));
+    ASSERT_TRUE(world.cluster.wait_for_state(id, "completed", patience));
+    world.expect_each_done_once(id);
+}
+
+TEST(relay_cluster, calls_workers_itself_where_relaying_is_switched_off) {
+    relaying_cluster world(milliseconds{100}, "relayed = false\n");
+    const std::string id = "0000000000000a02";
+    ASSERT_TRUE(world.cluster.submit(id, task_count, patience));
+    ASSERT_TRUE(world.cluster.wait_for_state(id, "completed", patience));
+    world.expect_each_done_once(id);
+    EXPECT_EQ(world.cluster.get_scheduler(world.leader).read_log().find("relay_found"), std::string::npos);
+}
+
+TEST(relay_cluster, loses_nothing_when_a_relay_is_killed_while_tasks_run) {
+    relaying_cluster world(milliseconds{1500});
+    world.wait_for_line("event=relay_found", 2);
+    const std::string id = "0000000000000a03";
+    ASSERT_TRUE(world.cluster.submit(id, task_count, patience));
+    world.wait_until_all_run();
+    world.cluster.get_scheduler(world.get_relay()).kill();
+    world.wait_for_line("event=relay_lost", 1);
+    ASSERT_TRUE(world.cluster.wait_for_state(id, "completed", patience));
+    world.expect_each_done_once(id);
+    EXPECT_EQ(world.cluster.get_scheduler(world.leader).read_log().find("event=lease_lapsed"),
+              std::string::npos);
+}
+
+TEST(relay_cluster, runs_nothing_twice_when_a_relay_stands_still_with_orders_in_its_queue) {
+    relaying_cluster world(milliseconds{500});
+    world.wait_for_line("event=relay_found", 2);
+    const std::string id = "0000000000000a04";
+    world.cluster.get_scheduler(world.get_relay()).send(SIGSTOP);
+    ASSERT_TRUE(world.cluster.submit(id, task_count, patience)); // a part of its starts waits in that queue
+    ASSERT_TRUE(world.cluster.wait_for_state(id, "completed", patience));
+    absl::SleepFor(
+        absl::Seconds(2)); // no event tells: longer than the lease of 2 s the starts were sent with
+    world.cluster.get_scheduler(world.get_relay()).send(SIGCONT);
+    world.wait_for_line("event=relay_found", 3); // it has worked through its queue by then
+    const std::string next = "0000000000000a05";
+    ASSERT_TRUE(world.cluster.submit(next, task_count, patience));
+    ASSERT_TRUE(world.cluster.wait_for_state(next, "completed", patience));
+    world.expect_each_done_once(id);
+    world.expect_each_done_once(next);
+}
+
+TEST(relay_cluster, goes_on_when_the_leader_is_killed_and_a_relay_takes_its_place) {
+    relaying_cluster world(milliseconds{1500});
+    world.wait_for_line("event=relay_found", 2);
+    const std::string id = "0000000000000a06";
+    ASSERT_TRUE(world.cluster.submit(id, task_count, patience));
+    world.wait_until_all_run();
+    world.cluster.get_scheduler(world.leader).kill();
+    ASSERT_TRUE(world.cluster.wait_for_state(id, "completed", patience));
+    world.expect_each_done_once(id);
+}
+
+} // namespace
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -0,0 +1,256 @@
+// The leader's end of the relays: every order is answered once, whatever becomes of its relay.
+#include "poplarpitch/relay/relay_codec.h"
+#include "poplarpitch/relay/relay_hub.h"
+#include "poplarpitch/scheduling/step_job.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::uint32_t near = 0x0a010002;
+constexpr std::uint32_t far = 0x0a020003;
+constexpr log_term term = 7;
+
+class hub_world {
+public:
+    hub_world() : hub(settings) { hub.lead(term, now); }
+
+    /// Lets a relay tell that it is there.
+    void hear(std::uint32_t ip, const std::string& data_centre) {
+        job_wire::relay_answers frame;
+        frame.set_term(term);
+        frame.set_ip(ip);
+        frame.set_data_centre(data_centre);
+        EXPECT_TRUE(hub.on_answers(frame, now).empty());
+    }
+    std::vector<relayed_outcome> answer(std::uint32_t ip, const std::vector<std::uint64_t>& numbers) {
+        job_wire::relay_answers frame;
+        frame.set_term(term);
+        frame.set_ip(ip);
+        frame.set_data_centre(ip == near ? "near" : "far");
+        for (const auto number : numbers) {
+            frame.add_answers()->set_number(number);
+        }
+        return hub.on_answers(frame, now);
+    }
+    /// Returns the numbers of the orders that are sent now, by relay.
+    std::map<std::uint32_t, std::vector<std::uint64_t>> take_numbers() {
+        std::map<std::uint32_t, std::vector<std::uint64_t>> numbers;
+        for (const auto& frame : hub.take_frames({near, far}, now)) {
+            for (const auto& order : frame.orders->orders()) {
+                numbers[frame.ip].push_back(order.number());
+            }
+        }
+        return numbers;
+    }
+
+    relay_settings settings;
+    relay_hub hub;
+    time_point now{seconds{100}};
+};
+
+start_order make_start(const std::string& worker, std::uint32_t index, const std::string& payload = "text") {
+    auto job = std::make_shared<step_job>();
+    job->payload = payload;
+    start_order order;
+    order.target = {worker, "10.9.0.1:80", term, false, milliseconds{900}};
+    order.run = {{{1, 0, 0}, index}, 1};
+    order.job = std::move(job);
+    order.until_ms = 5000;
+    return order;
+}
+
+hold_order make_hold(const std::string& worker) {
+    hold_order order;
+    order.target = {worker, "10.9.0.1:80", term, false, milliseconds{1800}};
+    order.until_ms = 5000;
+    order.wait = seconds{1};
+    return order;
+}
+
+TEST(relay_hub, takes_no_order_while_no_relay_was_heard) {
+    hub_world world;
+    EXPECT_FALSE(world.hub.add(make_hold("w1"), "near", 1, world.now));
+    EXPECT_EQ(world.hub.take_frames({near, far}, world.now).size(), 2U)
+        << "each is asked whether it is there";
+}
+
+TEST(relay_hub, sends_an_order_by_the_relay_in_the_data_centre_of_its_worker) {
+    hub_world world;
+    world.hear(near, "near");
+    world.hear(far, "far");
+    for (std::uint64_t spread = 0; spread < 20; ++spread) {
+        ASSERT_TRUE(world.hub.add(make_hold("w"), "near", spread, world.now));
+    }
+    const auto numbers = world.take_numbers();
+    ASSERT_EQ(numbers.size(), 1U);
+    EXPECT_EQ(numbers.begin()->first, near);
+}
+
+TEST(relay_hub, spreads_workers_of_another_data_centre_over_all_relays) {
+    hub_world world;
+    world.hear(near, "near");
+    world.hear(far, "far");
+    for (std::uint64_t spread = 0; spread < 200; ++spread) {
+        ASSERT_TRUE(world.hub.add(make_hold("w"), "elsewhere", spread, world.now));
+    }
+    const auto numbers = world.take_numbers();
+    ASSERT_EQ(numbers.size(), 2U);
+    EXPECT_GT(numbers.at(near).size(), 60U);
+    EXPECT_GT(numbers.at(far).size(), 60U);
+}
+
+TEST(relay_hub, answers_each_order_once) {
+    hub_world world;
+    world.hear(near, "near");
+    ASSERT_TRUE(world.hub.add(make_start("w1", 3), "near", 1, world.now));
+    const auto numbers = world.take_numbers().at(near);
+    const auto outcomes = world.answer(near, numbers);
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].order.what, order_name::kind::start);
+    EXPECT_EQ(outcomes[0].order.run.task.index, 3U);
+    EXPECT_FALSE(outcomes[0].outcome.failure.has_value());
+    EXPECT_TRUE(world.answer(near, numbers).empty());
+    world.now += seconds{10};
+    EXPECT_TRUE(world.hub.take_lost(world.now).empty());
+}
+
+TEST(relay_hub, knows_nothing_of_orders_whose_relay_fell_silent) {
+    hub_world world;
+    world.hear(near, "near");
+    ASSERT_TRUE(world.hub.add(make_start("w1", 0), "near", 1, world.now));
+    ASSERT_TRUE(world.hub.add(make_hold("w1"), "near", 1, world.now));
+    const auto numbers = world.take_numbers().at(near);
+    world.now += world.settings.silence + milliseconds{1};
+    const auto lost = world.hub.take_lost(world.now);
+    ASSERT_EQ(lost.size(), 2U);
+    EXPECT_EQ(lost[0].outcome.failure, order_failure::unanswered) << "the start may have been carried out";
+    EXPECT_EQ(lost[1].outcome.failure, order_failure::not_sent) << "its worker is not to blame";
+    EXPECT_EQ(world.hub.count_relays(), 0U);
+    EXPECT_TRUE(world.answer(near, numbers).empty()) << "what comes later is nobody's";
+    EXPECT_EQ(world.hub.count_relays(), 1U) << "but the relay is there again";
+}
+
+TEST(relay_hub, moves_only_the_share_of_a_relay_that_is_lost) {
+    hub_world world;
+    constexpr std::uint32_t third = 0x0a030004;
+    world.hear(near, "near");
+    world.hear(far, "far");
+    world.hear(third, "third");
+    std::map<std::uint64_t, std::uint32_t> before;
+    for (std::uint64_t spread = 0; spread < 300; ++spread) {
+        before[spread] = *world.hub.pick("elsewhere", spread);
+    }
+    world.now += world.settings.silence;
+    world.hear(near, "near");
+    world.hear(far, "far");
+    world.now += milliseconds{1};
+    static_cast<void>(world.hub.take_lost(world.now));
+    int moved_to_near = 0;
+    int moved_to_far = 0;
+    for (const auto& [spread, relay] : before) {
+        const auto after = *world.hub.pick("elsewhere", spread);
+        if (relay != third) {
+            EXPECT_EQ(after, relay);
+            continue;
+        }
+        moved_to_near += after == near ? 1 : 0;
+        moved_to_far += after == far ? 1 : 0;
+    }
+    EXPECT_GT(moved_to_near, 20);
+    EXPECT_GT(moved_to_far, 20);
+}
+
+TEST(relay_hub, gives_an_order_up_whose_time_is_over_at_a_relay_that_is_there) {
+    hub_world world;
+    world.hear(near, "near");
+    ASSERT_TRUE(world.hub.add(make_start("w1", 0), "near", 1, world.now));
+    static_cast<void>(world.take_numbers());
+    for (int turn = 0; turn < 12; ++turn) {
+        world.now += milliseconds{100};
+        world.hear(near, "near");
+    }
+    const auto lost = world.hub.take_lost(world.now);
+    ASSERT_EQ(lost.size(), 1U);
+    EXPECT_EQ(lost[0].outcome.failure, order_failure::unanswered);
+}
+
+TEST(relay_hub, takes_no_answer_that_is_for_another_leader) {
+    hub_world world;
+    world.hear(near, "near");
+    ASSERT_TRUE(world.hub.add(make_hold("w1"), "near", 1, world.now));
+    job_wire::relay_answers old;
+    old.set_term(term - 1);
+    old.set_ip(near);
+    old.add_answers()->set_number(world.take_numbers().at(near).front());
+    EXPECT_TRUE(world.hub.on_answers(old, world.now).empty());
+    EXPECT_EQ(world.hub.count_open(), 1U);
+}
+
+TEST(relay_hub, writes_a_payload_once_a_frame) {
+    hub_world world;
+    world.hear(near, "near");
+    const std::string payload(4000, 'x');
+    for (std::uint32_t index = 0; index < 40; ++index) {
+        ASSERT_TRUE(world.hub.add(make_start("w1", index, payload), "near", 1, world.now));
+    }
+    const auto frames = world.hub.take_frames({near}, world.now);
+    ASSERT_EQ(frames.size(), 1U);
+    EXPECT_EQ(frames[0].orders->payloads_size(), 1);
+    EXPECT_LT(frames[0].orders->ByteSizeLong(), 2 * payload.size());
+}
+
+TEST(relay_hub, gathers_orders_into_few_frames) {
+    hub_world world;
+    world.hear(near, "near");
+    std::size_t frames = 0;
+    for (int turn = 0; turn < 1000; ++turn) {
+        world.now += std::chrono::microseconds{100};
+        ASSERT_TRUE(world.hub.add(make_hold("w1"), "near", 1, world.now));
+        frames += world.hub.take_frames({near}, world.now).size();
+    }
+    EXPECT_LE(frames, 35U) << "100 ms at one frame each 3 ms";
+    EXPECT_GE(frames, 30U);
+}
+
+TEST(relay_codec, carries_every_kind_of_order_and_its_answer) {
+    job_wire::relay_orders frame;
+    frame.set_term(term);
+    const auto start = make_start("w1", 4);
+    append_order(start, 1, frame);
+    append_order(make_hold("w2"), 2, frame);
+    append_order(stop_order{start.target, start.run}, 3, frame);
+    append_order(pace_order{start.target, start.run, 35}, 4, frame);
+    const auto first = read_order(frame.orders(0), frame);
+    ASSERT_TRUE(first.has_value());
+    const auto& back = std::get<start_order>(*first);
+    EXPECT_EQ(back.target, start.target);
+    EXPECT_EQ(back.run, start.run);
+    EXPECT_EQ(back.job->payload, start.job->payload);
+    EXPECT_EQ(back.until_ms, start.until_ms);
+    EXPECT_EQ(std::get<hold_order>(*read_order(frame.orders(1), frame)), make_hold("w2"));
+    EXPECT_EQ(std::get<stop_order>(*read_order(frame.orders(2), frame)),
+              (stop_order{start.target, start.run}));
+    EXPECT_EQ(std::get<pace_order>(*read_order(frame.orders(3), frame)),
+              (pace_order{start.target, start.run, 35}));
+
+    hold_outcome outcome;
+    outcome.answer = {77, {{start.run, "saved", 40, 120}}, {{9, start.run, run_end::failed, "other"}}};
+    job_wire::relayed_answer message;
+    encode(outcome, message);
+    EXPECT_EQ(decode(message), outcome);
+}
+
+TEST(relay_codec, reads_no_start_whose_payload_is_missing) {
+    job_wire::relay_orders frame;
+    append_order(make_start("w1", 4), 1, frame);
+    frame.clear_payloads();
+    EXPECT_FALSE(read_order(frame.orders(0), frame).has_value());
+}
+
+} // namespace
+} // namespace poplarpitch
