Let a leader bend: turns that end, rarer looks under strain, no new jobs while it is far behind

Cause: a turn took all that was ready, which under more load than the thread can bear is always something: heartbeats of the log and leases waited behind lists that only tune. At 300 instances the leader lost its office by its own load.

Change: a turn of the event loop ends after 5 ms; it measures its busy share and how late its timers are (metrics). Above 0.7 busy, looks at mixed workers go from each 350 ms to each second and ends are gathered for longer; beyond 0.4 s of lag new jobs are refused with 429 and a return spread over 2 s. A job that is sent again while it is on its way into the log is not refused, since that could be untrue.

Ruled out: dropping looks altogether (leases hang on them); refusing by busy share (a burst that is served late is worth more).

--- a/poplarpitch/dispatch/admission.h
+++ b/poplarpitch/dispatch/admission.h
@@ -12,10 +12,12 @@
     enum class verdict : std::uint8_t {
         taken,
         lasting_quota, ///< jobs that last hold as much of the pool as they may
+        overloaded,    ///< the leader is behind with the jobs it has
     };
 
     verdict what = verdict::taken;
     duration retry_after{};    ///< when a refused job should be sent again
+    duration lag{};            ///< by which the leader is behind
     std::int64_t wanted = 0;   ///< millicores that it would reserve
     std::int64_t reserved = 0; ///< millicores reserved already
     std::int64_t allowed = 0;  ///< millicores that may be reserved
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "poplarpitch/dispatch/admission.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
 #include "poplarpitch/dispatch/lasting_quota.h"
+#include "poplarpitch/dispatch/leader_load.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/refused_shapes.h"
@@ -63,6 +64,9 @@
     /// Returns the term it leads in; 0 while it does not.
     [[nodiscard]] log_term get_term() const { return m_term; }
 
+    /// Takes how much the leader's thread has to do: under strain it looks more seldom where that only tunes,
+    /// and far behind it takes no new jobs.
+    void on_load(const leader_load& load) { m_load = load; }
     /// Decides whether a job is taken. One that is taken counts as accepted until `on_not_accepted` is
     /// called. Precondition: the dispatcher leads; the job is sound and not known yet.
     [[nodiscard]] admission admit(const step_job& job, time_point now);
@@ -221,6 +225,8 @@
     /// Takes a worker's clock from a heartbeat, which may be late.
     static void note_clock(worker_state& worker, std::int64_t clock_ms, time_point now);
     void send_hold(worker_state& worker, time_point now);
+    /// Returns how long a worker may wait with its list.
+    [[nodiscard]] duration get_hold_wait(const worker_state& worker) const;
     [[nodiscard]] bool needs_hold(const worker_state& worker) const;
     void take_rows(worker_state& worker, const hold_answer& answer, time_point now);
     void take_end(worker_state& worker, const end_row& row, time_point now);
@@ -303,6 +309,7 @@
     pressure_model m_pressure;
     work_forecast m_forecast;
     lasting_quota m_lasting;
+    leader_load m_load;
     std::set<std::string> m_roomy; ///< pools less than half of which is reserved
     double m_crowding =
         0; ///< cores of filling tasks that wait, as a share of those that run, 0 to 1; smoothed
--- a/poplarpitch/dispatch/dispatcher_admission.cpp
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -10,13 +10,34 @@
 constexpr double crowding_weight =
     0.2; // of a new look: two thirds in 2.5 s, longer than a wave of new jobs waits
 
+constexpr duration overload_wait =
+    seconds{2}; // a turn that is late by 0.4 s has some seconds of work before it
+constexpr std::uint64_t overload_spread_ms =
+    2000; // callers that were sent away together come back one by one
+
+/// Returns when a job that came while the leader was behind should be sent again. Load pattern: after a power
+/// loss or an election all callers come back at the same moment, and a thread that is already late only falls
+/// further behind with what it has promised.
+duration get_overload_wait(job_id id) {
+    return overload_wait + milliseconds{static_cast<std::int64_t>(id % overload_spread_ms)};
+}
+
 } // namespace
 
 admission dispatcher::admit(const step_job& job, time_point now) {
     admission decided;
     decided.wanted = job.get_lasting_millicores();
-    if (decided.wanted == 0 ||
-        m_lasting.contains(job.id)) { // sent again while the first one is being decided
+    if (m_lasting.contains(job.id)) { // sent again while the first one is being decided
+        return decided;
+    }
+    if (m_load.lag > m_settings.most_lag) {
+        ++m_counts.refused_jobs;
+        decided.what = admission::verdict::overloaded;
+        decided.lag = m_load.lag;
+        decided.retry_after = get_overload_wait(job.id);
+        return decided;
+    }
+    if (decided.wanted == 0) {
         return decided;
     }
     const auto& pool = job.queue.pool;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -14,6 +14,7 @@
 // A list that is asked for before its ends are committed comes back at once with the same ends. Leases run on
 // meanwhile, so they are prolonged all the same where the log stands still.
 constexpr duration commit_patience = milliseconds{500};
+constexpr double strained_pauses = 5; // by how much the pause before a hold grows at most: ends come together
 constexpr duration hold_slack = milliseconds{800};   // over the wait that was asked for
 constexpr duration longest_look = milliseconds{500}; // between looks at a worker of which nothing is heard
 constexpr duration leaving_look = milliseconds{20};  // the same while it leaves and something runs there
@@ -157,12 +158,22 @@
            m_settings.lease_margin;
 }
 
+/// Looks at mixed workers only tune the paces: they are the first to become rarer when the leader's thread
+/// has more to do than it can.
+duration dispatcher::get_hold_wait(const worker_state& worker) const {
+    const bool is_mixed = worker.servings > 0 && worker.fills > 0;
+    if (!is_mixed) {
+        return m_settings.hold_wait;
+    }
+    const auto longer = m_settings.hold_wait - m_settings.mixed_hold_wait;
+    return m_settings.mixed_hold_wait + std::chrono::duration_cast<duration>(longer * m_load.get_strain());
+}
+
 void dispatcher::send_hold(worker_state& worker, time_point now) {
     hold_order order;
     const bool has_runs = !worker.runs.empty() && worker.is_confirmed;
     if (has_runs && worker.hold_failures == 0 && worker.ends_committing == 0) {
-        const bool is_mixed = worker.servings > 0 && worker.fills > 0;
-        order.wait = is_mixed ? m_settings.mixed_hold_wait : m_settings.hold_wait;
+        order.wait = get_hold_wait(worker);
     }
     order.target = make_target(worker, order.wait + hold_slack);
     order.acknowledged = worker.acknowledged;
@@ -224,7 +235,9 @@
     if (!was_confirmed) {
         m_must_place = true;
     }
-    const auto pause = worker->ends_committing > 0 ? commit_patience : m_settings.hold_pause;
+    const auto rest = std::chrono::duration_cast<duration>(m_settings.hold_pause *
+                                                           (1 + strained_pauses * m_load.get_strain()));
+    const auto pause = worker->ends_committing > 0 ? commit_patience : rest;
     worker->next_hold = std::max(worker->next_hold, now + pause);
 }
 
--- a/poplarpitch/net/event_loop.cpp
+++ b/poplarpitch/net/event_loop.cpp
@@ -8,9 +8,17 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 
 namespace poplarpitch {
+namespace {
+
+constexpr duration longest_turn = milliseconds{5}; // a twentieth of the log's heartbeats, a commit's sync
+constexpr int unmeasured_calls = 8;                // between two looks at the clock
+constexpr double measure_time = 0.5;               // s, over which load and lag are smoothed
+
+} // namespace
 
 struct event_loop::parts {
     boost::asio::io_context context{1}; ///< one thread runs it; others may post, so Asio keeps its lock
@@ -23,7 +31,8 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
 };
 
-event_loop::event_loop() : m_parts(std::make_unique<parts>()), m_now(system_clock().now()) {
+event_loop::event_loop()
+    : m_parts(std::make_unique<parts>()), m_now(system_clock().now()), m_last_wake(m_now) {
     std::signal(SIGPIPE, SIG_IGN); // a write to a closed connection is an error code here
 }
 
@@ -42,14 +51,43 @@
             hook();
         }
         arm();
+        const auto began = clock.now();
         context.run_one();
         m_now = clock.now();
-        context.poll();
+        note_turn(began, m_now);
+        run_ready();
         m_now = clock.now();
         run_due_timers();
     }
 }
 
+void event_loop::run_ready() {
+    const system_clock clock;
+    const auto end = m_now + longest_turn;
+    int calls = 0;
+    while (m_parts->context.poll_one() > 0) {
+        if (++calls % unmeasured_calls == 0 && clock.now() >= end) {
+            ++m_cut_turns;
+            return;
+        }
+    }
+}
+
+/// The wait of a turn is the time until its first call was made, and the call itself, which is short.
+void event_loop::note_turn(time_point began, time_point woke) {
+    const auto worked = to_seconds(began - m_last_wake);
+    const auto waited = to_seconds(woke - began);
+    m_last_wake = woke;
+    const auto all = worked + waited;
+    if (all <= 0) {
+        return;
+    }
+    const auto weight = 1 - std::exp(-all / measure_time);
+    m_busy_share += weight * (worked / all - m_busy_share);
+    const auto late = m_timers.empty() ? duration{0} : std::max(woke - m_timers.begin()->first, duration{0});
+    m_lag += std::chrono::duration_cast<duration>(weight * (late - m_lag));
+}
+
 void event_loop::stop() {
     m_parts->context.stop();
 }
--- a/poplarpitch/net/event_loop.h
+++ b/poplarpitch/net/event_loop.h
@@ -22,7 +22,9 @@
 /// Boost.Asio waits; timers stand in one ordered map behind a single Asio timer, so that a timeout that is
 /// set and cancelled for every call costs no system call. After the calls that were ready at the same time
 /// the turn hooks run: work that many events ask for, such as one commit for all of them, is done there
-/// once.
+/// once. A turn takes what is ready only for a short while: under more load than the thread can bear there is
+/// always something ready, and what stands in the hooks and timers (heartbeats of the log, leases) has to be
+/// done all the same.
 /// Thread safety: all methods on the thread of `run`, but for `stop` and `post`, which any thread may call.
 class event_loop {
 public:
@@ -37,6 +39,12 @@
     void stop();
     /// Returns the time at the start of the present turn, on the boot-time clock.
     [[nodiscard]] time_point now() const { return m_now; }
+    /// Returns which share of the last half second or so the thread was busy, 0 to 1.
+    [[nodiscard]] double get_busy_share() const { return m_busy_share; }
+    /// Returns how late timers fired of late, smoothed over as long.
+    [[nodiscard]] duration get_lag() const { return m_lag; }
+    /// Returns how many turns ended with work still ready.
+    [[nodiscard]] std::uint64_t get_cut_turns() const { return m_cut_turns; }
     /// Calls `work` in a later turn.
     void post(std::function<void()> work);
     /// Calls `work` once, at `when` or shortly after.
@@ -59,7 +67,9 @@
         std::function<void()> work;
     };
 
+    void run_ready();
     void run_due_timers();
+    void note_turn(time_point began, time_point woke);
     void arm();
     void wait_for_signal(std::size_t index);
 
@@ -69,6 +79,10 @@
     timer_id m_next_timer = 1;
     time_point m_armed{}; ///< when the Asio timer fires; zero while it is not set
     time_point m_now{};
+    time_point m_last_wake{}; ///< when the wait of the last turn ended
+    double m_busy_share = 0;
+    duration m_lag{};
+    std::uint64_t m_cut_turns = 0;
     std::vector<std::function<void()>> m_turn_hooks;
 };
 
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -7,6 +7,8 @@
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <functional>
 #include <string>
 #include <utility>
@@ -99,8 +101,10 @@
             finish(answer, 200, "", on_answer); // sent again
             return;
         }
+        // Sent again while the first one is on its way into the log: to refuse it now could be untrue.
+        const bool is_decided = m_deciding.contains(id);
         const auto open = static_cast<std::int64_t>(m_parts.dispatch.count_open());
-        if (open >= m_parts.settings.dispatch.max_open_jobs) {
+        if (!is_decided && open >= m_parts.settings.dispatch.max_open_jobs) {
             refuse_for_load(id, open, answer, on_answer);
             return;
         }
@@ -117,10 +121,12 @@
             finish(answer, 400, "", on_answer);
             return;
         }
-        const auto decided = m_parts.dispatch.admit(*job, m_parts.loop.now());
-        if (!decided.is_taken()) {
-            refuse(id, decided, answer, on_answer);
-            return;
+        if (!is_decided) {
+            const auto decided = m_parts.dispatch.admit(*job, m_parts.loop.now());
+            if (!decided.is_taken()) {
+                refuse(id, decided, answer, on_answer);
+                return;
+            }
         }
         job_wire::job_command command;
         encode(*job, *command.mutable_submit()->mutable_job());
@@ -129,8 +135,10 @@
             .add("queue", queue.name)
             .add("config", m_parts.book.get_configuration().version)
             .add("steps", static_cast<std::uint64_t>(job->steps.size()));
+        m_deciding.insert(id);
         m_parts.batcher.add(std::move(command), [this, id, answer = make_fate_handler(answer, on_answer)](
                                                     command_fate fate) mutable {
+            m_deciding.erase(id);
             const bool is_sure = fate == command_fate::refused || fate == command_fate::not_taken;
             if (is_sure) {
                 m_parts.dispatch.on_not_accepted(id);
@@ -147,9 +155,12 @@
     /// The job was not taken: its caller is told when to come back.
     static void refuse(job_id id, const admission& decided, job_wire::relay_answer answer,
                        const answer_handler& on_answer) {
+        const bool is_quota = decided.what == admission::verdict::lasting_quota;
         log_event(log_level::info, "job_refused")
             .add("job", format_job_id(id))
-            .add("reason", "jobs that last reserve their share of the pool")
+            .add("reason",
+                 is_quota ? "jobs that last reserve their share of the pool" : "the leader is behind")
+            .add("lag_ms", to_milliseconds(decided.lag))
             .add("wanted_millicores", decided.wanted)
             .add("reserved_millicores", decided.reserved)
             .add("allowed_millicores", decided.allowed)
@@ -206,6 +217,7 @@
     }
 
     scheduler_parts& m_parts;
+    absl::flat_hash_set<job_id> m_deciding; ///< taken and on their way into the log
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -148,6 +148,7 @@
     }
 
     void flush() {
+        m_parts.dispatch.on_load({m_parts.loop.get_busy_share(), m_parts.loop.get_lag()});
         if (m_parts.may_answer()) {
             m_parts.dispatch.tick(m_parts.loop.now(), get_wall_ms(), m_parts.batcher.is_free());
         }
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -26,6 +26,9 @@
     duration keep_ended = seconds{125};       ///< state of an ended job is kept this long
     double lasting_share = 0.8; ///< of a pool, that jobs which last may reserve while others want the rest:
                                 ///< at 0.75 and 0.82 as much is served in all, above it less
+    duration most_lag =
+        milliseconds{400};               ///< of the leader's timers, beyond which no new jobs are taken: half
+                                         ///< an order's time, so that what is accepted is still started
     std::int64_t max_open_jobs = 20'000; ///< more are refused: 60 MB of records, an hour of a day's peak
 
     friend auto operator<=>(const dispatch_settings&, const dispatch_settings&) = default;
--- a/unit_tests/dispatch/dispatcher_admission_test.cpp
+++ b/unit_tests/dispatch/dispatcher_admission_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace poplarpitch {
 namespace {
 
@@ -52,6 +54,32 @@
     EXPECT_EQ(world.take<start_order>().size(), 16U);
 }
 
+/// Load pattern: all callers come back at once after a power loss; the leader's timers are 0.6 s late.
+TEST(dispatcher_admission, takes_no_new_jobs_while_the_leader_is_far_behind_and_spreads_their_return) {
+    dispatch_world world;
+    add_workers(world);
+    step_job job;
+    job.queue.pool = world_pool;
+    job.steps = {make_step()};
+    world.scheduler.on_load({1.0, milliseconds{300}});
+    job.id = 200;
+    EXPECT_TRUE(world.scheduler.admit(job, world.now).is_taken())
+        << "late, but its start still comes in time";
+    world.scheduler.on_load({1.0, milliseconds{600}});
+    std::set<duration> waits;
+    for (job_id id = 300; id < 400; ++id) {
+        job.id = id;
+        const auto decided = world.scheduler.admit(job, world.now);
+        EXPECT_EQ(decided.what, admission::verdict::overloaded);
+        EXPECT_EQ(decided.lag, milliseconds{600});
+        EXPECT_GE(decided.retry_after, seconds{1});
+        waits.insert(decided.retry_after);
+    }
+    EXPECT_GT(waits.size(), 50U);
+    world.scheduler.on_load({0.4, milliseconds{2}});
+    EXPECT_TRUE(world.scheduler.admit(job, world.now).is_taken());
+}
+
 TEST(dispatcher_admission, tells_a_refused_job_what_it_was_refused_for_and_when_to_come_back) {
     dispatch_world world;
     add_workers(world);
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -261,5 +261,31 @@
     EXPECT_EQ(restored.get_pressure(), noted);
 }
 
+TEST(leader_load, is_no_strain_until_little_time_is_left) {
+    EXPECT_EQ(leader_load{}.get_strain(), 0.0);
+    EXPECT_EQ((leader_load{0.65, {}}.get_strain()), 0.0);
+    EXPECT_GT((leader_load{0.85, {}}.get_strain()), 0.4);
+    EXPECT_EQ((leader_load{1.0, {}}.get_strain()), 1.0);
+}
+
+/// Load pattern: 1,800 workers that each want a look three times a second, and a leader without time for it.
+TEST(dispatcher_pressure, looks_at_mixed_workers_more_seldom_under_strain_and_at_once_often_again_after_it) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_serving(3)});
+    ASSERT_EQ(start_beside_serving(world, 2).size(), 2U);
+    const auto get_wait = [&] {
+        run_all(world, "w1", 15, 6000);
+        static_cast<void>(world.take<hold_order>());
+        world.wait_for_hold("w1");
+        return world.take<hold_order>().back().wait;
+    };
+    EXPECT_EQ(get_wait(), milliseconds{350});
+    world.scheduler.on_load({1.0, {}});
+    EXPECT_EQ(get_wait(), seconds{1});
+    world.scheduler.on_load({0.3, {}});
+    EXPECT_EQ(get_wait(), milliseconds{350});
+}
+
 } // namespace
 } // namespace poplarpitch
