--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -129,6 +129,10 @@
             response = make_error_response(503, "no_leader", "not accepted: no instance leads at present");
             add_retry_after(response, outcome.retry_after);
             return response;
+        case relay_outcome::kind::not_read:
+            response = make_error_response(503, "no_answer", "nothing was changed: ask again");
+            add_retry_after(response, outcome.retry_after);
+            return response;
         case relay_outcome::kind::unknown:
             return make_error_response(504, "unknown", "no answer came; send it again under the same id");
         }
--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -22,6 +22,20 @@
 constexpr duration longest_retry = seconds{5};
 constexpr duration connect_timeout = milliseconds{700};
 
+const char* get_outcome_name(relay_outcome::kind what) {
+    switch (what) {
+    case relay_outcome::kind::answered:
+        return "answered";
+    case relay_outcome::kind::never_sent:
+        return "never_sent";
+    case relay_outcome::kind::not_read:
+        return "not_read";
+    case relay_outcome::kind::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 struct leader_link::pending_request {
@@ -32,6 +46,11 @@
     std::uint64_t timer = 0;
     bool was_sent = false;     ///< to any leader that may have taken it
     std::uint32_t sent_to = 0; ///< the leader that owes the answer; 0 for none
+
+    [[nodiscard]] bool changes_nothing() const { return request->method() == "GET"; }
+    /// Returns true while waiting on is better than an answer now: for a change that may have been done only
+    /// the next leader can tell, for a question only one that has it.
+    [[nodiscard]] bool may_wait() const { return changes_nothing() ? sent_to != 0 : was_sent; }
 };
 
 leader_link::leader_link(event_loop& loop, const std::vector<std::string>& seeds, int port,
@@ -210,8 +229,7 @@
     if (!is_connected()) {
         return;
     }
-    const bool changes_nothing = stored.request->method() == "GET";
-    if (changes_nothing || m_loop.now() - m_leader_heard <= proof_life) {
+    if (stored.changes_nothing() || m_loop.now() - m_leader_heard <= proof_life) {
         send(stored);
         return;
     }
@@ -275,20 +293,28 @@
         return;
     }
     auto& item = *found->second;
-    if (item.was_sent && m_loop.now() < item.deadline) {
-        item.timer = m_loop.call_at(item.deadline, [this, number] { expire(number); });
+    if (item.may_wait() && m_loop.now() < item.deadline) {
+        const auto next = item.changes_nothing() ? m_loop.now() + m_leader_wait : item.deadline;
+        item.timer = m_loop.call_at(std::min(item.deadline, next), [this, number] { expire(number); });
         return;
     }
     const auto done = std::move(found->second);
     m_pending.erase(found);
     relay_outcome outcome;
-    outcome.what = done->was_sent ? relay_outcome::kind::unknown : relay_outcome::kind::never_sent;
+    outcome.what = judge(*done);
     outcome.retry_after = get_retry_after();
     log_event(log_level::warn, "request_given_up")
         .add("method", done->request->method())
         .add("target", done->request->target())
-        .add("outcome", done->was_sent ? "unknown" : "never_sent");
+        .add("outcome", get_outcome_name(outcome.what));
     done->on_outcome(outcome);
 }
 
+relay_outcome::kind leader_link::judge(const pending_request& item) {
+    if (!item.was_sent) {
+        return relay_outcome::kind::never_sent;
+    }
+    return item.changes_nothing() ? relay_outcome::kind::not_read : relay_outcome::kind::unknown;
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -27,6 +27,7 @@
     enum class kind : std::uint8_t {
         answered,
         never_sent, ///< no leader was found in time: nothing was done and never will be
+        not_read,   ///< it only asks, and no answer came: it may be asked again anywhere, at once
         unknown,    ///< sent, but no answer came: it may have been done
     };
     kind what = kind::answered;
@@ -79,6 +80,8 @@
     [[nodiscard]] duration get_retry_after() const;
     void send(pending_request& item);
     void expire(std::uint64_t number);
+    /// Returns what is known of a request that is given up.
+    [[nodiscard]] static relay_outcome::kind judge(const pending_request& item);
 
     event_loop& m_loop;
     int m_port;
