Send callers away at once when no election can still be going on

Change: a request that reached no leader waits until 1.2 s after the loss, not after its own arrival; later ones are refused at once, truthfully, with the time to come back that grows with the outage. The test of longer and longer returns lets time pass between its requests now, since the link no longer does.

--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -71,6 +71,7 @@
 }
 
 void leader_link::start() {
+    m_lost_at = m_loop.now();
     look();
 }
 
@@ -202,6 +203,7 @@
         m_asked.erase(m_leader);
     }
     m_leader = 0;
+    m_lost_at = m_loop.now();
     m_is_holding = false; // all go to the next leader
     for (auto& [number, item] : m_pending) {
         item->sent_to = 0;
@@ -222,9 +224,7 @@
     item->request = std::make_unique<job_wire::relay_request>(std::move(request));
     item->on_outcome = std::move(on_outcome);
     item->deadline = deadline;
-    // A request that reached no leader is given up early, while its caller has time to go elsewhere.
-    item->timer =
-        m_loop.call_at(std::min(deadline, m_loop.now() + m_leader_wait), [this, number] { expire(number); });
+    item->timer = m_loop.call_at(std::min(deadline, get_wait_end()), [this, number] { expire(number); });
     auto& stored = *m_pending.emplace(number, std::move(item)).first->second;
     if (!is_connected()) {
         return;
@@ -237,6 +237,14 @@
     ask(m_leader);
 }
 
+/// Load pattern: all control instances lose power for 5 to 10 s. An election takes up to 1.2 s, so what comes
+/// while one may be going on waits for its end; what comes later is sent away at once, since nothing says
+/// that the next second brings what the last ones did not.
+time_point leader_link::get_wait_end() const {
+    const auto now = m_loop.now();
+    return m_leader != 0 ? now + m_leader_wait : std::max(now, m_lost_at + m_leader_wait);
+}
+
 duration leader_link::get_retry_after() const {
     const bool was_heard = m_leader_heard != time_point{};
     return was_heard ? std::clamp(m_loop.now() - m_leader_heard, shortest_retry, longest_retry)
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -78,6 +78,8 @@
     void lose_leader(const char* reason);
     void send_pending();
     [[nodiscard]] duration get_retry_after() const;
+    /// Returns until when a request that reached no leader waits for one.
+    [[nodiscard]] time_point get_wait_end() const;
     void send(pending_request& item);
     void expire(std::uint64_t number);
     /// Returns what is known of a request that is given up.
@@ -92,6 +94,7 @@
     std::map<std::uint32_t, time_point> m_asked; ///< instances that owe an answer, since when
     std::uint32_t m_leader = 0;
     time_point m_leader_heard{};
+    time_point m_lost_at{}; ///< while no leader is known: since when
     std::map<std::uint64_t, std::unique_ptr<pending_request>> m_pending;
     bool m_is_holding = false; ///< requests wait for a sign of life of the leader
     std::uint64_t m_next_number = 1;
--- a/unit_tests/gateway/leader_link_test.cpp
+++ b/unit_tests/gateway/leader_link_test.cpp
@@ -89,6 +89,12 @@
         leader.is_alive = false;
     }
 
+    /// Lets time pass.
+    void pass(duration length) {
+        loop.call_after(length, [this] { loop.stop(); });
+        run();
+    }
+
     /// Sends a request and runs until its outcome.
     relay_outcome relay(const std::string& method) {
         std::optional<relay_outcome> found;
@@ -163,6 +169,29 @@
     EXPECT_LT(world.loop.now() - began, deadline);
 }
 
+/// Load pattern: all control instances lose power for 5 s. Every caller waited 1.2 s for a leader that an
+/// election could not bring any more, and was sent away then.
+TEST(leader_link, sends_callers_away_at_once_when_no_election_can_still_be_going_on) {
+    link_world world;
+    world.lose_leader();
+    EXPECT_EQ(world.relay("POST").what, relay_outcome::kind::never_sent);
+    while (world.link.is_connected()) {
+        world.pass(milliseconds{50});
+    }
+    world.pass(leader_wait * 2);
+    const auto began = world.loop.now();
+    const auto outcome = world.relay("POST");
+    EXPECT_EQ(outcome.what, relay_outcome::kind::never_sent);
+    EXPECT_LT(world.loop.now() - began, leader_wait / 2);
+    EXPECT_GE(outcome.retry_after, seconds{1});
+    world.leader.is_alive = true;
+    while (!world.link.is_connected()) {
+        world.pass(milliseconds{50});
+    }
+    EXPECT_EQ(world.relay("POST").what, relay_outcome::kind::answered)
+        << "and goes on once there is one again";
+}
+
 TEST(leader_link, tells_callers_to_stay_away_longer_the_longer_no_leader_is_there) {
     link_world world;
     world.lose_leader();
@@ -172,6 +201,7 @@
         EXPECT_EQ(outcome.what, relay_outcome::kind::never_sent);
         EXPECT_GE(outcome.retry_after, last);
         last = outcome.retry_after;
+        world.pass(leader_wait);
     }
     EXPECT_GT(last, seconds{2});
     EXPECT_LE(last, seconds{5});
