--- a/poplarpitch/relay/relay_hub.cpp
+++ b/poplarpitch/relay/relay_hub.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/relay/relay_hub.h"
 
+#include "poplarpitch/net/socket_address.h"
 #include "poplarpitch/relay/relay_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -72,22 +73,49 @@
     if (m_roster.on_heard({frame.ip(), frame.data_centre()}, now)) {
         on_relays_changed();
         log_event(log_level::info, "relay_found")
-            .add("relay", static_cast<std::uint64_t>(frame.ip()))
+            .add("relay", format_ip(frame.ip()))
             .add("data_centre", frame.data_centre())
             .add("relays", static_cast<std::uint64_t>(count_relays()));
     }
     outcomes.reserve(static_cast<std::size_t>(frame.answers_size()));
     for (const auto& answer : frame.answers()) {
-        const auto found = m_open.find(answer.number());
-        if (found == m_open.end()) {
-            continue; // given up before
+        if (auto outcome = close(answer.number(), decode(answer)); outcome.has_value()) {
+            outcomes.push_back(std::move(*outcome));
         }
-        outcomes.push_back({std::move(found->second.name), decode(answer)});
-        m_open.erase(found);
     }
     return outcomes;
 }
 
+std::optional<relayed_outcome> relay_hub::close(std::uint64_t number, hold_outcome outcome) {
+    const auto found = m_open.find(number);
+    if (found == m_open.end()) {
+        return std::nullopt; // given up before
+    }
+    relayed_outcome closed{std::move(found->second.name), std::move(outcome)};
+    m_open.erase(found);
+    return closed;
+}
+
+std::vector<relayed_outcome> relay_hub::on_not_sent(std::uint32_t ip, const job_wire::relay_orders& frame) {
+    m_outboxes[ip].told_places = 0;
+    std::vector<relayed_outcome> outcomes;
+    for (const auto& order : frame.orders()) {
+        if (auto outcome = close(order.number(), {order_failure::not_sent, {}}); outcome.has_value()) {
+            outcomes.push_back(std::move(*outcome));
+        }
+    }
+    return outcomes;
+}
+
+void relay_hub::give_up(std::uint64_t number, std::vector<relayed_outcome>& outcomes) {
+    const auto found = m_open.find(number);
+    if (found != m_open.end()) {
+        const auto outcome = make_lost_outcome(found->second.name);
+        outcomes.push_back({std::move(found->second.name), outcome});
+        m_open.erase(found);
+    }
+}
+
 std::vector<relayed_outcome> relay_hub::take_lost(time_point now) {
     std::vector<relayed_outcome> outcomes;
     for (const auto ip : m_roster.take_lost(now)) {
@@ -100,23 +128,17 @@
         }
         std::sort(numbers.begin(), numbers.end()); // the map's order differs between processes
         for (const auto number : numbers) {
-            const auto found = m_open.find(number);
-            outcomes.push_back({found->second.name, make_lost_outcome(found->second.name)});
-            m_open.erase(found);
+            give_up(number, outcomes);
         }
         m_outboxes.erase(ip);
         log_event(log_level::warn, "relay_lost")
-            .add("relay", static_cast<std::uint64_t>(ip))
+            .add("relay", format_ip(ip))
             .add("orders", static_cast<std::uint64_t>(numbers.size()))
             .add("relays", static_cast<std::uint64_t>(count_relays()));
     }
     while (!m_deadlines.empty() && m_deadlines.top().when <= now) {
-        const auto found = m_open.find(m_deadlines.top().number);
+        give_up(m_deadlines.top().number, outcomes);
         m_deadlines.pop();
-        if (found != m_open.end()) {
-            outcomes.push_back({found->second.name, make_lost_outcome(found->second.name)});
-            m_open.erase(found);
-        }
     }
     return outcomes;
 }
--- a/poplarpitch/relay/relay_hub.h
+++ b/poplarpitch/relay/relay_hub.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -27,7 +28,7 @@
 /// A frame to a relay.
 struct relay_frame {
     std::uint32_t ip = 0; ///< in host order
-    std::shared_ptr<const job_wire::relay_orders> orders;
+    std::shared_ptr<job_wire::relay_orders> orders;
 };
 
 /// The leader's end of the relays: gathers orders for them, and matches their answers.
@@ -56,6 +57,9 @@
     void ask_report(const std::string& worker);
     /// Takes what a relay says. Returns the outcomes it has.
     std::vector<relayed_outcome> on_answers(const job_wire::relay_answers& frame, time_point now);
+    /// Returns the outcomes of the orders of a frame that could not be sent to `ip`: they have surely not
+    /// left.
+    std::vector<relayed_outcome> on_not_sent(std::uint32_t ip, const job_wire::relay_orders& frame);
     /// Returns the outcomes of orders whose relay or time is lost.
     std::vector<relayed_outcome> take_lost(time_point now);
     /// Returns the frames that are to be sent now. `others`: all instances that may relay.
@@ -88,6 +92,10 @@
     };
 
     job_wire::relay_orders& open_frame(std::uint32_t ip);
+    /// Takes an order that no relay answered out of those under way, where it is one.
+    void give_up(std::uint64_t number, std::vector<relayed_outcome>& outcomes);
+    /// Takes an order that has its outcome now out of those under way.
+    std::optional<relayed_outcome> close(std::uint64_t number, hold_outcome outcome);
     void on_relays_changed();
 
     relay_settings m_settings;
--- a/poplarpitch/replica/peer_mesh.cpp
+++ b/poplarpitch/replica/peer_mesh.cpp
@@ -26,7 +26,7 @@
     }
 }
 
-void peer_mesh::send(std::uint32_t ip, const job_wire::cluster_frame& frame) {
+bool peer_mesh::send(std::uint32_t ip, const job_wire::cluster_frame& frame) {
     auto& item = m_links[ip];
     if (item.socket != nullptr && item.first_unanswered != time_point{} &&
         m_loop.now() - item.first_unanswered > silence_limit) {
@@ -36,12 +36,13 @@
     }
     if (item.socket == nullptr) {
         connect(ip);
-        return;
+        return false;
     }
     if (item.first_unanswered == time_point{}) {
         item.first_unanswered = m_loop.now();
     }
     item.socket->send(frame.SerializeAsString());
+    return true;
 }
 
 void peer_mesh::on_heard(std::uint32_t ip) {
--- a/poplarpitch/replica/peer_mesh.h
+++ b/poplarpitch/replica/peer_mesh.h
@@ -32,8 +32,8 @@
     peer_mesh(const peer_mesh&) = delete;
     peer_mesh& operator=(const peer_mesh&) = delete;
 
-    /// Sends a frame to the instance at `ip`, or drops it while there is no connection.
-    void send(std::uint32_t ip, const job_wire::cluster_frame& frame);
+    /// Sends a frame to the instance at `ip`. Returns false when there is no connection: it was not sent.
+    bool send(std::uint32_t ip, const job_wire::cluster_frame& frame);
     /// Notes that the instance at `ip` was heard on any connection.
     void on_heard(std::uint32_t ip);
 
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -378,8 +378,8 @@
     return m_told_leader != 0 && m_loop.now() - m_told_at < told_life;
 }
 
-void replica::send_frame(std::uint32_t ip, const job_wire::cluster_frame& frame) {
-    m_mesh->send(ip, frame);
+bool replica::send_frame(std::uint32_t ip, const job_wire::cluster_frame& frame) {
+    return m_mesh->send(ip, frame);
 }
 
 std::vector<std::uint32_t> replica::get_other_members() const {
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -86,8 +86,8 @@
     /// Hands leadership on if this instance leads.
     void resign();
 
-    /// Sends a frame to the instance at `ip`; it may be lost on the way.
-    void send_frame(std::uint32_t ip, const job_wire::cluster_frame& frame);
+    /// Sends a frame to the instance at `ip`; it may be lost on the way. Returns false when it was not sent.
+    bool send_frame(std::uint32_t ip, const job_wire::cluster_frame& frame);
     /// Returns the addresses of all other members, in host order.
     [[nodiscard]] std::vector<std::uint32_t> get_other_members() const;
 
--- a/poplarpitch/scheduler/worker_orders.h
+++ b/poplarpitch/scheduler/worker_orders.h
@@ -82,8 +82,13 @@
         const auto others = m_parts.log.get_other_members();
         for (const auto& frame : m_parts.relays.take_frames(others, m_parts.loop.now())) {
             job_wire::cluster_frame message;
-            *message.mutable_orders() = *frame.orders;
-            m_parts.log.send_frame(frame.ip, message);
+            message.mutable_orders()->Swap(frame.orders.get());
+            if (m_parts.log.send_frame(frame.ip, message)) {
+                continue;
+            }
+            for (const auto& outcome : m_parts.relays.on_not_sent(frame.ip, message.orders())) {
+                deliver(outcome);
+            }
         }
     }
 
--- a/unit_tests/relay/relay_hub_test.cpp
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -135,6 +135,18 @@
     EXPECT_EQ(world.hub.count_relays(), 1U) << "but the relay is there again";
 }
 
+TEST(relay_hub, knows_of_orders_whose_frame_found_no_connection_that_they_did_not_leave) {
+    hub_world world;
+    world.hear(near, "near");
+    ASSERT_TRUE(world.hub.add(make_start("w1", 0), "near", 1, world.now));
+    const auto frames = world.hub.take_frames({near}, world.now);
+    ASSERT_EQ(frames.size(), 1U);
+    const auto outcomes = world.hub.on_not_sent(near, *frames[0].orders);
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].outcome.failure, order_failure::not_sent);
+    EXPECT_EQ(world.hub.count_open(), 0U);
+}
+
 TEST(relay_hub, moves_only_the_share_of_a_relay_that_is_lost) {
     hub_world world;
     constexpr std::uint32_t third = 0x0a030004;
