Give each kind of log line a budget

Change: a token bucket for each kind of event (5,000 lines a second, 10,000 at once), and what is left out is told by kind. Tests: log_budget.* (new).

--- a/poplarpitch/telemetry/log_event.cpp
+++ b/poplarpitch/telemetry/log_event.cpp
@@ -1,5 +1,9 @@
 #include "poplarpitch/telemetry/log_event.h"
 
+#include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/telemetry/log_budget.h"
+
+#include <absl/synchronization/mutex.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
@@ -41,16 +45,33 @@
     line += '"';
 }
 
+/// The budgets of the process: its logger is one too.
+log_budget::verdict take_budget(std::string_view kind) {
+    static absl::Mutex mutex;
+    static log_budget budget{log_budget_settings{}};
+    const absl::MutexLock lock(&mutex);
+    return budget.take(kind, system_clock().now());
+}
+
 } // namespace
 
-log_event::log_event(log_level level, std::string_view name) : m_level(level), m_line("event=") {
+log_event::log_event(log_level level, std::string_view name)
+    : m_level(level), m_name(name), m_line("event=") {
     append_value(m_line, name);
 }
 
 log_event::~log_event() {
     static const auto logger = log4cplus::Logger::getRoot();
     const auto level = get_library_level(m_level);
-    if (logger.isEnabledFor(level)) {
+    if (!logger.isEnabledFor(level)) {
+        return;
+    }
+    const auto decided = take_budget(m_name);
+    if (decided.left_out > 0) {
+        logger.log(log4cplus::WARN_LOG_LEVEL,
+                   "event=log_lines_left_out kind=" + m_name + " count=" + std::to_string(decided.left_out));
+    }
+    if (decided.is_written) {
         logger.log(level, m_line);
     }
 }
--- a/poplarpitch/telemetry/log_event.h
+++ b/poplarpitch/telemetry/log_event.h
@@ -14,8 +14,9 @@
 ///
 ///     log_event(log_level::info, "session_opened").add("entry", id).add("lease_ms", 1500);
 ///
-/// Values with blanks or quotes are quoted, so that a line can be split again.
-/// Thread safety: none; different threads write different events at the same time.
+/// Values with blanks or quotes are quoted, so that a line can be split again. Each kind of event has a
+/// budget of lines (`log_budget`); a line `log_lines_left_out kind= count=` tells what was over it. Thread
+/// safety: none; different threads write different events at the same time.
 class log_event {
 public:
     log_event(log_level level, std::string_view name);
@@ -36,6 +37,7 @@
 
 private:
     log_level m_level;
+    std::string m_name;
     std::string m_line;
 };
 
