--- a/performance_test/scheduler_failover.cpp
+++ b/performance_test/scheduler_failover.cpp
@@ -1,5 +1,5 @@
-// How long a system of real scheduler processes is without a leader's work: the leader is killed, and the time
-// is taken until a job is accepted again and until it has run, on pretended workers.
+// How long a system of real scheduler processes is without a leader's work: the leader is killed, and the
+// time is taken until a job is accepted again and until it has run, on pretended workers.
 #include "poplarpitch/core/system_clock.h"
 #include "unit_tests/platform/scheduler_cluster.h"
 #include "unit_tests/platform/stand_in_workers.h"
@@ -27,7 +27,8 @@
 };
 
 failover_shape read_arguments(int count, char** values) {
-    cxxopts::Options options("scheduler_failover", "Time without a leader's work after the leader was killed");
+    cxxopts::Options options("scheduler_failover",
+                             "Time without a leader's work after the leader was killed");
     options.add_options()("workers", "pretended workers", cxxopts::value<int>()->default_value("1800"))(
         "rounds", "leaders killed", cxxopts::value<int>()->default_value("3"));
     const auto parsed = options.parse(count, values);
