--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -311,23 +311,6 @@
     }
 }
 
-void dispatcher::watch_workers(time_point now) {
-    for (auto* worker : m_workers.take_due(now, time_point::max())) {
-        watch_worker(*worker, now);
-        if (may_forget(*worker, now)) {
-            m_workers.erase(worker->report.id);
-        } else {
-            m_workers.look_at(*worker, get_next_look(*worker, now));
-        }
-    }
-}
-
-bool dispatcher::may_forget(const worker_state& worker, time_point now) const {
-    const bool is_idle = worker.runs.empty() && worker.ends_committing == 0;
-    const bool is_silent = now - worker.last_heartbeat > m_settings.forget_after;
-    return is_idle && (worker.is_gone || is_silent) && !worker.is_holding;
-}
-
 void dispatcher::tick(time_point now, std::int64_t wall_ms, bool can_commit) {
     if (!is_leading()) {
         return;
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -0,0 +1,118 @@
+// Workers that leave, fall silent or are gone: when each is looked at, and what becomes of its runs.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+#include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration longest_look = milliseconds{500}; // between looks at a worker of which nothing is heard
+constexpr duration leaving_look = milliseconds{20};  // the same while it leaves and something runs there
+constexpr duration leave_slack = milliseconds{300};  // before a leaving worker's last moment
+
+} // namespace
+
+void dispatcher::watch_workers(time_point now) {
+    for (auto* worker : m_workers.take_due(now, time_point::max())) {
+        watch_worker(*worker, now);
+        if (may_forget(*worker, now)) {
+            m_workers.erase(worker->report.id);
+        } else {
+            m_workers.look_at(*worker, get_next_look(*worker, now));
+        }
+    }
+}
+
+bool dispatcher::may_forget(const worker_state& worker, time_point now) const {
+    const bool is_idle = worker.runs.empty() && worker.ends_committing == 0;
+    const bool is_silent = now - worker.last_heartbeat > m_settings.forget_after;
+    return is_idle && (worker.is_gone || is_silent) && !worker.is_holding;
+}
+
+void dispatcher::lose_worker(worker_state& worker, const char* reason) {
+    if (worker.is_gone) {
+        return;
+    }
+    worker.is_gone = true;
+    worker.ends_committing = 0;
+    m_gone.insert(worker.report.id);
+    log_event(log_level::warn, "worker_lost")
+        .add("worker", worker.report.id)
+        .add("reason", reason)
+        .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
+    for (const auto& [key, run] : worker.runs) {
+        auto& track = *run;
+        m_counts.lost_runs += track.is_ending ? 0 : 1;
+        propose_end(track, run_end::lost, {}, 0);
+    }
+}
+
+void dispatcher::watch_worker(worker_state& worker, time_point now) {
+    if (needs_hold(worker) && worker.next_hold <= now) {
+        send_hold(worker, now);
+    }
+    if (worker.is_leaving && !worker.is_gone) {
+        evacuate(worker, now);
+    }
+    const bool is_out_of_reach = !worker.has_report || worker.is_silent();
+    if (!is_out_of_reach || worker.runs.empty() || now <= worker.lease_end) {
+        return;
+    }
+    for (const auto& [key, run] : worker.runs) {
+        auto& track = *run;
+        if (track.stage != run_stage::committing && !track.is_ending) {
+            ++m_counts.lost_runs;
+            log_event(log_level::warn, "lease_lapsed")
+                .add("worker", worker.report.id)
+                .add("job", format_job_id(key.task.step.job))
+                .add("task", static_cast<std::uint64_t>(key.task.index))
+                .add("run", static_cast<std::uint64_t>(key.run));
+            propose_end(track, run_end::lost, {}, 0);
+        }
+    }
+}
+
+time_point dispatcher::get_next_look(const worker_state& worker, time_point now) const {
+    auto next = now + longest_look;
+    if (needs_hold(worker)) {
+        next = std::min(next, worker.next_hold);
+    }
+    if (worker.is_leaving && !worker.is_gone && !worker.runs.empty()) {
+        next = std::min(next, now + leaving_look);
+    }
+    if (!worker.runs.empty() && worker.lease_end > now) {
+        next = std::min(next, worker.lease_end);
+    }
+    return next;
+}
+
+void dispatcher::evacuate(worker_state& worker, time_point now) {
+    const auto left = worker.leaves_at - now;
+    for (const auto& [key, run] : worker.runs) {
+        auto& track = *run;
+        if (track.is_stop_wanted || track.is_ending || track.stage != run_stage::running) {
+            continue;
+        }
+        const auto& spec = track.get_spec();
+        if (spec.long_running) {
+            stop_run(track, now);
+            continue;
+        }
+        const auto age = now - track.confirmed_at;
+        const auto percent = std::max<std::int64_t>(track.percent, 1);
+        const auto expected = track.percent > 0
+                                  ? age * (100 - percent) / percent
+                                  : std::max(duration{milliseconds{spec.estimate_ms}} - age, duration{0});
+        const bool ends_in_time = expected < left;
+        const bool may_wait = spec.checkpointing && left > m_settings.stop_limit + leave_slack;
+        if (!ends_in_time && !may_wait) {
+            stop_run(track, now);
+        }
+    }
+}
+
+} // namespace poplarpitch
