Let one piece of the hub close an order, and one check of the tests say that each task was done once

Found on reading the change again; behaviour stays as it is. relay_hub::give_up looked an order up and took it out as close does; workers whose report is wanted were written into a frame in two branches; lead took a time that it did not use; worker_orders asked the setting that already leaves the roster empty. relay_cluster_test had scheduler_cluster_test's check written again: both call unit_tests/platform/expect_done.h, the assertions unchanged.

--- a/poplarpitch/relay/relay_hub.cpp
+++ b/poplarpitch/relay/relay_hub.cpp
@@ -23,7 +23,7 @@
 
 relay_hub::~relay_hub() = default;
 
-void relay_hub::lead(log_term term, time_point /*now*/) {
+void relay_hub::lead(log_term term) {
     retire();
     m_term = term;
 }
@@ -108,11 +108,9 @@
 }
 
 void relay_hub::give_up(std::uint64_t number, std::vector<relayed_outcome>& outcomes) {
-    const auto found = m_open.find(number);
-    if (found != m_open.end()) {
-        const auto outcome = make_lost_outcome(found->second.name);
-        outcomes.push_back({std::move(found->second.name), outcome});
-        m_open.erase(found);
+    if (auto lost = close(number, {}); lost.has_value()) {
+        lost->outcome = make_lost_outcome(lost->order);
+        outcomes.push_back(std::move(*lost));
     }
 }
 
@@ -148,17 +146,14 @@
     const auto unknown = std::exchange(m_unknown, {});
     for (const auto ip : others) {
         auto& box = m_outboxes[ip];
-        const bool has_orders = box.frame != nullptr || !unknown.empty();
-        if (now - box.sent < (has_orders ? m_settings.batch_pause : m_settings.beat)) {
-            for (const auto& worker : unknown) {
-                open_frame(ip).add_unknown_workers(worker);
-            }
+        for (const auto& worker : unknown) {
+            open_frame(ip).add_unknown_workers(worker);
+        }
+        const bool has_news = box.frame != nullptr;
+        if (now - box.sent < (has_news ? m_settings.batch_pause : m_settings.beat)) {
             continue;
         }
         auto& frame = open_frame(ip);
-        for (const auto& worker : unknown) {
-            frame.add_unknown_workers(worker);
-        }
         if (box.told_places != m_places_version) {
             box.told_places = m_places_version;
             frame.set_has_places(true);
--- a/poplarpitch/relay/relay_hub.h
+++ b/poplarpitch/relay/relay_hub.h
@@ -46,7 +46,7 @@
     relay_hub& operator=(const relay_hub&) = delete;
 
     /// Begins to lead in `term`, with no relay known.
-    void lead(log_term term, time_point now);
+    void lead(log_term term);
     /// Leads no longer: what is under way is nobody's any more.
     void retire();
 
--- a/poplarpitch/scheduler/worker_orders.h
+++ b/poplarpitch/scheduler/worker_orders.h
@@ -71,7 +71,7 @@
 
     bool is_relayed(const worker_order& order) {
         const auto* worker = m_parts.dispatch.find_worker_state(get_order_target(order)->worker);
-        return m_parts.settings.relay.is_enabled && worker != nullptr &&
+        return worker != nullptr &&
                m_parts.relays.add(order, worker->report.data_centre, worker->spread, m_parts.loop.now());
     }
 
--- a/unit_tests/platform/relay_cluster_test.cpp
+++ b/unit_tests/platform/relay_cluster_test.cpp
@@ -1,5 +1,6 @@
 // Orders and heartbeats through the other control instances, as real processes: no task runs twice and none
 // is lost when a relay is killed, stands still or is the next leader.
+#include "unit_tests/platform/expect_done.h"
 #include "unit_tests/platform/scheduler_cluster.h"
 #include "unit_tests/platform/stand_in_workers.h"
 
@@ -45,15 +46,7 @@
         }
     }
     void expect_each_done_once(const std::string& id) const {
-        int done = 0;
-        for (const auto& [task, count] : workers.get_done_counts()) {
-            if (task.starts_with(id)) {
-                EXPECT_EQ(count, 1) << task;
-                ++done;
-            }
-        }
-        EXPECT_EQ(done, task_count);
-        EXPECT_EQ(workers.get_overlaps(), 0);
+        poplarpitch::expect_each_done_once(workers, id, task_count);
     }
 
     scheduler_cluster cluster;
--- a/unit_tests/platform/scheduler_cluster_test.cpp
+++ b/unit_tests/platform/scheduler_cluster_test.cpp
@@ -1,4 +1,5 @@
 // The whole path with real processes and pretended workers: jobs end once, whatever happens to the instances.
+#include "unit_tests/platform/expect_done.h"
 #include "unit_tests/platform/scheduler_cluster.h"
 #include "unit_tests/platform/stand_in_workers.h"
 
@@ -13,18 +14,6 @@
 constexpr duration patience = seconds{20}; // bounds a failure; each wait ends with its event
 constexpr int task_count = 6;
 
-void expect_each_done_once(const stand_in_workers& workers, const std::string& id) {
-    int done = 0;
-    for (const auto& [task, count] : workers.get_done_counts()) {
-        if (task.starts_with(id)) {
-            EXPECT_EQ(count, 1) << task;
-            ++done;
-        }
-    }
-    EXPECT_EQ(done, task_count);
-    EXPECT_EQ(workers.get_overlaps(), 0);
-}
-
 void expect_config_version_7(scheduler_cluster& cluster) {
     const auto leader = cluster.find_leader();
     ASSERT_NE(leader, 0);
@@ -40,7 +29,7 @@
     const std::string id = "00000000000000a1";
     ASSERT_TRUE(cluster.submit(id, task_count, patience));
     ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
-    expect_each_done_once(workers, id);
+    expect_each_done_once(workers, id, task_count);
     EXPECT_EQ(cluster.ask("GET", "/jobs/00000000000000ff")->status, 410);
     EXPECT_EQ(cluster.ask("GET", "/none/00000000000000a1")->status, 404);
     EXPECT_EQ(cluster.ask("POST", "/jobs/00000000000000a2", "{\"steps\":")->status, 400);
@@ -59,7 +48,7 @@
     ASSERT_NE(leader, 0);
     cluster.get_scheduler(leader).kill();
     ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
-    expect_each_done_once(workers, id);
+    expect_each_done_once(workers, id, task_count);
 }
 
 TEST(scheduler_cluster, knows_jobs_and_configuration_after_all_instances_were_killed) {
@@ -75,7 +64,7 @@
         cluster.start_scheduler(number);
     }
     ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
-    expect_each_done_once(workers, id);
+    expect_each_done_once(workers, id, task_count);
     expect_config_version_7(cluster);
 }
 
@@ -103,7 +92,7 @@
     const std::string id = "00000000000000d2";
     ASSERT_TRUE(cluster.submit(id, task_count, patience));
     ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
-    expect_each_done_once(workers, id);
+    expect_each_done_once(workers, id, task_count);
 }
 
 TEST(scheduler_cluster, ends_by_itself_when_it_is_told_to_stop) {
@@ -139,7 +128,7 @@
         cluster.start_scheduler(number);
     }
     ASSERT_TRUE(cluster.wait_for_state(id, "completed", patience));
-    expect_each_done_once(workers, id);
+    expect_each_done_once(workers, id, task_count);
     expect_config_version_7(cluster);
 }
 
--- a/unit_tests/relay/relay_hub_test.cpp
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -17,7 +17,7 @@
 
 class hub_world {
 public:
-    hub_world() : hub(settings) { hub.lead(term, now); }
+    hub_world() : hub(settings) { hub.lead(term); }
 
     /// Lets a relay tell that it is there.
     void hear(std::uint32_t ip, const std::string& data_centre) {
