Tell of each run that is lost with its worker how long it was there and beside how many

What operators saw: nine ends 'lost' in one moment, and nothing by which to tell the task that took the worker along from its neighbours, or a crash from a cut. run_lost and lease_lapsed say it now: age_ms is the time from the answered start to the moment the worker ceased to answer. No decision changes.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -26,6 +26,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -39,6 +40,8 @@
 
 namespace poplarpitch {
 
+class log_event;
+
 /// The leader's hand on the workers: which task runs where, and what became of it.
 ///
 /// It is pure: heartbeats, answers, committed events and time in, orders and commands for the log out, so
@@ -236,7 +239,9 @@
     void grant_lease(worker_state& worker, time_point now);
     /// Returns how long after it was sent a lease may count at its worker, by this clock.
     [[nodiscard]] duration get_lease_span() const;
-    void lose_worker(worker_state& worker, const char* reason);
+    void lose_worker(worker_state& worker, const char* reason, time_point now);
+    [[nodiscard]] std::optional<duration> get_age_at_loss(const run_track& track, time_point now) const;
+    void add_loss(log_event& line, const run_track& track, time_point now) const;
     void evacuate(worker_state& worker, time_point now);
     void watch_workers(time_point now);
     /// Returns true when the worker is to be forgotten.
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -1,7 +1,7 @@
 // Workers that leave, fall silent or are gone: when each is looked at, and what becomes of its runs.
 #include "poplarpitch/dispatch/dispatcher.h"
 
-#include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
@@ -33,7 +33,29 @@
     return is_idle && (worker.is_gone || is_silent) && !worker.is_holding;
 }
 
-void dispatcher::lose_worker(worker_state& worker, const char* reason) {
+/// Returns how long the run was there at most when its worker ceased to answer; nothing while its start has
+/// had no answer.
+std::optional<duration> dispatcher::get_age_at_loss(const run_track& track, time_point now) const {
+    if (track.confirmed_at == time_point{}) {
+        return std::nullopt;
+    }
+    const auto& worker = *track.host;
+    const auto end = worker.hold_failures > 0 ? worker.failing_since : now;
+    return std::max(end - track.confirmed_at, duration{0});
+}
+
+/// Adds what tells a task that crashes its worker from its neighbours and from a cut: how long it was there
+/// and how many runs were.
+void dispatcher::add_loss(log_event& line, const run_track& track, time_point now) const {
+    add_run(line, track.key);
+    line.add("worker", track.worker);
+    if (const auto age = get_age_at_loss(track, now); age.has_value()) {
+        line.add("age_ms", to_milliseconds(*age));
+    }
+    line.add("runs", static_cast<std::uint64_t>(track.host->runs.size()));
+}
+
+void dispatcher::lose_worker(worker_state& worker, const char* reason, time_point now) {
     if (worker.is_gone) {
         return;
     }
@@ -46,7 +68,12 @@
         .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
     for (const auto& [key, run] : worker.runs) {
         auto& track = *run;
-        m_counts.lost_runs += track.is_ending ? 0 : 1;
+        if (!track.is_ending) {
+            ++m_counts.lost_runs;
+            auto line = log_event(log_level::warn, "run_lost");
+            line.add("reason", reason);
+            add_loss(line, track, now);
+        }
         propose_end(track, run_end::lost, {}, 0);
     }
 }
@@ -66,11 +93,8 @@
         auto& track = *run;
         if (track.stage != run_stage::committing && !track.is_ending) {
             ++m_counts.lost_runs;
-            log_event(log_level::warn, "lease_lapsed")
-                .add("worker", worker.report.id)
-                .add("job", format_job_id(key.task.step.job))
-                .add("task", static_cast<std::uint64_t>(key.task.index))
-                .add("run", static_cast<std::uint64_t>(key.run));
+            auto line = log_event(log_level::warn, "lease_lapsed");
+            add_loss(line, track, now);
             propose_end(track, run_end::lost, {}, 0);
         }
     }
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -261,7 +261,7 @@
         hold_soon(worker, now);
         return;
     case order_failure::other_life:
-        lose_worker(worker, "another_life_answers");
+        lose_worker(worker, "another_life_answers", now);
         return;
     case order_failure::no_room:
         ++m_counts.refused_room;
@@ -309,7 +309,7 @@
             hold_soon(*track->host, now); // the list says whether it was there
         }
     } else if (answer.failure == order_failure::other_life) {
-        lose_worker(*track->host, "another_life_answers");
+        lose_worker(*track->host, "another_life_answers", now);
     } else {
         track->next_order = std::max(track->next_order, now + m_settings.retry_pause);
         await_order(*track);
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -195,7 +195,7 @@
     m_workers.look_at(*worker, now); // a turn later: what it asks for is known then
     if (outcome.failure.has_value()) {
         if (outcome.failure == order_failure::other_life) {
-            lose_worker(*worker, "another_life_answers");
+            lose_worker(*worker, "another_life_answers", now);
             return;
         }
         worker->told = 0;                                 // what it was told may not have arrived
@@ -204,6 +204,7 @@
             worker->next_hold = now + get_backoff(1, m_settings.retry_pause, worker->spread);
             return;
         }
+        worker->failing_since = worker->hold_failures == 0 ? now : worker->failing_since;
         ++worker->hold_failures;
         worker->next_hold = now + get_backoff(static_cast<std::uint32_t>(worker->hold_failures),
                                               m_settings.retry_pause, worker->spread);
--- a/poplarpitch/tools/log_explainer.cpp
+++ b/poplarpitch/tools/log_explainer.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 // The most telling first: a line of an earlier kind decides over all of later kinds.
-constexpr std::array<std::string_view, 6> deciding_events = {
-    "event=job_refused",   "event=request_given_up", "event=lease_lapsed",
+constexpr std::array<std::string_view, 7> deciding_events = {
+    "event=job_refused",   "event=request_given_up", "event=lease_lapsed", "event=run_lost",
     "event=start_refused", "event=run_ended",        "event=job_ended",
 };
 
