--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -63,12 +63,32 @@
     report.labels = {"a", rack};
     report.rack = rack;
     report.capacity = capacity;
-    m_reports[id] = report;
+    introduce(std::move(report));
+}
+
+void dispatch_world::introduce(worker_report report) {
+    const auto id = report.id;
+    m_reports[id] = std::move(report);
     beat(id);
     wait_for_hold(id);
     answer_hold(id, make_list());
 }
 
+void dispatch_world::restart_worker(const std::string& id, const std::string& next_id) {
+    const auto found = scheduler.get_workers().find(id);
+    if (found != scheduler.get_workers().end() && found->second.is_holding) {
+        fail_hold(id); // its connection ends with the process
+    }
+    auto report = m_reports.at(id);
+    report.id = next_id;
+    report.sequence = 0;
+    introduce(std::move(report));
+    if (scheduler.get_workers().contains(id)) {
+        wait_for_hold(id);
+        fail_hold(id, order_failure::other_life);
+    }
+}
+
 void dispatch_world::beat(const std::string& id, bool is_leaving, std::int64_t remaining_ms) {
     auto& report = m_reports[id];
     ++report.sequence;
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -26,6 +26,9 @@
     /// Makes a worker known: heartbeat, and the first hold answered with an empty list.
     void add_worker(const std::string& id, const worker_amounts& capacity = {64000, 256000, 0},
                     const std::string& rack = "r1");
+    /// Lets a worker's process end without a word and its machine come back as a new life at the same
+    /// address, which runs nothing: its heartbeat, its list, and the answer that the old life is gone.
+    void restart_worker(const std::string& id, const std::string& next_id);
     /// Sends a heartbeat of a worker that was added.
     void beat(const std::string& id, bool is_leaving = false, std::int64_t remaining_ms = 0);
     /// Submits a job of steps to a queue with these attempts. Returns its id.
@@ -75,6 +78,7 @@
 
 private:
     job_id submit_job(step_job job);
+    void introduce(worker_report report);
     void collect();
 
     std::vector<worker_order> m_orders;
