Count the workers that crash under a task, and give the task up after two or three

Cause: an end by the loss of a worker counted against nothing (job_book::end counts only 'failed'), so the task was ready again at once. Ruled out: a count that is lost with the leader (there was none; runs 6 to 31 were given out by one leader).

What counts: a worker at whose address another life answers, that had not said it leaves, and a run that may have been there. Given up after three, or after two of which the second points at it alone; a run that lasts four times as long as those that crashed, 5 s at least, refutes them. After its first crash a task is placed apart from other suspects and where least would be lost, after the second alone, after a pause, on one worker in twenty at most. A worker that was given up by its lease counts once another life answers there. No copies of suspects.

--- a/poplarpitch/dispatch/dispatch_counts.h
+++ b/poplarpitch/dispatch/dispatch_counts.h
@@ -19,6 +19,8 @@
     std::uint64_t paces = 0;         ///< pace orders
     std::uint64_t holds = 0;         ///< looks at workers
     std::uint64_t lost_runs = 0;     ///< runs given up because their worker was lost
+    std::uint64_t crashes = 0;       ///< tasks under which a worker crashed, each time
+    std::uint64_t given_up = 0;      ///< of them, those whose job was given up for it
     std::uint64_t failed_runs = 0;
     std::uint64_t done_runs = 0;
 
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -34,6 +34,7 @@
     m_pressure.load(m_book.get_pressure());
     for (const auto& [id, record] : m_book.get_jobs()) {
         if (record.phase == job_phase::open) {
+            find_suspects(record, now);
             const auto age = std::max<std::int64_t>(wall_ms - record.job->accepted_ms, 0);
             open(record, now - milliseconds{age}, now, wall_ms);
         } else {
@@ -42,10 +43,10 @@
     }
     // What an earlier leader allowed may have been allowed just now.
     const auto lease_end = now + get_lease_span();
-    for (const auto& [key, worker] : m_book.get_assigned_runs()) {
+    for (const auto& [key, run] : m_book.get_assigned_runs()) {
         const auto* record = m_book.find_job(key.task.step.job);
-        m_workers.get(worker).lease_end = lease_end;
-        add_track(key, record->job, worker, run_stage::adopting, now);
+        m_workers.get(run.worker).lease_end = lease_end;
+        add_track(key, record->job, run.worker, run_stage::adopting, now);
         if (record->phase != job_phase::open) {
             stop_run(*find(key), now);
         }
@@ -53,6 +54,19 @@
     m_must_place = true;
 }
 
+void dispatcher::find_suspects(const job_record& record, time_point now) {
+    for (const auto& [number, occurrence] : record.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].crash.crashes > 0 && tasks[index].phase != task_phase::done) {
+                    m_suspects.note({{record.job->id, number, step}, index}, tasks[index].crash.crashes, now);
+                }
+            }
+        }
+    }
+}
+
 void dispatcher::retire() {
     m_term = 0;
     m_workers.clear();
@@ -61,6 +75,7 @@
     m_jobs.clear();
     m_ready.clear();
     m_failed_on.clear();
+    m_suspects.clear();
     m_forecast.clear();
     m_advice.clear();
     m_is_advising = false;
@@ -164,6 +179,7 @@
     }
     erase_job(m_advice, first_step);
     erase_job(m_failed_on, task_key{first_step, 0});
+    m_suspects.forget_job(id);
 }
 
 void dispatcher::on_event(const book_event& event, time_point now, std::int64_t wall_ms) {
@@ -195,6 +211,9 @@
     case book_event::kind::run_ended:
         on_run_ended(event, now);
         return;
+    case book_event::kind::task_crashed:
+        on_task_crashed(event, now);
+        return;
     case book_event::kind::step_done: {
         const auto* record = m_book.find_job(id);
         auto key = event.run.task.step;
@@ -255,6 +274,7 @@
         break_gang(event.run, now);
     }
     if (task->phase == task_phase::done) {
+        m_suspects.forget(event.run.task);
         for (const auto& copy : task->runs) { // the first copy that is done counts
             if (auto* track = find({event.run.task, copy.run}); track != nullptr) {
                 stop_run(*track, now);
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "poplarpitch/dispatch/refused_shapes.h"
 #include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/step_advice.h"
+#include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/work_forecast.h"
 #include "poplarpitch/dispatch/worker_state.h"
 #include "poplarpitch/dispatch/worker_table.h"
@@ -120,6 +121,8 @@
         return m_workers.get_map();
     }
     [[nodiscard]] const dispatch_counts& get_counts() const { return m_counts; }
+    /// Returns how many tasks may be at fault for the crash of a worker.
+    [[nodiscard]] std::size_t count_suspects() const { return m_suspects.get_size(); }
     /// Returns what is known of a worker, or null.
     [[nodiscard]] const worker_state* find_worker_state(const std::string& id) const {
         return m_workers.find(id);
@@ -155,6 +158,13 @@
         time_point now{};
         std::map<std::string, std::vector<worker_state*>> usable; ///< workers by pool
         refused_shapes refused;
+        std::size_t probations_left = 0; ///< workers that may yet be given to a suspect for itself
+    };
+    /// What became of a waiting task in a pass.
+    enum class placing : std::uint8_t {
+        placed,
+        held,    ///< it waits for something of its own, and keeps no other task waiting
+        no_room, ///< those behind it wait too
     };
     /// A worker that holds a task; the first of those with the least cost is the best.
     struct candidate {
@@ -177,6 +187,8 @@
 
     // jobs
     void open(const job_record& record, time_point accepted, time_point now, std::int64_t wall_ms);
+    /// Takes up what the book says of a job's tasks that may have crashed workers.
+    void find_suspects(const job_record& record, time_point now);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
     void consider_step(const job_record& record, const step_key& key, time_point now);
     void make_ready(const task_key& key, time_point now);
@@ -202,7 +214,8 @@
                          run_stage stage, time_point now);
     void drop_track(const run_key& key, time_point now);
     run_track* find(const run_key& key);
-    void propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number);
+    void propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number,
+                     const run_loss& loss = {});
     void send_start(run_track& track, time_point now);
     void send_stop(run_track& track, time_point now);
     void stop_run(run_track& track, time_point now);
@@ -240,8 +253,7 @@
     /// Returns how long after it was sent a lease may count at its worker, by this clock.
     [[nodiscard]] duration get_lease_span() const;
     void lose_worker(worker_state& worker, const char* reason, time_point now);
-    [[nodiscard]] std::optional<duration> get_age_at_loss(const run_track& track, time_point now) const;
-    void add_loss(log_event& line, const run_track& track, time_point now) const;
+    static void add_loss(log_event& line, const run_track& track, time_point now);
     void evacuate(worker_state& worker, time_point now);
     void watch_workers(time_point now);
     /// Returns true when the worker is to be forgotten.
@@ -250,6 +262,18 @@
     void update_acknowledged(worker_state& worker);
     [[nodiscard]] order_target make_target(const worker_state& worker, duration timeout) const;
 
+    // tasks that crash their workers
+    /// Returns how long the run was there at most when its worker ceased to answer; nothing while unknown.
+    [[nodiscard]] static std::optional<duration> get_age_at_loss(const run_track& track, time_point now);
+    /// Returns what the loss of its worker says of a run, if the worker crashed.
+    [[nodiscard]] run_loss judge_loss(const run_track& track, time_point now) const;
+    /// Returns that for all runs of a worker that have not ended.
+    [[nodiscard]] std::vector<lapsed_run> judge_runs(const worker_state& worker, time_point now) const;
+    void propose_crash(const lapsed_run& lapsed, const std::string& worker);
+    void on_task_crashed(const book_event& event, time_point now);
+    void clear_suspects(worker_state& worker, time_point now);
+    static void add_care(worker_state& worker, caution care, int sign);
+
     // advice
     [[nodiscard]] std::string find_ticket(const step_key& step, const std::string& worker,
                                           time_point now) const;
@@ -275,21 +299,24 @@
     [[nodiscard]] placing_pass begin_pass(time_point now);
     /// Places tasks of a step one by one until one finds no room.
     void place_tasks(placing_pass& pass, ready_step& ready, const step_key& key);
-    /// Places the first waiting task of a step; one of a job that starves also where there is less room than
-    /// it asks for. Returns false when it finds none.
-    bool place_first(const placing_pass& pass, ready_step& ready, const step_key& key, bool starves);
+    /// Places the first waiting task of a step that finds room; one of a job that starves also where there is
+    /// less than it asks for.
+    void place_starving(placing_pass& pass, ready_step& ready, const step_key& key);
+    /// Places a waiting task.
+    placing place_task(placing_pass& pass, ready_step& ready, const task_key& task, bool starves);
     void place_alike(placing_pass& pass, ready_step& ready, const step_key& key);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
     void measure_short_demand(const placing_pass& pass);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
-    [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key);
+    [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
+                                                 time_point now);
     worker_state* choose(const placing_pass& pass, const ready_step& ready, const placement_request& request);
     void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
     /// Returns true when a second run of the task may be started and would probably end first.
     [[nodiscard]] bool may_copy(const run_track& track, time_point now) const;
     void start_copies(time_point now);
     void start_copy(const placing_pass& pass, const run_track& slow);
-    void propose_assignment(const run_key& key, const std::string& worker);
+    void propose_assignment(const run_key& key, const worker_state& worker);
 
     dispatch_settings m_settings;
     const job_book& m_book;
@@ -301,6 +328,7 @@
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
     std::map<task_key, std::vector<std::string>> m_failed_on; ///< where a task failed
+    suspect_watch m_suspects;
     std::map<step_key, step_advice> m_advice;
     bool m_is_advising = false; ///< a call to the advice service is under way
     time_point m_next_advice{};
--- a/poplarpitch/dispatch/dispatcher_advice.cpp
+++ b/poplarpitch/dispatch/dispatcher_advice.cpp
@@ -53,7 +53,7 @@
 
 std::vector<std::string> dispatcher::pick_unadvised(const ready_step& ready, const step_key& key,
                                                     time_point now) {
-    const auto request = make_request(ready, {key, *ready.waiting.begin()});
+    const auto request = make_request(ready, {key, *ready.waiting.begin()}, now);
     std::vector<std::pair<double, std::string>> found;
     for (const auto* worker : m_workers.get_all()) {
         const auto& id = worker->report.id;
--- a/poplarpitch/dispatch/dispatcher_copies.cpp
+++ b/poplarpitch/dispatch/dispatcher_copies.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 constexpr duration copy_interval = milliseconds{200}; // lists of workers come each 350 ms to 1 s
-constexpr std::size_t most_copies = 1;                // beside the first run
+// A run that was there for longer when its worker ceased to answer is hardly the one at fault.
+constexpr duration copied_age = seconds{1};
+constexpr std::size_t most_copies = 1; // beside the first run
 
 } // namespace
 
@@ -21,8 +23,11 @@
     if (!is_kind || track.stage != run_stage::running || track.is_ending || track.is_stop_wanted) {
         return false;
     }
+    // A second run of what ended its worker would end another one, before the first loss is known.
+    const bool may_crash = m_suspects.get_caution(track.key.task) != caution::none ||
+                           (track.host->hold_failures > 0 && get_age_at_loss(track, now) <= copied_age);
     const auto* task = m_book.find_task(track.key.task);
-    return task != nullptr && task->runs.size() <= most_copies &&
+    return !may_crash && task != nullptr && task->runs.size() <= most_copies &&
            needs_copy({now - track.confirmed_at, track.percent, spec.estimate_ms});
 }
 
@@ -52,7 +57,7 @@
     ready_step ready;
     ready.job = slow.job;
     ready.since = pass.now;
-    auto request = make_request(ready, slow.key.task);
+    auto request = make_request(ready, slow.key.task, pass.now);
     request.excluded = slow.worker;
     auto* worker = choose(pass, ready, request);
     if (worker == nullptr) {
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -0,0 +1,138 @@
+// Tasks that may have crashed their workers: what a loss says of each run, and what becomes of a suspect.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+#include "poplarpitch/dispatch/run_log.h"
+#include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+// A run whose worker crashed this soon after its start has just begun: neighbours of which the same is true
+// twice in a row are rare, since tasks run for seconds.
+constexpr duration just_begun = milliseconds{250};
+
+/// Returns true when the run may have been at its worker.
+bool may_have_begun(const run_track& track) {
+    if (track.is_ending || track.stage == run_stage::committing) {
+        return false;
+    }
+    return track.stage != run_stage::starting || track.is_order_out || track.may_come_late;
+}
+
+bool is_other_job(const run_track& left, const run_track& right) {
+    return left.key.task.step.job != right.key.task.step.job;
+}
+
+} // namespace
+
+std::optional<duration> dispatcher::get_age_at_loss(const run_track& track, time_point now) {
+    if (track.stage == run_stage::adopting) {
+        return std::nullopt; // an earlier leader started it
+    }
+    const auto& worker = *track.host;
+    const auto begin = track.confirmed_at == time_point{} ? track.claimed_at : track.confirmed_at;
+    const auto end = worker.hold_failures > 0 ? worker.failing_since : now;
+    return std::max(end - begin, duration{0});
+}
+
+/// A worker that said that it leaves has not crashed, whatever became of it. Of one that crashed every task
+/// is a suspect; the evidence is clear against one that had it for itself, or that is the only one that was
+/// there at a crash before and had just begun both times.
+run_loss dispatcher::judge_loss(const run_track& track, time_point now) const {
+    const auto& worker = *track.host;
+    const auto age = get_age_at_loss(track, now);
+    run_loss loss;
+    loss.age_ms = track.confirmed_at != time_point{} ? to_milliseconds(*age) : 0;
+    if (worker.is_leaving || m_book.is_retired(worker.report.id) || !may_have_begun(track)) {
+        return loss;
+    }
+    bool is_alone = true;
+    bool is_only_suspect = track.care != caution::none;
+    for (const auto& [key, other] : worker.runs) {
+        if (may_have_begun(*other) && is_other_job(track, *other)) {
+            is_alone = false;
+            is_only_suspect = is_only_suspect && other->care == caution::none;
+        }
+    }
+    const auto* task = m_book.find_task(track.key.task);
+    const bool has_just_begun = age.has_value() && *age <= just_begun && task != nullptr &&
+                                milliseconds{task->crash.longest_ms} <= just_begun;
+    const bool is_clear = is_alone || (is_only_suspect && has_just_begun);
+    loss.crash = is_clear ? crash_evidence::clear : crash_evidence::shared;
+    return loss;
+}
+
+/// All are judged before one of them ends: each is a neighbour of the others.
+std::vector<lapsed_run> dispatcher::judge_runs(const worker_state& worker, time_point now) const {
+    std::vector<lapsed_run> judged;
+    for (const auto& [key, run] : worker.runs) {
+        if (!run->is_ending) {
+            judged.push_back({key, judge_loss(*run, now)});
+        }
+    }
+    return judged;
+}
+
+void dispatcher::propose_crash(const lapsed_run& lapsed, const std::string& worker) {
+    job_wire::job_command command;
+    auto& message = *command.mutable_crash();
+    encode(lapsed.run.task, *message.mutable_task());
+    message.set_run(lapsed.run.run);
+    message.set_worker(worker);
+    message.set_crash(static_cast<std::uint32_t>(lapsed.loss.crash));
+    message.set_age_ms(lapsed.loss.age_ms);
+    m_commands.push_back(std::move(command));
+}
+
+void dispatcher::on_task_crashed(const book_event& event, time_point now) {
+    const auto* record = m_book.find_job(event.run.task.step.job);
+    const bool is_given_up = record == nullptr || record->phase != job_phase::open;
+    ++m_counts.crashes;
+    m_counts.given_up += is_given_up ? 1 : 0;
+    m_suspects.note(event.run.task, static_cast<std::uint32_t>(event.number), now);
+    auto line = log_event(log_level::warn, "task_crashed");
+    add_run(line, event.run);
+    line.add("worker", event.worker)
+        .add("evidence", get_evidence_name(event.crash))
+        .add("age_ms", event.age_ms)
+        .add("crashes", event.number)
+        .add("given_up", is_given_up);
+}
+
+/// A suspect that has run in peace for long enough is one no more, and its worker takes other tasks again.
+void dispatcher::clear_suspects(worker_state& worker, time_point now) {
+    if (worker.suspects == 0) {
+        return;
+    }
+    for (const auto& [key, run] : worker.runs) {
+        auto& track = *run;
+        const auto* task = m_book.find_task(key.task);
+        const bool is_suspect = track.care != caution::none && track.stage == run_stage::running;
+        if (!is_suspect || task == nullptr ||
+            to_milliseconds(now - track.confirmed_at) < task->crash.get_peace_ms()) {
+            continue;
+        }
+        add_care(worker, track.care, -1);
+        track.care = caution::none;
+        m_suspects.forget(key.task);
+        m_must_place = true;
+        auto line = log_event(log_level::info, "task_cleared");
+        add_run(line, key);
+        line.add("worker", track.worker).add("age_ms", to_milliseconds(now - track.confirmed_at));
+    }
+}
+
+void dispatcher::add_care(worker_state& worker, caution care, int sign) {
+    if (care != caution::none) {
+        worker.suspects += static_cast<std::uint32_t>(sign);
+    }
+    if (care == caution::alone) {
+        worker.probations += static_cast<std::uint32_t>(sign);
+    }
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -29,24 +29,14 @@
 
 bool dispatcher::may_forget(const worker_state& worker, time_point now) const {
     const bool is_idle = worker.runs.empty() && worker.ends_committing == 0;
-    const bool is_silent = now - worker.last_heartbeat > m_settings.forget_after;
+    const auto kept = worker.lapsed.empty() ? m_settings.forget_after : m_settings.forget_lapsed_after;
+    const bool is_silent = now - worker.last_heartbeat > kept;
     return is_idle && (worker.is_gone || is_silent) && !worker.is_holding;
 }
 
-/// Returns how long the run was there at most when its worker ceased to answer; nothing while its start has
-/// had no answer.
-std::optional<duration> dispatcher::get_age_at_loss(const run_track& track, time_point now) const {
-    if (track.confirmed_at == time_point{}) {
-        return std::nullopt;
-    }
-    const auto& worker = *track.host;
-    const auto end = worker.hold_failures > 0 ? worker.failing_since : now;
-    return std::max(end - track.confirmed_at, duration{0});
-}
-
 /// Adds what tells a task that crashes its worker from its neighbours and from a cut: how long it was there
 /// and how many runs were.
-void dispatcher::add_loss(log_event& line, const run_track& track, time_point now) const {
+void dispatcher::add_loss(log_event& line, const run_track& track, time_point now) {
     add_run(line, track.key);
     line.add("worker", track.worker);
     if (const auto age = get_age_at_loss(track, now); age.has_value()) {
@@ -66,16 +56,20 @@
         .add("worker", worker.report.id)
         .add("reason", reason)
         .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
-    for (const auto& [key, run] : worker.runs) {
-        auto& track = *run;
-        if (!track.is_ending) {
-            ++m_counts.lost_runs;
-            auto line = log_event(log_level::warn, "run_lost");
-            line.add("reason", reason);
-            add_loss(line, track, now);
+    for (const auto& run : judge_runs(worker, now)) {
+        auto& track = *worker.runs.at(run.run);
+        ++m_counts.lost_runs;
+        auto line = log_event(log_level::warn, "run_lost");
+        line.add("reason", reason);
+        add_loss(line, track, now);
+        propose_end(track, run_end::lost, {}, 0, run.loss);
+    }
+    for (const auto& run : worker.lapsed) {
+        if (run.loss.crash != crash_evidence::none) {
+            propose_crash(run, worker.report.id);
         }
-        propose_end(track, run_end::lost, {}, 0);
     }
+    worker.lapsed.clear();
 }
 
 void dispatcher::watch_worker(worker_state& worker, time_point now) {
@@ -89,14 +83,16 @@
     if (!is_out_of_reach || worker.runs.empty() || now <= worker.lease_end) {
         return;
     }
-    for (const auto& [key, run] : worker.runs) {
-        auto& track = *run;
-        if (track.stage != run_stage::committing && !track.is_ending) {
-            ++m_counts.lost_runs;
-            auto line = log_event(log_level::warn, "lease_lapsed");
-            add_loss(line, track, now);
-            propose_end(track, run_end::lost, {}, 0);
+    for (const auto& run : judge_runs(worker, now)) {
+        auto& track = *worker.runs.at(run.run);
+        if (track.stage == run_stage::committing) {
+            continue;
         }
+        ++m_counts.lost_runs;
+        auto line = log_event(log_level::warn, "lease_lapsed");
+        add_loss(line, track, now);
+        propose_end(track, run_end::lost, {}, 0, {crash_evidence::none, run.loss.age_ms});
+        worker.lapsed.push_back(run);
     }
 }
 
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -33,7 +33,8 @@
     milliseconds{15}; // between passes over many: a tenth of a small instance's core
 constexpr duration idle_interval = milliseconds{100}; // while nothing waits: only the demand is measured
 constexpr std::int64_t late_weight = 1'000'000;       // ms: a job that is late goes behind all that are not
-constexpr std::int64_t late_multiple = 3; // a job later than this multiple of its objective earns nothing
+constexpr std::size_t probation_part = 20; // of the usable workers, one at a time may be a suspect's own
+constexpr std::int64_t late_multiple = 3;  // a job later than this multiple of its objective earns nothing
 
 /// Least slack first, but a job that can meet its objective no more waits for those that still can. Load
 /// pattern: a burst of 2.6 times the usual for seconds; by deadlines alone every job behind it is late.
@@ -118,18 +119,24 @@
 dispatcher::placing_pass dispatcher::begin_pass(time_point now) {
     placing_pass pass;
     pass.now = now;
+    std::size_t usable = 0;
+    std::size_t probations = 0;
     for (auto* worker : m_workers.get_all()) {
         if (is_usable(*worker, now)) {
             pass.usable[worker->report.pool].push_back(worker);
+            ++usable;
+            probations += worker->probations > 0 ? 1 : 0; // one that has ceased to answer is lost anyway
         }
     }
+    const auto most = std::max<std::size_t>(usable / probation_part, 1);
+    pass.probations_left = most > probations ? most - probations : 0;
     return pass;
 }
 
 void dispatcher::place_tasks(placing_pass& pass, ready_step& ready, const step_key& key) {
     const auto& spec = ready.job->steps[key.step];
     if (is_starving(m_jobs.at(key.job), ready.job->queue.pool, pass.now)) {
-        place_first(pass, ready, key, true);
+        place_starving(pass, ready, key);
     }
     if (ready.waiting.empty()) {
         return;
@@ -139,29 +146,45 @@
         return;
     }
     const auto failed = m_failed_on.lower_bound(task_key{key, 0});
-    const bool are_alike = is_plain && (failed == m_failed_on.end() || failed->first.step != key);
+    const bool has_failed = failed != m_failed_on.end() && failed->first.step == key;
+    const bool are_alike = is_plain && !has_failed && !m_suspects.has_any(key);
     if (are_alike) {
         place_alike(pass, ready, key);
         return;
     }
-    while (!ready.waiting.empty()) {
-        if (!place_first(pass, ready, key, false)) {
-            return; // the others wait behind it
+    for (const auto index : std::vector(ready.waiting.begin(), ready.waiting.end())) {
+        if (place_task(pass, ready, {key, index}, false) == placing::no_room) {
+            return;
+        }
+    }
+}
+
+void dispatcher::place_starving(placing_pass& pass, ready_step& ready, const step_key& key) {
+    for (const auto index : std::vector(ready.waiting.begin(), ready.waiting.end())) {
+        if (place_task(pass, ready, {key, index}, true) != placing::held) {
+            return;
         }
     }
 }
 
-bool dispatcher::place_first(const placing_pass& pass, ready_step& ready, const step_key& key, bool starves) {
-    const task_key task{key, *ready.waiting.begin()};
-    auto request = make_request(ready, task);
+dispatcher::placing dispatcher::place_task(placing_pass& pass, ready_step& ready, const task_key& task,
+                                           bool starves) {
+    auto request = make_request(ready, task, pass.now);
     request.is_starving = starves;
+    const bool wants_own = request.care == caution::alone && request.is_patient;
+    if (!m_suspects.may_start(task, pass.now) || (wants_own && pass.probations_left == 0)) {
+        return placing::held;
+    }
     auto* worker = choose(pass, ready, request);
     if (worker == nullptr) {
-        return false;
+        return wants_own ? placing::held : placing::no_room;
+    }
+    if (request.care == caution::alone && pass.probations_left > 0) {
+        --pass.probations_left;
     }
     claim(ready, task, *worker, pass.now);
     ready.waiting.erase(task.index);
-    return true;
+    return placing::placed;
 }
 
 /// Tasks between which nothing but their number differs are placed by one look at all workers: what a task
@@ -169,7 +192,7 @@
 /// a second on 490 workers; a look for each task took a quarter of the leader's time.
 void dispatcher::place_alike(placing_pass& pass, ready_step& ready, const step_key& key) {
     const auto& pool = ready.job->queue.pool;
-    const auto request = make_request(ready, {key, *ready.waiting.begin()});
+    const auto request = make_request(ready, {key, *ready.waiting.begin()}, pass.now);
     std::int64_t most_room = 0;
     std::priority_queue<candidate, std::vector<candidate>, std::greater<>> candidates;
     std::size_t place = 0;
@@ -231,11 +254,13 @@
     return static_cast<double>(m_open_cores - worker.report.capacity.millicores) >= kept_free;
 }
 
-placement_request dispatcher::make_request(const ready_step& ready, const task_key& key) {
+placement_request dispatcher::make_request(const ready_step& ready, const task_key& key, time_point now) {
     const auto failed = m_failed_on.find(key);
     placement_request request;
     request.spec = &ready.job->steps[key.step.step];
     request.step = key.step;
+    request.care = m_suspects.get_caution(key);
+    request.is_patient = m_suspects.is_patient(key, now);
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
     request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
                               failed->second.size() + 1 >= ready.job->queue.max_attempts;
@@ -282,6 +307,11 @@
     if (ready.waiting.size() != spec.count) {
         return; // some of the last run have not ended
     }
+    for (std::uint32_t index = 0; index < spec.count; ++index) {
+        if (!m_suspects.may_start({key, index}, pass.now)) {
+            return;
+        }
+    }
     std::vector<std::string> racks = {{}};
     if (spec.same_rack) {
         std::set<std::string> found;
@@ -298,22 +328,21 @@
     }
     ++run;
     for (const auto& rack : racks) {
-        std::vector<std::pair<run_key, std::string>> placed;
+        std::vector<std::pair<run_key, const worker_state*>> placed;
         for (std::uint32_t index = 0; index < spec.count; ++index) {
-            auto request = make_request(ready, {key, index});
+            auto request = make_request(ready, {key, index}, pass.now);
             request.rack = rack;
             const auto* chosen = choose(pass, ready, request);
             if (chosen == nullptr) {
                 break;
             }
             const run_key member{{key, index}, run};
-            const auto& worker = chosen->report.id;
-            add_track(member, ready.job, worker, run_stage::committing, pass.now);
-            placed.emplace_back(member, worker);
+            add_track(member, ready.job, chosen->report.id, run_stage::committing, pass.now);
+            placed.emplace_back(member, chosen);
         }
         if (placed.size() == spec.count) {
             for (const auto& [member, worker] : placed) {
-                propose_assignment(member, worker);
+                propose_assignment(member, *worker);
             }
             ready.waiting.clear();
             return;
@@ -331,14 +360,15 @@
         m_open_cores -= worker.report.capacity.millicores;
     }
     add_track(run, ready.job, worker.report.id, run_stage::committing, now);
-    propose_assignment(run, worker.report.id);
+    propose_assignment(run, worker);
 }
 
-void dispatcher::propose_assignment(const run_key& key, const std::string& worker) {
+void dispatcher::propose_assignment(const run_key& key, const worker_state& worker) {
     job_wire::job_command command;
     encode(key.task, *command.mutable_assign()->mutable_task());
     command.mutable_assign()->set_run(key.run);
-    command.mutable_assign()->set_worker(worker);
+    command.mutable_assign()->set_worker(worker.report.id);
+    command.mutable_assign()->set_address(worker.report.address);
     m_commands.push_back(std::move(command));
     ++m_counts.assigned;
 }
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -25,6 +25,7 @@
     track.worker = worker;
     track.stage = stage;
     track.claimed_at = now;
+    track.care = m_suspects.get_caution(key.task);
     auto& state = m_workers.get(worker);
     track.host = &state;
     add_load(state, track, 1);
@@ -66,7 +67,8 @@
     return found == m_tracks.end() ? nullptr : &found->second;
 }
 
-void dispatcher::propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number) {
+void dispatcher::propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number,
+                             const run_loss& loss) {
     if (track.is_ending) {
         return;
     }
@@ -79,6 +81,8 @@
     message.set_kind(static_cast<std::uint32_t>(end));
     message.set_saved(saved);
     message.set_number(number);
+    message.set_crash(static_cast<std::uint32_t>(loss.crash));
+    message.set_age_ms(loss.age_ms);
     m_commands.push_back(std::move(command));
 }
 
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -39,6 +39,7 @@
             worker.step_counts.erase(track.key.task.step);
         }
     }
+    add_care(worker, track.care, sign);
     if (spec.fills) {
         worker.fill_cores += sign * spec.millicores;
         worker.fills += static_cast<std::uint32_t>(sign);
@@ -220,6 +221,7 @@
     if (worker->is_silent()) {
         log_event(log_level::info, "worker_heard_again").add("worker", id);
     }
+    worker->lapsed.clear(); // it was out of reach and has not crashed
     worker->hold_failures = 0;
     note_heard(*worker, now);
     if (outcome.answer.clock_ms > 0) {
@@ -268,6 +270,7 @@
         find_vanished(worker, listed);
     }
     update_acknowledged(worker);
+    clear_suspects(worker, now);
     observe_pressure(worker, now);
 }
 
@@ -287,7 +290,9 @@
         worker.trust.on_failure(row.run.task.step.job, now);
     }
     ++worker.ends_committing;
-    propose_end(*track, row.end, row.saved, row.number);
+    const bool has_known_age = track->confirmed_at != time_point{};
+    propose_end(*track, row.end, row.saved, row.number,
+                {crash_evidence::none, has_known_age ? to_milliseconds(now - track->confirmed_at) : 0});
 }
 
 void dispatcher::find_vanished(worker_state& worker, const std::vector<run_key>& listed) {
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -20,6 +20,10 @@
 constexpr double other_job = 0.3;       // each other job that serves on the worker
 constexpr std::int64_t no_room = -1;    // millicores: not even for a task that asks for none
 constexpr std::int64_t starving_part = 2; // of what it asks for: at half its speed it still gets on
+constexpr double neighbour = 1.0;         // each run that a suspect may take along
+constexpr double serving_neighbour = 2.0; // the same of one whose callers wait for its answers
+constexpr double other_suspect = 20.0;    // two suspects of one crash would never be told apart
+constexpr double beside_suspect = 2.0;    // a task that is none itself
 constexpr double between = 0.5;           // a task of neither kind on a worker that fills
 
 double get_fill_cost(const worker_state& worker) {
@@ -62,6 +66,22 @@
     return worker.servings == 0 ? std::numeric_limits<std::int64_t>::min() : wanted / starving_part;
 }
 
+/// Returns a cost for what the next crash would take along, and for what would then be known less surely.
+double get_risk_cost(const worker_state& worker, caution care) {
+    if (care == caution::none) {
+        return worker.suspects > 0 ? beside_suspect : 0;
+    }
+    return neighbour * static_cast<double>(worker.runs.size()) +
+           serving_neighbour * static_cast<double>(worker.servings) +
+           other_suspect * static_cast<double>(worker.suspects);
+}
+
+/// Returns true when a suspect is or would be the only task of the worker.
+bool is_kept_apart(const worker_state& worker, const placement_request& request) {
+    const bool wants_own = request.care == caution::alone && request.is_patient;
+    return worker.probations > 0 || (wants_own && !worker.runs.empty());
+}
+
 /// Best fit: the fuller a worker that still holds the task, the better.
 double get_pack_cost(const worker_state& worker) {
     return worker.get_share(worker.get_free().millicores);
@@ -117,7 +137,10 @@
     if (request.is_last_attempt && worker.trust.is_doubtful()) {
         return std::nullopt;
     }
-    double cost = 0;
+    if (is_kept_apart(worker, request)) {
+        return std::nullopt;
+    }
+    double cost = get_risk_cost(worker, request.care);
     if (spec.fills) {
         if (get_room(worker, request) < get_least_room(worker, request)) {
             return std::nullopt;
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/pressure_model.h"
+#include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/scheduling/step_spec.h"
 #include "poplarpitch/scheduling/task_key.h"
 #include "poplarpitch/scheduling/worker_report.h"
@@ -24,8 +25,10 @@
     const std::vector<std::string>* avoided = nullptr; ///< workers on which the task failed; null for none
     bool is_last_attempt = false;                      ///< a worker whose last run failed is no choice
     bool is_starving = false; ///< nothing of its job runs: a task that fills takes less than it asks for
-    std::string rack;         ///< only this rack; empty for any
-    std::string excluded;     ///< a worker that is no choice: a copy is to run elsewhere
+    caution care = caution::none;
+    bool is_patient = false; ///< a task that is to be alone waits for a worker of its own
+    std::string rack;        ///< only this rack; empty for any
+    std::string excluded;    ///< a worker that is no choice: a copy is to run elsewhere
 
     friend bool operator==(const placement_request&, const placement_request&) = default;
 };
@@ -47,7 +50,8 @@
 /// Tasks whose answers are watched reserve most of a deployment and use less than half of it: tasks that fill
 /// must go beside them. A filling task goes where the tails stay below their limit by what is known of the
 /// images, and serving tasks of one image go together, so that each worker bears more kinds of filling tasks.
-/// Workers without serving tasks are left to those that press hard. Thread safety: as above.
+/// Workers without serving tasks are left to those that press hard. A task that may have crashed a worker
+/// goes where the next crash would take least along. Thread safety: as above.
 [[nodiscard]] std::optional<double> get_placement_cost(const worker_state& worker,
                                                        const placement_request& request);
 
--- /dev/null
+++ b/poplarpitch/dispatch/run_loss.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "poplarpitch/scheduling/crash_evidence.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace poplarpitch {
+
+/// What the end of a run says of its task beside how it ended.
+struct run_loss {
+    crash_evidence crash = crash_evidence::none;
+    std::int64_t age_ms = 0; ///< how long the run was there; 0 while unknown
+
+    friend auto operator<=>(const run_loss&, const run_loss&) = default;
+};
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/pressure_model.h"
+#include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/tail_watch.h"
 #include "poplarpitch/scheduling/step_job.h"
 #include "poplarpitch/scheduling/task_key.h"
@@ -31,7 +32,8 @@
     worker_state* host = nullptr; ///< its worker, which is known for as long as it has runs
     image_number image = 0;       ///< of what it runs; only of runs that fill or serve
     run_stage stage = run_stage::committing;
-    bool is_ending = false; ///< its end is on its way into the log
+    caution care = caution::none; ///< with which its task was placed
+    bool is_ending = false;       ///< its end is on its way into the log
     bool is_stop_wanted = false;
     bool is_stop_answered = false; ///< the worker has taken the stop; `stop_answered_at` says when
     bool is_order_out = false;     ///< a start or stop is under way
--- /dev/null
+++ b/poplarpitch/dispatch/suspect_watch.cpp
@@ -0,0 +1,51 @@
+#include "poplarpitch/dispatch/suspect_watch.h"
+
+#include "poplarpitch/dispatch/erase_job.h"
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::uint32_t alone_after = 2;            // crashes: one more and the task is given up
+constexpr duration retry_pause = milliseconds{500}; // before a task that is to be alone is tried again
+// With the pause it stays below the 3 s for which a job may have nothing running beside free room.
+constexpr duration alone_patience = milliseconds{2000};
+
+} // namespace
+
+void suspect_watch::note(const task_key& task, std::uint32_t crashes, time_point now) {
+    if (crashes == 0) {
+        forget(task);
+        return;
+    }
+    m_suspects[task] = {crashes, now};
+}
+
+void suspect_watch::forget_job(job_id job) {
+    erase_job(m_suspects, task_key{{job, 0, 0}, 0});
+}
+
+caution suspect_watch::get_caution(const task_key& task) const {
+    const auto found = m_suspects.find(task);
+    if (found == m_suspects.end()) {
+        return caution::none;
+    }
+    return found->second.crashes < alone_after ? caution::apart : caution::alone;
+}
+
+bool suspect_watch::has_any(const step_key& step) const {
+    const auto found = m_suspects.lower_bound({step, 0});
+    return found != m_suspects.end() && found->first.step == step;
+}
+
+bool suspect_watch::may_start(const task_key& task, time_point now) const {
+    const auto found = m_suspects.find(task);
+    const bool is_paused = found != m_suspects.end() && found->second.crashes >= alone_after;
+    return !is_paused || now >= found->second.noted_at + retry_pause;
+}
+
+bool suspect_watch::is_patient(const task_key& task, time_point now) const {
+    const auto found = m_suspects.find(task);
+    return found != m_suspects.end() && now < found->second.noted_at + alone_patience;
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/order_backoff.h"
 #include "poplarpitch/dispatch/pressure_model.h"
+#include "poplarpitch/dispatch/run_loss.h"
 #include "poplarpitch/dispatch/worker_pressure.h"
 #include "poplarpitch/dispatch/worker_trust.h"
 #include "poplarpitch/scheduling/task_key.h"
@@ -20,6 +21,14 @@
 
 struct run_track;
 
+/// A run that was given up when its worker's lease had lapsed: whether the worker crashed is not known yet.
+struct lapsed_run {
+    run_key run;
+    run_loss loss; ///< what a crash would say of it
+
+    friend auto operator<=>(const lapsed_run&, const lapsed_run&) = default;
+};
+
 /// Holds in a row without an answer after which a worker is taken for silent: one may be lost by chance.
 inline constexpr int silent_after = 2;
 
@@ -58,6 +67,9 @@
     std::int64_t short_cores = 0;                  ///< millicores of tasks that neither fill nor serve
     std::uint32_t fills = 0;                       ///< runs that fill
     std::uint32_t servings = 0;                    ///< runs whose answers are watched
+    std::uint32_t suspects = 0;                    ///< runs whose tasks may have crashed a worker before
+    std::uint32_t probations = 0;                  ///< those among them that are to be alone here
+    std::vector<lapsed_run> lapsed;                ///< until it is heard again, or surely crashed
     std::int64_t serving_unused = 0;      ///< millicores that they reserve and, by their own load, do not use
     std::vector<image_share> fill_shares; ///< pressure by image, smoothed as the tails are
     time_point fill_shares_at{};
--- a/poplarpitch/scheduling/book_event.h
+++ b/poplarpitch/scheduling/book_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplarpitch/scheduling/crash_evidence.h"
 #include "poplarpitch/scheduling/run_end.h"
 #include "poplarpitch/scheduling/task_key.h"
 
@@ -17,6 +18,7 @@
         run_assigned, ///< `run` to `worker`
         run_refused,  ///< `run` to `worker` was not assigned: its job or task had moved on
         run_ended,    ///< `run` on `worker` with `end`; `number` of the worker's list
+        task_crashed, ///< `worker` crashed under `run`, the `number`th one under its task
         step_done,    ///< `run.task.step`
         config_changed,
         worker_retired, ///< `worker`
@@ -27,6 +29,8 @@
     std::string worker;
     run_end end = run_end::done;
     std::uint64_t number = 0;
+    crash_evidence crash = crash_evidence::none; ///< of an end, or of `task_crashed`
+    std::int64_t age_ms = 0;                     ///< how long the run was there; 0 while unknown
 
     friend auto operator<=>(const book_event&, const book_event&) = default;
 };
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -23,7 +23,9 @@
     duration retry_pause = milliseconds{120}; ///< before an order without an answer is repeated
     duration stop_limit = milliseconds{900};  ///< a worker ends a stopped run within this
     duration forget_after = seconds{12};      ///< a worker without heartbeat and without runs is dropped
-    duration keep_ended = seconds{125};       ///< state of an ended job is kept this long
+    duration forget_lapsed_after =
+        seconds{60}; ///< the same where runs of it were given up unheard: its machine may yet come back
+    duration keep_ended = seconds{125}; ///< state of an ended job is kept this long
     double lasting_share = 0.8; ///< of a pool, that jobs which last may reserve while others want the rest:
                                 ///< at 0.75 and 0.82 as much is served in all, above it less
     duration most_lag =
--- a/poplarpitch/scheduling/job_book.cpp
+++ b/poplarpitch/scheduling/job_book.cpp
@@ -22,6 +22,18 @@
     event.worker = message.worker();
     event.end = static_cast<run_end>(message.kind());
     event.number = message.number();
+    event.crash = static_cast<crash_evidence>(message.crash());
+    event.age_ms = message.age_ms();
+    return event;
+}
+
+book_event read_crash(const job_wire::note_crash& message) {
+    book_event event;
+    event.what = book_event::kind::task_crashed;
+    event.run = {decode(message.task()), message.run()};
+    event.worker = message.worker();
+    event.crash = static_cast<crash_evidence>(message.crash());
+    event.age_ms = message.age_ms();
     return event;
 }
 
@@ -34,7 +46,8 @@
     case job_wire::job_command::kCancel:
         return cancel(command.cancel().id(), events);
     case job_wire::job_command::kAssign:
-        return assign({decode(command.assign().task()), command.assign().run()}, command.assign().worker(),
+        return assign({decode(command.assign().task()), command.assign().run()},
+                      {command.assign().run(), command.assign().worker(), command.assign().address()},
                       events);
     case job_wire::job_command::kEnd:
         return end(read_end(command.end()), command.end().saved(), events);
@@ -56,6 +69,8 @@
     case job_wire::job_command::kPressure:
         m_pressure = decode(command.pressure());
         return command_outcome::applied;
+    case job_wire::job_command::kCrash:
+        return note_crash(read_crash(command.crash()), events);
     case job_wire::job_command::kForget:
         m_jobs.erase(command.forget().id());
         return command_outcome::applied;
@@ -91,12 +106,11 @@
     return command_outcome::applied;
 }
 
-command_outcome job_book::assign(const run_key& key, const std::string& worker,
-                                 std::vector<book_event>& events) {
+command_outcome job_book::assign(const run_key& key, assigned_run run, std::vector<book_event>& events) {
     book_event event;
     event.what = book_event::kind::run_refused;
     event.run = key;
-    event.worker = worker;
+    event.worker = run.worker;
     const auto found = m_jobs.find(key.task.step.job);
     const bool is_open = found != m_jobs.end() && found->second.phase == job_phase::open &&
                          key.task.step.occurrence < found->second.job->get_occurrence_count();
@@ -110,13 +124,13 @@
         is_open && task != nullptr && found->second.job->steps[key.task.step.step].speculative;
     const bool is_free = task != nullptr && (task->phase == task_phase::waiting ||
                                              (task->phase == task_phase::active && may_copy));
-    if (!is_free || key.run <= task->last_run || m_retired.contains(worker)) {
+    if (!is_free || key.run <= task->last_run || m_retired.contains(run.worker)) {
         events.push_back(std::move(event));
         return command_outcome::refused;
     }
     task->phase = task_phase::active;
     task->last_run = key.run;
-    task->runs.push_back({key.run, worker});
+    task->runs.push_back(std::move(run));
     event.what = book_event::kind::run_assigned;
     events.push_back(std::move(event));
     return command_outcome::applied;
@@ -147,6 +161,10 @@
     if (!saved.empty()) {
         task->saved = saved;
     }
+    task->crash.note_age(ended.age_ms);
+    if (ended.crash != crash_evidence::none && count_crash(record, *task, ended, events)) {
+        return command_outcome::applied;
+    }
     const auto& spec = record.job->steps[key.step.step];
     if (ended.end == run_end::done && !spec.long_running) {
         if (spec.gang) {
@@ -172,6 +190,38 @@
     return command_outcome::applied;
 }
 
+command_outcome job_book::note_crash(const book_event& crashed, std::vector<book_event>& events) {
+    const auto found = m_jobs.find(crashed.run.task.step.job);
+    if (found == m_jobs.end() || found->second.phase != job_phase::open) {
+        return command_outcome::repeated;
+    }
+    const auto& key = crashed.run.task;
+    auto* task = found->second.find_task(key.step.occurrence, key.step.step, key.index);
+    if (task == nullptr || task->phase == task_phase::done) {
+        return command_outcome::repeated;
+    }
+    count_crash(found->second, *task, crashed, events);
+    return command_outcome::applied;
+}
+
+bool job_book::count_crash(job_record& record, task_record& task, const book_event& crashed,
+                           std::vector<book_event>& events) {
+    if (!task.crash.note_crash(crashed.run.run, crashed.age_ms)) {
+        return false;
+    }
+    auto event = crashed;
+    event.what = book_event::kind::task_crashed;
+    event.number = task.crash.crashes;
+    events.push_back(std::move(event));
+    if (!task.crash.is_settled(crashed.crash) || record.phase != job_phase::open) {
+        return false;
+    }
+    // Started again it would only take the next worker along, with all that runs there.
+    task.phase = task_phase::failed;
+    end_job(record, job_phase::failed, events);
+    return true;
+}
+
 std::uint32_t job_book::count_failures(job_record& record, const step_key& key) {
     std::uint32_t failures = 0;
     for (const auto& task : record.get_occurrence(key.occurrence).steps[key.step].tasks) {
@@ -241,15 +291,15 @@
     return step == nullptr || key.index >= step->tasks.size() ? nullptr : &step->tasks[key.index];
 }
 
-std::vector<std::pair<run_key, std::string>> job_book::get_assigned_runs() const {
-    std::vector<std::pair<run_key, std::string>> runs;
+std::vector<std::pair<run_key, assigned_run>> job_book::get_assigned_runs() const {
+    std::vector<std::pair<run_key, assigned_run>> runs;
     for (const auto& [id, record] : m_jobs) {
         for (const auto& [number, occurrence] : record.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& tasks = occurrence.steps[step].tasks;
                 for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                     for (const auto& run : tasks[index].runs) {
-                        runs.push_back({{{{id, number, step}, index}, run.run}, run.worker});
+                        runs.push_back({{{{id, number, step}, index}, run.run}, run});
                     }
                 }
             }
--- a/poplarpitch/scheduling/job_book.h
+++ b/poplarpitch/scheduling/job_book.h
@@ -48,13 +48,18 @@
     /// Returns what a leader has noted of images that press on others; a new leader begins with it.
     [[nodiscard]] const std::vector<pressure_factor>& get_pressure() const { return m_pressure; }
     /// Returns the runs that were assigned and have not ended, in the order of their keys.
-    [[nodiscard]] std::vector<std::pair<run_key, std::string>> get_assigned_runs() const;
+    [[nodiscard]] std::vector<std::pair<run_key, assigned_run>> get_assigned_runs() const;
 
 private:
     command_outcome submit(const job_wire::step_job& message, std::vector<book_event>& events);
     command_outcome cancel(job_id id, std::vector<book_event>& events);
-    command_outcome assign(const run_key& key, const std::string& worker, std::vector<book_event>& events);
+    command_outcome assign(const run_key& key, assigned_run run, std::vector<book_event>& events);
     command_outcome end(const book_event& ended, const std::string& saved, std::vector<book_event>& events);
+    /// Takes a crash that was found out after its run had been given up.
+    command_outcome note_crash(const book_event& crashed, std::vector<book_event>& events);
+    /// Counts a crash under a task. Returns true when its job is given up for it.
+    bool count_crash(job_record& record, task_record& task, const book_event& crashed,
+                     std::vector<book_event>& events);
     static std::uint32_t count_failures(job_record& record, const step_key& key);
     void finish_gang(job_record& record, const step_key& key, std::vector<book_event>& events);
     void finish_task(job_record& record, const task_key& key, std::vector<book_event>& events);
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -100,6 +100,12 @@
         auto& item = *message.add_runs();
         item.set_run(run.run);
         item.set_worker(run.worker);
+        item.set_address(run.address);
+    }
+    if (task.crash != crash_history{}) {
+        message.mutable_crash()->set_crashes(task.crash.crashes);
+        message.mutable_crash()->set_longest_ms(task.crash.longest_ms);
+        message.mutable_crash()->set_last_run(task.crash.last_run);
     }
 }
 
@@ -110,8 +116,9 @@
     task.failures = message.failures();
     task.saved = message.saved();
     for (const auto& run : message.runs()) {
-        task.runs.push_back({run.run(), run.worker()});
+        task.runs.push_back({run.run(), run.worker(), run.address()});
     }
+    task.crash = {message.crash().crashes(), message.crash().longest_ms(), message.crash().last_run()};
     return task;
 }
 
--- a/poplarpitch/scheduling/job_phase.h
+++ b/poplarpitch/scheduling/job_phase.h
@@ -17,7 +17,7 @@
     waiting = 0, ///< nothing of it is assigned
     active = 1,  ///< at least one run is assigned to a worker
     done = 2,
-    failed = 3, ///< it failed as often as its queue allows
+    failed = 3, ///< it failed as often as its queue allows, or crashed its workers
 };
 
 /// Returns the phase's name for logs. Thread safety: any thread.
--- a/poplarpitch/scheduling/job_record.h
+++ b/poplarpitch/scheduling/job_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplarpitch/scheduling/crash_history.h"
 #include "poplarpitch/scheduling/job_phase.h"
 #include "poplarpitch/scheduling/step_job.h"
 
@@ -15,6 +16,7 @@
 struct assigned_run {
     std::uint32_t run = 0;
     std::string worker;
+    std::string address; ///< of the worker, so that a new leader can ask there what became of it
 
     friend auto operator<=>(const assigned_run&, const assigned_run&) = default;
 };
@@ -26,6 +28,7 @@
     std::uint32_t failures = 0;     ///< ends that count against the attempts
     std::string saved;              ///< newest checkpoint; empty for none
     std::vector<assigned_run> runs; ///< more than one only for copies
+    crash_history crash;            ///< workers that crashed under it
 
     friend bool operator==(const task_record&, const task_record&) = default;
 };
--- a/unit_tests/dispatch/dispatcher_crash_test.cpp
+++ b/unit_tests/dispatch/dispatcher_crash_test.cpp
@@ -10,6 +10,7 @@
 //   event=worker_lost worker=i-57a91c9ea3 reason=another_life_answers runs=9     (3.1 s later)
 //   event=run_ended ... run=6 worker=i-57a91c9ea3 end=lost
 //   event=run_started ... run=7 worker=i-7f453ac0e7 wait_ms=31
+// Crashes are counted with the task since, in the replicated state, and it is given up after two or three.
 #include "unit_tests/dispatch/dispatch_world.h"
 #include "unit_tests/dispatch/test_steps.h"
 
