Let a new leader ask for workers it never heard at the addresses that the log names

What callers saw: after the leader was killed, tasks of workers that had crashed before waited for the whole lease, 7.4 s, though the machines were back after 3. Cause: the log named a run's worker by its id alone; a life that has ended announces itself to nobody, so the new leader had no address to ask at, and no other life to be told of. Ruled out: relays, which forget reports after 3 s and had none of workers that reported to the old leader.

The assignment carries the worker's address; a new leader asks there after 0.4 s, later than heartbeats and relays take. The life after it answers that the old one is gone.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -16,6 +16,9 @@
 // Between looks at all workers and runs for what is due. A turn comes for each message, 2,000 a second with
 // 490 workers: a look at 490 workers and 5,000 runs in each took a tenth of the leader's time.
 constexpr duration watch_interval = milliseconds{5};
+// Heartbeats, and relays, tell a new leader sooner of all workers that live; only the others are asked
+// unheard.
+constexpr duration announce_patience = milliseconds{400};
 
 } // namespace
 
@@ -45,7 +48,7 @@
     const auto lease_end = now + get_lease_span();
     for (const auto& [key, run] : m_book.get_assigned_runs()) {
         const auto* record = m_book.find_job(key.task.step.job);
-        m_workers.get(run.worker).lease_end = lease_end;
+        adopt_worker(run, lease_end, now);
         add_track(key, record->job, run.worker, run_stage::adopting, now);
         if (record->phase != job_phase::open) {
             stop_run(*find(key), now);
@@ -54,6 +57,19 @@
     m_must_place = true;
 }
 
+/// A life that ended with the former leader never announces itself again. Asked at its address, the life
+/// after it says that it is gone, and its runs need not wait for their lease.
+void dispatcher::adopt_worker(const assigned_run& run, time_point lease_end, time_point now) {
+    auto& worker = m_workers.get(run.worker);
+    worker.lease_end = lease_end;
+    if (worker.report.address.empty() && !run.address.empty()) {
+        worker.report.address = run.address;
+        worker.next_hold = now + announce_patience;
+        worker.last_heartbeat = now;
+        m_workers.note_address(worker);
+    }
+}
+
 void dispatcher::find_suspects(const job_record& record, time_point now) {
     for (const auto& [number, occurrence] : record.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -187,6 +187,7 @@
 
     // jobs
     void open(const job_record& record, time_point accepted, time_point now, std::int64_t wall_ms);
+    void adopt_worker(const assigned_run& run, time_point lease_end, time_point now);
     /// Takes up what the book says of a job's tasks that may have crashed workers.
     void find_suspects(const job_record& record, time_point now);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -139,7 +139,7 @@
 // ---- holds
 
 bool dispatcher::needs_hold(const worker_state& worker) const {
-    if (!worker.has_report || worker.is_gone || worker.is_holding) {
+    if (worker.report.address.empty() || worker.is_gone || worker.is_holding) {
         return false;
     }
     return !worker.is_confirmed || !worker.runs.empty() || worker.acknowledged > worker.told ||
