Look at a worker's room again before each start is sent, and do not trust what it told too long ago

What workers saw: one that does not guard its room was told to start more than it holds. Cause: the room was looked at once, when the task was placed; a start that waited for its commit, or was sent again for want of an answer, went out whatever had been told since, and a worker that had been out of reach was taken to be as large as before. Ruled out: late heartbeats (a lower sequence changes nothing).

A start goes out only while all that is reserved on its worker fits the room it told last; otherwise the task goes elsewhere. Where the pool does not guard its room, nothing is started on a worker whose last heartbeat is older than 2 s: with a late heartbeat and an order's time that is less than the 3 s and one beat after which a shrunk room counts. Runs that are there already when the room shrinks are left to end: stopping them would throw their work away, and no promise asks for it. Shares of a room that has shrunk to little are cut at 1, so that nothing wrong is learned from them.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -249,6 +249,9 @@
         }
         return;
     case book_event::kind::config_changed:
+        for (auto* worker : m_workers.get_all()) {
+            note_room(*worker);
+        }
         m_must_place = true;
         return;
     }
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -239,6 +239,8 @@
     /// Returns when the worker is to be looked at again at the latest.
     [[nodiscard]] time_point get_next_look(const worker_state& worker, time_point now) const;
     void add_load(worker_state& worker, run_track& track, int sign);
+    /// Takes until when a worker's last heartbeat tells its room.
+    void note_room(worker_state& worker) const;
     /// Takes a worker's clock from a heartbeat, which may be late.
     static void note_clock(worker_state& worker, std::int64_t clock_ms, time_point now);
     void send_hold(worker_state& worker, time_point now);
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -134,6 +134,14 @@
         give_back(track, now);
         return;
     }
+    // Its room may have shrunk since it was chosen, or since a start without an answer was sent.
+    if (now > worker.room_known_until) {
+        return;
+    }
+    if (!worker.report.capacity.holds(worker.reserved)) {
+        give_back(track, now);
+        return;
+    }
     if (worker.is_silent()) {
         return; // a start prolongs the lease of all that runs there, so it would never be given up
     }
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -66,6 +66,7 @@
     worker.report = report;
     worker.has_report = true;
     worker.last_heartbeat = now;
+    note_room(worker);
     note_clock(worker, report.clock_ms, now);
     if (is_new) {
         worker.next_hold = now;
@@ -111,10 +112,17 @@
     }
     worker->report.sequence = sequence;
     worker->last_heartbeat = now;
+    note_room(*worker);
     note_clock(*worker, clock_ms, now);
     return true;
 }
 
+void dispatcher::note_room(worker_state& worker) const {
+    const auto* pool = m_book.get_configuration().find_pool(worker.report.pool);
+    const bool guards_room = pool == nullptr || pool->enforces_capacity;
+    worker.room_known_until = guards_room ? time_point::max() : worker.last_heartbeat + m_settings.room_age;
+}
+
 void dispatcher::note_clock(worker_state& worker, std::int64_t clock_ms, time_point now) {
     if (worker.clock_ms == 0 || clock_ms > worker.estimate_clock(now)) {
         worker.clock_ms = clock_ms;
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -95,7 +95,8 @@
 
 bool is_usable(const worker_state& worker, time_point now) {
     return worker.has_report && worker.is_confirmed && !worker.is_leaving && !worker.is_gone &&
-           worker.hold_failures == 0 && worker.clock_ms != 0 && !worker.trust.is_set_aside(now);
+           worker.hold_failures == 0 && worker.clock_ms != 0 && now <= worker.room_known_until &&
+           !worker.trust.is_set_aside(now);
 }
 
 std::int64_t get_room(const worker_state& worker, const placement_request& request) {
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -41,6 +41,7 @@
     bool is_gone = false;   ///< another life answers at its address, or it said goodbye
     time_point leaves_at{}; ///< while leaving: it stays until then at least
     time_point last_heartbeat{};
+    time_point room_known_until{}; ///< later nothing is started on it: its room may have shrunk
 
     bool is_holding = false; ///< a hold is under way
     time_point hold_sent{};
@@ -88,11 +89,11 @@
     [[nodiscard]] std::int64_t get_leftover() const {
         return report.capacity.millicores - reserved.millicores + serving_unused - fill_cores;
     }
-    /// Returns an amount of processor time, millicores, as a share of all that the worker has. Thread safety:
-    /// as the state.
+    /// Returns an amount of processor time, millicores, as a share of all that the worker has; all of it
+    /// where the room has shrunk below that. Thread safety: as the state.
     [[nodiscard]] double get_share(std::int64_t millicores) const {
         const auto capacity = std::max<std::int64_t>(report.capacity.millicores, 1);
-        return static_cast<double>(millicores) / static_cast<double>(capacity);
+        return std::min(static_cast<double>(millicores) / static_cast<double>(capacity), 1.0);
     }
     /// Returns the worker's clock at `now`, never ahead of it; 0 while unknown. Thread safety: as the state.
     [[nodiscard]] std::int64_t estimate_clock(time_point now) const {
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -25,6 +25,9 @@
     duration forget_after = seconds{12};      ///< a worker without heartbeat and without runs is dropped
     duration forget_lapsed_after =
         seconds{60}; ///< the same where runs of it were given up unheard: its machine may yet come back
+    duration room_age =
+        seconds{2}; ///< what a worker told of its room holds this long where it does not guard it: with an
+                    ///< order's time and a late heartbeat less than the 3 s and one beat that users allow
     duration keep_ended = seconds{125}; ///< state of an ended job is kept this long
     double lasting_share = 0.8; ///< of a pool, that jobs which last may reserve while others want the rest:
                                 ///< at 0.75 and 0.82 as much is served in all, above it less
