Let each 'nothing new' of a relay name the report that it repeats

What the leader did: it believed a worker's room, labels or address as another relay had told them last, or as they were before a frame was lost, until they changed again; with room that shrinks it started more than the worker holds. Cause: a relay compared a heartbeat with what it had told itself. Ruled out: late heartbeats (their sequence is lower).

The leader keeps the sequence of the report it knows and asks for the whole one where a heartbeat repeats another.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -80,10 +80,9 @@
     /// Takes a heartbeat. Returns true when the worker leaves and the book does not say so yet: the heartbeat
     /// is to be answered once that is committed.
     bool on_heartbeat(const worker_report& report, time_point now);
-    /// Takes a heartbeat that says nothing new but its time. Returns false when the worker is not known: its
-    /// whole report is wanted.
-    bool on_sign_of_life(const std::string& worker, std::uint64_t sequence, std::int64_t clock_ms,
-                         time_point now);
+    /// Takes a heartbeat that says nothing new but its time. Returns false when the report that it repeats is
+    /// not the one that is known here: the whole one is wanted.
+    bool on_sign_of_life(const sign_of_life& sign, time_point now);
     /// Takes a worker's goodbye.
     void on_goodbye(const std::string& worker, time_point now);
     /// Takes the answer to the hold that is under way at `worker`.
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -64,6 +64,7 @@
     }
     const bool is_new = !worker.has_report;
     worker.report = report;
+    worker.report_sequence = report.sequence;
     worker.has_report = true;
     worker.last_heartbeat = now;
     note_room(worker);
@@ -98,22 +99,26 @@
     return is_leaving && !m_book.is_retired(report.id);
 }
 
-bool dispatcher::on_sign_of_life(const std::string& id, std::uint64_t sequence, std::int64_t clock_ms,
-                                 time_point now) {
-    if (!is_leading() || m_gone.contains(id)) {
+/// Heartbeats of one worker may come by several relays, each of which compares them with what it told itself;
+/// and what it told may have been lost. So each names the report that it repeats.
+bool dispatcher::on_sign_of_life(const sign_of_life& sign, time_point now) {
+    if (!is_leading() || m_gone.contains(sign.worker)) {
         return true;
     }
-    auto* worker = find_worker(id);
+    auto* worker = find_worker(sign.worker);
     if (worker == nullptr || !worker->has_report) {
         return false;
     }
-    if (sequence <= worker->report.sequence) {
+    if (sign.sequence <= worker->report.sequence) {
         return true; // late
     }
-    worker->report.sequence = sequence;
+    if (sign.told != worker->report_sequence) {
+        return false;
+    }
+    worker->report.sequence = sign.sequence;
     worker->last_heartbeat = now;
     note_room(*worker);
-    note_clock(*worker, clock_ms, now);
+    note_clock(*worker, sign.clock_ms, now);
     return true;
 }
 
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -35,7 +35,9 @@
 /// What the leader knows of one life of a worker. Soft: a new leader learns it anew.
 struct worker_state {
     worker_report report;
-    bool has_report = false;   ///< false while only the log names it
+    bool has_report = false; ///< false while only the log names it
+    std::uint64_t report_sequence =
+        0;                     ///< of the heartbeat that told all of it; later ones may have repeated it
     bool is_confirmed = false; ///< it has sent its list under this leader's fence
     bool is_leaving = false;
     bool is_gone = false;   ///< another life answers at its address, or it said goodbye
--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -56,7 +56,6 @@
     }
     for (const auto& worker : frame.unknown_workers()) {
         if (const auto found = m_reports.find(worker); found != m_reports.end()) {
-            found->second.is_told = true;
             tell(found->second);
         }
     }
@@ -71,7 +70,6 @@
     m_places.clear();
     forget_old_reports(now);
     for (auto& [worker, known] : m_reports) {
-        known.is_told = true;
         tell(known);
     }
     log_event(log_level::info, "relay_term")
@@ -143,13 +141,15 @@
         message.set_worker(report.id);
         message.set_sequence(report.sequence);
         message.set_clock_ms(report.clock_ms);
+        message.set_told(known.told);
         return;
     }
-    known.is_told = true;
     tell(known);
 }
 
-void relay_agent::tell(const known_report& known) {
+void relay_agent::tell(known_report& known) {
+    known.is_told = true;
+    known.told = known.report.sequence;
     encode(known.report, *open_frame().add_reports());
 }
 
--- a/poplarpitch/relay/relay_agent.h
+++ b/poplarpitch/relay/relay_agent.h
@@ -65,13 +65,14 @@
     struct known_report {
         worker_report report;
         time_point heard{};
-        bool is_told = false; ///< the whole report went to the present leader
+        bool is_told = false;   ///< the whole report went to the present leader
+        std::uint64_t told = 0; ///< sequence of the report that went
     };
 
     void begin_term(log_term term, time_point now);
     void carry_out(const job_wire::relay_orders& frame);
     void forget_old_reports(time_point now);
-    void tell(const known_report& known);
+    void tell(known_report& known);
     job_wire::relay_answers& open_frame();
 
     relay_settings m_settings;
--- a/poplarpitch/relay/relay_codec.cpp
+++ b/poplarpitch/relay/relay_codec.cpp
@@ -220,6 +220,10 @@
     message.set_accelerators(report.capacity.accelerators);
 }
 
+sign_of_life decode_sign_of_life(const job_wire::relayed_report& message) {
+    return {message.worker(), message.sequence(), message.told(), message.clock_ms()};
+}
+
 worker_report decode(const job_wire::relayed_report& message) {
     worker_report report;
     report.id = message.worker();
--- a/poplarpitch/relay/relay_codec.h
+++ b/poplarpitch/relay/relay_codec.h
@@ -35,5 +35,7 @@
 void encode(const worker_report& report, job_wire::relayed_report& message);
 /// Reads a whole report.
 [[nodiscard]] worker_report decode(const job_wire::relayed_report& message);
+/// Returns what a report says that is not whole. Thread safety: any thread.
+[[nodiscard]] sign_of_life decode_sign_of_life(const job_wire::relayed_report& message);
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/worker_report.h
+++ b/poplarpitch/scheduling/worker_report.h
@@ -38,6 +38,16 @@
     }
 };
 
+/// A heartbeat that says nothing new but its time.
+struct sign_of_life {
+    std::string worker;
+    std::uint64_t sequence = 0; ///< as in the whole report
+    std::uint64_t told = 0;     ///< sequence of the whole report that it repeats
+    std::int64_t clock_ms = 0;  ///< the worker's own clock
+
+    friend bool operator==(const sign_of_life&, const sign_of_life&) = default;
+};
+
 /// What a worker says of itself in a heartbeat. One id is one life of a worker's process.
 struct worker_report {
     std::string id;
--- a/unit_tests/scheduler/relayed_room_test.cpp
+++ b/unit_tests/scheduler/relayed_room_test.cpp
@@ -2,8 +2,9 @@
 //
 // A relay tells the leader a worker's whole report once, and later only that nothing is new since. A worker
 // whose heartbeats went by one relay, then another, then the first again was believed what the other one had
-// told last: its room of 4 cores stood as 8 at the leader, until it changed again. So it did when the one
-// frame with the whole report was lost with its connection.
+// told: its room of 4 cores stood as 8 at the leader, until it changed again. So it did when the one frame
+// with the whole report was lost with its connection. Now "nothing new" names the report that it repeats, and
+// the leader asks for the whole one where it knows another.
 #include "poplarpitch/dispatch/dispatcher.h"
 #include "poplarpitch/relay/relay_agent.h"
 #include "poplarpitch/relay/relay_codec.h"
@@ -89,8 +90,7 @@
             for (const auto& report : frame.reports()) {
                 if (report.is_whole()) {
                     leader.on_heartbeat(decode(report), m_now);
-                } else if (!leader.on_sign_of_life(report.worker(), report.sequence(), report.clock_ms(),
-                                                   m_now)) {
+                } else if (!leader.on_sign_of_life(decode_sign_of_life(report), m_now)) {
                     unknown.push_back(report.worker());
                 }
             }
