--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -169,9 +169,9 @@
     EXPECT_TRUE(is_put) << "the configuration was never acknowledged";
 }
 
-bool scheduler_cluster::submit(const std::string& id, int tasks, duration limit) {
+bool scheduler_cluster::submit(const std::string& id, int tasks, duration limit, const std::string& spec) {
     const nlohmann::json job = {
-        {"spec", "text"}, {"steps", {{{"count", tasks}, {"cpu", 500}, {"memMb", 100}, {"estimateMs", 200}}}}};
+        {"spec", spec}, {"steps", {{{"count", tasks}, {"cpu", 500}, {"memMb", 100}, {"estimateMs", 200}}}}};
     return wait_until(limit, [&] {
         const auto response = ask("POST", "/jobs/" + id, job.dump());
         return response.has_value() && response->status == 200;
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -44,7 +44,7 @@
     /// Puts a configuration with one queue at `/jobs/` until it is acknowledged.
     void put_config(std::uint64_t version);
     /// Submits a job of one step until it is accepted. Returns false when it was not within `limit`.
-    bool submit(const std::string& id, int tasks, duration limit);
+    bool submit(const std::string& id, int tasks, duration limit, const std::string& spec = "text");
     /// Waits until a job's state is `state`.
     bool wait_for_state(const std::string& id, const std::string& state, duration limit);
     /// Returns the number of the scheduler that leads, or 0.
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -16,7 +16,9 @@
     milliseconds{1100}; // of so many that they would be a load of their own
 constexpr std::size_t many_workers = 20;
 constexpr duration beat_timeout = milliseconds{500};
-constexpr int lasting_tail_ms = 10; // what a task that lasts tells of its own answers
+constexpr duration crash_delay = milliseconds{10};    // after the start of a task that crashes its worker
+constexpr duration restart_time = milliseconds{1000}; // longer than an answer takes, so that it is missed
+constexpr int lasting_tail_ms = 10;                   // what a task that lasts tells of its own answers
 
 using json = nlohmann::json;
 
@@ -35,7 +37,11 @@
 
 /// One worker's state; all on the loop's thread.
 struct pretended_worker {
+    std::string machine; ///< what its lives have in common
+    int life = 1;
+    bool is_up = true;
     std::string id;
+    int port = 0;
     std::string address;
     std::uint64_t fence = 0;
     std::uint64_t sequence = 0;
@@ -113,14 +119,66 @@
         {
             const absl::MutexLock lock(&mutex);
             overlaps += running_now[task]++ > 0 ? 1 : 0;
+            ++starts[task];
         }
-        const bool lasts = body.value("spec", std::string{}) == stand_in_workers::lasting_spec;
+        const auto spec = body.value("spec", std::string{});
+        if (spec == stand_in_workers::crashing_spec) {
+            loop.call_after(crash_delay, [this, &worker, life = worker.life] { crash(worker, life); });
+        }
+        const bool lasts = spec == stand_in_workers::lasting_spec || spec == stand_in_workers::crashing_spec;
         const auto timer =
             lasts ? 0 : loop.call_after(run_time, [this, &worker, task] { end(worker, task, "done"); });
         worker.running[task] = {run, timer, lasts};
         return make_response(200, {});
     }
 
+    /// Ends a life of a worker, if it has not ended yet, with all that runs there.
+    void crash(pretended_worker& worker, int life) {
+        if (!worker.is_up || worker.life != life) {
+            return;
+        }
+        worker.is_up = false;
+        {
+            const absl::MutexLock lock(&mutex);
+            for (const auto& [task, run] : worker.running) {
+                loop.cancel(run.timer);
+                --running_now[task];
+            }
+        }
+        for (const auto& [respond, timer] : worker.holds) {
+            loop.cancel(timer);
+        }
+        worker.holds.clear();
+        worker.running.clear();
+        worker.ended.clear();
+        worker.listener.reset();
+        loop.call_after(restart_time, [this, &worker] { come_back(worker); });
+    }
+
+    void come_back(pretended_worker& worker) {
+        ++worker.life;
+        worker.is_up = true;
+        worker.id = worker.machine + "." + std::to_string(worker.life);
+        worker.fence = 0;
+        worker.sequence = 0;
+        worker.next_number = 1;
+        worker.highest_ended.clear();
+        worker.heartbeat_address.clear();
+        listen(worker);
+    }
+
+    void listen(pretended_worker& worker) {
+        http_listener_settings settings;
+        settings.host = "127.0.0.1";
+        settings.port = worker.port;
+        worker.listener = std::make_unique<http_listener>(
+            loop, settings, [this, &worker](const http_request& request, const http_responder& respond) {
+                handle(worker, request, respond);
+            });
+        worker.port = worker.listener->start().value();
+        worker.address = "127.0.0.1:" + std::to_string(worker.port);
+    }
+
     void handle(pretended_worker& worker, const http_request& request, const http_responder& respond) {
         const auto body = json::parse(request.body, nullptr, false);
         if (request.headers.get("Expect-Instance") != worker.id) {
@@ -172,7 +230,16 @@
         worker.holds.emplace_back(respond, timer);
     }
 
+    void beat_later(pretended_worker& worker) {
+        loop.call_after(workers.size() > many_workers ? many_beat_interval : beat_interval,
+                        [this, &worker] { beat(worker); });
+    }
+
     void beat(pretended_worker& worker) {
+        if (!worker.is_up) {
+            beat_later(worker);
+            return;
+        }
         http_call call;
         const bool is_told = !worker.heartbeat_address.empty();
         call.address = is_told ? worker.heartbeat_address : controls[worker.control++ % controls.size()];
@@ -195,23 +262,17 @@
                 const auto body = json::parse(response.value().body, nullptr, false);
                 worker.heartbeat_address = body.is_object() ? body.value("heartbeatAddr", "") : "";
             }
-            loop.call_after(workers.size() > many_workers ? many_beat_interval : beat_interval,
-                            [this, &worker] { beat(worker); });
+            beat_later(worker);
         });
     }
 
     void add_worker(int number) {
         auto worker = std::make_unique<pretended_worker>();
-        worker->id = "w" + std::to_string(number);
+        worker->machine = "w" + std::to_string(number);
+        worker->id = worker->machine;
         worker->control = static_cast<std::size_t>(number);
         auto& state = *worker;
-        http_listener_settings settings;
-        settings.host = "127.0.0.1";
-        worker->listener = std::make_unique<http_listener>(
-            loop, settings, [this, &state](const http_request& request, const http_responder& respond) {
-                handle(state, request, respond);
-            });
-        worker->address = "127.0.0.1:" + std::to_string(worker->listener->start().value());
+        listen(state);
         workers.push_back(std::move(worker));
         beat(state);
     }
@@ -224,6 +285,7 @@
     mutable absl::Mutex mutex;
     std::map<std::string, int> running_now ABSL_GUARDED_BY(mutex);
     std::map<std::string, int> done ABSL_GUARDED_BY(mutex);
+    std::map<std::string, int> starts ABSL_GUARDED_BY(mutex);
     int overlaps ABSL_GUARDED_BY(mutex) = 0;
 };
 
@@ -245,6 +307,11 @@
     return m_parts->done;
 }
 
+std::map<std::string, int> stand_in_workers::get_start_counts() const {
+    const absl::MutexLock lock(&m_parts->mutex);
+    return m_parts->starts;
+}
+
 int stand_in_workers::get_overlaps() const {
     const absl::MutexLock lock(&m_parts->mutex);
     return m_parts->overlaps;
--- a/unit_tests/platform/stand_in_workers.h
+++ b/unit_tests/platform/stand_in_workers.h
@@ -17,12 +17,15 @@
 /// keep fences and ends as the platform's page says, and write down every start, so that a test can check the
 /// promises.
 ///
-/// Each run takes a fixed time, or lasts until it is stopped where its job's payload says so. Thread safety:
-/// any thread, for all methods.
+/// Each run takes a fixed time, or lasts until it is stopped, or crashes its worker, where its job's payload
+/// says so. A worker that crashed comes back at its address as another life. Thread safety: any thread, for
+/// all methods.
 class stand_in_workers {
 public:
     /// Payload of jobs whose tasks last until they are stopped.
     static constexpr const char* lasting_spec = "lasts";
+    /// Payload of jobs whose tasks crash the workers that start them.
+    static constexpr const char* crashing_spec = "crashes";
 
     /// Starts `count` workers on loopback, which send heartbeats to these control addresses.
     stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time);
@@ -34,6 +37,8 @@
     [[nodiscard]] std::map<std::string, int> get_done_counts() const;
     /// Returns how often a task was started while another run of it was going on.
     [[nodiscard]] int get_overlaps() const;
+    /// Returns how often each task was started.
+    [[nodiscard]] std::map<std::string, int> get_start_counts() const;
     /// Returns how many tasks run now.
     [[nodiscard]] int get_running() const;
 
