--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -104,18 +104,24 @@
 }
 
 void dispatcher::on_task_crashed(const book_event& event, time_point now) {
-    const auto* record = m_book.find_job(event.run.task.step.job);
-    const bool is_given_up = record == nullptr || record->phase != job_phase::open;
     ++m_counts.crashes;
-    m_counts.given_up += is_given_up ? 1 : 0;
     m_suspects.note(event.run.task, static_cast<std::uint32_t>(event.number), now);
-    auto line = log_event(log_level::warn, "task_crashed");
+    {
+        auto line = log_event(log_level::warn, "task_crashed");
+        add_run(line, event.run);
+        line.add("worker", event.worker)
+            .add("evidence", get_evidence_name(event.crash))
+            .add("age_ms", event.age_ms)
+            .add("crashes", event.number);
+    }
+    const auto* record = m_book.find_job(event.run.task.step.job);
+    if (record != nullptr && record->phase == job_phase::open) {
+        return;
+    }
+    ++m_counts.given_up;
+    auto line = log_event(log_level::warn, "job_given_up");
     add_run(line, event.run);
-    line.add("worker", event.worker)
-        .add("evidence", get_evidence_name(event.crash))
-        .add("age_ms", event.age_ms)
-        .add("crashes", event.number)
-        .add("given_up", is_given_up);
+    line.add("reason", "its task crashed the workers that started it").add("crashes", event.number);
 }
 
 /// A suspect that has run in peace for long enough is one no more, and its worker takes other tasks again.
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -43,6 +43,9 @@
     set("poplarpitch_runs_total", counts.done_runs, "done");
     set("poplarpitch_runs_total", counts.failed_runs, "failed");
     set("poplarpitch_runs_total", counts.lost_runs, "lost");
+    set("poplarpitch_task_crashes_total", counts.crashes);
+    set("poplarpitch_jobs_given_up_total", counts.given_up, "crashes");
+    set("poplarpitch_suspect_tasks", parts.dispatch.count_suspects());
     set("poplarpitch_starts_refused_total", counts.refused_room, "no_room");
     set("poplarpitch_starts_refused_total", counts.refused_other, "other");
     set("poplarpitch_jobs_refused_total", counts.refused_jobs);
--- a/poplarpitch/tools/log_explainer.cpp
+++ b/poplarpitch/tools/log_explainer.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 // The most telling first: a line of an earlier kind decides over all of later kinds.
-constexpr std::array<std::string_view, 7> deciding_events = {
-    "event=job_refused",   "event=request_given_up", "event=lease_lapsed", "event=run_lost",
-    "event=start_refused", "event=run_ended",        "event=job_ended",
+constexpr std::array<std::string_view, 8> deciding_events = {
+    "event=job_given_up", "event=job_refused",   "event=request_given_up", "event=lease_lapsed",
+    "event=run_lost",     "event=start_refused", "event=run_ended",        "event=job_ended",
 };
 
 std::string_view get_time(std::string_view line) {
--- a/unit_tests/tools/log_explainer_test.cpp
+++ b/unit_tests/tools/log_explainer_test.cpp
@@ -35,6 +35,17 @@
     EXPECT_NE(story.cause.find("lease_lapsed"), std::string::npos);
 }
 
+TEST(log_explainer, names_that_a_job_was_given_up_for_crashing_its_workers) {
+    const auto story = explain_id(
+        "00000000000000ad", {"time=1 level=WARN event=run_lost reason=another_life_answers "
+                             "job=00000000000000ad run=3 worker=i-7\n"
+                             "time=2 level=WARN event=task_crashed job=00000000000000ad run=3 worker=i-7 "
+                             "evidence=likely crashes=3\n"
+                             "time=3 level=WARN event=job_given_up job=00000000000000ad run=3 crashes=3\n"
+                             "time=4 level=INFO event=job_ended job=00000000000000ad phase=failed\n"});
+    EXPECT_NE(story.cause.find("event=job_given_up"), std::string::npos);
+}
+
 TEST(log_explainer, names_why_a_job_was_refused) {
     const auto story =
         explain_id("00000000000000aa", {"time=1 level=WARN event=job_refused job=00000000000000aa "
