--- a/unit_tests/state/job_table_test.cpp
+++ b/unit_tests/state/job_table_test.cpp
@@ -37,6 +37,15 @@
         return m_table.take_event(event, 3, ++m_index);
     }
 
+    void lose(const std::string& id, bool has_crashed) {
+        wire::job_event event;
+        event.set_job(id);
+        event.set_attempt(m_table.find(id)->attempt());
+        event.set_kind(wire::event_lost);
+        event.set_crashed(has_crashed);
+        EXPECT_FALSE(m_table.take_event(event, 3, ++m_index));
+    }
+
     job_table m_table{{}, 1000, 1 << 20};
     log_index m_index = 0;
 };
@@ -76,6 +85,35 @@
     EXPECT_EQ(m_table.get_queued_count(), 1U);
 }
 
+// A task that ends its worker's process each time was run again after each lease, for ever: a loss counted
+// against nothing. An attempt of which the worker was only out of reach still counts against nothing.
+TEST_F(job_table_test, parks_a_job_whose_worker_ended_under_three_attempts) {
+    add("a");
+    for (int attempt = 1; attempt <= 3; ++attempt) {
+        ASSERT_EQ(m_table.find("a")->state(), wire::job_queued) << attempt;
+        assign("a");
+        tell("a", wire::event_started);
+        tell("a", wire::event_lost); // silent at first; later its next process answers
+        const auto since = m_table.find("a")->changed_index();
+        lose("a", true);
+        EXPECT_EQ(m_table.find("a")->changed_index(), since) << "the wait for the lease goes on";
+        tell("a", wire::event_lease_over);
+    }
+    EXPECT_EQ(m_table.find("a")->state(), wire::job_parked);
+    EXPECT_NE(m_table.find("a")->reason().find("ended"), std::string::npos);
+}
+
+TEST_F(job_table_test, runs_a_job_again_however_often_its_worker_was_out_of_reach) {
+    add("a");
+    for (int attempt = 1; attempt <= 10; ++attempt) {
+        assign("a");
+        tell("a", wire::event_started);
+        lose("a", false);
+        tell("a", wire::event_lease_over);
+        EXPECT_EQ(m_table.find("a")->state(), wire::job_queued);
+    }
+}
+
 TEST_F(job_table_test, records_are_bounded_in_bytes_and_ended_ones_give_their_payload_back) {
     job_table table({}, 1000, 10'000);
     const auto submit = [&](const std::string& id) {
