Park a job of one task whose worker's process ended under three attempts

What callers saw: an idempotent job that ends its worker each time was queued again after each lease, for ever. Cause: a loss counted against nothing (job_table::on_lease_over). The entry says now whether the worker's process has ended or the worker was only out of reach; the record counts the first kind. Parked, not failed: an operator can run it again (its count begins anew). Jobs that are not idempotent end as outcome_unknown after the first, as before.

Before: queued after each of three; after: parked at the third.

--- a/poplarpitch/entry/task_agent.h
+++ b/poplarpitch/entry/task_agent.h
@@ -60,6 +60,9 @@
     [[nodiscard]] static wire::command make_event(const owned_task& task, const std::string& worker,
                                                   wire::job_event_kind kind, const std::string& detail,
                                                   std::int64_t wall_ms);
+    /// Returns the event of a task whose worker's process has ended.
+    [[nodiscard]] static wire::command make_crash(const owned_task& task, const std::string& worker,
+                                                  std::int64_t wall_ms);
     double get_growth(owned_worker& worker, const owned_task& task);
 
     owned_fleet& m_fleet;
--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -32,6 +32,13 @@
     return command;
 }
 
+wire::command task_agent::make_crash(const owned_task& task, const std::string& worker,
+                                     std::int64_t wall_ms) {
+    auto command = make_event(task, worker, wire::event_lost, "its worker was restarted", wall_ms);
+    command.mutable_event()->set_crashed(true);
+    return command;
+}
+
 std::vector<wire::command> task_agent::get_events(time_point now, duration silence, std::int64_t wall_ms) {
     std::vector<wire::command> events;
     for (auto& [id, worker] : m_fleet.get_workers()) {
@@ -83,7 +90,7 @@
         return {};
     }
     if (answer == start_result::other_process && task.is_maybe_sent) {
-        return {make_event(task, action.worker, wire::event_lost, "its worker was restarted", wall_ms)};
+        return {make_crash(task, action.worker, wall_ms)};
     }
     if (answer != start_result::started) {
         m_fleet.end_task(*worker, task);
@@ -179,8 +186,9 @@
             // Assigned under an older epoch, which the worker refuses by now, and never started there.
             events.push_back({0, make_event(task, told.id, wire::event_absent, "", wall_ms)});
         } else if (!is_same_process || now - task.since > m_settings.missing_wait) {
-            const auto* reason = is_same_process ? "its worker does not know it" : "its worker was restarted";
-            events.push_back({0, make_event(task, told.id, wire::event_lost, reason, wall_ms)});
+            events.push_back({0, is_same_process ? make_event(task, told.id, wire::event_lost,
+                                                              "its worker does not know it", wall_ms)
+                                                 : make_crash(task, told.id, wall_ms)});
         }
     }
 }
--- a/poplarpitch/state/job_table.cpp
+++ b/poplarpitch/state/job_table.cpp
@@ -2,9 +2,16 @@
 
 #include "poplarpitch/state/amounts_codec.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace poplarpitch {
+namespace {
+
+constexpr std::uint32_t most_crashes = 3; // of workers under one job: an operator is to look at it then
+
+} // namespace
 
 bool is_ended(wire::job_state state) {
     return state != wire::job_queued && state != wire::job_assigned && state != wire::job_running;
@@ -159,6 +166,7 @@
         return state_errc::stale_attempt;
     }
     if (event.kind() == wire::event_lost && record.lost()) {
+        note_crash(*node, record, event);
         return {}; // told again: the wait for the lease goes on and does not begin anew
     }
     unlink(*node, record);
@@ -167,6 +175,15 @@
     return {};
 }
 
+void job_table::note_crash(job_node& node, wire::job& record, const wire::job_event& event) {
+    if (!event.crashed() || record.crashed()) {
+        return;
+    }
+    unlink(node, record);
+    record.set_crashed(true);
+    store(node, record, record.changed_index());
+}
+
 void job_table::apply_event(wire::job& record, const wire::job_event& event, int max_attempts) {
     if (!event.checkpoint().empty()) {
         record.set_checkpoint(event.checkpoint());
@@ -175,6 +192,7 @@
     case wire::event_started:
         record.set_state(wire::job_running);
         record.set_lost(false);
+        record.set_crashed(false);
         record.set_started_ms(event.at_ms());
         break;
     case wire::event_checkpointed:
@@ -206,6 +224,7 @@
         break;
     case wire::event_lost:
         record.set_lost(true);
+        record.set_crashed(event.crashed());
         record.set_reason(event.detail());
         if (!m_rules.job_waits_for_lease) {
             on_lease_over(record, event);
@@ -254,14 +273,22 @@
     if (!record.idempotent() && m_rules.unknown_is_final) {
         finish(record, wire::job_unknown, event.at_ms(),
                "its worker was lost; it may have run: " + record.reason());
-    } else {
-        requeue(record);
+        return;
+    }
+    // Run again it would only end the next worker, with all that runs there.
+    record.set_crashes(record.crashes() + (record.crashed() ? 1 : 0));
+    if (record.crashes() >= most_crashes) {
+        finish(record, wire::job_parked, event.at_ms(),
+               absl::StrCat("its worker ended under ", record.crashes(), " attempts"));
+        return;
     }
+    requeue(record);
 }
 
 void job_table::requeue(wire::job& record) {
     record.set_state(wire::job_queued);
     record.set_lost(false);
+    record.set_crashed(false);
     record.set_evict_requested(false);
     record.clear_worker();
 }
@@ -316,6 +343,7 @@
     unlink(*node, record);
     if (command.action() == wire::resolve_rerun) {
         record.set_failures(0);
+        record.set_crashes(0);
         record.clear_failed_workers();
         requeue(record);
     } else {
--- a/poplarpitch/state/job_table.h
+++ b/poplarpitch/state/job_table.h
@@ -144,6 +144,8 @@
     void store(job_node& node, wire::job& record, log_index index);
     void finish(wire::job& record, wire::job_state state, std::int64_t at_ms, const std::string& reason);
     void requeue(wire::job& record);
+    /// Notes of a job that is lost already that its worker has ended since.
+    void note_crash(job_node& node, wire::job& record, const wire::job_event& event);
     void apply_event(wire::job& record, const wire::job_event& event, int max_attempts);
     void on_failed(wire::job& record, const wire::job_event& event, int max_attempts);
     void on_lease_over(wire::job& record, const wire::job_event& event);
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -70,6 +70,7 @@
     const auto events = answer_start(start_result::other_process);
     ASSERT_EQ(events.size(), 1U);
     EXPECT_EQ(events[0].event().kind(), wire::event_lost);
+    EXPECT_TRUE(events[0].event().crashed());
 }
 
 TEST_F(task_agent_test, gives_back_what_the_worker_refused) {
