--- a/unit_tests/entry/call_handler_test.cpp
+++ b/unit_tests/entry/call_handler_test.cpp
@@ -26,38 +26,46 @@
           m_other({}, [this](const http_request& request) { return answer_as_entry(request); }),
           m_state("e1", ""), m_control({peer_address{1, "127.0.0.1:1", false}}),
           m_calls(m_state, m_pool, m_control, m_lease, m_metrics, "e1", "e1-") {
-        const auto worker = "127.0.0.1:" + std::to_string(m_worker.start().value());
-        const auto other = "127.0.0.1:" + std::to_string(m_other.start().value());
-        const auto now = m_clock.now();
+        m_worker_address = "127.0.0.1:" + std::to_string(m_worker.start().value());
+        m_other_address = "127.0.0.1:" + std::to_string(m_other.start().value());
+        m_lease.renew(m_clock.now(), seconds{60}, milliseconds{0});
+        take_workers(1);
+    }
+
+    /// Gives the entry this many workers of one slot each, all of which are the same server.
+    void take_workers(int count) {
         wire::renew_answer news;
-        news.set_revision(1);
+        news.set_revision(++m_revision);
         news.mutable_config()->set_version(1);
         news.mutable_config()->set_text(config_text);
         news.set_owned_changed(true);
-        auto& record = *news.add_owned();
-        record.set_id("w");
-        record.set_address(worker);
-        record.set_epoch(2);
-        record.add_services("s");
-        record.mutable_capacity()->set_slots(1);
+        for (int number = 1; number <= count; ++number) {
+            auto& record = *news.add_owned();
+            record.set_id("w" + std::to_string(number));
+            record.set_address(m_worker_address);
+            record.set_epoch(2);
+            record.add_services("s");
+            record.mutable_capacity()->set_slots(1);
+        }
         auto& digest = *news.add_entries();
         digest.set_entry("e2");
-        digest.set_http_address(other);
+        digest.set_http_address(m_other_address);
         auto& room = *digest.add_services();
         room.set_service("s");
         room.set_free(8);
         room.set_total(8);
-        m_state.take_renewal(news, now);
-        m_lease.renew(now, seconds{60}, milliseconds{0});
-        announcement told;
-        told.id = "w";
-        told.address = worker;
-        told.services = {"s"};
-        told.capacity = {1, 0, 0, 0};
-        told.epoch = 2;
-        told.sequence = 1;
-        told.is_complete = true;
-        m_state.take_announcement(told, 1);
+        m_state.take_renewal(news, m_clock.now());
+        for (int number = 1; number <= count; ++number) {
+            announcement told;
+            told.id = "w" + std::to_string(number);
+            told.address = m_worker_address;
+            told.services = {"s"};
+            told.capacity = {1, 0, 0, 0};
+            told.epoch = 2;
+            told.sequence = m_revision;
+            told.is_complete = true;
+            m_state.take_announcement(told, 1);
+        }
     }
 
     http_response answer_as_worker(const http_request& request) {
@@ -79,8 +87,13 @@
         return response;
     }
 
-    http_response call() {
+    /// Calls; `lost_before`: the request comes from another entry, at which it had no answer this often.
+    http_response call(int lost_before = 0) {
         http_request request;
+        if (lost_before > 0) {
+            request.headers.add(header_forwarded, "e2");
+            request.headers.add(header_lost_attempts, std::to_string(lost_before));
+        }
         request.method = "POST";
         request.target = "/v1/call/s";
         request.body = "x";
@@ -94,6 +107,9 @@
     std::atomic<int> m_other_calls{0};
     http_server m_worker;
     http_server m_other;
+    std::string m_worker_address;
+    std::string m_other_address;
+    std::uint64_t m_revision = 0;
     const system_clock m_clock{};
     entry_state m_state;
     control_client m_control;
@@ -121,6 +137,24 @@
     EXPECT_EQ(response.status, 504);
 }
 
+// A request that ends its target's process was sent to three targets, and by another entry to three more.
+// Each would have taken along all that ran beside it.
+TEST_F(call_handler_test, sends_a_request_to_no_third_target_when_two_gave_no_answer) {
+    take_workers(6);
+    m_worker_forgets = true;
+    const auto response = call();
+    EXPECT_EQ(m_worker_calls, 2);
+    EXPECT_EQ(m_other_calls, 0);
+    EXPECT_EQ(response.headers.get(header_outcome), outcome_unknown);
+}
+
+TEST_F(call_handler_test, sends_a_forwarded_request_once_that_had_no_answer_from_one_target_before) {
+    take_workers(6);
+    m_worker_forgets = true;
+    call(1);
+    EXPECT_EQ(m_worker_calls, 1);
+}
+
 TEST_F(call_handler_test, fault_answer_of_a_target_stands_when_its_retry_ran_nowhere) {
     m_worker_status = 500;
     const auto response = call();
