Send a request to no third target when two gave no answer

What targets saw: an idempotent request that ends its target's process was sent to three targets, and forwarded to another entry, to three more. Cause: attempts are counted an entry, and one that had no answer counts like one that was refused. Two targets without an answer are enough now, hedges and forwards included: the entry that forwards says how many there were.

Before: 3 targets at each entry; after: 2 in all. A request whose connections break off twice in a row for another reason gets 504 where a third attempt might have served it; its caller may send it again.

--- a/poplarpitch/entry/call_handler.cpp
+++ b/poplarpitch/entry/call_handler.cpp
@@ -18,12 +18,15 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 
 namespace poplarpitch {
 namespace {
 
 constexpr int max_attempts = 3;
+// A request that ends its target's process would end the next one too, with all that runs there.
+constexpr int max_lost_attempts = 2;
 constexpr int hedge_threads = 64;
 constexpr duration retry_after_default = seconds{1};
 constexpr duration intent_commit_wait = seconds{2};
@@ -166,6 +169,7 @@
 call_result call_handler::run_attempts(const call_info& call, const http_request& request,
                                        call_record& record) {
     call_result last;
+    record.lost_attempts = call.lost_attempts;
     while (true) {
         const auto asked = m_clock.now();
         auto decision = m_state.admit(call);
@@ -179,7 +183,7 @@
         }
         ++record.attempts;
         if (auto* forwarded = std::get_if<forward_decision>(&decision)) {
-            auto result = forward(call, request, *forwarded);
+            auto result = forward(call, request, *forwarded, record.lost_attempts);
             m_state.finish_forwarded(call);
             return combine_attempts(std::move(last), std::move(result));
         }
@@ -189,8 +193,9 @@
         auto attempt = is_hedged ? send_hedged(call, request, grant, grant.hedge_after)
                                  : send_attempt(call, request, grant, is_retry, nullptr);
         last = combine_attempts(std::move(last), std::move(attempt.result));
-        const bool is_over =
-            !attempt.may_retry || record.attempts >= max_attempts || m_clock.now() >= call.deadline;
+        record.lost_attempts += attempt.lost;
+        const bool is_spent = record.attempts >= max_attempts || record.lost_attempts >= max_lost_attempts;
+        const bool is_over = !attempt.may_retry || is_spent || m_clock.now() >= call.deadline;
         if (is_over || !m_state.try_retry(call.service)) {
             return last;
         }
@@ -240,12 +245,13 @@
 call_handler::attempt_outcome call_handler::send_hedged(const call_info& call, const http_request& request,
                                                         const request_grant& grant, duration delay) {
     const auto race = std::make_shared<hedged_call<attempt_outcome>>();
+    const auto second_lost = std::make_shared<std::atomic<int>>(0);
     const auto is_good = [](const attempt_outcome& attempt) {
         return attempt.result.outcome == call_outcome::done && !attempt.may_retry;
     };
     // The first copy waits for a second one that has begun, so `call` and `request` outlive it.
     const auto second =
-        m_hedges.schedule(m_clock.now() + delay, [this, race, &call, &request, &grant, is_good] {
+        m_hedges.schedule(m_clock.now() + delay, [this, race, second_lost, &call, &request, &grant, is_good] {
             if (!race->start_second()) {
                 return;
             }
@@ -254,6 +260,7 @@
                 attempt = send_attempt(call, request, *other, true, &race->second);
                 m_metrics.count("poplarpitch_hedges_total", {call.tenant, call.service, ""});
             }
+            *second_lost = attempt.lost;
             const bool is_winner = is_good(attempt);
             race->finish(std::move(attempt), is_winner, true, race->first);
         });
@@ -263,6 +270,7 @@
         race->finish(own, true, false, race->second);
     }
     auto answer = race->take_answer();
+    own.lost += *second_lost;
     return answer.has_value() ? std::move(*answer) : std::move(own);
 }
 
@@ -290,7 +298,7 @@
         return {make_unknown(code, exchange.error == transport_errc::too_large
                                        ? "the answer is too large"
                                        : "no whole answer came in time"),
-                call.is_idempotent};
+                call.is_idempotent, 1};
     }
     const auto refused = exchange.response.headers.get(header_refused);
     if (!refused.empty()) {
@@ -311,7 +319,7 @@
 }
 
 call_result call_handler::forward(const call_info& call, const http_request& request,
-                                  const forward_decision& decision) {
+                                  const forward_decision& decision, int lost_attempts) {
     http_request outgoing;
     outgoing.method = request.method;
     outgoing.target = request.target;
@@ -324,6 +332,7 @@
     outgoing.headers.add(header_deadline, absl::StrCat(left));
     outgoing.headers.add(header_idempotent, call.is_idempotent ? "true" : "false");
     outgoing.headers.add(header_forwarded, m_entry_id);
+    outgoing.headers.add(header_lost_attempts, absl::StrCat(lost_attempts));
     const auto choice = call.is_idempotent ? connection_choice::pooled : connection_choice::known_alive;
     // The other entry answers by the deadline; a little more lets that answer come through.
     auto exchange = m_targets.send(decision.address, outgoing, call.deadline + milliseconds{50}, choice);
--- a/poplarpitch/entry/call_handler.h
+++ b/poplarpitch/entry/call_handler.h
@@ -42,16 +42,19 @@
     struct call_record {
         duration queue_wait{};
         int attempts = 0;
+        int lost_attempts = 0; ///< targets that gave no answer, at this entry and those before it
     };
 
     call_result run(const call_info& call, const http_request& request, call_record& record);
     call_result run_with_intent(const call_info& call, const http_request& request, call_record& record);
     call_result run_attempts(const call_info& call, const http_request& request, call_record& record);
-    call_result forward(const call_info& call, const http_request& request, const forward_decision& decision);
+    call_result forward(const call_info& call, const http_request& request, const forward_decision& decision,
+                        int lost_attempts);
     /// Sends one attempt and says whether another one is allowed by what is known of it.
     struct attempt_outcome {
         call_result result;
         bool may_retry = false;
+        int lost = 0; ///< targets that gave no answer
     };
     attempt_outcome send_attempt(const call_info& call, const http_request& request,
                                  const request_grant& grant, bool is_retry, http_cancel* cancel);
--- a/poplarpitch/entry/call_info.h
+++ b/poplarpitch/entry/call_info.h
@@ -17,6 +17,7 @@
     bool is_idempotent = false;
     std::string key;                 ///< Idempotency-Key; empty without one
     bool is_forwarded = false;       ///< came from another entry; goes no further
+    int lost_attempts = 0;           ///< targets of other entries that gave no answer to it
     bool is_known_to_control = true; ///< the session with control is valid
 
     friend auto operator<=>(const call_info&, const call_info&) = default;
--- a/poplarpitch/entry/call_reader.cpp
+++ b/poplarpitch/entry/call_reader.cpp
@@ -75,6 +75,11 @@
         }
     }
     call.is_forwarded = request.headers.has(header_forwarded);
+    // An entry of an earlier version does not tell: nothing was lost as far as is known.
+    int lost_attempts = 0;
+    if (call.is_forwarded && absl::SimpleAtoi(request.headers.get(header_lost_attempts), &lost_attempts)) {
+        call.lost_attempts = std::max(lost_attempts, 0);
+    }
     if (call.key.empty() && !call.is_idempotent && service->require_key && !call.is_forwarded) {
         return refuse("key_required", absl::StrCat("service '", call.service, "' wants an ", header_key,
                                                    " for requests that are not idempotent"));
