--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -300,14 +300,22 @@
     [[nodiscard]] duration get_pass_interval() const;
     [[nodiscard]] std::vector<std::pair<std::int64_t, step_key>> rank_ready(time_point now) const;
     [[nodiscard]] placing_pass begin_pass(time_point now);
-    /// Places tasks of a step one by one until one finds no room.
+    /// Places tasks of a step until one finds no room.
     void place_tasks(placing_pass& pass, ready_step& ready, const step_key& key);
     /// Places the first waiting task of a step that finds room; one of a job that starves also where there is
     /// less than it asks for.
     void place_starving(placing_pass& pass, ready_step& ready, const step_key& key);
     /// Places a waiting task.
     placing place_task(placing_pass& pass, ready_step& ready, const task_key& task, bool starves);
-    void place_alike(placing_pass& pass, ready_step& ready, const step_key& key);
+    /// Returns the waiting tasks of a step that are placed with this much care.
+    [[nodiscard]] std::vector<std::uint32_t> find_waiting(const ready_step& ready, const step_key& key,
+                                                          caution care) const;
+    /// Places these tasks one by one until one finds no room.
+    void place_each(placing_pass& pass, ready_step& ready, const step_key& key,
+                    const std::vector<std::uint32_t>& indexes);
+    /// Places these tasks, which differ by their numbers alone.
+    void place_alike(placing_pass& pass, ready_step& ready, const step_key& key,
+                     const std::vector<std::uint32_t>& indexes);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
     void measure_short_demand(const placing_pass& pass);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -147,12 +147,34 @@
     }
     const auto failed = m_failed_on.lower_bound(task_key{key, 0});
     const bool has_failed = failed != m_failed_on.end() && failed->first.step == key;
-    const bool are_alike = is_plain && !has_failed && !m_suspects.has_any(key);
-    if (are_alike) {
-        place_alike(pass, ready, key);
+    if (!is_plain || has_failed) {
+        place_each(pass, ready, key, {ready.waiting.begin(), ready.waiting.end()});
         return;
     }
-    for (const auto index : std::vector(ready.waiting.begin(), ready.waiting.end())) {
+    place_alike(pass, ready, key, find_waiting(ready, key, caution::none));
+    if (m_suspects.has_any(key)) {
+        place_alike(pass, ready, key, find_waiting(ready, key, caution::apart));
+        place_each(pass, ready, key, find_waiting(ready, key, caution::alone));
+    }
+}
+
+std::vector<std::uint32_t> dispatcher::find_waiting(const ready_step& ready, const step_key& key,
+                                                    caution care) const {
+    if (care == caution::none && !m_suspects.has_any(key)) {
+        return {ready.waiting.begin(), ready.waiting.end()};
+    }
+    std::vector<std::uint32_t> found;
+    for (const auto index : ready.waiting) {
+        if (m_suspects.get_caution({key, index}) == care) {
+            found.push_back(index);
+        }
+    }
+    return found;
+}
+
+void dispatcher::place_each(placing_pass& pass, ready_step& ready, const step_key& key,
+                            const std::vector<std::uint32_t>& indexes) {
+    for (const auto index : indexes) {
         if (place_task(pass, ready, {key, index}, false) == placing::no_room) {
             return;
         }
@@ -190,9 +212,13 @@
 /// Tasks between which nothing but their number differs are placed by one look at all workers: what a task
 /// takes changes the cost of its own worker alone. Load pattern: jobs of 20 to 30 tasks a step, 1,400 starts
 /// a second on 490 workers; a look for each task took a quarter of the leader's time.
-void dispatcher::place_alike(placing_pass& pass, ready_step& ready, const step_key& key) {
+void dispatcher::place_alike(placing_pass& pass, ready_step& ready, const step_key& key,
+                             const std::vector<std::uint32_t>& indexes) {
+    if (indexes.empty()) {
+        return;
+    }
     const auto& pool = ready.job->queue.pool;
-    const auto request = make_request(ready, {key, *ready.waiting.begin()}, pass.now);
+    const auto request = make_request(ready, {key, indexes.front()}, pass.now);
     std::int64_t most_room = 0;
     std::priority_queue<candidate, std::vector<candidate>, std::greater<>> candidates;
     std::size_t place = 0;
@@ -207,10 +233,11 @@
             candidates.push({*cost, place, worker});
         }
     }
-    while (!ready.waiting.empty() && !candidates.empty()) {
+    auto next = indexes.begin();
+    while (next != indexes.end() && !candidates.empty()) {
         auto best = candidates.top();
         candidates.pop();
-        const task_key task{key, *ready.waiting.begin()};
+        const task_key task{key, *next++};
         claim(ready, task, *best.worker, pass.now);
         ready.waiting.erase(task.index);
         if (const auto cost = get_placement_cost(*best.worker, request); cost.has_value()) {
@@ -218,7 +245,7 @@
             candidates.push(best);
         }
     }
-    if (!ready.waiting.empty()) {
+    if (next != indexes.end()) {
         pass.refused.add(pool, *request.spec, most_room);
     }
 }
