--- a/poplarpitch/scheduling/crash_history.h
+++ b/poplarpitch/scheduling/crash_history.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/scheduling/crash_evidence.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -47,8 +48,7 @@
     /// Returns how long a run must last to refute the crashes, milliseconds. Thread safety: any thread while
     /// nobody changes it.
     [[nodiscard]] std::int64_t get_peace_ms() const {
-        const auto several = peace_multiple * longest_ms;
-        return several > least_peace_ms ? several : least_peace_ms;
+        return std::clamp(peace_multiple * longest_ms, least_peace_ms, most_peace_ms);
     }
 
     /// Returns true when the task is to be given up, by the evidence of its last crash. Thread safety: as
@@ -64,6 +64,8 @@
     static constexpr std::uint32_t most_crashes = 4;      ///< whether it surely ran at them or not
     static constexpr std::int64_t peace_multiple = 4;     ///< of the longest run that ended in a crash
     static constexpr std::int64_t least_peace_ms = 5'000; ///< no run that is shorter refutes anything
+    // Machines fail on their own, too: a task that lasts for days meets that more than once.
+    static constexpr std::int64_t most_peace_ms = 60'000; ///< any run that is longer does
 };
 
 } // namespace poplarpitch
--- a/unit_tests/dispatch/dispatcher_crash_test.cpp
+++ b/unit_tests/dispatch/dispatcher_crash_test.cpp
@@ -16,7 +16,9 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
+#include <vector>
 
 namespace poplarpitch {
 namespace {
@@ -78,5 +80,260 @@
     EXPECT_EQ(world.book.find_job(killer)->phase, job_phase::failed);
 }
 
+/// Takes all starts and lets the workers confirm them.
+std::vector<start_order> confirm_starts(dispatch_world& world) {
+    auto starts = world.take<start_order>();
+    for (const auto& order : starts) {
+        world.answer(order);
+    }
+    return starts;
+}
+
+/// Lets a worker list what it runs, so that it is heard.
+void list_runs(dispatch_world& world, const std::string& worker, const std::vector<start_order>& starts) {
+    hold_answer list;
+    for (const auto& order : starts) {
+        if (order.target.worker == worker) {
+            list.running.push_back({order.run, "", 50, 0});
+        }
+    }
+    world.wait_for_hold(worker);
+    world.answer_hold(worker, list);
+}
+
+/// Lets a worker list what it runs for this long.
+void run_in_peace(dispatch_world& world, const std::string& worker, const std::vector<start_order>& starts,
+                  duration length) {
+    const auto end = world.now + length;
+    while (world.now < end) {
+        list_runs(world, worker, starts);
+    }
+}
+
+/// Lets all holds at a worker fail for this long.
+void cut_off(dispatch_world& world, const std::string& worker, duration length) {
+    const auto end = world.now + length;
+    while (world.now < end) {
+        const auto* state = world.scheduler.find_worker_state(worker);
+        ASSERT_NE(state, nullptr) << "forgotten before its machine came back";
+        if (state->is_holding) {
+            world.fail_hold(worker);
+        }
+        world.advance(milliseconds{50});
+    }
+}
+
+TEST(dispatcher_crash, keeps_those_apart_that_were_beside_each_other_at_a_crash) {
+    dispatch_world world;
+    world.add_worker("first");
+    const auto job = world.submit({make_step(4)});
+    ASSERT_EQ(confirm_starts(world).size(), 4U);
+    add_workers(world, 5);
+    world.advance(milliseconds{10});
+    world.restart_worker("first", "first+");
+    const auto again = confirm_starts(world);
+    ASSERT_EQ(again.size(), 4U);
+    std::set<std::string> workers;
+    for (const auto& order : again) {
+        workers.insert(order.target.worker);
+    }
+    EXPECT_EQ(workers.size(), 4U);
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::open);
+}
+
+TEST(dispatcher_crash, gives_no_other_task_to_a_worker_that_a_task_has_for_itself) {
+    dispatch_world world;
+    world.add_worker("w");
+    const auto neighbour = world.submit({make_step(10)});
+    const auto suspect = world.submit({make_step()});
+    std::string worker = "w";
+    for (int crash = 1; crash <= 2; ++crash) {
+        ASSERT_EQ(confirm_starts(world).size(), 11U);
+        world.advance(milliseconds{300});
+        world.restart_worker(worker, worker + "+");
+        worker += "+";
+    }
+    world.cancel(neighbour);
+    EXPECT_TRUE(world.take<start_order>().empty()) << "it is tried after a pause";
+    world.add_worker("other");
+    world.advance(milliseconds{600});
+    const auto alone = confirm_starts(world);
+    ASSERT_EQ(alone.size(), 1U);
+    EXPECT_EQ(alone[0].run.task.step.job, suspect);
+    world.submit({make_step(60)});
+    const auto others = world.take<start_order>();
+    EXPECT_EQ(others.size(), 60U);
+    for (const auto& order : others) {
+        EXPECT_NE(order.target.worker, alone[0].target.worker);
+    }
+}
+
+TEST(dispatcher_crash, clears_a_task_that_runs_in_peace_and_opens_its_worker_again) {
+    dispatch_world world;
+    world.add_worker("w1");
+    auto lasting = make_step();
+    lasting.long_running = true;
+    const auto job = world.submit({lasting});
+    const task_key task{{job, 0, 0}, 0};
+    ASSERT_EQ(confirm_starts(world).size(), 1U);
+    world.advance(seconds{1});
+    world.restart_worker("w1", "w1+");
+    const auto again = confirm_starts(world);
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(world.scheduler.count_suspects(), 1U);
+    run_in_peace(world, "w1+", again, seconds{6});
+    EXPECT_EQ(world.scheduler.count_suspects(), 0U);
+    EXPECT_EQ(world.scheduler.find_worker_state("w1+")->suspects, 0U);
+    world.restart_worker("w1+", "w1++");
+    EXPECT_EQ(world.book.find_task(task)->crash.crashes, 1U) << "the first one was refuted";
+}
+
+TEST(dispatcher_crash, keeps_a_lasting_task_however_often_its_machines_fail) {
+    dispatch_world world;
+    world.add_worker("w");
+    auto lasting = make_step();
+    lasting.long_running = true;
+    const auto job = world.submit({lasting});
+    std::string worker = "w";
+    for (int crash = 1; crash <= 6; ++crash) {
+        const auto starts = confirm_starts(world);
+        ASSERT_EQ(starts.size(), 1U);
+        run_in_peace(world, worker, starts, seconds{70});
+        world.restart_worker(worker, worker + "+");
+        worker += "+";
+        world.advance(milliseconds{20});
+    }
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::open);
+}
+
+TEST(dispatcher_crash, counts_nothing_against_the_tasks_of_a_worker_that_said_it_leaves) {
+    dispatch_world world;
+    add_workers(world, 2);
+    const auto job = world.submit({make_step()});
+    const auto starts = confirm_starts(world);
+    ASSERT_EQ(starts.size(), 1U);
+    const auto& worker = starts[0].target.worker;
+    world.beat(worker, true, 2000);
+    world.restart_worker(worker, worker + "+");
+    EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 0U);
+}
+
+TEST(dispatcher_crash, counts_nothing_against_a_task_that_the_worker_surely_never_got) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto job = world.submit({make_step()});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    world.answer(starts[0], order_failure::unreachable);
+    world.restart_worker("w1", "w1+");
+    EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 0U);
+}
+
+TEST(dispatcher_crash, counts_a_worker_that_comes_back_after_its_lease_was_over) {
+    dispatch_world world;
+    add_workers(world, 2);
+    const auto job = world.submit({make_step()});
+    const auto starts = confirm_starts(world);
+    ASSERT_EQ(starts.size(), 1U);
+    const auto& worker = starts[0].target.worker;
+    cut_off(world, worker, seconds{15});
+    ASSERT_EQ(confirm_starts(world).size(), 1U) << "the lease was over";
+    EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 0U) << "it may only be out of reach";
+    world.restart_worker(worker, worker + "+");
+    EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 1U);
+}
+
+TEST(dispatcher_crash, counts_nothing_where_a_worker_that_was_cut_off_is_heard_again) {
+    dispatch_world world;
+    add_workers(world, 2);
+    const auto job = world.submit({make_step()});
+    const auto starts = confirm_starts(world);
+    ASSERT_EQ(starts.size(), 1U);
+    const auto& worker = starts[0].target.worker;
+    cut_off(world, worker, seconds{10});
+    while (!world.scheduler.find_worker_state(worker)->is_holding) {
+        world.advance(milliseconds{50});
+    }
+    EXPECT_FALSE(world.scheduler.find_worker_state(worker)->lapsed.empty());
+    world.answer_hold(worker, dispatch_world::make_list());
+    EXPECT_TRUE(world.scheduler.find_worker_state(worker)->lapsed.empty());
+    EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 0U);
+}
+
+TEST(dispatcher_crash, starts_no_copy_of_what_may_have_crashed_its_worker) {
+    dispatch_world world;
+    add_workers(world, 3);
+    auto step = make_step();
+    step.speculative = true;
+    step.estimate_ms = 200;
+    world.submit({step});
+    const auto starts = confirm_starts(world);
+    ASSERT_EQ(starts.size(), 1U);
+    const auto& worker = starts[0].target.worker;
+    const auto end = world.now + seconds{3};
+    while (world.now < end) {
+        if (world.scheduler.find_worker_state(worker)->is_holding) {
+            world.fail_hold(worker);
+        }
+        world.advance(milliseconds{50});
+        EXPECT_TRUE(world.take<start_order>().empty());
+    }
+}
+
+TEST(dispatcher_crash, gives_up_a_gang_with_a_member_that_crashes_its_workers) {
+    dispatch_world world;
+    add_workers(world, 6);
+    auto gang = make_step(3);
+    gang.gang = true;
+    const auto job = world.submit({gang});
+    int crashes = 0;
+    for (int turn = 0; turn < 20 * many_rounds; ++turn) {
+        for (const auto& order : confirm_starts(world)) {
+            if (order.run.task.index == 0) {
+                ++crashes;
+                world.advance(milliseconds{10});
+                world.restart_worker(order.target.worker, order.target.worker + "+");
+            }
+        }
+        for (const auto& stop : world.take<stop_order>()) {
+            world.answer(stop);
+        }
+        for (const auto& hold : world.take<hold_order>()) {
+            world.answer_hold(hold.target.worker, dispatch_world::make_list());
+        }
+        world.advance(milliseconds{100});
+    }
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::failed);
+    EXPECT_LE(crashes, most_starts);
+}
+
+TEST(dispatcher_crash, gives_up_a_lasting_task_alike) {
+    dispatch_world world;
+    add_workers(world, 4);
+    auto lasting = make_step();
+    lasting.long_running = true;
+    const auto killer = world.submit({lasting});
+    EXPECT_LE(crash_at_each_start(world, killer, many_rounds), most_starts);
+    EXPECT_EQ(world.book.find_job(killer)->phase, job_phase::failed);
+}
+
+TEST(dispatcher_crash, gives_up_a_timed_job_for_a_task_of_one_occurrence) {
+    dispatch_world world;
+    add_workers(world, 4);
+    const auto killer = world.submit_timed({make_step()}, {3, world.wall_ms, 60'000});
+    EXPECT_LE(crash_at_each_start(world, killer, many_rounds), most_starts);
+    EXPECT_EQ(world.book.find_job(killer)->phase, job_phase::failed);
+}
+
+TEST(dispatcher_crash, holds_no_checkpoint_for_a_proof_of_innocence) {
+    dispatch_world world;
+    add_workers(world, 4);
+    auto step = make_step();
+    step.checkpointing = true;
+    const auto killer = world.submit({step});
+    EXPECT_LE(crash_at_each_start(world, killer, many_rounds), most_starts);
+    EXPECT_EQ(world.book.find_job(killer)->phase, job_phase::failed);
+}
+
 } // namespace
 } // namespace poplarpitch
--- a/unit_tests/scheduling/job_book_test.cpp
+++ b/unit_tests/scheduling/job_book_test.cpp
@@ -84,6 +84,73 @@
     EXPECT_EQ(apply(book, make_assign({{1, 0, 0}, 0}, 1, "w1")), command_outcome::refused);
 }
 
+job_wire::job_command make_crash(const task_key& task, std::uint32_t run, const std::string& worker) {
+    auto command = make_end(task, run, worker, run_end::lost);
+    command.mutable_end()->set_crash(static_cast<std::uint32_t>(crash_evidence::clear));
+    return command;
+}
+
+job_wire::job_command make_late_crash(const task_key& task, std::uint32_t run, const std::string& worker) {
+    job_wire::job_command command;
+    encode(task, *command.mutable_crash()->mutable_task());
+    command.mutable_crash()->set_run(run);
+    command.mutable_crash()->set_worker(worker);
+    command.mutable_crash()->set_crash(static_cast<std::uint32_t>(crash_evidence::possible));
+    return command;
+}
+
+TEST(job_book, counts_a_crash_once_that_is_told_twice_or_by_two_ways) {
+    job_book book;
+    apply(book, make_submit(make_job(1, 1)));
+    const task_key task{{1, 0, 0}, 0};
+    apply(book, make_assign(task, 1, "w1"));
+    EXPECT_EQ(apply(book, make_crash(task, 1, "w1")), command_outcome::applied);
+    EXPECT_EQ(apply(book, make_crash(task, 1, "w1")), command_outcome::repeated);
+    apply(book, make_late_crash(task, 1, "w1"));
+    EXPECT_EQ(book.find_task(task)->crash.crashes, 1U);
+}
+
+TEST(job_book, counts_a_crash_that_is_found_out_after_the_run_was_given_up) {
+    job_book book;
+    apply(book, make_submit(make_job(1, 1)));
+    const task_key task{{1, 0, 0}, 0};
+    apply(book, make_assign(task, 1, "w1"));
+    apply(book, make_end(task, 1, "w1", run_end::lost));
+    apply(book, make_assign(task, 2, "w2"));
+    apply(book, make_late_crash(task, 1, "w1"));
+    EXPECT_EQ(book.find_task(task)->crash.crashes, 1U);
+    EXPECT_EQ(book.find_task(task)->runs.size(), 1U) << "its next run goes on";
+}
+
+TEST(job_book, keeps_crashes_through_a_snapshot_and_takes_one_of_an_older_version_for_none) {
+    job_book book;
+    apply(book, make_submit(make_job(1, 1)));
+    const task_key task{{1, 0, 0}, 0};
+    apply(book, make_assign(task, 1, "w1"));
+    apply(book, make_crash(task, 1, "w1"));
+    job_book other;
+    ASSERT_TRUE(other.load(book.save()));
+    EXPECT_EQ(other.find_task(task)->crash, book.find_task(task)->crash);
+    job_wire::job_book_snapshot older;
+    ASSERT_TRUE(older.ParseFromString(book.save()));
+    older.mutable_jobs(0)->mutable_occurrences(0)->mutable_steps(0)->mutable_tasks(0)->clear_crash();
+    ASSERT_TRUE(other.load(older.SerializeAsString()));
+    EXPECT_EQ(other.find_task(task)->crash, crash_history{});
+}
+
+TEST(job_book, fails_a_job_whose_task_crashed_its_workers_and_keeps_it_so) {
+    job_book book;
+    apply(book, make_submit(make_job(1, 2)));
+    const task_key task{{1, 0, 0}, 0};
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        apply(book, make_assign(task, run, "w" + std::to_string(run)));
+        apply(book, make_crash(task, run, "w" + std::to_string(run)));
+    }
+    EXPECT_EQ(book.find_job(1)->phase, job_phase::failed);
+    EXPECT_EQ(apply(book, make_assign(task, 3, "w3")), command_outcome::refused);
+    EXPECT_EQ(apply(book, make_assign({{1, 0, 0}, 1}, 1, "w3")), command_outcome::refused);
+}
+
 TEST(job_book, keeps_the_newest_configuration_whatever_the_order) {
     job_book book;
     const auto put = [&](std::uint64_t version) {
