--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -270,7 +270,9 @@
     [[nodiscard]] static std::optional<duration> get_age_at_loss(const run_track& track, time_point now);
     /// Returns what the loss of its worker says of a run, if the worker crashed.
     [[nodiscard]] run_loss judge_loss(const run_track& track, time_point now) const;
-    /// Returns that for all runs of a worker that have not ended.
+    [[nodiscard]] crash_evidence compare_with_neighbours(const run_track& track,
+                                                         std::optional<duration> age) const;
+    /// Returns what is judged of all runs of a worker that have not ended.
     [[nodiscard]] std::vector<lapsed_run> judge_runs(const worker_state& worker, time_point now) const;
     void propose_crash(const lapsed_run& lapsed, const std::string& worker);
     void on_task_crashed(const book_event& event, time_point now);
--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -45,26 +45,30 @@
     return std::max(end - begin, duration{0});
 }
 
-/// A worker that said that it leaves has not crashed, whatever became of it. Of one that crashed every task
-/// is a suspect. Against one that was alone there the evidence is stronger, and against one that had just
-/// begun, now and at the crash before, where no other suspect was there.
+/// A worker that said that it leaves has not crashed, whatever became of it. What was cut off may have
+/// crashed, or its runs may have ended, at any time since; only where the last connection broke off, as it
+/// does with a process, a run that was confirmed was surely there.
 run_loss dispatcher::judge_loss(const run_track& track, time_point now) const {
     const auto& worker = *track.host;
     const auto age = get_age_at_loss(track, now);
+    const bool is_confirmed = track.confirmed_at != time_point{};
     run_loss loss;
-    loss.age_ms = track.confirmed_at != time_point{} && age.has_value() ? to_milliseconds(*age) : 0;
+    loss.age_ms = is_confirmed && age.has_value() ? to_milliseconds(*age) : 0;
     if (worker.is_leaving || m_book.is_retired(worker.report.id) || !may_have_begun(track)) {
         return loss;
     }
-    // What was cut off may have crashed, or its runs may have ended, at any time since.
     const bool was_heard = worker.hold_failures > 0 ? worker.has_broken_off : !worker.is_holding;
-    if (track.confirmed_at == time_point{} || !was_heard) {
-        loss.crash = crash_evidence::possible;
-        return loss;
-    }
+    loss.crash = is_confirmed && was_heard ? compare_with_neighbours(track, age) : crash_evidence::possible;
+    return loss;
+}
+
+/// The evidence is stronger against a task that was alone, and against one that had just begun, now and at
+/// the crash before, where no other suspect was there.
+crash_evidence dispatcher::compare_with_neighbours(const run_track& track,
+                                                   std::optional<duration> age) const {
     bool is_alone = true;
     bool is_only_suspect = track.care != caution::none;
-    for (const auto& [key, other] : worker.runs) {
+    for (const auto& [key, other] : track.host->runs) {
         if (may_have_begun(*other) && is_other_job(track, *other)) {
             is_alone = false;
             is_only_suspect = is_only_suspect && other->care == caution::none;
@@ -74,11 +78,10 @@
     const bool is_quick =
         age.has_value() && task != nullptr &&
         has_just_begun(std::max<duration>(*age, milliseconds{task->crash.longest_ms}), track.get_spec());
-    loss.crash = crash_evidence::shared;
-    if (is_alone || (is_only_suspect && is_quick)) {
-        loss.crash = is_alone && is_quick ? crash_evidence::clear : crash_evidence::likely;
+    if (is_alone) {
+        return is_quick ? crash_evidence::clear : crash_evidence::likely;
     }
-    return loss;
+    return is_only_suspect && is_quick ? crash_evidence::likely : crash_evidence::shared;
 }
 
 /// All are judged before one of them ends: each is a neighbour of the others.
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -63,6 +63,7 @@
     dispatch.stop_limit = reader.get_duration("stop_limit", dispatch.stop_limit);
     dispatch.keep_ended = reader.get_duration("keep_ended", dispatch.keep_ended) + seconds{5};
     dispatch.lasting_share = reader.get_number("lasting_share", dispatch.lasting_share, 0.05, 1);
+    dispatch.room_age = reader.get_duration("room_age", dispatch.room_age);
     dispatch.most_lag = reader.get_duration("most_lag", dispatch.most_lag);
     dispatch.max_open_jobs = reader.get_integer("max_open_jobs", dispatch.max_open_jobs, 1, 10'000'000);
 }
