--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -193,7 +193,7 @@
                                            bool starves) {
     auto request = make_request(ready, task, pass.now);
     request.is_starving = starves;
-    const bool wants_own = request.care == caution::alone && request.is_patient;
+    const bool wants_own = request.wants_own_worker();
     if (!m_suspects.may_start(task, pass.now) || (wants_own && pass.probations_left == 0)) {
         return placing::held;
     }
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -78,8 +78,7 @@
 
 /// Returns true when a suspect is or would be the only task of the worker.
 bool is_kept_apart(const worker_state& worker, const placement_request& request) {
-    const bool wants_own = request.care == caution::alone && request.is_patient;
-    return worker.probations > 0 || (wants_own && !worker.runs.empty());
+    return worker.probations > 0 || (request.wants_own_worker() && !worker.runs.empty());
 }
 
 /// Best fit: the fuller a worker that still holds the task, the better.
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -31,6 +31,9 @@
     std::string excluded;    ///< a worker that is no choice: a copy is to run elsewhere
 
     friend bool operator==(const placement_request&, const placement_request&) = default;
+
+    /// Returns true while the task waits for a worker that runs nothing. Thread safety: any thread.
+    [[nodiscard]] bool wants_own_worker() const { return care == caution::alone && is_patient; }
 };
 
 /// Returns what a task of a step takes of a worker: the processor time of one that fills does not count.
