Tell one life of a worker from the next in reports, lists and logs; look each second for tasks that stand still

- The start time that workers tell of their process (whole milliseconds) is read from heartbeats and lists, carried by relays and logged: worker_seen born_ms, worker_started_again.
One that cannot be read makes the heartbeat malformed and the list no answer.
- end_passed_over, run_not_listed: a run that counts as running whose end is taken for an old one, or that its worker's list lacks.
- task_stuck, poplarpitch_tasks_stuck: each second every task of an open job is looked for among those that wait, those that run and those whose end is under way; one that is none of them, or that runs at a worker whose lists lack it, is told with its reason.

--- a/poplarpitch/dispatch/dispatch_counts.h
+++ b/poplarpitch/dispatch/dispatch_counts.h
@@ -23,6 +23,7 @@
     std::uint64_t given_up = 0;      ///< of them, those whose job was given up for it
     std::uint64_t failed_runs = 0;
     std::uint64_t done_runs = 0;
+    std::uint64_t stuck_tasks = 0; ///< at the last look, tasks that nothing will bring to their end
 
     friend auto operator<=>(const dispatch_counts&, const dispatch_counts&) = default;
 };
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -103,6 +103,8 @@
     m_timings.clear();
     m_next_watch = {};
     m_next_pools = {};
+    m_next_audit = {};
+    m_counts.stuck_tasks = 0;
 }
 
 // ---- jobs
@@ -148,13 +150,10 @@
 }
 
 void dispatcher::consider_step(const job_record& record, const step_key& key, time_point now) {
-    const auto& spec = record.job->steps[key.step];
-    for (const auto earlier : spec.depends_on) {
-        const auto* step = record.find_step(key.occurrence, earlier);
-        if (step == nullptr || !step->is_done()) {
-            return;
-        }
+    if (!record.may_begin(key.occurrence, key.step)) {
+        return;
     }
+    const auto& spec = record.job->steps[key.step];
     const auto* step = record.find_step(key.occurrence, key.step);
     for (std::uint32_t index = 0; index < spec.count; ++index) {
         // An occurrence without a record has not begun: all of its tasks wait.
@@ -372,6 +371,7 @@
     observe_pools(now);
     note_pressure(now);
     report_load(now);
+    audit(now);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "poplarpitch/dispatch/refused_shapes.h"
 #include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/step_advice.h"
+#include "poplarpitch/dispatch/stuck_task.h"
 #include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/work_forecast.h"
 #include "poplarpitch/dispatch/worker_state.h"
@@ -126,6 +127,9 @@
     [[nodiscard]] const worker_state* find_worker_state(const std::string& id) const {
         return m_workers.find(id);
     }
+    /// Returns the tasks of open jobs that nothing will bring to their end, in order: none, unless there is a
+    /// fault.
+    [[nodiscard]] std::vector<stuck_task> find_stuck(time_point now) const;
     /// Returns the track of a run, or null.
     [[nodiscard]] const run_track* find_track(const run_key& key) const;
 
@@ -214,8 +218,8 @@
                          run_stage stage, time_point now);
     void drop_track(const run_key& key, time_point now);
     run_track* find(const run_key& key);
-    void propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number,
-                     const run_loss& loss = {});
+    void propose_end(run_track& track, run_end end, time_point now, const std::string& saved = {},
+                     std::uint64_t number = 0, const run_loss& loss = {});
     void send_start(run_track& track, time_point now);
     void send_stop(run_track& track, time_point now);
     void stop_run(run_track& track, time_point now);
@@ -238,6 +242,8 @@
     /// Returns when the worker is to be looked at again at the latest.
     [[nodiscard]] time_point get_next_look(const worker_state& worker, time_point now) const;
     void add_load(worker_state& worker, run_track& track, int sign);
+    /// Logs that a worker's process has started again, where it tells another start time than before.
+    static void note_start_time(const worker_state& worker, std::int64_t born_ms, const char* from);
     /// Takes until when a worker's last heartbeat tells its room.
     void note_room(worker_state& worker) const;
     /// Takes a worker's clock from a heartbeat, which may be late.
@@ -250,7 +256,7 @@
     void take_rows(worker_state& worker, const hold_answer& answer, time_point now);
     void take_end(worker_state& worker, const end_row& row, time_point now);
     /// Ends runs that the worker lacks in its list. Precondition: `listed` is sorted.
-    void find_vanished(worker_state& worker, const std::vector<run_key>& listed);
+    void find_vanished(worker_state& worker, const std::vector<run_key>& listed, time_point now);
     void stop_stray(worker_state& worker, const run_key& key);
     void grant_lease(worker_state& worker, time_point now);
     /// Returns how long after it was sent a lease may count at its worker, by this clock.
@@ -279,6 +285,12 @@
     void clear_suspects(worker_state& worker, time_point now);
     static void add_care(worker_state& worker, caution care, int sign);
 
+    // tasks that stand still
+    [[nodiscard]] std::optional<stuck_reason> find_stuck_reason(const run_track& track, time_point now) const;
+    void find_stuck_tasks(const job_record& record, const step_key& key,
+                          std::vector<stuck_task>& stuck) const;
+    void audit(time_point now);
+
     // advice
     [[nodiscard]] std::string find_ticket(const step_key& step, const std::string& worker,
                                           time_point now) const;
@@ -370,6 +382,7 @@
     time_point m_next_copies{}; ///< when slow runs are looked for again
     time_point m_next_pools{};  ///< when the use of pools is looked at again
     time_point m_next_report{};
+    time_point m_next_audit{};
     time_point m_next_note{};
 };
 
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -62,7 +62,7 @@
         auto line = log_event(log_level::warn, "run_lost");
         line.add("reason", reason);
         add_loss(line, track, now);
-        propose_end(track, run_end::lost, {}, 0, run.loss);
+        propose_end(track, run_end::lost, now, {}, 0, run.loss);
     }
     for (const auto& run : worker.lapsed) {
         if (run.loss.crash != crash_evidence::none) {
@@ -91,7 +91,7 @@
         ++m_counts.lost_runs;
         auto line = log_event(log_level::warn, "lease_lapsed");
         add_loss(line, track, now);
-        propose_end(track, run_end::lost, {}, 0, {crash_evidence::none, run.loss.age_ms});
+        propose_end(track, run_end::lost, now, {}, 0, {crash_evidence::none, run.loss.age_ms});
         const auto crash = std::min(run.loss.crash, crash_evidence::possible);
         worker.lapsed.push_back({run.run, {crash, run.loss.age_ms}});
     }
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -67,12 +67,13 @@
     return found == m_tracks.end() ? nullptr : &found->second;
 }
 
-void dispatcher::propose_end(run_track& track, run_end end, const std::string& saved, std::uint64_t number,
-                             const run_loss& loss) {
+void dispatcher::propose_end(run_track& track, run_end end, time_point now, const std::string& saved,
+                             std::uint64_t number, const run_loss& loss) {
     if (track.is_ending) {
         return;
     }
     track.is_ending = true;
+    track.ending_since = now;
     job_wire::job_command command;
     auto& message = *command.mutable_end();
     encode(track.key.task, *message.mutable_task());
@@ -238,6 +239,7 @@
         ++m_counts.started;
         track->stage = run_stage::running;
         track->confirmed_at = now;
+        track->listed_at = now;
         track->has_known_start = true;
         note_started(key.task.step.job, now);
         auto event = log_event(log_level::info, "run_started");
@@ -270,6 +272,7 @@
         // An earlier start of this run was carried out, and the run has ended: the list says how.
         track.stage = run_stage::running;
         track.confirmed_at = now;
+        track.listed_at = now;
         hold_soon(worker, now);
         return;
     case order_failure::other_life:
@@ -304,7 +307,7 @@
         stop_run(track, now); // once the worker has answered that, no earlier start is carried out
         return;
     }
-    propose_end(track, run_end::not_started, {}, 0);
+    propose_end(track, run_end::not_started, now);
 }
 
 void dispatcher::on_stop(const run_key& key, const std::string& worker, const order_answer& answer,
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -2,6 +2,7 @@
 #include "poplarpitch/dispatch/dispatcher.h"
 
 #include "poplarpitch/dispatch/placement.h"
+#include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
@@ -63,6 +64,9 @@
         return worker.is_leaving && !m_book.is_retired(report.id); // late; only what it asks for counts
     }
     const bool is_new = !worker.has_report;
+    if (!is_new) {
+        note_start_time(worker, report.born_ms, "heartbeat");
+    }
     worker.report = report;
     worker.report_sequence = report.sequence;
     worker.has_report = true;
@@ -74,6 +78,7 @@
         m_workers.look_at(worker, now);
         log_event(log_level::info, "worker_seen")
             .add("worker", report.id)
+            .add("born_ms", report.born_ms)
             .add("address", report.address)
             .add("pool", report.pool)
             .add("rack", report.rack)
@@ -122,6 +127,20 @@
     return true;
 }
 
+void dispatcher::note_start_time(const worker_state& worker, std::int64_t born_ms, const char* from) {
+    if (born_ms == worker.report.born_ms) {
+        return;
+    }
+    log_event(log_level::warn, "worker_started_again")
+        .add("worker", worker.report.id)
+        .add("born_ms", born_ms)
+        .add("known_born_ms", worker.report.born_ms)
+        .add("from", from)
+        .add("runs", static_cast<std::uint64_t>(worker.runs.size()))
+        .add("seen", worker.seen)
+        .add("acknowledged", worker.acknowledged);
+}
+
 void dispatcher::note_room(worker_state& worker) const {
     const auto* pool = m_book.get_configuration().find_pool(worker.report.pool);
     const bool guards_room = pool == nullptr || pool->enforces_capacity;
@@ -234,6 +253,7 @@
     if (worker->is_silent()) {
         log_event(log_level::info, "worker_heard_again").add("worker", id);
     }
+    note_start_time(*worker, outcome.answer.born_ms, "list");
     worker->lapsed.clear(); // it was out of reach and has not crashed
     worker->hold_failures = 0;
     note_heard(*worker, now);
@@ -262,6 +282,7 @@
 }
 
 void dispatcher::take_rows(worker_state& worker, const hold_answer& answer, time_point now) {
+    worker.listed_at = now;
     std::vector<run_key> listed;
     listed.reserve(answer.running.size() + answer.ended.size());
     for (const auto& row : answer.running) {
@@ -279,6 +300,7 @@
             track->confirmed_at = now;
             note_started(row.run.task.step.job, now);
         }
+        track->listed_at = now;
         track->percent = row.percent;
         track->level = row.level;
     }
@@ -288,7 +310,7 @@
     }
     if (answer.ended.size() < max_ended_rows) {
         std::sort(listed.begin(), listed.end());
-        find_vanished(worker, listed);
+        find_vanished(worker, listed, now);
     }
     update_acknowledged(worker);
     clear_suspects(worker, now);
@@ -296,11 +318,19 @@
 }
 
 void dispatcher::take_end(worker_state& worker, const end_row& row, time_point now) {
+    auto* track = find(row.run);
     if (row.number <= worker.seen) {
+        if (track != nullptr && !track->is_ending) {
+            auto line = log_event(log_level::warn, "end_passed_over");
+            add_run(line, row.run);
+            line.add("worker", worker.report.id)
+                .add("end", get_end_name(row.end))
+                .add("number", row.number)
+                .add("seen", worker.seen);
+        }
         return;
     }
     worker.seen = row.number;
-    auto* track = find(row.run);
     if (track == nullptr || track->worker != worker.report.id || track->is_ending) {
         return; // an earlier leader's, or given up before
     }
@@ -312,11 +342,11 @@
     }
     ++worker.ends_committing;
     const bool has_known_age = track->confirmed_at != time_point{};
-    propose_end(*track, row.end, row.saved, row.number,
+    propose_end(*track, row.end, now, row.saved, row.number,
                 {crash_evidence::none, has_known_age ? to_milliseconds(now - track->confirmed_at) : 0});
 }
 
-void dispatcher::find_vanished(worker_state& worker, const std::vector<run_key>& listed) {
+void dispatcher::find_vanished(worker_state& worker, const std::vector<run_key>& listed, time_point now) {
     for (const auto& [key, run] : worker.runs) {
         auto& track = *run;
         if (track.is_ending || std::binary_search(listed.begin(), listed.end(), key)) {
@@ -328,7 +358,13 @@
                                track.confirmed_at < worker.hold_sent;
         const bool was_stopped = track.is_stop_answered && track.stop_answered_at < worker.hold_sent;
         if (never_came || was_there || was_stopped) {
-            propose_end(track, run_end::not_started, {}, 0);
+            auto line = log_event(log_level::info, "run_not_listed");
+            add_run(line, key);
+            line.add("worker", worker.report.id)
+                .add("seen", worker.seen)
+                .add("told", worker.told)
+                .add("was_there", was_there ? "yes" : "no");
+            propose_end(track, run_end::not_started, now);
         }
     }
 }
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -34,6 +34,7 @@
     run_stage stage = run_stage::committing;
     caution care = caution::none; ///< with which its task was placed
     bool is_ending = false;       ///< its end is on its way into the log
+    time_point ending_since{};
     bool is_stop_wanted = false;
     bool is_stop_answered = false; ///< the worker has taken the stop; `stop_answered_at` says when
     bool is_order_out = false;     ///< a start or stop is under way
@@ -41,6 +42,7 @@
     time_point confirmed_at{};    ///< when the start was answered or first listed; zero before
     bool has_known_start = false; ///< its start was answered: `confirmed_at` is when it began
     time_point stop_answered_at{};
+    time_point listed_at{};     ///< when its worker listed it last, or its start was answered
     time_point next_order{};    ///< earliest time of the next start or stop order
     bool may_come_late = false; ///< a start had no answer: it may be carried out seconds later
     std::int64_t percent = 0;
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -47,7 +47,8 @@
 
     bool is_holding = false; ///< a hold is under way
     time_point hold_sent{};
-    time_point hold_due{}; ///< by then the hold under way has an answer or has none
+    time_point listed_at{}; ///< when its last list came
+    time_point hold_due{};  ///< by then the hold under way has an answer or has none
     time_point next_hold{};
     int hold_failures = 0;       ///< in a row
     time_point failing_since{};  ///< when the first of them came; of use only while there are some
--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -142,6 +142,7 @@
         message.set_sequence(report.sequence);
         message.set_clock_ms(report.clock_ms);
         message.set_told(known.told);
+        message.set_born_ms(report.born_ms);
         return;
     }
     tell(known);
--- a/poplarpitch/relay/relay_codec.cpp
+++ b/poplarpitch/relay/relay_codec.cpp
@@ -168,6 +168,7 @@
 void encode(const hold_outcome& outcome, job_wire::relayed_answer& message) {
     message.set_failure(outcome.failure.has_value() ? static_cast<std::uint32_t>(*outcome.failure) : 0);
     message.set_clock_ms(outcome.answer.clock_ms);
+    message.set_born_ms(outcome.answer.born_ms);
     for (const auto& row : outcome.answer.running) {
         auto& item = *message.add_running();
         encode_run(row.run, item);
@@ -190,6 +191,7 @@
         outcome.failure = static_cast<order_failure>(message.failure());
     }
     outcome.answer.clock_ms = message.clock_ms();
+    outcome.answer.born_ms = message.born_ms();
     outcome.answer.running.reserve(static_cast<std::size_t>(message.running_size()));
     for (const auto& item : message.running()) {
         outcome.answer.running.push_back({decode_run(item), item.saved(), item.percent(), item.level()});
@@ -206,6 +208,7 @@
     message.set_worker(report.id);
     message.set_sequence(report.sequence);
     message.set_clock_ms(report.clock_ms);
+    message.set_born_ms(report.born_ms);
     message.set_is_whole(true);
     message.set_address(report.address);
     message.set_pool(report.pool);
@@ -221,7 +224,7 @@
 }
 
 sign_of_life decode_sign_of_life(const job_wire::relayed_report& message) {
-    return {message.worker(), message.sequence(), message.told(), message.clock_ms()};
+    return {message.worker(), message.sequence(), message.told(), message.clock_ms(), message.born_ms()};
 }
 
 worker_report decode(const job_wire::relayed_report& message) {
@@ -229,6 +232,7 @@
     report.id = message.worker();
     report.sequence = message.sequence();
     report.clock_ms = message.clock_ms();
+    report.born_ms = message.born_ms();
     report.address = message.address();
     report.pool = message.pool();
     report.data_centre = message.data_centre();
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -76,6 +76,7 @@
     set("poplarpitch_config_version", parts.book.get_configuration().version);
     set("poplarpitch_jobs_known", parts.book.get_jobs().size());
     set("poplarpitch_workers", parts.dispatch.get_workers().size());
+    set("poplarpitch_tasks_stuck", counts.stuck_tasks);
     set("poplarpitch_tasks_waiting", parts.dispatch.count_waiting());
     return m_registry.format();
 }
--- a/poplarpitch/scheduling/hold_answer.h
+++ b/poplarpitch/scheduling/hold_answer.h
@@ -35,6 +35,7 @@
     std::int64_t clock_ms = 0; ///< the worker's clock
     std::vector<run_row> running;
     std::vector<end_row> ended; ///< at most `max_ended_rows` at a time
+    std::int64_t born_ms = 0;   ///< Unix time at which the worker's process started; 0 when not told
 
     friend bool operator==(const hold_answer&, const hold_answer&) = default;
 };
--- a/poplarpitch/scheduling/job_record.cpp
+++ b/poplarpitch/scheduling/job_record.cpp
@@ -1,5 +1,7 @@
 #include "poplarpitch/scheduling/job_record.h"
 
+#include <algorithm>
+
 namespace poplarpitch {
 
 task_record* job_record::find_task(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) {
@@ -19,6 +21,14 @@
     return &found->second.steps[step];
 }
 
+bool job_record::may_begin(std::uint32_t occurrence, std::uint32_t step) const {
+    const auto& earlier = job->steps[step].depends_on;
+    return std::all_of(earlier.begin(), earlier.end(), [&](std::uint32_t number) {
+        const auto* other = find_step(occurrence, number);
+        return other != nullptr && other->is_done();
+    });
+}
+
 occurrence_record& job_record::get_occurrence(std::uint32_t occurrence) {
     const auto [item, is_new] = occurrences.try_emplace(occurrence);
     if (is_new) {
--- a/poplarpitch/scheduling/job_record.h
+++ b/poplarpitch/scheduling/job_record.h
@@ -65,6 +65,8 @@
     [[nodiscard]] task_record* find_task(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index);
     /// Returns the step, or null as above. Thread safety: any thread while nobody changes it.
     [[nodiscard]] const step_record* find_step(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Returns true when all steps that this one depends on are done. Thread safety: as above.
+    [[nodiscard]] bool may_begin(std::uint32_t occurrence, std::uint32_t step) const;
     /// Returns the occurrence, made when it is missing. Precondition: the number is below the job's count.
     occurrence_record& get_occurrence(std::uint32_t occurrence);
 };
--- a/poplarpitch/scheduling/worker_report.h
+++ b/poplarpitch/scheduling/worker_report.h
@@ -43,6 +43,7 @@
     std::string worker;
     std::uint64_t sequence = 0; ///< as in the whole report
     std::uint64_t told = 0;     ///< sequence of the whole report that it repeats
+    std::int64_t born_ms = 0;   ///< as in the whole report
     std::int64_t clock_ms = 0;  ///< the worker's own clock
 
     friend bool operator==(const sign_of_life&, const sign_of_life&) = default;
@@ -62,6 +63,7 @@
     std::int64_t remaining_ms = 0; ///< while leaving: how long it stays at least
     std::int64_t clock_ms = 0;     ///< its own clock
     std::uint64_t sequence = 0;    ///< rises with each heartbeat, so a late one is known
+    std::int64_t born_ms = 0;      ///< Unix time at which its process started; 0 when not told
 
     friend bool operator==(const worker_report&, const worker_report&) = default;
 
--- a/unit_tests/platform/dialect_test.cpp
+++ b/unit_tests/platform/dialect_test.cpp
@@ -196,6 +196,19 @@
     EXPECT_EQ(read_hold_answer(response).failure, order_failure::unanswered);
 }
 
+TEST(platform_worker, reads_when_the_process_started_that_sends_a_list) {
+    http_response response;
+    response.body = R"({"clockMs":1,"running":[],"ended":[],"born":1764749492123})";
+    EXPECT_EQ(read_hold_answer(response).answer.born_ms, 1764749492123);
+    response.body = R"({"clockMs":1,"running":[],"ended":[]})";
+    EXPECT_EQ(read_hold_answer(response).answer.born_ms, 0) << "a deployment whose workers do not tell it";
+    for (const auto* born :
+         {"\"1764749492123\"", "1764749492123.5", "0", "-4", "null", "true", "1e300", "[1]"}) {
+        response.body = std::string(R"({"clockMs":1,"running":[],"ended":[],"born":)") + born + "}";
+        EXPECT_EQ(read_hold_answer(response).failure, order_failure::unanswered) << born;
+    }
+}
+
 TEST(platform_worker, reads_why_an_order_was_refused) {
     const auto read = [](int status, const std::string& reason) {
         http_response response;
--- a/unit_tests/platform/malformed_call_test.cpp
+++ b/unit_tests/platform/malformed_call_test.cpp
@@ -32,6 +32,20 @@
     return read_control_call(request);
 }
 
+TEST(malformed_call, takes_no_worker_from_a_heartbeat_whose_start_time_cannot_be_read) {
+    auto body = nlohmann::json::parse(sound_heartbeat);
+    body["born"] = 1764749492123;
+    const auto sound = read_heartbeat(body.dump());
+    ASSERT_TRUE(std::holds_alternative<heartbeat_call>(sound));
+    EXPECT_EQ(std::get<heartbeat_call>(sound).report.born_ms, 1764749492123);
+    for (const nlohmann::json& born :
+         {nlohmann::json("1764749492123"), nlohmann::json(1764749492123.5), nlohmann::json(0),
+          nlohmann::json(-4), nlohmann::json(nullptr), nlohmann::json(true), nlohmann::json::array({1})}) {
+        body["born"] = born;
+        EXPECT_TRUE(std::holds_alternative<malformed_call>(read_heartbeat(body.dump()))) << born.dump();
+    }
+}
+
 /// A value of a type that a field does not expect, or of a range that it does not.
 nlohmann::json draw_value() {
     switch (*rc::gen::inRange(0, 8)) {
