Add tests that fail: workers start again under the ids that they had

Pretended workers start again under their ids, in virtual time: at once, after a second, a third of all at one moment, beside cuts, late orders and heartbeats, new leaders, clocks that step back.

--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -18,6 +18,10 @@
 constexpr duration stop_time = milliseconds{100};
 constexpr duration contact_time = seconds{3};       // after which a leader's faults are its own
 constexpr duration room_slack = milliseconds{4100}; // shrunk room counts 3 s and one beat later
+constexpr std::int64_t longest_lease_ms = 10'000;   // a worker shortens a longer one
+constexpr std::int64_t longest_step_ms = 60'000;
+constexpr std::int64_t first_clock_ms = 1;
+constexpr duration late_beat = seconds{4}; // a heartbeat that was held up comes within this
 constexpr const char* pool = "mill";
 
 struct pretended_run {
@@ -37,16 +41,23 @@
 struct crash_world::worker {
     std::string address;
     std::string id;
+    int life = 0;                ///< of all lives in the world
+    std::int64_t born_ms = 0;    ///< what this life takes for the time of its start
+    time_point clock_start{};    ///< the worker's clock counts from its start
+    std::int64_t stepped_ms = 0; ///< by how much its time of day is off
     bool is_up = false;
     time_point cut_until{};
     time_point next_beat{};
     std::uint64_t sequence = 0;
     std::uint64_t fence = 0;
     std::uint64_t next_number = 1;
+    std::uint64_t acknowledged = 0; ///< ends up to this number are forgotten, also those that come later
     std::int64_t lease_ms = 0;
     std::map<run_key, pretended_run> running;
     std::map<task_key, std::uint32_t> highest; ///< runs up to this are refused
     std::vector<end_row> ended;
+    std::set<std::uint64_t>
+        lapsed; ///< numbers of ends after which its lease ran out: their outcome may be unknown
     std::optional<hold_order> hold;
     log_term hold_term = 0;
     std::uint64_t hold_number = 0; ///< of the hold that waits, so that its time does not end a later one
@@ -131,9 +142,8 @@
             target->next_beat = m_now + beat_interval;
             beat(*target);
         }
-        const bool has_lapsed = to_milliseconds(m_now.time_since_epoch()) > target->lease_ms;
-        while (target->is_up && has_lapsed && !target->running.empty()) {
-            end(*target, target->running.begin()->first, run_end::lapsed);
+        if (target->is_up && get_clock(*target) > target->lease_ms) {
+            lapse(*target);
         }
     }
     settle();
@@ -149,6 +159,12 @@
     if (happens(m_settings.leader_losses)) {
         lead();
     }
+    if (happens(m_settings.clock_steps)) {
+        m_workers[pick(m_workers.size())]->stepped_ms -= static_cast<std::int64_t>(pick(longest_step_ms));
+    }
+    if (happens(m_settings.failures)) {
+        fail_some_run();
+    }
     if (happens(m_settings.room_changes)) {
         change_room(*m_workers[pick(m_workers.size())]);
     }
@@ -190,10 +206,56 @@
     report.rack = "r1";
     report.capacity = target.get_room();
     report.sequence = ++target.sequence;
-    report.clock_ms = to_milliseconds(m_now.time_since_epoch());
+    report.clock_ms = get_clock(target);
+    report.born_ms = target.born_ms;
+    if (is_chosen(m_settings.late_beats)) {
+        call_after(milliseconds{pick(static_cast<std::size_t>(to_milliseconds(late_beat)))},
+                   [this, report] { m_scheduler.on_heartbeat(report, m_now); });
+        return;
+    }
     m_scheduler.on_heartbeat(report, m_now);
 }
 
+std::int64_t crash_world::get_clock(const worker& target) const {
+    return first_clock_ms + to_milliseconds(m_now - target.clock_start);
+}
+
+void crash_world::lapse(worker& target) {
+    while (!target.running.empty()) {
+        end(target, target.running.begin()->first, run_end::lapsed);
+    }
+    for (const auto& row : target.ended) {
+        target.lapsed.insert(row.number);
+    }
+}
+
+void crash_world::fail_some_run() {
+    auto& target = *m_workers[pick(m_workers.size())];
+    if (!target.running.empty()) {
+        auto chosen = target.running.begin();
+        std::advance(chosen, pick(target.running.size()));
+        end(target, chosen->first, run_end::failed);
+    }
+}
+
+void crash_world::crash_some(double share) {
+    for (auto& target : m_workers) {
+        if (is_chosen(share)) {
+            crash(*target);
+        }
+    }
+}
+
+void crash_world::calm_down() {
+    const auto before = m_settings;
+    m_settings = {};
+    m_settings.workers = before.workers;
+    m_settings.capacity = before.capacity;
+    m_settings.guards_room = before.guards_room;
+    m_settings.restart_time = before.restart_time;
+    m_settings.keeps_ids = before.keeps_ids;
+}
+
 void crash_world::crash(worker& target) {
     if (!target.is_up) {
         return;
@@ -204,21 +266,33 @@
         ++m_stories[key.task].crashes;
         --m_stories[key.task].running;
     }
+    for (const auto& row : target.ended) {
+        m_stories[row.run.task].is_done = false; // nobody will learn of it
+    }
     target.running.clear();
     target.ended.clear();
+    target.lapsed.clear();
     if (target.hold.has_value()) { // the connection ends with the process
         fail(*target.hold, order_failure::unanswered, target.hold_term);
         target.hold.reset();
     }
-    call_after(m_settings.restart_time, [this, &target] { revive(target); });
+    const auto spread = static_cast<std::size_t>(to_milliseconds(m_settings.restart_spread));
+    call_after(m_settings.restart_time + milliseconds{spread == 0 ? 0 : pick(spread)},
+               [this, &target] { revive(target); });
 }
 
 void crash_world::revive(worker& target) {
-    target.id = "w" + std::to_string(++m_lives);
+    target.life = ++m_lives;
+    if (target.id.empty() || !m_settings.keeps_ids) {
+        target.id = "w" + std::to_string(m_lives);
+    }
+    target.born_ms = m_settings.keeps_ids ? m_wall_ms + target.stepped_ms : 0;
+    target.clock_start = m_now;
     target.is_up = true;
     target.sequence = 0;
     target.fence = 0;
     target.next_number = 1;
+    target.acknowledged = 0;
     target.lease_ms = 0;
     target.highest.clear();
     target.next_beat = m_now;
@@ -266,26 +340,34 @@
                     });
                 ASSERT_NE(found, m_workers.end());
                 auto& target = **found;
-                call_after(network_delay, [this, item, term, &target] {
-                    if (m_now < target.cut_until) {
-                        call_after(item.target.timeout,
-                                   [this, item, term] { fail(item, order_failure::unanswered, term); });
-                    } else if (!target.is_up) {
-                        fail(item, order_failure::unreachable, term);
-                    } else if (target.id != item.target.worker) {
-                        fail(item, order_failure::other_life, term);
-                    } else if (item.target.fence < target.fence) {
-                        fail(item, order_failure::lower_fence, term);
-                    } else {
-                        target.fence = item.target.fence;
-                        carry_out(item, target, term);
-                    }
-                });
+                auto delay = network_delay;
+                if (is_chosen(m_settings.late_orders)) {
+                    delay +=
+                        milliseconds{pick(static_cast<std::size_t>(to_milliseconds(m_settings.lateness)))};
+                }
+                call_after(delay, [this, item, term, &target] { arrive(item, target, term); });
             }
         },
         order);
 }
 
+template <class Order>
+void crash_world::arrive(const Order& order, worker& target, log_term term) {
+    if (m_now < target.cut_until) {
+        call_after(order.target.timeout,
+                   [this, order, term] { fail(order, order_failure::unanswered, term); });
+    } else if (!target.is_up) {
+        fail(order, order_failure::unreachable, term);
+    } else if (target.id != order.target.worker) {
+        fail(order, order_failure::other_life, term);
+    } else if (order.target.fence < target.fence) {
+        fail(order, order_failure::lower_fence, term);
+    } else {
+        target.fence = order.target.fence;
+        carry_out(order, target, term);
+    }
+}
+
 template <class Order>
 void crash_world::fail(const Order& order, order_failure failure, log_term term) {
     reply(order, failure, term);
@@ -296,7 +378,7 @@
     if (term != m_term) {
         return; // the leader that asked is gone
     }
-    const order_answer answer{failure, to_milliseconds(m_now.time_since_epoch())};
+    const order_answer answer{failure, 0};
     if constexpr (std::is_same_v<Order, hold_order>) {
         m_scheduler.on_hold(order.target.worker, {failure, {}}, m_now);
     } else if constexpr (std::is_same_v<Order, start_order>) {
@@ -307,8 +389,9 @@
 }
 
 void crash_world::carry_out(const hold_order& order, worker& target, log_term term) {
-    target.lease_ms = std::max(target.lease_ms, order.until_ms.value_or(0));
-    std::erase_if(target.ended, [&](const end_row& row) { return row.number <= order.acknowledged; });
+    target.lease_ms =
+        std::max(target.lease_ms, std::min(order.until_ms.value_or(0), get_clock(target) + longest_lease_ms));
+    acknowledge(target, order.acknowledged);
     target.hold = order;
     target.hold_term = term;
     const auto number = ++target.hold_number;
@@ -323,6 +406,22 @@
     });
 }
 
+void crash_world::acknowledge(worker& target, std::uint64_t number) {
+    target.acknowledged = std::max(target.acknowledged, number);
+    for (const auto& row : target.ended) {
+        if (row.number > number || row.end != run_end::done || target.lapsed.contains(row.number)) {
+            continue;
+        }
+        auto& story = m_stories[row.run.task];
+        story.is_acknowledged = true;
+        if (story.is_started_since) {
+            m_violations.push_back("an end on " + target.id +
+                                   " was acknowledged after its task was started again");
+        }
+    }
+    std::erase_if(target.ended, [&](const end_row& row) { return row.number <= number; });
+}
+
 void crash_world::answer_hold(worker& target) {
     const auto order = *target.hold;
     const auto term = target.hold_term;
@@ -339,7 +438,8 @@
 
 hold_answer crash_world::list(const worker& target) const {
     hold_answer answer;
-    answer.clock_ms = to_milliseconds(m_now.time_since_epoch());
+    answer.clock_ms = get_clock(target);
+    answer.born_ms = target.born_ms;
     for (const auto& [key, run] : target.running) {
         answer.running.push_back({key, "", 50, 0});
     }
@@ -349,8 +449,7 @@
 
 void crash_world::carry_out(const start_order& order, worker& target, log_term term) {
     const auto failure = start(order, target);
-    const bool is_lost = static_cast<double>(m_random() % 1000) < m_settings.lost_answers * 1000;
-    if (is_lost) {
+    if (is_chosen(m_settings.lost_answers)) {
         call_after(order.target.timeout,
                    [this, order, term] { fail(order, order_failure::unanswered, term); });
         return;
@@ -360,7 +459,11 @@
 
 std::optional<order_failure> crash_world::start(const start_order& order, worker& target) {
     const auto& key = order.run;
-    target.lease_ms = std::max(target.lease_ms, order.until_ms);
+    if (order.until_ms < get_clock(target)) {
+        return order_failure::late_lease;
+    }
+    target.lease_ms =
+        std::max(target.lease_ms, std::min(order.until_ms, get_clock(target) + longest_lease_ms));
     if (target.running.contains(key)) {
         return std::nullopt;
     }
@@ -384,14 +487,17 @@
     if (story.running++ > 0 && !spec.speculative) {
         m_violations.push_back("two runs of a task at a time, the second on " + target.id);
     }
+    if (!spec.speculative) {
+        note_start(key.task, target);
+    }
     target.running[key] = {order.job, m_now, false};
     if (!m_settings.guards_room) {
         check_room(target);
     }
-    const auto life = target.id;
+    const auto life = target.life;
     if (m_killers.contains(key.task)) {
         call_after(m_settings.crash_after, [this, &target, key, life] {
-            if (target.id == life && target.running.contains(key)) {
+            if (target.life == life && target.running.contains(key)) {
                 crash(target);
             }
         });
@@ -399,7 +505,7 @@
     }
     if (!spec.long_running) {
         call_after(m_lengths.at(key.task.step.job), [this, &target, key, life] {
-            if (target.id == life && target.running.contains(key)) {
+            if (target.life == life && target.running.contains(key)) {
                 end(target, key, run_end::done);
             }
         });
@@ -407,15 +513,23 @@
     return std::nullopt;
 }
 
+void crash_world::note_start(const task_key& task, const worker& target) {
+    auto& story = m_stories[task];
+    story.is_started_since = story.is_done;
+    if (story.is_acknowledged) {
+        m_violations.push_back("a start on " + target.id + " after an end that was acknowledged as done");
+    }
+}
+
 void crash_world::carry_out(const stop_order& order, worker& target, log_term term) {
     auto& highest = target.highest[order.run.task];
     highest = std::max(highest, order.run.run);
-    const auto life = target.id;
+    const auto life = target.life;
     if (const auto found = target.running.find(order.run);
         found != target.running.end() && !found->second.is_stopping) {
         found->second.is_stopping = true;
         call_after(stop_time, [this, &target, key = order.run, life] {
-            if (target.id == life && target.running.contains(key)) {
+            if (target.life == life && target.running.contains(key)) {
                 end(target, key, run_end::stopped);
             }
         });
@@ -427,17 +541,33 @@
     const auto ended = key;
     target.running.erase(ended);
     --m_stories[ended.task].running;
-    m_done += how == run_end::done ? 1 : 0;
+    if (how == run_end::done) {
+        ++m_done;
+        m_stories[ended.task].is_done = true;
+        m_stories[ended.task].is_started_since = false;
+    }
     auto& highest = target.highest[ended.task];
     highest = std::max(highest, ended.run);
     target.ended.push_back({target.next_number++, ended, how, ""});
-    if (target.hold.has_value()) {
+    if (target.ended.back().number <= target.acknowledged) {
+        acknowledge(target, target.acknowledged);
+    } else if (target.hold.has_value()) {
         answer_hold(target);
     }
 }
 
 // ---- what was seen
 
+int crash_world::count_running(job_id id) const {
+    int running = 0;
+    for (const auto& target : m_workers) {
+        running += static_cast<int>(
+            std::count_if(target->running.begin(), target->running.end(),
+                          [id](const auto& item) { return item.first.task.step.job == id; }));
+    }
+    return running;
+}
+
 int crash_world::count_crashes(const task_key& task) const {
     const auto found = m_stories.find(task);
     return found == m_stories.end() ? 0 : found->second.crashes;
--- a/unit_tests/dispatch/crash_world.h
+++ b/unit_tests/dispatch/crash_world.h
@@ -28,6 +28,13 @@
     double leader_losses = 0;  ///< a new leader that knows the book alone
     double room_changes = 0;   ///< a worker's room shrinks to a part of it, or is whole again
     double lost_answers = 0;   ///< share of orders that are carried out without an answer
+    bool keeps_ids = false;    ///< a worker starts again under the id that it had
+    duration restart_spread{}; ///< up to this is added to `restart_time`
+    double clock_steps = 0;    ///< the time of day at a worker jumps back by up to a minute
+    double late_orders = 0; ///< share of orders that come up to `lateness` late, for whichever life is there
+    double late_beats = 0;  ///< the same of heartbeats
+    duration lateness = milliseconds{800}; ///< less than an order's time
+    double failures = 0;                   ///< of any run, so that tasks which last end too
 
     friend bool operator==(const crash_world_settings&, const crash_world_settings&) = default;
 };
@@ -57,12 +64,20 @@
     /// Returns how often the task was started after three workers had crashed under it, by a leader that had
     /// led for 3 s: one that has just taken over may not have heard of all that befell.
     [[nodiscard]] int count_starts_after_three(const task_key& task) const;
+    /// Returns how many tasks run now.
+    [[nodiscard]] int count_running(job_id id) const;
+    /// Returns the tasks that the dispatcher knows to stand still.
+    [[nodiscard]] std::vector<stuck_task> find_stuck() const { return m_scheduler.find_stuck(m_now); }
+    /// Lets a share of the workers crash at one moment.
+    void crash_some(double share);
+    /// Lets nothing befall the world any more.
+    void calm_down();
     /// Returns how many runs of tasks ended as done.
     [[nodiscard]] int get_done() const { return m_done; }
     /// Returns how many workers crashed.
     [[nodiscard]] int get_crashed_workers() const { return m_crashed; }
-    /// Returns what was seen that must never be: two runs of a task at a time, a start beyond a worker's
-    /// room.
+    /// Returns what was seen that must never be: two runs of a task at a time, a start after a run of the
+    /// task had ended as done and that was acknowledged, a start beyond a worker's room.
     [[nodiscard]] const std::vector<std::string>& get_violations() const { return m_violations; }
 
 private:
@@ -71,6 +86,10 @@
         int crashes = 0;
         int starts_after_three = 0;
         int running = 0;
+        bool is_done = false;          ///< a run ended as done, and its worker has not crashed since
+        bool is_started_since = false; ///< the task was started after that end
+        bool is_acknowledged =
+            false; ///< the worker was told to forget that end, and its lease held till then
     };
     struct due_call {
         time_point when{};
@@ -83,6 +102,9 @@
     };
 
     [[nodiscard]] bool happens(double per_second);
+    [[nodiscard]] bool is_chosen(double share) {
+        return static_cast<double>(m_random() % 1000) < share * 1000;
+    }
     [[nodiscard]] std::size_t pick(std::size_t count) { return static_cast<std::size_t>(m_random() % count); }
     void call_after(duration wait, std::function<void()> call);
     void configure();
@@ -95,6 +117,13 @@
     void revive(worker& target);
     void change_room(worker& target);
     void send(const worker_order& order);
+    template <class Order>
+    void arrive(const Order& order, worker& target, log_term term);
+    [[nodiscard]] std::int64_t get_clock(const worker& target) const;
+    void acknowledge(worker& target, std::uint64_t number);
+    void fail_some_run();
+    void lapse(worker& target);
+    void note_start(const task_key& task, const worker& target);
     void carry_out(const hold_order& order, worker& target, log_term term);
     void carry_out(const start_order& order, worker& target, log_term term);
     void carry_out(const stop_order& order, worker& target, log_term term);
--- /dev/null
+++ b/unit_tests/dispatch/restart_property_test.cpp
@@ -0,0 +1,169 @@
+// What must hold where workers start again under the ids that they had: at once or after seconds, many at a
+// time, while cut off, with their clocks stepped back, beside late orders and heartbeats and losses of the
+// leader. POPLARPITCH_SEEDS sets how many seeds are tried; each failure names its seed.
+#include "unit_tests/dispatch/crash_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <map>
+#include <string>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::uint64_t usual_seeds = 30; // a few seconds in all
+constexpr duration traffic_time = seconds{25};
+constexpr duration calm_time = seconds{45}; // what does not end by then never does
+constexpr duration arrival_pause = milliseconds{250};
+constexpr duration wave_pause = seconds{5};
+constexpr int fewest_crashes = 2; // before which no job may fail
+
+std::uint64_t get_seed_count() {
+    const char* text = std::getenv("POPLARPITCH_SEEDS");
+    return text == nullptr ? usual_seeds : std::strtoull(text, nullptr, 10);
+}
+
+/// Jobs that end and jobs that last, at about half of what the workers hold.
+class restart_traffic {
+public:
+    restart_traffic(const crash_world_settings& settings, std::uint64_t seed)
+        : m_world(settings, seed), m_random(seed + 1) {}
+
+    /// `wave`: share of the workers that crash at one moment, each `wave_pause`.
+    void run(double wave = 0) {
+        for (duration passed{0}; passed < traffic_time; passed += arrival_pause) {
+            if (passed % wave_pause == duration{0}) {
+                m_world.crash_some(wave);
+            }
+            submit_one();
+            m_world.run(arrival_pause);
+        }
+        m_world.calm_down();
+        m_world.run(calm_time);
+    }
+
+    void check_promises() const {
+        EXPECT_TRUE(m_world.get_violations().empty()) << m_world.get_violations().front();
+        EXPECT_TRUE(m_world.find_stuck().empty())
+            << m_world.find_stuck().size()
+            << " stuck: " << get_stuck_name(m_world.find_stuck().front().reason);
+        for (const auto& [id, tasks] : m_lasting) {
+            if (get_phase(id) == job_phase::open) {
+                EXPECT_EQ(m_world.count_running(id), tasks) << "of job " << id << " that lasts";
+            }
+        }
+        for (const auto& [id, record] : m_world.get_book().get_jobs()) {
+            EXPECT_TRUE(record.phase != job_phase::open || m_lasting.contains(id))
+                << "job " << id << " never ended";
+            if (record.phase == job_phase::failed) {
+                EXPECT_GE(count_most_crashes(id), fewest_crashes) << "job " << id << " failed without cause";
+            }
+        }
+    }
+
+private:
+    std::uint64_t pick(std::uint64_t least, std::uint64_t most) {
+        return least + m_random() % (most - least + 1);
+    }
+
+    void submit_one() {
+        auto step = make_step(static_cast<std::uint32_t>(pick(1, 10)));
+        step.millicores = static_cast<std::int64_t>(pick(1, 4)) * 1000;
+        step.memory_mb = static_cast<std::int64_t>(pick(1, 8)) * 500;
+        step.long_running = pick(1, 20) == 1;
+        step.checkpointing = pick(1, 4) == 1;
+        step.speculative = !step.long_running && pick(1, 8) == 1;
+        const auto length = milliseconds{pick(30, 2000)};
+        step.estimate_ms = to_milliseconds(length);
+        const auto id = m_world.submit({step}, length);
+        if (step.long_running) {
+            m_lasting[id] = static_cast<int>(step.count);
+        }
+    }
+
+    [[nodiscard]] job_phase get_phase(job_id id) const { return m_world.get_book().find_job(id)->phase; }
+
+    [[nodiscard]] int count_most_crashes(job_id id) const {
+        int most = 0;
+        for (std::uint32_t index = 0; index < 10; ++index) {
+            most = std::max(most, m_world.count_crashes({{id, 0, 0}, index}));
+        }
+        return most;
+    }
+
+    crash_world m_world;
+    std::mt19937_64 m_random;
+    std::map<job_id, int> m_lasting; ///< and how many tasks each has
+};
+
+crash_world_settings make_settings() {
+    crash_world_settings settings;
+    settings.keeps_ids = true;
+    settings.worker_crashes = 1;
+    settings.restart_time = milliseconds{500};
+    settings.restart_spread = seconds{1};
+    return settings;
+}
+
+void play_all(const crash_world_settings& settings, double wave = 0) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        restart_traffic traffic(settings, seed);
+        traffic.run(wave);
+        traffic.check_promises();
+    }
+}
+
+TEST(restart_property, acknowledges_to_a_new_life_no_end_that_it_has_not_listed) {
+    play_all(make_settings());
+}
+
+TEST(restart_property, keeps_no_task_for_running_whose_end_a_new_life_has_listed) {
+    auto settings = make_settings();
+    settings.failures = 0.5;
+    settings.worker_crashes = 0.5;
+    play_all(settings);
+}
+
+TEST(restart_property, holds_where_workers_start_again_at_once) {
+    auto settings = make_settings();
+    settings.restart_time = milliseconds{10};
+    settings.restart_spread = milliseconds{50};
+    play_all(settings);
+}
+
+TEST(restart_property, holds_where_a_third_of_all_workers_start_again_at_one_moment) {
+    auto settings = make_settings();
+    settings.worker_crashes = 0;
+    settings.failures = 0.3;
+    play_all(settings, 0.35);
+}
+
+TEST(restart_property, holds_through_cuts_and_new_leaders) {
+    auto settings = make_settings();
+    settings.worker_cuts = 0.2;
+    settings.leader_losses = 0.1;
+    settings.lost_answers = 0.03;
+    play_all(settings);
+}
+
+TEST(restart_property, holds_beside_late_orders_and_late_heartbeats) {
+    auto settings = make_settings();
+    settings.late_orders = 0.05;
+    settings.late_beats = 0.1;
+    settings.lost_answers = 0.02;
+    play_all(settings);
+}
+
+TEST(restart_property, holds_where_clocks_step_back) {
+    auto settings = make_settings();
+    settings.clock_steps = 1;
+    settings.late_beats = 0.1;
+    settings.leader_losses = 0.05;
+    play_all(settings);
+}
+
+} // namespace
+} // namespace poplarpitch
