--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -58,9 +58,9 @@
 }
 
 /// A life that ended with the former leader never announces itself again. Asked at its address, the life
-/// after it says that it is gone, and its runs need not wait for their lease.
+/// after it answers, and its runs need not wait for their lease.
 void dispatcher::adopt_worker(const assigned_run& run, time_point lease_end, time_point now) {
-    auto& worker = m_workers.get(run.worker);
+    auto& worker = know_life(run.worker, now);
     worker.lease_end = lease_end;
     if (worker.report.address.empty() && !run.address.empty()) {
         worker.report.address = run.address;
@@ -87,6 +87,7 @@
     m_term = 0;
     m_workers.clear();
     m_gone.clear();
+    m_is_raising_fence = false;
     m_tracks.clear();
     m_jobs.clear();
     m_ready.clear();
@@ -247,6 +248,9 @@
             worker->is_leaving = true;
         }
         return;
+    case book_event::kind::fence_raised:
+        on_fence_raised(now);
+        return;
     case book_event::kind::config_changed:
         for (auto* worker : m_workers.get_all()) {
             note_room(*worker);
@@ -274,7 +278,7 @@
     {
         auto line = log_event(log_level::info, "run_ended");
         add_run(line, event.run);
-        line.add("worker", event.worker).add("end", get_end_name(event.end));
+        add_worker(line, event.worker).add("end", get_end_name(event.end));
     }
     if (event.end == run_end::done) {
         ++m_counts.done_runs;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -23,7 +23,6 @@
 #include "poplarpitch/scheduling/job_timing.h"
 #include "poplarpitch/scheduling/worker_order.h"
 
-#include <absl/container/flat_hash_set.h>
 #include <absl/container/node_hash_map.h>
 
 #include <functional>
@@ -85,13 +84,13 @@
     /// not the one that is known here: the whole one is wanted.
     bool on_sign_of_life(const sign_of_life& sign, time_point now);
     /// Takes a worker's goodbye.
-    void on_goodbye(const std::string& worker, time_point now);
-    /// Takes the answer to the hold that is under way at `worker`.
-    void on_hold(const std::string& worker, const hold_outcome& outcome, time_point now);
+    void on_goodbye(const worker_life& worker, time_point now);
+    /// Takes the answer to the hold that was sent to `worker`; another life of it may have answered.
+    void on_hold(const worker_life& worker, const hold_outcome& outcome, time_point now);
     /// Takes the answer to a start.
     void on_start(const run_key& key, const order_answer& answer, time_point now);
     /// Takes the answer to a stop of a run, also of one that is not in the book.
-    void on_stop(const run_key& key, const std::string& worker, const order_answer& answer, time_point now);
+    void on_stop(const run_key& key, const worker_life& worker, const order_answer& answer, time_point now);
     /// Takes the answer to a pace order.
     void on_pace(const run_key& key, int percent, const order_answer& answer, time_point now);
     /// Takes the answer of the advice service.
@@ -117,15 +116,15 @@
     [[nodiscard]] std::uint64_t count_pending(const std::string& queue) const;
     /// Returns true when a task of the job has started.
     [[nodiscard]] bool has_started(job_id id) const;
-    [[nodiscard]] const std::map<std::string, worker_state>& get_workers() const {
+    [[nodiscard]] const std::map<worker_life, worker_state>& get_workers() const {
         return m_workers.get_map();
     }
     [[nodiscard]] const dispatch_counts& get_counts() const { return m_counts; }
     /// Returns how many tasks may be at fault for the crash of a worker.
     [[nodiscard]] std::size_t count_suspects() const { return m_suspects.get_size(); }
     /// Returns what is known of a worker, or null.
-    [[nodiscard]] const worker_state* find_worker_state(const std::string& id) const {
-        return m_workers.find(id);
+    [[nodiscard]] const worker_state* find_worker_state(const worker_life& life) const {
+        return m_workers.find(life);
     }
     /// Returns the tasks of open jobs that nothing will bring to their end, in order: none, unless there is a
     /// fault.
@@ -214,7 +213,7 @@
     void forget_old_jobs(time_point now);
 
     // runs
-    run_track& add_track(const run_key& key, std::shared_ptr<const step_job> job, const std::string& worker,
+    run_track& add_track(const run_key& key, std::shared_ptr<const step_job> job, const worker_life& worker,
                          run_stage stage, time_point now);
     void drop_track(const run_key& key, time_point now);
     run_track* find(const run_key& key);
@@ -236,14 +235,12 @@
     void note_order_answer(run_track& track, const order_answer& answer, time_point now);
 
     // workers
-    worker_state* find_worker(const std::string& id) { return m_workers.find(id); }
+    worker_state* find_worker(const worker_life& life) { return m_workers.find(life); }
     /// Asks for the worker's list at `when`, if not before.
     void hold_soon(worker_state& worker, time_point when);
     /// Returns when the worker is to be looked at again at the latest.
     [[nodiscard]] time_point get_next_look(const worker_state& worker, time_point now) const;
     void add_load(worker_state& worker, run_track& track, int sign);
-    /// Logs that a worker's process has started again, where it tells another start time than before.
-    static void note_start_time(const worker_state& worker, std::int64_t born_ms, const char* from);
     /// Takes until when a worker's last heartbeat tells its room.
     void note_room(worker_state& worker) const;
     /// Takes a worker's clock from a heartbeat, which may be late.
@@ -252,6 +249,8 @@
     /// Returns how long a worker may wait with its list.
     [[nodiscard]] duration get_hold_wait(const worker_state& worker) const;
     [[nodiscard]] bool needs_hold(const worker_state& worker) const;
+    [[nodiscard]] static std::optional<order_failure> get_hold_failure(const worker_state& worker,
+                                                                       const hold_outcome& outcome);
     static void note_hold_failure(worker_state& worker, time_point now);
     void take_rows(worker_state& worker, const hold_answer& answer, time_point now);
     void take_end(worker_state& worker, const end_row& row, time_point now);
@@ -271,6 +270,32 @@
     void update_acknowledged(worker_state& worker);
     [[nodiscard]] order_target make_target(const worker_state& worker, duration timeout) const;
 
+    // lives of workers
+    /// Returns what is known of a life, a new state where it is not known.
+    worker_state& know_life(const worker_life& life, time_point now);
+    /// Returns true when a message of this life is late: it is known to have ended.
+    [[nodiscard]] bool is_past(const worker_life& life) const;
+    /// Returns true when another life of the same worker was known to this leader.
+    [[nodiscard]] bool has_former_life(const worker_life& life) const;
+    /// Returns the fence that no order carried yet, but for those since the last raise.
+    [[nodiscard]] std::uint64_t get_fence() const { return m_term + m_book.get_fence_raises(); }
+    void raise_fence(worker_state& worker);
+    void on_fence_raised(time_point now);
+    /// Takes a list that came from another life than the one that was asked.
+    void on_other_life(worker_state& asked, const worker_life& answered, const hold_answer& answer,
+                       time_point now);
+    /// Gives up all lives that were known before `worker` was asked for the list with which it answered.
+    void end_former_lives(worker_state& worker, time_point asked_at, const hold_answer& answer,
+                          time_point now);
+    /// Gives up a life: what runs at `heir`, the life after it, or may yet come there, is followed there.
+    void end_life(worker_state& former, worker_state& heir, const std::vector<run_key>& listed,
+                  time_point now);
+    void mark_gone(worker_state& worker, const char* reason, time_point now);
+    void follow_at(run_track& track, worker_state& heir, const run_loss& loss, time_point now);
+    void give_up_run(run_track& track, const char* reason, const run_loss& loss, time_point now);
+    /// Looks whether another life took an order: its clock counts anew.
+    void compare_clock(worker_state& worker, std::int64_t clock_ms, time_point now);
+
     // tasks that crash their workers
     /// Returns how long the run was there at most when its worker ceased to answer; nothing while unknown.
     [[nodiscard]] static std::optional<duration> get_age_at_loss(const run_track& track, time_point now);
@@ -280,7 +305,7 @@
                                                          std::optional<duration> age) const;
     /// Returns what is judged of all runs of a worker that have not ended.
     [[nodiscard]] std::vector<lapsed_run> judge_runs(const worker_state& worker, time_point now) const;
-    void propose_crash(const lapsed_run& lapsed, const std::string& worker);
+    void propose_crash(const lapsed_run& lapsed, const worker_life& worker);
     void on_task_crashed(const book_event& event, time_point now);
     void clear_suspects(worker_state& worker, time_point now);
     static void add_care(worker_state& worker, caution care, int sign);
@@ -292,10 +317,10 @@
     void audit(time_point now);
 
     // advice
-    [[nodiscard]] std::string find_ticket(const step_key& step, const std::string& worker,
+    [[nodiscard]] std::string find_ticket(const step_key& step, const worker_life& worker,
                                           time_point now) const;
     void ask_advice(const std::vector<std::pair<std::int64_t, step_key>>& ranked, time_point now);
-    std::vector<std::string> pick_unadvised(const ready_step& ready, const step_key& key, time_point now);
+    std::vector<worker_life> pick_unadvised(const ready_step& ready, const step_key& key, time_point now);
 
     // pressure of filling tasks on serving ones
     void refresh_pressure(worker_state& worker);
@@ -347,12 +372,13 @@
     const job_book& m_book;
     log_term m_term = 0;
     worker_table m_workers;
-    absl::flat_hash_set<std::string>
+    std::set<worker_life>
         m_gone; ///< lives that are known to have ended; late heartbeats of theirs are ignored
+    bool m_is_raising_fence = false; ///< a raise is on its way into the log
     absl::node_hash_map<run_key, run_track> m_tracks;
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
-    std::map<task_key, std::vector<std::string>> m_failed_on; ///< where a task failed
+    std::map<task_key, std::vector<worker_life>> m_failed_on; ///< where a task failed
     suspect_watch m_suspects;
     std::map<step_key, step_advice> m_advice;
     bool m_is_advising = false; ///< a call to the advice service is under way
--- a/poplarpitch/dispatch/dispatcher_advice.cpp
+++ b/poplarpitch/dispatch/dispatcher_advice.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-std::string dispatcher::find_ticket(const step_key& step, const std::string& worker, time_point now) const {
+std::string dispatcher::find_ticket(const step_key& step, const worker_life& worker, time_point now) const {
     const auto found = m_advice.find(step);
     return found == m_advice.end() ? std::string{} : found->second.find_ticket(worker, now + ticket_margin);
 }
@@ -51,24 +51,24 @@
     }
 }
 
-std::vector<std::string> dispatcher::pick_unadvised(const ready_step& ready, const step_key& key,
+std::vector<worker_life> dispatcher::pick_unadvised(const ready_step& ready, const step_key& key,
                                                     time_point now) {
     const auto request = make_request(ready, {key, *ready.waiting.begin()}, now);
-    std::vector<std::pair<double, std::string>> found;
+    std::vector<std::pair<double, worker_life>> found;
     for (const auto* worker : m_workers.get_all()) {
-        const auto& id = worker->report.id;
+        const auto& life = worker->report.life;
         const bool is_open = worker->report.pool == ready.job->queue.pool && is_usable(*worker, now) &&
-                             !m_advice[key].is_denied(id) && find_ticket(key, id, now).empty();
+                             !m_advice[key].is_denied(life) && find_ticket(key, life, now).empty();
         const auto cost = is_open ? get_placement_cost(*worker, request) : std::nullopt;
         if (cost.has_value()) {
-            found.emplace_back(*cost, id);
+            found.emplace_back(*cost, life);
         }
     }
     std::sort(found.begin(), found.end());
-    std::vector<std::string> workers;
-    for (const auto& [cost, id] : found) {
+    std::vector<worker_life> workers;
+    for (const auto& [cost, life] : found) {
         if (workers.size() < std::min(most_named, ready.waiting.size() + spare_named)) {
-            workers.push_back(id);
+            workers.push_back(life);
         }
     }
     return workers;
@@ -91,14 +91,13 @@
     auto& advice = m_advice[asked.step];
     // Counted from the answer less the whole call: the service may have decided at its start.
     const auto expires = now + record->job->queue.advice->valid - asked.timeout + answer_slack;
-    for (const auto& item : outcome.allowed) {
-        advice.allow(item.worker, item.ticket, expires);
-    }
     for (const auto& worker : asked.workers) {
-        const bool is_allowed = std::any_of(outcome.allowed.begin(), outcome.allowed.end(),
-                                            [&](const advice_ticket& item) { return item.worker == worker; });
-        if (!is_allowed) {
+        const auto found = std::find_if(outcome.allowed.begin(), outcome.allowed.end(),
+                                        [&](const advice_ticket& item) { return item.worker == worker.id; });
+        if (found == outcome.allowed.end()) {
             advice.deny(worker);
+        } else {
+            advice.allow(worker, found->ticket, expires);
         }
     }
     log_event(log_level::info, "advice_taken")
--- a/poplarpitch/dispatch/dispatcher_audit.cpp
+++ b/poplarpitch/dispatch/dispatcher_audit.cpp
@@ -81,7 +81,7 @@
         line.add("reason", get_stuck_name(stuck[number].reason));
         const auto* track = find_track(stuck[number].run);
         if (track != nullptr) {
-            line.add("worker", track->worker);
+            add_worker(line, track->worker);
         }
         line.add("stuck", static_cast<std::uint64_t>(stuck.size()));
     }
--- a/poplarpitch/dispatch/dispatcher_copies.cpp
+++ b/poplarpitch/dispatch/dispatcher_copies.cpp
@@ -66,8 +66,8 @@
     {
         auto line = log_event(log_level::info, "copy_started");
         add_run(line, slow.key);
-        line.add("slow_worker", slow.worker)
-            .add("worker", worker->report.id)
+        line.add("slow_worker", slow.worker.id);
+        add_worker(line, worker->report.life)
             .add("percent", slow.percent)
             .add("age_ms", to_milliseconds(pass.now - slow.confirmed_at))
             .add("estimate_ms", slow.get_spec().estimate_ms);
--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -54,7 +54,7 @@
     const bool is_confirmed = track.confirmed_at != time_point{};
     run_loss loss;
     loss.age_ms = is_confirmed && age.has_value() ? to_milliseconds(*age) : 0;
-    if (worker.is_leaving || m_book.is_retired(worker.report.id) || !may_have_begun(track)) {
+    if (worker.is_leaving || m_book.is_retired(worker.report.life) || !may_have_begun(track)) {
         return loss;
     }
     const bool was_heard = worker.hold_failures > 0 ? worker.has_broken_off : !worker.is_holding;
@@ -95,12 +95,13 @@
     return judged;
 }
 
-void dispatcher::propose_crash(const lapsed_run& lapsed, const std::string& worker) {
+void dispatcher::propose_crash(const lapsed_run& lapsed, const worker_life& worker) {
     job_wire::job_command command;
     auto& message = *command.mutable_crash();
     encode(lapsed.run.task, *message.mutable_task());
     message.set_run(lapsed.run.run);
-    message.set_worker(worker);
+    message.set_worker(worker.id);
+    message.set_born_ms(worker.born_ms);
     message.set_crash(static_cast<std::uint32_t>(lapsed.loss.crash));
     message.set_age_ms(lapsed.loss.age_ms);
     m_commands.push_back(std::move(command));
@@ -112,7 +113,7 @@
     {
         auto line = log_event(log_level::warn, "task_crashed");
         add_run(line, event.run);
-        line.add("worker", event.worker)
+        add_worker(line, event.worker)
             .add("evidence", get_evidence_name(event.crash))
             .add("age_ms", event.age_ms)
             .add("crashes", event.number);
@@ -146,7 +147,7 @@
         m_must_place = true;
         auto line = log_event(log_level::info, "task_cleared");
         add_run(line, key);
-        line.add("worker", track.worker).add("age_ms", to_milliseconds(now - track.confirmed_at));
+        add_worker(line, track.worker).add("age_ms", to_milliseconds(now - track.confirmed_at));
     }
 }
 
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -0,0 +1,191 @@
+// Which life of a worker lives, and what becomes of what was given to the lives before it.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+#include "poplarpitch/dispatch/run_log.h"
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace poplarpitch {
+namespace {
+
+constexpr const char* started_again = "started_again";
+
+/// Returns true when a start of the run may yet be carried out.
+bool may_yet_start(const run_track& track) {
+    return track.stage == run_stage::starting && (track.is_order_out || track.may_come_late);
+}
+
+std::vector<run_key> get_listed(const hold_answer& answer) {
+    std::vector<run_key> listed;
+    listed.reserve(answer.running.size() + answer.ended.size());
+    for (const auto& row : answer.running) {
+        listed.push_back(row.run);
+    }
+    for (const auto& row : answer.ended) {
+        listed.push_back(row.run);
+    }
+    std::sort(listed.begin(), listed.end());
+    return listed;
+}
+
+} // namespace
+
+worker_state& dispatcher::know_life(const worker_life& life, time_point now) {
+    if (auto* known = find_worker(life); known != nullptr) {
+        return *known;
+    }
+    const bool needs_fence = has_former_life(life);
+    auto& worker = m_workers.get(life);
+    worker.known_since = now;
+    worker.needs_fence = needs_fence;
+    worker.fence = get_fence();
+    // Until it has answered it may be a late message of an even earlier life: the one that lives is not to
+    // refuse what was sent to it before.
+    const auto others = m_workers.find_other_lives(life);
+    if (!others.empty()) {
+        const auto highest =
+            std::max_element(others.begin(), others.end(),
+                             [](const auto* left, const auto* right) { return left->fence < right->fence; });
+        worker.fence = (*highest)->fence;
+    }
+    return worker;
+}
+
+bool dispatcher::is_past(const worker_life& life) const {
+    if (m_gone.contains(life)) {
+        return true;
+    }
+    // It comes from another writer, or by an instance of a version that leaves the start time out.
+    return life.born_ms == 0 && !m_workers.find_other_lives(life).empty();
+}
+
+bool dispatcher::has_former_life(const worker_life& life) const {
+    if (!m_workers.find_other_lives(life).empty()) {
+        return true;
+    }
+    const auto first = m_gone.lower_bound({life.id, std::numeric_limits<std::int64_t>::min()});
+    return first != m_gone.end() && first->id == life.id;
+}
+
+/// Orders to former lives may still be on their way, by a relay that stood still for one, and the next life
+/// would take them for its own: starts, and acknowledgements of ends that it has not told. Once it has seen a
+/// higher fence it refuses them all. The raise is committed before it is used, so that no later leader uses
+/// the same one.
+void dispatcher::raise_fence(worker_state& worker) {
+    worker.awaits_fence = true;
+    if (m_is_raising_fence) {
+        return;
+    }
+    m_is_raising_fence = true;
+    job_wire::job_command command;
+    command.mutable_raise_fence();
+    m_commands.push_back(std::move(command));
+}
+
+void dispatcher::on_fence_raised(time_point now) {
+    m_is_raising_fence = false;
+    for (auto* worker : m_workers.get_all()) {
+        if (!worker->awaits_fence) {
+            continue;
+        }
+        worker->awaits_fence = false;
+        worker->needs_fence = false;
+        worker->fence = get_fence();
+        worker->next_hold = now;
+        m_workers.look_at(*worker, now);
+    }
+}
+
+/// Lives follow one another, so the one that answered is later than any that was known before it was asked.
+void dispatcher::on_other_life(worker_state& asked, const worker_life& answered, const hold_answer& answer,
+                               time_point now) {
+    m_gone.erase(answered);
+    auto& worker = know_life(answered, now);
+    if (worker.report.address.empty()) {
+        worker.report.address = asked.report.address;
+        worker.last_heartbeat = now;
+    }
+    if (!worker.has_report && asked.has_report && asked.report.life.born_ms == 0) {
+        worker.report = asked.report; // one that leaves its start time out may be of any life
+        worker.report.life = answered;
+        worker.has_report = true;
+        note_room(worker);
+    }
+    worker.is_gone = false;
+    end_former_lives(worker, asked.hold_sent, answer, now);
+    if (!asked.is_gone) { // it was known in the same moment in which it was asked
+        end_life(asked, worker, get_listed(answer), now);
+    }
+    if (worker.needs_fence) {
+        raise_fence(worker);
+    }
+}
+
+void dispatcher::end_former_lives(worker_state& worker, time_point asked_at, const hold_answer& answer,
+                                  time_point now) {
+    const auto others = m_workers.find_other_lives(worker.report.life);
+    if (others.empty()) {
+        return;
+    }
+    const auto listed = get_listed(answer);
+    for (auto* other : others) {
+        if (!other->is_gone && other->known_since < asked_at) {
+            end_life(*other, worker, listed, now);
+        }
+    }
+}
+
+void dispatcher::end_life(worker_state& former, worker_state& heir, const std::vector<run_key>& listed,
+                          time_point now) {
+    log_event(log_level::warn, "worker_started_again")
+        .add("worker", heir.report.life.id)
+        .add("born_ms", heir.report.life.born_ms)
+        .add("former_born_ms", former.report.life.born_ms)
+        .add("runs", static_cast<std::uint64_t>(former.runs.size()))
+        .add("seen", former.seen)
+        .add("acknowledged", former.acknowledged);
+    const auto judged = judge_runs(former, now);
+    mark_gone(former, started_again, now);
+    const bool is_surely_other = former.report.life.born_ms != 0;
+    for (const auto& run : judged) {
+        auto& track = *former.runs.at(run.run);
+        const auto loss = is_surely_other ? run.loss : run_loss{};
+        if (may_yet_start(track) || std::binary_search(listed.begin(), listed.end(), run.run)) {
+            follow_at(track, heir, loss, now);
+        } else {
+            give_up_run(track, started_again, loss, now);
+        }
+    }
+}
+
+/// Its start came to the heir, or may yet come there: the heir's list under its own fence says which.
+void dispatcher::follow_at(run_track& track, worker_state& heir, const run_loss& loss, time_point now) {
+    auto& former = *track.host;
+    add_load(former, track, -1);
+    track.host = &heir;
+    track.worker = heir.report.life;
+    track.stage = run_stage::adopting;
+    track.former_loss = loss;
+    track.is_listed = false;
+    track.is_order_out = false;
+    add_load(heir, track, 1);
+    refresh_pressure(former);
+    refresh_pressure(heir);
+    // The start's lease is of the former life's clock, so the heir bounds it only by the longest that it
+    // grants.
+    heir.lease_end = std::max(heir.lease_end, now + m_settings.longest_lease + m_settings.lease_margin);
+}
+
+void dispatcher::compare_clock(worker_state& worker, std::int64_t clock_ms, time_point now) {
+    const auto margin = to_milliseconds(m_settings.lease_margin);
+    if (clock_ms == 0 || clock_ms + margin >= worker.estimate_clock(now)) {
+        return;
+    }
+    worker.lease_end = std::max(worker.lease_end, now + m_settings.longest_lease + m_settings.lease_margin);
+    hold_soon(worker, now);
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -20,7 +20,7 @@
     for (auto* worker : m_workers.take_due(now, time_point::max())) {
         watch_worker(*worker, now);
         if (may_forget(*worker, now)) {
-            m_workers.erase(worker->report.id);
+            m_workers.erase(worker_life{worker->report.life});
         } else {
             m_workers.look_at(*worker, get_next_look(*worker, now));
         }
@@ -38,40 +38,50 @@
 /// and how many runs were.
 void dispatcher::add_loss(log_event& line, const run_track& track, time_point now) {
     add_run(line, track.key);
-    line.add("worker", track.worker);
+    add_worker(line, track.worker);
     if (const auto age = get_age_at_loss(track, now); age.has_value()) {
         line.add("age_ms", to_milliseconds(*age));
     }
     line.add("runs", static_cast<std::uint64_t>(track.host->runs.size()));
 }
 
-void dispatcher::lose_worker(worker_state& worker, const char* reason, time_point now) {
-    if (worker.is_gone) {
-        return;
-    }
+void dispatcher::mark_gone(worker_state& worker, const char* reason, time_point now) {
     worker.is_gone = true;
+    worker.awaits_fence = false;
     worker.ends_committing = 0;
-    m_gone.insert(worker.report.id);
-    log_event(log_level::warn, "worker_lost")
-        .add("worker", worker.report.id)
+    m_gone.insert(worker.report.life);
+    m_workers.look_at(worker, now);
+    auto line = log_event(log_level::warn, "worker_lost");
+    add_worker(line, worker.report.life)
         .add("reason", reason)
         .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
-    for (const auto& run : judge_runs(worker, now)) {
-        auto& track = *worker.runs.at(run.run);
-        ++m_counts.lost_runs;
-        auto line = log_event(log_level::warn, "run_lost");
-        line.add("reason", reason);
-        add_loss(line, track, now);
-        propose_end(track, run_end::lost, now, {}, 0, run.loss);
-    }
     for (const auto& run : worker.lapsed) {
         if (run.loss.crash != crash_evidence::none) {
-            propose_crash(run, worker.report.id);
+            propose_crash(run, worker.report.life);
         }
     }
     worker.lapsed.clear();
 }
 
+void dispatcher::give_up_run(run_track& track, const char* reason, const run_loss& loss, time_point now) {
+    ++m_counts.lost_runs;
+    auto line = log_event(log_level::warn, "run_lost");
+    line.add("reason", reason);
+    add_loss(line, track, now);
+    propose_end(track, run_end::lost, now, {}, 0, loss);
+}
+
+void dispatcher::lose_worker(worker_state& worker, const char* reason, time_point now) {
+    if (worker.is_gone) {
+        return;
+    }
+    const auto judged = judge_runs(worker, now);
+    mark_gone(worker, reason, now);
+    for (const auto& run : judged) {
+        give_up_run(*worker.runs.at(run.run), reason, run.loss, now);
+    }
+}
+
 void dispatcher::watch_worker(worker_state& worker, time_point now) {
     if (needs_hold(worker) && worker.next_hold <= now) {
         send_hold(worker, now);
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -311,13 +311,13 @@
         return best;
     }
     for (auto* worker : usable->second) {
-        if (worker->report.id == request.excluded) {
+        if (worker->report.life == request.excluded) {
             continue;
         }
         if (is_patient && worker->servings == 0 && !may_open(*worker)) {
             continue;
         }
-        if (needs_ticket && find_ticket(request.step, worker->report.id, pass.now).empty()) {
+        if (needs_ticket && find_ticket(request.step, worker->report.life, pass.now).empty()) {
             continue;
         }
         const auto cost = get_placement_cost(*worker, request);
@@ -364,7 +364,7 @@
                 break;
             }
             const run_key member{{key, index}, run};
-            add_track(member, ready.job, chosen->report.id, run_stage::committing, pass.now);
+            add_track(member, ready.job, chosen->report.life, run_stage::committing, pass.now);
             placed.emplace_back(member, chosen);
         }
         if (placed.size() == spec.count) {
@@ -386,7 +386,7 @@
     if (ready.job->steps[key.step.step].is_serving() && worker.servings == 0) {
         m_open_cores -= worker.report.capacity.millicores;
     }
-    add_track(run, ready.job, worker.report.id, run_stage::committing, now);
+    add_track(run, ready.job, worker.report.life, run_stage::committing, now);
     propose_assignment(run, worker);
 }
 
@@ -394,7 +394,8 @@
     job_wire::job_command command;
     encode(key.task, *command.mutable_assign()->mutable_task());
     command.mutable_assign()->set_run(key.run);
-    command.mutable_assign()->set_worker(worker.report.id);
+    command.mutable_assign()->set_worker(worker.report.life.id);
+    command.mutable_assign()->set_born_ms(worker.report.life.born_ms);
     command.mutable_assign()->set_address(worker.report.address);
     m_commands.push_back(std::move(command));
     ++m_counts.assigned;
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -1,6 +1,7 @@
 // Tasks that fill beside tasks that serve: what is learned, and how filling tasks are paced and moved.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/telemetry/log_event.h"
 
 #include <algorithm>
@@ -119,9 +120,8 @@
 /// where they have some; one that is nearly done stays.
 void dispatcher::leave_unsound(worker_state& worker, time_point now) {
     if (!worker.trust.is_set_aside(now)) {
-        log_event(log_level::warn, "worker_unsound")
-            .add("worker", worker.report.id)
-            .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
+        auto line = log_event(log_level::warn, "worker_unsound");
+        add_worker(line, worker.report.life).add("runs", static_cast<std::uint64_t>(worker.runs.size()));
     }
     worker.trust.on_unsound(now);
     for (const auto& [key, run] : worker.runs) {
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -18,15 +18,16 @@
 } // namespace
 
 run_track& dispatcher::add_track(const run_key& key, std::shared_ptr<const step_job> job,
-                                 const std::string& worker, run_stage stage, time_point now) {
+                                 const worker_life& worker, run_stage stage, time_point now) {
     auto& track = m_tracks[key];
     track.key = key;
     track.job = std::move(job);
     track.worker = worker;
+    track.assigned_to = worker;
     track.stage = stage;
     track.claimed_at = now;
     track.care = m_suspects.get_caution(key.task);
-    auto& state = m_workers.get(worker);
+    auto& state = know_life(worker, now);
     track.host = &state;
     add_load(state, track, 1);
     if (const auto job = m_jobs.find(key.task.step.job); job != m_jobs.end()) {
@@ -78,7 +79,8 @@
     auto& message = *command.mutable_end();
     encode(track.key.task, *message.mutable_task());
     message.set_run(track.key.run);
-    message.set_worker(track.worker);
+    message.set_worker(track.assigned_to.id);
+    message.set_born_ms(track.assigned_to.born_ms);
     message.set_kind(static_cast<std::uint32_t>(end));
     message.set_saved(saved);
     message.set_number(number);
@@ -91,7 +93,7 @@
 
 order_target dispatcher::make_target(const worker_state& worker, duration timeout) const {
     const bool is_fresh = worker.hold_failures == 1 || worker.backoff.has_just_failed();
-    return {worker.report.id, worker.report.address, m_term, is_fresh, timeout};
+    return {worker.report.life, worker.report.address, worker.fence, is_fresh, timeout};
 }
 
 void dispatcher::push_track(run_track& track, time_point now) {
@@ -128,7 +130,7 @@
 
 void dispatcher::send_start(run_track& track, time_point now) {
     auto& worker = *track.host;
-    if (!worker.has_report || worker.clock_ms == 0) {
+    if (!worker.has_report || worker.clock_ms == 0 || !worker.is_confirmed) {
         return; // its lease decides
     }
     if (worker.is_leaving) { // it said so after it was chosen
@@ -170,7 +172,7 @@
 
 void dispatcher::send_stop(run_track& track, time_point now) {
     auto& worker = *track.host;
-    if (!worker.has_report) {
+    if (worker.report.address.empty() || worker.awaits_fence) {
         return; // its lease decides
     }
     ++m_counts.stops;
@@ -235,6 +237,7 @@
         return; // the stop under way decides
     }
     note_order_answer(*track, answer, now);
+    compare_clock(*track->host, answer.clock_ms, now);
     if (!answer.failure.has_value()) {
         ++m_counts.started;
         track->stage = run_stage::running;
@@ -244,7 +247,7 @@
         note_started(key.task.step.job, now);
         auto event = log_event(log_level::info, "run_started");
         add_run(event, key);
-        event.add("worker", track->worker).add("wait_ms", to_milliseconds(now - track->claimed_at));
+        add_worker(event, track->worker).add("wait_ms", to_milliseconds(now - track->claimed_at));
         return;
     }
     on_start_refused(*track, *answer.failure, now);
@@ -255,7 +258,7 @@
     {
         auto event = log_event(log_level::warn, "start_refused");
         add_run(event, track.key);
-        event.add("worker", track.worker).add("reason", get_failure_name(failure));
+        add_worker(event, track.worker).add("reason", get_failure_name(failure));
     }
     switch (failure) {
     case order_failure::unanswered:
@@ -310,7 +313,7 @@
     propose_end(track, run_end::not_started, now);
 }
 
-void dispatcher::on_stop(const run_key& key, const std::string& worker, const order_answer& answer,
+void dispatcher::on_stop(const run_key& key, const worker_life& worker, const order_answer& answer,
                          time_point now) {
     auto* track = find(key);
     if (track == nullptr || !is_leading() || track->worker != worker) {
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -56,17 +56,14 @@
 // ---- heartbeats
 
 bool dispatcher::on_heartbeat(const worker_report& report, time_point now) {
-    if (!is_leading() || m_gone.contains(report.id)) {
+    if (!is_leading() || is_past(report.life)) {
         return false;
     }
-    auto& worker = m_workers.get(report.id);
+    auto& worker = know_life(report.life, now);
     if (worker.has_report && report.sequence <= worker.report.sequence) {
-        return worker.is_leaving && !m_book.is_retired(report.id); // late; only what it asks for counts
+        return worker.is_leaving && !m_book.is_retired(report.life); // late; only what it asks for counts
     }
     const bool is_new = !worker.has_report;
-    if (!is_new) {
-        note_start_time(worker, report.born_ms, "heartbeat");
-    }
     worker.report = report;
     worker.report_sequence = report.sequence;
     worker.has_report = true;
@@ -76,38 +73,37 @@
     if (is_new) {
         worker.next_hold = now;
         m_workers.look_at(worker, now);
-        log_event(log_level::info, "worker_seen")
-            .add("worker", report.id)
-            .add("born_ms", report.born_ms)
+        auto line = log_event(log_level::info, "worker_seen");
+        add_worker(line, report.life)
             .add("address", report.address)
             .add("pool", report.pool)
             .add("rack", report.rack)
             .add("millicores", report.capacity.millicores)
             .add("memory_mb", report.capacity.memory_mb);
-        for (const auto& id : m_workers.note_address(worker)) {
-            if (auto* other = find_worker(id); other != nullptr && other != &worker) {
+        for (const auto& life : m_workers.note_address(worker)) {
+            if (auto* other = find_worker(life); other != nullptr && other != &worker) {
                 hold_soon(*other, now); // its answer tells which of the two lives
             }
         }
     }
-    const bool is_leaving = report.is_leaving || m_book.is_retired(report.id);
+    const bool is_leaving = report.is_leaving || m_book.is_retired(report.life);
     if (is_leaving && !worker.is_leaving) {
         worker.is_leaving = true;
         worker.leaves_at = now + milliseconds{report.remaining_ms};
-        log_event(log_level::info, "worker_leaving")
-            .add("worker", report.id)
+        auto line = log_event(log_level::info, "worker_leaving");
+        add_worker(line, report.life)
             .add("remaining_ms", report.remaining_ms)
             .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
         evacuate(worker, now);
         m_workers.look_at(worker, now);
     }
-    return is_leaving && !m_book.is_retired(report.id);
+    return is_leaving && !m_book.is_retired(report.life);
 }
 
 /// Heartbeats of one worker may come by several relays, each of which compares them with what it told itself;
 /// and what it told may have been lost. So each names the report that it repeats.
 bool dispatcher::on_sign_of_life(const sign_of_life& sign, time_point now) {
-    if (!is_leading() || m_gone.contains(sign.worker)) {
+    if (!is_leading() || is_past(sign.worker)) {
         return true;
     }
     auto* worker = find_worker(sign.worker);
@@ -127,20 +123,6 @@
     return true;
 }
 
-void dispatcher::note_start_time(const worker_state& worker, std::int64_t born_ms, const char* from) {
-    if (born_ms == worker.report.born_ms) {
-        return;
-    }
-    log_event(log_level::warn, "worker_started_again")
-        .add("worker", worker.report.id)
-        .add("born_ms", born_ms)
-        .add("known_born_ms", worker.report.born_ms)
-        .add("from", from)
-        .add("runs", static_cast<std::uint64_t>(worker.runs.size()))
-        .add("seen", worker.seen)
-        .add("acknowledged", worker.acknowledged);
-}
-
 void dispatcher::note_room(worker_state& worker) const {
     const auto* pool = m_book.get_configuration().find_pool(worker.report.pool);
     const bool guards_room = pool == nullptr || pool->enforces_capacity;
@@ -154,14 +136,16 @@
     }
 }
 
-void dispatcher::on_goodbye(const std::string& id, time_point now) {
-    auto* worker = find_worker(id);
-    if (worker == nullptr || !is_leading()) {
+void dispatcher::on_goodbye(const worker_life& life, time_point now) {
+    if (!is_leading() || is_past(life)) {
         return;
     }
-    log_event(log_level::info, "worker_goodbye")
-        .add("worker", id)
-        .add("runs", static_cast<std::uint64_t>(worker->runs.size()));
+    auto* worker = find_worker(life);
+    if (worker == nullptr) {
+        return;
+    }
+    auto line = log_event(log_level::info, "worker_goodbye");
+    add_worker(line, life).add("runs", static_cast<std::uint64_t>(worker->runs.size()));
     worker->is_leaving = true;
     worker->leaves_at = now;
     worker->next_hold = now; // its answer, or none, says when it has ended
@@ -171,7 +155,7 @@
 // ---- holds
 
 bool dispatcher::needs_hold(const worker_state& worker) const {
-    if (worker.report.address.empty() || worker.is_gone || worker.is_holding) {
+    if (worker.report.address.empty() || worker.is_gone || worker.is_holding || worker.awaits_fence) {
         return false;
     }
     return !worker.is_confirmed || !worker.runs.empty() || worker.acknowledged > worker.told ||
@@ -214,46 +198,69 @@
     }
     worker.is_holding = true;
     worker.hold_sent = now;
+    worker.hold_fence = worker.fence;
     worker.hold_due = now + order.target.timeout;
     worker.told = std::max(worker.told, worker.acknowledged);
     ++m_counts.holds;
     m_orders.emplace_back(std::move(order));
 }
 
-void dispatcher::on_hold(const std::string& id, const hold_outcome& outcome, time_point now) {
-    auto* worker = find_worker(id);
+/// Returns why a hold has no list that its worker can be known by.
+std::optional<order_failure> dispatcher::get_hold_failure(const worker_state& worker,
+                                                          const hold_outcome& outcome) {
+    const bool hides_life = outcome.answer.born_ms == 0 && worker.report.life.born_ms != 0;
+    if (!outcome.failure.has_value() && hides_life) {
+        return order_failure::unanswered;
+    }
+    return outcome.failure;
+}
+
+void dispatcher::on_hold(const worker_life& life, const hold_outcome& outcome, time_point now) {
+    auto* worker = find_worker(life);
     if (worker == nullptr || !is_leading() || !worker->is_holding) {
         return;
     }
     worker->is_holding = false;
     m_workers.look_at(*worker, now); // a turn later: what it asks for is known then
-    if (outcome.failure.has_value()) {
-        if (outcome.failure == order_failure::other_life) {
+    if (worker->is_gone) {
+        return;
+    }
+    const auto failure = get_hold_failure(*worker, outcome);
+    if (failure.has_value()) {
+        if (failure == order_failure::other_life) {
             lose_worker(*worker, "another_life_answers", now);
             return;
         }
-        worker->told = 0;                                 // what it was told may not have arrived
-        if (outcome.failure == order_failure::not_sent) { // says nothing of the worker
+        worker->told = 0;                         // what it was told may not have arrived
+        if (failure == order_failure::not_sent) { // says nothing of the worker
             ++m_counts.not_sent;
             worker->next_hold = now + get_backoff(1, m_settings.retry_pause, worker->spread);
             return;
         }
+        if (failure == order_failure::lower_fence) {
+            worker->fence = get_fence();
+        }
         note_hold_failure(*worker, now);
         worker->next_hold = now + get_backoff(static_cast<std::uint32_t>(worker->hold_failures),
                                               m_settings.retry_pause, worker->spread);
         if (worker->hold_failures == silent_after) {
-            log_event(log_level::warn, "worker_silent")
-                .add("worker", id)
-                .add("reason", get_failure_name(*outcome.failure))
+            auto line = log_event(log_level::warn, "worker_silent");
+            add_worker(line, life)
+                .add("reason", get_failure_name(*failure))
                 .add("runs", static_cast<std::uint64_t>(worker->runs.size()))
                 .add("lease_left_ms", to_milliseconds(worker->lease_end - now));
         }
         return;
     }
+    const worker_life answered{life.id, outcome.answer.born_ms};
+    if (answered != life) {
+        on_other_life(*worker, answered, outcome.answer, now);
+        return;
+    }
     if (worker->is_silent()) {
-        log_event(log_level::info, "worker_heard_again").add("worker", id);
+        auto line = log_event(log_level::info, "worker_heard_again");
+        add_worker(line, life);
     }
-    note_start_time(*worker, outcome.answer.born_ms, "list");
     worker->lapsed.clear(); // it was out of reach and has not crashed
     worker->hold_failures = 0;
     note_heard(*worker, now);
@@ -261,6 +268,15 @@
         worker->clock_ms = outcome.answer.clock_ms;
         worker->clock_at = now;
     }
+    end_former_lives(*worker, worker->hold_sent, outcome.answer, now);
+    if (worker->needs_fence) {
+        raise_fence(*worker);
+        return;
+    }
+    if (worker->hold_fence < worker->fence) { // orders under the lower fence may yet follow
+        hold_soon(*worker, now);
+        return;
+    }
     take_rows(*worker, outcome.answer, now);
     const bool was_confirmed = worker->is_confirmed;
     worker->is_confirmed = true;
@@ -288,7 +304,7 @@
     for (const auto& row : answer.running) {
         listed.push_back(row.run);
         auto* track = find(row.run);
-        if (track == nullptr || track->worker != worker.report.id) {
+        if (track == nullptr || track->worker != worker.report.life) {
             stop_stray(worker, row.run);
             continue;
         }
@@ -301,6 +317,8 @@
             note_started(row.run.task.step.job, now);
         }
         track->listed_at = now;
+        track->is_listed = true;
+        track->former_loss.reset();
         track->percent = row.percent;
         track->level = row.level;
     }
@@ -319,11 +337,14 @@
 
 void dispatcher::take_end(worker_state& worker, const end_row& row, time_point now) {
     auto* track = find(row.run);
+    if (row.number <= worker.acknowledged) {
+        worker.told = 0; // it has not heard of that yet
+    }
     if (row.number <= worker.seen) {
         if (track != nullptr && !track->is_ending) {
             auto line = log_event(log_level::warn, "end_passed_over");
             add_run(line, row.run);
-            line.add("worker", worker.report.id)
+            add_worker(line, worker.report.life)
                 .add("end", get_end_name(row.end))
                 .add("number", row.number)
                 .add("seen", worker.seen);
@@ -331,7 +352,7 @@
         return;
     }
     worker.seen = row.number;
-    if (track == nullptr || track->worker != worker.report.id || track->is_ending) {
+    if (track == nullptr || track->worker != worker.report.life || track->is_ending) {
         return; // an earlier leader's, or given up before
     }
     if (row.end == run_end::done) {
@@ -360,11 +381,15 @@
         if (never_came || was_there || was_stopped) {
             auto line = log_event(log_level::info, "run_not_listed");
             add_run(line, key);
-            line.add("worker", worker.report.id)
+            add_worker(line, worker.report.life)
                 .add("seen", worker.seen)
                 .add("told", worker.told)
                 .add("was_there", was_there ? "yes" : "no");
-            propose_end(track, run_end::not_started, now);
+            if (track.former_loss.has_value()) {
+                propose_end(track, run_end::lost, now, {}, 0, *track.former_loss);
+            } else {
+                propose_end(track, run_end::not_started, now);
+            }
         }
     }
 }
@@ -374,7 +399,7 @@
         .add("job", format_job_id(key.task.step.job))
         .add("task", static_cast<std::uint64_t>(key.task.index))
         .add("run", static_cast<std::uint64_t>(key.run))
-        .add("worker", worker.report.id);
+        .add("worker", worker.report.life.id);
     ++m_counts.stops;
     stop_order order;
     order.target = make_target(worker, m_settings.order_timeout);
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -159,7 +159,7 @@
         cost += doubtful;
     }
     if (request.avoided != nullptr && std::find(request.avoided->begin(), request.avoided->end(),
-                                                worker.report.id) != request.avoided->end()) {
+                                                worker.report.life) != request.avoided->end()) {
         cost += failed_there;
     }
     return cost;
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -22,13 +22,13 @@
     step_key step;
     image_number image = 0;      ///< of what the task runs; only of tasks that fill or serve
     std::vector<double> factors; ///< for tasks that fill: of its image beside each serving one, by number
-    const std::vector<std::string>* avoided = nullptr; ///< workers on which the task failed; null for none
+    const std::vector<worker_life>* avoided = nullptr; ///< workers on which the task failed; null for none
     bool is_last_attempt = false;                      ///< a worker whose last run failed is no choice
     bool is_starving = false; ///< nothing of its job runs: a task that fills takes less than it asks for
     caution care = caution::none;
     bool is_patient = false; ///< a task that is to be alone waits for a worker of its own
     std::string rack;        ///< only this rack; empty for any
-    std::string excluded;    ///< a worker that is no choice: a copy is to run elsewhere
+    worker_life excluded;    ///< a worker that is no choice: a copy is to run elsewhere
 
     friend bool operator==(const placement_request&, const placement_request&) = default;
 
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/pressure_model.h"
+#include "poplarpitch/dispatch/run_loss.h"
 #include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/tail_watch.h"
 #include "poplarpitch/scheduling/step_job.h"
@@ -10,7 +11,7 @@
 
 #include <cstdint>
 #include <memory>
-#include <string>
+#include <optional>
 
 namespace poplarpitch {
 
@@ -28,7 +29,8 @@
 struct run_track {
     run_key key;
     std::shared_ptr<const step_job> job;
-    std::string worker;
+    worker_life worker;      ///< at which it is followed
+    worker_life assigned_to; ///< by the book: another life of the worker where its start came to that late
     worker_state* host = nullptr; ///< its worker, which is known for as long as it has runs
     image_number image = 0;       ///< of what it runs; only of runs that fill or serve
     run_stage stage = run_stage::committing;
@@ -42,8 +44,11 @@
     time_point confirmed_at{};    ///< when the start was answered or first listed; zero before
     bool has_known_start = false; ///< its start was answered: `confirmed_at` is when it began
     time_point stop_answered_at{};
-    time_point listed_at{};     ///< when its worker listed it last, or its start was answered
-    time_point next_order{};    ///< earliest time of the next start or stop order
+    time_point listed_at{};  ///< when its worker listed it last, or its start was answered
+    time_point next_order{}; ///< earliest time of the next start or stop order
+    std::optional<run_loss>
+        former_loss;            ///< its start was sent to a former life of its worker, whose loss says this
+    bool is_listed = false;     ///< in a list of the life at which it is followed
     bool may_come_late = false; ///< a start had no answer: it may be carried out seconds later
     std::int64_t percent = 0;
     std::int64_t level = 0;          ///< as in `run_row`
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -37,18 +37,24 @@
     worker_report report;
     bool has_report = false; ///< false while only the log names it
     std::uint64_t report_sequence =
-        0;                     ///< of the heartbeat that told all of it; later ones may have repeated it
-    bool is_confirmed = false; ///< it has sent its list under this leader's fence
+        0; ///< of the heartbeat that told all of it; later ones may have repeated it
+    time_point known_since{};
+    std::uint64_t fence = 0;  ///< of orders to this life
+    bool needs_fence = false; ///< orders to a former life may yet come: only a higher fence keeps them off
+    bool awaits_fence =
+        false; ///< this life has answered, and the raise of the fence is on its way into the log
+    bool is_confirmed = false; ///< it has sent its list under its fence
     bool is_leaving = false;
-    bool is_gone = false;   ///< another life answers at its address, or it said goodbye
+    bool is_gone = false;   ///< another life answered, or another worker at its address
     time_point leaves_at{}; ///< while leaving: it stays until then at least
     time_point last_heartbeat{};
     time_point room_known_until{}; ///< later nothing is started on it: its room may have shrunk
 
     bool is_holding = false; ///< a hold is under way
     time_point hold_sent{};
-    time_point listed_at{}; ///< when its last list came
-    time_point hold_due{};  ///< by then the hold under way has an answer or has none
+    std::uint64_t hold_fence = 0; ///< of the hold that was sent last
+    time_point listed_at{};       ///< when its last list came
+    time_point hold_due{};        ///< by then the hold under way has an answer or has none
     time_point next_hold{};
     int hold_failures = 0;       ///< in a row
     time_point failing_since{};  ///< when the first of them came; of use only while there are some
@@ -63,7 +69,7 @@
 
     std::uint64_t seen = 0;         ///< highest number of its ends that was taken up
     std::uint64_t acknowledged = 0; ///< highest number that it may forget
-    std::uint64_t told = 0;         ///< highest number that it was told it may forget
+    std::uint64_t told = 0;         ///< highest number that it was told it may forget; 0 if that may be lost
     std::size_t ends_committing = 0;
 
     absl::btree_map<run_key, run_track*> runs;     ///< in order, so that equal states act alike
--- a/poplarpitch/dispatch/worker_table.cpp
+++ b/poplarpitch/dispatch/worker_table.cpp
@@ -4,20 +4,21 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace poplarpitch {
 
-worker_state& worker_table::get(const std::string& id) {
-    if (auto* known = find(id); known != nullptr) {
+worker_state& worker_table::get(const worker_life& life) {
+    if (auto* known = find(life); known != nullptr) {
         return *known;
     }
-    auto& worker = m_workers[id];
-    worker.report.id = id;
-    worker.spread = hash_bytes(id);
-    m_by_id[id] = &worker;
+    auto& worker = m_workers[life];
+    worker.report.life = life;
+    worker.spread = hash_bytes(life.id);
+    m_by_life[life] = &worker;
     const auto place = std::lower_bound(
-        m_all.begin(), m_all.end(), id,
-        [](const worker_state* other, const std::string& wanted) { return other->report.id < wanted; });
+        m_all.begin(), m_all.end(), life,
+        [](const worker_state* other, const worker_life& wanted) { return other->report.life < wanted; });
     const auto number = static_cast<std::size_t>(std::distance(m_all.begin(), place));
     m_all.insert(place, &worker);
     m_looks.insert(m_looks.begin() + static_cast<std::ptrdiff_t>(number), time_point{});
@@ -25,36 +26,50 @@
     return worker;
 }
 
-worker_state* worker_table::find(const std::string& id) const {
-    const auto found = m_by_id.find(id);
-    return found == m_by_id.end() ? nullptr : found->second;
+worker_state* worker_table::find(const worker_life& life) const {
+    const auto found = m_by_life.find(life);
+    return found == m_by_life.end() ? nullptr : found->second;
 }
 
-void worker_table::erase(const std::string& id) {
-    const auto found = m_workers.find(id);
+void worker_table::erase(const worker_life& life) {
+    const auto found = m_workers.find(life);
     if (found == m_workers.end()) {
         return;
     }
     const auto place = found->second.place;
     m_all.erase(m_all.begin() + static_cast<std::ptrdiff_t>(place));
     m_looks.erase(m_looks.begin() + static_cast<std::ptrdiff_t>(place));
-    m_by_id.erase(id);
+    m_by_life.erase(life);
     m_workers.erase(found);
     number_from(place);
 }
 
-const std::vector<std::string>& worker_table::note_address(const worker_state& worker) {
+const std::vector<worker_life>& worker_table::note_address(const worker_state& worker) {
     auto& lives = m_lives[worker.report.address];
-    std::erase_if(lives, [this](const std::string& id) { return find(id) == nullptr; });
-    lives.push_back(worker.report.id);
+    std::erase_if(lives, [this](const worker_life& life) { return find(life) == nullptr; });
+    lives.push_back(worker.report.life);
     return lives;
 }
 
+std::vector<worker_state*> worker_table::find_other_lives(const worker_life& life) const {
+    std::vector<worker_state*> others;
+    const worker_life first{life.id, std::numeric_limits<std::int64_t>::min()};
+    auto place = std::lower_bound(
+        m_all.begin(), m_all.end(), first,
+        [](const worker_state* other, const worker_life& wanted) { return other->report.life < wanted; });
+    for (; place != m_all.end() && (*place)->report.life.id == life.id; ++place) {
+        if ((*place)->report.life != life) {
+            others.push_back(*place);
+        }
+    }
+    return others;
+}
+
 void worker_table::clear() {
     m_lives.clear();
     m_all.clear();
     m_looks.clear();
-    m_by_id.clear();
+    m_by_life.clear();
     m_workers.clear();
 }
 
--- a/poplarpitch/dispatch/worker_table.h
+++ b/poplarpitch/dispatch/worker_table.h
@@ -20,21 +20,23 @@
 class worker_table {
 public:
     /// Returns a worker's state, a new one where it is not known. A new one is due at once.
-    worker_state& get(const std::string& id);
+    worker_state& get(const worker_life& life);
     /// Returns a worker's state, or null.
-    [[nodiscard]] worker_state* find(const std::string& id) const;
+    [[nodiscard]] worker_state* find(const worker_life& life) const;
     /// Forgets a worker. Precondition: nothing points to it.
-    void erase(const std::string& id);
+    void erase(const worker_life& life);
     void clear();
 
+    /// Returns the other lives of the worker of this one that are known, in order.
+    [[nodiscard]] std::vector<worker_state*> find_other_lives(const worker_life& life) const;
+
     /// Returns all workers in the order of their ids.
     [[nodiscard]] const std::vector<worker_state*>& get_all() const { return m_all; }
-    /// Returns all workers by id.
-    [[nodiscard]] const std::map<std::string, worker_state>& get_map() const { return m_workers; }
+    /// Returns all workers by life.
+    [[nodiscard]] const std::map<worker_life, worker_state>& get_map() const { return m_workers; }
 
-    /// Notes the address of a worker. Returns the ids of all lives that were seen there, some of which may be
-    /// forgotten.
-    const std::vector<std::string>& note_address(const worker_state& worker);
+    /// Notes the address of a worker. Returns all lives that were seen there, some of which may be forgotten.
+    const std::vector<worker_life>& note_address(const worker_state& worker);
 
     /// Makes a worker due at `when`, if it is not due before.
     void look_at(const worker_state& worker, time_point when);
@@ -45,10 +47,10 @@
 private:
     void number_from(std::size_t place);
 
-    std::map<std::string, worker_state> m_workers;
-    absl::flat_hash_map<std::string, worker_state*> m_by_id;
-    absl::flat_hash_map<std::string, std::vector<std::string>> m_lives; ///< ids by address
-    std::vector<worker_state*> m_all;                                   ///< by id
+    std::map<worker_life, worker_state> m_workers;
+    absl::flat_hash_map<worker_life, worker_state*> m_by_life;
+    absl::flat_hash_map<std::string, std::vector<worker_life>> m_lives; ///< by address
+    std::vector<worker_state*> m_all;                                   ///< by life
     std::vector<time_point> m_looks; ///< when each is due; same places as `m_all`
 };
 
--- a/poplarpitch/net/http_connections.cpp
+++ b/poplarpitch/net/http_connections.cpp
@@ -81,7 +81,14 @@
 
 bool http_connections::begin_first(const std::string& address, peer& item, wait_queue& queue) {
     const auto exchange = queue.front();
-    auto socket = exchange->is_fresh() ? nullptr : take_idle(item);
+    auto socket = exchange->is_fresh() ? nullptr : take_idle(item, *exchange);
+    if (socket == nullptr && exchange->get_opened_before().has_value()) {
+        queue.pop_front();
+        --m_waiting;
+        m_exchanges.erase(exchange);
+        exchange->refuse();
+        return true;
+    }
     if (socket == nullptr) {
         if (!make_room()) {
             starve(address, item, exchange->get_importance());
@@ -101,10 +108,19 @@
     return true;
 }
 
-http_connections::socket_ptr http_connections::take_idle(peer& item) {
-    while (!item.idle.empty()) {
-        const auto place = item.idle.back();
-        item.idle.pop_back();
+http_connections::socket_ptr http_connections::take_idle(peer& item, http_exchange& exchange) {
+    const auto may_use = [&exchange](const idle_list::iterator& place) {
+        const auto before = exchange.get_opened_before();
+        return !before.has_value() || place->opened < *before;
+    };
+    while (true) {
+        const auto newest = std::find_if(item.idle.rbegin(), item.idle.rend(), may_use);
+        if (newest == item.idle.rend()) {
+            return nullptr;
+        }
+        const auto place = *newest;
+        item.idle.erase(std::next(newest).base());
+        exchange.note_opened(place->opened);
         auto socket = std::move(place->socket);
         const bool is_good = m_loop.now() - place->since < m_settings.max_idle;
         m_idle.erase(place);
@@ -113,7 +129,6 @@
         }
         --m_connections;
     }
-    return nullptr;
 }
 
 bool http_connections::make_room() {
@@ -148,7 +163,7 @@
     auto& calls = exchange.is_long() ? item.long_calls : item.prompt_calls;
     --calls;
     if (socket != nullptr && item.idle.size() < m_settings.max_idle_per_address) {
-        m_idle.push_back({address, std::move(socket), m_loop.now()});
+        m_idle.push_back({address, std::move(socket), m_loop.now(), exchange.get_opened()});
         item.idle.push_back(std::prev(m_idle.end()));
     } else {
         socket.reset();
--- a/poplarpitch/net/http_connections.h
+++ b/poplarpitch/net/http_connections.h
@@ -61,6 +61,7 @@
         std::string address;
         socket_ptr socket;
         time_point since{};
+        time_point opened{};
     };
     using idle_list = std::list<idle_connection>;
     using wait_queue = std::deque<std::shared_ptr<http_exchange>>;
@@ -84,7 +85,8 @@
     wait_queue* find_startable(peer& item);
     /// Returns false when no connection can be had now.
     bool begin_first(const std::string& address, peer& item, wait_queue& queue);
-    socket_ptr take_idle(peer& item);
+    /// Gives the call an open connection that it may use, or null.
+    socket_ptr take_idle(peer& item, http_exchange& exchange);
     [[nodiscard]] bool make_room();
     void close_oldest_idle();
     void close_expired_idle();
--- a/poplarpitch/net/http_exchange.cpp
+++ b/poplarpitch/net/http_exchange.cpp
@@ -124,6 +124,7 @@
         finish(make_error_code(net_errc::unreachable));
         return;
     }
+    m_opened = m_loop.now();
     boost::system::error_code ignored; // without it requests only wait a little longer
     m_socket->set_option(asio::ip::tcp::no_delay(true), ignored);
     write();
@@ -172,7 +173,7 @@
 
 void http_exchange::on_broken() {
     const bool is_untouched = !m_parser.has_value() || !m_parser->got_some();
-    if (m_is_reused && is_untouched) {
+    if (m_is_reused && is_untouched && !m_call.opened_before.has_value()) {
         m_is_reused = false;
         m_parser.reset();
         m_buffer.clear();
--- a/poplarpitch/net/http_exchange.h
+++ b/poplarpitch/net/http_exchange.h
@@ -40,6 +40,11 @@
     [[nodiscard]] call_importance get_importance() const { return m_call.importance; }
     [[nodiscard]] bool is_long() const { return m_call.is_long; }
     [[nodiscard]] bool is_fresh() const { return m_call.is_fresh; }
+    [[nodiscard]] std::optional<time_point> get_opened_before() const { return m_call.opened_before; }
+    /// Returns when its connection was opened.
+    [[nodiscard]] time_point get_opened() const { return m_opened; }
+    /// Takes when the connection was opened that it is given.
+    void note_opened(time_point opened) { m_opened = opened; }
     [[nodiscard]] bool is_over() const { return m_stage == stage::over; }
     /// Returns true while an answer can still be expected in time if the call is sent now. One that is sent
     /// with less time left ends unanswered, which is worse than not sent.
@@ -68,6 +73,7 @@
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     time_point m_deadline{};
+    time_point m_opened{};
     timer_id m_timer = 0;
     timer_id m_connect_timer = 0;
     stage m_stage = stage::waiting;
--- a/poplarpitch/relay/order_name.h
+++ b/poplarpitch/relay/order_name.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "poplarpitch/scheduling/task_key.h"
+#include "poplarpitch/scheduling/worker_life.h"
 
 #include <compare>
 #include <cstdint>
-#include <string>
 
 namespace poplarpitch {
 
@@ -13,7 +13,7 @@
     enum class kind : std::uint8_t { hold, start, stop, pace };
 
     kind what = kind::hold;
-    std::string worker;
+    worker_life worker;
     run_key run;     ///< of all but a hold
     int percent = 0; ///< of a pace order
 
--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -6,6 +6,7 @@
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace poplarpitch {
@@ -36,6 +37,7 @@
         refusal.set_term(frame.term());
         refusal.set_ip(m_place.ip);
         refusal.set_data_centre(m_place.data_centre);
+        refusal.set_version(relay_version);
         for (const auto& order : frame.orders()) {
             auto& answer = *refusal.add_answers();
             answer.set_number(order.number());
@@ -55,8 +57,10 @@
         }
     }
     for (const auto& worker : frame.unknown_workers()) {
-        if (const auto found = m_reports.find(worker); found != m_reports.end()) {
-            tell(found->second);
+        const worker_life first{worker, std::numeric_limits<std::int64_t>::min()};
+        for (auto known = m_reports.lower_bound(first); known != m_reports.end() && known->first.id == worker;
+             ++known) {
+            tell(known->second);
         }
     }
     carry_out(frame);
@@ -123,6 +127,7 @@
         m_frame->set_term(m_term);
         m_frame->set_ip(m_place.ip);
         m_frame->set_data_centre(m_place.data_centre);
+        m_frame->set_version(relay_version);
     }
     return *m_frame;
 }
@@ -132,17 +137,17 @@
         m_next_sweep = now + m_settings.report_life;
         forget_old_reports(now);
     }
-    auto& known = m_reports[report.id];
+    auto& known = m_reports[report.life];
     known.is_told = known.is_told && is_alike(known.report, report);
     known.report = report;
     known.heard = now;
     if (known.is_told) {
         auto& message = *open_frame().add_reports();
-        message.set_worker(report.id);
+        message.set_worker(report.life.id);
         message.set_sequence(report.sequence);
         message.set_clock_ms(report.clock_ms);
         message.set_told(known.told);
-        message.set_born_ms(report.born_ms);
+        message.set_born_ms(report.life.born_ms);
         return;
     }
     tell(known);
@@ -181,7 +186,7 @@
 }
 
 std::uint32_t relay_agent::pick(const worker_report& report) const {
-    return pick_relay(m_places, report.data_centre, hash_bytes(report.id)).value_or(m_place.ip);
+    return pick_relay(m_places, report.data_centre, hash_bytes(report.life.id)).value_or(m_place.ip);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/relay/relay_agent.h
+++ b/poplarpitch/relay/relay_agent.h
@@ -7,7 +7,7 @@
 #include "poplarpitch/scheduling/worker_order.h"
 #include "poplarpitch/scheduling/worker_report.h"
 
-#include <absl/container/node_hash_map.h>
+#include <absl/container/btree_map.h>
 
 #include <cstdint>
 #include <functional>
@@ -85,8 +85,8 @@
     bool m_owes_frame = false; ///< a frame came and none went since
     time_point m_next_sweep{};
     std::vector<relay_place> m_places;
-    absl::node_hash_map<std::string, known_report> m_reports; ///< by worker
-    std::unique_ptr<job_wire::relay_answers> m_frame;         ///< null while empty
+    absl::btree_map<worker_life, known_report> m_reports;
+    std::unique_ptr<job_wire::relay_answers> m_frame; ///< null while empty
     std::size_t m_open = 0;
     std::uint64_t m_taken = 0;
     std::shared_ptr<bool> m_is_alive; ///< false once the agent is gone; handlers look at it
--- a/poplarpitch/relay/relay_codec.cpp
+++ b/poplarpitch/relay/relay_codec.cpp
@@ -81,7 +81,12 @@
 }
 
 order_target read_target(const job_wire::relayed_order& message, const job_wire::relay_orders& frame) {
-    return {message.worker(), message.address(), frame.term(), message.is_fresh(),
+    const auto fence =
+        message.fence() == 0 ? frame.term() : message.fence(); // none by order in older versions
+    return {{message.worker(), message.born_ms()},
+            message.address(),
+            fence,
+            message.is_fresh(),
             milliseconds{message.timeout_ms()}};
 }
 
@@ -119,7 +124,9 @@
     auto& message = *frame.add_orders();
     const auto& target = *get_order_target(order);
     message.set_number(number);
-    message.set_worker(target.worker);
+    message.set_worker(target.worker.id);
+    message.set_born_ms(target.worker.born_ms);
+    message.set_fence(target.fence);
     message.set_address(target.address);
     message.set_timeout_ms(to_milliseconds(target.timeout));
     message.set_is_fresh(target.is_fresh);
@@ -205,10 +212,10 @@
 }
 
 void encode(const worker_report& report, job_wire::relayed_report& message) {
-    message.set_worker(report.id);
+    message.set_worker(report.life.id);
+    message.set_born_ms(report.life.born_ms);
     message.set_sequence(report.sequence);
     message.set_clock_ms(report.clock_ms);
-    message.set_born_ms(report.born_ms);
     message.set_is_whole(true);
     message.set_address(report.address);
     message.set_pool(report.pool);
@@ -224,15 +231,14 @@
 }
 
 sign_of_life decode_sign_of_life(const job_wire::relayed_report& message) {
-    return {message.worker(), message.sequence(), message.told(), message.clock_ms(), message.born_ms()};
+    return {{message.worker(), message.born_ms()}, message.sequence(), message.told(), message.clock_ms()};
 }
 
 worker_report decode(const job_wire::relayed_report& message) {
     worker_report report;
-    report.id = message.worker();
+    report.life = {message.worker(), message.born_ms()};
     report.sequence = message.sequence();
     report.clock_ms = message.clock_ms();
-    report.born_ms = message.born_ms();
     report.address = message.address();
     report.pool = message.pool();
     report.data_centre = message.data_centre();
--- a/poplarpitch/relay/relay_codec.h
+++ b/poplarpitch/relay/relay_codec.h
@@ -17,6 +17,9 @@
 
 namespace poplarpitch {
 
+/// What an instance says that it understands when it relays: fences by order, and start times of workers.
+inline constexpr std::uint32_t relay_version = 1;
+
 /// Between orders to workers and the frames by which they are relayed. Thread safety: any thread, for all.
 
 /// Returns which order it is; nothing for a call to the advice service, which is not relayed.
--- a/poplarpitch/relay/relay_hub.cpp
+++ b/poplarpitch/relay/relay_hub.cpp
@@ -67,7 +67,9 @@
 
 std::vector<relayed_outcome> relay_hub::on_answers(const job_wire::relay_answers& frame, time_point now) {
     std::vector<relayed_outcome> outcomes;
-    if (m_term == 0 || frame.term() != m_term) {
+    // An older version would send orders under fences that workers refuse, and leave out whose lists it
+    // passes on.
+    if (m_term == 0 || frame.term() != m_term || frame.version() < relay_version) {
         return outcomes;
     }
     if (m_roster.on_heard({frame.ip(), frame.data_centre()}, now)) {
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -58,8 +58,8 @@
     value.advice_address = reader.get_text("advice", "");
     value.relay.is_enabled = reader.get_flag("relayed", value.relay.is_enabled);
     auto& dispatch = value.dispatch;
-    const auto longest = reader.get_duration("longest_lease", dispatch.lease);
-    dispatch.lease = std::min(reader.get_duration("lease", dispatch.lease), longest);
+    dispatch.longest_lease = reader.get_duration("longest_lease", dispatch.longest_lease);
+    dispatch.lease = std::min(reader.get_duration("lease", dispatch.lease), dispatch.longest_lease);
     dispatch.stop_limit = reader.get_duration("stop_limit", dispatch.stop_limit);
     dispatch.keep_ended = reader.get_duration("keep_ended", dispatch.keep_ended) + seconds{5};
     dispatch.lasting_share = reader.get_number("lasting_share", dispatch.lasting_share, 0.05, 1);
--- a/poplarpitch/scheduler/worker_link.h
+++ b/poplarpitch/scheduler/worker_link.h
@@ -1,33 +1,46 @@
 #pragma once
 
+#include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_caller.h"
 #include "poplarpitch/net/net_error.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 #include "poplarpitch/scheduling/worker_order.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <functional>
+#include <string>
 #include <type_traits>
 #include <utility>
 #include <variant>
 
 namespace poplarpitch {
 
-/// Carries orders to workers by the deployment's calls. Thread safety: the loop's thread.
+/// Carries orders to workers by the deployment's calls.
+///
+/// An acknowledgement names a worker's id on the wire and no life of it, and the next life would forget ends
+/// that it has yet to tell. So it goes only over a connection that was open before the life that is meant
+/// answered a call for its list: lives follow one another, and a connection ends with the life that accepted
+/// it. Where there is none, the list is asked for without it, and the life that answers is told later. Thread
+/// safety: the loop's thread.
 template <scheduler_dialect Dialect>
 class worker_link {
 public:
     using outcome_handler = std::function<void(hold_outcome)>;
 
-    /// Precondition: the caller outlives the object.
-    explicit worker_link(http_caller& caller) : m_caller(caller) {}
+    /// Precondition: the loop and the caller outlive the object.
+    worker_link(event_loop& loop, http_caller& caller) : m_loop(loop), m_caller(caller) {}
 
     /// Sends an order; `on_outcome` is called once, in a later turn. Only the answer to a hold has lists.
     /// Precondition: the order is none for the advice service.
     void send(const worker_order& order, outcome_handler on_outcome) {
         std::visit(
             [&](const auto& item) {
-                if constexpr (!std::is_same_v<std::decay_t<decltype(item)>, advise_order>) {
-                    call(item, std::move(on_outcome));
+                using order_type = std::decay_t<decltype(item)>;
+                if constexpr (std::is_same_v<order_type, hold_order>) {
+                    send_hold(item, std::move(on_outcome));
+                } else if constexpr (!std::is_same_v<order_type, advise_order>) {
+                    call(item, make_call(item), std::move(on_outcome));
                 }
             },
             order);
@@ -64,8 +77,55 @@
         }
     }
 
+    /// A life that answered a call for its list.
+    struct answered_list {
+        worker_life life;
+        time_point asked{};
+    };
+
+    void send_hold(const hold_order& order, outcome_handler on_outcome) {
+        const bool has_one_life = order.target.worker.born_ms == 0; // its id names it
+        if (order.acknowledged == 0 || has_one_life) {
+            send_list_call(order, std::move(on_outcome));
+            return;
+        }
+        const auto last = m_lists.find(order.target.address);
+        if (last == m_lists.end() || last->second.life != order.target.worker) {
+            send_list_call(without_acknowledgement(order), std::move(on_outcome));
+            return;
+        }
+        auto bound = make_call(order);
+        bound.is_fresh = false;
+        bound.opened_before = last->second.asked;
+        call(order, std::move(bound),
+             [this, order, on_outcome = std::move(on_outcome)](hold_outcome outcome) {
+                 if (outcome.failure == order_failure::not_sent) {
+                     send_list_call(without_acknowledgement(order), on_outcome);
+                     return;
+                 }
+                 on_outcome(std::move(outcome));
+             });
+    }
+
+    static hold_order without_acknowledgement(hold_order order) {
+        order.acknowledged = 0;
+        order.wait = duration{0};
+        return order;
+    }
+
+    void send_list_call(const hold_order& order, outcome_handler on_outcome) {
+        call(
+            order, make_call(order),
+            [this, order, asked = m_loop.now(), on_outcome = std::move(on_outcome)](hold_outcome outcome) {
+                if (!outcome.failure.has_value()) {
+                    m_lists[order.target.address] = {{order.target.worker.id, outcome.answer.born_ms}, asked};
+                }
+                on_outcome(std::move(outcome));
+            });
+    }
+
     template <class Order>
-    void call(const Order& order, outcome_handler on_outcome) {
+    static http_call make_call(const Order& order) {
         http_call call;
         call.address = order.target.address;
         call.request = Dialect::write_order(order);
@@ -73,13 +133,20 @@
         call.is_fresh = order.target.is_fresh;
         call.importance = get_importance(order);
         call.is_long = std::is_same_v<Order, hold_order>;
-        m_caller.send(std::move(call),
+        return call;
+    }
+
+    template <class Order>
+    void call(const Order& /*order*/, http_call request, outcome_handler on_outcome) {
+        m_caller.send(std::move(request),
                       [on_outcome = std::move(on_outcome)](const result<http_response>& response) {
                           on_outcome(read<Order>(response));
                       });
     }
 
+    event_loop& m_loop;
     http_caller& m_caller;
+    absl::flat_hash_map<std::string, answered_list> m_lists; ///< the last one at each address
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/book_event.h
+++ b/poplarpitch/scheduling/book_event.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/scheduling/crash_evidence.h"
 #include "poplarpitch/scheduling/run_end.h"
 #include "poplarpitch/scheduling/task_key.h"
+#include "poplarpitch/scheduling/worker_life.h"
 
 #include <compare>
 #include <cstdint>
@@ -22,11 +23,12 @@
         step_done,    ///< `run.task.step`
         config_changed,
         worker_retired, ///< `worker`
+        fence_raised,   ///< orders may carry a fence that none carried before
     };
 
     kind what = kind::job_accepted;
     run_key run;
-    std::string worker;
+    worker_life worker;
     run_end end = run_end::done;
     std::uint64_t number = 0;
     crash_evidence crash = crash_evidence::none; ///< of an end, or of `task_crashed`
--- a/poplarpitch/scheduling/control_call.h
+++ b/poplarpitch/scheduling/control_call.h
@@ -15,7 +15,7 @@
 };
 /// A worker's goodbye: it ends.
 struct goodbye_call {
-    std::string worker;
+    worker_life worker;
 };
 /// An operator's new configuration.
 struct put_config_call {
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -11,7 +11,8 @@
 struct dispatch_settings {
     duration lease = seconds{7}; ///< of what runs on a worker; outlasts an election and a restart of all
                                  ///< control instances (1 to 5 s); a lost worker's tasks wait this long
-    double clock_drift = 0.02;   ///< a worker's clock may be this much slower
+    duration longest_lease = seconds{10};      ///< a worker shortens a longer one
+    double clock_drift = 0.02;                 ///< a worker's clock may be this much slower
     duration lease_margin = milliseconds{250}; ///< on top of the drift: reading the clocks, scheduling
     duration hold_wait = milliseconds{1000};   ///< longest wait for an end; also how old progress may get
     duration mixed_hold_wait =
--- a/poplarpitch/scheduling/job_book.cpp
+++ b/poplarpitch/scheduling/job_book.cpp
@@ -19,7 +19,7 @@
     book_event event;
     event.what = book_event::kind::run_ended;
     event.run = {decode(message.task()), message.run()};
-    event.worker = message.worker();
+    event.worker = {message.worker(), message.born_ms()};
     event.end = static_cast<run_end>(message.kind());
     event.number = message.number();
     event.crash = static_cast<crash_evidence>(message.crash());
@@ -31,7 +31,7 @@
     book_event event;
     event.what = book_event::kind::task_crashed;
     event.run = {decode(message.task()), message.run()};
-    event.worker = message.worker();
+    event.worker = {message.worker(), message.born_ms()};
     event.crash = static_cast<crash_evidence>(message.crash());
     event.age_ms = message.age_ms();
     return event;
@@ -47,7 +47,9 @@
         return cancel(command.cancel().id(), events);
     case job_wire::job_command::kAssign:
         return assign({decode(command.assign().task()), command.assign().run()},
-                      {command.assign().run(), command.assign().worker(), command.assign().address()},
+                      {command.assign().run(),
+                       {command.assign().worker(), command.assign().born_ms()},
+                       command.assign().address()},
                       events);
     case job_wire::job_command::kEnd:
         return end(read_end(command.end()), command.end().saved(), events);
@@ -58,14 +60,12 @@
         m_configuration = decode(command.config());
         events.push_back(make_job_event(book_event::kind::config_changed, 0));
         return command_outcome::applied;
-    case job_wire::job_command::kRetire: {
-        book_event event;
-        event.what = book_event::kind::worker_retired;
-        event.worker = command.retire().worker();
-        m_retired.insert(event.worker);
-        events.push_back(std::move(event));
+    case job_wire::job_command::kRetire:
+        return retire({command.retire().worker(), command.retire().born_ms()}, events);
+    case job_wire::job_command::kRaiseFence:
+        ++m_fence_raises;
+        events.push_back(make_job_event(book_event::kind::fence_raised, 0));
         return command_outcome::applied;
-    }
     case job_wire::job_command::kPressure:
         m_pressure = decode(command.pressure());
         return command_outcome::applied;
@@ -136,6 +136,15 @@
     return command_outcome::applied;
 }
 
+command_outcome job_book::retire(const worker_life& worker, std::vector<book_event>& events) {
+    m_retired.insert(worker);
+    book_event event;
+    event.what = book_event::kind::worker_retired;
+    event.worker = worker;
+    events.push_back(std::move(event));
+    return command_outcome::applied;
+}
+
 command_outcome job_book::end(const book_event& ended, const std::string& saved,
                               std::vector<book_event>& events) {
     events.push_back(ended); // also when nothing changes: the worker may forget it then
@@ -323,8 +332,11 @@
         encode(*record, *snapshot.add_jobs());
     }
     for (const auto& worker : m_retired) {
-        snapshot.add_retired(worker);
+        auto& life = *snapshot.add_retired_lives();
+        life.set_id(worker.id);
+        life.set_born_ms(worker.born_ms);
     }
+    snapshot.set_fence_raises(m_fence_raises);
     snapshot.set_next_sequence(m_next_sequence);
     encode(m_pressure, *snapshot.mutable_pressure());
     return snapshot.SerializeAsString();
@@ -340,7 +352,13 @@
     for (const auto& message : snapshot.jobs()) {
         m_jobs.emplace(message.job().id(), decode(message));
     }
-    m_retired.insert(snapshot.retired().begin(), snapshot.retired().end());
+    for (const auto& id : snapshot.retired()) {
+        m_retired.insert({id, 0});
+    }
+    for (const auto& life : snapshot.retired_lives()) {
+        m_retired.insert({life.id(), life.born_ms()});
+    }
+    m_fence_raises = snapshot.fence_raises();
     m_next_sequence = snapshot.next_sequence();
     m_pressure = decode(snapshot.pressure());
     return true;
--- a/poplarpitch/scheduling/job_book.h
+++ b/poplarpitch/scheduling/job_book.h
@@ -44,7 +44,10 @@
     /// Returns the task, or null when it is not known or its occurrence has ended.
     [[nodiscard]] const task_record* find_task(const task_key& key) const;
     /// Returns true when the worker has said that it leaves: nothing is started on it any more.
-    [[nodiscard]] bool is_retired(const std::string& worker) const { return m_retired.contains(worker); }
+    [[nodiscard]] bool is_retired(const worker_life& worker) const { return m_retired.contains(worker); }
+    /// Returns how often the fence was raised within terms of leaders. With the leader's term added it is
+    /// higher than any fence that an earlier leader used, or this one before the last raise.
+    [[nodiscard]] std::uint64_t get_fence_raises() const { return m_fence_raises; }
     /// Returns what a leader has noted of images that press on others; a new leader begins with it.
     [[nodiscard]] const std::vector<pressure_factor>& get_pressure() const { return m_pressure; }
     /// Returns the runs that were assigned and have not ended, in the order of their keys.
@@ -54,6 +57,7 @@
     command_outcome submit(const job_wire::step_job& message, std::vector<book_event>& events);
     command_outcome cancel(job_id id, std::vector<book_event>& events);
     command_outcome assign(const run_key& key, assigned_run run, std::vector<book_event>& events);
+    command_outcome retire(const worker_life& worker, std::vector<book_event>& events);
     command_outcome end(const book_event& ended, const std::string& saved, std::vector<book_event>& events);
     /// Takes a crash that was found out after its run had been given up.
     command_outcome note_crash(const book_event& crashed, std::vector<book_event>& events);
@@ -68,7 +72,8 @@
 
     job_configuration m_configuration;
     absl::node_hash_map<job_id, job_record> m_jobs;
-    std::set<std::string> m_retired;
+    std::set<worker_life> m_retired;
+    std::uint64_t m_fence_raises = 0;
     std::vector<pressure_factor> m_pressure;
     std::uint64_t m_next_sequence = 1;
 };
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -99,7 +99,8 @@
     for (const auto& run : task.runs) {
         auto& item = *message.add_runs();
         item.set_run(run.run);
-        item.set_worker(run.worker);
+        item.set_worker(run.worker.id);
+        item.set_born_ms(run.worker.born_ms);
         item.set_address(run.address);
     }
     if (task.crash != crash_history{}) {
@@ -117,7 +118,7 @@
     task.failures = message.failures();
     task.saved = message.saved();
     for (const auto& run : message.runs()) {
-        task.runs.push_back({run.run(), run.worker(), run.address()});
+        task.runs.push_back({run.run(), {run.worker(), run.born_ms()}, run.address()});
     }
     task.crash = {message.crash().sure(), message.crash().crashes(), message.crash().longest_ms(),
                   message.crash().last_run()};
--- a/poplarpitch/scheduling/worker_order.h
+++ b/poplarpitch/scheduling/worker_order.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/scheduling/hold_answer.h"
 #include "poplarpitch/scheduling/order_failure.h"
 #include "poplarpitch/scheduling/task_key.h"
+#include "poplarpitch/scheduling/worker_life.h"
 
 #include <cstdint>
 #include <memory>
@@ -18,9 +19,9 @@
 
 /// What every order to a worker names.
 struct order_target {
-    std::string worker; ///< the life it is meant for; another one refuses
+    worker_life worker; ///< the life it is meant for; a worker of another id refuses
     std::string address;
-    std::uint64_t fence = 0; ///< term of the leader that gives the order; a worker refuses a lower one
+    std::uint64_t fence = 0; ///< rises with each leader and each life of the worker; it refuses a lower one
     bool is_fresh = false;   ///< use a new connection
     duration timeout{};
 
@@ -71,7 +72,7 @@
 struct advise_order {
     std::uint64_t fence = 0; ///< term of the leader that asks
     step_key step;
-    std::vector<std::string> workers;
+    std::vector<worker_life> workers;
     duration timeout{};
 
     friend bool operator==(const advise_order&, const advise_order&) = default;
--- a/poplarpitch/scheduling/worker_report.h
+++ b/poplarpitch/scheduling/worker_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "poplarpitch/scheduling/worker_life.h"
+
 #include <algorithm>
 #include <compare>
 #include <cstdint>
@@ -40,18 +42,17 @@
 
 /// A heartbeat that says nothing new but its time.
 struct sign_of_life {
-    std::string worker;
+    worker_life worker;
     std::uint64_t sequence = 0; ///< as in the whole report
     std::uint64_t told = 0;     ///< sequence of the whole report that it repeats
-    std::int64_t born_ms = 0;   ///< as in the whole report
     std::int64_t clock_ms = 0;  ///< the worker's own clock
 
     friend bool operator==(const sign_of_life&, const sign_of_life&) = default;
 };
 
-/// What a worker says of itself in a heartbeat. One id is one life of a worker's process.
+/// What a worker says of itself in a heartbeat.
 struct worker_report {
-    std::string id;
+    worker_life life;
     std::string address; ///< IPv4 address and port for orders
     std::string pool;
     std::string data_centre;
@@ -63,7 +64,6 @@
     std::int64_t remaining_ms = 0; ///< while leaving: how long it stays at least
     std::int64_t clock_ms = 0;     ///< its own clock
     std::uint64_t sequence = 0;    ///< rises with each heartbeat, so a late one is known
-    std::int64_t born_ms = 0;      ///< Unix time at which its process started; 0 when not told
 
     friend bool operator==(const worker_report&, const worker_report&) = default;
 
--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -41,10 +41,11 @@
 struct crash_world::worker {
     std::string address;
     std::string id;
-    int life = 0;                ///< of all lives in the world
-    std::int64_t born_ms = 0;    ///< what this life takes for the time of its start
-    time_point clock_start{};    ///< the worker's clock counts from its start
-    std::int64_t stepped_ms = 0; ///< by how much its time of day is off
+    int life = 0;                  ///< of all lives in the world
+    std::int64_t born_ms = 0;      ///< what this life takes for the time of its start
+    std::set<std::int64_t> births; ///< start times of all its lives
+    time_point clock_start{};      ///< the worker's clock counts from its start
+    std::int64_t stepped_ms = 0;   ///< by how much its time of day is off
     bool is_up = false;
     time_point cut_until{};
     time_point next_beat{};
@@ -200,14 +201,13 @@
         return;
     }
     worker_report report;
-    report.id = target.id;
+    report.life = {target.id, target.born_ms};
     report.address = target.address;
     report.pool = pool;
     report.rack = "r1";
     report.capacity = target.get_room();
     report.sequence = ++target.sequence;
     report.clock_ms = get_clock(target);
-    report.born_ms = target.born_ms;
     if (is_chosen(m_settings.late_beats)) {
         call_after(milliseconds{pick(static_cast<std::size_t>(to_milliseconds(late_beat)))},
                    [this, report] { m_scheduler.on_heartbeat(report, m_now); });
@@ -287,6 +287,9 @@
         target.id = "w" + std::to_string(m_lives);
     }
     target.born_ms = m_settings.keeps_ids ? m_wall_ms + target.stepped_ms : 0;
+    while (m_settings.keeps_ids && !target.births.insert(target.born_ms).second) {
+        ++target.born_ms; // equal times mean the same life
+    }
     target.clock_start = m_now;
     target.is_up = true;
     target.sequence = 0;
@@ -358,7 +361,7 @@
                    [this, order, term] { fail(order, order_failure::unanswered, term); });
     } else if (!target.is_up) {
         fail(order, order_failure::unreachable, term);
-    } else if (target.id != order.target.worker) {
+    } else if (target.id != order.target.worker.id) {
         fail(order, order_failure::other_life, term);
     } else if (order.target.fence < target.fence) {
         fail(order, order_failure::lower_fence, term);
@@ -391,7 +394,12 @@
 void crash_world::carry_out(const hold_order& order, worker& target, log_term term) {
     target.lease_ms =
         std::max(target.lease_ms, std::min(order.until_ms.value_or(0), get_clock(target) + longest_lease_ms));
-    acknowledge(target, order.acknowledged);
+    if (order.target.worker.born_ms == target.born_ms) { // the link lets no other life hear of it
+        acknowledge(target, order.acknowledged);
+    }
+    if (target.hold.has_value()) {
+        answer_hold(target); // each call has its answer
+    }
     target.hold = order;
     target.hold_term = term;
     const auto number = ++target.hold_number;
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -57,7 +57,7 @@
 void dispatch_world::add_worker(const std::string& id, const worker_amounts& capacity,
                                 const std::string& rack) {
     worker_report report;
-    report.id = id;
+    report.life = {id, 0};
     report.address = "10.0.0." + std::to_string(m_reports.size() + 1) + ":80";
     report.pool = world_pool;
     report.labels = {"a", rack};
@@ -67,7 +67,7 @@
 }
 
 void dispatch_world::introduce(worker_report report) {
-    const auto id = report.id;
+    const auto id = report.life.id;
     m_reports[id] = std::move(report);
     beat(id);
     wait_for_hold(id);
@@ -75,15 +75,12 @@
 }
 
 void dispatch_world::restart_worker(const std::string& id, const std::string& next_id) {
-    const auto found = scheduler.get_workers().find(id);
-    if (found != scheduler.get_workers().end() && found->second.is_holding) {
-        fail_hold(id); // its connection ends with the process
-    }
+    end_process(id);
     auto report = m_reports.at(id);
-    report.id = next_id;
+    report.life.id = next_id;
     report.sequence = 0;
     introduce(std::move(report));
-    if (scheduler.get_workers().contains(id)) {
+    if (find_worker(id) != nullptr) {
         wait_for_hold(id);
         fail_hold(id, order_failure::other_life);
     }
@@ -98,6 +95,7 @@
     if (scheduler.on_heartbeat(report, now)) {
         job_wire::job_command command;
         command.mutable_retire()->set_worker(id);
+        command.mutable_retire()->set_born_ms(report.life.born_ms);
         std::vector<book_event> events;
         book.apply(command, events);
         for (const auto& event : events) {
@@ -174,19 +172,20 @@
 void dispatch_world::answer_hold(const std::string& worker, const hold_answer& answer) {
     auto told = answer;
     told.clock_ms = to_milliseconds(now.time_since_epoch());
-    scheduler.on_hold(worker, {std::nullopt, told}, now);
+    told.born_ms = get_life(worker).born_ms;
+    scheduler.on_hold(get_life(worker), {std::nullopt, told}, now);
     settle();
 }
 
 void dispatch_world::fail_hold(const std::string& worker, order_failure failure) {
-    scheduler.on_hold(worker, {failure, {}}, now);
+    scheduler.on_hold(get_life(worker), {failure, {}}, now);
     settle();
 }
 
 void dispatch_world::wait_for_hold(const std::string& worker) {
     for (int turn = 0; turn < max_turns; ++turn) {
-        const auto found = scheduler.get_workers().find(worker);
-        if (found != scheduler.get_workers().end() && found->second.is_holding) {
+        const auto* state = find_worker(worker);
+        if (state != nullptr && state->is_holding) {
             return;
         }
         advance(step);
@@ -194,6 +193,30 @@
     ADD_FAILURE() << "no hold at " << worker;
 }
 
+void dispatch_world::end_process(const std::string& id) {
+    const auto* state = find_worker(id);
+    if (state != nullptr && state->is_holding) {
+        fail_hold(id); // its connection ends with the process
+    }
+}
+
+void dispatch_world::start_again(const std::string& id, std::int64_t born_ms) {
+    end_process(id);
+    auto& report = m_reports.at(id);
+    report.life.born_ms = born_ms;
+    report.sequence = 0;
+    beat(id);
+}
+
+worker_life dispatch_world::get_life(const std::string& id) const {
+    const auto found = m_reports.find(id);
+    return found == m_reports.end() ? worker_life{id, 0} : found->second.life;
+}
+
+const worker_state* dispatch_world::find_worker(const std::string& id) const {
+    return scheduler.find_worker_state(get_life(id));
+}
+
 hold_answer dispatch_world::make_list() {
     return {};
 }
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -29,6 +29,13 @@
     /// Lets a worker's process end without a word and its machine come back as a new life at the same
     /// address, which runs nothing: its heartbeat, its list, and the answer that the old life is gone.
     void restart_worker(const std::string& id, const std::string& next_id);
+    /// Lets a worker's process end without a word and start again under the same id, at `born_ms` by its own
+    /// clock. Only its first heartbeat is sent.
+    void start_again(const std::string& id, std::int64_t born_ms);
+    /// Returns the life that the worker is at.
+    [[nodiscard]] worker_life get_life(const std::string& id) const;
+    /// Returns what the dispatcher knows of that life, or null.
+    [[nodiscard]] const worker_state* find_worker(const std::string& id) const;
     /// Sends a heartbeat of a worker that was added.
     void beat(const std::string& id, bool is_leaving = false, std::int64_t remaining_ms = 0);
     /// Submits a job of steps to a queue with these attempts. Returns its id.
@@ -79,6 +86,7 @@
 private:
     job_id submit_job(step_job job);
     void introduce(worker_report report);
+    void end_process(const std::string& id);
     void collect();
 
     std::vector<worker_order> m_orders;
--- a/unit_tests/dispatch/dispatcher_advice_test.cpp
+++ b/unit_tests/dispatch/dispatcher_advice_test.cpp
@@ -21,7 +21,7 @@
     const auto starts = world.take<start_order>();
     ASSERT_EQ(starts.size(), 2U);
     for (const auto& start : starts) {
-        EXPECT_EQ(start.target.worker, "w2");
+        EXPECT_EQ(start.target.worker.id, "w2");
         EXPECT_EQ(start.ticket, "ticket");
     }
 }
@@ -39,7 +39,7 @@
     world.advance(milliseconds{200});
     const auto again = world.take<advise_order>();
     ASSERT_EQ(again.size(), 1U);
-    EXPECT_EQ(again[0].workers, std::vector<std::string>{"w2"});
+    EXPECT_EQ(again[0].workers, std::vector<worker_life>{world.get_life("w2")});
 }
 
 TEST(dispatcher_advice, asks_again_after_a_call_without_an_answer_and_for_a_ticket_that_a_worker_refused) {
--- a/unit_tests/dispatch/dispatcher_copy_test.cpp
+++ b/unit_tests/dispatch/dispatcher_copy_test.cpp
@@ -40,17 +40,17 @@
     }
 
     void tell(std::int64_t percent) {
-        world.wait_for_hold(first.target.worker);
+        world.wait_for_hold(first.target.worker.id);
         hold_answer list;
         list.running.push_back({first.run, "", percent, 0});
-        world.answer_hold(first.target.worker, list);
+        world.answer_hold(first.target.worker.id, list);
     }
 
     void end_first() {
-        world.wait_for_hold(first.target.worker);
+        world.wait_for_hold(first.target.worker.id);
         hold_answer list;
         list.ended.push_back({1, first.run, run_end::done, ""});
-        world.answer_hold(first.target.worker, list);
+        world.answer_hold(first.target.worker.id, list);
     }
 
     /// Lets the copy be started, and confirms it.
@@ -75,7 +75,7 @@
     ASSERT_EQ(copies.size(), 1U);
     EXPECT_EQ(copies[0].run.task, slow.first.run.task);
     EXPECT_GT(copies[0].run.run, slow.first.run.run);
-    EXPECT_NE(copies[0].target.worker, slow.first.target.worker);
+    EXPECT_NE(copies[0].target.worker.id, slow.first.target.worker.id);
     slow.world.answer(copies[0]);
     slow.world.advance(seconds{1});
     EXPECT_TRUE(slow.world.take<start_order>().empty()) << "one copy is enough";
@@ -106,10 +106,10 @@
 TEST(dispatcher_copy, lets_the_slow_run_go_on_when_its_copy_fails) {
     slow_task slow(make_copied_step());
     ASSERT_NO_FATAL_FAILURE(slow.start_copy());
-    slow.world.wait_for_hold(slow.copy.target.worker);
+    slow.world.wait_for_hold(slow.copy.target.worker.id);
     hold_answer list;
     list.ended.push_back({1, slow.copy.run, run_end::failed, ""});
-    slow.world.answer_hold(slow.copy.target.worker, list);
+    slow.world.answer_hold(slow.copy.target.worker.id, list);
     EXPECT_EQ(slow.world.book.find_job(slow.job)->phase, job_phase::open);
     slow.end_first();
     EXPECT_EQ(slow.world.book.find_job(slow.job)->phase, job_phase::completed);
--- a/unit_tests/dispatch/dispatcher_crash_test.cpp
+++ b/unit_tests/dispatch/dispatcher_crash_test.cpp
@@ -43,7 +43,7 @@
             if (order.run.task.step.job == killer) {
                 ++starts;
                 world.advance(milliseconds{10});
-                const auto& worker = order.target.worker;
+                const auto& worker = order.target.worker.id;
                 world.restart_worker(worker, worker + "+");
             }
         }
@@ -68,12 +68,12 @@
     for (int leader = 0; leader < many_rounds; ++leader) {
         starts += crash_at_each_start(world, killer, 1);
         world.lead();
-        for (const auto& [id, worker] : std::map(world.scheduler.get_workers())) {
-            world.beat(id);
+        for (const auto& [life, worker] : std::map(world.scheduler.get_workers())) {
+            world.beat(life.id);
         }
-        for (const auto& [id, worker] : std::map(world.scheduler.get_workers())) {
-            world.wait_for_hold(id);
-            world.answer_hold(id, dispatch_world::make_list());
+        for (const auto& [life, worker] : std::map(world.scheduler.get_workers())) {
+            world.wait_for_hold(life.id);
+            world.answer_hold(life.id, dispatch_world::make_list());
         }
     }
     EXPECT_LE(starts, most_starts);
@@ -93,7 +93,7 @@
 void list_runs(dispatch_world& world, const std::string& worker, const std::vector<start_order>& starts) {
     hold_answer list;
     for (const auto& order : starts) {
-        if (order.target.worker == worker) {
+        if (order.target.worker.id == worker) {
             list.running.push_back({order.run, "", 50, 0});
         }
     }
@@ -114,7 +114,7 @@
 void cut_off(dispatch_world& world, const std::string& worker, duration length) {
     const auto end = world.now + length;
     while (world.now < end) {
-        const auto* state = world.scheduler.find_worker_state(worker);
+        const auto* state = world.find_worker(worker);
         ASSERT_NE(state, nullptr) << "forgotten before its machine came back";
         if (state->is_holding) {
             world.fail_hold(worker);
@@ -135,7 +135,7 @@
     ASSERT_EQ(again.size(), 4U);
     std::set<std::string> workers;
     for (const auto& order : again) {
-        workers.insert(order.target.worker);
+        workers.insert(order.target.worker.id);
     }
     EXPECT_EQ(workers.size(), 4U);
     EXPECT_EQ(world.book.find_job(job)->phase, job_phase::open);
@@ -164,7 +164,7 @@
     const auto others = world.take<start_order>();
     EXPECT_EQ(others.size(), 60U);
     for (const auto& order : others) {
-        EXPECT_NE(order.target.worker, alone[0].target.worker);
+        EXPECT_NE(order.target.worker.id, alone[0].target.worker.id);
     }
 }
 
@@ -183,7 +183,7 @@
     EXPECT_EQ(world.scheduler.count_suspects(), 1U);
     run_in_peace(world, "w1+", again, seconds{6});
     EXPECT_EQ(world.scheduler.count_suspects(), 0U);
-    EXPECT_EQ(world.scheduler.find_worker_state("w1+")->suspects, 0U);
+    EXPECT_EQ(world.find_worker("w1+")->suspects, 0U);
     world.restart_worker("w1+", "w1++");
     EXPECT_EQ(world.book.find_task(task)->crash.crashes, 1U) << "the first one was refuted";
 }
@@ -212,7 +212,7 @@
     const auto job = world.submit({make_step()});
     const auto starts = confirm_starts(world);
     ASSERT_EQ(starts.size(), 1U);
-    const auto& worker = starts[0].target.worker;
+    const auto& worker = starts[0].target.worker.id;
     world.beat(worker, true, 2000);
     world.restart_worker(worker, worker + "+");
     EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 0U);
@@ -235,7 +235,7 @@
     const auto job = world.submit({make_step()});
     const auto starts = confirm_starts(world);
     ASSERT_EQ(starts.size(), 1U);
-    const auto& worker = starts[0].target.worker;
+    const auto& worker = starts[0].target.worker.id;
     cut_off(world, worker, seconds{15});
     ASSERT_EQ(confirm_starts(world).size(), 1U) << "the lease was over";
     EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 0U) << "it may only be out of reach";
@@ -249,14 +249,14 @@
     const auto job = world.submit({make_step()});
     const auto starts = confirm_starts(world);
     ASSERT_EQ(starts.size(), 1U);
-    const auto& worker = starts[0].target.worker;
+    const auto& worker = starts[0].target.worker.id;
     cut_off(world, worker, seconds{10});
-    while (!world.scheduler.find_worker_state(worker)->is_holding) {
+    while (!world.find_worker(worker)->is_holding) {
         world.advance(milliseconds{50});
     }
-    EXPECT_FALSE(world.scheduler.find_worker_state(worker)->lapsed.empty());
+    EXPECT_FALSE(world.find_worker(worker)->lapsed.empty());
     world.answer_hold(worker, dispatch_world::make_list());
-    EXPECT_TRUE(world.scheduler.find_worker_state(worker)->lapsed.empty());
+    EXPECT_TRUE(world.find_worker(worker)->lapsed.empty());
     EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 0U);
 }
 
@@ -269,10 +269,10 @@
     world.submit({step});
     const auto starts = confirm_starts(world);
     ASSERT_EQ(starts.size(), 1U);
-    const auto& worker = starts[0].target.worker;
+    const auto& worker = starts[0].target.worker.id;
     const auto end = world.now + seconds{3};
     while (world.now < end) {
-        if (world.scheduler.find_worker_state(worker)->is_holding) {
+        if (world.find_worker(worker)->is_holding) {
             world.fail_hold(worker);
         }
         world.advance(milliseconds{50});
@@ -292,14 +292,14 @@
             if (order.run.task.index == 0) {
                 ++crashes;
                 world.advance(milliseconds{10});
-                world.restart_worker(order.target.worker, order.target.worker + "+");
+                world.restart_worker(order.target.worker.id, order.target.worker.id + "+");
             }
         }
         for (const auto& stop : world.take<stop_order>()) {
             world.answer(stop);
         }
         for (const auto& hold : world.take<hold_order>()) {
-            world.answer_hold(hold.target.worker, dispatch_world::make_list());
+            world.answer_hold(hold.target.worker.id, dispatch_world::make_list());
         }
         world.advance(milliseconds{100});
     }
--- a/unit_tests/dispatch/dispatcher_job_test.cpp
+++ b/unit_tests/dispatch/dispatcher_job_test.cpp
@@ -8,15 +8,15 @@
 namespace {
 
 void end_run(dispatch_world& world, const start_order& order, std::uint64_t number, run_end end) {
-    world.wait_for_hold(order.target.worker);
+    world.wait_for_hold(order.target.worker.id);
     hold_answer list;
-    for (const auto& [key, track] : world.scheduler.get_workers().at(order.target.worker).runs) {
+    for (const auto& [key, track] : world.find_worker(order.target.worker.id)->runs) {
         if (key != order.run) {
             list.running.push_back({key, "", 10, 0});
         }
     }
     list.ended.push_back({number, order.run, end, ""});
-    world.answer_hold(order.target.worker, list);
+    world.answer_hold(order.target.worker.id, list);
 }
 
 TEST(dispatcher_job, starts_a_step_when_all_tasks_before_it_are_done) {
@@ -69,7 +69,7 @@
     world.advance(seconds{1});
     const auto second = world.take<start_order>();
     ASSERT_EQ(second.size(), 1U);
-    EXPECT_NE(second[0].target.worker, first[0].target.worker);
+    EXPECT_NE(second[0].target.worker.id, first[0].target.worker.id);
 }
 
 TEST(dispatcher_job, starts_a_gang_whole_or_not_at_all_and_under_one_number) {
@@ -154,7 +154,7 @@
     const auto starts = world.take<start_order>();
     ASSERT_EQ(starts.size(), 3U);
     for (const auto& start : starts) {
-        EXPECT_EQ(start.target.worker, "w2");
+        EXPECT_EQ(start.target.worker.id, "w2");
     }
 }
 
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -20,8 +20,8 @@
 void fail_holds(dispatch_world& world, const std::string& worker, duration length) {
     const auto end = world.now + length;
     while (world.now < end) {
-        const auto found = world.scheduler.get_workers().find(worker);
-        if (found != world.scheduler.get_workers().end() && found->second.is_holding) {
+        const auto* found = world.find_worker(worker);
+        if (found != nullptr && found->is_holding) {
             world.fail_hold(worker);
         }
         world.advance(milliseconds{50});
@@ -40,7 +40,7 @@
     fail_holds(world, "w1", seconds{3});
     const auto again = world.take<start_order>();
     ASSERT_EQ(again.size(), 1U);
-    EXPECT_EQ(again[0].target.worker, "w2");
+    EXPECT_EQ(again[0].target.worker.id, "w2");
     EXPECT_EQ(again[0].run.task, first.run.task);
     EXPECT_GT(again[0].run.run, first.run.run);
 }
@@ -92,7 +92,7 @@
     world.submit({lasting});
     const auto first = start_one(world);
     world.beat("w1", true, 2000);
-    EXPECT_TRUE(world.book.is_retired("w1"));
+    EXPECT_TRUE(world.book.is_retired(world.get_life("w1")));
     const auto stops = world.take<stop_order>();
     ASSERT_EQ(stops.size(), 1U);
     world.answer(stops[0]);
@@ -110,7 +110,7 @@
     world.answer_hold("w1", list);
     const auto again = world.take<start_order>();
     ASSERT_EQ(again.size(), 1U);
-    EXPECT_EQ(again[0].target.worker, "w2");
+    EXPECT_EQ(again[0].target.worker.id, "w2");
     EXPECT_EQ(again[0].saved, "saved");
 }
 
@@ -178,15 +178,15 @@
     hold_answer list;
     list.running.push_back({starts[1].run, "", 10, 0});
     list.ended.push_back({1, starts[0].run, run_end::done, ""});
-    world.scheduler.on_hold("w1", {std::nullopt, list}, world.now);
+    world.scheduler.on_hold(world.get_life("w1"), {std::nullopt, list}, world.now);
 }
 
 TEST(dispatcher_loss, acknowledges_an_end_only_after_it_is_committed) {
     dispatch_world world;
     list_one_end_of_two(world);
-    EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 0U);
+    EXPECT_EQ(world.find_worker("w1")->acknowledged, 0U);
     world.settle();
-    EXPECT_EQ(world.scheduler.get_workers().at("w1").acknowledged, 1U);
+    EXPECT_EQ(world.find_worker("w1")->acknowledged, 1U);
 }
 
 TEST(dispatcher_loss, asks_a_worker_again_only_once_its_ends_are_committed) {
@@ -230,14 +230,14 @@
     for (int turn = 0; turn < 120 && !is_elsewhere; ++turn) {
         world.advance(milliseconds{100});
         for (const auto& order : world.take<hold_order>()) {
-            if (order.target.worker == "w1") {
+            if (order.target.worker.id == "w1") {
                 world.fail_hold("w1", order_failure::unreachable);
             } else {
-                world.answer_hold(order.target.worker, dispatch_world::make_list());
+                world.answer_hold(order.target.worker.id, dispatch_world::make_list());
             }
         }
         for (const auto& order : world.take<start_order>()) {
-            if (order.target.worker == "w1") {
+            if (order.target.worker.id == "w1") {
                 world.answer(order, order_failure::unreachable);
             } else {
                 is_elsewhere = is_elsewhere || order.run.task == first[0].run.task;
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -44,7 +44,7 @@
     }
     world.wait_for_hold(worker);
     hold_answer list;
-    for (const auto& [key, track] : world.scheduler.get_workers().at(worker).runs) {
+    for (const auto& [key, track] : world.find_worker(worker)->runs) {
         const auto& spec = world.scheduler.find_track(key)->get_spec();
         list.running.push_back({key, "", spec.long_running ? 100 : percent, spec.is_serving() ? tail : used});
     }
@@ -61,7 +61,7 @@
     world.submit({filling}, 3, 2);
     run_all(world, "w1", 15, 6000, 40);
     std::map<run_key, int> paces;
-    for (const auto& [key, track] : world.scheduler.get_workers().at("w1").runs) {
+    for (const auto& [key, track] : world.find_worker("w1")->runs) {
         if (world.scheduler.find_track(key)->get_spec().fills) {
             paces[key] = 100;
         }
@@ -173,7 +173,7 @@
         for (int look = 0; look < 20; ++look) {
             world.advance(milliseconds{300});
             run_all(world, "w1", 36 + look % 2, 6000);
-            most = std::max<std::size_t>(most, world.scheduler.get_workers().at("w1").fills);
+            most = std::max<std::size_t>(most, world.find_worker("w1")->fills);
         }
         running.push_back(most);
     }
@@ -231,7 +231,7 @@
     world.submit({make_serving(8)}); // would take all four
     std::set<std::string> used;
     for (const auto& start : world.take<start_order>()) {
-        used.insert(start.target.worker);
+        used.insert(start.target.worker.id);
     }
     EXPECT_EQ(used.size(), 3U);
     world.advance(seconds{1});
--- a/unit_tests/dispatch/dispatcher_retry_test.cpp
+++ b/unit_tests/dispatch/dispatcher_retry_test.cpp
@@ -22,7 +22,7 @@
             world.answer(order, failure);
         }
         for (const auto& order : world.take<hold_order>()) {
-            world.fail_hold(order.target.worker, failure);
+            world.fail_hold(order.target.worker.id, failure);
         }
         world.advance(milliseconds{10});
     }
@@ -63,11 +63,11 @@
             world.answer(order, order_failure::not_sent);
         }
         for (const auto& order : world.take<hold_order>()) {
-            world.fail_hold(order.target.worker, order_failure::not_sent);
+            world.fail_hold(order.target.worker.id, order_failure::not_sent);
         }
         world.advance(milliseconds{200});
     }
-    EXPECT_FALSE(world.scheduler.get_workers().at("w1").is_silent());
+    EXPECT_FALSE(world.find_worker("w1")->is_silent());
     EXPECT_EQ(world.scheduler.get_counts().unanswered, 0U);
     EXPECT_GT(world.scheduler.get_counts().not_sent, 0U);
     const auto starts = world.take<start_order>();
@@ -89,7 +89,7 @@
     EXPECT_TRUE(world.take<stop_order>().empty()) << "nothing of it can be on the way";
     const auto second = world.take<start_order>();
     ASSERT_EQ(second.size(), 1U);
-    EXPECT_EQ(second[0].target.worker, "w2");
+    EXPECT_EQ(second[0].target.worker.id, "w2");
 }
 
 TEST(order_backoff, doubles_its_pauses_up_to_eight_times_the_first) {
--- a/unit_tests/dispatch/dispatcher_start_test.cpp
+++ b/unit_tests/dispatch/dispatcher_start_test.cpp
@@ -18,7 +18,7 @@
     const auto* task = world.book.find_task(starts[0].run.task);
     ASSERT_NE(task, nullptr);
     ASSERT_EQ(task->runs.size(), 1U);
-    EXPECT_EQ(task->runs[0].worker, "w1");
+    EXPECT_EQ(task->runs[0].worker, world.get_life("w1"));
 }
 
 TEST(dispatcher_start, repeats_a_start_without_an_answer_at_the_same_worker) {
@@ -33,7 +33,7 @@
     const auto second = world.take<start_order>();
     ASSERT_EQ(second.size(), 1U);
     EXPECT_EQ(second[0].run, first[0].run);
-    EXPECT_EQ(second[0].target.worker, first[0].target.worker);
+    EXPECT_EQ(second[0].target.worker.id, first[0].target.worker.id);
     EXPECT_TRUE(second[0].target.is_fresh);
 }
 
--- a/unit_tests/platform/dialect_test.cpp
+++ b/unit_tests/platform/dialect_test.cpp
@@ -74,7 +74,7 @@
         "remainingMs":1500,"capacity":{"cpu":16000,"memMb":32768,"gpu":2},"labels":["a","r1-3"],"clockMs":48,"seq":4})"));
     const auto* heartbeat = std::get_if<heartbeat_call>(&call);
     ASSERT_NE(heartbeat, nullptr);
-    EXPECT_EQ(heartbeat->report.id, "i-7f");
+    EXPECT_EQ(heartbeat->report.life.id, "i-7f");
     EXPECT_EQ(heartbeat->report.rack, "r1-3");
     EXPECT_EQ(heartbeat->report.capacity, (worker_amounts{16000, 32768, 2}));
     EXPECT_TRUE(heartbeat->report.is_leaving);
@@ -115,7 +115,7 @@
 
 TEST(platform_worker, writes_orders_and_names_the_life_they_are_for) {
     start_order order;
-    order.target.worker = "i-7f";
+    order.target.worker = {"i-7f", 0};
     order.target.fence = 7;
     order.run = {{{1, 0, 0}, 3}, 2};
     step_job job;
--- a/unit_tests/platform/malformed_call_test.cpp
+++ b/unit_tests/platform/malformed_call_test.cpp
@@ -37,7 +37,7 @@
     body["born"] = 1764749492123;
     const auto sound = read_heartbeat(body.dump());
     ASSERT_TRUE(std::holds_alternative<heartbeat_call>(sound));
-    EXPECT_EQ(std::get<heartbeat_call>(sound).report.born_ms, 1764749492123);
+    EXPECT_EQ(std::get<heartbeat_call>(sound).report.life.born_ms, 1764749492123);
     for (const nlohmann::json& born :
          {nlohmann::json("1764749492123"), nlohmann::json(1764749492123.5), nlohmann::json(0),
           nlohmann::json(-4), nlohmann::json(nullptr), nlohmann::json(true), nlohmann::json::array({1})}) {
@@ -96,7 +96,7 @@
         return true;
     }
     const auto& report = std::get<heartbeat_call>(call).report;
-    return !report.id.empty() && !report.address.empty() && !report.pool.empty() &&
+    return !report.life.id.empty() && !report.address.empty() && !report.pool.empty() &&
            report.capacity.millicores >= 0 && report.capacity.memory_mb >= 0 && report.remaining_ms >= 0;
 }
 
--- a/unit_tests/relay/relay_agent_test.cpp
+++ b/unit_tests/relay/relay_agent_test.cpp
@@ -27,7 +27,7 @@
         frame.set_term(term);
         for (int number = 0; number < holds; ++number) {
             hold_order order;
-            order.target = {"w1", "10.9.0.1:80", term, false, milliseconds{900}};
+            order.target = {{"w1", 0}, "10.9.0.1:80", term, false, milliseconds{900}};
             order.until_ms = 4000;
             append_order(order, next_number++, frame);
         }
@@ -53,7 +53,7 @@
 
 worker_report make_report(const std::string& id, std::uint64_t sequence) {
     worker_report report;
-    report.id = id;
+    report.life = {id, 0};
     report.address = "10.9.0.1:80";
     report.pool = "mill";
     report.data_centre = "hall";
@@ -206,7 +206,7 @@
     job_wire::relay_orders frame;
     frame.set_term(3);
     hold_order order;
-    order.target = {"w1", "10.9.0.1:80", 3, false, milliseconds{900}};
+    order.target = {{"w1", 0}, "10.9.0.1:80", 3, false, milliseconds{900}};
     order.until_ms = 4000; // on the worker's clock, by the leader's word
     append_order(order, 1, frame);
     world.now += seconds{8};
--- a/unit_tests/relay/relay_hub_test.cpp
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -25,6 +25,7 @@
         frame.set_term(term);
         frame.set_ip(ip);
         frame.set_data_centre(data_centre);
+        frame.set_version(relay_version);
         EXPECT_TRUE(hub.on_answers(frame, now).empty());
     }
     std::vector<relayed_outcome> answer(std::uint32_t ip, const std::vector<std::uint64_t>& numbers) {
@@ -32,6 +33,7 @@
         frame.set_term(term);
         frame.set_ip(ip);
         frame.set_data_centre(ip == near ? "near" : "far");
+        frame.set_version(relay_version);
         for (const auto number : numbers) {
             frame.add_answers()->set_number(number);
         }
@@ -57,7 +59,7 @@
     auto job = std::make_shared<step_job>();
     job->payload = payload;
     start_order order;
-    order.target = {worker, "10.9.0.1:80", term, false, milliseconds{900}};
+    order.target = {{worker, 0}, "10.9.0.1:80", term, false, milliseconds{900}};
     order.run = {{{1, 0, 0}, index}, 1};
     order.job = std::move(job);
     order.until_ms = 5000;
@@ -66,7 +68,7 @@
 
 hold_order make_hold(const std::string& worker) {
     hold_order order;
-    order.target = {worker, "10.9.0.1:80", term, false, milliseconds{1800}};
+    order.target = {{worker, 0}, "10.9.0.1:80", term, false, milliseconds{1800}};
     order.until_ms = 5000;
     order.wait = seconds{1};
     return order;
--- a/unit_tests/scheduler/relayed_room_test.cpp
+++ b/unit_tests/scheduler/relayed_room_test.cpp
@@ -43,7 +43,7 @@
         EXPECT_TRUE(relay.take_answers(m_now).has_value());
     }
     [[nodiscard]] std::int64_t get_believed() const {
-        return leader.find_worker_state("w1")->report.capacity.millicores;
+        return leader.find_worker_state({"w1", 0})->report.capacity.millicores;
     }
 
 private:
@@ -72,7 +72,7 @@
 
     void hear(relay_agent& relay, std::int64_t millicores) {
         worker_report report;
-        report.id = "w1";
+        report.life = {"w1", 0};
         report.address = "10.9.0.1:80";
         report.pool = "mill";
         report.capacity = {millicores, 1000, 0};
