Take no run that a new leader finds for one that has just begun

Callers saw a job told as failed under which one worker had crashed, and another one just after its task had ended there. A run that a new leader finds in a list has no known start; its age was counted from that list, so it had 'just begun' at the crash, alone: clear evidence. Two such crashes gave the job up. Now only a run whose start this leader saw answered counts as quick.

--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -75,8 +75,9 @@
         }
     }
     const auto* task = m_book.find_task(track.key.task);
+    // Of a run that was found in a list its true age is not known: it is counted from that list.
     const bool is_quick =
-        age.has_value() && task != nullptr &&
+        age.has_value() && track.has_known_start && task != nullptr &&
         has_just_begun(std::max<duration>(*age, milliseconds{task->crash.longest_ms}), track.get_spec());
     if (is_alone) {
         return is_quick ? crash_evidence::clear : crash_evidence::likely;
--- a/unit_tests/dispatch/dispatcher_crash_test.cpp
+++ b/unit_tests/dispatch/dispatcher_crash_test.cpp
@@ -206,6 +206,30 @@
     EXPECT_EQ(world.book.find_job(job)->phase, job_phase::open);
 }
 
+TEST(dispatcher_crash, takes_no_run_that_a_new_leader_finds_for_one_that_has_just_begun) {
+    dispatch_world world;
+    add_workers(world, 1);
+    const auto job = world.submit({make_step()});
+    std::string worker = "w1";
+    for (int crash = 1; crash <= 2; ++crash) {
+        const auto starts = confirm_starts(world);
+        ASSERT_EQ(starts.size(), 1U);
+        world.advance(milliseconds{900});
+        world.lead();
+        world.beat(worker);
+        world.wait_for_hold(worker);
+        hold_answer list;
+        list.running.push_back({starts[0].run, "", 90, 0});
+        world.answer_hold(worker, list);
+        world.advance(milliseconds{40});
+        world.restart_worker(worker, worker + "+");
+        worker += "+";
+        world.advance(seconds{1});
+    }
+    ASSERT_EQ(world.book.find_job(job)->phase, job_phase::open);
+    EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 2U);
+}
+
 TEST(dispatcher_crash, counts_nothing_against_the_tasks_of_a_worker_that_said_it_leaves) {
     dispatch_world world;
     add_workers(world, 2);
