--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_restart_test.cpp
@@ -0,0 +1,347 @@
+// Workers that start again under the ids that they had: what was kept of the former life says nothing of the
+// next.
+#include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::int64_t first_life = 1'700'000'000'000;
+constexpr std::int64_t second_life = first_life + 5000;
+constexpr std::int64_t earlier_time = first_life - 60'000; // by a clock that was stepped back
+
+/// Adds a worker that tells when it started.
+void add_worker(dispatch_world& world, const std::string& id = "w1") {
+    world.add_worker(id);
+    world.start_again(id, first_life);
+    world.wait_for_hold(id);
+    world.answer_hold(id, dispatch_world::make_list());
+    world.wait_for_hold(id);
+    world.answer_hold(id, dispatch_world::make_list());
+    static_cast<void>(world.take<hold_order>());
+}
+
+start_order start_one(dispatch_world& world) {
+    const auto starts = world.take<start_order>();
+    EXPECT_EQ(starts.size(), 1U);
+    world.answer(starts.at(0));
+    return starts.at(0);
+}
+
+void list_end(dispatch_world& world, std::uint64_t number, const start_order& order, run_end end) {
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.ended.push_back({number, order.run, end, ""});
+    world.answer_hold("w1", list);
+}
+
+/// Lets the worker start again and answer until it may be used.
+void start_again(dispatch_world& world, std::int64_t born_ms, const hold_answer& list = {}) {
+    world.start_again("w1", born_ms);
+    for (int asked = 0; asked < 2; ++asked) { // who it is, and again under its own fence
+        world.wait_for_hold("w1");
+        world.answer_hold("w1", list);
+    }
+}
+
+std::uint64_t get_last_acknowledged(dispatch_world& world) {
+    const auto holds = world.take<hold_order>();
+    EXPECT_FALSE(holds.empty());
+    return holds.empty() ? 0 : holds.back().acknowledged;
+}
+
+TEST(dispatcher_restart, acknowledges_to_the_next_life_nothing_that_the_former_one_listed) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    list_end(world, 7, start_one(world), run_end::done);
+    world.wait_for_hold("w1");
+    EXPECT_EQ(get_last_acknowledged(world), 7U);
+    start_again(world, second_life);
+    world.submit({make_step()});
+    start_one(world);
+    world.wait_for_hold("w1");
+    EXPECT_EQ(get_last_acknowledged(world), 0U);
+}
+
+TEST(dispatcher_restart, takes_up_the_first_end_that_the_next_life_lists) {
+    dispatch_world world;
+    add_worker(world);
+    auto lasting = make_step();
+    lasting.long_running = true;
+    world.submit({make_step()});
+    list_end(world, 7, start_one(world), run_end::done);
+    start_again(world, second_life);
+    world.submit({lasting});
+    const auto first = start_one(world);
+    list_end(world, 1, first, run_end::failed);
+    world.advance(milliseconds{200});
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_GT(again[0].run.run, first.run.run);
+}
+
+TEST(dispatcher_restart, takes_up_an_end_of_the_former_life_once_that_is_not_committed_yet) {
+    dispatch_world world;
+    add_worker(world);
+    const auto job = world.submit({make_step()});
+    const auto order = start_one(world);
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.ended.push_back({1, order.run, run_end::done, ""});
+    list.born_ms = first_life;
+    world.scheduler.on_hold(world.get_life("w1"), {std::nullopt, list}, world.now); // not committed yet
+    world.start_again("w1", second_life);
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::completed);
+    world.wait_for_hold("w1");
+    world.answer_hold("w1", dispatch_world::make_list());
+    world.advance(seconds{1});
+    EXPECT_TRUE(world.take<start_order>().empty());
+}
+
+TEST(dispatcher_restart, gives_up_at_once_what_ran_on_the_former_life) {
+    dispatch_world world;
+    add_worker(world);
+    const auto job = world.submit({make_step()});
+    const auto first = start_one(world);
+    start_again(world, second_life);
+    world.advance(milliseconds{200});
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_GT(again[0].run.run, first.run.run);
+    EXPECT_EQ(world.book.find_task({{job, 0, 0}, 0})->crash.crashes, 1U);
+}
+
+TEST(dispatcher_restart, is_noticed_by_a_list_before_any_heartbeat) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    start_one(world);
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.born_ms = second_life;
+    list.clock_ms = 1;
+    world.scheduler.on_hold(world.get_life("w1"), {std::nullopt, list}, world.now);
+    world.settle();
+    EXPECT_TRUE(world.find_worker("w1")->is_gone);
+    const auto* next = world.scheduler.find_worker_state({"w1", second_life});
+    ASSERT_NE(next, nullptr);
+    EXPECT_FALSE(next->is_confirmed);
+}
+
+TEST(dispatcher_restart, is_known_by_a_later_answer_though_its_start_time_is_earlier) {
+    dispatch_world world;
+    add_worker(world);
+    start_again(world, earlier_time);
+    EXPECT_TRUE(world.find_worker("w1")->is_confirmed);
+    EXPECT_TRUE(world.scheduler.find_worker_state({"w1", first_life}) == nullptr ||
+                world.scheduler.find_worker_state({"w1", first_life})->is_gone);
+}
+
+TEST(dispatcher_restart, is_not_believed_to_a_late_heartbeat_of_an_earlier_life) {
+    dispatch_world world;
+    add_worker(world);
+    worker_report late = world.find_worker("w1")->report;
+    late.life.born_ms = second_life; // a later time than that of the life which answers
+    late.sequence = 3;
+    world.scheduler.on_heartbeat(late, world.now);
+    world.advance(milliseconds{20});
+    hold_answer list;
+    list.born_ms = first_life;
+    list.clock_ms = to_milliseconds(world.now.time_since_epoch());
+    world.scheduler.on_hold(late.life, {std::nullopt, list}, world.now);
+    world.settle();
+    EXPECT_FALSE(world.find_worker("w1")->is_gone);
+    world.scheduler.on_heartbeat(late, world.now);
+    world.settle();
+    EXPECT_TRUE(world.scheduler.find_worker_state(late.life) == nullptr ||
+                world.scheduler.find_worker_state(late.life)->is_gone);
+}
+
+TEST(dispatcher_restart, is_not_undone_by_a_late_heartbeat_or_goodbye_of_the_former_life) {
+    dispatch_world world;
+    add_worker(world);
+    auto late = world.find_worker("w1")->report;
+    start_again(world, second_life);
+    late.sequence += 100;
+    late.is_leaving = true;
+    EXPECT_FALSE(world.scheduler.on_heartbeat(late, world.now)) << "nothing is committed for it";
+    world.scheduler.on_goodbye(late.life, world.now);
+    world.scheduler.on_goodbye({"w1", 0}, world.now);
+    world.settle();
+    EXPECT_FALSE(world.find_worker("w1")->is_leaving);
+    world.submit({make_step()});
+    EXPECT_EQ(world.take<start_order>().size(), 1U);
+}
+
+TEST(dispatcher_restart, comes_back_to_work_after_the_former_life_had_left) {
+    dispatch_world world;
+    add_worker(world);
+    world.beat("w1", true, 2000);
+    EXPECT_TRUE(world.book.is_retired({"w1", first_life}));
+    start_again(world, second_life);
+    world.submit({make_step()});
+    EXPECT_EQ(world.take<start_order>().size(), 1U);
+}
+
+TEST(dispatcher_restart, raises_the_fence_before_the_next_life_is_used) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    const auto before = start_one(world);
+    start_again(world, second_life);
+    world.advance(milliseconds{200});
+    const auto after = world.take<start_order>();
+    ASSERT_EQ(after.size(), 1U);
+    EXPECT_GT(after[0].target.fence, before.target.fence);
+    const auto raised = after[0].target.fence;
+    world.lead();
+    world.beat("w1");
+    world.wait_for_hold("w1");
+    const auto holds = world.take<hold_order>();
+    ASSERT_FALSE(holds.empty());
+    EXPECT_GT(holds.back().target.fence, raised) << "no later leader uses the same one";
+}
+
+TEST(dispatcher_restart, follows_a_start_without_an_answer_to_the_next_life) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    world.start_again("w1", second_life);
+    world.wait_for_hold("w1");
+    world.answer_hold("w1", dispatch_world::make_list()); // under the fence that the start has, too
+    world.advance(milliseconds{50});
+    EXPECT_TRUE(world.take<start_order>().empty()) << "the first start may yet be carried out";
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.running.push_back({starts[0].run, "", 10, 0});
+    world.answer_hold("w1", list);
+    world.advance(seconds{1});
+    EXPECT_TRUE(world.take<start_order>().empty());
+    list_end(world, 1, starts[0], run_end::done);
+    EXPECT_EQ(world.book.find_job(starts[0].run.task.step.job)->phase, job_phase::completed);
+}
+
+TEST(dispatcher_restart, starts_a_task_again_whose_start_the_next_life_never_got) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    ASSERT_EQ(world.take<start_order>().size(), 1U);
+    start_again(world, second_life);
+    world.advance(milliseconds{200});
+    EXPECT_EQ(world.take<start_order>().size(), 1U);
+}
+
+TEST(dispatcher_restart, waits_the_longest_lease_where_a_start_may_have_come_to_the_next_life) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    ASSERT_EQ(world.take<start_order>().size(), 1U);
+    world.start_again("w1", second_life);
+    world.wait_for_hold("w1");
+    world.answer_hold("w1", dispatch_world::make_list());
+    const auto since = world.now;
+    world.add_worker("w2");
+    const dispatch_settings settings;
+    while (world.now < since + settings.longest_lease - milliseconds{200}) { // cut off from now on
+        if (world.find_worker("w1")->is_holding) {
+            world.fail_hold("w1");
+        }
+        world.advance(milliseconds{50});
+    }
+    EXPECT_TRUE(world.take<start_order>().empty());
+    world.advance(seconds{1});
+    EXPECT_EQ(world.take<start_order>().size(), 1U);
+}
+
+TEST(dispatcher_restart, is_found_by_a_new_leader_that_knows_the_book_alone) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    const auto first = start_one(world);
+    EXPECT_EQ(world.book.find_task(first.run.task)->runs.at(0).worker, (worker_life{"w1", first_life}));
+    world.lead();
+    start_again(world, second_life);
+    world.advance(milliseconds{200});
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_GT(again[0].run.run, first.run.run);
+}
+
+TEST(dispatcher_restart, takes_a_run_that_was_assigned_without_a_start_time_for_what_the_list_says) {
+    dispatch_world world;
+    world.add_worker("w1"); // as an older version knew it
+    world.submit({make_step(2)});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    world.answer(starts[0]);
+    world.answer(starts[1]);
+    world.lead();
+    hold_answer list;
+    list.running.push_back({starts[0].run, "", 10, 0});
+    start_again(world, first_life, list); // the same process, which tells its start time to this version
+    world.advance(milliseconds{200});
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].run.task, starts[1].run.task);
+    EXPECT_EQ(world.book.find_task(starts[1].run.task)->crash.crashes, 0U);
+}
+
+TEST(dispatcher_restart, is_not_disturbed_by_a_report_without_a_start_time) {
+    dispatch_world world;
+    add_worker(world);
+    auto report = world.find_worker("w1")->report;
+    report.life.born_ms = 0;
+    report.sequence = 1000;
+    report.capacity = {};
+    world.scheduler.on_heartbeat(report, world.now);
+    world.submit({make_step()});
+    EXPECT_EQ(world.take<start_order>().size(), 1U);
+}
+
+TEST(dispatcher_restart, is_used_by_the_start_time_of_its_list_where_its_reports_leave_it_out) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    start_one(world);
+    for (int asked = 0; asked < 2; ++asked) {
+        while (!std::any_of(world.scheduler.get_workers().begin(), world.scheduler.get_workers().end(),
+                            [](const auto& item) { return item.second.is_holding; })) {
+            world.advance(milliseconds{20});
+        }
+        for (const auto& [life, state] : std::map(world.scheduler.get_workers())) {
+            hold_answer list;
+            list.born_ms = first_life;
+            list.clock_ms = 1000;
+            world.scheduler.on_hold(life, {std::nullopt, list}, world.now);
+        }
+        world.settle();
+    }
+    const auto* state = world.scheduler.find_worker_state({"w1", first_life});
+    ASSERT_NE(state, nullptr);
+    EXPECT_TRUE(state->has_report && state->is_confirmed);
+}
+
+TEST(dispatcher_restart, does_not_take_a_list_that_leaves_the_start_time_out) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    const auto order = start_one(world);
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.ended.push_back({1, order.run, run_end::done, ""});
+    world.scheduler.on_hold(world.get_life("w1"), {std::nullopt, list}, world.now);
+    world.settle();
+    EXPECT_EQ(world.book.find_job(order.run.task.step.job)->phase, job_phase::open);
+}
+
+} // namespace
+} // namespace poplarpitch
