--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -1,5 +1,6 @@
 #include "unit_tests/platform/stand_in_workers.h"
 
+#include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_caller.h"
 #include "poplarpitch/net/http_listener.h"
@@ -18,7 +19,8 @@
 constexpr duration beat_timeout = milliseconds{500};
 constexpr duration crash_delay = milliseconds{10};    // after the start of a task that crashes its worker
 constexpr duration restart_time = milliseconds{1000}; // longer than an answer takes, so that it is missed
-constexpr int lasting_tail_ms = 10;                   // what a task that lasts tells of its own answers
+constexpr std::int64_t first_clock_ms = 1;
+constexpr int lasting_tail_ms = 10; // what a task that lasts tells of its own answers
 
 using json = nlohmann::json;
 
@@ -37,7 +39,9 @@
 
 /// One worker's state; all on the loop's thread.
 struct pretended_worker {
-    std::string machine; ///< what its lives have in common
+    std::string machine;      ///< what its lives have in common
+    std::int64_t born_ms = 0; ///< 0 where it does not tell
+    time_point clock_start{}; ///< its clock counts from there
     int life = 1;
     bool is_up = true;
     std::string id;
@@ -58,15 +62,20 @@
 } // namespace
 
 struct stand_in_workers::parts {
-    parts(std::vector<std::string> addresses, duration length)
-        : controls(std::move(addresses)), run_time(length), caller(loop, http_caller_settings{}) {}
+    parts(std::vector<std::string> addresses, duration length, rebirth way)
+        : controls(std::move(addresses)), run_time(length), how(way), caller(loop, http_caller_settings{}) {}
 
-    std::int64_t get_clock() const { return to_milliseconds(loop.now().time_since_epoch()); }
+    std::int64_t get_clock(const pretended_worker& worker) const {
+        return first_clock_ms + to_milliseconds(loop.now() - worker.clock_start);
+    }
 
-    http_response make_response(int status, json body) const {
+    http_response make_response(const pretended_worker& worker, int status, json body) const {
         http_response response;
         response.status = status;
-        body["clockMs"] = get_clock();
+        body["clockMs"] = get_clock(worker);
+        if (worker.born_ms != 0) {
+            body["born"] = worker.born_ms;
+        }
         response.body = body.dump();
         return response;
     }
@@ -102,7 +111,7 @@
         worker.holds.clear();
         for (auto& [respond, timer] : holds) {
             loop.cancel(timer);
-            respond(make_response(200, list(worker)));
+            respond(make_response(worker, 200, list(worker)));
         }
     }
 
@@ -111,14 +120,15 @@
         const auto run = body.at("run").get<std::uint32_t>();
         const auto found = worker.running.find(task);
         if (found != worker.running.end() && found->second.run == run) {
-            return make_response(200, {});
+            return make_response(worker, 200, {});
         }
         if (run <= worker.highest_ended[task] || found != worker.running.end()) {
-            return make_response(409, {{"reason", "old"}});
+            return make_response(worker, 409, {{"reason", "old"}});
         }
         {
             const absl::MutexLock lock(&mutex);
             overlaps += running_now[task]++ > 0 ? 1 : 0;
+            starts_after_done += forgotten.contains(task) ? 1 : 0;
             ++starts[task];
         }
         const auto spec = body.value("spec", std::string{});
@@ -129,11 +139,11 @@
         const auto timer =
             lasts ? 0 : loop.call_after(run_time, [this, &worker, task] { end(worker, task, "done"); });
         worker.running[task] = {run, timer, lasts};
-        return make_response(200, {});
+        return make_response(worker, 200, {});
     }
 
     /// Ends a life of a worker, if it has not ended yet, with all that runs there.
-    void crash(pretended_worker& worker, int life) {
+    void crash(pretended_worker& worker, int life, duration down = restart_time) {
         if (!worker.is_up || worker.life != life) {
             return;
         }
@@ -152,13 +162,16 @@
         worker.running.clear();
         worker.ended.clear();
         worker.listener.reset();
-        loop.call_after(restart_time, [this, &worker] { come_back(worker); });
+        loop.call_after(down, [this, &worker] { come_back(worker); });
     }
 
     void come_back(pretended_worker& worker) {
         ++worker.life;
         worker.is_up = true;
-        worker.id = worker.machine + "." + std::to_string(worker.life);
+        if (how == rebirth::new_id) {
+            worker.id = worker.machine + "." + std::to_string(worker.life);
+        }
+        begin_life(worker);
         worker.fence = 0;
         worker.sequence = 0;
         worker.next_number = 1;
@@ -167,6 +180,11 @@
         listen(worker);
     }
 
+    void begin_life(pretended_worker& worker) const {
+        worker.born_ms = how == rebirth::same_id ? get_wall_ms() : 0;
+        worker.clock_start = how == rebirth::same_id ? loop.now() : time_point{};
+    }
+
     void listen(pretended_worker& worker) {
         http_listener_settings settings;
         settings.host = "127.0.0.1";
@@ -182,16 +200,16 @@
     void handle(pretended_worker& worker, const http_request& request, const http_responder& respond) {
         const auto body = json::parse(request.body, nullptr, false);
         if (request.headers.get("Expect-Instance") != worker.id) {
-            respond(make_response(421, {}));
+            respond(make_response(worker, 421, {}));
             return;
         }
         if (body.is_discarded()) {
-            respond(make_response(400, {}));
+            respond(make_response(worker, 400, {}));
             return;
         }
         const auto fence = body.value("fence", std::uint64_t{0});
         if (fence < worker.fence) {
-            respond(make_response(409, {{"reason", "fence"}}));
+            respond(make_response(worker, 409, {{"reason", "fence"}}));
             return;
         }
         worker.fence = fence;
@@ -203,20 +221,26 @@
             auto& highest = worker.highest_ended[task];
             highest = std::max(highest, body.at("run").get<std::uint32_t>());
             end(worker, task, "stopped");
-            respond(make_response(200, {}));
+            respond(make_response(worker, 200, {}));
         } else if (path == "/v1/hold") {
             hold(worker, body, respond);
         } else {
-            respond(make_response(200, {}));
+            respond(make_response(worker, 200, {}));
         }
     }
 
     void hold(pretended_worker& worker, const json& body, const http_responder& respond) {
         const auto acknowledged = body.value("ackedUpto", std::uint64_t{0});
+        for (const auto& item : worker.ended) {
+            if (item.number <= acknowledged && item.how == "done") {
+                const absl::MutexLock lock(&mutex);
+                forgotten.insert(item.task);
+            }
+        }
         std::erase_if(worker.ended, [&](const ended_task& item) { return item.number <= acknowledged; });
         const auto wait = body.value("waitMs", 0);
         if (!worker.ended.empty() || wait == 0) {
-            respond(make_response(200, list(worker)));
+            respond(make_response(worker, 200, list(worker)));
             return;
         }
         const auto timer = loop.call_after(milliseconds{wait}, [this, &worker] {
@@ -224,7 +248,7 @@
             worker.holds.clear();
             for (auto& [answer, other] : holds) {
                 loop.cancel(other);
-                answer(make_response(200, list(worker)));
+                answer(make_response(worker, 200, list(worker)));
             }
         });
         worker.holds.emplace_back(respond, timer);
@@ -246,16 +270,18 @@
         call.timeout = beat_timeout;
         call.request.method = "POST";
         call.request.target = "/v1/Instances.Heartbeat/" + worker.id;
-        call.request.body = json{
-            {"service", "mill"},
-            {"addr", worker.address},
-            {"zone", "here"},
-            {"state", "ready"},
-            {"capacity", {{"cpu", 16000}, {"memMb", 32000}, {"gpu", 0}}},
-            {"labels", {"a", "r1"}},
-            {"clockMs", get_clock()},
-            {"seq",
-             ++worker.sequence}}.dump();
+        json body{{"service", "mill"},
+                  {"addr", worker.address},
+                  {"zone", "here"},
+                  {"state", "ready"},
+                  {"capacity", {{"cpu", 16000}, {"memMb", 32000}, {"gpu", 0}}},
+                  {"labels", {"a", "r1"}},
+                  {"clockMs", get_clock(worker)},
+                  {"seq", ++worker.sequence}};
+        if (worker.born_ms != 0) {
+            body["born"] = worker.born_ms;
+        }
+        call.request.body = body.dump();
         caller.send(std::move(call), [this, &worker](const result<http_response>& response) {
             worker.heartbeat_address.clear();
             if (response && response.value().status == 200) {
@@ -271,6 +297,7 @@
         worker->machine = "w" + std::to_string(number);
         worker->id = worker->machine;
         worker->control = static_cast<std::size_t>(number);
+        begin_life(*worker);
         auto& state = *worker;
         listen(state);
         workers.push_back(std::move(worker));
@@ -279,6 +306,7 @@
 
     std::vector<std::string> controls;
     duration run_time;
+    rebirth how;
     event_loop loop;
     http_caller caller;
     std::vector<std::unique_ptr<pretended_worker>> workers;
@@ -286,11 +314,14 @@
     std::map<std::string, int> running_now ABSL_GUARDED_BY(mutex);
     std::map<std::string, int> done ABSL_GUARDED_BY(mutex);
     std::map<std::string, int> starts ABSL_GUARDED_BY(mutex);
+    std::set<std::string> forgotten ABSL_GUARDED_BY(mutex); ///< tasks whose end as done was acknowledged
     int overlaps ABSL_GUARDED_BY(mutex) = 0;
+    int starts_after_done ABSL_GUARDED_BY(mutex) = 0;
 };
 
-stand_in_workers::stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time)
-    : m_parts(std::make_unique<parts>(std::move(control_addresses), run_time)) {
+stand_in_workers::stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time,
+                                   rebirth how)
+    : m_parts(std::make_unique<parts>(std::move(control_addresses), run_time, how)) {
     for (int number = 1; number <= count; ++number) {
         m_parts->add_worker(number);
     }
@@ -302,6 +333,20 @@
     m_thread.join();
 }
 
+void stand_in_workers::crash(const std::vector<int>& numbers, duration down) {
+    m_parts->loop.post([this, numbers, down] {
+        for (const auto number : numbers) {
+            auto& worker = *m_parts->workers.at(static_cast<std::size_t>(number));
+            m_parts->crash(worker, worker.life, down);
+        }
+    });
+}
+
+int stand_in_workers::get_starts_after_done() const {
+    const absl::MutexLock lock(&m_parts->mutex);
+    return m_parts->starts_after_done;
+}
+
 std::map<std::string, int> stand_in_workers::get_done_counts() const {
     const absl::MutexLock lock(&m_parts->mutex);
     return m_parts->done;
--- a/unit_tests/platform/stand_in_workers.h
+++ b/unit_tests/platform/stand_in_workers.h
@@ -18,8 +18,8 @@
 /// promises.
 ///
 /// Each run takes a fixed time, or lasts until it is stopped, or crashes its worker, where its job's payload
-/// says so. A worker that crashed comes back at its address as another life. Thread safety: any thread, for
-/// all methods.
+/// says so. A worker that crashed comes back at its address as another life, under another id or under the
+/// same one. Thread safety: any thread, for all methods.
 class stand_in_workers {
 public:
     /// Payload of jobs whose tasks last until they are stopped.
@@ -27,12 +27,24 @@
     /// Payload of jobs whose tasks crash the workers that start them.
     static constexpr const char* crashing_spec = "crashes";
 
+    /// How a worker that crashed comes back.
+    enum class rebirth : std::uint8_t {
+        new_id,  ///< and says nothing of its start time
+        same_id, ///< and tells its start time
+    };
+
     /// Starts `count` workers on loopback, which send heartbeats to these control addresses.
-    stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time);
+    stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time,
+                     rebirth how = rebirth::new_id);
     ~stand_in_workers();
     stand_in_workers(const stand_in_workers&) = delete;
     stand_in_workers& operator=(const stand_in_workers&) = delete;
 
+    /// Lets these workers crash at one moment, and come back after `down`. Numbers count from 0.
+    void crash(const std::vector<int>& numbers, duration down);
+    /// Returns how often a task was started after a run of it had ended as done and the worker had been told
+    /// to forget that.
+    [[nodiscard]] int get_starts_after_done() const;
     /// Returns how many runs of each task ended as done.
     [[nodiscard]] std::map<std::string, int> get_done_counts() const;
     /// Returns how often a task was started while another run of it was going on.
--- /dev/null
+++ b/unit_tests/platform/worker_link_test.cpp
@@ -0,0 +1,125 @@
+// Acknowledgements over real connections to a worker that starts again at its address under the id that it
+// had.
+#include "platform/dialect.h"
+
+#include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/net/http_caller.h"
+#include "poplarpitch/net/http_listener.h"
+#include "poplarpitch/scheduler/worker_link.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration patience = seconds{60}; // bounds a failure; no test reaches it when it passes
+constexpr std::int64_t first_life = 1'700'000'000'000;
+constexpr std::int64_t second_life = 1'700'000'005'000;
+
+/// A worker that lists nothing and writes down what it was told to forget.
+class listing_worker {
+public:
+    explicit listing_worker(event_loop& loop) : m_loop(loop) { start(first_life); }
+
+    /// Ends the process that listens and starts the next one at the same address.
+    void start(std::int64_t born_ms) {
+        m_listener.reset();
+        http_listener_settings settings;
+        settings.host = "127.0.0.1";
+        settings.port = m_port;
+        m_listener = std::make_unique<http_listener>(
+            m_loop, settings, [this, born_ms](const http_request& request, const http_responder& respond) {
+                acknowledged.push_back(nlohmann::json::parse(request.body).at("ackedUpto"));
+                http_response response;
+                response.status = 200;
+                response.body =
+                    R"({"clockMs":1,"running":[],"ended":[],"born":)" + std::to_string(born_ms) + "}";
+                respond(response);
+            });
+        m_port = m_listener->start().value();
+    }
+    void stop() { m_listener.reset(); }
+    [[nodiscard]] std::string get_address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+    std::vector<std::uint64_t> acknowledged;
+
+private:
+    event_loop& m_loop;
+    int m_port = 0;
+    std::unique_ptr<http_listener> m_listener;
+};
+
+class worker_link_test : public testing::Test {
+protected:
+    /// Sends a hold that is meant for a life, and waits for its outcome.
+    hold_outcome hold(std::int64_t born_ms, std::uint64_t acknowledged) {
+        hold_order order;
+        order.target = {{"w1", born_ms}, m_worker.get_address(), 1, false, seconds{5}};
+        order.acknowledged = acknowledged;
+        hold_outcome outcome;
+        const auto guard = m_loop.call_after(patience, [this] { m_loop.stop(); });
+        m_link.send(order, [&](hold_outcome told) {
+            outcome = std::move(told);
+            m_loop.stop();
+        });
+        m_loop.get_context().restart(); // after the stop that ended the call before
+        m_loop.run();
+        m_loop.cancel(guard);
+        return outcome;
+    }
+
+    event_loop m_loop;
+    http_caller m_caller{m_loop, http_caller_settings{}};
+    worker_link<platform::dialect> m_link{m_loop, m_caller};
+    listing_worker m_worker{m_loop};
+};
+
+TEST_F(worker_link_test, acknowledges_to_the_life_that_listed) {
+    hold(first_life, 0);
+    hold(first_life, 0);
+    EXPECT_FALSE(hold(first_life, 5).failure.has_value());
+    EXPECT_EQ(m_worker.acknowledged, (std::vector<std::uint64_t>{0, 0, 5}));
+}
+
+TEST_F(worker_link_test, acknowledges_nothing_to_the_life_after_the_one_that_listed) {
+    hold(first_life, 0);
+    hold(first_life, 0);
+    m_worker.start(second_life);
+    for (int asked = 0; asked < 3; ++asked) {
+        hold(first_life, 5);
+    }
+    const auto outcome = hold(first_life, 5);
+    EXPECT_EQ(outcome.answer.born_ms, second_life);
+    EXPECT_EQ(*std::max_element(m_worker.acknowledged.begin(), m_worker.acknowledged.end()), 0U);
+}
+
+TEST_F(worker_link_test, acknowledges_nothing_before_the_life_that_is_meant_has_listed_here) {
+    EXPECT_FALSE(hold(first_life, 5).failure.has_value());
+    EXPECT_EQ(m_worker.acknowledged, (std::vector<std::uint64_t>{0}));
+}
+
+TEST_F(worker_link_test, acknowledges_to_the_next_life_what_that_one_listed) {
+    hold(first_life, 0);
+    m_worker.start(second_life);
+    hold(second_life, 0);
+    hold(second_life, 0);
+    hold(second_life, 0);
+    m_worker.acknowledged.clear();
+    hold(second_life, 2);
+    EXPECT_EQ(m_worker.acknowledged, (std::vector<std::uint64_t>{2}));
+}
+
+TEST_F(worker_link_test, acknowledges_by_the_id_alone_where_workers_tell_no_start_time) {
+    EXPECT_FALSE(hold(0, 5).failure.has_value());
+    EXPECT_EQ(m_worker.acknowledged, (std::vector<std::uint64_t>{5}));
+}
+
+} // namespace
+} // namespace poplarpitch
--- a/unit_tests/relay/relay_agent_test.cpp
+++ b/unit_tests/relay/relay_agent_test.cpp
@@ -177,6 +177,46 @@
     EXPECT_TRUE(told.reports(0).is_whole());
 }
 
+TEST(relay_agent, keeps_the_lives_of_a_worker_apart) {
+    agent_world world;
+    static_cast<void>(world.send(3));
+    auto former = make_report("w1", 40);
+    former.life.born_ms = 100;
+    auto next = make_report("w1", 1);
+    next.life.born_ms = 200;
+    world.agent.on_report(former, world.now);
+    static_cast<void>(world.take());
+    world.agent.on_report(next, world.now);
+    static_cast<void>(world.send(3));
+    const auto told = world.take();
+    ASSERT_EQ(told.reports_size(), 1);
+    EXPECT_TRUE(told.reports(0).is_whole());
+    EXPECT_EQ(decode(told.reports(0)).life, next.life);
+    ++former.sequence; // late: it repeats what was told of that life, not of the next
+    world.agent.on_report(former, world.now);
+    static_cast<void>(world.send(3));
+    const auto late = world.take();
+    ASSERT_EQ(late.reports_size(), 1);
+    EXPECT_FALSE(late.reports(0).is_whole());
+    EXPECT_EQ(decode_sign_of_life(late.reports(0)).worker, former.life);
+    EXPECT_EQ(decode_sign_of_life(late.reports(0)).told, 40U);
+}
+
+TEST(relay_agent, takes_the_leaders_term_for_the_fence_where_an_older_leader_names_none) {
+    agent_world world;
+    job_wire::relay_orders frame;
+    frame.set_term(3);
+    hold_order order;
+    order.target = {{"w1", 0}, "10.9.0.1:80", 5, false, milliseconds{900}};
+    append_order(order, 1, frame);
+    append_order(order, 2, frame);
+    frame.mutable_orders(1)->set_fence(0);
+    static_cast<void>(world.agent.on_orders(frame, world.now));
+    ASSERT_EQ(world.orders.size(), 2U);
+    EXPECT_EQ(std::get<hold_order>(world.orders[0].first).target.fence, 5U);
+    EXPECT_EQ(std::get<hold_order>(world.orders[1].first).target.fence, 3U);
+}
+
 TEST(relay_agent, takes_no_heartbeats_once_the_leader_fell_silent) {
     agent_world world;
     EXPECT_FALSE(world.agent.is_serving(world.now)) << "before it has heard one";
--- a/unit_tests/relay/relay_hub_test.cpp
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -74,6 +74,18 @@
     return order;
 }
 
+TEST(relay_hub, uses_no_relay_of_a_version_that_knows_no_fences_by_order) {
+    hub_world world;
+    job_wire::relay_answers frame;
+    frame.set_term(term);
+    frame.set_ip(near);
+    frame.set_data_centre("near");
+    EXPECT_TRUE(world.hub.on_answers(frame, world.now).empty());
+    EXPECT_EQ(world.hub.count_relays(), 0U);
+    world.hear(far, "far");
+    EXPECT_EQ(world.hub.count_relays(), 1U);
+}
+
 TEST(relay_hub, takes_no_order_while_no_relay_was_heard) {
     hub_world world;
     EXPECT_FALSE(world.hub.add(make_hold("w1"), "near", 1, world.now));
--- a/unit_tests/scheduling/job_book_test.cpp
+++ b/unit_tests/scheduling/job_book_test.cpp
@@ -191,6 +191,61 @@
     EXPECT_TRUE(book.get_jobs().empty());
 }
 
+job_wire::job_command make_retire(const worker_life& life) {
+    job_wire::job_command command;
+    command.mutable_retire()->set_worker(life.id);
+    command.mutable_retire()->set_born_ms(life.born_ms);
+    return command;
+}
+
+TEST(job_book, retires_one_life_of_a_worker_and_no_other) {
+    job_book book;
+    apply(book, make_retire({"w1", 100}));
+    EXPECT_TRUE(book.is_retired({"w1", 100}));
+    EXPECT_FALSE(book.is_retired({"w1", 200}));
+    job_book restored;
+    ASSERT_TRUE(restored.load(book.save()));
+    EXPECT_TRUE(restored.is_retired({"w1", 100}));
+    EXPECT_FALSE(restored.is_retired({"w1", 200}));
+}
+
+TEST(job_book, ends_a_run_only_for_the_life_that_it_was_assigned_to) {
+    job_book book;
+    apply(book, make_submit(make_job(1, 1)));
+    const task_key task{{1, 0, 0}, 0};
+    auto assign = make_assign(task, 1, "w1");
+    assign.mutable_assign()->set_born_ms(100);
+    apply(book, assign);
+    auto end = make_end(task, 1, "w1", run_end::done);
+    end.mutable_end()->set_born_ms(200);
+    apply(book, end);
+    EXPECT_EQ(book.find_task(task)->phase, task_phase::active);
+    end.mutable_end()->set_born_ms(100);
+    apply(book, end);
+    EXPECT_EQ(book.find_task(task)->phase, task_phase::done);
+}
+
+TEST(job_book, reads_a_snapshot_of_a_version_that_knew_of_no_start_times) {
+    job_wire::job_book_snapshot snapshot;
+    snapshot.add_retired("w1");
+    job_book book;
+    ASSERT_TRUE(book.load(snapshot.SerializeAsString()));
+    EXPECT_TRUE(book.is_retired({"w1", 0}));
+    EXPECT_FALSE(book.is_retired({"w1", 100})) << "it tells again that it leaves";
+    EXPECT_EQ(book.get_fence_raises(), 0U);
+}
+
+TEST(job_book, keeps_how_often_the_fence_was_raised_through_a_snapshot) {
+    job_book book;
+    job_wire::job_command raise;
+    raise.mutable_raise_fence();
+    apply(book, raise);
+    apply(book, raise);
+    job_book restored;
+    ASSERT_TRUE(restored.load(book.save()));
+    EXPECT_EQ(restored.get_fence_raises(), 2U);
+}
+
 /// Applies random commands that a leader may propose, sound or not.
 void apply_random(job_book& book, std::mt19937& random) {
     const auto draw = [&](std::uint32_t end) {
