Count an end off at the worker that listed it, not at the life that its run was assigned to

A run whose start came to the next life ended there, but its end was counted off at the former life: the next one acknowledged nothing any more, listed all its ends again in each answer, and a later end under a number below was passed over.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -261,7 +261,9 @@
 }
 
 void dispatcher::on_run_ended(const book_event& event, time_point now) {
-    if (auto* worker = find_worker(event.worker); worker != nullptr && event.number > 0) {
+    const auto* ended = find(event.run);
+    auto* worker = ended == nullptr ? find_worker(event.worker) : ended->host; // of whose list the number is
+    if (worker != nullptr && event.number > 0) {
         worker->ends_committing -= worker->ends_committing > 0 ? 1 : 0;
         update_acknowledged(*worker);
         if (worker->ends_committing == 0) {
@@ -269,7 +271,6 @@
         }
     }
     m_must_place = true;
-    const auto* ended = find(event.run);
     if (ended == nullptr) {
         return;
     }
--- a/unit_tests/dispatch/dispatcher_restart_test.cpp
+++ b/unit_tests/dispatch/dispatcher_restart_test.cpp
@@ -228,6 +228,8 @@
     EXPECT_TRUE(world.take<start_order>().empty());
     list_end(world, 1, starts[0], run_end::done);
     EXPECT_EQ(world.book.find_job(starts[0].run.task.step.job)->phase, job_phase::completed);
+    world.wait_for_hold("w1");
+    EXPECT_EQ(get_last_acknowledged(world), 1U);
 }
 
 TEST(dispatcher_restart, starts_a_task_again_whose_start_the_next_life_never_got) {
--- a/unit_tests/platform/restart_cluster_test.cpp
+++ b/unit_tests/platform/restart_cluster_test.cpp
@@ -58,7 +58,8 @@
     submit_all();
     const milliseconds down{GetParam()};
     wait_until([&] { return m_workers.get_running() > lasting_count; });
-    m_workers.crash({0, 1, 2}, down); // not more often: a task under which three workers crashed may be given up
+    m_workers.crash({0, 1, 2},
+                    down); // not more often: a task under which three workers crashed may be given up
     expect_all_well();
     m_workers.crash({3, 4, 5}, down);
     expect_all_well();
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -198,6 +198,9 @@
     }
 
     void handle(pretended_worker& worker, const http_request& request, const http_responder& respond) {
+        if (!worker.is_up) {
+            return; // it came over a connection that the crash has yet to end
+        }
         const auto body = json::parse(request.body, nullptr, false);
         if (request.headers.get("Expect-Instance") != worker.id) {
             respond(make_response(worker, 421, {}));
