--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -169,7 +169,6 @@
     track.worker = heir.report.life;
     track.stage = run_stage::adopting;
     track.former_loss = loss;
-    track.is_listed = false;
     track.is_order_out = false;
     add_load(heir, track, 1);
     refresh_pressure(former);
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -20,7 +20,7 @@
     for (auto* worker : m_workers.take_due(now, time_point::max())) {
         watch_worker(*worker, now);
         if (may_forget(*worker, now)) {
-            m_workers.erase(worker_life{worker->report.life});
+            m_workers.erase(worker_life{worker->report.life}); // a copy: the state goes
         } else {
             m_workers.look_at(*worker, get_next_look(*worker, now));
         }
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -317,7 +317,6 @@
             note_started(row.run.task.step.job, now);
         }
         track->listed_at = now;
-        track->is_listed = true;
         track->former_loss.reset();
         track->percent = row.percent;
         track->level = row.level;
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -48,7 +48,6 @@
     time_point next_order{}; ///< earliest time of the next start or stop order
     std::optional<run_loss>
         former_loss;            ///< its start was sent to a former life of its worker, whose loss says this
-    bool is_listed = false;     ///< in a list of the life at which it is followed
     bool may_come_late = false; ///< a start had no answer: it may be carried out seconds later
     std::int64_t percent = 0;
     std::int64_t level = 0;          ///< as in `run_row`
--- a/poplarpitch/scheduler/worker_link.h
+++ b/poplarpitch/scheduler/worker_link.h
@@ -40,7 +40,7 @@
                 if constexpr (std::is_same_v<order_type, hold_order>) {
                     send_hold(item, std::move(on_outcome));
                 } else if constexpr (!std::is_same_v<order_type, advise_order>) {
-                    call(item, make_call(item), std::move(on_outcome));
+                    call<order_type>(make_call(item), std::move(on_outcome));
                 }
             },
             order);
@@ -86,42 +86,48 @@
     void send_hold(const hold_order& order, outcome_handler on_outcome) {
         const bool has_one_life = order.target.worker.born_ms == 0; // its id names it
         if (order.acknowledged == 0 || has_one_life) {
-            send_list_call(order, std::move(on_outcome));
+            ask_list(order, make_call(order), std::move(on_outcome));
             return;
         }
         const auto last = m_lists.find(order.target.address);
         if (last == m_lists.end() || last->second.life != order.target.worker) {
-            send_list_call(without_acknowledgement(order), std::move(on_outcome));
+            ask_without_acknowledgement(order, std::move(on_outcome));
             return;
         }
         auto bound = make_call(order);
         bound.is_fresh = false;
         bound.opened_before = last->second.asked;
-        call(order, std::move(bound),
-             [this, order, on_outcome = std::move(on_outcome)](hold_outcome outcome) {
-                 if (outcome.failure == order_failure::not_sent) {
-                     send_list_call(without_acknowledgement(order), on_outcome);
-                     return;
-                 }
-                 on_outcome(std::move(outcome));
-             });
+        ask_list(order, std::move(bound),
+                 [this, order, on_outcome = std::move(on_outcome)](hold_outcome outcome) {
+                     if (outcome.failure == order_failure::not_sent) {
+                         ask_without_acknowledgement(order, on_outcome);
+                         return;
+                     }
+                     on_outcome(std::move(outcome));
+                 });
     }
 
-    static hold_order without_acknowledgement(hold_order order) {
+    void ask_without_acknowledgement(hold_order order, outcome_handler on_outcome) {
         order.acknowledged = 0;
         order.wait = duration{0};
-        return order;
+        ask_list(order, make_call(order), std::move(on_outcome));
     }
 
-    void send_list_call(const hold_order& order, outcome_handler on_outcome) {
-        call(
-            order, make_call(order),
-            [this, order, asked = m_loop.now(), on_outcome = std::move(on_outcome)](hold_outcome outcome) {
-                if (!outcome.failure.has_value()) {
-                    m_lists[order.target.address] = {{order.target.worker.id, outcome.answer.born_ms}, asked};
-                }
-                on_outcome(std::move(outcome));
-            });
+    void ask_list(const hold_order& order, http_call request, outcome_handler on_outcome) {
+        call<hold_order>(std::move(request), [this, target = order.target, asked = m_loop.now(),
+                                              on_outcome = std::move(on_outcome)](hold_outcome outcome) {
+            if (!outcome.failure.has_value()) {
+                note_list(target, outcome.answer.born_ms, asked);
+            }
+            on_outcome(std::move(outcome));
+        });
+    }
+
+    void note_list(const order_target& target, std::int64_t born_ms, time_point asked) {
+        if (m_lists.size() >= most_lists) {
+            m_lists.clear(); // acknowledgements wait for one list more
+        }
+        m_lists[target.address] = {{target.worker.id, born_ms}, asked};
     }
 
     template <class Order>
@@ -137,13 +143,15 @@
     }
 
     template <class Order>
-    void call(const Order& /*order*/, http_call request, outcome_handler on_outcome) {
+    void call(http_call request, outcome_handler on_outcome) {
         m_caller.send(std::move(request),
                       [on_outcome = std::move(on_outcome)](const result<http_response>& response) {
                           on_outcome(read<Order>(response));
                       });
     }
 
+    static constexpr std::size_t most_lists = 20'000; // addresses; twice the workers to come
+
     event_loop& m_loop;
     http_caller& m_caller;
     absl::flat_hash_map<std::string, answered_list> m_lists; ///< the last one at each address
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -72,6 +72,21 @@
     EXPECT_EQ(world.take<start_order>().size(), 1U);
 }
 
+TEST(dispatcher_loss, takes_no_room_from_a_heartbeat_that_was_overtaken) {
+    dispatch_world world;
+    world.add_worker("w1");
+    auto report = world.find_worker("w1")->report;
+    report.sequence = 7;
+    report.capacity = {1000, 1000, 0};
+    world.scheduler.on_heartbeat(report, world.now);
+    auto late = report;
+    late.sequence = 6;
+    late.capacity = {64000, 256000, 0};
+    world.scheduler.on_heartbeat(late, world.now);
+    EXPECT_EQ(world.find_worker("w1")->report.capacity, report.capacity);
+    EXPECT_EQ(world.find_worker("w1")->report.sequence, 7U);
+}
+
 TEST(dispatcher_loss, ignores_a_heartbeat_of_a_life_that_has_ended) {
     dispatch_world world;
     world.add_worker("w1");
--- a/unit_tests/dispatch/dispatcher_restart_test.cpp
+++ b/unit_tests/dispatch/dispatcher_restart_test.cpp
@@ -264,6 +264,16 @@
     EXPECT_EQ(world.take<start_order>().size(), 1U);
 }
 
+TEST(dispatcher_restart, is_suspected_from_a_clock_that_counts_anew) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    world.scheduler.on_start(starts[0].run, {std::nullopt, 5}, world.now);
+    EXPECT_GE(world.find_worker("w1")->lease_end, world.now + dispatch_settings{}.longest_lease);
+}
+
 TEST(dispatcher_restart, is_found_by_a_new_leader_that_knows_the_book_alone) {
     dispatch_world world;
     add_worker(world);
