--- a/poplarpitch/scheduler/worker_link.h
+++ b/poplarpitch/scheduler/worker_link.h
@@ -143,7 +143,7 @@
     }
 
     template <class Order>
-    void call(http_call request, outcome_handler on_outcome) {
+    void call(http_call&& request, outcome_handler on_outcome) {
         m_caller.send(std::move(request),
                       [on_outcome = std::move(on_outcome)](const result<http_response>& response) {
                           on_outcome(read<Order>(response));
--- a/unit_tests/dispatch/dispatcher_restart_test.cpp
+++ b/unit_tests/dispatch/dispatcher_restart_test.cpp
@@ -315,6 +315,7 @@
     report.sequence = 1000;
     report.capacity = {};
     world.scheduler.on_heartbeat(report, world.now);
+    EXPECT_EQ(world.scheduler.find_worker_state(report.life), nullptr);
     world.submit({make_step()});
     EXPECT_EQ(world.take<start_order>().size(), 1U);
 }
