Reckon the longest lease with the drift of a worker's clock, as every other lease

Where a start of a former life may have come to the next one, the leader waited 10.25 s: the longest lease and the margin, without the 2% by which a worker's clock may be slow (10.45 s). The run could have gone on there for 0.2 s while its task was started elsewhere. The span is reckoned in one place for both leases now. waits_the_longest_lease_... and is_suspected_from_a_clock_... ask for the whole span; both failed before.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -45,7 +45,7 @@
         }
     }
     // What an earlier leader allowed may have been allowed just now.
-    const auto lease_end = now + get_lease_span();
+    const auto lease_end = now + get_lease_span(m_settings.lease);
     for (const auto& [key, run] : m_book.get_assigned_runs()) {
         const auto* record = m_book.find_job(key.task.step.job);
         adopt_worker(run, lease_end, now);
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -258,8 +258,10 @@
     void find_vanished(worker_state& worker, const std::vector<run_key>& listed, time_point now);
     void stop_stray(worker_state& worker, const run_key& key);
     void grant_lease(worker_state& worker, time_point now);
+    /// Takes that something may count at the worker as long as it grants anything at all.
+    void grant_longest_lease(worker_state& worker, time_point now);
     /// Returns how long after it was sent a lease may count at its worker, by this clock.
-    [[nodiscard]] duration get_lease_span() const;
+    [[nodiscard]] duration get_lease_span(duration lease) const;
     void lose_worker(worker_state& worker, const char* reason, time_point now);
     static void add_loss(log_event& line, const run_track& track, time_point now);
     void evacuate(worker_state& worker, time_point now);
--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -175,7 +175,7 @@
     refresh_pressure(heir);
     // The start's lease is of the former life's clock, so the heir bounds it only by the longest that it
     // grants.
-    heir.lease_end = std::max(heir.lease_end, now + m_settings.longest_lease + m_settings.lease_margin);
+    grant_longest_lease(heir, now);
 }
 
 void dispatcher::compare_clock(worker_state& worker, std::int64_t clock_ms, time_point now) {
@@ -183,7 +183,7 @@
     if (clock_ms == 0 || clock_ms + margin >= worker.estimate_clock(now)) {
         return;
     }
-    worker.lease_end = std::max(worker.lease_end, now + m_settings.longest_lease + m_settings.lease_margin);
+    grant_longest_lease(worker, now);
     hold_soon(worker, now);
 }
 
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -163,11 +163,15 @@
 }
 
 void dispatcher::grant_lease(worker_state& worker, time_point now) {
-    worker.lease_end = std::max(worker.lease_end, now + get_lease_span());
+    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.lease));
 }
 
-duration dispatcher::get_lease_span() const {
-    return std::chrono::duration_cast<duration>(m_settings.lease * (1 + m_settings.clock_drift)) +
+void dispatcher::grant_longest_lease(worker_state& worker, time_point now) {
+    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.longest_lease));
+}
+
+duration dispatcher::get_lease_span(duration lease) const {
+    return std::chrono::duration_cast<duration>(lease * (1 + m_settings.clock_drift)) +
            m_settings.lease_margin;
 }
 
--- a/unit_tests/dispatch/dispatcher_restart_test.cpp
+++ b/unit_tests/dispatch/dispatcher_restart_test.cpp
@@ -50,6 +50,13 @@
     }
 }
 
+/// Returns how long the longest lease may count at a worker whose clock is slow, by the leader's clock.
+duration get_longest_span() {
+    const dispatch_settings settings;
+    return std::chrono::duration_cast<duration>(settings.longest_lease * (1 + settings.clock_drift)) +
+           settings.lease_margin;
+}
+
 std::uint64_t get_last_acknowledged(dispatch_world& world) {
     const auto holds = world.take<hold_order>();
     EXPECT_FALSE(holds.empty());
@@ -252,8 +259,8 @@
     world.answer_hold("w1", dispatch_world::make_list());
     const auto since = world.now;
     world.add_worker("w2");
-    const dispatch_settings settings;
-    while (world.now < since + settings.longest_lease - milliseconds{200}) { // cut off from now on
+    const auto longest = get_longest_span();
+    while (world.now < since + longest - milliseconds{100}) { // cut off from now on
         if (world.find_worker("w1")->is_holding) {
             world.fail_hold("w1");
         }
@@ -271,7 +278,7 @@
     const auto starts = world.take<start_order>();
     ASSERT_EQ(starts.size(), 1U);
     world.scheduler.on_start(starts[0].run, {std::nullopt, 5}, world.now);
-    EXPECT_GE(world.find_worker("w1")->lease_end, world.now + dispatch_settings{}.longest_lease);
+    EXPECT_GE(world.find_worker("w1")->lease_end, world.now + get_longest_span());
 }
 
 TEST(dispatcher_restart, is_found_by_a_new_leader_that_knows_the_book_alone) {
