--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -249,8 +249,6 @@
     /// Returns how long a worker may wait with its list.
     [[nodiscard]] duration get_hold_wait(const worker_state& worker) const;
     [[nodiscard]] bool needs_hold(const worker_state& worker) const;
-    [[nodiscard]] static std::optional<order_failure> get_hold_failure(const worker_state& worker,
-                                                                       const hold_outcome& outcome);
     static void note_hold_failure(worker_state& worker, time_point now);
     void take_rows(worker_state& worker, const hold_answer& answer, time_point now);
     void take_end(worker_state& worker, const end_row& row, time_point now);
@@ -277,8 +275,6 @@
     worker_state& know_life(const worker_life& life, time_point now);
     /// Returns true when a message of this life is late: it is known to have ended.
     [[nodiscard]] bool is_past(const worker_life& life) const;
-    /// Returns true when another life of the same worker was known to this leader.
-    [[nodiscard]] bool has_former_life(const worker_life& life) const;
     /// Returns the fence that no order carried yet, but for those since the last raise.
     [[nodiscard]] std::uint64_t get_fence() const { return m_term + m_book.get_fence_raises(); }
     void raise_fence(worker_state& worker);
@@ -286,8 +282,8 @@
     /// Takes a list that came from another life than the one that was asked.
     void on_other_life(worker_state& asked, const worker_life& answered, const hold_answer& answer,
                        time_point now);
-    /// Gives up all lives that were known before `worker` was asked for the list with which it answered.
-    void end_former_lives(worker_state& worker, time_point asked_at, const hold_answer& answer,
+    /// Gives up all lives that were known before `asked` was, whose hold `worker` answered.
+    void end_former_lives(worker_state& worker, const worker_state& asked, const hold_answer& answer,
                           time_point now);
     /// Gives up a life: what runs at `heir`, the life after it, or may yet come there, is followed there.
     void end_life(worker_state& former, worker_state& heir, const std::vector<run_key>& listed,
@@ -313,7 +309,6 @@
     static void add_care(worker_state& worker, caution care, int sign);
 
     // tasks that stand still
-    [[nodiscard]] std::optional<stuck_reason> find_stuck_reason(const run_track& track, time_point now) const;
     void find_stuck_tasks(const job_record& record, const step_key& key,
                           std::vector<stuck_task>& stuck) const;
     void audit(time_point now);
--- a/poplarpitch/dispatch/dispatcher_audit.cpp
+++ b/poplarpitch/dispatch/dispatcher_audit.cpp
@@ -15,9 +15,8 @@
 constexpr duration commit_patience = seconds{10}; // a disk may hang for seconds
 constexpr std::size_t most_lines = 20;            // a pass: one fault mostly holds many tasks
 
-} // namespace
-
-std::optional<stuck_reason> dispatcher::find_stuck_reason(const run_track& track, time_point now) const {
+/// Returns why a run stands still, or nothing.
+std::optional<stuck_reason> find_stuck_reason(const run_track& track, time_point now) {
     if (track.is_ending) {
         const bool is_late = now - track.ending_since > commit_patience;
         return is_late ? std::optional{stuck_reason::end_not_committed} : std::nullopt;
@@ -27,6 +26,8 @@
     return has_lists_without ? std::optional{stuck_reason::not_listed} : std::nullopt;
 }
 
+} // namespace
+
 void dispatcher::find_stuck_tasks(const job_record& record, const step_key& key,
                                   std::vector<stuck_task>& stuck) const {
     const auto* step = record.find_step(key.occurrence, key.step);
@@ -34,8 +35,8 @@
     for (std::uint32_t index = 0; step != nullptr && index < step->tasks.size(); ++index) {
         const auto& task = step->tasks[index];
         const bool is_queued = ready != m_ready.end() && ready->second.waiting.contains(index);
-        const bool is_claimed = find_track({{key, index}, task.last_run + 1}) != nullptr;
-        if (task.phase == task_phase::waiting && !is_queued && !is_claimed) {
+        if (task.phase == task_phase::waiting && !is_queued &&
+            find_track({{key, index}, task.last_run + 1}) == nullptr) { // not claimed for a worker either
             stuck.push_back({{{key, index}, 0}, stuck_reason::not_queued});
         }
         for (const auto& run : task.runs) {
@@ -81,7 +82,7 @@
         line.add("reason", get_stuck_name(stuck[number].reason));
         const auto* track = find_track(stuck[number].run);
         if (track != nullptr) {
-            add_worker(line, track->worker);
+            add_worker(line, track->host->report.life);
         }
         line.add("stuck", static_cast<std::uint64_t>(stuck.size()));
     }
--- a/poplarpitch/dispatch/dispatcher_copies.cpp
+++ b/poplarpitch/dispatch/dispatcher_copies.cpp
@@ -58,7 +58,7 @@
     ready.job = slow.job;
     ready.since = pass.now;
     auto request = make_request(ready, slow.key.task, pass.now);
-    request.excluded = slow.worker;
+    request.excluded = slow.host->report.life;
     auto* worker = choose(pass, ready, request);
     if (worker == nullptr) {
         return;
@@ -66,7 +66,7 @@
     {
         auto line = log_event(log_level::info, "copy_started");
         add_run(line, slow.key);
-        line.add("slow_worker", slow.worker.id);
+        line.add("slow_worker", slow.host->report.life.id);
         add_worker(line, worker->report.life)
             .add("percent", slow.percent)
             .add("age_ms", to_milliseconds(pass.now - slow.confirmed_at))
--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -148,7 +148,7 @@
         m_must_place = true;
         auto line = log_event(log_level::info, "task_cleared");
         add_run(line, key);
-        add_worker(line, track.worker).add("age_ms", to_milliseconds(now - track.confirmed_at));
+        add_worker(line, worker.report.life).add("age_ms", to_milliseconds(now - track.confirmed_at));
     }
 }
 
--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -6,7 +6,6 @@
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace poplarpitch {
 namespace {
@@ -18,33 +17,20 @@
     return track.stage == run_stage::starting && (track.is_order_out || track.may_come_late);
 }
 
-std::vector<run_key> get_listed(const hold_answer& answer) {
-    std::vector<run_key> listed;
-    listed.reserve(answer.running.size() + answer.ended.size());
-    for (const auto& row : answer.running) {
-        listed.push_back(row.run);
-    }
-    for (const auto& row : answer.ended) {
-        listed.push_back(row.run);
-    }
-    std::sort(listed.begin(), listed.end());
-    return listed;
-}
-
 } // namespace
 
 worker_state& dispatcher::know_life(const worker_life& life, time_point now) {
     if (auto* known = find_worker(life); known != nullptr) {
         return *known;
     }
-    const bool needs_fence = has_former_life(life);
+    const auto others = m_workers.find_other_lives(life);
+    const auto gone = m_gone.lower_bound(worker_life::before_all(life.id));
     auto& worker = m_workers.get(life);
     worker.known_since = now;
-    worker.needs_fence = needs_fence;
+    worker.needs_fence = !others.empty() || (gone != m_gone.end() && gone->id == life.id);
     worker.fence = get_fence();
     // Until it has answered it may be a late message of an even earlier life: the one that lives is not to
     // refuse what was sent to it before.
-    const auto others = m_workers.find_other_lives(life);
     if (!others.empty()) {
         const auto highest =
             std::max_element(others.begin(), others.end(),
@@ -62,14 +48,6 @@
     return life.born_ms == 0 && !m_workers.find_other_lives(life).empty();
 }
 
-bool dispatcher::has_former_life(const worker_life& life) const {
-    if (!m_workers.find_other_lives(life).empty()) {
-        return true;
-    }
-    const auto first = m_gone.lower_bound({life.id, std::numeric_limits<std::int64_t>::min()});
-    return first != m_gone.end() && first->id == life.id;
-}
-
 /// Orders to former lives may still be on their way, by a relay that stood still for one, and the next life
 /// would take them for its own: starts, and acknowledgements of ends that it has not told. Once it has seen a
 /// higher fence it refuses them all. The raise is committed before it is used, so that no later leader uses
@@ -115,24 +93,23 @@
         note_room(worker);
     }
     worker.is_gone = false;
-    end_former_lives(worker, asked.hold_sent, answer, now);
-    if (!asked.is_gone) { // it was known in the same moment in which it was asked
-        end_life(asked, worker, get_listed(answer), now);
-    }
+    end_former_lives(worker, asked, answer, now);
     if (worker.needs_fence) {
         raise_fence(worker);
     }
 }
 
-void dispatcher::end_former_lives(worker_state& worker, time_point asked_at, const hold_answer& answer,
+void dispatcher::end_former_lives(worker_state& worker, const worker_state& asked, const hold_answer& answer,
                                   time_point now) {
     const auto others = m_workers.find_other_lives(worker.report.life);
     if (others.empty()) {
         return;
     }
-    const auto listed = get_listed(answer);
+    const auto listed = answer.get_listed();
     for (auto* other : others) {
-        if (!other->is_gone && other->known_since < asked_at) {
+        // The one that was asked was known before, though perhaps only in the same moment.
+        const bool was_known = other == &asked || other->known_since < asked.hold_sent;
+        if (!other->is_gone && was_known) {
             end_life(*other, worker, listed, now);
         }
     }
@@ -166,7 +143,6 @@
     auto& former = *track.host;
     add_load(former, track, -1);
     track.host = &heir;
-    track.worker = heir.report.life;
     track.stage = run_stage::adopting;
     track.former_loss = loss;
     track.is_order_out = false;
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -38,7 +38,7 @@
 /// and how many runs were.
 void dispatcher::add_loss(log_event& line, const run_track& track, time_point now) {
     add_run(line, track.key);
-    add_worker(line, track.worker);
+    add_worker(line, track.host->report.life);
     if (const auto age = get_age_at_loss(track, now); age.has_value()) {
         line.add("age_ms", to_milliseconds(*age));
     }
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -22,7 +22,6 @@
     auto& track = m_tracks[key];
     track.key = key;
     track.job = std::move(job);
-    track.worker = worker;
     track.assigned_to = worker;
     track.stage = stage;
     track.claimed_at = now;
@@ -150,7 +149,7 @@
     }
     std::string ticket;
     if (track.job->queue.advice.has_value()) {
-        ticket = find_ticket(track.key.task.step, track.worker, now);
+        ticket = find_ticket(track.key.task.step, worker.report.life, now);
         if (ticket.empty()) { // it ran out on the way; another one may be had
             on_start_refused(track, order_failure::no_ticket, now);
             return;
@@ -247,7 +246,7 @@
         note_started(key.task.step.job, now);
         auto event = log_event(log_level::info, "run_started");
         add_run(event, key);
-        add_worker(event, track->worker).add("wait_ms", to_milliseconds(now - track->claimed_at));
+        add_worker(event, track->host->report.life).add("wait_ms", to_milliseconds(now - track->claimed_at));
         return;
     }
     on_start_refused(*track, *answer.failure, now);
@@ -258,7 +257,7 @@
     {
         auto event = log_event(log_level::warn, "start_refused");
         add_run(event, track.key);
-        add_worker(event, track.worker).add("reason", get_failure_name(failure));
+        add_worker(event, worker.report.life).add("reason", get_failure_name(failure));
     }
     switch (failure) {
     case order_failure::unanswered:
@@ -287,7 +286,7 @@
     case order_failure::no_ticket:
         ++m_counts.refused_other;
         if (const auto found = m_advice.find(track.key.task.step); found != m_advice.end()) {
-            found->second.drop(track.worker);
+            found->second.drop(worker.report.life);
         }
         break;
     case order_failure::unhealthy:
@@ -316,7 +315,7 @@
 void dispatcher::on_stop(const run_key& key, const worker_life& worker, const order_answer& answer,
                          time_point now) {
     auto* track = find(key);
-    if (track == nullptr || !is_leading() || track->worker != worker) {
+    if (track == nullptr || !is_leading() || track->host->report.life != worker) {
         return;
     }
     note_order_answer(*track, answer, now);
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -17,6 +17,15 @@
 constexpr double strained_pauses = 5; // by how much the pause before a hold grows at most: ends come together
 constexpr duration hold_slack = milliseconds{800}; // over the wait that was asked for
 
+/// Returns why a hold has no list that its worker can be known by.
+std::optional<order_failure> get_hold_failure(const worker_state& worker, const hold_outcome& outcome) {
+    const bool hides_life = outcome.answer.born_ms == 0 && worker.report.life.born_ms != 0;
+    if (!outcome.failure.has_value() && hides_life) {
+        return order_failure::unanswered;
+    }
+    return outcome.failure;
+}
+
 } // namespace
 
 void dispatcher::hold_soon(worker_state& worker, time_point when) {
@@ -209,16 +218,6 @@
     m_orders.emplace_back(std::move(order));
 }
 
-/// Returns why a hold has no list that its worker can be known by.
-std::optional<order_failure> dispatcher::get_hold_failure(const worker_state& worker,
-                                                          const hold_outcome& outcome) {
-    const bool hides_life = outcome.answer.born_ms == 0 && worker.report.life.born_ms != 0;
-    if (!outcome.failure.has_value() && hides_life) {
-        return order_failure::unanswered;
-    }
-    return outcome.failure;
-}
-
 void dispatcher::on_hold(const worker_life& life, const hold_outcome& outcome, time_point now) {
     auto* worker = find_worker(life);
     if (worker == nullptr || !is_leading() || !worker->is_holding) {
@@ -272,7 +271,7 @@
         worker->clock_ms = outcome.answer.clock_ms;
         worker->clock_at = now;
     }
-    end_former_lives(*worker, worker->hold_sent, outcome.answer, now);
+    end_former_lives(*worker, *worker, outcome.answer, now);
     if (worker->needs_fence) {
         raise_fence(*worker);
         return;
@@ -303,12 +302,9 @@
 
 void dispatcher::take_rows(worker_state& worker, const hold_answer& answer, time_point now) {
     worker.listed_at = now;
-    std::vector<run_key> listed;
-    listed.reserve(answer.running.size() + answer.ended.size());
     for (const auto& row : answer.running) {
-        listed.push_back(row.run);
         auto* track = find(row.run);
-        if (track == nullptr || track->worker != worker.report.life) {
+        if (track == nullptr || track->host != &worker) {
             stop_stray(worker, row.run);
             continue;
         }
@@ -326,12 +322,10 @@
         track->level = row.level;
     }
     for (const auto& row : answer.ended) {
-        listed.push_back(row.run);
         take_end(worker, row, now);
     }
     if (answer.ended.size() < max_ended_rows) {
-        std::sort(listed.begin(), listed.end());
-        find_vanished(worker, listed, now);
+        find_vanished(worker, answer.get_listed(), now);
     }
     update_acknowledged(worker);
     clear_suspects(worker, now);
@@ -355,7 +349,7 @@
         return;
     }
     worker.seen = row.number;
-    if (track == nullptr || track->worker != worker.report.life || track->is_ending) {
+    if (track == nullptr || track->host != &worker || track->is_ending) {
         return; // an earlier leader's, or given up before
     }
     if (row.end == run_end::done) {
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -29,8 +29,7 @@
 struct run_track {
     run_key key;
     std::shared_ptr<const step_job> job;
-    worker_life worker;      ///< at which it is followed
-    worker_life assigned_to; ///< by the book: another life of the worker where its start came to that late
+    worker_life assigned_to; ///< by the book: a former life of its host, where its start came to that late
     worker_state* host = nullptr; ///< its worker, which is known for as long as it has runs
     image_number image = 0;       ///< of what it runs; only of runs that fill or serve
     run_stage stage = run_stage::committing;
--- a/poplarpitch/dispatch/worker_table.cpp
+++ b/poplarpitch/dispatch/worker_table.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 
 namespace poplarpitch {
 
@@ -16,16 +15,20 @@
     worker.report.life = life;
     worker.spread = hash_bytes(life.id);
     m_by_life[life] = &worker;
-    const auto place = std::lower_bound(
-        m_all.begin(), m_all.end(), life,
-        [](const worker_state* other, const worker_life& wanted) { return other->report.life < wanted; });
-    const auto number = static_cast<std::size_t>(std::distance(m_all.begin(), place));
+    const auto place = find_place(life);
+    const auto number = static_cast<std::size_t>(std::distance(m_all.cbegin(), place));
     m_all.insert(place, &worker);
     m_looks.insert(m_looks.begin() + static_cast<std::ptrdiff_t>(number), time_point{});
     number_from(number);
     return worker;
 }
 
+std::vector<worker_state*>::const_iterator worker_table::find_place(const worker_life& life) const {
+    return std::lower_bound(
+        m_all.begin(), m_all.end(), life,
+        [](const worker_state* other, const worker_life& wanted) { return other->report.life < wanted; });
+}
+
 worker_state* worker_table::find(const worker_life& life) const {
     const auto found = m_by_life.find(life);
     return found == m_by_life.end() ? nullptr : found->second;
@@ -53,11 +56,8 @@
 
 std::vector<worker_state*> worker_table::find_other_lives(const worker_life& life) const {
     std::vector<worker_state*> others;
-    const worker_life first{life.id, std::numeric_limits<std::int64_t>::min()};
-    auto place = std::lower_bound(
-        m_all.begin(), m_all.end(), first,
-        [](const worker_state* other, const worker_life& wanted) { return other->report.life < wanted; });
-    for (; place != m_all.end() && (*place)->report.life.id == life.id; ++place) {
+    for (auto place = find_place(worker_life::before_all(life.id));
+         place != m_all.end() && (*place)->report.life.id == life.id; ++place) {
         if ((*place)->report.life != life) {
             others.push_back(*place);
         }
--- a/poplarpitch/dispatch/worker_table.h
+++ b/poplarpitch/dispatch/worker_table.h
@@ -45,6 +45,8 @@
     std::vector<worker_state*> take_due(time_point now, time_point next);
 
 private:
+    /// Returns where a life stands in `m_all`, or would stand.
+    [[nodiscard]] std::vector<worker_state*>::const_iterator find_place(const worker_life& life) const;
     void number_from(std::size_t place);
 
     std::map<worker_life, worker_state> m_workers;
--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -6,7 +6,6 @@
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace poplarpitch {
@@ -57,9 +56,8 @@
         }
     }
     for (const auto& worker : frame.unknown_workers()) {
-        const worker_life first{worker, std::numeric_limits<std::int64_t>::min()};
-        for (auto known = m_reports.lower_bound(first); known != m_reports.end() && known->first.id == worker;
-             ++known) {
+        for (auto known = m_reports.lower_bound(worker_life::before_all(worker));
+             known != m_reports.end() && known->first.id == worker; ++known) {
             tell(known->second);
         }
     }
--- a/poplarpitch/scheduling/hold_answer.h
+++ b/poplarpitch/scheduling/hold_answer.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/scheduling/run_end.h"
 #include "poplarpitch/scheduling/task_key.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -38,6 +39,20 @@
     std::int64_t born_ms = 0;   ///< Unix time at which the worker's process started; 0 when not told
 
     friend bool operator==(const hold_answer&, const hold_answer&) = default;
+
+    /// Returns all runs that it names, in order. Thread safety: any thread while nobody changes it.
+    [[nodiscard]] std::vector<run_key> get_listed() const {
+        std::vector<run_key> listed;
+        listed.reserve(running.size() + ended.size());
+        for (const auto& row : running) {
+            listed.push_back(row.run);
+        }
+        for (const auto& row : ended) {
+            listed.push_back(row.run);
+        }
+        std::sort(listed.begin(), listed.end());
+        return listed;
+    }
 };
 
 /// A worker lists no more ends than this in one answer.
--- a/poplarpitch/scheduling/worker_life.h
+++ b/poplarpitch/scheduling/worker_life.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -18,6 +19,11 @@
 
     friend auto operator<=>(const worker_life&, const worker_life&) = default;
 
+    /// Returns what comes before all lives of a worker in order. Thread safety: any thread.
+    [[nodiscard]] static worker_life before_all(const std::string& id) {
+        return {id, std::numeric_limits<std::int64_t>::min()};
+    }
+
     template <typename H>
     // NOLINTNEXTLINE(readability-identifier-naming): the name by which Abseil finds it
     friend H AbslHashValue(H state, const worker_life& life) {
--- a/unit_tests/dispatch/crash_property_test.cpp
+++ b/unit_tests/dispatch/crash_property_test.cpp
@@ -7,24 +7,17 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <string>
 
 namespace poplarpitch {
 namespace {
 
-constexpr std::uint64_t usual_seeds = 30; // a few seconds in all
 constexpr duration traffic_time = seconds{25};
 constexpr duration drain_time = seconds{60}; // what is not told by then is never told
 constexpr duration arrival_pause = milliseconds{250};
 constexpr int most_starts_after_three = 2; // the third one would be one too many
 constexpr int fewest_crashes = 2;          // before which nothing may be given up
 
-std::uint64_t get_seed_count() {
-    const char* text = std::getenv("POPLARPITCH_SEEDS");
-    return text == nullptr ? usual_seeds : std::strtoull(text, nullptr, 10);
-}
-
 /// Jobs of all kinds at about half of what the workers hold, and a few whose first task crashes its workers.
 class crash_traffic {
 public:
@@ -48,7 +41,8 @@
         }
         for (const auto& [id, record] : m_world.get_book().get_jobs()) {
             if (record.phase == job_phase::failed) {
-                EXPECT_GE(count_most_crashes(id), fewest_crashes) << "job " << id << " failed without cause";
+                EXPECT_GE(m_world.count_most_crashes(id), fewest_crashes)
+                    << "job " << id << " failed without cause";
             }
         }
     }
@@ -102,14 +96,6 @@
 
     [[nodiscard]] job_phase get_phase(job_id id) const { return m_world.get_book().find_job(id)->phase; }
 
-    int count_most_crashes(job_id id) {
-        int most = 0;
-        for (std::uint32_t index = 0; index < 10; ++index) {
-            most = std::max(most, m_world.count_crashes({{id, 0, 0}, index}));
-        }
-        return most;
-    }
-
     crash_world m_world;
     std::mt19937_64 m_random;
     std::vector<job_id> m_killers;
--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -7,11 +7,13 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <memory>
 
 namespace poplarpitch {
 namespace {
 
+constexpr std::uint64_t usual_seeds = 30; // a few seconds in all
 constexpr duration tick = milliseconds{10};
 constexpr duration beat_interval = milliseconds{1100};
 constexpr duration network_delay = milliseconds{2};
@@ -37,6 +39,11 @@
 
 } // namespace
 
+std::uint64_t get_seed_count() {
+    const char* text = std::getenv("POPLARPITCH_SEEDS");
+    return text == nullptr ? usual_seeds : std::strtoull(text, nullptr, 10);
+}
+
 /// One machine and the life that it is at.
 struct crash_world::worker {
     std::string address;
@@ -581,6 +588,14 @@
     return found == m_stories.end() ? 0 : found->second.crashes;
 }
 
+int crash_world::count_most_crashes(job_id id) const {
+    int most = 0;
+    for (const auto& [task, story] : m_stories) {
+        most = std::max(most, task.step.job == id ? story.crashes : 0);
+    }
+    return most;
+}
+
 int crash_world::count_starts_after_three(const task_key& task) const {
     const auto found = m_stories.find(task);
     return found == m_stories.end() ? 0 : found->second.starts_after_three;
--- a/unit_tests/dispatch/crash_world.h
+++ b/unit_tests/dispatch/crash_world.h
@@ -16,6 +16,9 @@
 
 namespace poplarpitch {
 
+/// Returns how many seeds a property is tried with: POPLARPITCH_SEEDS, or a few seconds' worth.
+[[nodiscard]] std::uint64_t get_seed_count();
+
 /// What befalls a crash_world, each as a mean number a second; 0 for never.
 struct crash_world_settings {
     int workers = 20;
@@ -61,6 +64,8 @@
     [[nodiscard]] const dispatcher& get_dispatcher() const { return m_scheduler; }
     /// Returns how many workers crashed while a run of the task was there.
     [[nodiscard]] int count_crashes(const task_key& task) const;
+    /// Returns the same of that task of a job under which most workers crashed.
+    [[nodiscard]] int count_most_crashes(job_id id) const;
     /// Returns how often the task was started after three workers had crashed under it, by a leader that had
     /// led for 3 s: one that has just taken over may not have heard of all that befell.
     [[nodiscard]] int count_starts_after_three(const task_key& task) const;
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -159,6 +159,13 @@
     settle();
 }
 
+start_order dispatch_world::start_one() {
+    const auto starts = take<start_order>();
+    EXPECT_EQ(starts.size(), 1U);
+    answer(starts.at(0));
+    return starts.at(0);
+}
+
 void dispatch_world::answer(const start_order& order, std::optional<order_failure> failure) {
     scheduler.on_start(order.run, {failure, 0}, now);
     settle();
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -64,6 +64,8 @@
         return found;
     }
 
+    /// Answers the only start that was given since the last were taken, and returns it.
+    start_order start_one();
     /// Answers a start and commits.
     void answer(const start_order& order, std::optional<order_failure> failure = {});
     /// Answers a stop and commits.
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -10,13 +10,6 @@
 namespace poplarpitch {
 namespace {
 
-start_order start_one(dispatch_world& world) {
-    const auto starts = world.take<start_order>();
-    EXPECT_EQ(starts.size(), 1U);
-    world.answer(starts.at(0));
-    return starts.at(0);
-}
-
 void fail_holds(dispatch_world& world, const std::string& worker, duration length) {
     const auto end = world.now + length;
     while (world.now < end) {
@@ -32,7 +25,7 @@
     dispatch_world world;
     world.add_worker("w1");
     world.submit({make_step()});
-    const auto first = start_one(world);
+    const auto first = world.start_one();
     world.add_worker("w2");
     const dispatch_settings settings;
     fail_holds(world, "w1", settings.lease - seconds{1});
@@ -49,7 +42,7 @@
     dispatch_world world;
     world.add_worker("w1");
     world.submit({make_step()});
-    start_one(world);
+    world.start_one();
     fail_holds(world, "w1", seconds{1});
     world.take<hold_order>();
     fail_holds(world, "w1", seconds{1});
@@ -64,7 +57,7 @@
     dispatch_world world;
     world.add_worker("w1");
     world.submit({make_step()});
-    start_one(world);
+    world.start_one();
     world.add_worker("w2");
     world.wait_for_hold("w1");
     world.fail_hold("w1", order_failure::other_life);
@@ -91,7 +84,7 @@
     dispatch_world world;
     world.add_worker("w1");
     world.submit({make_step()});
-    start_one(world);
+    world.start_one();
     world.wait_for_hold("w1");
     world.fail_hold("w1", order_failure::other_life);
     world.beat("w1"); // delayed on its way
@@ -105,7 +98,7 @@
     auto lasting = make_step();
     lasting.long_running = true;
     world.submit({lasting});
-    const auto first = start_one(world);
+    const auto first = world.start_one();
     world.beat("w1", true, 2000);
     EXPECT_TRUE(world.book.is_retired(world.get_life("w1")));
     const auto stops = world.take<stop_order>();
@@ -167,7 +160,7 @@
     dispatch_world world;
     world.add_worker("w1");
     world.submit({make_step()});
-    const auto first = start_one(world);
+    const auto first = world.start_one();
     world.wait_for_hold("w1");
     auto stray = first.run;
     stray.task.step.job = 77;
@@ -282,7 +275,7 @@
     dispatch_world world;
     world.add_worker("w1");
     world.submit({make_step()});
-    start_one(world);
+    world.start_one();
     world.lead();
     const auto led_at = world.now;
     world.add_worker("w2");
--- a/unit_tests/dispatch/dispatcher_restart_test.cpp
+++ b/unit_tests/dispatch/dispatcher_restart_test.cpp
@@ -27,13 +27,6 @@
     static_cast<void>(world.take<hold_order>());
 }
 
-start_order start_one(dispatch_world& world) {
-    const auto starts = world.take<start_order>();
-    EXPECT_EQ(starts.size(), 1U);
-    world.answer(starts.at(0));
-    return starts.at(0);
-}
-
 void list_end(dispatch_world& world, std::uint64_t number, const start_order& order, run_end end) {
     world.wait_for_hold("w1");
     hold_answer list;
@@ -67,12 +60,12 @@
     dispatch_world world;
     add_worker(world);
     world.submit({make_step()});
-    list_end(world, 7, start_one(world), run_end::done);
+    list_end(world, 7, world.start_one(), run_end::done);
     world.wait_for_hold("w1");
     EXPECT_EQ(get_last_acknowledged(world), 7U);
     start_again(world, second_life);
     world.submit({make_step()});
-    start_one(world);
+    world.start_one();
     world.wait_for_hold("w1");
     EXPECT_EQ(get_last_acknowledged(world), 0U);
 }
@@ -83,10 +76,10 @@
     auto lasting = make_step();
     lasting.long_running = true;
     world.submit({make_step()});
-    list_end(world, 7, start_one(world), run_end::done);
+    list_end(world, 7, world.start_one(), run_end::done);
     start_again(world, second_life);
     world.submit({lasting});
-    const auto first = start_one(world);
+    const auto first = world.start_one();
     list_end(world, 1, first, run_end::failed);
     world.advance(milliseconds{200});
     const auto again = world.take<start_order>();
@@ -98,7 +91,7 @@
     dispatch_world world;
     add_worker(world);
     const auto job = world.submit({make_step()});
-    const auto order = start_one(world);
+    const auto order = world.start_one();
     world.wait_for_hold("w1");
     hold_answer list;
     list.ended.push_back({1, order.run, run_end::done, ""});
@@ -116,7 +109,7 @@
     dispatch_world world;
     add_worker(world);
     const auto job = world.submit({make_step()});
-    const auto first = start_one(world);
+    const auto first = world.start_one();
     start_again(world, second_life);
     world.advance(milliseconds{200});
     const auto again = world.take<start_order>();
@@ -129,7 +122,7 @@
     dispatch_world world;
     add_worker(world);
     world.submit({make_step()});
-    start_one(world);
+    world.start_one();
     world.wait_for_hold("w1");
     hold_answer list;
     list.born_ms = second_life;
@@ -201,7 +194,7 @@
     dispatch_world world;
     add_worker(world);
     world.submit({make_step()});
-    const auto before = start_one(world);
+    const auto before = world.start_one();
     start_again(world, second_life);
     world.advance(milliseconds{200});
     const auto after = world.take<start_order>();
@@ -285,7 +278,7 @@
     dispatch_world world;
     add_worker(world);
     world.submit({make_step()});
-    const auto first = start_one(world);
+    const auto first = world.start_one();
     EXPECT_EQ(world.book.find_task(first.run.task)->runs.at(0).worker, (worker_life{"w1", first_life}));
     world.lead();
     start_again(world, second_life);
@@ -331,7 +324,7 @@
     dispatch_world world;
     world.add_worker("w1");
     world.submit({make_step()});
-    start_one(world);
+    world.start_one();
     for (int asked = 0; asked < 2; ++asked) {
         while (!std::any_of(world.scheduler.get_workers().begin(), world.scheduler.get_workers().end(),
                             [](const auto& item) { return item.second.is_holding; })) {
@@ -354,7 +347,7 @@
     dispatch_world world;
     add_worker(world);
     world.submit({make_step()});
-    const auto order = start_one(world);
+    const auto order = world.start_one();
     world.wait_for_hold("w1");
     hold_answer list;
     list.ended.push_back({1, order.run, run_end::done, ""});
--- a/unit_tests/dispatch/restart_property_test.cpp
+++ b/unit_tests/dispatch/restart_property_test.cpp
@@ -6,25 +6,18 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <map>
 #include <string>
 
 namespace poplarpitch {
 namespace {
 
-constexpr std::uint64_t usual_seeds = 30; // a few seconds in all
 constexpr duration traffic_time = seconds{25};
 constexpr duration calm_time = seconds{45}; // what does not end by then never does
 constexpr duration arrival_pause = milliseconds{250};
 constexpr duration wave_pause = seconds{5};
 constexpr int fewest_crashes = 2; // before which no job may fail
 
-std::uint64_t get_seed_count() {
-    const char* text = std::getenv("POPLARPITCH_SEEDS");
-    return text == nullptr ? usual_seeds : std::strtoull(text, nullptr, 10);
-}
-
 /// Jobs that end and jobs that last, at about half of what the workers hold.
 class restart_traffic {
 public:
@@ -58,7 +51,8 @@
             EXPECT_TRUE(record.phase != job_phase::open || m_lasting.contains(id))
                 << "job " << id << " never ended";
             if (record.phase == job_phase::failed) {
-                EXPECT_GE(count_most_crashes(id), fewest_crashes) << "job " << id << " failed without cause";
+                EXPECT_GE(m_world.count_most_crashes(id), fewest_crashes)
+                    << "job " << id << " failed without cause";
             }
         }
     }
@@ -85,14 +79,6 @@
 
     [[nodiscard]] job_phase get_phase(job_id id) const { return m_world.get_book().find_job(id)->phase; }
 
-    [[nodiscard]] int count_most_crashes(job_id id) const {
-        int most = 0;
-        for (std::uint32_t index = 0; index < 10; ++index) {
-            most = std::max(most, m_world.count_crashes({{id, 0, 0}, index}));
-        }
-        return most;
-    }
-
     crash_world m_world;
     std::mt19937_64 m_random;
     std::map<job_id, int> m_lasting; ///< and how many tasks each has
