--- a/poplarpitch/telemetry/line_ring.cpp
+++ b/poplarpitch/telemetry/line_ring.cpp
@@ -18,13 +18,16 @@
 
 } // namespace
 
-void line_ring::add(std::string line) {
-    if (m_bytes + line.size() > m_capacity) {
+void line_ring::add(std::string line, log_weight weight) {
+    const auto reserve = weight == log_weight::history ? 0 : m_reserve;
+    if (m_bytes + line.size() + reserve > m_capacity) {
         ++m_left_out;
         ++m_untold;
         return;
     }
-    add_count();
+    if (weight == log_weight::ordinary) { // counts would take of what is kept for the others
+        add_count();
+    }
     m_bytes += line.size();
     m_lines.push_back(std::move(line));
 }
--- a/poplarpitch/telemetry/log_event.cpp
+++ b/poplarpitch/telemetry/log_event.cpp
@@ -1,6 +1,7 @@
 #include "poplarpitch/telemetry/log_event.h"
 
 #include "poplarpitch/core/system_clock.h"
+#include "poplarpitch/telemetry/history_logger.h"
 #include "poplarpitch/telemetry/log_budget.h"
 
 #include <absl/synchronization/mutex.h>
@@ -55,13 +56,15 @@
 
 } // namespace
 
-log_event::log_event(log_level level, std::string_view name)
-    : m_level(level), m_name(name), m_line("event=") {
+log_event::log_event(log_level level, std::string_view name, log_weight weight)
+    : m_level(level), m_weight(weight), m_name(name), m_line("event=") {
     append_value(m_line, name);
 }
 
 log_event::~log_event() {
-    static const auto logger = log4cplus::Logger::getRoot();
+    static const auto root = log4cplus::Logger::getRoot();
+    static const auto history = log4cplus::Logger::getInstance(history_logger);
+    const auto& logger = m_weight == log_weight::history ? history : root;
     const auto level = get_library_level(m_level);
     if (!logger.isEnabledFor(level)) {
         return;
--- a/poplarpitch/telemetry/log_event.h
+++ b/poplarpitch/telemetry/log_event.h
@@ -10,6 +10,12 @@
 /// How important an event is.
 enum class log_level : std::uint8_t { debug, info, warn, error };
 
+/// What is left out last where lines must be left out.
+enum class log_weight : std::uint8_t {
+    ordinary,
+    history, ///< what became of a task: part of the lines' room is kept for these
+};
+
 /// One event; written as one line when it goes out of scope:
 ///
 ///     log_event(log_level::info, "session_opened").add("entry", id).add("lease_ms", 1500);
@@ -19,7 +25,7 @@
 /// safety: none; different threads write different events at the same time.
 class log_event {
 public:
-    log_event(log_level level, std::string_view name);
+    log_event(log_level level, std::string_view name, log_weight weight = log_weight::ordinary);
     ~log_event();
     log_event(const log_event&) = delete;
     log_event& operator=(const log_event&) = delete;
@@ -37,6 +43,7 @@
 
 private:
     log_level m_level;
+    log_weight m_weight;
     std::string m_name;
     std::string m_line;
 };
--- a/poplarpitch/telemetry/ring_appender.cpp
+++ b/poplarpitch/telemetry/ring_appender.cpp
@@ -1,5 +1,7 @@
 #include "poplarpitch/telemetry/ring_appender.h"
 
+#include "poplarpitch/telemetry/history_logger.h"
+
 #include <log4cplus/layout.h>
 #include <log4cplus/spi/loggingevent.h>
 
@@ -24,7 +26,8 @@
 void ring_appender::append(const log4cplus::spi::InternalLoggingEvent& event) {
     std::ostringstream line;
     layout->formatAndAppend(line, event);
-    m_ring.add(line.str());
+    const bool is_history = event.getLoggerName() == history_logger;
+    m_ring.add(line.str(), is_history ? log_weight::history : log_weight::ordinary);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/telemetry/ring_appender.h
+++ b/poplarpitch/telemetry/ring_appender.h
@@ -11,7 +11,7 @@
 /// daemon's thread.
 class ring_appender : public log4cplus::Appender {
 public:
-    explicit ring_appender(std::size_t capacity) : m_ring(capacity) {}
+    explicit ring_appender(std::size_t capacity, std::size_t reserve = 0) : m_ring(capacity, reserve) {}
     ~ring_appender() override;
     ring_appender(const ring_appender&) = delete;
     ring_appender& operator=(const ring_appender&) = delete;
--- a/unit_tests/telemetry/line_ring_test.cpp
+++ b/unit_tests/telemetry/line_ring_test.cpp
@@ -1,10 +1,17 @@
 // Logging never waits: a full ring leaves lines out and tells how many.
 #include "poplarpitch/telemetry/line_ring.h"
 
+#include "poplarpitch/telemetry/log_event.h"
+#include "poplarpitch/telemetry/ring_appender.h"
+
 #include <gtest/gtest.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
 
 #include <csignal>
 #include <fcntl.h>
+#include <memory>
 #include <string>
 #include <unistd.h>
 
@@ -58,6 +65,48 @@
     EXPECT_EQ(pipe.read(), "12345678\nlevel=WARN event=log_lines_left_out count=2\nnext\n");
 }
 
+TEST(line_ring, leaves_out_ordinary_lines_before_those_that_tell_the_history_of_tasks) {
+    const test_pipe pipe;
+    line_ring ring(40, 20);
+    ring.add("ordinary 1\n");
+    ring.add("ordinary 2\n"); // would take of the part that is kept
+    ring.add("history 1\n", log_weight::history);
+    ring.add("history 2\n", log_weight::history);
+    EXPECT_EQ(ring.get_left_out(), 1U);
+    ring.add("history 3\n", log_weight::history);
+    EXPECT_EQ(ring.get_left_out(), 2U);
+    ring.write_to(pipe.get_writer());
+    const auto written = pipe.read();
+    EXPECT_NE(written.find("ordinary 1\n"), std::string::npos);
+    EXPECT_EQ(written.find("ordinary 2\n"), std::string::npos);
+    EXPECT_NE(written.find("history 1\n"), std::string::npos);
+}
+
+TEST(line_ring, keeps_room_for_events_of_history_in_a_flood_of_others) {
+    static const log4cplus::Initializer initializer;
+    auto* ring = new ring_appender(4000, 2000); // NOLINT: the library counts it
+    const log4cplus::SharedAppenderPtr appender(ring);
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    appender->setName("ring");
+    auto root = log4cplus::Logger::getRoot();
+    root.addAppender(appender);
+    root.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+    for (int number = 0; number < 1000; ++number) {
+        log_event(log_level::warn, "flood").add("number", number);
+    }
+    const auto left_out = ring->get_ring().get_left_out();
+    log_event(log_level::info, "run_ended", log_weight::history).add("run", 1);
+    EXPECT_GT(left_out, 0U);
+    EXPECT_EQ(ring->get_ring().get_left_out(), left_out);
+    log_event(log_level::warn, "flood").add("number", 1000);
+    EXPECT_EQ(ring->get_ring().get_left_out(), left_out + 1);
+    root.removeAppender(appender);
+    root.setLogLevel(log4cplus::OFF_LOG_LEVEL);
+    testing::internal::CaptureStdout();
+    appender->close();
+    EXPECT_NE(testing::internal::GetCapturedStdout().find("event=run_ended run=1\n"), std::string::npos);
+}
+
 TEST(line_ring, returns_at_once_when_the_reader_has_stopped_and_goes_on_where_it_was) {
     const test_pipe pipe;
     line_ring ring(1U << 20);
