Tell on what ground each run is taken for started, taken over and ended

No decision changes: the track carries the word (end_word), soft. run_ended: ground, asked_ms, number, term, fence; run_started: ground, term, fence, starts, sent_ms, also for runs first seen in a list; new: run_taken_over, took_over, end_of_unknown_run, replica_started, relay_orders_refused. A start that is sent has no line: one without an answer is named by start_refused, which now tells the fence and how often it was sent. Its process logs nothing outside a capture: the property tests used up the budgets of lines, so that the first capture after them saw none.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -55,6 +55,7 @@
         }
     }
     m_must_place = true;
+    tell_took_over();
 }
 
 /// A life that ended with the former leader never announces itself again. Asked at its address, the life
@@ -275,12 +276,8 @@
         return;
     }
     note_run_time(*ended, event.end, now);
+    tell_ended(*ended, event.end, now);
     drop_track(event.run, now);
-    {
-        auto line = log_event(log_level::info, "run_ended");
-        add_run(line, event.run);
-        add_worker(line, event.worker).add("end", get_end_name(event.end));
-    }
     if (event.end == run_end::done) {
         ++m_counts.done_runs;
     }
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -217,8 +217,16 @@
                          run_stage stage, time_point now);
     void drop_track(const run_key& key, time_point now);
     run_track* find(const run_key& key);
-    void propose_end(run_track& track, run_end end, time_point now, const std::string& saved = {},
-                     std::uint64_t number = 0, const run_loss& loss = {});
+    void propose_end(run_track& track, run_end end, const end_word& word, time_point now,
+                     const std::string& saved = {}, const run_loss& loss = {});
+    /// Tells that a run is there, and on what ground this leader takes it for that.
+    void tell_started(const run_track& track, const char* ground, time_point now) const;
+    /// Tells what became of a run that a former leader assigned, or that was given to a former life.
+    void tell_taken_over(const run_track& track, const char* found) const;
+    void tell_ended(const run_track& track, run_end end, time_point now) const;
+    /// Tells that a worker lists an end that changes nothing.
+    static void tell_unknown_end(const worker_state& worker, const run_track* track, const end_row& row);
+    void tell_took_over() const;
     void send_start(run_track& track, time_point now);
     void send_stop(run_track& track, time_point now);
     void stop_run(run_track& track, time_point now);
@@ -260,7 +268,7 @@
     void grant_longest_lease(worker_state& worker, time_point now);
     /// Returns how long after it was sent a lease may count at its worker, by this clock.
     [[nodiscard]] duration get_lease_span(duration lease) const;
-    void lose_worker(worker_state& worker, const char* reason, time_point now);
+    void lose_worker(worker_state& worker, end_ground ground, time_point now);
     static void add_loss(log_event& line, const run_track& track, time_point now);
     void evacuate(worker_state& worker, time_point now);
     void watch_workers(time_point now);
@@ -288,9 +296,9 @@
     /// Gives up a life: what runs at `heir`, the life after it, or may yet come there, is followed there.
     void end_life(worker_state& former, worker_state& heir, const std::vector<run_key>& listed,
                   time_point now);
-    void mark_gone(worker_state& worker, const char* reason, time_point now);
+    void mark_gone(worker_state& worker, end_ground ground, time_point now);
     void follow_at(run_track& track, worker_state& heir, const run_loss& loss, time_point now);
-    void give_up_run(run_track& track, const char* reason, const run_loss& loss, time_point now);
+    void give_up_run(run_track& track, end_ground ground, const run_loss& loss, time_point now);
     /// Looks whether another life took an order: its clock counts anew.
     void compare_clock(worker_state& worker, std::int64_t clock_ms, time_point now);
 
--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -10,7 +10,7 @@
 namespace poplarpitch {
 namespace {
 
-constexpr const char* started_again = "started_again";
+constexpr auto started_again = end_ground::started_again;
 
 /// Returns true when a start of the run may yet be carried out.
 bool may_yet_start(const run_track& track) {
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -45,7 +45,7 @@
     line.add("runs", static_cast<std::uint64_t>(track.host->runs.size()));
 }
 
-void dispatcher::mark_gone(worker_state& worker, const char* reason, time_point now) {
+void dispatcher::mark_gone(worker_state& worker, end_ground ground, time_point now) {
     worker.is_gone = true;
     worker.awaits_fence = false;
     worker.ends_committing = 0;
@@ -53,7 +53,7 @@
     m_workers.look_at(worker, now);
     auto line = log_event(log_level::warn, "worker_lost");
     add_worker(line, worker.report.life)
-        .add("reason", reason)
+        .add("reason", get_ground_name(ground))
         .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
     for (const auto& run : worker.lapsed) {
         if (run.loss.crash != crash_evidence::none) {
@@ -63,22 +63,22 @@
     worker.lapsed.clear();
 }
 
-void dispatcher::give_up_run(run_track& track, const char* reason, const run_loss& loss, time_point now) {
+void dispatcher::give_up_run(run_track& track, end_ground ground, const run_loss& loss, time_point now) {
     ++m_counts.lost_runs;
-    auto line = log_event(log_level::warn, "run_lost");
-    line.add("reason", reason);
+    auto line = log_event(log_level::warn, "run_lost", log_weight::history);
+    line.add("reason", get_ground_name(ground));
     add_loss(line, track, now);
-    propose_end(track, run_end::lost, now, {}, 0, loss);
+    propose_end(track, run_end::lost, {ground, {}, 0}, now, {}, loss);
 }
 
-void dispatcher::lose_worker(worker_state& worker, const char* reason, time_point now) {
+void dispatcher::lose_worker(worker_state& worker, end_ground ground, time_point now) {
     if (worker.is_gone) {
         return;
     }
     const auto judged = judge_runs(worker, now);
-    mark_gone(worker, reason, now);
+    mark_gone(worker, ground, now);
     for (const auto& run : judged) {
-        give_up_run(*worker.runs.at(run.run), reason, run.loss, now);
+        give_up_run(*worker.runs.at(run.run), ground, run.loss, now);
     }
 }
 
@@ -99,9 +99,13 @@
             continue;
         }
         ++m_counts.lost_runs;
-        auto line = log_event(log_level::warn, "lease_lapsed");
+        auto line = log_event(log_level::warn, "lease_lapsed", log_weight::history);
         add_loss(line, track, now);
-        propose_end(track, run_end::lost, now, {}, 0, {crash_evidence::none, run.loss.age_ms});
+        if (worker.listed_at != time_point{}) {
+            line.add("listed_ms", to_milliseconds(now - worker.listed_at));
+        }
+        propose_end(track, run_end::lost, {end_ground::lease_lapsed, {}, 0}, now, {},
+                    {crash_evidence::none, run.loss.age_ms});
         const auto crash = std::min(run.loss.crash, crash_evidence::possible);
         worker.lapsed.push_back({run.run, {crash, run.loss.age_ms}});
     }
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -67,11 +67,15 @@
     return found == m_tracks.end() ? nullptr : &found->second;
 }
 
-void dispatcher::propose_end(run_track& track, run_end end, time_point now, const std::string& saved,
-                             std::uint64_t number, const run_loss& loss) {
+void dispatcher::propose_end(run_track& track, run_end end, const end_word& word, time_point now,
+                             const std::string& saved, const run_loss& loss) {
     if (track.is_ending) {
         return;
     }
+    if (track.stage == run_stage::adopting) {
+        tell_taken_over(track, get_ground_name(word.ground));
+    }
+    track.word = word;
     track.is_ending = true;
     track.ending_since = now;
     job_wire::job_command command;
@@ -82,7 +86,7 @@
     message.set_born_ms(track.assigned_to.born_ms);
     message.set_kind(static_cast<std::uint32_t>(end));
     message.set_saved(saved);
-    message.set_number(number);
+    message.set_number(word.number);
     message.set_crash(static_cast<std::uint32_t>(loss.crash));
     message.set_age_ms(loss.age_ms);
     m_commands.push_back(std::move(command));
@@ -165,6 +169,9 @@
     order.saved = task == nullptr ? std::string{} : task->saved;
     grant_lease(worker, now);
     track.is_order_out = true;
+    track.start_sent = now;
+    track.start_fence = worker.fence;
+    ++track.starts;
     worker.backoff.on_sent(now, m_settings.order_timeout);
     m_orders.emplace_back(std::move(order));
 }
@@ -244,9 +251,7 @@
         track->listed_at = now;
         track->has_known_start = true;
         note_started(key.task.step.job, now);
-        auto event = log_event(log_level::info, "run_started");
-        add_run(event, key);
-        add_worker(event, track->host->report.life).add("wait_ms", to_milliseconds(now - track->claimed_at));
+        tell_started(*track, "answered", now);
         return;
     }
     on_start_refused(*track, *answer.failure, now);
@@ -257,7 +262,10 @@
     {
         auto event = log_event(log_level::warn, "start_refused");
         add_run(event, track.key);
-        add_worker(event, worker.report.life).add("reason", get_failure_name(failure));
+        add_worker(event, worker.report.life)
+            .add("reason", get_failure_name(failure))
+            .add("fence", track.start_fence)
+            .add("starts", static_cast<std::uint64_t>(track.starts));
     }
     switch (failure) {
     case order_failure::unanswered:
@@ -272,13 +280,14 @@
         return;
     case order_failure::old_run:
         // An earlier start of this run was carried out, and the run has ended: the list says how.
+        tell_started(track, "old_run", now);
         track.stage = run_stage::running;
         track.confirmed_at = now;
         track.listed_at = now;
         hold_soon(worker, now);
         return;
     case order_failure::other_life:
-        lose_worker(worker, "another_life_answers", now);
+        lose_worker(worker, end_ground::another_life_answers, now);
         return;
     case order_failure::no_room:
         ++m_counts.refused_room;
@@ -309,7 +318,7 @@
         stop_run(track, now); // once the worker has answered that, no earlier start is carried out
         return;
     }
-    propose_end(track, run_end::not_started, now);
+    propose_end(track, run_end::not_started, {end_ground::given_back, track.start_sent, 0}, now);
 }
 
 void dispatcher::on_stop(const run_key& key, const worker_life& worker, const order_answer& answer,
@@ -326,7 +335,7 @@
             hold_soon(*track->host, now); // the list says whether it was there
         }
     } else if (answer.failure == order_failure::other_life) {
-        lose_worker(*track->host, "another_life_answers", now);
+        lose_worker(*track->host, end_ground::another_life_answers, now);
     } else {
         track->next_order = std::max(track->next_order, now + m_settings.retry_pause);
         await_order(*track);
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_story.cpp
@@ -0,0 +1,72 @@
+// What is told of runs, so that from a job's id alone their story can be read in the logs.
+#include "poplarpitch/dispatch/dispatcher.h"
+#include "poplarpitch/dispatch/run_log.h"
+#include "poplarpitch/telemetry/log_event.h"
+
+namespace poplarpitch {
+
+void dispatcher::tell_started(const run_track& track, const char* ground, time_point now) const {
+    auto line = log_event(log_level::info, "run_started", log_weight::history);
+    add_run(line, track.key);
+    add_worker(line, track.host->report.life)
+        .add("wait_ms", to_milliseconds(now - track.claimed_at))
+        .add("ground", ground)
+        .add("term", m_term)
+        .add("fence", track.start_fence)
+        .add("starts", static_cast<std::uint64_t>(track.starts));
+    if (track.starts > 0) {
+        line.add("sent_ms", to_milliseconds(now - track.start_sent));
+    }
+}
+
+void dispatcher::tell_taken_over(const run_track& track, const char* found) const {
+    auto line = log_event(log_level::info, "run_taken_over", log_weight::history);
+    add_run(line, track.key);
+    add_worker(line, track.host->report.life)
+        .add("found", found)
+        .add("of", track.former_loss.has_value() ? "former_life" : "former_leader")
+        .add("term", m_term)
+        .add("fence", track.host->fence);
+}
+
+void dispatcher::tell_ended(const run_track& track, run_end end, time_point now) const {
+    auto line = log_event(log_level::info, "run_ended", log_weight::history);
+    add_run(line, track.key);
+    add_worker(line, track.assigned_to)
+        .add("end", get_end_name(end))
+        .add("ground", get_ground_name(track.word.ground));
+    if (track.word.asked != time_point{}) {
+        line.add("asked_ms", to_milliseconds(now - track.word.asked));
+    }
+    if (track.word.number != 0) {
+        line.add("number", track.word.number);
+    }
+    line.add("term", m_term).add("fence", track.host->fence);
+}
+
+void dispatcher::tell_unknown_end(const worker_state& worker, const run_track* track, const end_row& row) {
+    const auto* why = track == nullptr ? "not_known" : "ending";
+    if (track != nullptr && track->host != &worker) {
+        why = "other_worker";
+    }
+    auto line = log_event(log_level::info, "end_of_unknown_run", log_weight::history);
+    add_run(line, row.run);
+    add_worker(line, worker.report.life)
+        .add("end", get_end_name(row.end))
+        .add("number", row.number)
+        .add("seen", worker.seen)
+        .add("reason", why)
+        .add("fence", worker.fence);
+}
+
+void dispatcher::tell_took_over() const {
+    log_event(log_level::info, "took_over", log_weight::history)
+        .add("term", m_term)
+        .add("fence", get_fence())
+        .add("open_jobs", static_cast<std::uint64_t>(m_jobs.size()))
+        .add("runs", static_cast<std::uint64_t>(m_tracks.size()))
+        .add("workers", static_cast<std::uint64_t>(m_workers.get_map().size()))
+        .add("waiting", count_waiting());
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -231,7 +231,7 @@
     const auto failure = get_hold_failure(*worker, outcome);
     if (failure.has_value()) {
         if (failure == order_failure::other_life) {
-            lose_worker(*worker, "another_life_answers", now);
+            lose_worker(*worker, end_ground::another_life_answers, now);
             return;
         }
         worker->told = 0;                         // what it was told may not have arrived
@@ -312,6 +312,11 @@
             continue; // cannot be: nothing was sent
         }
         if (track->stage != run_stage::running) {
+            if (track->stage == run_stage::adopting) {
+                tell_taken_over(*track, "running");
+            } else {
+                tell_started(*track, "listed", now);
+            }
             track->stage = run_stage::running;
             track->confirmed_at = now;
             note_started(row.run.task.step.job, now);
@@ -350,6 +355,7 @@
     }
     worker.seen = row.number;
     if (track == nullptr || track->host != &worker || track->is_ending) {
+        tell_unknown_end(worker, track, row);
         return; // an earlier leader's, or given up before
     }
     if (row.end == run_end::done) {
@@ -360,7 +366,7 @@
     }
     ++worker.ends_committing;
     const bool has_known_age = track->confirmed_at != time_point{};
-    propose_end(*track, row.end, now, row.saved, row.number,
+    propose_end(*track, row.end, {end_ground::listed_end, worker.hold_sent, row.number}, now, row.saved,
                 {crash_evidence::none, has_known_age ? to_milliseconds(now - track->confirmed_at) : 0});
 }
 
@@ -376,16 +382,18 @@
                                track.confirmed_at < worker.hold_sent;
         const bool was_stopped = track.is_stop_answered && track.stop_answered_at < worker.hold_sent;
         if (never_came || was_there || was_stopped) {
-            auto line = log_event(log_level::info, "run_not_listed");
+            auto line = log_event(log_level::info, "run_not_listed", log_weight::history);
             add_run(line, key);
             add_worker(line, worker.report.life)
                 .add("seen", worker.seen)
                 .add("told", worker.told)
                 .add("was_there", was_there ? "yes" : "no");
+            const auto there_or_stopped = was_there ? end_ground::not_listed : end_ground::stop_answered;
+            const end_word word{never_came ? end_ground::never_came : there_or_stopped, worker.hold_sent, 0};
             if (track.former_loss.has_value()) {
-                propose_end(track, run_end::lost, now, {}, 0, *track.former_loss);
+                propose_end(track, run_end::lost, word, now, {}, *track.former_loss);
             } else {
-                propose_end(track, run_end::not_started, now);
+                propose_end(track, run_end::not_started, word, now);
             }
         }
     }
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/end_word.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/run_loss.h"
 #include "poplarpitch/dispatch/suspect_watch.h"
@@ -36,9 +37,13 @@
     caution care = caution::none; ///< with which its task was placed
     bool is_ending = false;       ///< its end is on its way into the log
     time_point ending_since{};
+    end_word word; ///< on which it is ending
     bool is_stop_wanted = false;
     bool is_stop_answered = false; ///< the worker has taken the stop; `stop_answered_at` says when
     bool is_order_out = false;     ///< a start or stop is under way
+    time_point start_sent{};       ///< when its start was sent last; zero before
+    std::uint64_t start_fence = 0; ///< of that order
+    std::uint32_t starts = 0;      ///< how often its start was sent
     time_point claimed_at{};
     time_point confirmed_at{};    ///< when the start was answered or first listed; zero before
     bool has_known_start = false; ///< its start was answered: `confirmed_at` is when it began
--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -42,6 +42,11 @@
             answer.set_number(order.number());
             answer.set_failure(static_cast<std::uint32_t>(order_failure::not_sent));
         }
+        log_event(log_level::info, "relay_orders_refused")
+            .add("term", frame.term())
+            .add("known_term", m_term)
+            .add("leads", m_leads ? "yes" : "no")
+            .add("orders", frame.orders_size());
         return refusal;
     }
     if (frame.term() > m_term) {
@@ -76,7 +81,8 @@
     }
     log_event(log_level::info, "relay_term")
         .add("term", term)
-        .add("workers", static_cast<std::uint64_t>(m_reports.size()));
+        .add("workers", static_cast<std::uint64_t>(m_reports.size()))
+        .add("open", static_cast<std::uint64_t>(m_open));
 }
 
 void relay_agent::forget_old_reports(time_point now) {
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -63,6 +63,7 @@
         return stored.error();
     }
     m_stored = stored.value();
+    tell_stored();
     m_mesh = std::make_unique<peer_mesh>(m_loop, m_settings.port,
                                          [this](std::uint32_t from, const job_wire::cluster_frame& frame) {
                                              on_frame(from, frame, [](const job_wire::cluster_frame&) {});
@@ -89,6 +90,16 @@
     return boost::outcome_v2::success();
 }
 
+void replica::tell_stored() const {
+    const auto& snapshot = m_stored.snapshot;
+    log_event(log_level::info, "replica_started")
+        .add("node", m_id)
+        .add("blank", m_stored.is_blank ? "yes" : "no")
+        .add("term", m_stored.state.term)
+        .add("last_index", m_stored.entries.empty() ? snapshot.index : m_stored.entries.back().index)
+        .add("applied", snapshot.index);
+}
+
 void replica::start_node(const raft_membership& initial) {
     m_phase = node_phase::formed;
     m_hard_state = m_stored.state;
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -106,6 +106,8 @@
         std::function<void(proposal_fate)> on_fate;
     };
 
+    /// Tells what the disk holds.
+    void tell_stored() const;
     void start_node(const raft_membership& initial);
     void found_or_join();
     void look_around();
--- /dev/null
+++ b/unit_tests/dispatch/log_capture.cpp
@@ -0,0 +1,74 @@
+#include "unit_tests/dispatch/log_capture.h"
+
+#include <gtest/gtest.h>
+#include <log4cplus/appender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+
+namespace poplarpitch {
+namespace {
+
+/// Keeps the lines of all events.
+class keeping_appender : public log4cplus::Appender {
+public:
+    ~keeping_appender() override { destructorImpl(); }
+    keeping_appender() = default;
+    keeping_appender(const keeping_appender&) = delete;
+    keeping_appender& operator=(const keeping_appender&) = delete;
+
+    void close() override { closed = true; }
+    [[nodiscard]] const std::vector<std::string>& get_lines() const { return m_lines; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+        m_lines.push_back(event.getMessage());
+    }
+
+private:
+    std::vector<std::string> m_lines;
+};
+
+constexpr const char* name = "capture";
+
+/// Lines that nobody captures would use up the budgets of those that a later test does.
+class quiet_logs : public testing::Environment {
+public:
+    void SetUp() override {
+        static const log4cplus::Initializer initializer;
+        log4cplus::Logger::getRoot().setLogLevel(log4cplus::OFF_LOG_LEVEL);
+    }
+};
+
+// NOLINTNEXTLINE: the test library owns it
+const auto* const environment = testing::AddGlobalTestEnvironment(new quiet_logs);
+
+} // namespace
+
+log_capture::log_capture() {
+    static const log4cplus::Initializer initializer;
+    const log4cplus::SharedAppenderPtr appender(new keeping_appender); // NOLINT: the library counts it
+    appender->setName(name);
+    auto root = log4cplus::Logger::getRoot();
+    root.addAppender(appender);
+    root.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+log_capture::~log_capture() {
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAppender(name);
+    root.setLogLevel(log4cplus::OFF_LOG_LEVEL);
+}
+
+std::vector<std::string> log_capture::find(const std::string& event) const {
+    const auto appender = log4cplus::Logger::getRoot().getAppender(name);
+    std::vector<std::string> found;
+    for (const auto& line : dynamic_cast<const keeping_appender&>(*appender).get_lines()) {
+        if (line.rfind("event=" + event + " ", 0) == 0) {
+            found.push_back(line);
+        }
+    }
+    return found;
+}
+
+} // namespace poplarpitch
