Tell which orders of a former leader a relay refused only where there are some, with a test

Test: relay_agent.says_how_many_orders_of_a_former_leader_it_refused_and_how_many_were_under_way (new).

--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -42,11 +42,13 @@
             answer.set_number(order.number());
             answer.set_failure(static_cast<std::uint32_t>(order_failure::not_sent));
         }
-        log_event(log_level::info, "relay_orders_refused")
-            .add("term", frame.term())
-            .add("known_term", m_term)
-            .add("leads", m_leads ? "yes" : "no")
-            .add("orders", frame.orders_size());
+        if (frame.orders_size() > 0) {
+            log_event(log_level::info, "relay_orders_refused")
+                .add("term", frame.term())
+                .add("known_term", m_term)
+                .add("leads", m_leads ? "yes" : "no")
+                .add("orders", frame.orders_size());
+        }
         return refusal;
     }
     if (frame.term() > m_term) {
--- a/unit_tests/relay/relay_agent_test.cpp
+++ b/unit_tests/relay/relay_agent_test.cpp
@@ -2,6 +2,7 @@
 #include "poplarpitch/relay/relay_agent.h"
 #include "poplarpitch/relay/relay_codec.h"
 #include "poplarpitch/wire/scheduling.pb.h"
+#include "unit_tests/dispatch/log_capture.h"
 
 #include <gtest/gtest.h>
 
@@ -255,5 +256,19 @@
     EXPECT_EQ(std::get<hold_order>(world.orders[0].first).until_ms, 4000);
 }
 
+TEST(relay_agent, says_how_many_orders_of_a_former_leader_it_refused_and_how_many_were_under_way) {
+    agent_world world;
+    const log_capture logs;
+    world.send(4, 3);
+    world.send(5);
+    world.send(4, 2);
+    world.send(4);
+    EXPECT_EQ(logs.find("relay_term"),
+              (std::vector<std::string>{"event=relay_term term=4 workers=0 open=0",
+                                        "event=relay_term term=5 workers=0 open=3"}));
+    EXPECT_EQ(logs.find("relay_orders_refused"),
+              (std::vector<std::string>{"event=relay_orders_refused term=4 known_term=5 leads=no orders=2"}));
+}
+
 } // namespace
 } // namespace poplarpitch
