--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -296,7 +296,7 @@
     /// Gives up a life: what runs at `heir`, the life after it, or may yet come there, is followed there.
     void end_life(worker_state& former, worker_state& heir, const std::vector<run_key>& listed,
                   time_point now);
-    void mark_gone(worker_state& worker, end_ground ground, time_point now);
+    void mark_gone(worker_state& worker, const char* reason, time_point now);
     void follow_at(run_track& track, worker_state& heir, const run_loss& loss, time_point now);
     void give_up_run(run_track& track, end_ground ground, const run_loss& loss, time_point now);
     /// Looks whether another life took an order: its clock counts anew.
--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -125,7 +125,7 @@
         .add("seen", former.seen)
         .add("acknowledged", former.acknowledged);
     const auto judged = judge_runs(former, now);
-    mark_gone(former, started_again, now);
+    mark_gone(former, get_ground_name(started_again), now);
     const bool is_surely_other = former.report.life.born_ms != 0;
     for (const auto& run : judged) {
         auto& track = *former.runs.at(run.run);
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -45,7 +45,7 @@
     line.add("runs", static_cast<std::uint64_t>(track.host->runs.size()));
 }
 
-void dispatcher::mark_gone(worker_state& worker, end_ground ground, time_point now) {
+void dispatcher::mark_gone(worker_state& worker, const char* reason, time_point now) {
     worker.is_gone = true;
     worker.awaits_fence = false;
     worker.ends_committing = 0;
@@ -53,7 +53,7 @@
     m_workers.look_at(worker, now);
     auto line = log_event(log_level::warn, "worker_lost");
     add_worker(line, worker.report.life)
-        .add("reason", get_ground_name(ground))
+        .add("reason", reason)
         .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
     for (const auto& run : worker.lapsed) {
         if (run.loss.crash != crash_evidence::none) {
@@ -76,7 +76,7 @@
         return;
     }
     const auto judged = judge_runs(worker, now);
-    mark_gone(worker, ground, now);
+    mark_gone(worker, get_ground_name(ground), now);
     for (const auto& run : judged) {
         give_up_run(*worker.runs.at(run.run), ground, run.loss, now);
     }
