Add two tests that fail: a call that arrived is told as not sent, a message that ends a wait is dated before it

A call on a connection that is open already is written, the connection ends before an answer, and the call is sent once more. Where no second connection comes up, the caller hears 'unreachable: nothing was sent', though the first one may have been carried out.

Asio calls what ends a wait before it returns, and the loop took the time only after that: a frame that ends a wait is dated at the wait's begin.

--- a/unit_tests/net/event_loop_test.cpp
+++ b/unit_tests/net/event_loop_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <thread>
 
 namespace poplarpitch {
 namespace {
@@ -66,5 +67,24 @@
     EXPECT_LT(loop.get_busy_share(), 0.2);
 }
 
+TEST(event_loop, tells_no_time_from_before_a_wait_to_what_ended_it) {
+    event_loop loop;
+    const system_clock clock;
+    time_point posted{};
+    std::thread poster;
+    loop.post([&] {
+        poster = std::thread([&] {
+            std::this_thread::sleep_for(milliseconds{50}); // the loop waits meanwhile
+            posted = clock.now();
+            loop.post([&] {
+                EXPECT_GE(loop.now(), posted);
+                loop.stop();
+            });
+        });
+    });
+    loop.run();
+    poster.join();
+}
+
 } // namespace
 } // namespace poplarpitch
--- a/unit_tests/net/http_caller_test.cpp
+++ b/unit_tests/net/http_caller_test.cpp
@@ -257,5 +257,28 @@
     EXPECT_EQ(world.outcomes[make_error_code(net_errc::not_sent)], 48);
 }
 
+TEST(http_caller, never_says_of_a_call_that_arrived_that_nothing_was_sent) {
+    calling_world world(make_settings(100));
+    http_listener_settings settings;
+    std::unique_ptr<http_listener> listener;
+    listener = std::make_unique<http_listener>(
+        world.loop, settings, [&](const http_request& request, const http_responder& respond) {
+            world.arrived.push_back(request.target);
+            if (request.target == "/first") {
+                respond(http_response{});
+            } else {
+                world.loop.post([&] { listener.reset(); }); // its process ends with the call in its hands
+            }
+        });
+    const auto address = "127.0.0.1:" + std::to_string(listener->start().value());
+    world.send(calling_world::make_call(address, "/first"));
+    world.send(calling_world::make_call(address, "/second"));
+    world.loop.run();
+    const std::vector<std::string> expected = {"/first", "/second"};
+    EXPECT_EQ(world.arrived, expected);
+    EXPECT_EQ(world.outcomes[make_error_code(net_errc::broken)], 1);
+    EXPECT_EQ(world.outcomes[make_error_code(net_errc::unreachable)], 0);
+}
+
 } // namespace
 } // namespace poplarpitch
