Read the clock again for what ends a wait

What callers saw: nothing by itself; the leader reckons leases of workers and its own lease from such times. Cause: the loop read the clock before a turn's wait and after its first call. Asio makes that call inside the wait, so a frame of a peer, a relay or a disk was dated at the wait's begin: up to the pause between two frames earlier (100 ms between heartbeats, 200 ms at an idle instance), and by the whole length of any stop of the process while it waited. A follower took its leader for heard that much earlier and voted that much sooner, against a margin of 40 ms; a leader took a worker's clock for that much further, against a margin of 250 ms; one that had been stopped took its lease for valid in that call. Evidence: event_loop.tells_no_time_from_before_a_wait_to_what_ended_it failed by 50 ms, the length of its wait. Why this works: the first look at the time after the wait reads the clock, whoever looks.

--- a/poplarpitch/net/event_loop.cpp
+++ b/poplarpitch/net/event_loop.cpp
@@ -52,7 +52,9 @@
         }
         arm();
         const auto began = clock.now();
+        m_may_be_old = true; // Asio calls what ends the wait before it returns
         context.run_one();
+        m_may_be_old = false;
         m_now = clock.now();
         note_turn(began, m_now);
         run_ready();
@@ -61,6 +63,14 @@
     }
 }
 
+time_point event_loop::now() const {
+    if (m_may_be_old) {
+        m_now = system_clock().now();
+        m_may_be_old = false;
+    }
+    return m_now;
+}
+
 void event_loop::run_ready() {
     const system_clock clock;
     const auto end = m_now + longest_turn;
@@ -104,7 +114,7 @@
 }
 
 timer_id event_loop::call_after(duration delay, std::function<void()> work) {
-    return call_at(m_now + delay, std::move(work));
+    return call_at(now() + delay, std::move(work));
 }
 
 void event_loop::cancel(timer_id id) {
--- a/poplarpitch/net/event_loop.h
+++ b/poplarpitch/net/event_loop.h
@@ -37,8 +37,8 @@
     void run();
     /// Ends `run` after the present turn.
     void stop();
-    /// Returns the time at the start of the present turn, on the boot-time clock.
-    [[nodiscard]] time_point now() const { return m_now; }
+    /// Returns the time at the start of the present turn, or after its wait, on the boot-time clock.
+    [[nodiscard]] time_point now() const;
     /// Returns which share of the last half second or so the thread was busy, 0 to 1.
     [[nodiscard]] double get_busy_share() const { return m_busy_share; }
     /// Returns how late timers fired of late, smoothed over as long.
@@ -78,8 +78,9 @@
     std::map<timer_id, time_point> m_timer_times;
     timer_id m_next_timer = 1;
     time_point m_armed{}; ///< when the Asio timer fires; zero while it is not set
-    time_point m_now{};
-    time_point m_last_wake{}; ///< when the wait of the last turn ended
+    mutable time_point m_now{};
+    mutable bool m_may_be_old = false; ///< a wait may have passed since `m_now` was read
+    time_point m_last_wake{};          ///< when the wait of the last turn ended
     double m_busy_share = 0;
     duration m_lag{};
     std::uint64_t m_cut_turns = 0;
