Never say of a call that was written that nothing was sent

What callers saw: two runs of one task at once is what it can lead to; on the users' machines only suspected. Cause: the HTTP client sends a call once more where its open connection ends before an answer. What became of the second attempt stood for the whole call: no connection, or none in time, was told as 'unreachable' or 'not_sent', which the layers above take for proof that a start was not carried out. Its task goes elsewhere without a stop once the worker leaves, refuses or has less room, as a worker does whose process is ending: it closes its connections and listens no more while its runs go on.

--- a/poplarpitch/net/http_exchange.cpp
+++ b/poplarpitch/net/http_exchange.cpp
@@ -90,7 +90,7 @@
     m_stage = stage::connecting;
     const auto endpoint = read_socket_address(m_call.address);
     if (!endpoint.has_value()) {
-        m_loop.post([self = shared_from_this()] { self->finish(make_error_code(net_errc::unreachable)); });
+        m_loop.post([self = shared_from_this()] { self->finish_unsent(); });
         return;
     }
     auto socket = std::make_unique<asio::ip::tcp::socket>(m_loop.get_context());
@@ -106,7 +106,7 @@
     m_connect_timer =
         m_loop.call_after(m_connections->get_settings().connect_timeout, [self = shared_from_this()] {
             self->m_connect_timer = 0;
-            self->finish(make_error_code(net_errc::unreachable));
+            self->finish_unsent();
         });
     const asio::ip::tcp::endpoint target(asio::ip::address_v4(endpoint->ip), endpoint->port);
     m_socket->async_connect(target, [self = shared_from_this()](const boost::system::error_code& failed) {
@@ -121,7 +121,7 @@
     m_loop.cancel(m_connect_timer);
     m_connect_timer = 0;
     if (error) {
-        finish(make_error_code(net_errc::unreachable));
+        finish_unsent();
         return;
     }
     m_opened = m_loop.now();
@@ -175,6 +175,7 @@
     const bool is_untouched = !m_parser.has_value() || !m_parser->got_some();
     if (m_is_reused && is_untouched && !m_call.opened_before.has_value()) {
         m_is_reused = false;
+        m_was_written = true;
         m_parser.reset();
         m_buffer.clear();
         close_socket();
@@ -192,12 +193,16 @@
         m_stage = stage::over;
         m_connections->on_wait_over(true);
         m_connections->on_end(shared_from_this());
-        m_on_answer(make_error_code(net_errc::not_sent));
+        m_on_answer(get_unsent_error(net_errc::not_sent));
         return;
     }
     const bool was_sent = m_stage == stage::sent;
     m_connections->drop_idle(m_call.address);
-    finish(make_error_code(was_sent ? net_errc::timed_out : net_errc::unreachable));
+    finish(was_sent ? make_error_code(net_errc::timed_out) : get_unsent_error(net_errc::unreachable));
+}
+
+std::error_code http_exchange::get_unsent_error(net_errc unsent) const {
+    return make_error_code(m_was_written ? net_errc::broken : unsent);
 }
 
 void http_exchange::finish(result<http_response> answer, socket_ptr reusable) {
--- a/poplarpitch/net/http_exchange.h
+++ b/poplarpitch/net/http_exchange.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/http/http_response.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_call.h"
+#include "poplarpitch/net/net_error.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -62,6 +63,11 @@
     void on_broken();
     void on_timeout();
     void finish(result<http_response> answer, socket_ptr reusable = nullptr);
+    /// Ends the call for want of a connection.
+    void finish_unsent() { finish(get_unsent_error(net_errc::unreachable)); }
+    /// Returns what an attempt that did not leave says of the whole call: `unsent`, unless an earlier attempt
+    /// was written.
+    [[nodiscard]] std::error_code get_unsent_error(net_errc unsent) const;
     void close_socket();
 
     std::shared_ptr<http_connections> m_connections;
@@ -78,6 +84,7 @@
     timer_id m_connect_timer = 0;
     stage m_stage = stage::waiting;
     bool m_is_reused = false;
+    bool m_was_written = false; ///< on a connection that has ended since: it may have been carried out
 };
 
 } // namespace poplarpitch
