--- /dev/null
+++ b/unit_tests/replica/replaced_disks_test.cpp
@@ -0,0 +1,336 @@
+// Whether anything that a leader saw committed is lost where all control instances lose their power at one
+// moment and as many as are tolerated lose their disks too, and come back as new members.
+// POPLARPITCH_SEEDS sets how many seeds are tried.
+#include "poplarpitch/consensus/early_messages.h"
+#include "poplarpitch/consensus/raft_node.h"
+#include "poplarpitch/replica/member_planner.h"
+#include "poplarpitch/replica/node_address.h"
+#include "poplarpitch/storage/raft_storage_impl.h"
+#include "unit_tests/support/memory_file_system.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+namespace {
+
+using memory_storage = raft_storage<memory_file_system>;
+
+constexpr std::uint64_t usual_seeds = 60;
+constexpr std::uint32_t instances = 5;
+constexpr std::uint32_t tolerated = 2;
+constexpr duration step_length = milliseconds{5};
+constexpr duration member_interval = milliseconds{100};
+constexpr duration longest_start = milliseconds{800}; // between a loss of power and the next process
+constexpr duration life_time = seconds{6}; // between two losses of power; replaced disks count again
+constexpr duration voter_loss = milliseconds{2500};
+constexpr int losses = 6; // of power, a seed
+constexpr int one_in_lost_messages = 50;
+constexpr std::uint64_t sync_steps = 5; // mean length of a sync
+constexpr std::uint64_t snapshot_bytes = 4000;
+
+std::uint64_t get_seed_count() {
+    const char* text = std::getenv("POPLARPITCH_SEEDS");
+    return text == nullptr ? usual_seeds : std::strtoull(text, nullptr, 10);
+}
+
+/// A control instance: its address, its disk and its process.
+struct instance {
+    std::uint32_t ip = 0;
+    std::uint32_t nonce = 1;
+    std::unique_ptr<memory_file_system> files = std::make_unique<memory_file_system>();
+    std::unique_ptr<memory_storage> storage;
+    std::unique_ptr<raft_node> node;   ///< null while it has no process
+    std::optional<raft_output> saving; ///< on its way to the disk
+    raft_membership members;           ///< as far as applied
+    log_index applied = 0;
+    hard_state state;
+    std::uint64_t snapshot_mark = 0;
+    time_point starts_at{};
+
+    [[nodiscard]] node_id get_id() const { return make_node_id(ip, nonce); }
+};
+
+/// Five instances that store what they are asked to and lose what was not synced with their power.
+class replaced_disks {
+public:
+    /// `answers_early`: breaks on purpose that an answer waits for the disk.
+    explicit replaced_disks(std::uint64_t seed, bool answers_early = false)
+        : m_random(seed), m_answers_early(answers_early) {
+        raft_membership founders;
+        for (std::uint32_t ip = 1; ip <= instances; ++ip) {
+            founders = founders.with_voter(make_node_id(ip, 1));
+        }
+        for (std::uint32_t ip = 1; ip <= instances; ++ip) {
+            m_instances.emplace_back();
+            m_instances.back().ip = ip;
+            start(m_instances.back(), founders);
+        }
+    }
+
+    void run(duration length) {
+        const auto end = m_now + length;
+        while (m_now < end) {
+            step();
+        }
+    }
+
+    /// All processes end with what they had not synced; up to `wiped` instances lose their disks.
+    void lose_power(std::uint32_t wiped) {
+        std::vector<std::size_t> order = {0, 1, 2, 3, 4};
+        std::shuffle(order.begin(), order.end(), m_random);
+        for (std::size_t place = 0; place < order.size(); ++place) {
+            auto& self = m_instances[order[place]];
+            if (self.saving.has_value() && pick(2) == 0) {
+                static_cast<void>(self.storage->save(*self.saving)); // the sync ended, nothing after it
+            } else if (self.saving.has_value()) {
+                self.files->fail_after(static_cast<int>(pick(2)), storage_errc::io_failed);
+                static_cast<void>(self.storage->save(*self.saving)); // the power goes while it is written
+            }
+            self.files->cut_power(m_random);
+            self.saving.reset();
+            self.node.reset();
+            self.storage.reset();
+            self.starts_at =
+                m_now + milliseconds{pick(static_cast<std::uint64_t>(to_milliseconds(longest_start)))};
+            if (place < wiped) {
+                self.files = std::make_unique<memory_file_system>();
+                ++self.nonce;
+            }
+        }
+        m_messages.clear();
+    }
+
+    [[nodiscard]] const std::string& get_violation() const { return m_violation; }
+    [[nodiscard]] std::size_t count_committed() const { return m_committed.size(); }
+    /// Returns how many instances lead with everything applied that was ever committed.
+    [[nodiscard]] bool is_well() const {
+        for (const auto& self : m_instances) {
+            if (self.node != nullptr && self.node->has_own_commit() &&
+                self.node->get_membership().voters.size() == instances) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    [[nodiscard]] std::uint64_t pick(std::uint64_t bound) { return m_random() % bound; }
+
+    void start(instance& self, const raft_membership& initial) {
+        self.storage =
+            std::make_unique<memory_storage>(*self.files, storage_settings{"poplarpitch", self.get_id()});
+        auto opened = self.storage->open();
+        ASSERT_TRUE(opened.has_value()) << opened.error().message();
+        auto stored = std::move(opened).value();
+        if (stored.is_blank) {
+            ASSERT_TRUE(self.storage->form(initial).has_value());
+            stored.initial = initial;
+        }
+        self.applied = stored.snapshot.index;
+        self.members = stored.snapshot.index != 0 ? stored.snapshot.members : stored.initial;
+        self.state = stored.state;
+        self.snapshot_mark = 0;
+        raft_start from{self.get_id(),  stored.state, stored.snapshot, std::move(stored.entries),
+                        stored.initial, m_random()};
+        self.node = std::make_unique<raft_node>(raft_settings{}, std::move(from), m_now);
+    }
+
+    void step() {
+        m_now += step_length;
+        deliver();
+        for (auto& self : m_instances) {
+            if (self.node == nullptr && m_now >= self.starts_at) {
+                start(self, {});
+            }
+            if (self.node != nullptr && !self.saving.has_value()) {
+                take_turn(self);
+            } else if (self.node != nullptr && pick(sync_steps) == 0) {
+                end_sync(self);
+            }
+        }
+    }
+
+    void take_turn(instance& self) {
+        self.node->tick(m_now);
+        if (self.node->has_own_commit()) {
+            static_cast<void>(self.node->propose("command " + std::to_string(m_next_command++), m_now));
+            keep_members(self);
+        }
+        auto output = self.node->take_output();
+        if (!output.needs_sync()) {
+            finish(self, output);
+            return;
+        }
+        for (const auto& message : output.messages) {
+            if (goes_early(output, message)) {
+                m_messages.push_back(message);
+            }
+        }
+        self.saving = std::move(output);
+    }
+
+    [[nodiscard]] bool goes_early(const raft_output& output, const raft_message& message) const {
+        return m_answers_early || may_send_before_sync(output, message);
+    }
+
+    void end_sync(instance& self) {
+        const auto output = std::move(*self.saving);
+        self.saving.reset();
+        ASSERT_TRUE(self.storage->save(output).has_value());
+        if (output.state.has_value()) {
+            self.state = *output.state;
+        }
+        finish(self, output);
+    }
+
+    void finish(instance& self, const raft_output& output) {
+        for (const auto& message : output.messages) {
+            if (!output.needs_sync() || !goes_early(output, message)) {
+                m_messages.push_back(message);
+            }
+        }
+        if (output.install.has_value()) {
+            self.applied = output.install->index;
+            self.members = output.install->members;
+        }
+        for (const auto& entry : output.committed) {
+            apply(self, entry);
+        }
+        if (self.storage->get_written_bytes() - self.snapshot_mark > snapshot_bytes) {
+            compact(self);
+        }
+    }
+
+    void apply(instance& self, const log_entry& entry) {
+        self.applied = entry.index;
+        if (entry.kind == entry_kind::membership) {
+            self.members = raft_membership::decode(entry.payload);
+        }
+        const auto [known, is_new] = m_committed.emplace(entry.index, entry);
+        if (!is_new && known->second != entry && m_violation.empty()) {
+            m_violation =
+                "what was committed at index " + std::to_string(entry.index) + " is another entry now";
+        }
+    }
+
+    void compact(instance& self) {
+        const auto term = self.node->get_log().find_term(self.applied);
+        if (!term.has_value() || self.applied <= self.node->get_snapshot().index) {
+            return;
+        }
+        const raft_snapshot snapshot{self.applied, *term, self.members,
+                                     std::make_shared<const std::string>(std::to_string(self.applied))};
+        const auto rest = self.node->get_log().copy_from(self.applied + 1, SIZE_MAX);
+        ASSERT_TRUE(self.storage->save_snapshot(snapshot, self.state, rest).has_value());
+        self.node->compact(snapshot, pick(20));
+        self.snapshot_mark = self.storage->get_written_bytes();
+    }
+
+    /// What a leader does to have as many voters as are wanted.
+    void keep_members(instance& self) {
+        if (m_now < m_next_member_check) {
+            return;
+        }
+        m_next_member_check = m_now + member_interval;
+        if (m_planner_term != self.node->get_term()) {
+            m_planner_term = self.node->get_term();
+            m_planner = member_planner(instances, voter_loss);
+            m_leading_since = m_now;
+        }
+        for (const auto& other : m_instances) {
+            if (other.node != nullptr && !other.node->get_membership().has(other.get_id())) {
+                m_planner.on_join(other.get_id(), m_now);
+            }
+        }
+        const member_sight sight{self.node->get_membership(), self.node->get_progress(), self.get_id(),
+                                 self.node->get_log().get_last_index(), m_leading_since};
+        const auto step = m_planner.plan(sight, m_now);
+        if (!step.has_value()) {
+            return;
+        }
+        switch (step->action) {
+        case member_step::kind::add_learner:
+            static_cast<void>(self.node->add_learner(step->node, m_now));
+            return;
+        case member_step::kind::promote:
+            static_cast<void>(self.node->promote(step->node, m_now));
+            return;
+        case member_step::kind::remove:
+            static_cast<void>(self.node->remove(step->node, m_now));
+            return;
+        }
+    }
+
+    /// Messages find an instance by its address, as real ones do, and overtake each other.
+    void deliver() {
+        std::vector<raft_message> later;
+        std::shuffle(m_messages.begin(), m_messages.end(), m_random);
+        for (auto& message : m_messages) {
+            auto& self = m_instances[get_node_ip(message.to) - 1];
+            if (self.node == nullptr || pick(one_in_lost_messages) == 0) {
+                continue;
+            }
+            if (self.saving.has_value()) {
+                later.push_back(std::move(message));
+            } else {
+                self.node->step(message, m_now);
+            }
+        }
+        m_messages = std::move(later);
+    }
+
+    std::mt19937_64 m_random;
+    bool m_answers_early;
+    time_point m_now{seconds{100}};
+    std::vector<instance> m_instances;
+    std::vector<raft_message> m_messages;
+    std::map<log_index, log_entry> m_committed; ///< by any instance
+    member_planner m_planner{instances, voter_loss};
+    log_term m_planner_term = 0;
+    time_point m_leading_since{};
+    time_point m_next_member_check{};
+    std::uint64_t m_next_command = 1;
+    std::string m_violation;
+};
+
+TEST(replaced_disks, lose_nothing_committed_where_all_others_lose_their_power_too) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        replaced_disks world(seed);
+        world.run(life_time);
+        std::size_t before = 0;
+        for (int loss = 0; loss < losses; ++loss) {
+            ASSERT_GT(world.count_committed(), before) << "nothing was committed, seed " << seed;
+            before = world.count_committed();
+            world.lose_power(tolerated);
+            world.run(life_time);
+            ASSERT_EQ(world.get_violation(), "") << "seed " << seed;
+            ASSERT_TRUE(world.is_well()) << "not five voters again, seed " << seed;
+        }
+    }
+}
+
+TEST(replaced_disks, lose_something_where_answers_do_not_wait_for_the_disk) {
+    bool is_found = false;
+    for (std::uint64_t seed = 1; seed <= usual_seeds && !is_found; ++seed) {
+        replaced_disks world(seed, true);
+        world.run(life_time);
+        for (int loss = 0; loss < losses && !is_found; ++loss) {
+            world.lose_power(tolerated);
+            world.run(life_time);
+            is_found = !world.get_violation().empty();
+        }
+    }
+    EXPECT_TRUE(is_found) << "the check above cannot fail";
+}
+
+} // namespace
+} // namespace poplarpitch
