Give up no start that was answered after the next life's list was asked for

Cause: a worker starts again under its id. The call for its list, sent before, and a start sent after it both come to the next life; the start's answer overtakes the list, which was written before the start. The list shows that the former life is over, and what it lacks was given up as lost with that life: the task was started elsewhere at once, beside the run at the next life. Every other list counts as proof only of what was answered before it was asked for; this one did not. Class: proof that is older than what it is to disprove. Evidence: dispatcher_restart.gives_up_no_start_that_was_answered_after_the_next_lifes_list_was_asked_for failed before: the second run was placed on the other worker. Why this works: such a run is followed to the next life, whose list under its own fence says whether it is there.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -179,6 +179,13 @@
         }
     };
 
+    /// What a worker listed, in order, and when it was asked for: the list may be older than answers that
+    /// came before it.
+    struct asked_list {
+        std::vector<run_key> runs;
+        time_point asked{};
+    };
+
     /// A start or stop that is to be sent at a time.
     struct due_order {
         time_point when{};
@@ -286,8 +293,7 @@
     void end_former_lives(worker_state& worker, const worker_state& asked, const hold_answer& answer,
                           time_point now);
     /// Gives up a life: what runs at `heir`, the life after it, or may yet come there, is followed there.
-    void end_life(worker_state& former, worker_state& heir, const std::vector<run_key>& listed,
-                  time_point now);
+    void end_life(worker_state& former, worker_state& heir, const asked_list& list, time_point now);
     void mark_gone(worker_state& worker, const char* reason, time_point now);
     void follow_at(run_track& track, worker_state& heir, const run_loss& loss, time_point now);
     void give_up_run(run_track& track, const char* reason, const run_loss& loss, time_point now);
--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -110,13 +110,12 @@
         // The one that was asked was known before, though perhaps only in the same moment.
         const bool was_known = other == &asked || other->known_since < asked.hold_sent;
         if (!other->is_gone && was_known) {
-            end_life(*other, worker, listed, now);
+            end_life(*other, worker, {listed, asked.hold_sent}, now);
         }
     }
 }
 
-void dispatcher::end_life(worker_state& former, worker_state& heir, const std::vector<run_key>& listed,
-                          time_point now) {
+void dispatcher::end_life(worker_state& former, worker_state& heir, const asked_list& list, time_point now) {
     log_event(log_level::warn, "worker_started_again")
         .add("worker", heir.report.life.id)
         .add("born_ms", heir.report.life.born_ms)
@@ -130,7 +129,10 @@
     for (const auto& run : judged) {
         auto& track = *former.runs.at(run.run);
         const auto loss = is_surely_other ? run.loss : run_loss{};
-        if (may_yet_start(track) || std::binary_search(listed.begin(), listed.end(), run.run)) {
+        const bool is_listed = std::binary_search(list.runs.begin(), list.runs.end(), run.run);
+        // Its start may have come to the heir after the list was written.
+        const bool is_newer = track.confirmed_at >= list.asked;
+        if (may_yet_start(track) || is_listed || is_newer) {
             follow_at(track, heir, loss, now);
         } else {
             give_up_run(track, started_again, loss, now);
--- a/unit_tests/dispatch/dispatcher_restart_test.cpp
+++ b/unit_tests/dispatch/dispatcher_restart_test.cpp
@@ -105,6 +105,37 @@
     EXPECT_TRUE(world.take<start_order>().empty());
 }
 
+TEST(dispatcher_restart, gives_up_no_start_that_was_answered_after_the_next_lifes_list_was_asked_for) {
+    dispatch_world world;
+    add_worker(world);
+    world.submit({make_step()});
+    world.start_one();
+    world.wait_for_hold("w1"); // the process ends, and the next life takes this call and then the start
+    world.submit({make_step()});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    const auto& start = starts[0];
+    world.advance(milliseconds{10});
+    world.answer(start);
+    hold_answer list;
+    list.born_ms = second_life;
+    world.scheduler.on_hold(world.get_life("w1"), {std::nullopt, list}, world.now);
+    world.add_worker("w2");
+    for (const auto& other : world.take<start_order>()) {
+        EXPECT_NE(other.run.task, start.run.task) << "it runs at the next life";
+    }
+    list.running.push_back({start.run, "", 50, 0});
+    start_again(world, second_life, list);
+    world.advance(seconds{1});
+    for (const auto& other : world.take<start_order>()) {
+        EXPECT_NE(other.run.task, start.run.task) << "it runs at the next life";
+    }
+    const auto* track = world.scheduler.find_track(start.run);
+    ASSERT_NE(track, nullptr);
+    EXPECT_EQ(track->stage, run_stage::running);
+    EXPECT_EQ(track->host->report.life.born_ms, second_life);
+}
+
 TEST(dispatcher_restart, gives_up_at_once_what_ran_on_the_former_life) {
     dispatch_world world;
     add_worker(world);
