Take no refusal of a start's second attempt for what became of the first

What callers saw: two runs of one task at once is what it leads to; on the users' machines only suspected. Cause: the HTTP client writes a call once more where its open connection ends before an answer. The worker may have carried out the first attempt. It then refuses the second one (unhealthy, for its ticket, for its fence), and the layers above take a refusal for proof that the start was not carried out: the run ends for the book as not_started without a stop, and its task starts elsewhere while the first run goes on. The success of a second attempt is sound, since a run that is there is answered with success. Evidence: start_link.takes_no_refusal_of_a_second_attempt_for_what_became_of_the_first failed before for 503, 429, 400 and all five reasons of 409: each was told as refused after the start had arrived twice. Why this works: such a start counts as unanswered. It is repeated, or stopped before its task goes elsewhere, and the worker's list read. Holds and stops are as before: a refusal of theirs proves nothing of a run.

--- a/poplarpitch/net/http_call.h
+++ b/poplarpitch/net/http_call.h
@@ -17,6 +17,9 @@
     call_importance importance = call_importance::normal;
     bool is_long = false;  ///< answered late on purpose, so it gets a connection of its own
     bool is_fresh = false; ///< use a new connection: the open ones may have gone silent
+    /// What is called may be done by an attempt whose connection broke without an answer. A second attempt
+    /// then speaks for both only where it succeeds (200); any other answer is told as broken.
+    bool may_be_done_unanswered = false;
     /// Use only a connection that was open before, and never another one: the process that accepted it then,
     /// or none, gets the call. Where none is free it is not sent.
     std::optional<time_point> opened_before;
--- a/poplarpitch/net/http_exchange.cpp
+++ b/poplarpitch/net/http_exchange.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::uint64_t max_answer = 4U << 20;    // bytes; the largest list of ends is far below
 constexpr duration least_time = milliseconds{50}; // an answer takes a few milliseconds
+constexpr int success_status = 200;
 constexpr int shortest_part = 4; // of the timeout of a call that has hardly more from the start
 
 bool is_exhaustion(const boost::system::error_code& error) {
@@ -168,7 +169,12 @@
         response.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
     response.body = std::move(message.body());
-    finish(std::move(response), message.keep_alive() ? std::move(m_socket) : nullptr);
+    auto reusable = message.keep_alive() ? std::move(m_socket) : nullptr;
+    if (m_was_written && m_call.may_be_done_unanswered && response.status != success_status) {
+        finish(make_error_code(net_errc::broken), std::move(reusable));
+        return;
+    }
+    finish(std::move(response), std::move(reusable));
 }
 
 void http_exchange::on_broken() {
--- a/poplarpitch/scheduler/worker_link.h
+++ b/poplarpitch/scheduler/worker_link.h
@@ -139,6 +139,8 @@
         call.is_fresh = order.target.is_fresh;
         call.importance = get_importance(order);
         call.is_long = std::is_same_v<Order, hold_order>;
+        call.may_be_done_unanswered =
+            std::is_same_v<Order, start_order>; // one that did not run goes elsewhere
         return call;
     }
 
--- /dev/null
+++ b/unit_tests/platform/start_link_test.cpp
@@ -0,0 +1,114 @@
+// Starts over real connections to a worker whose connections end before it has answered.
+#include "platform/dialect.h"
+
+#include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/net/http_caller.h"
+#include "poplarpitch/net/http_listener.h"
+#include "poplarpitch/scheduler/worker_link.h"
+#include "poplarpitch/scheduling/step_job.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration patience = seconds{60}; // bounds a failure; no test reaches it when it passes
+
+/// A worker that answers one call, takes the next one without an answer while all its connections end, and
+/// answers from then on as it is told.
+class breaking_worker {
+public:
+    breaking_worker(event_loop& loop, http_response later) : m_loop(loop), m_later(std::move(later)) {
+        listen();
+    }
+
+    [[nodiscard]] std::string get_address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+    int taken = 0;
+
+private:
+    static constexpr int broken_call = 2;
+
+    void listen() {
+        http_listener_settings settings;
+        settings.host = "127.0.0.1";
+        settings.port = m_port;
+        m_listener = std::make_unique<http_listener>(
+            m_loop, settings, [this](const http_request& /*request*/, const http_responder& respond) {
+                ++taken;
+                if (taken < broken_call) {
+                    respond(make_success());
+                } else if (taken > broken_call) {
+                    respond(m_later);
+                } else {
+                    m_loop.post([this] {
+                        m_listener.reset();
+                        listen();
+                    });
+                }
+            });
+        m_port = m_listener->start().value();
+    }
+    static http_response make_success() {
+        http_response response;
+        response.status = 200;
+        response.body = R"({"clockMs":1})";
+        return response;
+    }
+
+    event_loop& m_loop;
+    http_response m_later;
+    int m_port = 0;
+    std::unique_ptr<http_listener> m_listener;
+};
+
+/// Sends two starts one after the other, the second one over the connection of the first. Returns what became
+/// of the second.
+std::optional<order_failure> start_over_a_breaking_connection(int later_status,
+                                                              const std::string& later_body) {
+    event_loop loop;
+    http_caller caller{loop, http_caller_settings{}};
+    worker_link<platform::dialect> link{loop, caller};
+    http_response later;
+    later.status = later_status;
+    later.body = later_body;
+    breaking_worker worker{loop, later};
+    start_order order;
+    order.target = {{"w1", 0}, worker.get_address(), 1, false, seconds{5}};
+    order.run = {{{1, 0, 0}, 0}, 1};
+    order.job = std::make_shared<step_job>();
+    loop.call_after(patience, [&] { loop.stop(); });
+    std::optional<order_failure> failure;
+    link.send(order, [&](const hold_outcome& first) {
+        EXPECT_FALSE(first.failure.has_value());
+        link.send(order, [&](const hold_outcome& second) {
+            failure = second.failure;
+            loop.stop();
+        });
+    });
+    loop.run();
+    EXPECT_EQ(worker.taken, 3) << "the second start arrived twice";
+    return failure;
+}
+
+TEST(start_link, takes_no_refusal_of_a_second_attempt_for_what_became_of_the_first) {
+    EXPECT_EQ(start_over_a_breaking_connection(503, ""), order_failure::unanswered);
+    EXPECT_EQ(start_over_a_breaking_connection(429, ""), order_failure::unanswered);
+    EXPECT_EQ(start_over_a_breaking_connection(400, ""), order_failure::unanswered);
+    for (const std::string reason : {"room", "ticket", "fence", "late", "old"}) {
+        const auto body = R"({"clockMs":1,"reason":")" + reason + R"("})";
+        EXPECT_EQ(start_over_a_breaking_connection(409, body), order_failure::unanswered) << reason;
+    }
+}
+
+TEST(start_link, takes_the_success_of_a_second_attempt_for_both) {
+    EXPECT_FALSE(start_over_a_breaking_connection(200, R"({"clockMs":1})").has_value());
+}
+
+} // namespace
+} // namespace poplarpitch
