Test what ends a run for the book and what only looks like it

Rows of the table of endings that had no test: a list asked for before its start, or its stop, was answered; a list that is cut short; each refusal, of the only start and of one after a start without an answer; a late heartbeat's clock.

--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_ending_test.cpp
@@ -0,0 +1,161 @@
+// Every ground on which a run ends for the book: what it takes, and what looks like it and proves nothing.
+#include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+constexpr std::int64_t stepped_back_ms = 900; // a late heartbeat's clock behind the newest one
+
+/// Returns the only start that was given since the last were taken.
+start_order take_start(dispatch_world& world) {
+    const auto starts = world.take<start_order>();
+    EXPECT_EQ(starts.size(), 1U);
+    return starts.at(0);
+}
+
+/// Returns the first stop that is given, which may wait for the worker's back-off.
+stop_order take_stop(dispatch_world& world) {
+    constexpr int most_turns = 50;
+    for (int turn = 0; turn < most_turns; ++turn) {
+        if (const auto stops = world.take<stop_order>(); !stops.empty()) {
+            return stops[0];
+        }
+        world.advance(milliseconds{20});
+    }
+    ADD_FAILURE() << "no stop";
+    return {};
+}
+
+hold_answer make_list_of(const run_key& run) {
+    hold_answer list;
+    list.running.push_back({run, "", 10, 0});
+    return list;
+}
+
+TEST(dispatcher_ending, keeps_a_run_that_a_list_lacks_which_was_asked_for_before_its_start_was_answered) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    world.start_one();
+    world.wait_for_hold("w1"); // its list is written now and comes late
+    world.submit({make_step()});
+    const auto order = take_start(world);
+    world.advance(milliseconds{10});
+    world.answer(order);
+    world.scheduler.on_hold(world.get_life("w1"), {std::nullopt, dispatch_world::make_list()}, world.now);
+    world.settle();
+    const auto* track = world.scheduler.find_track(order.run);
+    ASSERT_NE(track, nullptr);
+    EXPECT_FALSE(track->is_ending);
+    EXPECT_EQ(track->stage, run_stage::running);
+}
+
+TEST(dispatcher_ending,
+     keeps_a_stopped_run_that_a_list_lacks_which_was_asked_for_before_the_stop_was_answered) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto first = world.start_one();
+    world.wait_for_hold("w1"); // its list is written now and comes late
+    const auto job = world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, order_failure::unanswered); // carried out after the list was written
+    world.cancel(job);
+    const auto stop = take_stop(world);
+    world.advance(milliseconds{10});
+    world.answer(stop);
+    world.answer_hold("w1", make_list_of(first.run));
+    const auto* track = world.scheduler.find_track(order.run);
+    ASSERT_NE(track, nullptr) << "it may take the time of a stop to end";
+    EXPECT_FALSE(track->is_ending);
+}
+
+TEST(dispatcher_ending, takes_a_stop_for_the_end_once_a_list_that_was_asked_for_after_it_lacks_the_run) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto job = world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, order_failure::unanswered);
+    world.cancel(job);
+    world.answer(take_stop(world));
+    for (int asked = 0; asked < 2; ++asked) { // the first may have been asked for before
+        world.advance(milliseconds{20});
+        world.wait_for_hold("w1");
+        world.answer_hold("w1", dispatch_world::make_list());
+    }
+    EXPECT_EQ(world.scheduler.find_track(order.run), nullptr);
+}
+
+TEST(dispatcher_ending, lets_a_list_that_is_cut_short_end_nothing) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto order = world.start_one();
+    world.advance(milliseconds{20});
+    world.wait_for_hold("w1");
+    hold_answer list;
+    for (std::uint32_t number = 1; number <= max_ended_rows; ++number) {
+        list.ended.push_back({number, {{{77, 0, 0}, number}, 1}, run_end::done, ""});
+    }
+    world.answer_hold("w1", list);
+    const auto* track = world.scheduler.find_track(order.run);
+    ASSERT_NE(track, nullptr);
+    EXPECT_FALSE(track->is_ending);
+}
+
+TEST(dispatcher_ending, takes_no_clock_back_from_which_leases_are_reckoned) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    world.start_one();
+    world.wait_for_hold("w1");
+    world.answer_hold("w1", dispatch_world::make_list());
+    const auto before = world.find_worker("w1")->estimate_clock(world.now);
+    auto late = world.find_worker("w1")->report;
+    ++late.sequence;
+    late.clock_ms = before - stepped_back_ms;
+    world.scheduler.on_heartbeat(late, world.now);
+    EXPECT_GE(world.find_worker("w1")->estimate_clock(world.now), before);
+    const sign_of_life sign{late.life, late.sequence + 1, late.sequence, late.clock_ms};
+    world.scheduler.on_sign_of_life(sign, world.now);
+    EXPECT_GE(world.find_worker("w1")->estimate_clock(world.now), before);
+}
+
+class dispatcher_refusal : public testing::TestWithParam<order_failure> {};
+
+TEST_P(dispatcher_refusal, of_the_only_start_gives_its_task_back) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, GetParam());
+    EXPECT_EQ(world.scheduler.find_track(order.run), nullptr);
+    EXPECT_TRUE(world.take<stop_order>().empty());
+}
+
+TEST_P(dispatcher_refusal, after_a_start_without_an_answer_gives_nothing_back_before_a_stop) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, order_failure::unanswered);
+    world.add_worker("w2");
+    world.advance(milliseconds{200});
+    world.answer(take_start(world), GetParam());
+    ASSERT_NE(world.scheduler.find_track(order.run), nullptr);
+    EXPECT_FALSE(world.scheduler.find_track(order.run)->is_ending);
+    EXPECT_EQ(world.take<stop_order>().size(), 1U);
+    EXPECT_TRUE(world.take<start_order>().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(all, dispatcher_refusal,
+                         testing::Values(order_failure::no_room, order_failure::no_ticket,
+                                         order_failure::unhealthy, order_failure::malformed,
+                                         order_failure::lower_fence),
+                         [](const auto& item) { return std::string(get_failure_name(item.param)); });
+
+} // namespace
+} // namespace poplarpitch
