Stop at the next life of a worker what was to be stopped at the former one

A run of a cancelled job, or one that is to go elsewhere, would go on at the worker's next life until it ends by itself; one that lasts for ever. Cause: a start without an answer may come to the life after the one that it was sent to, and is followed there. That the former life had answered a stop, or was being told to stop, was kept with the run: no stop went to the next life. A stop that was answered counts there as proof too, beside a list, though that life never heard of it. Class: what one life said is taken for the word of the next. Evidence: dispatcher_ending.stops_at_the_next_life_what_the_former_one_had_stopped_before_its_start_came and ..._was_being_told_to_stop failed before (no stop within a second). Why this works: the answer is forgotten with the life, and the stop is due at once at the heir, whose answers to stops are told apart by its life.

--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -148,6 +148,10 @@
     track.stage = run_stage::adopting;
     track.former_loss = loss;
     track.is_order_out = false;
+    track.is_stop_answered = false; // by the former life, if at all
+    track.stop_answered_at = {};
+    track.next_order = now;
+    await_order(track);
     add_load(heir, track, 1);
     refresh_pressure(former);
     refresh_pressure(heir);
--- a/unit_tests/dispatch/dispatcher_ending_test.cpp
+++ b/unit_tests/dispatch/dispatcher_ending_test.cpp
@@ -7,8 +7,21 @@
 namespace poplarpitch {
 namespace {
 
+constexpr std::int64_t first_life = 1'700'000'000'000;
+constexpr std::int64_t second_life = first_life + 5000;
 constexpr std::int64_t stepped_back_ms = 900; // a late heartbeat's clock behind the newest one
 
+/// Adds a worker that tells when it started.
+void add_worker_with_life(dispatch_world& world) {
+    world.add_worker("w1");
+    world.start_again("w1", first_life);
+    for (int asked = 0; asked < 2; ++asked) { // who it is, and again under its own fence
+        world.wait_for_hold("w1");
+        world.answer_hold("w1", dispatch_world::make_list());
+    }
+    static_cast<void>(world.take<hold_order>());
+}
+
 /// Returns the only start that was given since the last were taken.
 start_order take_start(dispatch_world& world) {
     const auto starts = world.take<start_order>();
@@ -157,5 +170,42 @@
                                          order_failure::lower_fence),
                          [](const auto& item) { return std::string(get_failure_name(item.param)); });
 
+TEST(dispatcher_ending, stops_at_the_next_life_what_the_former_one_had_stopped_before_its_start_came) {
+    dispatch_world world;
+    add_worker_with_life(world);
+    const auto job = world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, order_failure::unanswered);
+    world.cancel(job);
+    world.answer(take_stop(world));
+    world.start_again("w1", second_life);
+    for (int asked = 0; asked < 2; ++asked) {
+        world.wait_for_hold("w1");
+        world.answer_hold("w1", make_list_of(order.run));
+    }
+    world.advance(milliseconds{200});
+    const auto stop = take_stop(world);
+    EXPECT_EQ(stop.run, order.run);
+    EXPECT_EQ(stop.target.worker.born_ms, second_life);
+}
+
+TEST(dispatcher_ending, stops_at_the_next_life_what_the_former_one_was_being_told_to_stop) {
+    dispatch_world world;
+    add_worker_with_life(world);
+    const auto job = world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, order_failure::unanswered);
+    world.cancel(job);
+    const auto former = take_stop(world);
+    world.start_again("w1", second_life);
+    for (int asked = 0; asked < 2; ++asked) {
+        world.wait_for_hold("w1");
+        world.answer_hold("w1", make_list_of(order.run));
+    }
+    world.answer(former); // what the former life did says nothing of the next one
+    world.advance(milliseconds{200});
+    EXPECT_EQ(take_stop(world).target.worker.born_ms, second_life);
+}
+
 } // namespace
 } // namespace poplarpitch
