Wait the longest lease where an unanswered start may be at a life that nobody noticed

Where workers keep their ids, a start without an answer may have come to the life after the one that it names, and hidden from everybody by a cut that begins at once. Its lease is a time on the former life's clock; the next life's clock counts anew and shortens it to the longest that it grants, 10 s. The leader took it for over after 7 s. A new leader did the same with all that the former one had under way. Class: a lease reckoned on the clock of a life that may not hold it. Evidence: dispatcher_ending.waits_the_longest_lease_for_a_start_without_an_answer_that_another_life_may_have_taken and ..._for_what_a_former_leader_may_have_sent_to_another_life failed before (started elsewhere after 7.4 s). Why this works: such a run is given up only after the longest lease, reckoned with drift and margin. Runs that were answered, and workers that tell no start time (their next life refuses by its id), are given up as before. Not covered: an order that the network itself carries out seconds later at the next life.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -196,7 +196,7 @@
 
     // jobs
     void open(const job_record& record, time_point accepted, time_point now, std::int64_t wall_ms);
-    void adopt_worker(const assigned_run& run, time_point lease_end, time_point now);
+    void adopt_worker(const assigned_run& run, time_point now);
     /// Takes up what the book says of a job's tasks that may have crashed workers.
     void find_suspects(const job_record& record, time_point now);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
@@ -267,6 +267,8 @@
     void grant_longest_lease(worker_state& worker, time_point now);
     /// Returns how long after it was sent a lease may count at its worker, by this clock.
     [[nodiscard]] duration get_lease_span(duration lease) const;
+    /// Returns until when a run may be there whose worker is out of reach.
+    [[nodiscard]] time_point get_lease_end(const run_track& track) const;
     void lose_worker(worker_state& worker, const char* reason, time_point now);
     static void add_loss(log_event& line, const run_track& track, time_point now);
     void evacuate(worker_state& worker, time_point now);
--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -12,11 +12,6 @@
 
 constexpr const char* started_again = "started_again";
 
-/// Returns true when a start of the run may yet be carried out.
-bool may_yet_start(const run_track& track) {
-    return track.stage == run_stage::starting && (track.is_order_out || track.may_come_late);
-}
-
 } // namespace
 
 worker_state& dispatcher::know_life(const worker_life& life, time_point now) {
@@ -132,7 +127,7 @@
         const bool is_listed = std::binary_search(list.runs.begin(), list.runs.end(), run.run);
         // Its start may have come to the heir after the list was written.
         const bool is_newer = track.confirmed_at >= list.asked;
-        if (may_yet_start(track) || is_listed || is_newer) {
+        if (track.may_yet_start() || is_listed || is_newer) {
             follow_at(track, heir, loss, now);
         } else {
             give_up_run(track, started_again, loss, now);
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -82,6 +82,15 @@
     }
 }
 
+/// A start without an answer may have come to a life after the one that it names, where ids are kept. That
+/// life's clock counts anew, so only the longest lease that it grants bounds the run there.
+time_point dispatcher::get_lease_end(const run_track& track) const {
+    const auto& worker = *track.host;
+    const bool may_be_at_next_life = worker.report.life.born_ms != 0 && track.may_yet_start();
+    const auto more = get_lease_span(m_settings.longest_lease) - get_lease_span(m_settings.lease);
+    return may_be_at_next_life ? worker.lease_end + more : worker.lease_end;
+}
+
 void dispatcher::watch_worker(worker_state& worker, time_point now) {
     if (needs_hold(worker) && worker.next_hold <= now) {
         send_hold(worker, now);
@@ -95,7 +104,7 @@
     }
     for (const auto& run : judge_runs(worker, now)) {
         auto& track = *worker.runs.at(run.run);
-        if (track.stage == run_stage::committing) {
+        if (track.stage == run_stage::committing || now <= get_lease_end(track)) {
             continue;
         }
         ++m_counts.lost_runs;
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -61,6 +61,11 @@
 
     /// Returns what the run takes of its worker. Thread safety: any thread while nobody changes it.
     [[nodiscard]] const step_spec& get_spec() const { return job->steps[key.task.step.step]; }
+    /// Returns true when a start of the run is under way or may yet be carried out. Thread safety: as the
+    /// track.
+    [[nodiscard]] bool may_yet_start() const {
+        return stage == run_stage::starting && (is_order_out || may_come_late);
+    }
 };
 
 } // namespace poplarpitch
--- a/unit_tests/dispatch/dispatcher_ending_test.cpp
+++ b/unit_tests/dispatch/dispatcher_ending_test.cpp
@@ -48,6 +48,19 @@
     return list;
 }
 
+/// Lets holds fail until `end`; nothing may be started elsewhere until then.
+void stay_cut_off_until(dispatch_world& world, time_point end) {
+    while (world.now < end) {
+        if (world.find_worker("w1")->is_holding) {
+            world.fail_hold("w1");
+        }
+        world.advance(milliseconds{25});
+        for (const auto& order : world.take<start_order>()) {
+            ASSERT_EQ(order.target.worker.id, "w1") << "its lease may last";
+        }
+    }
+}
+
 TEST(dispatcher_ending, keeps_a_run_that_a_list_lacks_which_was_asked_for_before_its_start_was_answered) {
     dispatch_world world;
     world.add_worker("w1");
@@ -207,5 +220,50 @@
     EXPECT_EQ(take_stop(world).target.worker.born_ms, second_life);
 }
 
+/// Returns how long the longest lease may count at a worker whose clock is slow, by the leader's clock.
+duration get_longest_span() {
+    const dispatch_settings settings;
+    return std::chrono::duration_cast<duration>(settings.longest_lease * (1 + settings.clock_drift)) +
+           settings.lease_margin;
+}
+
+TEST(dispatcher_ending,
+     waits_the_longest_lease_for_a_start_without_an_answer_that_another_life_may_have_taken) {
+    dispatch_world world;
+    add_worker_with_life(world);
+    world.submit({make_step()});
+    const auto order = take_start(world);
+    const auto sent = world.now;
+    world.answer(order, order_failure::unanswered);
+    world.add_worker("w2");
+    stay_cut_off_until(world, sent + get_longest_span());
+    world.beat("w2");
+    world.advance(seconds{3});
+    world.beat("w2");
+    world.advance(milliseconds{200});
+    const auto again = take_start(world);
+    EXPECT_EQ(again.target.worker.id, "w2");
+    EXPECT_EQ(again.run.task, order.run.task);
+}
+
+TEST(dispatcher_ending, waits_the_longest_lease_for_what_a_former_leader_may_have_sent_to_another_life) {
+    dispatch_world world;
+    add_worker_with_life(world);
+    world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, order_failure::unanswered);
+    world.lead();
+    const auto led = world.now;
+    world.add_worker("w2");
+    stay_cut_off_until(world, led + get_longest_span() - milliseconds{50});
+    world.beat("w2");
+    world.advance(seconds{3});
+    world.beat("w2");
+    world.advance(milliseconds{200});
+    const auto again = take_start(world);
+    EXPECT_EQ(again.target.worker.id, "w2");
+    EXPECT_EQ(again.run.task, order.run.task);
+}
+
 } // namespace
 } // namespace poplarpitch
