Let a relay drop orders that are older than their own time

A relay that stands still for seconds reads, once it goes on, the orders that waited for it, and carried them out. Lease and fence make them harmless at the life of the worker that they were meant for. A worker that keeps its id and has started again twice by then has seen no fence of this leader, and its clock counts anew: it carries a start out whose task has long been started elsewhere. Class: an order that outlives the time for which its sender waits. Evidence: relay_age.tells_orders_that_waited_for_a_relay_which_stood_still_as_not_sent, .carries_out_what_comes_within_its_time and .follows_clocks_that_drift_apart fail without the comparison. Why this works: each frame carries the leader's steady clock, and the relay compares it with its own by the smallest difference of the last frames of this term; the time of arrival does not tell, a frozen process reads late what came in time. An order whose own time is over is told as not sent, which is true, and the leader has given it up by then. Frames of older versions, which tell no time, and the first of a term are taken as now, as before.

--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -61,7 +61,7 @@
             tell(known->second);
         }
     }
-    carry_out(frame);
+    carry_out(frame, m_age.note(frame.sent_ms(), now));
     return std::nullopt;
 }
 
@@ -69,6 +69,7 @@
     m_term = term;
     m_leads = false;
     m_frame = nullptr;
+    m_age.clear();
     m_places.clear();
     forget_old_reports(now);
     for (auto& [worker, known] : m_reports) {
@@ -92,7 +93,7 @@
     m_heard = {};
 }
 
-void relay_agent::carry_out(const job_wire::relay_orders& frame) {
+void relay_agent::carry_out(const job_wire::relay_orders& frame, duration age) {
     for (const auto& message : frame.orders()) {
         ++m_taken;
         const auto number = message.number();
@@ -110,6 +111,11 @@
             encode(outcome, back);
         };
         ++m_open;
+        if (age >
+            milliseconds{message.timeout_ms()}) { // nobody waits for it, and its worker may be another life
+            answer({order_failure::not_sent, {}});
+            continue;
+        }
         const auto order = read_order(message, frame);
         if (!order.has_value()) {
             answer({order_failure::malformed, {}});
--- a/poplarpitch/relay/relay_agent.h
+++ b/poplarpitch/relay/relay_agent.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/consensus/node_id.h"
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/relay/frame_age.h"
 #include "poplarpitch/relay/relay_roster.h"
 #include "poplarpitch/relay/relay_settings.h"
 #include "poplarpitch/scheduling/worker_order.h"
@@ -26,9 +27,10 @@
 /// A relay's end: carries out the leader's orders at workers, takes their heartbeats, and tells the leader.
 ///
 /// It decides nothing. An order is carried out as it came: its lease ends on the worker's clock and its fence
-/// is the leader's term, so that an order that comes late, from a relay that stood still for seconds, does
-/// nothing that it would not have done in time. Orders of an older leader are told as not sent. Thread
-/// safety: none, as for all methods; the handler may be called at any later time.
+/// is the leader's, so that one that comes late does nothing that it would not have done in time, unless
+/// its worker has started again since. So orders that are older than their own time, as they are after this
+/// process stood still, are told as not sent, as are those of an older leader. Thread safety: none, as for
+/// all methods; the handler may be called at any later time.
 class relay_agent {
 public:
     using outcome_handler = std::function<void(hold_outcome)>;
@@ -70,7 +72,7 @@
     };
 
     void begin_term(log_term term, time_point now);
-    void carry_out(const job_wire::relay_orders& frame);
+    void carry_out(const job_wire::relay_orders& frame, duration age);
     void forget_old_reports(time_point now);
     void tell(known_report& known);
     job_wire::relay_answers& open_frame();
@@ -80,6 +82,7 @@
     performer m_perform;
     log_term m_term = 0;  ///< highest seen
     bool m_leads = false; ///< this instance leads in `m_term`
+    frame_age m_age;
     time_point m_heard{}; ///< when a frame of that term came last
     time_point m_sent{};
     bool m_owes_frame = false; ///< a frame came and none went since
