Write no call whose time was over when its connection came up

Cause: a process that stands still while a call connects finds the connection up once it goes on, and wrote the call however late it was; only the timer, which fires after that, ended it. Class: as an order that waited for a relay. Why this works: such a call is told as unreachable, which is true: nothing of it was written.

--- a/poplarpitch/net/http_exchange.cpp
+++ b/poplarpitch/net/http_exchange.cpp
@@ -121,7 +121,8 @@
     }
     m_loop.cancel(m_connect_timer);
     m_connect_timer = 0;
-    if (error) {
+    const bool is_late = m_loop.now() >= m_deadline; // this process may have stood still
+    if (error || is_late) {
         finish_unsent();
         return;
     }
