--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -111,8 +111,8 @@
             encode(outcome, back);
         };
         ++m_open;
-        if (age >
-            milliseconds{message.timeout_ms()}) { // nobody waits for it, and its worker may be another life
+        // Nobody waits for it any more, and its worker may be at another life.
+        if (age > milliseconds{message.timeout_ms()}) {
             answer({order_failure::not_sent, {}});
             continue;
         }
