--- a/unit_tests/dispatch/dispatcher_ending_test.cpp
+++ b/unit_tests/dispatch/dispatcher_ending_test.cpp
@@ -150,6 +150,78 @@
     EXPECT_GE(world.find_worker("w1")->estimate_clock(world.now), before);
 }
 
+TEST(dispatcher_ending, lets_a_goodbye_end_nothing_before_the_worker_is_known_to_be_gone) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto order = world.start_one();
+    world.scheduler.on_goodbye(world.get_life("w1"), world.now);
+    world.settle();
+    ASSERT_NE(world.scheduler.find_track(order.run), nullptr);
+    EXPECT_FALSE(world.scheduler.find_track(order.run)->is_ending);
+}
+
+TEST(dispatcher_ending, takes_the_worker_s_word_that_a_run_is_old_for_no_end) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto job = world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, order_failure::old_run);
+    ASSERT_NE(world.scheduler.find_track(order.run), nullptr);
+    EXPECT_FALSE(world.scheduler.find_track(order.run)->is_ending);
+    world.advance(milliseconds{20});
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.ended.push_back({1, order.run, run_end::done, ""});
+    world.answer_hold("w1", list);
+    EXPECT_EQ(world.book.find_job(job)->phase, job_phase::completed);
+}
+
+TEST(dispatcher_ending, waits_the_lease_with_the_drift_of_the_clock_and_a_margin) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto order = take_start(world);
+    const auto sent = world.now;
+    world.answer(order);
+    world.add_worker("w2");
+    const dispatch_settings settings;
+    const auto span = std::chrono::duration_cast<duration>(settings.lease * (1 + settings.clock_drift)) +
+                      settings.lease_margin;
+    stay_cut_off_until(world, sent + span);
+    world.beat("w2");
+    world.advance(seconds{1});
+    EXPECT_EQ(take_start(world).target.worker.id, "w2");
+}
+
+TEST(dispatcher_ending, sends_a_start_again_that_came_after_its_lease) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto order = take_start(world);
+    world.answer(order, order_failure::late_lease);
+    world.advance(milliseconds{100});
+    const auto again = take_start(world);
+    EXPECT_EQ(again.run, order.run);
+    EXPECT_GT(again.until_ms, order.until_ms);
+}
+
+TEST(dispatcher_ending, takes_a_list_that_hides_its_life_for_no_word_of_another_one) {
+    dispatch_world world;
+    add_worker_with_life(world);
+    world.submit({make_step()});
+    const auto order = world.start_one();
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.clock_ms = to_milliseconds(world.now.time_since_epoch());
+    world.scheduler.on_hold(world.get_life("w1"), {std::nullopt, list}, world.now);
+    world.settle();
+    const auto* track = world.scheduler.find_track(order.run);
+    ASSERT_NE(track, nullptr);
+    EXPECT_FALSE(track->is_ending);
+    EXPECT_FALSE(world.find_worker("w1")->is_gone);
+}
+
 class dispatcher_refusal : public testing::TestWithParam<order_failure> {};
 
 TEST_P(dispatcher_refusal, of_the_only_start_gives_its_task_back) {
@@ -215,8 +287,10 @@
         world.wait_for_hold("w1");
         world.answer_hold("w1", make_list_of(order.run));
     }
+    const auto next = take_stop(world);
+    EXPECT_EQ(next.target.worker.born_ms, second_life);
     world.answer(former); // what the former life did says nothing of the next one
-    world.advance(milliseconds{200});
+    world.answer(next, order_failure::unanswered);
     EXPECT_EQ(take_stop(world).target.worker.born_ms, second_life);
 }
 
