Ask a worker again until it lists no run that is not to be there

A run that the book has ended, or does not know, is stopped when a list shows it; its task may run elsewhere meanwhile. Cause: the stop went once a list. Evidence: dispatcher_ending.stops_a_run_that_is_not_to_be_there_until_a_list_lacks_it, without the mend. Why this works: such a worker is asked again after the pause of a retry, without a longer lease, and each list that still shows the run sends a stop again.

--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -167,8 +167,8 @@
     if (worker.report.address.empty() || worker.is_gone || worker.is_holding || worker.awaits_fence) {
         return false;
     }
-    return !worker.is_confirmed || !worker.runs.empty() || worker.acknowledged > worker.told ||
-           worker.hold_failures > 0;
+    return !worker.is_confirmed || !worker.runs.empty() || worker.has_strays ||
+           worker.acknowledged > worker.told || worker.hold_failures > 0;
 }
 
 void dispatcher::grant_lease(worker_state& worker, time_point now) {
@@ -204,8 +204,9 @@
     order.target = make_target(worker, order.wait + hold_slack);
     order.acknowledged = worker.acknowledged;
     // A worker that hears us while we do not hear it must not keep its lease: its runs could never be given
-    // up.
-    if (!worker.is_silent() && worker.clock_ms != 0) {
+    // up. Nor is one prolonged for runs that are not to be there.
+    const bool has_only_strays = worker.has_strays && worker.runs.empty();
+    if (!worker.is_silent() && worker.clock_ms != 0 && !has_only_strays) {
         order.until_ms = worker.estimate_clock(now) + to_milliseconds(m_settings.lease);
         grant_lease(worker, now);
     }
@@ -288,7 +289,9 @@
     }
     const auto rest = std::chrono::duration_cast<duration>(m_settings.hold_pause *
                                                            (1 + strained_pauses * m_load.get_strain()));
-    const auto pause = worker->ends_committing > 0 ? commit_patience : rest;
+    const auto pause = worker->ends_committing > 0 ? commit_patience
+                       : worker->has_strays        ? m_settings.retry_pause
+                                                   : rest;
     worker->next_hold = std::max(worker->next_hold, now + pause);
 }
 
@@ -302,9 +305,11 @@
 
 void dispatcher::take_rows(worker_state& worker, const hold_answer& answer, time_point now) {
     worker.listed_at = now;
+    worker.has_strays = false;
     for (const auto& row : answer.running) {
         auto* track = find(row.run);
         if (track == nullptr || track->host != &worker) {
+            worker.has_strays = true; // until a list shows that the stop came
             stop_stray(worker, row.run);
             continue;
         }
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -54,6 +54,7 @@
     time_point hold_sent{};
     std::uint64_t hold_fence = 0; ///< of the hold that was sent last
     time_point listed_at{};       ///< when its last list came
+    bool has_strays = false;      ///< that list had runs which are not to be there
     time_point hold_due{};        ///< by then the hold under way has an answer or has none
     time_point next_hold{};
     int hold_failures = 0;       ///< in a row
--- a/unit_tests/dispatch/dispatcher_ending_test.cpp
+++ b/unit_tests/dispatch/dispatcher_ending_test.cpp
@@ -177,6 +177,30 @@
     EXPECT_EQ(world.book.find_job(job)->phase, job_phase::completed);
 }
 
+TEST(dispatcher_ending, stops_a_run_that_is_not_to_be_there_until_a_list_lacks_it) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.beat("w1");
+    const run_key stray{{{77, 0, 0}, 0}, 1};
+    world.lead(); // one that knows neither the run nor its job
+    world.beat("w1");
+    for (int asked = 0; asked < 3; ++asked) { // the first stops are lost on their way
+        world.wait_for_hold("w1");
+        const auto holds = world.take<hold_order>();
+        ASSERT_EQ(holds.size(), 1U);
+        EXPECT_EQ(holds[0].until_ms.has_value(), asked == 0) << "nothing prolongs what is not to be there";
+        world.answer_hold("w1", make_list_of(stray));
+        const auto stops = world.take<stop_order>();
+        ASSERT_EQ(stops.size(), 1U);
+        EXPECT_EQ(stops[0].run, stray);
+    }
+    world.wait_for_hold("w1");
+    world.answer_hold("w1", dispatch_world::make_list());
+    static_cast<void>(world.take<hold_order>());
+    world.advance(seconds{1});
+    EXPECT_TRUE(world.take<hold_order>().empty()) << "a worker that runs nothing is not asked";
+}
+
 TEST(dispatcher_ending, waits_the_lease_with_the_drift_of_the_clock_and_a_margin) {
     dispatch_world world;
     world.add_worker("w1");
