Propose no more at once than the log takes

Cause: while a batch is on its way, all that comes is gathered, and went into one proposal. The log refuses one that takes it beyond 8 MB without a commit, so after a disk hung for seconds under 2,000 submissions of 4 KB the whole batch was refused: callers were told so, but the dispatcher's ends and assignments were lost while it led on, and nothing proposes them again. Class: a refusal that nobody takes up. Why this works: a batch holds 1 MB and the rest goes with the next one; one batch is on its way at a time, so the log never has more than that, beside what a new leader finds, uncommitted. It counts only what is told under one leadership now, with 3 KB a command.

--- a/poplarpitch/scheduler/command_batcher.cpp
+++ b/poplarpitch/scheduler/command_batcher.cpp
@@ -7,10 +7,13 @@
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
+#include <iterator>
+
 namespace poplarpitch {
 
-command_batcher::command_batcher(event_loop& loop, replica& log, job_book& book)
-    : m_loop(loop), m_log(log), m_book(book), m_gathered(std::make_unique<job_wire::job_command_batch>()) {}
+command_batcher::command_batcher(event_loop& loop, replica& log, job_book& book, std::size_t most_bytes)
+    : m_loop(loop), m_log(log), m_book(book), m_most_bytes(most_bytes),
+      m_gathered(std::make_unique<job_wire::job_command_batch>()) {}
 
 command_batcher::~command_batcher() = default;
 
@@ -26,17 +29,41 @@
     if (m_handlers.empty() || m_under_way > 0) {
         return;
     }
-    auto payload = m_gathered->SerializeAsString();
-    m_gathered->clear_commands();
-    auto handlers = std::move(m_handlers);
-    m_handlers.clear();
+    const auto count = count_next();
+    job_wire::job_command_batch batch;
+    std::vector<job_wire::job_command*> commands(count);
+    m_gathered->mutable_commands()->ExtractSubrange(0, static_cast<int>(count), commands.data());
+    for (auto* command : commands) {
+        batch.mutable_commands()->AddAllocated(command);
+    }
+    const auto rest = m_handlers.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<fate_handler> handlers(std::make_move_iterator(m_handlers.begin()),
+                                       std::make_move_iterator(rest));
+    m_handlers.erase(m_handlers.begin(), rest);
+    auto payload = batch.SerializeAsString();
     ++m_under_way;
     m_log.propose(std::move(payload), [this, handlers = std::move(handlers)](proposal_fate fate) {
         --m_under_way;
         on_batch_fate(handlers, fate == proposal_fate::applied, fate == proposal_fate::refused);
+        if (!m_handlers.empty()) {
+            m_loop.post([] {}); // another turn flushes what is left
+        }
     });
 }
 
+std::size_t command_batcher::count_next() const {
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (const auto& command : m_gathered->commands()) {
+        bytes += command.ByteSizeLong();
+        if (count > 0 && bytes > m_most_bytes) {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
 void command_batcher::on_batch_fate(const std::vector<fate_handler>& handlers, bool is_applied,
                                     bool is_refused) {
     const auto outcomes = is_applied ? m_outcomes : std::vector<command_outcome>{};
--- a/poplarpitch/scheduler/command_batcher.h
+++ b/poplarpitch/scheduler/command_batcher.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/scheduling/book_event.h"
 #include "poplarpitch/scheduling/command_outcome.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -38,8 +39,13 @@
 public:
     using fate_handler = std::function<void(command_fate)>;
 
-    /// Precondition: loop, log and book outlive the batcher.
-    command_batcher(event_loop& loop, replica& log, job_book& book);
+    /// The log refuses a proposal beyond what it keeps uncommitted, and what is refused is lost. While a disk
+    /// hangs for seconds more than that may be gathered.
+    static constexpr std::size_t most_batch_bytes = 1U << 20;
+
+    /// Precondition: loop, log and book outlive the batcher; the log takes twice `most_bytes` uncommitted.
+    command_batcher(event_loop& loop, replica& log, job_book& book,
+                    std::size_t most_bytes = most_batch_bytes);
     ~command_batcher();
     command_batcher(const command_batcher&) = delete;
     command_batcher& operator=(const command_batcher&) = delete;
@@ -48,7 +54,7 @@
     void add(job_wire::job_command command, fate_handler on_fate);
     /// Returns true when the next flush proposes what is gathered until then.
     [[nodiscard]] bool is_free() const { return m_under_way == 0; }
-    /// Proposes what was gathered, unless a batch is on its way.
+    /// Proposes what was gathered, as much as one entry of the log may hold, unless a batch is on its way.
     void flush();
     /// Applies a committed batch to the book and appends what it changed to `events`.
     void apply(const log_entry& entry, std::vector<book_event>& events);
@@ -60,11 +66,14 @@
     [[nodiscard]] std::uint64_t get_commands() const { return m_commands; }
 
 private:
+    /// Returns how many of the gathered commands the next batch holds, at least one of some.
+    [[nodiscard]] std::size_t count_next() const;
     void on_batch_fate(const std::vector<fate_handler>& handlers, bool is_applied, bool is_refused);
 
     event_loop& m_loop;
     replica& m_log;
     job_book& m_book;
+    std::size_t m_most_bytes;
     std::unique_ptr<job_wire::job_command_batch> m_gathered;
     std::vector<fate_handler> m_handlers;    ///< one for each gathered command
     std::vector<command_outcome> m_outcomes; ///< of the batch applied last
--- /dev/null
+++ b/unit_tests/scheduler/command_batcher_test.cpp
@@ -0,0 +1,102 @@
+// Commands that were gathered while the log stood still.
+#include "poplarpitch/scheduler/command_batcher.h"
+
+#include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/replica/replica.h"
+#include "poplarpitch/scheduling/job_book.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration patience = seconds{60};         // bounds a failure; no test reaches it when it passes
+constexpr std::size_t most_uncommitted = 8U << 10; // bytes that the log keeps without a commit
+constexpr std::size_t most_bytes = 1U << 10;       // of a batch
+constexpr std::size_t payload_bytes = 3U << 10;
+
+/// A folder that goes with the test.
+class own_folder {
+public:
+    own_folder() : m_path(testing::TempDir() + "command_batcher_" + std::to_string(::getpid())) {
+        std::filesystem::create_directories(m_path);
+    }
+    ~own_folder() { std::filesystem::remove_all(m_path); }
+    own_folder(const own_folder&) = delete;
+    own_folder& operator=(const own_folder&) = delete;
+    [[nodiscard]] const std::string& get_path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
+job_wire::job_command make_submit(std::uint64_t id) {
+    job_wire::job_command command;
+    auto& job = *command.mutable_submit()->mutable_job();
+    job.set_id(id);
+    job.set_payload(std::string(payload_bytes, 'x'));
+    return command;
+}
+
+TEST(command_batcher, loses_no_command_where_more_is_gathered_than_the_log_takes_at_once) {
+    const own_folder folder;
+    event_loop loop;
+    job_book book;
+    replica_settings settings;
+    settings.data_folder = folder.get_path();
+    settings.seeds = {settings.host};
+    settings.may_found = true;
+    settings.raft.max_uncommitted_bytes = most_uncommitted;
+    std::vector<command_fate> fates; // under the present leadership
+    std::vector<command_fate> outcome;
+    command_batcher* batcher = nullptr;
+    replica_handler handler;
+    handler.on_command = [&](const log_entry& entry) {
+        std::vector<book_event> events;
+        batcher->apply(entry, events);
+    };
+    handler.on_save = [&] {
+        return book.save();
+    };
+    handler.on_load = [](const std::string& /*bytes*/) {
+    };
+    int leaderships = 0; // on a machine that stands still one may be lost
+    handler.on_leading_lost = [&] {
+        ++leaderships;
+        batcher->drop();
+        fates.clear();
+    };
+    constexpr std::size_t count = 4;
+    handler.on_leading = [&](log_term /*term*/) {
+        for (std::size_t number = 1; number <= count; ++number) {
+            batcher->add(make_submit(number), [&, at = leaderships](command_fate fate) {
+                if (at != leaderships) {
+                    return;
+                }
+                fates.push_back(fate);
+                if (fates.size() == count) {
+                    outcome = fates;
+                    loop.stop();
+                }
+            });
+        }
+    };
+    replica log(loop, settings, std::move(handler));
+    command_batcher own(loop, log, book, most_bytes);
+    batcher = &own;
+    loop.on_turn_end([&] { own.flush(); });
+    ASSERT_TRUE(log.start());
+    loop.call_after(patience, [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(outcome, std::vector<command_fate>(count, command_fate::applied));
+}
+
+} // namespace
+} // namespace poplarpitch
