--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -12,11 +12,6 @@
 
 constexpr auto started_again = end_ground::started_again;
 
-/// Returns true when a start of the run may yet be carried out.
-bool may_yet_start(const run_track& track) {
-    return track.stage == run_stage::starting && (track.is_order_out || track.may_come_late);
-}
-
 } // namespace
 
 worker_state& dispatcher::know_life(const worker_life& life, time_point now) {
@@ -132,7 +127,7 @@
         const bool is_listed = std::binary_search(list.runs.begin(), list.runs.end(), run.run);
         // Its start may have come to the heir after the list was written.
         const bool is_newer = track.confirmed_at >= list.asked;
-        if (may_yet_start(track) || is_listed || is_newer) {
+        if (track.may_yet_start() || is_listed || is_newer) {
             follow_at(track, heir, loss, now);
         } else {
             give_up_run(track, started_again, loss, now);
@@ -148,6 +143,10 @@
     track.stage = run_stage::adopting;
     track.former_loss = loss;
     track.is_order_out = false;
+    track.is_stop_answered = false; // by the former life, if at all
+    track.stop_answered_at = {};
+    track.next_order = now;
+    await_order(track);
     add_load(heir, track, 1);
     refresh_pressure(former);
     refresh_pressure(heir);
