Say why a task waits beside workers with room

No line told why: it counted as waiting for room.

- task_waits, once a second, for five steps at most: how long the task has waited, how many workers of its pool have room for it, and how many are passed over for each reason (placement_obstacle).
It uses the same questions as the placement itself: find_unusable, find_obstacle and find_policy_obstacle are taken out of is_usable, get_placement_cost and choose, which answer as before.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -105,6 +105,7 @@
     m_next_watch = {};
     m_next_pools = {};
     m_next_audit = {};
+    m_next_waits = {};
     m_counts.stuck_tasks = 0;
 }
 
@@ -377,6 +378,7 @@
     note_pressure(now);
     report_load(now);
     audit(now);
+    report_waits(now);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "poplarpitch/dispatch/dispatch_counts.h"
 #include "poplarpitch/dispatch/lasting_quota.h"
 #include "poplarpitch/dispatch/leader_load.h"
+#include "poplarpitch/dispatch/long_wait.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/refused_shapes.h"
@@ -129,6 +130,9 @@
     /// Returns the tasks of open jobs that nothing will bring to their end, in order: none, unless there is a
     /// fault.
     [[nodiscard]] std::vector<stuck_task> find_stuck(time_point now) const;
+    /// Returns tasks that wait for long though workers have room for them, some of them: those that last and
+    /// the oldest first.
+    [[nodiscard]] std::vector<long_wait> find_long_waits(time_point now);
     /// Returns the track of a run, or null.
     [[nodiscard]] const run_track* find_track(const run_key& key) const;
 
@@ -313,6 +317,14 @@
                           std::vector<stuck_task>& stuck) const;
     void audit(time_point now);
 
+    // tasks that wait though there is room
+    /// Returns the steps whose tasks have waited for long, some of them: those that last and the oldest
+    /// first.
+    [[nodiscard]] std::vector<step_key> rank_by_wait(time_point now) const;
+    /// Looks at all workers of its pool for the first waiting task of a step.
+    [[nodiscard]] long_wait explain_wait(const step_key& key, time_point now);
+    void report_waits(time_point now);
+
     // advice
     [[nodiscard]] std::string find_ticket(const step_key& step, const worker_life& worker,
                                           time_point now) const;
@@ -358,6 +370,10 @@
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
                                                  time_point now);
     worker_state* choose(const placing_pass& pass, const ready_step& ready, const placement_request& request);
+    /// Returns what keeps a task from a worker beside what it asks of one; `none` where nothing does.
+    [[nodiscard]] placement_obstacle find_policy_obstacle(const worker_state& worker, const ready_step& ready,
+                                                          const placement_request& request,
+                                                          time_point now) const;
     void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
     /// Returns true when a second run of the task may be started and would probably end first.
     [[nodiscard]] bool may_copy(const run_track& track, time_point now) const;
@@ -406,6 +422,7 @@
     time_point m_next_pools{};  ///< when the use of pools is looked at again
     time_point m_next_report{};
     time_point m_next_audit{};
+    time_point m_next_waits{}; ///< when long waits are told again
     time_point m_next_note{};
 };
 
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -300,10 +300,21 @@
     return request;
 }
 
+placement_obstacle dispatcher::find_policy_obstacle(const worker_state& worker, const ready_step& ready,
+                                                    const placement_request& request, time_point now) const {
+    const bool is_patient = request.spec->is_serving() && now - ready.since < serving_patience;
+    if (is_patient && worker.servings == 0 && !may_open(worker)) {
+        return placement_obstacle::kept_open;
+    }
+    const bool needs_ticket = ready.job->queue.advice.has_value();
+    if (needs_ticket && find_ticket(request.step, worker.report.life, now).empty()) {
+        return placement_obstacle::ticket;
+    }
+    return placement_obstacle::none;
+}
+
 worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready,
                                  const placement_request& request) {
-    const bool needs_ticket = ready.job->queue.advice.has_value();
-    const bool is_patient = request.spec->is_serving() && pass.now - ready.since < serving_patience;
     worker_state* best = nullptr;
     double best_cost = 0;
     const auto usable = pass.usable.find(ready.job->queue.pool);
@@ -311,13 +322,8 @@
         return best;
     }
     for (auto* worker : usable->second) {
-        if (worker->report.life == request.excluded) {
-            continue;
-        }
-        if (is_patient && worker->servings == 0 && !may_open(*worker)) {
-            continue;
-        }
-        if (needs_ticket && find_ticket(request.step, worker->report.life, pass.now).empty()) {
+        if (worker->report.life == request.excluded ||
+            find_policy_obstacle(*worker, ready, request, pass.now) != placement_obstacle::none) {
             continue;
         }
         const auto cost = get_placement_cost(*worker, request);
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_waits.cpp
@@ -0,0 +1,120 @@
+// Finds tasks that wait for long beside workers with room, and tells why each worker is passed over.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+#include "poplarpitch/dispatch/placement.h"
+#include "poplarpitch/dispatch/run_log.h"
+#include "poplarpitch/telemetry/log_event.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration waits_interval = seconds{1};
+constexpr duration too_long = seconds{3};        // a task that finds room has no cause to wait for longer
+constexpr std::size_t most_told = 5;             // a pass: what holds up one task mostly holds up many
+constexpr std::size_t most_steps_looked_at = 20; // a pass; a look at 490 workers takes some 20 us
+
+/// Returns how many workers each obstacle stands for, as `name:count` with commas between.
+std::string format_counts(const long_wait& wait) {
+    std::string text;
+    for (std::size_t number = 0; number < placement_obstacles; ++number) {
+        const auto obstacle = static_cast<placement_obstacle>(number);
+        if (wait.count(obstacle) > 0) {
+            text += text.empty() ? "" : ",";
+            text += get_obstacle_name(obstacle);
+            text += ":" + std::to_string(wait.count(obstacle));
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+std::vector<step_key> dispatcher::rank_by_wait(time_point now) const {
+    std::vector<std::tuple<bool, time_point, step_key>> waits;
+    for (const auto& [key, ready] : m_ready) {
+        if (!ready.waiting.empty() && now - ready.since > too_long) {
+            waits.emplace_back(!ready.job->steps[key.step].long_running, ready.since, key);
+        }
+    }
+    std::sort(waits.begin(), waits.end());
+    waits.resize(std::min(waits.size(), most_steps_looked_at));
+    std::vector<step_key> keys;
+    keys.reserve(waits.size());
+    for (const auto& wait : waits) {
+        keys.push_back(std::get<step_key>(wait));
+    }
+    return keys;
+}
+
+long_wait dispatcher::explain_wait(const step_key& key, time_point now) {
+    const auto& ready = m_ready.at(key);
+    long_wait wait;
+    wait.task = {key, *ready.waiting.begin()};
+    wait.waited = now - ready.since;
+    wait.waiting = ready.waiting.size();
+    const auto request = make_request(ready, wait.task, now);
+    for (const auto* worker : m_workers.get_all()) {
+        if (worker->report.pool != ready.job->queue.pool) {
+            continue;
+        }
+        ++wait.workers;
+        const bool has_room = get_room(*worker, request) >= request.spec->millicores &&
+                              worker->get_free().holds(get_need(*request.spec));
+        wait.with_room += has_room ? 1 : 0;
+        auto obstacle = find_unusable(*worker, now);
+        if (obstacle == placement_obstacle::none) {
+            obstacle = find_obstacle(*worker, request);
+        }
+        if (obstacle == placement_obstacle::none) {
+            obstacle = find_policy_obstacle(*worker, ready, request, now);
+        }
+        ++wait.passed_over[static_cast<std::size_t>(obstacle)];
+    }
+    return wait;
+}
+
+std::vector<long_wait> dispatcher::find_long_waits(time_point now) {
+    std::vector<long_wait> found;
+    for (const auto& key : rank_by_wait(now)) {
+        auto wait = explain_wait(key, now);
+        if (wait.with_room > 0) {
+            found.push_back(wait);
+        }
+        if (found.size() == most_told) {
+            break;
+        }
+    }
+    return found;
+}
+
+void dispatcher::report_waits(time_point now) {
+    if (now < m_next_waits) {
+        return;
+    }
+    m_next_waits = now + waits_interval;
+    for (const auto& wait : find_long_waits(now)) {
+        const auto& spec = m_ready.at(wait.task.step).job->steps[wait.task.step.step];
+        const bool is_paused = !m_suspects.may_start(wait.task, now);
+        log_event(log_level::warn, "task_waits")
+            .add("job", format_job_id(wait.task.step.job))
+            .add("occurrence", static_cast<std::uint64_t>(wait.task.step.occurrence))
+            .add("step", static_cast<std::uint64_t>(wait.task.step.step))
+            .add("task", static_cast<std::uint64_t>(wait.task.index))
+            .add("waited_ms", to_milliseconds(wait.waited))
+            .add("waiting", wait.waiting)
+            .add("millicores", spec.millicores)
+            .add("memory_mb", spec.memory_mb)
+            .add("lasts", spec.long_running ? "yes" : "no")
+            .add("care", get_caution_name(m_suspects.get_caution(wait.task)))
+            .add("paused", is_paused ? "yes" : "no")
+            .add("workers", wait.workers)
+            .add("with_room", wait.with_room)
+            .add("passed_over", format_counts(wait));
+    }
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -76,11 +76,6 @@
            other_suspect * static_cast<double>(worker.suspects);
 }
 
-/// Returns true when a suspect is or would be the only task of the worker.
-bool is_kept_apart(const worker_state& worker, const placement_request& request) {
-    return worker.probations > 0 || (request.wants_own_worker() && !worker.runs.empty());
-}
-
 /// Best fit: the fuller a worker that still holds the task, the better.
 double get_pack_cost(const worker_state& worker) {
     return worker.get_share(worker.get_free().millicores);
@@ -92,10 +87,24 @@
     return {spec.fills ? 0 : spec.millicores, spec.memory_mb, spec.accelerators};
 }
 
+placement_obstacle find_unusable(const worker_state& worker, time_point now) {
+    if (!worker.has_report || !worker.is_confirmed || worker.clock_ms == 0 || worker.is_gone) {
+        return placement_obstacle::unknown;
+    }
+    if (worker.is_leaving) {
+        return placement_obstacle::leaving;
+    }
+    if (worker.hold_failures > 0) {
+        return placement_obstacle::silent;
+    }
+    if (now > worker.room_known_until) {
+        return placement_obstacle::room_unknown;
+    }
+    return worker.trust.is_set_aside(now) ? placement_obstacle::set_aside : placement_obstacle::none;
+}
+
 bool is_usable(const worker_state& worker, time_point now) {
-    return worker.has_report && worker.is_confirmed && !worker.is_leaving && !worker.is_gone &&
-           worker.hold_failures == 0 && worker.clock_ms != 0 && now <= worker.room_known_until &&
-           !worker.trust.is_set_aside(now);
+    return find_unusable(worker, now) == placement_obstacle::none;
 }
 
 std::int64_t get_room(const worker_state& worker, const placement_request& request) {
@@ -117,34 +126,45 @@
     return static_cast<std::int64_t>(room);
 }
 
-std::optional<double> get_placement_cost(const worker_state& worker, const placement_request& request) {
+placement_obstacle find_obstacle(const worker_state& worker, const placement_request& request) {
     const auto& spec = *request.spec;
     if (!spec.required_label.empty() && !worker.report.has_label(spec.required_label)) {
-        return std::nullopt;
+        return placement_obstacle::label;
     }
     if (!request.rack.empty() && worker.report.rack != request.rack) {
-        return std::nullopt;
+        return placement_obstacle::rack;
     }
     if (!worker.get_free().holds(get_need(spec))) {
-        return std::nullopt;
+        return placement_obstacle::room;
     }
     if (spec.max_per_worker > 0) {
         const auto count = worker.step_counts.find(request.step);
         if (count != worker.step_counts.end() && count->second >= spec.max_per_worker) {
-            return std::nullopt;
+            return placement_obstacle::spread;
         }
     }
     if (request.is_last_attempt && worker.trust.is_doubtful()) {
-        return std::nullopt;
+        return placement_obstacle::doubtful;
+    }
+    if (worker.probations > 0) {
+        return placement_obstacle::kept_for_suspect;
+    }
+    if (request.wants_own_worker() && !worker.runs.empty()) {
+        return placement_obstacle::not_empty;
+    }
+    if (spec.fills && get_room(worker, request) < get_least_room(worker, request)) {
+        return placement_obstacle::pressure;
     }
-    if (is_kept_apart(worker, request)) {
+    return placement_obstacle::none;
+}
+
+std::optional<double> get_placement_cost(const worker_state& worker, const placement_request& request) {
+    if (find_obstacle(worker, request) != placement_obstacle::none) {
         return std::nullopt;
     }
+    const auto& spec = *request.spec;
     double cost = get_risk_cost(worker, request.care);
     if (spec.fills) {
-        if (get_room(worker, request) < get_least_room(worker, request)) {
-            return std::nullopt;
-        }
         cost += get_press_cost(worker, request) + fullness_weight * get_fill_cost(worker);
     } else if (spec.is_serving()) {
         cost += get_pack_cost(worker) + get_strangeness(worker, request) + (worker.fills > 0 ? apart : 0) +
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/placement_obstacle.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/scheduling/step_spec.h"
@@ -40,9 +41,16 @@
 /// Thread safety: any thread.
 [[nodiscard]] worker_amounts get_need(const step_spec& spec);
 
-/// Returns true when the worker may be given work at all. Thread safety: any thread while nobody changes it.
+/// Returns why the worker may be given no work at all; `none` where it may. Thread safety: any thread while
+/// nobody changes it.
+[[nodiscard]] placement_obstacle find_unusable(const worker_state& worker, time_point now);
+
+/// Returns true when the worker may be given work at all. Thread safety: as above.
 [[nodiscard]] bool is_usable(const worker_state& worker, time_point now);
 
+/// Returns what keeps a task from a usable worker; `none` where it may go there. Thread safety: as above.
+[[nodiscard]] placement_obstacle find_obstacle(const worker_state& worker, const placement_request& request);
+
 /// Returns the most processor time, millicores, that a task of the request's kind may ask for on a worker;
 /// less than 0 where none may go there. For a task that fills it is bounded by what serving tasks bear beside
 /// them. Thread safety: as above.
--- a/poplarpitch/dispatch/suspect_watch.h
+++ b/poplarpitch/dispatch/suspect_watch.h
@@ -16,6 +16,19 @@
     alone, ///< on a worker of its own, which takes nothing else meanwhile
 };
 
+/// Returns the caution's name for logs. Thread safety: any thread.
+constexpr const char* get_caution_name(caution care) {
+    switch (care) {
+    case caution::none:
+        return "none";
+    case caution::apart:
+        return "apart";
+    case caution::alone:
+        return "alone";
+    }
+    return "unknown";
+}
+
 /// Which tasks may be at fault for the crash of a worker, and when each may be tried again.
 ///
 /// Load pattern: a task that ends its worker within 10 ms of each start, beside eight neighbours on average.
