Keep a worker for a suspect only where that one has it to itself

Cause: a task under which two workers crashed is tried alone on a worker that takes nothing else; one worker in twenty is kept so at a time. After 2 s without such a worker it takes what there is, but its run counted as alone there all the same and closed that shared worker to all others, beyond the bound, for four times as long as the run that had crashed (9 s here, a minute at most). After a third of the workers crashed twice, each worker with room was closed: task_waits says passed_over=room:34,kept_for_suspect:14 of 48 and so on. By the same count gangs kept a worker for each member, and a new leader closed all workers of such tasks. And where only the kept workers have room, a task that lasts, or a job with nothing running, waited as long.

Why this works: a run is alone only if its task waited for a worker of its own and got one (placement_request::get_run_care), within the bound, gangs too; a new leader keeps workers with one run, up to the bound. A task that lasts and has waited 1.8 s, or a job that starves, goes to a kept worker too, as the last choice (is_overdue). No figure of patience, pause or peace is changed.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -49,11 +49,12 @@
     for (const auto& [key, run] : m_book.get_assigned_runs()) {
         const auto* record = m_book.find_job(key.task.step.job);
         adopt_worker(run, lease_end, now);
-        add_track(key, record->job, run.worker, run_stage::adopting, now);
+        add_track(key, record->job, run.worker, run_stage::adopting, m_suspects.get_caution(key.task), now);
         if (record->phase != job_phase::open) {
             stop_run(*find(key), now);
         }
     }
+    limit_probations();
     m_must_place = true;
 }
 
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -218,7 +218,7 @@
 
     // runs
     run_track& add_track(const run_key& key, std::shared_ptr<const step_job> job, const worker_life& worker,
-                         run_stage stage, time_point now);
+                         run_stage stage, caution care, time_point now);
     void drop_track(const run_key& key, time_point now);
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, time_point now, const std::string& saved = {},
@@ -311,6 +311,9 @@
     void on_task_crashed(const book_event& event, time_point now);
     void clear_suspects(worker_state& worker, time_point now);
     static void add_care(worker_state& worker, caution care, int sign);
+    static void set_care(run_track& track, caution care);
+    /// Opens the workers that are kept for suspects of a former leader's, but for as many as may be kept.
+    void limit_probations();
 
     // tasks that stand still
     void find_stuck_tasks(const job_record& record, const step_key& key,
@@ -365,6 +368,8 @@
     void place_alike(placing_pass& pass, ready_step& ready, const step_key& key,
                      const std::vector<std::uint32_t>& indexes);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
+    /// Returns how many members of a gang wait for workers of their own.
+    [[nodiscard]] std::size_t count_own_workers(const ready_step& ready, const step_key& key, time_point now);
     void measure_short_demand(const placing_pass& pass);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
@@ -374,7 +379,8 @@
     [[nodiscard]] placement_obstacle find_policy_obstacle(const worker_state& worker, const ready_step& ready,
                                                           const placement_request& request,
                                                           time_point now) const;
-    void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
+    void claim(const ready_step& ready, const task_key& key, worker_state& worker, caution care,
+               time_point now);
     /// Returns true when a second run of the task may be started and would probably end first.
     [[nodiscard]] bool may_copy(const run_track& track, time_point now) const;
     void start_copies(time_point now);
--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -142,8 +142,7 @@
             to_milliseconds(now - track.confirmed_at) < task->crash.get_peace_ms()) {
             continue;
         }
-        add_care(worker, track.care, -1);
-        track.care = caution::none;
+        set_care(track, caution::none);
         m_suspects.forget(key.task);
         m_must_place = true;
         auto line = log_event(log_level::info, "task_cleared");
@@ -161,4 +160,28 @@
     }
 }
 
+void dispatcher::set_care(run_track& track, caution care) {
+    add_care(*track.host, track.care, -1);
+    track.care = care;
+    add_care(*track.host, track.care, 1);
+}
+
+/// What the former leader kept is not known. Where a suspect runs beside others its worker was not kept.
+void dispatcher::limit_probations() {
+    const auto most = get_most_probations(m_workers.get_all().size());
+    std::size_t kept = 0;
+    for (auto* worker : m_workers.get_all()) {
+        if (worker->probations == 0) {
+            continue;
+        }
+        if (worker->runs.size() == 1 && kept < most) {
+            ++kept;
+            continue;
+        }
+        for (const auto& [key, track] : worker->runs) {
+            set_care(*track, std::min(track->care, caution::apart));
+        }
+    }
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -33,8 +33,7 @@
     milliseconds{15}; // between passes over many: a tenth of a small instance's core
 constexpr duration idle_interval = milliseconds{100}; // while nothing waits: only the demand is measured
 constexpr std::int64_t late_weight = 1'000'000;       // ms: a job that is late goes behind all that are not
-constexpr std::size_t probation_part = 20; // of the usable workers, one at a time may be a suspect's own
-constexpr std::int64_t late_multiple = 3;  // a job later than this multiple of its objective earns nothing
+constexpr std::int64_t late_multiple = 3; // a job later than this multiple of its objective earns nothing
 
 /// Least slack first, but a job that can meet its objective no more waits for those that still can. Load
 /// pattern: a burst of 2.6 times the usual for seconds; by deadlines alone every job behind it is late.
@@ -128,7 +127,7 @@
             probations += worker->probations > 0 ? 1 : 0; // one that has ceased to answer is lost anyway
         }
     }
-    const auto most = std::max<std::size_t>(usable / probation_part, 1);
+    const auto most = get_most_probations(usable);
     pass.probations_left = most > probations ? most - probations : 0;
     return pass;
 }
@@ -193,6 +192,7 @@
                                            bool starves) {
     auto request = make_request(ready, task, pass.now);
     request.is_starving = starves;
+    request.is_overdue = request.is_overdue || starves;
     const bool wants_own = request.wants_own_worker();
     if (!m_suspects.may_start(task, pass.now) || (wants_own && pass.probations_left == 0)) {
         return placing::held;
@@ -201,10 +201,8 @@
     if (worker == nullptr) {
         return wants_own ? placing::held : placing::no_room;
     }
-    if (request.care == caution::alone && pass.probations_left > 0) {
-        --pass.probations_left;
-    }
-    claim(ready, task, *worker, pass.now);
+    pass.probations_left -= wants_own ? 1 : 0;
+    claim(ready, task, *worker, request.get_run_care(), pass.now);
     ready.waiting.erase(task.index);
     return placing::placed;
 }
@@ -238,7 +236,7 @@
         auto best = candidates.top();
         candidates.pop();
         const task_key task{key, *next++};
-        claim(ready, task, *best.worker, pass.now);
+        claim(ready, task, *best.worker, request.get_run_care(), pass.now);
         ready.waiting.erase(task.index);
         if (const auto cost = get_placement_cost(*best.worker, request); cost.has_value()) {
             best.cost = *cost;
@@ -288,6 +286,7 @@
     request.step = key.step;
     request.care = m_suspects.get_caution(key);
     request.is_patient = m_suspects.is_patient(key, now);
+    request.is_overdue = request.spec->long_running && now - ready.since > lasting_patience;
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
     request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
                               failed->second.size() + 1 >= ready.job->queue.max_attempts;
@@ -345,6 +344,10 @@
             return;
         }
     }
+    const auto own_workers = count_own_workers(ready, key, pass.now);
+    if (own_workers > pass.probations_left) {
+        return;
+    }
     std::vector<std::string> racks = {{}};
     if (spec.same_rack) {
         std::set<std::string> found;
@@ -370,7 +373,8 @@
                 break;
             }
             const run_key member{{key, index}, run};
-            add_track(member, ready.job, chosen->report.life, run_stage::committing, pass.now);
+            add_track(member, ready.job, chosen->report.life, run_stage::committing, request.get_run_care(),
+                      pass.now);
             placed.emplace_back(member, chosen);
         }
         if (placed.size() == spec.count) {
@@ -378,6 +382,7 @@
                 propose_assignment(member, *worker);
             }
             ready.waiting.clear();
+            pass.probations_left -= own_workers;
             return;
         }
         for (const auto& [member, worker] : placed) {
@@ -386,13 +391,22 @@
     }
 }
 
-void dispatcher::claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now) {
+std::size_t dispatcher::count_own_workers(const ready_step& ready, const step_key& key, time_point now) {
+    std::size_t count = 0;
+    for (const auto index : ready.waiting) {
+        count += make_request(ready, {key, index}, now).wants_own_worker() ? 1 : 0;
+    }
+    return count;
+}
+
+void dispatcher::claim(const ready_step& ready, const task_key& key, worker_state& worker, caution care,
+                       time_point now) {
     const auto* task = m_book.find_task(key);
     const run_key run{key, task == nullptr ? 1 : task->last_run + 1};
     if (ready.job->steps[key.step.step].is_serving() && worker.servings == 0) {
         m_open_cores -= worker.report.capacity.millicores;
     }
-    add_track(run, ready.job, worker.report.life, run_stage::committing, now);
+    add_track(run, ready.job, worker.report.life, run_stage::committing, care, now);
     propose_assignment(run, worker);
 }
 
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -18,14 +18,14 @@
 } // namespace
 
 run_track& dispatcher::add_track(const run_key& key, std::shared_ptr<const step_job> job,
-                                 const worker_life& worker, run_stage stage, time_point now) {
+                                 const worker_life& worker, run_stage stage, caution care, time_point now) {
     auto& track = m_tracks[key];
     track.key = key;
     track.job = std::move(job);
     track.assigned_to = worker;
     track.stage = stage;
     track.claimed_at = now;
-    track.care = m_suspects.get_caution(key.task);
+    track.care = care;
     auto& state = know_life(worker, now);
     track.host = &state;
     add_load(state, track, 1);
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -24,6 +24,7 @@
 constexpr double serving_neighbour = 2.0; // the same of one whose callers wait for its answers
 constexpr double other_suspect = 20.0;    // two suspects of one crash would never be told apart
 constexpr double beside_suspect = 2.0;    // a task that is none itself
+constexpr double beside_kept = 10.0;      // a worker that is kept for a suspect is taken last
 constexpr double between = 0.5;           // a task of neither kind on a worker that fills
 
 double get_fill_cost(const worker_state& worker) {
@@ -69,7 +70,7 @@
 /// Returns a cost for what the next crash would take along, and for what would then be known less surely.
 double get_risk_cost(const worker_state& worker, caution care) {
     if (care == caution::none) {
-        return worker.suspects > 0 ? beside_suspect : 0;
+        return worker.probations > 0 ? beside_kept : worker.suspects > 0 ? beside_suspect : 0;
     }
     return neighbour * static_cast<double>(worker.runs.size()) +
            serving_neighbour * static_cast<double>(worker.servings) +
@@ -146,7 +147,7 @@
     if (request.is_last_attempt && worker.trust.is_doubtful()) {
         return placement_obstacle::doubtful;
     }
-    if (worker.probations > 0) {
+    if (worker.probations > 0 && !request.is_overdue) {
         return placement_obstacle::kept_for_suspect;
     }
     if (request.wants_own_worker() && !worker.runs.empty()) {
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -28,6 +28,7 @@
     bool is_starving = false; ///< nothing of its job runs: a task that fills takes less than it asks for
     caution care = caution::none;
     bool is_patient = false; ///< a task that is to be alone waits for a worker of its own
+    bool is_overdue = false; ///< it may wait no longer: also a worker that is kept for a suspect will do
     std::string rack;        ///< only this rack; empty for any
     worker_life excluded;    ///< a worker that is no choice: a copy is to run elsewhere
 
@@ -35,6 +36,11 @@
 
     /// Returns true while the task waits for a worker that runs nothing. Thread safety: any thread.
     [[nodiscard]] bool wants_own_worker() const { return care == caution::alone && is_patient; }
+    /// Returns the caution that its run has at a worker: one that takes what there is keeps nobody away.
+    /// Thread safety: any thread.
+    [[nodiscard]] caution get_run_care() const {
+        return care == caution::alone && !is_patient ? caution::apart : care;
+    }
 };
 
 /// Returns what a task of a step takes of a worker: the processor time of one that fills does not count.
--- a/poplarpitch/dispatch/suspect_watch.cpp
+++ b/poplarpitch/dispatch/suspect_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "poplarpitch/dispatch/erase_job.h"
 
+#include <algorithm>
+
 namespace poplarpitch {
 namespace {
 
@@ -10,8 +12,14 @@
 // With the pause it stays below the 3 s for which a job may have nothing running beside free room.
 constexpr duration alone_patience = milliseconds{2000};
 
+constexpr std::size_t probation_part = 20; // of the workers, one may be a suspect's own, and one at least
+
 } // namespace
 
+std::size_t get_most_probations(std::size_t workers) {
+    return std::max<std::size_t>(workers / probation_part, 1);
+}
+
 void suspect_watch::note(const task_key& task, std::uint32_t crashes, time_point now) {
     if (crashes == 0) {
         forget(task);
--- a/poplarpitch/dispatch/suspect_watch.h
+++ b/poplarpitch/dispatch/suspect_watch.h
@@ -29,6 +29,9 @@
     return "unknown";
 }
 
+/// Returns how many of so many workers may be kept for one suspect each at a time. Thread safety: any thread.
+[[nodiscard]] std::size_t get_most_probations(std::size_t workers);
+
 /// Which tasks may be at fault for the crash of a worker, and when each may be tried again.
 ///
 /// Load pattern: a task that ends its worker within 10 ms of each start, beside eight neighbours on average.
