--- a/poplarpitch/dispatch/dispatcher_waits.cpp
+++ b/poplarpitch/dispatch/dispatcher_waits.cpp
@@ -62,9 +62,6 @@
             continue;
         }
         ++wait.workers;
-        const bool has_room = get_room(*worker, request) >= request.spec->millicores &&
-                              worker->get_free().holds(get_need(*request.spec));
-        wait.with_room += has_room ? 1 : 0;
         auto obstacle = find_unusable(*worker, now);
         if (obstacle == placement_obstacle::none) {
             obstacle = find_obstacle(*worker, request);
@@ -73,6 +70,10 @@
             obstacle = find_policy_obstacle(*worker, ready, request, now);
         }
         ++wait.passed_over[static_cast<std::size_t>(obstacle)];
+        const bool stays = obstacle != placement_obstacle::unknown && obstacle != placement_obstacle::leaving;
+        const bool has_room = get_room(*worker, request) >= request.spec->millicores &&
+                              worker->get_free().holds(get_need(*request.spec));
+        wait.with_room += stays && has_room ? 1 : 0;
     }
     return wait;
 }
--- a/poplarpitch/dispatch/long_wait.h
+++ b/poplarpitch/dispatch/long_wait.h
@@ -16,7 +16,7 @@
     duration waited{};
     std::uint64_t waiting = 0;   ///< tasks of its step that wait
     std::uint64_t workers = 0;   ///< of its pool
-    std::uint64_t with_room = 0; ///< of them, those whose free room holds the task
+    std::uint64_t with_room = 0; ///< of them, those that stay and whose free room holds the task
     std::array<std::uint64_t, placement_obstacles>
         passed_over{}; ///< workers by what keeps the task from them
 
