--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -47,11 +47,12 @@
     for (const auto& [key, run] : m_book.get_assigned_runs()) {
         const auto* record = m_book.find_job(key.task.step.job);
         adopt_worker(run, now);
-        add_track(key, record->job, run.worker, run_stage::adopting, now);
+        add_track(key, record->job, run.worker, run_stage::adopting, m_suspects.get_caution(key.task), now);
         if (record->phase != job_phase::open) {
             stop_run(*find(key), now);
         }
     }
+    limit_probations();
     m_must_place = true;
     tell_took_over();
 }
@@ -109,6 +110,7 @@
     m_next_watch = {};
     m_next_pools = {};
     m_next_audit = {};
+    m_next_waits = {};
     m_counts.stuck_tasks = 0;
 }
 
@@ -377,6 +379,7 @@
     note_pressure(now);
     report_load(now);
     audit(now);
+    report_waits(now);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "poplarpitch/dispatch/dispatch_counts.h"
 #include "poplarpitch/dispatch/lasting_quota.h"
 #include "poplarpitch/dispatch/leader_load.h"
+#include "poplarpitch/dispatch/long_wait.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/refused_shapes.h"
@@ -129,6 +130,9 @@
     /// Returns the tasks of open jobs that nothing will bring to their end, in order: none, unless there is a
     /// fault.
     [[nodiscard]] std::vector<stuck_task> find_stuck(time_point now) const;
+    /// Returns tasks that wait for long though workers have room for them, some of them: those that last and
+    /// the oldest first.
+    [[nodiscard]] std::vector<long_wait> find_long_waits(time_point now);
     /// Returns the track of a run, or null.
     [[nodiscard]] const run_track* find_track(const run_key& key) const;
 
@@ -221,7 +225,7 @@
 
     // runs
     run_track& add_track(const run_key& key, std::shared_ptr<const step_job> job, const worker_life& worker,
-                         run_stage stage, time_point now);
+                         run_stage stage, caution care, time_point now);
     void drop_track(const run_key& key, time_point now);
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const end_word& word, time_point now,
@@ -323,12 +327,23 @@
     void on_task_crashed(const book_event& event, time_point now);
     void clear_suspects(worker_state& worker, time_point now);
     static void add_care(worker_state& worker, caution care, int sign);
+    static void set_care(run_track& track, caution care);
+    /// Opens the workers that are kept for suspects of a former leader's, but for as many as may be kept.
+    void limit_probations();
 
     // tasks that stand still
     void find_stuck_tasks(const job_record& record, const step_key& key,
                           std::vector<stuck_task>& stuck) const;
     void audit(time_point now);
 
+    // tasks that wait though there is room
+    /// Returns the steps whose tasks have waited for long, some of them: those that last and the oldest
+    /// first.
+    [[nodiscard]] std::vector<step_key> rank_by_wait(time_point now) const;
+    /// Looks at all workers of its pool for the first waiting task of a step.
+    [[nodiscard]] long_wait explain_wait(const step_key& key, time_point now);
+    void report_waits(time_point now);
+
     // advice
     [[nodiscard]] std::string find_ticket(const step_key& step, const worker_life& worker,
                                           time_point now) const;
@@ -369,12 +384,19 @@
     void place_alike(placing_pass& pass, ready_step& ready, const step_key& key,
                      const std::vector<std::uint32_t>& indexes);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
+    /// Returns how many members of a gang wait for workers of their own.
+    [[nodiscard]] std::size_t count_own_workers(const ready_step& ready, const step_key& key, time_point now);
     void measure_short_demand(const placing_pass& pass);
     [[nodiscard]] bool may_open(const worker_state& worker) const;
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
                                                  time_point now);
     worker_state* choose(const placing_pass& pass, const ready_step& ready, const placement_request& request);
-    void claim(const ready_step& ready, const task_key& key, worker_state& worker, time_point now);
+    /// Returns what keeps a task from a worker beside what it asks of one; `none` where nothing does.
+    [[nodiscard]] placement_obstacle find_policy_obstacle(const worker_state& worker, const ready_step& ready,
+                                                          const placement_request& request,
+                                                          time_point now) const;
+    void claim(const ready_step& ready, const task_key& key, worker_state& worker, caution care,
+               time_point now);
     /// Returns true when a second run of the task may be started and would probably end first.
     [[nodiscard]] bool may_copy(const run_track& track, time_point now) const;
     void start_copies(time_point now);
@@ -422,6 +444,7 @@
     time_point m_next_pools{};  ///< when the use of pools is looked at again
     time_point m_next_report{};
     time_point m_next_audit{};
+    time_point m_next_waits{}; ///< when long waits are told again
     time_point m_next_note{};
 };
 
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/placement_obstacle.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/scheduling/step_spec.h"
@@ -27,6 +28,7 @@
     bool is_starving = false; ///< nothing of its job runs: a task that fills takes less than it asks for
     caution care = caution::none;
     bool is_patient = false; ///< a task that is to be alone waits for a worker of its own
+    bool is_overdue = false; ///< it may wait no longer: also a worker that is kept for a suspect will do
     std::string rack;        ///< only this rack; empty for any
     worker_life excluded;    ///< a worker that is no choice: a copy is to run elsewhere
 
@@ -34,15 +36,27 @@
 
     /// Returns true while the task waits for a worker that runs nothing. Thread safety: any thread.
     [[nodiscard]] bool wants_own_worker() const { return care == caution::alone && is_patient; }
+    /// Returns the caution that its run has at a worker: one that takes what there is keeps nobody away.
+    /// Thread safety: any thread.
+    [[nodiscard]] caution get_run_care() const {
+        return care == caution::alone && !is_patient ? caution::apart : care;
+    }
 };
 
 /// Returns what a task of a step takes of a worker: the processor time of one that fills does not count.
 /// Thread safety: any thread.
 [[nodiscard]] worker_amounts get_need(const step_spec& spec);
 
-/// Returns true when the worker may be given work at all. Thread safety: any thread while nobody changes it.
+/// Returns why the worker may be given no work at all; `none` where it may. Thread safety: any thread while
+/// nobody changes it.
+[[nodiscard]] placement_obstacle find_unusable(const worker_state& worker, time_point now);
+
+/// Returns true when the worker may be given work at all. Thread safety: as above.
 [[nodiscard]] bool is_usable(const worker_state& worker, time_point now);
 
+/// Returns what keeps a task from a usable worker; `none` where it may go there. Thread safety: as above.
+[[nodiscard]] placement_obstacle find_obstacle(const worker_state& worker, const placement_request& request);
+
 /// Returns the most processor time, millicores, that a task of the request's kind may ask for on a worker;
 /// less than 0 where none may go there. For a task that fills it is bounded by what serving tasks bear beside
 /// them. Thread safety: as above.
