--- /dev/null
+++ b/unit_tests/platform/run_record.cpp
@@ -0,0 +1,111 @@
+#include "unit_tests/platform/run_record.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+
+namespace poplarpitch {
+
+void run_record::add_line(task_record& record, const std::string& what) {
+    record.history.push_back(
+        absl::StrCat(absl::FormatTime("%H:%M:%E3S", absl::Now(), absl::UTCTimeZone()), " ", what));
+}
+
+void run_record::note_start(const std::string& task, std::uint32_t run, const std::string& where) {
+    const absl::MutexLock lock(&m_mutex);
+    auto& record = m_tasks[task];
+    const bool is_overlap = record.running > 0;
+    m_overlaps += is_overlap ? 1 : 0;
+    m_starts_after_done += record.is_forgotten ? 1 : 0;
+    record.is_broken = record.is_broken || is_overlap || record.is_forgotten;
+    ++record.running;
+    ++record.starts;
+    add_line(record, absl::StrCat("run ", run, " starts on ", where, is_overlap ? " BESIDE ANOTHER" : "",
+                                  record.is_forgotten ? " AFTER A NOTED END" : ""));
+}
+
+void run_record::note_start_beside(const std::string& task, std::uint32_t run, const std::string& where) {
+    const absl::MutexLock lock(&m_mutex);
+    auto& record = m_tasks[task];
+    ++m_overlaps;
+    record.is_broken = true;
+    add_line(record, absl::StrCat("run ", run, " asked for on ", where, " BESIDE ANOTHER THERE"));
+}
+
+void run_record::note_end(const std::string& task, std::uint32_t run, const std::string& where,
+                          const std::string& how) {
+    const absl::MutexLock lock(&m_mutex);
+    auto& record = m_tasks[task];
+    --record.running;
+    record.done += how == "done" ? 1 : 0;
+    add_line(record, absl::StrCat("run ", run, " ends on ", where, " as ", how));
+}
+
+void run_record::note_forgotten(const std::string& task) {
+    const absl::MutexLock lock(&m_mutex);
+    auto& record = m_tasks[task];
+    record.is_forgotten = true;
+    add_line(record, "its end as done is noted");
+}
+
+void run_record::note(const std::string& task, const std::string& what) {
+    const absl::MutexLock lock(&m_mutex);
+    add_line(m_tasks[task], what);
+}
+
+int run_record::get_overlaps() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_overlaps;
+}
+
+int run_record::get_starts_after_done() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_starts_after_done;
+}
+
+int run_record::get_running() const {
+    const absl::MutexLock lock(&m_mutex);
+    int sum = 0;
+    for (const auto& [task, record] : m_tasks) {
+        sum += record.running;
+    }
+    return sum;
+}
+
+std::map<std::string, int> run_record::get_done_counts() const {
+    const absl::MutexLock lock(&m_mutex);
+    std::map<std::string, int> counts;
+    for (const auto& [task, record] : m_tasks) {
+        if (record.done > 0) {
+            counts[task] = record.done;
+        }
+    }
+    return counts;
+}
+
+std::map<std::string, int> run_record::get_start_counts() const {
+    const absl::MutexLock lock(&m_mutex);
+    std::map<std::string, int> counts;
+    for (const auto& [task, record] : m_tasks) {
+        if (record.starts > 0) {
+            counts[task] = record.starts;
+        }
+    }
+    return counts;
+}
+
+std::string run_record::describe(const std::string& prefix) const {
+    const absl::MutexLock lock(&m_mutex);
+    std::string text;
+    for (const auto& [task, record] : m_tasks) {
+        if (!record.is_broken && !task.starts_with(prefix)) {
+            continue;
+        }
+        for (const auto& line : record.history) {
+            absl::StrAppend(&text, task, " ", line, "\n");
+        }
+    }
+    return text;
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/platform/run_record.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+
+/// What stand-in workers did with each task, in order: the check of what must run once stands here, at the
+/// workers' side. Thread safety: any thread, for all methods.
+class run_record {
+public:
+    /// A run begins; `where` names its worker.
+    void note_start(const std::string& task, std::uint32_t run, const std::string& where);
+    /// A start came to a worker at which another run of the task goes on.
+    void note_start_beside(const std::string& task, std::uint32_t run, const std::string& where);
+    /// A run ends as `how`.
+    void note_end(const std::string& task, std::uint32_t run, const std::string& where,
+                  const std::string& how);
+    /// A worker was told to forget that a run of the task ended as done.
+    void note_forgotten(const std::string& task);
+    /// Adds what may explain the rest.
+    void note(const std::string& task, const std::string& what);
+
+    [[nodiscard]] int get_overlaps() const;
+    [[nodiscard]] int get_starts_after_done() const;
+    [[nodiscard]] int get_running() const;
+    [[nodiscard]] std::map<std::string, int> get_done_counts() const;
+    [[nodiscard]] std::map<std::string, int> get_start_counts() const;
+    /// Returns all that was noted of the tasks that broke a promise, and of those whose name begins so.
+    [[nodiscard]] std::string describe(const std::string& prefix = "none") const;
+
+private:
+    struct task_record {
+        int running = 0;
+        int done = 0;
+        int starts = 0;
+        bool is_forgotten = false; ///< its end as done was acknowledged
+        bool is_broken = false;
+        std::vector<std::string> history;
+    };
+
+    void add_line(task_record& record, const std::string& what) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    mutable absl::Mutex m_mutex;
+    std::map<std::string, task_record> m_tasks ABSL_GUARDED_BY(m_mutex);
+    int m_overlaps ABSL_GUARDED_BY(m_mutex) = 0;
+    int m_starts_after_done ABSL_GUARDED_BY(m_mutex) = 0;
+};
+
+} // namespace poplarpitch
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -9,10 +9,14 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
+#include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace poplarpitch {
 namespace {
@@ -48,9 +52,10 @@
 
 } // namespace
 
-scheduler_cluster::scheduler_cluster(int schedulers, std::string workers_text)
+scheduler_cluster::scheduler_cluster(int schedulers, std::string workers_text,
+                                     std::vector<std::string> data_centres)
     : m_folder(make_folder()), m_count(schedulers), m_workers_text(std::move(workers_text)),
-      m_pool(http_client_settings{}) {
+      m_data_centres(std::move(data_centres)), m_pool(http_client_settings{}) {
     for (int number = 1; number <= schedulers; ++number) {
         start_scheduler(number, true);
     }
@@ -60,7 +65,7 @@
 scheduler_cluster::~scheduler_cluster() {
     m_gateway.reset();
     m_schedulers.clear();
-    if (testing::Test::HasFailure()) {
+    if (testing::Test::HasFailure() || std::getenv("POPLARPITCH_KEEP_LOGS") != nullptr) {
         std::cerr << "logs are kept in " << m_folder << "\n";
         return;
     }
@@ -72,6 +77,10 @@
     return absl::StrCat("127.0.0.", 10 + number);
 }
 
+std::string scheduler_cluster::get_data_centre(int number) const {
+    return m_data_centres.empty() ? "default" : m_data_centres.at(static_cast<std::size_t>(number) - 1);
+}
+
 std::vector<std::string> scheduler_cluster::get_controls() const {
     std::vector<std::string> controls;
     for (int number = 1; number <= m_count; ++number) {
@@ -85,8 +94,8 @@
     const auto seeds = std::vector<std::string>(controls.begin(), controls.begin() + std::min(m_count, 3));
     const auto name = absl::StrCat("scheduler-", number);
     const auto file = absl::StrCat(m_folder, "/", name, ".ini");
-    std::ofstream(file) << "[instance]\nid = " << name << "\nhost = " << get_host(number)
-                        << "\nlink_port = " << m_link_port.get_port()
+    std::ofstream(file) << "[instance]\nid = " << name << "\ndata_centre = " << get_data_centre(number)
+                        << "\nhost = " << get_host(number) << "\nlink_port = " << m_link_port.get_port()
                         << "\nseeds = " << absl::StrJoin(seeds, ",")
                         << "\n[control]\nlisten = " << controls[static_cast<std::size_t>(number) - 1]
                         << "\ndata_folder = " << m_folder << "/data-" << number
@@ -109,6 +118,44 @@
         absl::StrCat(m_folder, "/gateway.log"));
 }
 
+void scheduler_cluster::crash_all() {
+    for (const auto& [number, process] : m_schedulers) {
+        process->send(SIGKILL);
+    }
+    m_gateway->send(SIGKILL);
+    m_gateway->kill();
+    for (const auto& [number, process] : m_schedulers) {
+        process->kill();
+        m_log_marks[number] = process->read_log().size();
+    }
+}
+
+bool scheduler_cluster::have_rejoined(const std::vector<int>& wiped) const {
+    if (wiped.empty()) {
+        return did_all_vote_after("event=");
+    }
+    return std::all_of(wiped.begin(), wiped.end(),
+                       [&](int number) { return did_all_vote_after("action=promote", get_host(number)); });
+}
+
+bool scheduler_cluster::did_all_vote_after(const std::string& step, const std::string& host) const {
+    const auto address = absl::StrCat("address=", host, " outcome=proposed");
+    const auto whole = absl::StrCat("event=membership_changed voters=", m_count, " learners=0");
+    return std::any_of(m_schedulers.begin(), m_schedulers.end(), [&](const auto& item) {
+        const auto log = item.second->read_log();
+        const auto mark = m_log_marks.find(item.first);
+        std::istringstream lines(log.substr(mark == m_log_marks.end() ? 0 : mark->second));
+        bool is_after = false;
+        bool is_whole = false;
+        for (std::string line; std::getline(lines, line);) {
+            const bool is_step = line.find(step) != std::string::npos;
+            is_after = is_after || (is_step && (host.empty() || line.find(address) != std::string::npos));
+            is_whole = is_whole || (is_after && line.find(whole) != std::string::npos);
+        }
+        return is_whole;
+    });
+}
+
 void scheduler_cluster::wipe(int number) const {
     std::filesystem::remove_all(absl::StrCat(m_folder, "/data-", number));
 }
@@ -145,7 +192,7 @@
     return send(absl::StrCat("127.0.0.1:", m_callers_port.get_port()), method, path, body);
 }
 
-void scheduler_cluster::put_config(std::uint64_t version) {
+void scheduler_cluster::put_config(std::uint64_t version, int max_attempts) {
     const nlohmann::json document = {{"version", version},
                                      {"routes",
                                       {{{"name", "jobs"},
@@ -154,7 +201,7 @@
                                         {"timeoutMs", 3000},
                                         {"targetLatencyMs", 1000},
                                         {"service", "mill"},
-                                        {"maxAttempts", 3},
+                                        {"maxAttempts", max_attempts},
                                         {"stretch", 2.0}}}},
                                      {"services", {{{"name", "mill"}, {"enforcesCapacity", true}}}}};
     const bool is_put = wait_until(seconds{20}, [&] {
@@ -170,8 +217,19 @@
 }
 
 bool scheduler_cluster::submit(const std::string& id, int tasks, duration limit, const std::string& spec) {
-    const nlohmann::json job = {
-        {"spec", spec}, {"steps", {{{"count", tasks}, {"cpu", 500}, {"memMb", 100}, {"estimateMs", 200}}}}};
+    return submit_step(id, {{"count", tasks}, {"cpu", 500}, {"memMb", 100}, {"estimateMs", 200}}, limit,
+                       spec);
+}
+
+bool scheduler_cluster::submit_lasting(const std::string& id, int tasks, duration limit,
+                                       const std::string& spec) {
+    return submit_step(id, {{"count", tasks}, {"cpu", 500}, {"memMb", 100}, {"longRunning", true}}, limit,
+                       spec);
+}
+
+bool scheduler_cluster::submit_step(const std::string& id, const nlohmann::json& step, duration limit,
+                                    const std::string& spec) {
+    const nlohmann::json job = {{"spec", spec}, {"steps", {step}}};
     return wait_until(limit, [&] {
         const auto response = ask("POST", "/jobs/" + id, job.dump());
         return response.has_value() && response->status == 200;
@@ -179,13 +237,15 @@
 }
 
 bool scheduler_cluster::wait_for_state(const std::string& id, const std::string& state, duration limit) {
-    return wait_until(limit, [&] {
-        const auto response = ask("GET", "/jobs/" + id);
-        if (!response.has_value() || response->status != 200) {
-            return false;
-        }
-        return nlohmann::json::parse(response->body).at("state") == state;
-    });
+    return wait_until(limit, [&] { return get_state(id) == state; });
+}
+
+std::optional<std::string> scheduler_cluster::get_state(const std::string& id) {
+    const auto response = ask("GET", "/jobs/" + id);
+    if (!response.has_value() || response->status != 200) {
+        return std::nullopt;
+    }
+    return nlohmann::json::parse(response->body).at("state").get<std::string>();
 }
 
 int scheduler_cluster::find_leader() {
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -6,6 +6,8 @@
 #include "unit_tests/support/child_process.h"
 #include "unit_tests/support/port_reservation.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,8 +20,10 @@
 /// (127.0.0.11 and on), since control instances find each other by address and share their ports' numbers.
 class scheduler_cluster {
 public:
-    /// `workers_text` is added to the section [workers] of the schedulers' settings.
-    explicit scheduler_cluster(int schedulers, std::string workers_text = {});
+    /// `workers_text` is added to the section [workers] of the schedulers' settings. Where `data_centres` are
+    /// named, there is one for each scheduler.
+    explicit scheduler_cluster(int schedulers, std::string workers_text = {},
+                               std::vector<std::string> data_centres = {});
     ~scheduler_cluster();
     scheduler_cluster(const scheduler_cluster&) = delete;
     scheduler_cluster& operator=(const scheduler_cluster&) = delete;
@@ -30,8 +34,15 @@
     void start_gateway();
     /// Removes a scheduler's data folder. Precondition: it does not run.
     void wipe(int number) const;
+    /// Ends all schedulers and the gateway at one moment. Their data folders stay.
+    void crash_all();
+    /// Returns true when all vote, and each of these does so again whose folders were wiped while all were
+    /// down.
+    [[nodiscard]] bool have_rejoined(const std::vector<int>& wiped) const;
     [[nodiscard]] child_process& get_scheduler(int number) { return *m_schedulers.at(number); }
     [[nodiscard]] child_process& get_gateway() { return *m_gateway; }
+    /// Returns where settings, logs and data are, until the cluster ends.
+    [[nodiscard]] const std::string& get_folder() const { return m_folder; }
     /// Returns the control addresses of all schedulers.
     [[nodiscard]] std::vector<std::string> get_controls() const;
 
@@ -42,22 +53,34 @@
     std::optional<http_response> ask(const std::string& method, const std::string& path,
                                      const std::string& body = {});
     /// Puts a configuration with one queue at `/jobs/` until it is acknowledged.
-    void put_config(std::uint64_t version);
+    void put_config(std::uint64_t version, int max_attempts = 3);
     /// Submits a job of one step until it is accepted. Returns false when it was not within `limit`.
     bool submit(const std::string& id, int tasks, duration limit, const std::string& spec = "text");
+    /// As above, for a job of one step whose tasks last until it is cancelled.
+    bool submit_lasting(const std::string& id, int tasks, duration limit, const std::string& spec);
     /// Waits until a job's state is `state`.
     bool wait_for_state(const std::string& id, const std::string& state, duration limit);
+    /// Returns a job's state, or nothing while no answer tells it.
+    std::optional<std::string> get_state(const std::string& id);
     /// Returns the number of the scheduler that leads, or 0.
     int find_leader();
 
 private:
     [[nodiscard]] static std::string get_host(int number);
+    [[nodiscard]] std::string get_data_centre(int number) const;
+    /// Returns true when some scheduler told, since all were crashed last, that all vote, after it told
+    /// `step` of the scheduler at `host`.
+    [[nodiscard]] bool did_all_vote_after(const std::string& step, const std::string& host = {}) const;
+    bool submit_step(const std::string& id, const nlohmann::json& step, duration limit,
+                     const std::string& spec);
     std::optional<http_response> send(const std::string& address, const std::string& method,
                                       const std::string& path, const std::string& body);
 
     std::string m_folder;
     int m_count;
     std::string m_workers_text;
+    std::vector<std::string> m_data_centres;
+    std::map<int, std::size_t> m_log_marks; ///< how long each log was when all were crashed last
     port_reservation m_link_port;
     port_reservation m_control_port;
     port_reservation m_callers_port;
--- a/unit_tests/platform/stand_in_workers.h
+++ b/unit_tests/platform/stand_in_workers.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "unit_tests/platform/run_record.h"
+#include "unit_tests/platform/worker_habits.h"
 
-#include <absl/synchronization/mutex.h>
-
-#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,10 +13,10 @@
 namespace poplarpitch {
 
 /// Pretended workers that speak the platform's calls: they announce themselves, start, hold and stop runs,
-/// keep fences and ends as the platform's page says, and write down every start, so that a test can check the
-/// promises.
+/// keep fences, leases and ends as the platform's page says, and write down every start, so that a test can
+/// check the promises.
 ///
-/// Each run takes a fixed time, or lasts until it is stopped, or crashes its worker, where its job's payload
+/// Each run takes its time, or lasts until it is stopped, or crashes its worker, where its job's payload
 /// says so. A worker that crashed comes back at its address as another life, under another id or under the
 /// same one. Thread safety: any thread, for all methods.
 class stand_in_workers {
@@ -27,21 +26,26 @@
     /// Payload of jobs whose tasks crash the workers that start them.
     static constexpr const char* crashing_spec = "crashes";
 
-    /// How a worker that crashed comes back.
-    enum class rebirth : std::uint8_t {
-        new_id,  ///< and says nothing of its start time
-        same_id, ///< and tells its start time
-    };
+    using rebirth = worker_rebirth;
 
     /// Starts `count` workers on loopback, which send heartbeats to these control addresses.
     stand_in_workers(int count, std::vector<std::string> control_addresses, duration run_time,
                      rebirth how = rebirth::new_id);
+    /// As above, for workers with these habits.
+    stand_in_workers(int count, std::vector<std::string> control_addresses, const worker_habits& habits);
     ~stand_in_workers();
     stand_in_workers(const stand_in_workers&) = delete;
     stand_in_workers& operator=(const stand_in_workers&) = delete;
 
     /// Lets these workers crash at one moment, and come back after `down`. Numbers count from 0.
     void crash(const std::vector<int>& numbers, duration down);
+    /// Lets a worker announce that it leaves. It takes no more calls from some moment on, while its runs go
+    /// on; after `stay` it leaves with all that runs, and another life comes after `down`.
+    void drain(int number, duration stay, duration down);
+    /// Lets a worker refuse all calls with 503 for this long.
+    void sicken(int number, duration length);
+    /// Lets a worker close its listener and all connections for this long, while its runs go on.
+    void deafen(int number, duration length);
     /// Returns how often a task was started after a run of it had ended as done and the worker had been told
     /// to forget that.
     [[nodiscard]] int get_starts_after_done() const;
@@ -53,6 +57,8 @@
     [[nodiscard]] std::map<std::string, int> get_start_counts() const;
     /// Returns how many tasks run now.
     [[nodiscard]] int get_running() const;
+    /// Returns what was done with each task.
+    [[nodiscard]] const run_record& get_record() const;
 
 private:
     struct parts;
--- a/unit_tests/process/child_process.cpp
+++ b/unit_tests/process/child_process.cpp
@@ -22,6 +22,7 @@
     if (m_pid == 0) {
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
+        ::close_range(STDERR_FILENO + 1, ~0U, 0); // the test's own sockets would stay open with the daemon
         ::execv(words[0], words.data());
         ::_exit(127);
     }
