--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -32,8 +32,10 @@
     return folder.string();
 }
 
+/// Returns a program's path: that of this build, unless POPLARPITCH_PROGRAMS names another folder.
 std::string get_program(const std::string& name) {
-    return std::string(POPLARPITCH_BIN) + "/" + name;
+    const char* other = std::getenv("POPLARPITCH_PROGRAMS");
+    return absl::StrCat(other == nullptr ? POPLARPITCH_BIN : other, "/", name);
 }
 
 /// Asks again until `is_done` or the limit; a wait for an event, bounded so that a failure ends.
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -102,7 +102,7 @@
 
     duration pick(duration least, duration most) {
         const auto span = to_milliseconds(most - least);
-        return least + milliseconds{span <= 0 ? 0 : static_cast<std::int64_t>(random()) % (span + 1)};
+        return least + milliseconds{span <= 0 ? 0 : static_cast<std::int64_t>(random() >> 1U) % (span + 1)};
     }
 
     std::string make_id(const pretended_worker& worker) {
