--- a/unit_tests/platform/run_record.cpp
+++ b/unit_tests/platform/run_record.cpp
@@ -15,13 +15,18 @@
     const absl::MutexLock lock(&m_mutex);
     auto& record = m_tasks[task];
     const bool is_overlap = record.running > 0;
+    bool is_after_done = false;
+    for (auto& [ended, end] : record.done_ends) {
+        is_after_done = is_after_done || end.is_noted;
+        ++end.starts_since;
+    }
     m_overlaps += is_overlap ? 1 : 0;
-    m_starts_after_done += record.is_forgotten ? 1 : 0;
-    record.is_broken = record.is_broken || is_overlap || record.is_forgotten;
+    m_starts_after_done += is_after_done ? 1 : 0;
+    record.is_broken = record.is_broken || is_overlap || is_after_done;
     ++record.running;
     ++record.starts;
     add_line(record, absl::StrCat("run ", run, " starts on ", where, is_overlap ? " BESIDE ANOTHER" : "",
-                                  record.is_forgotten ? " AFTER A NOTED END" : ""));
+                                  is_after_done ? " AFTER A NOTED END" : ""));
 }
 
 void run_record::note_start_beside(const std::string& task, std::uint32_t run, const std::string& where) {
@@ -37,15 +42,36 @@
     const absl::MutexLock lock(&m_mutex);
     auto& record = m_tasks[task];
     --record.running;
-    record.done += how == "done" ? 1 : 0;
+    if (how == "done") {
+        ++record.done;
+        record.done_ends[run] = {};
+    }
     add_line(record, absl::StrCat("run ", run, " ends on ", where, " as ", how));
 }
 
-void run_record::note_forgotten(const std::string& task) {
+void run_record::note_forgotten(const std::string& task, std::uint32_t run) {
+    const absl::MutexLock lock(&m_mutex);
+    auto& record = m_tasks[task];
+    const auto end = record.done_ends.find(run);
+    if (end == record.done_ends.end() || end->second.is_noted) {
+        return;
+    }
+    end->second.is_noted = true;
+    const int starts = end->second.starts_since;
+    m_starts_after_done += starts;
+    record.is_broken = record.is_broken || starts > 0;
+    add_line(record, absl::StrCat("run ", run, " is noted as done", starts > 0 ? " AFTER A START" : ""));
+}
+
+void run_record::note_lapsed_end(const std::string& task, std::uint32_t run) {
     const absl::MutexLock lock(&m_mutex);
     auto& record = m_tasks[task];
-    record.is_forgotten = true;
-    add_line(record, "its end as done is noted");
+    const auto end = record.done_ends.find(run);
+    if (end != record.done_ends.end() && !end->second.is_noted) {
+        record.done_ends.erase(end);
+        add_line(record,
+                 absl::StrCat("run ", run, " counts for nothing: the lease lapsed before it was noted"));
+    }
 }
 
 void run_record::note(const std::string& task, const std::string& what) {
--- a/unit_tests/platform/run_record.h
+++ b/unit_tests/platform/run_record.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -21,8 +20,10 @@
     /// A run ends as `how`.
     void note_end(const std::string& task, std::uint32_t run, const std::string& where,
                   const std::string& how);
-    /// A worker was told to forget that a run of the task ended as done.
-    void note_forgotten(const std::string& task);
+    /// A worker was told to forget that a run ended as done: that end is noted.
+    void note_forgotten(const std::string& task, std::uint32_t run);
+    /// The lease of the worker where a run ended as done lapsed before that was noted: it may run again.
+    void note_lapsed_end(const std::string& task, std::uint32_t run);
     /// Adds what may explain the rest.
     void note(const std::string& task, const std::string& what);
 
@@ -35,11 +36,15 @@
     [[nodiscard]] std::string describe(const std::string& prefix = "none") const;
 
 private:
+    struct done_end {
+        bool is_noted = false;
+        int starts_since = 0;
+    };
     struct task_record {
         int running = 0;
         int done = 0;
         int starts = 0;
-        bool is_forgotten = false; ///< its end as done was acknowledged
+        std::map<std::uint32_t, done_end> done_ends; ///< by run, but those that count for nothing
         bool is_broken = false;
         std::vector<std::string> history;
     };
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -142,6 +142,11 @@
             watch_lease(worker);
             return;
         }
+        for (const auto& item : worker.ended) {
+            if (item.how == "done") {
+                record.note_lapsed_end(item.task, item.run);
+            }
+        }
         while (!worker.running.empty()) {
             end(worker, worker.running.begin()->first, "lapsed");
         }
@@ -235,6 +240,7 @@
             return make_response(worker, 409, {{"reason", "late"}});
         }
         end_lapsed_runs(task);
+        end_lapsed_at(worker);
         prolong(worker, body);
         const auto found = worker.running.find(task);
         if (found != worker.running.end() && found->second.run == run) {
@@ -479,7 +485,7 @@
         const auto acknowledged = body.value("ackedUpto", std::uint64_t{0});
         for (const auto& item : worker.ended) {
             if (item.number <= acknowledged && item.how == "done") {
-                record.note_forgotten(item.task);
+                record.note_forgotten(item.task, item.run);
             }
         }
         std::erase_if(worker.ended, [&](const ended_task& item) { return item.number <= acknowledged; });
