--- a/unit_tests/platform/replaced_cluster_test.cpp
+++ b/unit_tests/platform/replaced_cluster_test.cpp
@@ -41,6 +41,11 @@
                            : std::vector<std::uint64_t>{std::strtoull(text, nullptr, 10)};
 }
 
+/// A short lease lapses while all are down, a long one outlasts that.
+std::string get_lease(std::uint64_t seed) {
+    return seed % 4 < 2 ? "lease = 2s\n" : "lease = 5s\n";
+}
+
 worker_habits make_habits(std::uint64_t seed) {
     worker_habits habits;
     habits.seed = seed;
@@ -96,7 +101,7 @@
 
     void submit_one() {
         const auto id = absl::StrFormat("00000000000010%02x", m_jobs.size());
-        ASSERT_TRUE(m_cluster.submit(id, pick(10, 30), patience));
+        ASSERT_TRUE(m_cluster.submit(id, pick(30, 80), patience));
         m_jobs.push_back(id);
         note("submitted " + id);
     }
@@ -216,7 +221,7 @@
     std::vector<std::string> m_jobs;
     std::vector<int> m_wiped;
     int m_crashes = 0;
-    scheduler_cluster m_cluster{instance_count, "", data_centres};
+    scheduler_cluster m_cluster{instance_count, get_lease(GetParam()), data_centres};
     stand_in_workers m_workers{worker_count, m_cluster.get_controls(), make_habits(GetParam())};
 };
 
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -102,8 +102,8 @@
                         << "\n[control]\nlisten = " << controls[static_cast<std::size_t>(number) - 1]
                         << "\ndata_folder = " << m_folder << "/data-" << number
                         << "\nmay_found = " << (may_found ? "true" : "false")
-                        << "\ntolerated_losses = " << (m_count - 1) / 2 << "\n[workers]\nlease = 2s\n"
-                        << m_workers_text;
+                        << "\ntolerated_losses = " << (m_count - 1) / 2 << "\n[workers]\n"
+                        << (m_workers_text.starts_with("lease = ") ? "" : "lease = 2s\n") << m_workers_text;
     m_schedulers[number] = std::make_unique<child_process>(
         std::vector<std::string>{get_program("poplarpitch-scheduler"), "--settings", file},
         absl::StrCat(m_folder, "/", name, ".log"));
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -20,8 +20,8 @@
 /// (127.0.0.11 and on), since control instances find each other by address and share their ports' numbers.
 class scheduler_cluster {
 public:
-    /// `workers_text` is added to the section [workers] of the schedulers' settings. Where `data_centres` are
-    /// named, there is one for each scheduler.
+    /// `workers_text` is added to the section [workers] of the schedulers' settings, whose lease is 2 s
+    /// unless it begins with another one. Where `data_centres` are named, there is one for each scheduler.
     explicit scheduler_cluster(int schedulers, std::string workers_text = {},
                                std::vector<std::string> data_centres = {});
     ~scheduler_cluster();
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -26,6 +26,9 @@
 constexpr duration crash_delay = milliseconds{10};    // after the start of a task that crashes its worker
 constexpr duration restart_time = milliseconds{1000}; // longer than an answer takes, so that it is missed
 constexpr duration longest_list_delay = milliseconds{800};
+constexpr duration longest_break = milliseconds{300};
+constexpr duration longest_sickness = milliseconds{800};
+constexpr int sick_after_break = 50;           // of 100
 constexpr duration unheard_delay = seconds{4}; // of an answer that nobody waits for any more
 constexpr std::int64_t first_clock_ms = 1;
 constexpr std::size_t max_ended_rows = 500;
@@ -398,6 +401,15 @@
         });
     }
 
+    /// Ends all connections, and is not well for a while after that, at times.
+    void break_connections(pretended_worker& worker) {
+        const auto length = pick(duration{0}, longest_break);
+        close_for(worker, length);
+        if (happens(sick_after_break)) {
+            worker.sick_until = loop.now() + length + pick(duration{0}, longest_sickness);
+        }
+    }
+
     void handle(pretended_worker& worker, const http_request& request, const http_responder& respond) {
         if (!worker.is_up) {
             return; // it came over a connection that the crash has yet to end
@@ -453,8 +465,7 @@
         } else if (happens(habits.cut_orders)) {
             record.note(task, absl::StrCat(name, " is followed by a cut"));
             carry_out(worker, path, body, unheard);
-            const auto length = pick(duration{0}, milliseconds{300});
-            loop.post([this, &worker, length] { close_for(worker, length); });
+            loop.post([this, &worker] { break_connections(worker); });
         } else {
             carry_out(worker, path, body, respond);
         }
