--- a/unit_tests/platform/replaced_cluster_test.cpp
+++ b/unit_tests/platform/replaced_cluster_test.cpp
@@ -69,7 +69,7 @@
 }
 
 class replaced_cluster : public testing::TestWithParam<std::uint64_t> {
-protected:
+public:
     ~replaced_cluster() override {
         std::ofstream(absl::StrCat(m_cluster.get_folder(), "/timeline.txt")) << m_timeline;
         std::ofstream(absl::StrCat(m_cluster.get_folder(), "/tasks.txt"))
@@ -79,6 +79,7 @@
         }
     }
 
+protected:
     int pick(int least, int most) {
         return least + static_cast<int>(m_random() % static_cast<unsigned>(most - least + 1));
     }
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -151,7 +151,7 @@
             }
         }
         while (!worker.running.empty()) {
-            end(worker, worker.running.begin()->first, "lapsed");
+            end(worker, std::string(worker.running.begin()->first), "lapsed");
         }
     }
 
@@ -215,11 +215,10 @@
         return run;
     }
 
-    void end(pretended_worker& worker, const std::string& name, const char* how) {
-        if (!worker.running.contains(name)) {
+    void end(pretended_worker& worker, const std::string& task, const char* how) {
+        if (!worker.running.contains(task)) {
             return;
         }
-        const auto task = name; // the name may be that of what ends
         const auto run = take_out(worker, task, how);
         auto& highest = worker.highest_ended[task];
         highest = std::max(highest, run);
