Take no refusal of a repeated call for one of a start that was carried out

What callers saw: two runs of one task at once, or a start after an end that was noted. Cause: a start is written on a connection that is open already; the worker carries it out and the connection ends before the answer. The client sends the call once more on a new connection, and the worker, unhealthy or full by then, refuses that. The refusal says that this attempt did nothing; it was taken for the whole call, so the run ended as not_started and its task went elsewhere at once, without a stop. Class: what is true of the last attempt is told of the whole call; the same as for the call whose second connection does not come up. Evidence: worker_link.takes_no_refusal_of_a_repeated_call_for_one_of_a_start_that_was_carried_out failed before (told no_room or unhealthy, not unanswered). Why this works: such a refusal counts as no answer: the start is repeated, and before its task goes elsewhere its worker is stopped and its list read. The end of the run itself and another life still count.

--- a/poplarpitch/http/http_response.h
+++ b/poplarpitch/http/http_response.h
@@ -12,6 +12,8 @@
     header_list headers; ///< without Content-Type, Content-Length and connection headers
     std::string content_type = "application/json";
     std::string body;
+    /// Of a client's call: an earlier attempt of it was written too, and may have been carried out.
+    bool is_repeated = false;
 
     friend bool operator==(const http_response&, const http_response&) = default;
 };
--- a/poplarpitch/net/http_exchange.cpp
+++ b/poplarpitch/net/http_exchange.cpp
@@ -168,6 +168,7 @@
         response.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
     response.body = std::move(message.body());
+    response.is_repeated = m_was_written;
     finish(std::move(response), message.keep_alive() ? std::move(m_socket) : nullptr);
 }
 
--- a/poplarpitch/scheduler/worker_link.h
+++ b/poplarpitch/scheduler/worker_link.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -61,6 +62,14 @@
     static call_importance get_importance(const stop_order& /*order*/) { return call_importance::high; }
     static call_importance get_importance(const pace_order& /*order*/) { return call_importance::low; }
 
+    /// Returns true where a start that was repeated was refused, and the refusal says nothing of the attempt
+    /// before it. The run's own end and another life do.
+    static bool hides_start(const http_response& response, const std::optional<order_failure>& failure) {
+        const bool is_refused =
+            failure.has_value() && failure != order_failure::old_run && failure != order_failure::other_life;
+        return response.is_repeated && is_refused;
+    }
+
     template <class Order>
     static hold_outcome read(const result<http_response>& response) {
         if (!response) {
@@ -72,6 +81,9 @@
             const auto answer = Dialect::read_order_answer(response.value());
             hold_outcome outcome;
             outcome.failure = answer.failure;
+            if (std::is_same_v<Order, start_order> && hides_start(response.value(), answer.failure)) {
+                outcome.failure = order_failure::unanswered;
+            }
             outcome.answer.clock_ms = answer.clock_ms;
             return outcome;
         }
--- a/unit_tests/platform/worker_link_test.cpp
+++ b/unit_tests/platform/worker_link_test.cpp
@@ -6,6 +6,7 @@
 #include "poplarpitch/net/http_caller.h"
 #include "poplarpitch/net/http_listener.h"
 #include "poplarpitch/scheduler/worker_link.h"
+#include "poplarpitch/scheduling/step_job.h"
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
@@ -13,6 +14,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -121,5 +123,70 @@
     EXPECT_EQ(m_worker.acknowledged, (std::vector<std::uint64_t>{5}));
 }
 
+/// A worker that carries out every start and ends the connection of the second one before it is answered; to
+/// calls after that it is unhealthy.
+class breaking_worker {
+public:
+    explicit breaking_worker(event_loop& loop) : m_loop(loop) { listen(); }
+
+    [[nodiscard]] std::string get_address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+    int calls = 0;
+
+private:
+    void listen() {
+        m_listener.reset();
+        http_listener_settings settings;
+        settings.port = m_port;
+        m_listener = std::make_unique<http_listener>(
+            m_loop, settings,
+            [this](const http_request&, const http_responder& respond) { take_call(respond); });
+        m_port = m_listener->start().value();
+    }
+
+    void take_call(const http_responder& respond) {
+        ++calls;
+        if (calls == 2) {
+            m_loop.post([this] { listen(); });
+            return;
+        }
+        http_response response;
+        response.status = calls == 1 ? 200 : 503;
+        response.body = R"({"clockMs":1})";
+        respond(response);
+    }
+
+    event_loop& m_loop;
+    int m_port = 0;
+    std::unique_ptr<http_listener> m_listener;
+};
+
+TEST(worker_link, takes_no_refusal_of_a_repeated_call_for_one_of_a_start_that_was_carried_out) {
+    event_loop loop;
+    http_caller caller{loop, http_caller_settings{}};
+    worker_link<platform::dialect> link{loop, caller};
+    breaking_worker worker(loop);
+    std::vector<std::optional<order_failure>> outcomes;
+    const auto job = std::make_shared<step_job>();
+    const auto send_start = [&](const worker_link<platform::dialect>::outcome_handler& on_outcome) {
+        start_order order;
+        order.target = {{"w1", 0}, worker.get_address(), 1, false, seconds{30}};
+        order.job = job;
+        link.send(order, on_outcome);
+    };
+    loop.call_after(patience, [&] { loop.stop(); });
+    send_start([&](const hold_outcome& first) {
+        outcomes.push_back(first.failure);
+        send_start([&](const hold_outcome& second) {
+            outcomes.push_back(second.failure);
+            loop.stop();
+        });
+    });
+    loop.run();
+    EXPECT_EQ(worker.calls, 3);
+    const std::vector<std::optional<order_failure>> expected = {std::nullopt, order_failure::unanswered};
+    EXPECT_EQ(outcomes, expected);
+}
+
 } // namespace
 } // namespace poplarpitch
