--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -249,11 +249,11 @@
         if (found != worker.running.end() && found->second.run == run) {
             return make_response(worker, 200, {});
         }
-        if (found != worker.running.end()) {
-            record.note_start_beside(task, run, get_place(worker));
+        if (run <= worker.highest_ended[task]) {
             return make_response(worker, 409, {{"reason", "old"}});
         }
-        if (run <= worker.highest_ended[task]) {
+        if (found != worker.running.end()) {
+            record.note_start_beside(task, run, get_place(worker));
             return make_response(worker, 409, {{"reason", "old"}});
         }
         if (habits.slots > 0 && worker.running.size() >= static_cast<std::size_t>(habits.slots)) {
