Take up the ends of a list in the order of their numbers

A list whose ends come in another order than that of their numbers had the lower ones passed over and acknowledged: callers saw a task that was done started again. PROTOCOL.md says that numbers increase, not in which order a list has them. No worker that was seen lists them otherwise.

With the ends sorted each is taken up before a higher one raises what was seen.

--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -321,7 +321,10 @@
         track->percent = row.percent;
         track->level = row.level;
     }
-    for (const auto& row : answer.ended) {
+    // Ends up to a number are acknowledged together, so none of them may be passed over.
+    auto ended = answer.ended;
+    std::sort(ended.begin(), ended.end());
+    for (const auto& row : ended) {
         take_end(worker, row, now);
     }
     if (answer.ended.size() < max_ended_rows) {
--- a/unit_tests/dispatch/overlap_property_test.cpp
+++ b/unit_tests/dispatch/overlap_property_test.cpp
@@ -170,6 +170,13 @@
     play_all(settings);
 }
 
+TEST(overlap_property, holds_where_a_list_has_its_ends_in_any_order) {
+    auto settings = make_settings();
+    settings.shuffles_ends = true;
+    settings.leader_losses = 0.1;
+    play_all(settings);
+}
+
 TEST(overlap_property, holds_beside_all_of_these) {
     auto settings = make_relayed();
     settings.broken_calls = 0.02;
@@ -189,6 +196,7 @@
     settings.power_losses = 0.05;
     settings.restarts_at_loss = 0.1;
     settings.failures_at_loss = 0.1;
+    settings.shuffles_ends = true;
     play_all(settings);
 }
 
