Find three breaks that no test found: an old list after a start and after a stop, a clock taken back

A list that was written before a stop and came after its answer, and a heartbeat that came at the end of a cut, were in no world.

lets_no_lease_lapse_where_nothing_is_cut becomes lets_no_lease_lapse_in_a_cut_that_is_shorter: the same bounds, and cuts of 3.5 s as well.

--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -20,7 +20,6 @@
 constexpr duration tick = milliseconds{10};
 constexpr duration beat_interval = milliseconds{1100};
 constexpr duration network_delay = milliseconds{2};
-constexpr duration stop_time = milliseconds{100};
 constexpr duration contact_time = seconds{3};       // after which a leader's faults are its own
 constexpr duration room_slack = milliseconds{4100}; // shrunk room counts 3 s and one beat later
 constexpr std::int64_t longest_lease_ms = 10'000;   // a worker shortens a longer one
@@ -93,6 +92,7 @@
     time_point leaves_at{};
     time_point unhealthy_until{};
     time_point mute_until{};
+    bool has_held_beat = false;
 
     [[nodiscard]] const worker_amounts& get_room() const { return rooms.back().room; }
 };
@@ -484,7 +484,9 @@
 // ---- workers
 
 void crash_world::beat(worker& target) {
-    if (m_now < target.cut_until || m_now < target.mute_until || target.is_refusing) {
+    const bool is_held = m_settings.holds_beats && m_now < target.cut_until && !target.has_held_beat;
+    const bool is_unheard = m_now < target.cut_until || m_now < target.mute_until || target.is_refusing;
+    if (is_unheard && !is_held) {
         return;
     }
     worker_report report;
@@ -498,6 +500,14 @@
     report.capacity = target.get_room();
     report.sequence = ++target.sequence;
     report.clock_ms = get_clock(target);
+    if (is_held) {
+        target.has_held_beat = true;
+        call_after(target.cut_until - m_now, [this, &target, report] {
+            target.has_held_beat = false;
+            m_scheduler.on_heartbeat(report, m_now);
+        });
+        return;
+    }
     if (is_chosen(m_settings.late_beats)) {
         call_after(milliseconds{pick(static_cast<std::size_t>(to_milliseconds(late_beat)))},
                    [this, report] { m_scheduler.on_heartbeat(report, m_now); });
@@ -564,6 +574,14 @@
     }
 }
 
+void crash_world::cut_some(double share, duration length) {
+    for (auto& target : m_workers) {
+        if (is_chosen(share)) {
+            target->cut_until = m_now + length;
+        }
+    }
+}
+
 void crash_world::calm_down() {
     const auto before = m_settings;
     m_settings = {};
@@ -575,6 +593,7 @@
     m_settings.data_centres = before.data_centres;
     m_settings.commit_time = before.commit_time;
     m_settings.clock_drift = before.clock_drift;
+    m_settings.stop_time = before.stop_time;
     m_settings.waits_for_gangs = before.waits_for_gangs;
     m_settings.shuffles_ends = before.shuffles_ends;
 }
@@ -973,7 +992,7 @@
     if (const auto found = target.running.find(order.run);
         found != target.running.end() && !found->second.is_stopping) {
         found->second.is_stopping = true;
-        call_after(stop_time, [this, &target, key = order.run, life] {
+        call_after(m_settings.stop_time, [this, &target, key = order.run, life] {
             if (target.life == life && target.running.contains(key)) {
                 end(target, key, run_end::stopped);
             }
--- a/unit_tests/dispatch/crash_world.h
+++ b/unit_tests/dispatch/crash_world.h
@@ -56,10 +56,12 @@
     double unhealthy_times = 0;         ///< a worker answers all orders with 503 for 1 to 3 s
     double mutes = 0;                   ///< a worker hears all and nobody hears it, for 1 to 10 s
     duration longest_cut = seconds{10}; ///< of `worker_cuts`, which last 1 s at least
-    bool cuts_refuse = false;     ///< calls to a worker that is cut off end at once, as without a route to it
-    double clock_drift = 0;       ///< workers' clocks are up to this share slower
-    bool waits_for_gangs = false; ///< members work once all are there and end as done together
-    bool shuffles_ends = false;   ///< a list has its ends in any order
+    bool cuts_refuse = false; ///< calls to a worker that is cut off end at once, as without a route to it
+    double clock_drift = 0;   ///< workers' clocks are up to this share slower
+    bool holds_beats = false; ///< the first heartbeat of a cut comes at its end
+    duration stop_time = milliseconds{100}; ///< from a stop to the end of its run
+    bool waits_for_gangs = false;           ///< members work once all are there and end as done together
+    bool shuffles_ends = false;             ///< a list has its ends in any order
 
     friend bool operator==(const crash_world_settings&, const crash_world_settings&) = default;
 };
@@ -99,6 +101,8 @@
     [[nodiscard]] std::vector<stuck_task> find_stuck() const { return m_scheduler.find_stuck(m_now); }
     /// Lets a share of the workers crash at one moment.
     void crash_some(double share);
+    /// Cuts a share of the workers off for `length`.
+    void cut_some(double share, duration length);
     /// Lets nothing befall the world any more.
     void calm_down();
     /// Returns how many runs of tasks ended as done.
--- a/unit_tests/dispatch/overlap_property_test.cpp
+++ b/unit_tests/dispatch/overlap_property_test.cpp
@@ -19,15 +19,25 @@
 constexpr duration arrival_pause = milliseconds{250};
 constexpr duration longest_task = seconds{4};
 constexpr duration longer_than_leases = seconds{15};
+constexpr duration cut_pause = seconds{12};
+constexpr duration long_cut =
+    milliseconds{9700}; // longer than a lease: only workers without work may be cut off
+constexpr duration short_cut = milliseconds{3500}; // a lease holds this long after the last list at least
 constexpr duration idle_time = seconds{60};
 constexpr duration late_time = seconds{10}; // of traffic after an idle time
 
+struct traffic_settings {
+    duration longest = longest_task;
+    std::uint64_t jobs_per_gang = 12;
+    bool has_lasting = true;
+};
+
 /// Jobs that end, jobs that last and jobs that are cancelled, at about half of what the workers hold.
 class overlap_traffic {
 public:
-    explicit overlap_traffic(const crash_world_settings& settings, std::uint64_t seed,
-                             duration longest = longest_task)
-        : m_world(settings, seed), m_random(seed + 1), m_longest(longest) {}
+    overlap_traffic(const crash_world_settings& settings, std::uint64_t seed,
+                    const traffic_settings& traffic = {})
+        : m_world(settings, seed), m_random(seed + 1), m_traffic(traffic) {}
 
     void run(duration length) {
         for (duration passed{0}; passed < length; passed += arrival_pause) {
@@ -37,7 +47,10 @@
         }
     }
 
-    void idle() { m_world.run(idle_time); }
+    void idle(duration length) { m_world.run(length); }
+
+    /// Cuts half of the workers off for `length`.
+    void cut(duration length) { m_world.cut_some(0.5, length); }
 
     void calm_down() {
         m_world.calm_down();
@@ -71,10 +84,11 @@
         auto step = make_step(static_cast<std::uint32_t>(pick(1, 10)));
         step.millicores = static_cast<std::int64_t>(pick(1, 4)) * 1000;
         step.memory_mb = static_cast<std::int64_t>(pick(1, 8)) * 500;
-        step.long_running = pick(1, 20) == 1;
-        step.gang = !step.long_running && pick(1, 12) == 1;
+        step.long_running = pick(1, 20) == 1 && m_traffic.has_lasting;
+        step.gang = !step.long_running && pick(1, m_traffic.jobs_per_gang) == 1;
         step.checkpointing = pick(1, 4) == 1;
-        const auto length = milliseconds{pick(30, static_cast<std::uint64_t>(to_milliseconds(m_longest)))};
+        const auto length =
+            milliseconds{pick(30, static_cast<std::uint64_t>(to_milliseconds(m_traffic.longest)))};
         step.estimate_ms = to_milliseconds(length);
         const auto id = m_world.submit({step}, length);
         if (step.long_running) {
@@ -93,15 +107,15 @@
 
     crash_world m_world;
     std::mt19937_64 m_random;
-    duration m_longest;
+    traffic_settings m_traffic;
     std::vector<job_id> m_ids;
     std::map<job_id, int> m_lasting; ///< and how many tasks each has
 };
 
-void play_all(const crash_world_settings& settings) {
+void play_all(const crash_world_settings& settings, const traffic_settings& chosen = {}) {
     for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
-        overlap_traffic traffic(settings, seed);
+        overlap_traffic traffic(settings, seed, chosen);
         traffic.run(traffic_time);
         traffic.calm_down();
         traffic.check_promises();
@@ -218,22 +232,45 @@
         settings.worker_cuts = 2;
         settings.longest_cut = seconds{20};
         settings.cuts_refuse = true;
-        overlap_traffic traffic(settings, seed, longer_than_leases);
-        traffic.idle();
+        overlap_traffic traffic(settings, seed, {longer_than_leases});
+        traffic.idle(idle_time);
         traffic.run(late_time);
         traffic.calm_down();
         traffic.check_promises();
     }
 }
 
-TEST(overlap_property, lets_no_lease_lapse_where_nothing_is_cut) {
+TEST(overlap_property, lets_no_lease_lapse_in_a_cut_that_is_shorter) {
     for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         auto settings = make_settings();
         settings.clock_drift = 0.02;
         settings.late_beats = 0.3;
         overlap_traffic traffic(settings, seed);
-        traffic.run(traffic_time);
+        for (duration passed{0}; passed < traffic_time; passed += cut_pause) {
+            traffic.run(cut_pause);
+            traffic.cut(short_cut);
+        }
+        traffic.calm_down();
+        traffic.check_promises();
+        EXPECT_EQ(traffic.get_world().get_lapsed(), 0);
+        EXPECT_EQ(traffic.get_world().get_late_leases(), 0);
+    }
+}
+
+TEST(overlap_property, takes_no_clock_back_to_that_of_a_late_heartbeat) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        auto settings = make_settings();
+        settings.clock_drift = 0.02;
+        settings.holds_beats = true;
+        overlap_traffic traffic(settings, seed, {seconds{1}, 12, false});
+        for (duration passed{0}; passed < traffic_time; passed += long_cut) {
+            traffic.cut(long_cut);
+            traffic.idle(long_cut);
+            traffic.run(seconds{2});
+            traffic.idle(long_cut);
+        }
         traffic.calm_down();
         traffic.check_promises();
         EXPECT_EQ(traffic.get_world().get_lapsed(), 0);
@@ -241,5 +278,15 @@
     }
 }
 
+TEST(overlap_property, takes_no_list_for_newer_than_a_stop_that_overtook_it) {
+    auto settings = make_settings();
+    settings.slow_answers = 0.5;
+    settings.answer_lateness = milliseconds{800};
+    settings.stop_time = milliseconds{900};
+    settings.unhealthy_times = 2;
+    settings.leaves = 0.3;
+    play_all(settings, {longest_task, 3});
+}
+
 } // namespace
 } // namespace poplarpitch
