--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -736,7 +736,8 @@
                 auto sent = std::make_shared<sent_order>();
                 sent->on_outcome = on_outcome;
                 call_after(delay, [this, item, sent, &target] { arrive(item, target, sent); });
-                if (m_settings.stray_orders > 0 || m_settings.slow_answers > 0 || m_settings.mutes > 0) {
+                if (m_settings.stray_orders > 0 || m_settings.slow_answers > 0 || m_settings.mutes > 0 ||
+                    m_now < target.mute_until) {
                     close_after(item.target.timeout, sent);
                 }
             }
