--- a/unit_tests/dispatch/overlap_property_test.cpp
+++ b/unit_tests/dispatch/overlap_property_test.cpp
@@ -7,7 +7,9 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,7 @@
 
 constexpr duration traffic_time = seconds{25};
 constexpr duration calm_time = seconds{45}; // what does not end by then never does
+constexpr duration long_calm = seconds{90};
 constexpr duration arrival_pause = milliseconds{250};
 constexpr duration longest_task = seconds{4};
 constexpr duration longer_than_leases = seconds{15};
@@ -30,6 +33,7 @@
     duration longest = longest_task;
     std::uint64_t jobs_per_gang = 12;
     bool has_lasting = true;
+    duration calm = calm_time;
 };
 
 /// Jobs that end, jobs that last and jobs that are cancelled, at about half of what the workers hold.
@@ -54,7 +58,7 @@
 
     void calm_down() {
         m_world.calm_down();
-        m_world.run(calm_time);
+        m_world.run(m_traffic.calm);
     }
 
     void check_promises() const {
@@ -222,6 +226,68 @@
     play_all(settings);
 }
 
+/// Returns settings of which each is on in about a third of all seeds, and then weak or strong.
+crash_world_settings draw_settings(std::uint64_t seed) {
+    std::mt19937_64 random(seed * 7919);
+    const auto draw = [&random](double strong) {
+        const std::array<double, 6> shares = {0, 0, 0, 0, 0.3, 1};
+        return strong * shares[random() % shares.size()];
+    };
+    crash_world_settings settings;
+    settings.waits_for_gangs = true;
+    settings.data_centres = static_cast<int>(random() % 4);
+    settings.commit_time = milliseconds{10 + random() % 100};
+    settings.stop_time = milliseconds{50 + random() % 850};
+    settings.answer_lateness = milliseconds{50 + random() % 800};
+    settings.shuffles_ends = random() % 3 == 0;
+    settings.cuts_refuse = random() % 3 == 0;
+    settings.holds_beats = random() % 3 == 0;
+    settings.clock_drift = random() % 2 == 0 ? 0.02 : 0;
+    settings.longest_cut = seconds{2 + random() % 20};
+    settings.slow_answers = draw(0.5);
+    settings.broken_calls = draw(0.1);
+    settings.lost_answers = draw(0.1);
+    settings.late_beats = draw(0.2);
+    settings.failures = draw(3);
+    settings.worker_crashes = draw(1);
+    settings.worker_cuts = draw(1);
+    settings.mutes = draw(0.5);
+    settings.unhealthy_times = draw(1);
+    settings.leader_losses = draw(0.3);
+    settings.power_losses = draw(0.2);
+    settings.restarts_at_loss = draw(0.5);
+    settings.failures_at_loss = draw(0.5);
+    settings.keeps_ids = random() % 4 == 0;
+    settings.restart_time = milliseconds{settings.keeps_ids ? 20 + random() % 1000 : 3000};
+    settings.restart_spread = seconds{1};
+    if (settings.data_centres > 0) {
+        settings.relay_stalls = draw(0.5);
+        settings.relay_losses = draw(0.3);
+    }
+    if (!settings.keeps_ids) { // a next life refuses what was for the one before it
+        settings.stray_orders = draw(0.1);
+        settings.late_orders = draw(0.2);
+        settings.leaves = draw(0.5);
+    }
+    return settings;
+}
+
+TEST(overlap_property, holds_whatever_befalls) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        traffic_settings chosen;
+        chosen.jobs_per_gang = 6;
+        if (seed % 3 == 0) {
+            chosen.longest = longer_than_leases;
+            chosen.calm = long_calm; // they ask for more than there is
+        }
+        overlap_traffic traffic(draw_settings(seed), seed, chosen);
+        traffic.run(traffic_time);
+        traffic.calm_down();
+        traffic.check_promises();
+    }
+}
+
 TEST(overlap_property, outlives_the_lease_of_a_worker_whose_clock_is_slow) {
     for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
