--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -37,6 +37,7 @@
 constexpr duration drain_time = seconds{2};
 constexpr duration longest_leave = seconds{2}; // after the goodbye, while it refuses connections
 constexpr duration beat_patience = seconds{1}; // then a worker calls another instance
+constexpr duration alone_patience = seconds{5};
 constexpr duration gang_patience = milliseconds{50};
 constexpr duration after_loss = seconds{2};
 constexpr const char* pool = "mill";
@@ -938,6 +939,13 @@
     const auto& job = m_jobs.at(member.task.step.job);
     const auto count = job->steps[member.task.step.step].count;
     if (find_members(member).size() < count) {
+        call_after(alone_patience, [this, member, count] {
+            for (const auto& [host, key] : find_members(member)) {
+                if (key == member && find_members(member).size() < count) {
+                    end(*host, key, run_end::alone);
+                }
+            }
+        });
         return;
     }
     call_after(m_lengths.at(member.task.step.job), [this, member, count] {
--- a/unit_tests/dispatch/crash_world.h
+++ b/unit_tests/dispatch/crash_world.h
@@ -180,7 +180,7 @@
     void carry_out(const stop_order& order, worker& target, const sent_order_ptr& sent);
     [[nodiscard]] std::optional<order_failure> start(const start_order& order, worker& target);
     void end(worker& target, const run_key& key, run_end how);
-    /// Lets a gang's run work where all of its members are there now.
+    /// Lets a gang's run work where all of its members are there now, and its member end that waits too long.
     void begin_gang(const run_key& member);
     /// Returns where the members of a gang's run are.
     [[nodiscard]] std::vector<std::pair<worker*, run_key>> find_members(const run_key& member) const;
