Reckon a lease by the longest where a worker may have started again under its id

A worker that starts again under its id takes an order that was meant for its former life, with a lease on the former life's clock: it may count for the 10 s that a worker grants at most, not for the 7 s that were meant. Where nobody heard the new life, its runs were given up 3 s too early: two runs of a task at once.

The tasks of such a worker wait 10.5 s instead of 7.4 s when it is cut off; a worker whose id names its life is not concerned.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -44,11 +44,9 @@
             m_ended.emplace(now + m_settings.keep_ended, id);
         }
     }
-    // What an earlier leader allowed may have been allowed just now.
-    const auto lease_end = now + get_lease_span(m_settings.lease);
     for (const auto& [key, run] : m_book.get_assigned_runs()) {
         const auto* record = m_book.find_job(key.task.step.job);
-        adopt_worker(run, lease_end, now);
+        adopt_worker(run, now);
         add_track(key, record->job, run.worker, run_stage::adopting, now);
         if (record->phase != job_phase::open) {
             stop_run(*find(key), now);
@@ -59,9 +57,9 @@
 
 /// A life that ended with the former leader never announces itself again. Asked at its address, the life
 /// after it answers, and its runs need not wait for their lease.
-void dispatcher::adopt_worker(const assigned_run& run, time_point lease_end, time_point now) {
+void dispatcher::adopt_worker(const assigned_run& run, time_point now) {
     auto& worker = know_life(run.worker, now);
-    worker.lease_end = lease_end;
+    grant_lease(worker, now); // an earlier leader may have granted one just now
     if (worker.report.address.empty() && !run.address.empty()) {
         worker.report.address = run.address;
         worker.next_hold = now + announce_patience;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -196,7 +196,7 @@
 
     // jobs
     void open(const job_record& record, time_point accepted, time_point now, std::int64_t wall_ms);
-    void adopt_worker(const assigned_run& run, time_point lease_end, time_point now);
+    void adopt_worker(const assigned_run& run, time_point now);
     /// Takes up what the book says of a job's tasks that may have crashed workers.
     void find_suspects(const job_record& record, time_point now);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
@@ -265,6 +265,8 @@
     void grant_lease(worker_state& worker, time_point now);
     /// Takes that something may count at the worker as long as it grants anything at all.
     void grant_longest_lease(worker_state& worker, time_point now);
+    /// Returns how long a lease that is granted now may count at the worker, by its clock.
+    [[nodiscard]] duration get_lease_bound(const worker_state& worker) const;
     /// Returns how long after it was sent a lease may count at its worker, by this clock.
     [[nodiscard]] duration get_lease_span(duration lease) const;
     void lose_worker(worker_state& worker, const char* reason, time_point now);
--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -29,6 +29,9 @@
     worker.known_since = now;
     worker.needs_fence = !others.empty() || (gone != m_gone.end() && gone->id == life.id);
     worker.fence = get_fence();
+    if (worker.needs_fence) {
+        grant_longest_lease(worker, now); // what was for a former life may have come to this one
+    }
     // Until it has answered it may be a late message of an even earlier life: the one that lives is not to
     // refuse what was sent to it before.
     if (!others.empty()) {
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -172,13 +172,23 @@
 }
 
 void dispatcher::grant_lease(worker_state& worker, time_point now) {
-    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.lease));
+    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(get_lease_bound(worker)));
+    // It may come to another life of that id, which takes it by its own clock.
+    for (auto* other : m_workers.find_other_lives(worker.report.life)) {
+        grant_longest_lease(*other, now);
+    }
 }
 
 void dispatcher::grant_longest_lease(worker_state& worker, time_point now) {
     worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.longest_lease));
 }
 
+/// A worker that keeps its id may have started again unnoticed: the next life takes the lease by its own
+/// clock, and bounds it only by the longest that it grants.
+duration dispatcher::get_lease_bound(const worker_state& worker) const {
+    return worker.report.life.born_ms == 0 ? m_settings.lease : m_settings.longest_lease;
+}
+
 duration dispatcher::get_lease_span(duration lease) const {
     return std::chrono::duration_cast<duration>(lease * (1 + m_settings.clock_drift)) +
            m_settings.lease_margin;
