Let a relay carry out no order whose time was over when it came

A relay that had stood still carried out what waited in its queue, seconds after the leader had given it up. A worker that had started again under its id since, and had not seen its own fence yet, took a start that was meant for its former life: two runs of a task at once, or a start after an end that was acknowledged as done.

A frame tells when it left by the leader's clock. The clocks of two instances count from different times, so a relay takes the quickest frame of its leader for the measure, which may grow by the drift of their clocks. An order is told as not sent when it was longer on its way than its own time: by then the leader has given it up. A frame without that time, of an older version, is taken as before.

--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -11,6 +11,8 @@
 namespace poplarpitch {
 namespace {
 
+constexpr double most_drift = 0.02; // between the clocks of two instances
+
 /// Returns true when nothing but its time and number changed since the last report.
 bool is_alike(worker_report before, const worker_report& now) {
     before.sequence = now.sequence;
@@ -47,6 +49,7 @@
     if (frame.term() > m_term) {
         begin_term(frame.term(), now);
     }
+    const auto age = take_age(frame, now);
     m_heard = now;
     m_owes_frame = true;
     if (frame.has_places()) {
@@ -61,7 +64,7 @@
             tell(known->second);
         }
     }
-    carry_out(frame);
+    carry_out(frame, age);
     return std::nullopt;
 }
 
@@ -69,6 +72,7 @@
     m_term = term;
     m_leads = false;
     m_frame = nullptr;
+    m_least_delay.reset();
     m_places.clear();
     forget_old_reports(now);
     for (auto& [worker, known] : m_reports) {
@@ -92,7 +96,21 @@
     m_heard = {};
 }
 
-void relay_agent::carry_out(const job_wire::relay_orders& frame) {
+duration relay_agent::take_age(const job_wire::relay_orders& frame, time_point now) {
+    if (frame.sent_ms() == 0) {
+        return duration{0};
+    }
+    const auto delay = now.time_since_epoch() - milliseconds{frame.sent_ms()};
+    if (m_least_delay.has_value()) {
+        const auto drift = std::chrono::duration_cast<duration>((now - m_heard) * most_drift);
+        m_least_delay = std::min<duration>(delay, *m_least_delay + drift);
+    } else {
+        m_least_delay = delay;
+    }
+    return delay - *m_least_delay;
+}
+
+void relay_agent::carry_out(const job_wire::relay_orders& frame, duration age) {
     for (const auto& message : frame.orders()) {
         ++m_taken;
         const auto number = message.number();
@@ -115,6 +133,10 @@
             answer({order_failure::malformed, {}});
             continue;
         }
+        if (age > get_order_target(*order)->timeout) {
+            answer({order_failure::not_sent, {}});
+            continue;
+        }
         m_perform(*order, answer);
     }
 }
--- a/poplarpitch/relay/relay_agent.h
+++ b/poplarpitch/relay/relay_agent.h
@@ -26,9 +26,9 @@
 /// A relay's end: carries out the leader's orders at workers, takes their heartbeats, and tells the leader.
 ///
 /// It decides nothing. An order is carried out as it came: its lease ends on the worker's clock and its fence
-/// is the leader's term, so that an order that comes late, from a relay that stood still for seconds, does
-/// nothing that it would not have done in time. Orders of an older leader are told as not sent. Thread
-/// safety: none, as for all methods; the handler may be called at any later time.
+/// is the leader's term. One whose time was over as it came, since this instance stood still, is told as not
+/// sent: the worker may have started again meanwhile. So are those of an older leader. Thread safety: none,
+/// as for all methods; the handler may be called at any later time.
 class relay_agent {
 public:
     using outcome_handler = std::function<void(hold_outcome)>;
@@ -70,7 +70,9 @@
     };
 
     void begin_term(log_term term, time_point now);
-    void carry_out(const job_wire::relay_orders& frame);
+    void carry_out(const job_wire::relay_orders& frame, duration age);
+    /// Returns how much longer a frame was on its way than the quickest one of its leader.
+    duration take_age(const job_wire::relay_orders& frame, time_point now);
     void forget_old_reports(time_point now);
     void tell(known_report& known);
     job_wire::relay_answers& open_frame();
@@ -78,9 +80,10 @@
     relay_settings m_settings;
     relay_place m_place;
     performer m_perform;
-    log_term m_term = 0;  ///< highest seen
-    bool m_leads = false; ///< this instance leads in `m_term`
-    time_point m_heard{}; ///< when a frame of that term came last
+    log_term m_term = 0;                   ///< highest seen
+    bool m_leads = false;                  ///< this instance leads in `m_term`
+    std::optional<duration> m_least_delay; ///< of its frames, by two clocks that count from different times
+    time_point m_heard{};                  ///< when a frame of that term came last
     time_point m_sent{};
     bool m_owes_frame = false; ///< a frame came and none went since
     time_point m_next_sweep{};
--- a/poplarpitch/relay/relay_hub.cpp
+++ b/poplarpitch/relay/relay_hub.cpp
@@ -166,6 +166,7 @@
             }
         }
         box.sent = now;
+        frame.set_sent_ms(to_milliseconds(now.time_since_epoch()));
         frames.push_back({ip, std::exchange(box.frame, nullptr)});
     }
     return frames;
--- a/unit_tests/dispatch/overlap_property_test.cpp
+++ b/unit_tests/dispatch/overlap_property_test.cpp
@@ -261,7 +261,7 @@
     settings.restart_time = milliseconds{settings.keeps_ids ? 20 + random() % 1000 : 3000};
     settings.restart_spread = seconds{1};
     if (settings.data_centres > 0) {
-        settings.relay_stalls = settings.keeps_ids ? 0 : draw(0.5); // has a test of its own
+        settings.relay_stalls = draw(0.5);
         settings.relay_losses = draw(0.3);
     }
     if (!settings.keeps_ids) { // a next life refuses what was for the one before it
@@ -288,6 +288,16 @@
     }
 }
 
+TEST(overlap_property, holds_where_workers_restart_while_a_relay_stands_still) {
+    auto settings = make_relayed();
+    settings.keeps_ids = true;
+    settings.restart_time = milliseconds{20};
+    settings.restart_spread = seconds{1};
+    settings.worker_crashes = 3;
+    settings.relay_stalls = 0.5;
+    play_all(settings);
+}
+
 TEST(overlap_property, outlives_the_lease_that_a_former_life_of_the_worker_was_granted) {
     auto settings = make_settings();
     settings.failures = 0;
--- a/unit_tests/relay/relay_agent_test.cpp
+++ b/unit_tests/relay/relay_agent_test.cpp
@@ -255,5 +255,29 @@
     EXPECT_EQ(std::get<hold_order>(world.orders[0].first).until_ms, 4000);
 }
 
+/// Its worker may have started again under its id since.
+TEST(relay_agent, tells_an_order_as_not_sent_whose_time_was_over_when_it_came) {
+    agent_world world;
+    const auto send_at = [&world](std::int64_t sent_ms) {
+        job_wire::relay_orders frame;
+        frame.set_term(3);
+        frame.set_sent_ms(sent_ms);
+        hold_order order;
+        order.target = {{"w1", 0}, "10.9.0.1:80", 3, false, milliseconds{900}};
+        append_order(order, world.next_number++, frame);
+        static_cast<void>(world.agent.on_orders(frame, world.now));
+    };
+    send_at(7'000'000); // the leader's clock counts from another time
+    world.now += seconds{5};
+    send_at(7'000'100);
+    send_at(7'003'900);
+    EXPECT_EQ(world.orders.size(), 1U);
+    send_at(7'004'500);
+    EXPECT_EQ(world.orders.size(), 2U);
+    const auto told = world.take();
+    ASSERT_EQ(told.answers_size(), 2);
+    EXPECT_EQ(told.answers(1).failure(), static_cast<std::uint32_t>(order_failure::not_sent));
+}
+
 } // namespace
 } // namespace poplarpitch
