--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -289,11 +289,12 @@
     for (auto& target : m_workers) {
         for (const auto& [key, run] : target->running) {
             if (m_settings.failures_at_loss > 0 && is_chosen(m_settings.failures_at_loss)) {
-                call_after(pick_time(milliseconds{1}, after_loss), [this, &target, key, life = target->life] {
-                    if (target->life == life && target->running.contains(key)) {
-                        end(*target, key, run_end::failed);
-                    }
-                });
+                call_after(pick_time(milliseconds{1}, after_loss),
+                           [this, &target, key = key, life = target->life] {
+                               if (target->life == life && target->running.contains(key)) {
+                                   end(*target, key, run_end::failed);
+                               }
+                           });
             }
         }
     }
@@ -782,11 +783,10 @@
 
 template <class Order>
 void crash_world::arrive(const Order& order, worker& target, const sent_order_ptr& sent) {
-    if (m_now < target.cut_until && m_settings.cuts_refuse) {
-        close(sent, {order_failure::unreachable, {}});
-    } else if (m_now < target.cut_until) {
+    const bool is_cut = m_now < target.cut_until;
+    if (is_cut && !m_settings.cuts_refuse) {
         close_after(order.target.timeout, sent);
-    } else if (!target.is_up || target.is_refusing) {
+    } else if (is_cut || !target.is_up || target.is_refusing) {
         close(sent, {order_failure::unreachable, {}});
     } else if (target.id != order.target.worker.id) {
         answer(target, sent, {order_failure::other_life, {}});
