Follow a run to the next life of its worker also where only its repeated start was answered

A start without an answer that was repeated may come after the repeated one was answered. Where the worker had started again under its id in between, the run was given up while the next life took the late start: two runs of a task at once.

--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -12,9 +12,10 @@
 
 constexpr const char* started_again = "started_again";
 
-/// Returns true when a start of the run may yet be carried out.
+/// Returns true when a start of the run may yet be carried out: also one that was repeated, and the repeated
+/// one answered.
 bool may_yet_start(const run_track& track) {
-    return track.stage == run_stage::starting && (track.is_order_out || track.may_come_late);
+    return track.may_come_late || (track.stage == run_stage::starting && track.is_order_out);
 }
 
 } // namespace
