--- a/unit_tests/dispatch/overlap_property_test.cpp
+++ b/unit_tests/dispatch/overlap_property_test.cpp
@@ -280,6 +280,7 @@
         if (seed % 3 == 0) {
             chosen.longest = longer_than_leases;
             chosen.calm = long_calm; // they ask for more than there is
+            chosen.has_lasting = false;
         }
         overlap_traffic traffic(draw_settings(seed), seed, chosen);
         traffic.run(traffic_time);
