--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -61,12 +61,7 @@
 /// after it answers, and its runs need not wait for their lease.
 void dispatcher::adopt_worker(const assigned_run& run, time_point now) {
     auto& worker = know_life(run.worker, now);
-    // What an earlier leader allowed may have been allowed just now, and to a life after the one it knew.
-    if (run.worker.born_ms == 0) {
-        grant_lease(worker, now);
-    } else {
-        grant_longest_lease(worker, now);
-    }
+    grant_lease(worker, now); // an earlier leader may have granted one just now
     if (worker.report.address.empty() && !run.address.empty()) {
         worker.report.address = run.address;
         worker.next_hold = now + announce_patience;
--- a/poplarpitch/dispatch/dispatcher_lives.cpp
+++ b/poplarpitch/dispatch/dispatcher_lives.cpp
@@ -24,6 +24,9 @@
     worker.known_since = now;
     worker.needs_fence = !others.empty() || (gone != m_gone.end() && gone->id == life.id);
     worker.fence = get_fence();
+    if (worker.needs_fence) {
+        grant_longest_lease(worker, now); // what was for a former life may have come to this one
+    }
     // Until it has answered it may be a late message of an even earlier life: the one that lives is not to
     // refuse what was sent to it before.
     if (!others.empty()) {
@@ -157,7 +160,7 @@
 
 void dispatcher::compare_clock(worker_state& worker, std::int64_t clock_ms, time_point now) {
     const auto margin = to_milliseconds(m_settings.lease_margin);
-    if (clock_ms == 0 || clock_ms + margin >= worker.estimate_clock(now)) {
+    if (clock_ms == 0 || clock_ms + margin >= worker.estimate_clock(now, m_settings.clock_drift)) {
         return;
     }
     grant_longest_lease(worker, now);
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -82,13 +82,17 @@
     }
 }
 
-/// A start without an answer may have come to a life after the one that it names, where ids are kept. That
-/// life's clock counts anew, so only the longest lease that it grants bounds the run there.
+/// Where ids are kept, a start may have come to a life after the one that it names, also one that was
+/// answered if nobody has noticed that life. Its clock counts anew, so only the longest lease that it grants
+/// bounds the run there. A task that lasts is at a worker for long, and has to come back within seconds: for
+/// it this counts only while its start has no answer.
 time_point dispatcher::get_lease_end(const run_track& track) const {
     const auto& worker = *track.host;
-    const bool may_be_at_next_life = worker.report.life.born_ms != 0 && track.may_yet_start();
-    const auto more = get_lease_span(m_settings.longest_lease) - get_lease_span(m_settings.lease);
-    return may_be_at_next_life ? worker.lease_end + more : worker.lease_end;
+    const bool may_be_elsewhere = !track.get_spec().long_running || track.may_yet_start();
+    if (worker.report.life.born_ms == 0 || !may_be_elsewhere) {
+        return worker.lease_end;
+    }
+    return std::max(worker.lease_end, worker.granted_at + get_lease_span(m_settings.longest_lease));
 }
 
 void dispatcher::watch_worker(worker_state& worker, time_point now) {
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -138,8 +138,8 @@
     worker.room_known_until = guards_room ? time_point::max() : worker.last_heartbeat + m_settings.room_age;
 }
 
-void dispatcher::note_clock(worker_state& worker, std::int64_t clock_ms, time_point now) {
-    if (worker.clock_ms == 0 || clock_ms > worker.estimate_clock(now)) {
+void dispatcher::note_clock(worker_state& worker, std::int64_t clock_ms, time_point now) const {
+    if (worker.clock_ms == 0 || clock_ms > worker.estimate_clock(now, m_settings.clock_drift)) {
         worker.clock_ms = clock_ms;
         worker.clock_at = now;
     }
@@ -172,7 +172,12 @@
 }
 
 void dispatcher::grant_lease(worker_state& worker, time_point now) {
+    worker.granted_at = now;
     worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.lease));
+    // It may come to another life of that id, which takes it by its own clock.
+    for (auto* other : m_workers.find_other_lives(worker.report.life)) {
+        grant_longest_lease(*other, now);
+    }
 }
 
 void dispatcher::grant_longest_lease(worker_state& worker, time_point now) {
@@ -207,7 +212,8 @@
     // up. Nor is one prolonged for runs that are not to be there.
     const bool has_only_strays = worker.has_strays && worker.runs.empty();
     if (!worker.is_silent() && worker.clock_ms != 0 && !has_only_strays) {
-        order.until_ms = worker.estimate_clock(now) + to_milliseconds(m_settings.lease);
+        order.until_ms =
+            worker.estimate_clock(now, m_settings.clock_drift) + to_milliseconds(m_settings.lease);
         grant_lease(worker, now);
     }
     worker.is_holding = true;
@@ -331,7 +337,10 @@
         track->percent = row.percent;
         track->level = row.level;
     }
-    for (const auto& row : answer.ended) {
+    // Ends up to a number are acknowledged together, so none of them may be passed over.
+    auto ended = answer.ended;
+    std::sort(ended.begin(), ended.end());
+    for (const auto& row : ended) {
         take_end(worker, row, now);
     }
     if (answer.ended.size() < max_ended_rows) {
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -66,7 +66,8 @@
 
     std::int64_t clock_ms = 0; ///< the worker's clock at `clock_at`; 0 while unknown
     time_point clock_at{};
-    time_point lease_end{}; ///< by then everything that this leader or an earlier one allowed has lapsed
+    time_point granted_at{}; ///< when a lease was granted last
+    time_point lease_end{};  ///< by then everything that this leader or an earlier one allowed has lapsed
 
     std::uint64_t seen = 0;         ///< highest number of its ends that was taken up
     std::uint64_t acknowledged = 0; ///< highest number that it may forget
@@ -105,9 +106,11 @@
         const auto capacity = std::max<std::int64_t>(report.capacity.millicores, 1);
         return std::min(static_cast<double>(millicores) / static_cast<double>(capacity), 1.0);
     }
-    /// Returns the worker's clock at `now`, never ahead of it; 0 while unknown. Thread safety: as the state.
-    [[nodiscard]] std::int64_t estimate_clock(time_point now) const {
-        return clock_ms == 0 ? 0 : clock_ms + to_milliseconds(now - clock_at);
+    /// Returns the worker's clock at `now`, never ahead of it though it may be slower by the share `drift`; 0
+    /// while unknown. Thread safety: as the state.
+    [[nodiscard]] std::int64_t estimate_clock(time_point now, double drift) const {
+        const auto passed = std::chrono::duration_cast<duration>((now - clock_at) * (1 - drift));
+        return clock_ms == 0 ? 0 : clock_ms + to_milliseconds(passed);
     }
 };
 
--- a/unit_tests/dispatch/dispatcher_ending_test.cpp
+++ b/unit_tests/dispatch/dispatcher_ending_test.cpp
@@ -139,15 +139,15 @@
     world.start_one();
     world.wait_for_hold("w1");
     world.answer_hold("w1", dispatch_world::make_list());
-    const auto before = world.find_worker("w1")->estimate_clock(world.now);
+    const auto before = world.find_worker("w1")->estimate_clock(world.now, dispatch_settings{}.clock_drift);
     auto late = world.find_worker("w1")->report;
     ++late.sequence;
     late.clock_ms = before - stepped_back_ms;
     world.scheduler.on_heartbeat(late, world.now);
-    EXPECT_GE(world.find_worker("w1")->estimate_clock(world.now), before);
+    EXPECT_GE(world.find_worker("w1")->estimate_clock(world.now, dispatch_settings{}.clock_drift), before);
     const sign_of_life sign{late.life, late.sequence + 1, late.sequence, late.clock_ms};
     world.scheduler.on_sign_of_life(sign, world.now);
-    EXPECT_GE(world.find_worker("w1")->estimate_clock(world.now), before);
+    EXPECT_GE(world.find_worker("w1")->estimate_clock(world.now, dispatch_settings{}.clock_drift), before);
 }
 
 TEST(dispatcher_ending, lets_a_goodbye_end_nothing_before_the_worker_is_known_to_be_gone) {
--- /dev/null
+++ b/unit_tests/dispatch/overlap_property_test.cpp
@@ -0,0 +1,383 @@
+// What must hold where answers, lists and orders overtake each other, relays stand still, all control
+// instances lose power together, and workers' clocks are slow: no two runs of a task at once, no start after
+// an end that was noted as done. POPLARPITCH_SEEDS sets how many seeds are tried; each failure names its
+// seed.
+#include "unit_tests/dispatch/crash_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration traffic_time = seconds{25};
+constexpr duration calm_time = seconds{45}; // what does not end by then never does
+constexpr duration long_calm = seconds{90};
+constexpr duration arrival_pause = milliseconds{250};
+constexpr duration longest_task = seconds{4};
+constexpr duration longer_than_leases = seconds{15};
+constexpr duration cut_pause = seconds{12};
+constexpr duration long_cut =
+    milliseconds{9700}; // longer than a lease: only workers without work may be cut off
+constexpr duration short_cut = milliseconds{3500}; // a lease holds this long after the last list at least
+constexpr duration idle_time = seconds{60};
+constexpr duration late_time = seconds{10}; // of traffic after an idle time
+
+struct traffic_settings {
+    duration longest = longest_task;
+    std::uint64_t jobs_per_gang = 12;
+    bool has_lasting = true;
+    duration calm = calm_time;
+};
+
+/// Jobs that end, jobs that last and jobs that are cancelled, at about half of what the workers hold.
+class overlap_traffic {
+public:
+    overlap_traffic(const crash_world_settings& settings, std::uint64_t seed,
+                    const traffic_settings& traffic = {})
+        : m_world(settings, seed), m_random(seed + 1), m_traffic(traffic) {}
+
+    void run(duration length) {
+        for (duration passed{0}; passed < length; passed += arrival_pause) {
+            submit_one();
+            m_world.run(arrival_pause);
+            cancel_one();
+        }
+    }
+
+    void idle(duration length) { m_world.run(length); }
+
+    /// Cuts half of the workers off for `length`.
+    void cut(duration length) { m_world.cut_some(0.5, length); }
+
+    void calm_down() {
+        m_world.calm_down();
+        m_world.run(m_traffic.calm);
+    }
+
+    void check_promises() const {
+        EXPECT_TRUE(m_world.get_violations().empty()) << m_world.get_violations().front();
+        EXPECT_TRUE(m_world.find_stuck().empty())
+            << m_world.find_stuck().size()
+            << " stuck: " << get_stuck_name(m_world.find_stuck().front().reason);
+        for (const auto& [id, tasks] : m_lasting) {
+            if (get_phase(id) == job_phase::open) {
+                EXPECT_EQ(m_world.count_running(id), tasks) << "of job " << id << " that lasts";
+            }
+        }
+        for (const auto& [id, record] : m_world.get_book().get_jobs()) {
+            EXPECT_TRUE(record.phase != job_phase::open || m_lasting.contains(id))
+                << "job " << id << " never ended";
+        }
+    }
+
+    [[nodiscard]] const crash_world& get_world() const { return m_world; }
+
+private:
+    std::uint64_t pick(std::uint64_t least, std::uint64_t most) {
+        return least + m_random() % (most - least + 1);
+    }
+
+    void submit_one() {
+        auto step = make_step(static_cast<std::uint32_t>(pick(1, 10)));
+        step.millicores = static_cast<std::int64_t>(pick(1, 4)) * 1000;
+        step.memory_mb = static_cast<std::int64_t>(pick(1, 8)) * 500;
+        step.long_running = pick(1, 20) == 1 && m_traffic.has_lasting;
+        step.gang = !step.long_running && pick(1, m_traffic.jobs_per_gang) == 1;
+        step.checkpointing = pick(1, 4) == 1;
+        const auto length =
+            milliseconds{pick(30, static_cast<std::uint64_t>(to_milliseconds(m_traffic.longest)))};
+        step.estimate_ms = to_milliseconds(length);
+        const auto id = m_world.submit({step}, length);
+        if (step.long_running) {
+            m_lasting[id] = static_cast<int>(step.count);
+        }
+        m_ids.push_back(id);
+    }
+
+    void cancel_one() {
+        if (pick(1, 10) == 1) {
+            m_world.cancel(m_ids[pick(0, m_ids.size() - 1)]);
+        }
+    }
+
+    [[nodiscard]] job_phase get_phase(job_id id) const { return m_world.get_book().find_job(id)->phase; }
+
+    crash_world m_world;
+    std::mt19937_64 m_random;
+    traffic_settings m_traffic;
+    std::vector<job_id> m_ids;
+    std::map<job_id, int> m_lasting; ///< and how many tasks each has
+};
+
+void play_all(const crash_world_settings& settings, const traffic_settings& chosen = {}) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        overlap_traffic traffic(settings, seed, chosen);
+        traffic.run(traffic_time);
+        traffic.calm_down();
+        traffic.check_promises();
+    }
+}
+
+crash_world_settings make_settings() {
+    crash_world_settings settings;
+    settings.commit_time = milliseconds{30};
+    settings.slow_answers = 0.2;
+    settings.failures = 0.5;
+    settings.waits_for_gangs = true;
+    return settings;
+}
+
+crash_world_settings make_relayed() {
+    auto settings = make_settings();
+    settings.data_centres = 3;
+    return settings;
+}
+
+TEST(overlap_property, takes_no_list_for_newer_than_answers_that_overtook_it) {
+    play_all(make_settings());
+}
+
+TEST(overlap_property, holds_where_calls_break_off_or_are_carried_out_late) {
+    auto settings = make_settings();
+    settings.broken_calls = 0.03;
+    settings.stray_orders = 0.03;
+    settings.lost_answers = 0.02;
+    settings.worker_crashes = 0.3;
+    play_all(settings);
+}
+
+TEST(overlap_property, holds_where_relays_stand_still_and_are_lost) {
+    auto settings = make_relayed();
+    settings.relay_stalls = 0.3;
+    settings.relay_losses = 0.15;
+    settings.broken_calls = 0.01;
+    settings.leader_losses = 0.1;
+    play_all(settings);
+}
+
+TEST(overlap_property, holds_where_all_control_instances_lose_their_power) {
+    auto settings = make_relayed();
+    settings.power_losses = 0.15;
+    settings.restarts_at_loss = 0.2;
+    settings.failures_at_loss = 0.3;
+    settings.stray_orders = 0.02;
+    settings.broken_calls = 0.02;
+    play_all(settings);
+}
+
+TEST(overlap_property, holds_where_workers_keep_their_ids_when_the_power_is_lost) {
+    auto settings = make_relayed();
+    settings.keeps_ids = true;
+    settings.restart_time = milliseconds{100};
+    settings.restart_spread = seconds{1};
+    settings.power_losses = 0.15;
+    settings.restarts_at_loss = 0.3;
+    settings.failures_at_loss = 0.3;
+    play_all(settings);
+}
+
+TEST(overlap_property, holds_where_workers_leave_and_refuse) {
+    auto settings = make_relayed();
+    settings.leaves = 0.3;
+    settings.unhealthy_times = 0.3;
+    settings.worker_cuts = 0.2;
+    settings.mutes = 0.2;
+    settings.stray_orders = 0.02;
+    settings.leader_losses = 0.05;
+    play_all(settings);
+}
+
+TEST(overlap_property, holds_where_a_list_has_its_ends_in_any_order) {
+    auto settings = make_settings();
+    settings.shuffles_ends = true;
+    settings.leader_losses = 0.1;
+    play_all(settings);
+}
+
+TEST(overlap_property, holds_beside_all_of_these) {
+    auto settings = make_relayed();
+    settings.broken_calls = 0.02;
+    settings.stray_orders = 0.02;
+    settings.late_orders = 0.05;
+    settings.late_beats = 0.05;
+    settings.lost_answers = 0.01;
+    settings.worker_crashes = 0.2;
+    settings.worker_cuts = 0.2;
+    settings.longest_cut = seconds{15};
+    settings.mutes = 0.1;
+    settings.leaves = 0.1;
+    settings.unhealthy_times = 0.1;
+    settings.relay_stalls = 0.1;
+    settings.relay_losses = 0.05;
+    settings.leader_losses = 0.05;
+    settings.power_losses = 0.05;
+    settings.restarts_at_loss = 0.1;
+    settings.failures_at_loss = 0.1;
+    settings.clock_drift = 0.02;
+    settings.shuffles_ends = true;
+    play_all(settings);
+}
+
+/// Returns settings of which each is on in about a third of all seeds, and then weak or strong.
+crash_world_settings draw_settings(std::uint64_t seed) {
+    std::mt19937_64 random(seed * 7919);
+    const auto draw = [&random](double strong) {
+        const std::array<double, 6> shares = {0, 0, 0, 0, 0.3, 1};
+        return strong * shares[random() % shares.size()];
+    };
+    crash_world_settings settings;
+    settings.waits_for_gangs = true;
+    settings.data_centres = static_cast<int>(random() % 4);
+    settings.commit_time = milliseconds{10 + random() % 100};
+    settings.stop_time = milliseconds{50 + random() % 850};
+    settings.answer_lateness = milliseconds{50 + random() % 800};
+    settings.shuffles_ends = random() % 3 == 0;
+    settings.cuts_refuse = random() % 3 == 0;
+    settings.holds_beats = random() % 3 == 0;
+    settings.clock_drift = random() % 2 == 0 ? 0.02 : 0;
+    settings.longest_cut = seconds{2 + random() % 20};
+    settings.slow_answers = draw(0.5);
+    settings.broken_calls = draw(0.1);
+    settings.lost_answers = draw(0.1);
+    settings.late_beats = draw(0.2);
+    settings.failures = draw(3);
+    settings.worker_crashes = draw(1);
+    settings.worker_cuts = draw(1);
+    settings.mutes = draw(0.5);
+    settings.unhealthy_times = draw(1);
+    settings.leader_losses = draw(0.3);
+    settings.power_losses = draw(0.2);
+    settings.restarts_at_loss = draw(0.5);
+    settings.failures_at_loss = draw(0.5);
+    settings.keeps_ids = random() % 4 == 0;
+    settings.restart_time = milliseconds{settings.keeps_ids ? 20 + random() % 1000 : 3000};
+    settings.restart_spread = seconds{1};
+    if (settings.data_centres > 0) {
+        settings.relay_stalls = draw(0.5);
+        settings.relay_losses = draw(0.3);
+    }
+    if (!settings.keeps_ids) { // a next life refuses what was for the one before it
+        settings.stray_orders = draw(0.1);
+        settings.late_orders = draw(0.2);
+        settings.leaves = draw(0.5);
+    }
+    return settings;
+}
+
+TEST(overlap_property, holds_whatever_befalls) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        traffic_settings chosen;
+        chosen.jobs_per_gang = 6;
+        if (seed % 3 == 0) {
+            chosen.longest = longer_than_leases;
+            chosen.calm = long_calm; // they ask for more than there is
+            chosen.has_lasting = false;
+        }
+        overlap_traffic traffic(draw_settings(seed), seed, chosen);
+        traffic.run(traffic_time);
+        traffic.calm_down();
+        traffic.check_promises();
+    }
+}
+
+TEST(overlap_property, holds_where_workers_restart_while_a_relay_stands_still) {
+    auto settings = make_relayed();
+    settings.keeps_ids = true;
+    settings.restart_time = milliseconds{20};
+    settings.restart_spread = seconds{1};
+    settings.worker_crashes = 3;
+    settings.relay_stalls = 0.5;
+    play_all(settings);
+}
+
+TEST(overlap_property, outlives_the_lease_that_a_former_life_of_the_worker_was_granted) {
+    auto settings = make_settings();
+    settings.failures = 0;
+    settings.workers = 40;
+    settings.keeps_ids = true;
+    settings.restart_time = milliseconds{20};
+    settings.restart_spread = seconds{1};
+    settings.worker_crashes = 2;
+    settings.mutes = 2;
+    settings.late_beats = 0.2;
+    settings.leader_losses = 0.1;
+    play_all(settings, {longer_than_leases, 12, true, long_calm});
+}
+
+TEST(overlap_property, outlives_the_lease_of_a_worker_whose_clock_is_slow) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        auto settings = make_settings();
+        settings.failures = 0;
+        settings.clock_drift = 0.02;
+        settings.workers = 60;
+        settings.worker_cuts = 2;
+        settings.longest_cut = seconds{20};
+        settings.cuts_refuse = true;
+        overlap_traffic traffic(settings, seed, {longer_than_leases});
+        traffic.idle(idle_time);
+        traffic.run(late_time);
+        traffic.calm_down();
+        traffic.check_promises();
+    }
+}
+
+TEST(overlap_property, lets_no_lease_lapse_in_a_cut_that_is_shorter) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        auto settings = make_settings();
+        settings.clock_drift = 0.02;
+        settings.late_beats = 0.3;
+        overlap_traffic traffic(settings, seed);
+        for (duration passed{0}; passed < traffic_time; passed += cut_pause) {
+            traffic.run(cut_pause);
+            traffic.cut(short_cut);
+        }
+        traffic.calm_down();
+        traffic.check_promises();
+        EXPECT_EQ(traffic.get_world().get_lapsed(), 0);
+        EXPECT_EQ(traffic.get_world().get_late_leases(), 0);
+    }
+}
+
+TEST(overlap_property, takes_no_clock_back_to_that_of_a_late_heartbeat) {
+    for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        auto settings = make_settings();
+        settings.clock_drift = 0.02;
+        settings.holds_beats = true;
+        overlap_traffic traffic(settings, seed, {seconds{1}, 12, false});
+        for (duration passed{0}; passed < traffic_time; passed += long_cut) {
+            traffic.cut(long_cut);
+            traffic.idle(long_cut);
+            traffic.run(seconds{2});
+            traffic.idle(long_cut);
+        }
+        traffic.calm_down();
+        traffic.check_promises();
+        EXPECT_EQ(traffic.get_world().get_lapsed(), 0);
+        EXPECT_EQ(traffic.get_world().get_late_leases(), 0);
+    }
+}
+
+TEST(overlap_property, takes_no_list_for_newer_than_a_stop_that_overtook_it) {
+    auto settings = make_settings();
+    settings.slow_answers = 0.5;
+    settings.answer_lateness = milliseconds{800};
+    settings.stop_time = milliseconds{900};
+    settings.unhealthy_times = 2;
+    settings.leaves = 0.3;
+    play_all(settings, {longest_task, 3});
+}
+
+} // namespace
+} // namespace poplarpitch
