Read the clock again for each call of a turn, not only for the one that ends its wait

Cause: calls that are polled after the first one of a turn, and timers, went by the time read before them, also where the process had stood still in between. A relay that reads one frame with such a time takes it for the quickest of late and drops the orders of the next 5 to 10 s; a leader takes a worker's clock for further than it is. Class: a time from before a stand-still. Why this works: the first look at the time within each call reads the clock. Timers that fall due while others run wait for the hooks, as before.

--- a/poplarpitch/net/event_loop.cpp
+++ b/poplarpitch/net/event_loop.cpp
@@ -46,7 +46,7 @@
     const system_clock clock;
     auto& context = m_parts->context;
     while (!context.stopped()) {
-        m_now = clock.now();
+        read_clock();
         for (const auto& hook : m_turn_hooks) {
             hook();
         }
@@ -54,28 +54,36 @@
         const auto began = clock.now();
         m_may_be_old = true; // Asio calls what ends the wait before it returns
         context.run_one();
-        m_may_be_old = false;
-        m_now = clock.now();
+        read_clock();
         note_turn(began, m_now);
         run_ready();
-        m_now = clock.now();
+        read_clock();
         run_due_timers();
     }
 }
 
 time_point event_loop::now() const {
     if (m_may_be_old) {
-        m_now = system_clock().now();
-        m_may_be_old = false;
+        read_clock();
     }
     return m_now;
 }
 
+void event_loop::read_clock() const {
+    m_now = system_clock().now();
+    m_may_be_old = false;
+}
+
+bool event_loop::poll_one() {
+    m_may_be_old = true; // the process may have stood still since the call before
+    return m_parts->context.poll_one() > 0;
+}
+
 void event_loop::run_ready() {
     const system_clock clock;
     const auto end = m_now + longest_turn;
     int calls = 0;
-    while (m_parts->context.poll_one() > 0) {
+    while (poll_one()) {
         if (++calls % unmeasured_calls == 0 && clock.now() >= end) {
             ++m_cut_turns;
             return;
@@ -151,10 +159,12 @@
 }
 
 void event_loop::run_due_timers() {
-    while (!m_timers.empty() && m_timers.begin()->first <= m_now) {
+    const auto due_by = m_now; // what falls due meanwhile waits for the hooks
+    while (!m_timers.empty() && m_timers.begin()->first <= due_by) {
         auto due = std::move(m_timers.begin()->second);
         m_timers.erase(m_timers.begin());
         m_timer_times.erase(due.id);
+        m_may_be_old = true;
         due.work();
     }
 }
--- a/poplarpitch/net/event_loop.h
+++ b/poplarpitch/net/event_loop.h
@@ -37,7 +37,7 @@
     void run();
     /// Ends `run` after the present turn.
     void stop();
-    /// Returns the time at the start of the present turn, or after its wait, on the boot-time clock.
+    /// Returns the time at the start of the present call or hook, or later, on the boot-time clock.
     [[nodiscard]] time_point now() const;
     /// Returns which share of the last half second or so the thread was busy, 0 to 1.
     [[nodiscard]] double get_busy_share() const { return m_busy_share; }
@@ -67,6 +67,9 @@
         std::function<void()> work;
     };
 
+    void read_clock() const;
+    /// Makes one call that is ready. Returns false where none is.
+    bool poll_one();
     void run_ready();
     void run_due_timers();
     void note_turn(time_point began, time_point woke);
@@ -79,7 +82,7 @@
     timer_id m_next_timer = 1;
     time_point m_armed{}; ///< when the Asio timer fires; zero while it is not set
     mutable time_point m_now{};
-    mutable bool m_may_be_old = false; ///< a wait may have passed since `m_now` was read
+    mutable bool m_may_be_old = false; ///< a wait or a call may have passed since `m_now` was read
     time_point m_last_wake{};          ///< when the wait of the last turn ended
     double m_busy_share = 0;
     duration m_lag{};
--- a/unit_tests/net/event_loop_test.cpp
+++ b/unit_tests/net/event_loop_test.cpp
@@ -67,6 +67,22 @@
     EXPECT_LT(loop.get_busy_share(), 0.2);
 }
 
+TEST(event_loop, tells_no_time_from_before_a_stand_still_to_what_comes_after_it) {
+    event_loop loop;
+    const system_clock clock;
+    time_point woke{};
+    loop.post([] {}); // ends the turn's wait
+    loop.post([&] {
+        std::this_thread::sleep_for(milliseconds{50});
+        woke = clock.now();
+    });
+    loop.post([&] {
+        EXPECT_GE(loop.now(), woke);
+        loop.stop();
+    });
+    loop.run();
+}
+
 TEST(event_loop, tells_no_time_from_before_a_wait_to_what_ended_it) {
     event_loop loop;
     const system_clock clock;
