Take no refusal of a second copy of a request for what became of the first

What callers saw: possibly a job that starts although all attempts to hand it in were refused; not seen, found by a reviewer. Cause: an entry sends a change once more over a new connection where the leader fell silent; the first copy may still be in the old one. A refusal of the second copy was told as the answer, while the same leader could accept the first one after it. Class: what became of one attempt is told of all. Evidence: leader_link.takes_no_refusal_of_a_second_copy_for_what_became_of_the_first failed before (429 told, two copies arrived). Why this works: a refusal by an instance that got more than one copy is told as unknown (504): the caller asks again under the same id. A copy at an earlier leader can be accepted no more, so refusals by the next one are told as before.

--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -21,6 +21,7 @@
 constexpr duration shortest_retry = seconds{1}; // an election takes less
 constexpr duration longest_retry = seconds{5};
 constexpr duration connect_timeout = milliseconds{700};
+constexpr int first_refusal = 400; // among HTTP statuses
 
 const char* get_outcome_name(relay_outcome::kind what) {
     switch (what) {
@@ -44,13 +45,20 @@
     outcome_handler on_outcome;
     time_point deadline{};
     std::uint64_t timer = 0;
-    bool was_sent = false;     ///< to any leader that may have taken it
-    std::uint32_t sent_to = 0; ///< the leader that owes the answer; 0 for none
+    std::vector<std::uint32_t> copies; ///< the leaders it was sent to, one for each time
+    std::uint32_t sent_to = 0;         ///< the leader that owes the answer; 0 for none
+
+    [[nodiscard]] bool was_sent() const { return !copies.empty(); }
+    /// Returns true where a refusal by `leader` says nothing of another copy, which may yet come to it over a
+    /// connection that was given up. A copy at an earlier leader can be accepted no more.
+    [[nodiscard]] bool has_copy_beside(std::uint32_t leader) const {
+        return !changes_nothing() && std::count(copies.begin(), copies.end(), leader) > 1;
+    }
 
     [[nodiscard]] bool changes_nothing() const { return request->method() == "GET"; }
     /// Returns true while waiting on is better than an answer now: for a change that may have been done only
     /// the next leader can tell, for a question only one that has it.
-    [[nodiscard]] bool may_wait() const { return changes_nothing() ? sent_to != 0 : was_sent; }
+    [[nodiscard]] bool may_wait() const { return changes_nothing() ? sent_to != 0 : was_sent(); }
 };
 
 leader_link::leader_link(event_loop& loop, const std::vector<std::string>& seeds, int port,
@@ -157,7 +165,7 @@
     if (frame.has_status()) {
         on_status(ip, frame.status().status());
     } else if (frame.has_answer()) {
-        on_answer(frame.answer());
+        on_answer(ip, frame.answer());
     }
 }
 
@@ -256,7 +264,7 @@
     if (found == m_sockets.end()) {
         return;
     }
-    item.was_sent = true;
+    item.copies.push_back(m_leader);
     item.sent_to = m_leader;
     job_wire::cluster_frame frame;
     *frame.mutable_request() = *item.request;
@@ -271,7 +279,7 @@
     }
 }
 
-void leader_link::on_answer(const job_wire::relay_answer& answer) {
+void leader_link::on_answer(std::uint32_t ip, const job_wire::relay_answer& answer) {
     const auto found = m_pending.find(answer.number());
     if (found == m_pending.end()) {
         return; // given up
@@ -287,6 +295,10 @@
     }
     relay_outcome outcome;
     outcome.status = static_cast<int>(answer.status());
+    if (outcome.status >= first_refusal && item.has_copy_beside(ip)) {
+        outcome.what = relay_outcome::kind::unknown;
+        tell_given_up(item, outcome.what);
+    }
     outcome.body = answer.body();
     outcome.retry_after = milliseconds{answer.retry_after_ms()};
     const auto done = std::move(found->second);
@@ -311,15 +323,20 @@
     relay_outcome outcome;
     outcome.what = judge(*done);
     outcome.retry_after = get_retry_after();
-    log_event(log_level::warn, "request_given_up")
-        .add("method", done->request->method())
-        .add("target", done->request->target())
-        .add("outcome", get_outcome_name(outcome.what));
+    tell_given_up(*done, outcome.what);
     done->on_outcome(outcome);
 }
 
+void leader_link::tell_given_up(const pending_request& item, relay_outcome::kind what) {
+    log_event(log_level::warn, "request_given_up")
+        .add("method", item.request->method())
+        .add("target", item.request->target())
+        .add("outcome", get_outcome_name(what))
+        .add("copies", static_cast<std::uint64_t>(item.copies.size()));
+}
+
 relay_outcome::kind leader_link::judge(const pending_request& item) {
-    if (!item.was_sent) {
+    if (!item.was_sent()) {
         return relay_outcome::kind::never_sent;
     }
     return item.changes_nothing() ? relay_outcome::kind::not_read : relay_outcome::kind::unknown;
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -74,7 +74,7 @@
     void connect(std::uint32_t ip);
     void on_frame(std::uint32_t ip, const std::string& bytes);
     void on_status(std::uint32_t ip, const job_wire::cluster_status& status);
-    void on_answer(const job_wire::relay_answer& answer);
+    void on_answer(std::uint32_t ip, const job_wire::relay_answer& answer);
     void lose_leader(const char* reason);
     void send_pending();
     [[nodiscard]] duration get_retry_after() const;
@@ -82,6 +82,7 @@
     [[nodiscard]] time_point get_wait_end() const;
     void send(pending_request& item);
     void expire(std::uint64_t number);
+    static void tell_given_up(const pending_request& item, relay_outcome::kind what);
     /// Returns what is known of a request that is given up.
     [[nodiscard]] static relay_outcome::kind judge(const pending_request& item);
 
--- a/unit_tests/gateway/leader_link_test.cpp
+++ b/unit_tests/gateway/leader_link_test.cpp
@@ -31,6 +31,8 @@
     }
 
     int port = 0;
+    bool dies_with_request = false;
+    std::uint32_t status = 200;
     bool is_alive = true;           ///< false: the connection stays, nothing is answered
     std::vector<std::string> taken; ///< targets of the requests that arrived, alive or not
 
@@ -46,6 +48,9 @@
         ASSERT_TRUE(frame.ParseFromString(bytes));
         if (frame.has_request()) {
             taken.push_back(frame.request().target());
+            if (dies_with_request && taken.size() == 1) {
+                is_alive = false;
+            }
         }
         if (!is_alive) {
             return;
@@ -54,7 +59,7 @@
         if (frame.has_request()) {
             reply.mutable_answer()->set_number(frame.request().number());
             reply.mutable_answer()->set_taken(true);
-            reply.mutable_answer()->set_status(200);
+            reply.mutable_answer()->set_status(status);
         } else {
             reply.mutable_status()->mutable_status()->set_leads(true);
         }
@@ -149,6 +154,17 @@
     EXPECT_GE(outcome.retry_after, seconds{1});
 }
 
+TEST(leader_link, takes_no_refusal_of_a_second_copy_for_what_became_of_the_first) {
+    link_world world;
+    world.wait_until_quiet();
+    world.leader.dies_with_request = true;
+    world.leader.status = 429;
+    world.loop.call_after(milliseconds{1080}, [&world] { world.leader.is_alive = true; });
+    const auto outcome = world.relay("POST");
+    EXPECT_EQ(world.leader.taken.size(), 2U);
+    EXPECT_EQ(outcome.what, relay_outcome::kind::unknown) << outcome.status;
+}
+
 TEST(leader_link, asks_a_silent_leader_for_a_state_all_the_same) {
     link_world world;
     world.lose_leader();
