Use no relay that may tell a start that was written as not sent

Cause: a relay of an older version goes on telling what became of a call's last attempt, and the leader believes it: during a rolling restart the fault was still there. Evidence: relay_hub.uses_no_relay_of_a_version_that_tells_a_start_that_was_written_as_not_sent failed before. Why this works: relays name the next version; the hub uses none that names an earlier one, and the leader calls their workers itself or through others.

--- a/poplarpitch/relay/relay_codec.h
+++ b/poplarpitch/relay/relay_codec.h
@@ -17,8 +17,9 @@
 
 namespace poplarpitch {
 
-/// What an instance says that it understands when it relays: fences by order, and start times of workers.
-inline constexpr std::uint32_t relay_version = 1;
+/// What an instance says that it does when it relays: since 1 it knows fences by order and start times of
+/// workers, since 2 it tells no order as not sent or refused that may have been carried out.
+inline constexpr std::uint32_t relay_version = 2;
 
 /// Between orders to workers and the frames by which they are relayed. Thread safety: any thread, for all.
 
--- a/unit_tests/relay/relay_hub_test.cpp
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -86,6 +86,18 @@
     EXPECT_EQ(world.hub.count_relays(), 1U);
 }
 
+TEST(relay_hub, uses_no_relay_of_a_version_that_tells_a_start_that_was_written_as_not_sent) {
+    constexpr std::uint32_t untrue_version = 1;
+    hub_world world;
+    job_wire::relay_answers frame;
+    frame.set_term(term);
+    frame.set_ip(near);
+    frame.set_data_centre("near");
+    frame.set_version(untrue_version);
+    EXPECT_TRUE(world.hub.on_answers(frame, world.now).empty());
+    EXPECT_EQ(world.hub.count_relays(), 0U);
+}
+
 TEST(relay_hub, takes_no_order_while_no_relay_was_heard) {
     hub_world world;
     EXPECT_FALSE(world.hub.add(make_hold("w1"), "near", 1, world.now));
