--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -82,10 +82,10 @@
     }
 }
 
-/// Where ids are kept, a start may have come to a life after the one that it names, also one that was answered
-/// if nobody has noticed that life. Its clock counts anew, so only the longest lease that it grants bounds the
-/// run there. A task that lasts is at a worker for long, and has to come back within seconds: for it this
-/// counts only while it is not known what became of its start.
+/// Where ids are kept, a start may have come to a life after the one that it names, also one that was
+/// answered if nobody has noticed that life. Its clock counts anew, so only the longest lease that it grants
+/// bounds the run there. A task that lasts is at a worker for long, and has to come back within seconds: for
+/// it this counts only while it is not known what became of its start.
 time_point dispatcher::get_lease_end(const run_track& track) const {
     const auto& worker = *track.host;
     const bool is_start_known = !track.may_yet_start() && track.stage != run_stage::adopting;
