--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include "poplarpitch/dispatch/dispatcher.h"
 
 #include "poplarpitch/dispatch/erase_job.h"
+#include "poplarpitch/dispatch/history_log.h"
 #include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
@@ -54,7 +55,8 @@
     }
     limit_probations();
     m_must_place = true;
-    tell_took_over();
+    tell_took_over(
+        {term, get_fence(), m_jobs.size(), m_tracks.size(), m_workers.get_map().size(), count_waiting()});
 }
 
 /// A life that ended with the former leader never announces itself again. Asked at its address, the life
@@ -276,7 +278,7 @@
         return;
     }
     note_run_time(*ended, event.end, now);
-    tell_ended(*ended, event.end, now);
+    tell_ended(*ended, event.end, m_term, now);
     drop_track(event.run, now);
     if (event.end == run_end::done) {
         ++m_counts.done_runs;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -230,14 +230,6 @@
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const end_word& word, time_point now,
                      const std::string& saved = {}, const run_loss& loss = {});
-    /// Tells that a run is there, and on what ground this leader takes it for that.
-    void tell_started(const run_track& track, const char* ground, time_point now) const;
-    /// Tells what became of a run that a former leader assigned, or that was given to a former life.
-    void tell_taken_over(const run_track& track, const char* found) const;
-    void tell_ended(const run_track& track, run_end end, time_point now) const;
-    /// Tells that a worker lists an end that changes nothing.
-    static void tell_unknown_end(const worker_state& worker, const run_track* track, const end_row& row);
-    void tell_took_over() const;
     void send_start(run_track& track, time_point now);
     void send_stop(run_track& track, time_point now);
     void stop_run(run_track& track, time_point now);
@@ -268,7 +260,6 @@
     /// Returns how long a worker may wait with its list.
     [[nodiscard]] duration get_hold_wait(const worker_state& worker) const;
     [[nodiscard]] bool needs_hold(const worker_state& worker) const;
-    static void note_hold_failure(worker_state& worker, time_point now);
     void take_rows(worker_state& worker, const hold_answer& answer, time_point now);
     void take_end(worker_state& worker, const end_row& row, time_point now);
     /// Ends runs that the worker lacks in its list. Precondition: `listed` is sorted.
@@ -326,8 +317,6 @@
     void propose_crash(const lapsed_run& lapsed, const worker_life& worker);
     void on_task_crashed(const book_event& event, time_point now);
     void clear_suspects(worker_state& worker, time_point now);
-    static void add_care(worker_state& worker, caution care, int sign);
-    static void set_care(run_track& track, caution care);
     /// Opens the workers that are kept for suspects of a former leader's, but for as many as may be kept.
     void limit_probations();
 
--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -33,6 +33,12 @@
     return left.key.task.step.job != right.key.task.step.job;
 }
 
+void set_care(run_track& track, caution care) {
+    track.host->add_care(track.care, -1);
+    track.care = care;
+    track.host->add_care(track.care, 1);
+}
+
 } // namespace
 
 std::optional<duration> dispatcher::get_age_at_loss(const run_track& track, time_point now) {
@@ -151,21 +157,6 @@
     }
 }
 
-void dispatcher::add_care(worker_state& worker, caution care, int sign) {
-    if (care != caution::none) {
-        worker.suspects += static_cast<std::uint32_t>(sign);
-    }
-    if (care == caution::alone) {
-        worker.probations += static_cast<std::uint32_t>(sign);
-    }
-}
-
-void dispatcher::set_care(run_track& track, caution care) {
-    add_care(*track.host, track.care, -1);
-    track.care = care;
-    add_care(*track.host, track.care, 1);
-}
-
 /// What the former leader kept is not known. Where a suspect runs beside others its worker was not kept.
 void dispatcher::limit_probations() {
     const auto most = get_most_probations(m_workers.get_all().size());
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -1,6 +1,7 @@
 // What becomes of runs: starts, stops, ends.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/history_log.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/scheduling/job_codec.h"
@@ -73,7 +74,7 @@
         return;
     }
     if (track.stage == run_stage::adopting) {
-        tell_taken_over(track, get_ground_name(word.ground));
+        tell_taken_over(track, get_ground_name(word.ground), m_term);
     }
     track.word = word;
     track.is_ending = true;
@@ -251,7 +252,7 @@
         track->listed_at = now;
         track->has_known_start = true;
         note_started(key.task.step.job, now);
-        tell_started(*track, "answered", now);
+        tell_started(*track, "answered", m_term, now);
         return;
     }
     on_start_refused(*track, *answer.failure, now);
@@ -280,7 +281,7 @@
         return;
     case order_failure::old_run:
         // An earlier start of this run was carried out, and the run has ended: the list says how.
-        tell_started(track, "old_run", now);
+        tell_started(track, "old_run", m_term, now);
         track.stage = run_stage::running;
         track.confirmed_at = now;
         track.listed_at = now;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -1,6 +1,7 @@
 // What the leader knows of workers: heartbeats, lists, leases, losses.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/history_log.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/telemetry/log_event.h"
@@ -49,7 +50,7 @@
             worker.step_counts.erase(track.key.task.step);
         }
     }
-    add_care(worker, track.care, sign);
+    worker.add_care(track.care, sign);
     if (spec.fills) {
         worker.fill_cores += sign * spec.millicores;
         worker.fills += static_cast<std::uint32_t>(sign);
@@ -250,7 +251,7 @@
         if (failure == order_failure::lower_fence) {
             worker->fence = get_fence();
         }
-        note_hold_failure(*worker, now);
+        worker->note_hold_failure(now);
         worker->next_hold = now + get_backoff(static_cast<std::uint32_t>(worker->hold_failures),
                                               m_settings.retry_pause, worker->spread);
         if (worker->hold_failures == silent_after) {
@@ -301,14 +302,6 @@
     worker->next_hold = std::max(worker->next_hold, now + pause);
 }
 
-void dispatcher::note_hold_failure(worker_state& worker, time_point now) {
-    if (worker.hold_failures == 0) {
-        worker.failing_since = now;
-        worker.has_broken_off = now < worker.hold_due;
-    }
-    ++worker.hold_failures;
-}
-
 void dispatcher::take_rows(worker_state& worker, const hold_answer& answer, time_point now) {
     worker.listed_at = now;
     worker.has_strays = false;
@@ -324,9 +317,9 @@
         }
         if (track->stage != run_stage::running) {
             if (track->stage == run_stage::adopting) {
-                tell_taken_over(*track, "running");
+                tell_taken_over(*track, "running", m_term);
             } else {
-                tell_started(*track, "listed", now);
+                tell_started(*track, "listed", m_term, now);
             }
             track->stage = run_stage::running;
             track->confirmed_at = now;
--- a/poplarpitch/dispatch/dispatcher_story.cpp
+++ b/poplarpitch/dispatch/history_log.cpp
@@ -1,17 +1,20 @@
-// What is told of runs, so that from a job's id alone their story can be read in the logs.
-#include "poplarpitch/dispatch/dispatcher.h"
+#include "poplarpitch/dispatch/history_log.h"
+
 #include "poplarpitch/dispatch/run_log.h"
+#include "poplarpitch/dispatch/run_track.h"
+#include "poplarpitch/dispatch/worker_state.h"
+#include "poplarpitch/scheduling/hold_answer.h"
 #include "poplarpitch/telemetry/log_event.h"
 
 namespace poplarpitch {
 
-void dispatcher::tell_started(const run_track& track, const char* ground, time_point now) const {
+void tell_started(const run_track& track, const char* ground, log_term term, time_point now) {
     auto line = log_event(log_level::info, "run_started", log_weight::history);
     add_run(line, track.key);
     add_worker(line, track.host->report.life)
         .add("wait_ms", to_milliseconds(now - track.claimed_at))
         .add("ground", ground)
-        .add("term", m_term)
+        .add("term", term)
         .add("fence", track.start_fence)
         .add("starts", static_cast<std::uint64_t>(track.starts));
     if (track.starts > 0) {
@@ -19,17 +22,17 @@
     }
 }
 
-void dispatcher::tell_taken_over(const run_track& track, const char* found) const {
+void tell_taken_over(const run_track& track, const char* found, log_term term) {
     auto line = log_event(log_level::info, "run_taken_over", log_weight::history);
     add_run(line, track.key);
     add_worker(line, track.host->report.life)
         .add("found", found)
         .add("of", track.former_loss.has_value() ? "former_life" : "former_leader")
-        .add("term", m_term)
+        .add("term", term)
         .add("fence", track.host->fence);
 }
 
-void dispatcher::tell_ended(const run_track& track, run_end end, time_point now) const {
+void tell_ended(const run_track& track, run_end end, log_term term, time_point now) {
     auto line = log_event(log_level::info, "run_ended", log_weight::history);
     add_run(line, track.key);
     add_worker(line, track.assigned_to)
@@ -41,10 +44,10 @@
     if (track.word.number != 0) {
         line.add("number", track.word.number);
     }
-    line.add("term", m_term).add("fence", track.host->fence);
+    line.add("term", term).add("fence", track.host->fence);
 }
 
-void dispatcher::tell_unknown_end(const worker_state& worker, const run_track* track, const end_row& row) {
+void tell_unknown_end(const worker_state& worker, const run_track* track, const end_row& row) {
     const auto* why = track == nullptr ? "not_known" : "ending";
     if (track != nullptr && track->host != &worker) {
         why = "other_worker";
@@ -59,14 +62,14 @@
         .add("fence", worker.fence);
 }
 
-void dispatcher::tell_took_over() const {
+void tell_took_over(const takeover& taken) {
     log_event(log_level::info, "took_over", log_weight::history)
-        .add("term", m_term)
-        .add("fence", get_fence())
-        .add("open_jobs", static_cast<std::uint64_t>(m_jobs.size()))
-        .add("runs", static_cast<std::uint64_t>(m_tracks.size()))
-        .add("workers", static_cast<std::uint64_t>(m_workers.get_map().size()))
-        .add("waiting", count_waiting());
+        .add("term", taken.term)
+        .add("fence", taken.fence)
+        .add("open_jobs", taken.open_jobs)
+        .add("runs", taken.runs)
+        .add("workers", taken.workers)
+        .add("waiting", taken.waiting);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/dispatch/order_backoff.h"
 #include "poplarpitch/dispatch/pressure_model.h"
 #include "poplarpitch/dispatch/run_loss.h"
+#include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/worker_pressure.h"
 #include "poplarpitch/dispatch/worker_trust.h"
 #include "poplarpitch/scheduling/task_key.h"
@@ -90,6 +91,24 @@
     worker_pressure pressure;
     worker_trust trust;
 
+    /// Counts a run that is placed with this much care, or takes it back with -1. Thread safety: as the
+    /// state.
+    void add_care(caution care, int sign) {
+        if (care != caution::none) {
+            suspects += static_cast<std::uint32_t>(sign);
+        }
+        if (care == caution::alone) {
+            probations += static_cast<std::uint32_t>(sign);
+        }
+    }
+    /// Notes a hold without an answer. Thread safety: as the state.
+    void note_hold_failure(time_point now) {
+        if (hold_failures == 0) {
+            failing_since = now;
+            has_broken_off = now < hold_due;
+        }
+        ++hold_failures;
+    }
     /// Returns true when no lease is granted any more: it may hear us while we do not hear it. Thread safety:
     /// as the state.
     [[nodiscard]] bool is_silent() const { return hold_failures >= silent_after; }
