Run a key once although two calls with it have one request id

Callers saw: a request that must run at most once, sent twice to one entry with the same Idempotency-Key and the same Poplarpitch-Request-Id while the first copy ran, was run a second time, and both were answered 200.

Cause: the key is begun in the log under the request id, which is the caller's own header where there is one. An entry that finds the key taken looks whether the record bears its own id and name, since its own proposal may reach the leader twice; the second call's id was the first call's id, so it took the first call's record for its own and ran.

Evidence: call_handler_test.runs_a_key_once_that_comes_twice_under_one_request_id had 2 calls at the worker and 200 for the second caller before; now 1 and 504. The worker holds its first call until the second caller is answered, so no time plays a part.

Why it works: the entry now makes an id for each call that begins a key, unique among entries and restarts, and begins and ends the key under it. A repeat of its own proposal still bears that id; no other call does. The request id that callers and targets see stays the caller's.

What it costs: a caller that was told 503 because the key's record could not be confirmed, and sends it again under the same request id, may now hear 504 where it ran before. With an id made by the entry it already was so.

--- a/poplarpitch/entry/call_handler.cpp
+++ b/poplarpitch/entry/call_handler.cpp
@@ -74,7 +74,7 @@
     }
     auto& call = std::get<call_info>(read);
     if (call.request_id.empty()) {
-        call.request_id = absl::StrCat(m_prefix, m_next_request.fetch_add(1));
+        call.request_id = make_id();
     }
     call.is_known_to_control = m_lease.is_valid(started);
     call_record record;
@@ -99,6 +99,10 @@
     return is_keyed ? run_with_intent(call, request, record) : run_attempts(call, request, record);
 }
 
+std::string call_handler::make_id() {
+    return absl::StrCat(m_prefix, m_next_request.fetch_add(1));
+}
+
 // ---- idempotency keys
 
 call_result call_handler::run_with_intent(const call_info& call, const http_request& request,
@@ -110,7 +114,9 @@
     begun.set_request_hash(
         absl::StrCat(absl::Hex(hash_bytes(request.method + "\n" + call.rest + "\n" + request.body))));
     begun.set_entry(m_entry_id);
-    begun.set_request_id(call.request_id);
+    // Never the caller's: two calls may come under the same one, and only one of them has begun the key.
+    const auto own_id = make_id();
+    begun.set_request_id(own_id);
     begun.set_begun_ms(get_wall_ms());
     const auto limit = std::min<time_point>(call.deadline, m_clock.now() + intent_commit_wait);
     const auto answer = m_control.propose(command, limit);
@@ -121,7 +127,7 @@
     const auto& outcome = answer.value();
     const auto& known = outcome.intent_record();
     const auto code = static_cast<state_errc>(outcome.code());
-    const bool is_own = known.request_id() == call.request_id && known.entry() == m_entry_id &&
+    const bool is_own = known.request_id() == own_id && known.entry() == m_entry_id &&
                         known.phase() == static_cast<std::uint32_t>(intent_phase::begun);
     if (code == state_errc::key_conflict) {
         return make_refused(422, "key_conflict", "the key was used with another request", {});
@@ -141,15 +147,16 @@
         return make_unknown("key_in_use", "a request with this key was sent; its answer is not known here");
     }
     auto result = run_attempts(call, request, record);
-    finish_intent(call, key, result);
+    finish_intent(key, own_id, result);
     return result;
 }
 
-void call_handler::finish_intent(const call_info& call, const std::string& key, const call_result& result) {
+void call_handler::finish_intent(const std::string& key, const std::string& own_id,
+                                 const call_result& result) {
     wire::command command;
     auto& ended = *command.mutable_end()->mutable_ended();
     ended.set_key(key);
-    ended.set_request_id(call.request_id);
+    ended.set_request_id(own_id);
     auto phase = intent_phase::unknown;
     if (result.outcome == call_outcome::done) {
         phase = intent_phase::answered;
--- a/poplarpitch/entry/call_handler.h
+++ b/poplarpitch/entry/call_handler.h
@@ -66,7 +66,10 @@
                                  duration latency, bool is_cancelled);
     [[nodiscard]] http_request make_target_request(const call_info& call, const http_request& request,
                                                    const request_grant& grant) const;
-    void finish_intent(const call_info& call, const std::string& key, const call_result& result);
+    /// Records what became of the key that was begun under `own_id`.
+    void finish_intent(const std::string& key, const std::string& own_id, const call_result& result);
+    /// Returns an id that no entry has made before.
+    std::string make_id();
     static call_result make_refused(int status, const std::string& code, const std::string& message,
                                     duration retry_after);
     static call_result make_unknown(const std::string& code, const std::string& message);
--- a/unit_tests/entry/call_handler_test.cpp
+++ b/unit_tests/entry/call_handler_test.cpp
@@ -4,18 +4,26 @@
 #include "poplarpitch/entry/entry_state.h"
 #include "poplarpitch/entry/protocol_names.h"
 #include "poplarpitch/entry/session_lease.h"
+#include "poplarpitch/state/intent_table.h"
 #include "poplarpitch/telemetry/metrics_registry.h"
 #include "poplarpitch/transport/control_client.h"
+#include "poplarpitch/transport/control_server.h"
 #include "poplarpitch/transport/http_client_pool.h"
 #include "poplarpitch/transport/http_server.h"
 
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
+#include <thread>
 
 namespace poplarpitch {
 namespace {
 
+constexpr std::size_t max_intents = 100;
+constexpr std::size_t max_answer = 1000; // bytes
 constexpr const char* config_text = "[tenant t]\n[service s]\ndeadline = 20s\nidempotent = true\n";
 
 /// An entry's request side over real HTTP: one worker with one slot, and another entry with room.
@@ -24,7 +32,7 @@
     call_handler_test()
         : m_worker({}, [this](const http_request& request) { return answer_as_worker(request); }),
           m_other({}, [this](const http_request& request) { return answer_as_entry(request); }),
-          m_state("e1", ""), m_control({peer_address{1, "127.0.0.1:1", false}}),
+          m_state("e1", ""), m_control({peer_address{1, start_leader(), false}}),
           m_calls(m_state, m_pool, m_control, m_lease, m_metrics, "e1", "e1-") {
         m_worker_address = "127.0.0.1:" + std::to_string(m_worker.start().value());
         m_other_address = "127.0.0.1:" + std::to_string(m_other.start().value());
@@ -32,6 +40,10 @@
         take_workers(1);
     }
 
+    std::string start_leader() {
+        return "127.0.0.1:" + std::to_string(m_leader.start("127.0.0.1", 0).value());
+    }
+
     /// Gives the entry this many workers of one slot each, all of which are the same server.
     void take_workers(int count) {
         wire::renew_answer news;
@@ -69,7 +81,9 @@
     }
 
     http_response answer_as_worker(const http_request& request) {
-        ++m_worker_calls;
+        if (++m_worker_calls == 1 && m_on_first_call) {
+            m_on_first_call();
+        }
         http_response response;
         response.status = m_worker_status;
         response.body = request.body;
@@ -101,6 +115,44 @@
         return m_calls.handle(request);
     }
 
+    /// Sends a request with a key that must run at most once; always under the same request id.
+    http_response call_keyed() {
+        http_request request;
+        request.method = "POST";
+        request.target = "/v1/call/s";
+        request.body = "x";
+        request.headers.add(header_tenant, "t");
+        request.headers.add(header_key, "k");
+        request.headers.add(header_idempotent, "false");
+        request.headers.add(header_request_id, "of-the-caller");
+        return m_calls.handle(request);
+    }
+
+    /// Does what control does with the keys of requests.
+    wire::propose_answer commit(const wire::command& command) {
+        const absl::MutexLock lock(&m_mutex);
+        const bool is_begin = command.has_begin();
+        const auto& proposed = is_begin ? command.begin().begun() : command.end().ended();
+        const auto error = is_begin ? m_intents.begin(proposed) : m_intents.end(proposed);
+        wire::propose_answer answer;
+        answer.set_committed(true);
+        answer.mutable_outcome()->set_code(static_cast<std::uint32_t>(error.value()));
+        *answer.mutable_outcome()->mutable_intent_record() = *m_intents.find(proposed.key());
+        return answer;
+    }
+
+    control_handler make_control() {
+        control_handler handler;
+        handler.on_propose = [this](const wire::propose_request& request) {
+            return commit(request.proposed());
+        };
+        return handler;
+    }
+
+    absl::Mutex m_mutex;
+    intent_table m_intents ABSL_GUARDED_BY(m_mutex){state_rules{}, max_intents, max_answer};
+    control_server m_leader{"", make_control()};
+    std::function<void()> m_on_first_call; ///< what the worker does before it answers its first call
     std::atomic<int> m_worker_status{200};
     std::atomic<bool> m_worker_forgets{false};
     std::atomic<int> m_worker_calls{0};
@@ -181,5 +233,34 @@
     EXPECT_EQ(combine(call_outcome::not_run, call_outcome::unknown), 2);
 }
 
+TEST_F(call_handler_test, runs_a_key_once_that_comes_twice_under_one_request_id) {
+    take_workers(2);
+    absl::Notification is_running;
+    absl::Notification may_end;
+    m_on_first_call = [&] {
+        is_running.Notify();
+        may_end.WaitForNotification();
+    };
+    http_response first;
+    std::thread caller([&] { first = call_keyed(); });
+    is_running.WaitForNotification();
+    const auto second = call_keyed();
+    may_end.Notify();
+    caller.join();
+    EXPECT_EQ(m_worker_calls, 1);
+    EXPECT_EQ(first.headers.get(header_outcome), outcome_done);
+    EXPECT_EQ(second.headers.get(header_outcome), outcome_unknown);
+    EXPECT_EQ(second.status, 504);
+    EXPECT_EQ(second.headers.get(header_request_id), "of-the-caller");
+}
+
+TEST_F(call_handler_test, gives_the_answer_of_a_key_to_a_resend_under_the_same_request_id) {
+    const auto first = call_keyed();
+    const auto second = call_keyed();
+    EXPECT_EQ(m_worker_calls, 1);
+    EXPECT_EQ(second.status, 200);
+    EXPECT_EQ(second.body, first.body);
+}
+
 } // namespace
 } // namespace poplarpitch
