Tell a change whose connection broke as one that may be committed

Callers saw: 503 no_control ("not accepted") for a change that had reached control, where it was or would be committed; who sent it anew under another id had it twice. The interface promises 504 "unknown" there.

Cause: control_client took only DEADLINE_EXCEEDED for "may be done". A call that had arrived and whose connection broke fails with another status and was told as `unreachable`, which stands for "nothing was sent". And `propose` forgot that a leader had the command in its log when it lost its place: when the next round found nobody, its answer was no_leader or unreachable, which are true of that round only.

Why it works: before a call the client waits until its channel is connected, for no longer than the call may take. When that fails nothing was sent. Once connected, any failure of the call counts as "may be done", whatever its status; the texts of gRPC are not asked. `propose` keeps what an earlier round told. The second test's deadline falls between two rounds for it to have failed before; that it passes now does not depend on where it falls.

Queries and changes of members go through the same loop: a broken connection in one of them is now told `timed_out` too.

--- a/poplarpitch/transport/control_client.cpp
+++ b/poplarpitch/transport/control_client.cpp
@@ -41,6 +41,18 @@
     return answer.done() || !answer.refusal().empty();
 }
 
+/// Waits until a call can be sent; false: there is no connection, so that a call would surely not leave.
+bool connect(grpc::Channel& channel, std::chrono::system_clock::time_point deadline) {
+    auto state = channel.GetState(true);
+    while (state == GRPC_CHANNEL_IDLE || state == GRPC_CHANNEL_CONNECTING) {
+        if (!channel.WaitForStateChange(state, deadline)) {
+            return false;
+        }
+        state = channel.GetState(true);
+    }
+    return state == GRPC_CHANNEL_READY;
+}
+
 } // namespace
 
 struct control_client::link {
@@ -98,12 +110,15 @@
     for (auto now = clock.now(); now < deadline; now = clock.now()) {
         const auto index = get_leader();
         const auto used = get_link(index);
+        const auto limit =
+            std::chrono::system_clock::now() +
+            std::chrono::duration_cast<milliseconds>(std::min<duration>(deadline - now, attempt));
         grpc::ClientContext context;
-        const auto limit = std::min<duration>(deadline - now, attempt);
-        context.set_deadline(std::chrono::system_clock::now() +
-                             std::chrono::duration_cast<milliseconds>(limit));
+        context.set_deadline(limit);
         Answer answer;
-        const auto status = call(*used->stub, context, request, answer);
+        const bool is_connected = connect(*used->channel, limit);
+        const auto status = is_connected ? call(*used->stub, context, request, answer)
+                                         : grpc::Status(grpc::StatusCode::UNAVAILABLE, "no connection");
         if (status.ok()) {
             is_anyone_reached = true;
             if (is_from_leader(answer)) {
@@ -116,7 +131,7 @@
             continue;
         }
         // The connection may be silent for good: whatever the peer's state, the next try opens a fresh one.
-        is_maybe_done = is_maybe_done || status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+        is_maybe_done = is_maybe_done || is_connected;
         drop_link(index, used);
         follow(index, 0);
         absl::SleepFor(absl::Nanoseconds(pause_without_leader.count()));
@@ -135,16 +150,18 @@
         return stub.propose(&context, sent, &received);
     };
     const system_clock clock;
+    bool is_maybe_committed = false;
     while (true) {
         auto answer = call_leader<wire::propose_request, wire::propose_answer>(request, deadline,
                                                                                longest_attempt, call);
         if (!answer) {
-            return answer.error();
+            return is_maybe_committed ? make_error_code(transport_errc::timed_out) : answer.error();
         }
         if (answer.value().committed()) {
             return std::move(*answer.value().mutable_outcome());
         }
         // The leader lost its place with the command in its log; asking again finds out what became of it.
+        is_maybe_committed = true;
         if (clock.now() >= deadline) {
             return make_error_code(transport_errc::timed_out);
         }
--- a/unit_tests/transport/control_link_test.cpp
+++ b/unit_tests/transport/control_link_test.cpp
@@ -2,13 +2,18 @@
 #include "poplarpitch/transport/control_client.h"
 #include "poplarpitch/transport/control_server.h"
 #include "poplarpitch/transport/peer_link.h"
+#include "poplarpitch/transport/transport_error.h"
 #include "unit_tests/support/silent_relay.h"
 
 #include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
+#include <mutex>
+#include <thread>
 
 namespace poplarpitch {
 namespace {
@@ -31,10 +36,8 @@
             answer.set_revision(request.known_revision() + 1);
             return answer;
         };
-        handler.on_propose = [](const wire::propose_request& /*request*/) {
-            wire::propose_answer answer;
-            answer.set_committed(true);
-            return answer;
+        handler.on_propose = [this](const wire::propose_request& /*request*/) {
+            return m_on_propose();
         };
         handler.on_propose_batch = [this](const wire::propose_batch_request& request) {
             wire::propose_batch_answer answer;
@@ -60,6 +63,13 @@
 
     static time_point make_deadline() { return system_clock().now() + generous; }
 
+    static wire::propose_answer make_committed() {
+        wire::propose_answer answer;
+        answer.set_committed(true);
+        return answer;
+    }
+
+    std::function<wire::propose_answer()> m_on_propose = make_committed;
     absl::Mutex m_mutex;
     std::uint64_t m_newest_round ABSL_GUARDED_BY(m_mutex) = 0;
     std::atomic<int> m_renewals{0};
@@ -127,7 +137,40 @@
 TEST_F(control_link_test, instance_that_is_gone_is_unreachable) {
     m_server->stop();
     const auto soon = system_clock().now() + milliseconds{300};
-    EXPECT_FALSE(m_client->propose({}, soon));
+    EXPECT_EQ(m_client->propose({}, soon).error(), make_error_code(transport_errc::unreachable));
+}
+
+TEST_F(control_link_test, change_that_arrived_before_its_connection_broke_may_be_committed) {
+    absl::Notification has_arrived;
+    absl::Notification may_end;
+    std::once_flag first;
+    m_on_propose = [&] {
+        std::call_once(first, [&] { has_arrived.Notify(); });
+        may_end.WaitForNotification();
+        return make_committed();
+    };
+    std::thread breaker([&] {
+        has_arrived.WaitForNotification();
+        m_server->stop(); // breaks the connection at once, then waits for the call
+    });
+    const auto soon = system_clock().now() + milliseconds{1500};
+    const auto answer = m_client->propose({}, soon);
+    EXPECT_TRUE(has_arrived.HasBeenNotified());
+    std::call_once(first, [&] { has_arrived.Notify(); });
+    may_end.Notify();
+    breaker.join();
+    EXPECT_EQ(answer.error(), make_error_code(transport_errc::timed_out));
+}
+
+TEST_F(control_link_test, change_in_the_log_of_a_lost_leader_may_be_committed) {
+    std::atomic<int> calls{0};
+    m_on_propose = [&] {
+        wire::propose_answer answer;
+        answer.set_unknown(++calls == 1); // then nobody leads
+        return answer;
+    };
+    const auto soon = system_clock().now() + milliseconds{520};
+    EXPECT_EQ(m_client->propose({}, soon).error(), make_error_code(transport_errc::timed_out));
 }
 
 } // namespace
