Give back a task refused by a repeated start only once no earlier one can come

Callers saw: nothing yet; a job could run twice. The answer to a start was lost, the start was sent again, and the worker refused the second copy (full, leaving). The entry told the log that the worker had refused the task, which says that it did not run there, and control placed it anew, while the first copy could still come and find room.

Cause: what is true of one attempt was told of all. on_start_answered kept quiet after a lost answer only for a newer epoch and for another process. Besides, an answer counted as lost only when its call had ended: a start is repeated after 1 s, and a call lasts up to 2 s, so that a refusal of the repeat was believed while the first call was still out.

Evidence: task_agent_test.refusal_of_a_repeated_start_says_nothing_of_the_first and .._of_one_that_has_no_answer_yet fail without this change; each of the two fails too when only its half of it is taken out.

Why it works: such a task is withdrawn. It keeps its room, and its worker is told to stop it. A complete list made after that answer (one announcement may be on its way, as for doubtful requests) that is without the task proves that it never started: only then is the log told "refused". If the first copy did come, the worker's report of the stop, or of the end, tells the log. Another process tells that the task is lost. The entry asks for the list, so that nobody waits for one. A silence of the worker changes none of this.

What must run at most once is not stopped, as the log would queue anew what was stopped half-way. Its start is sent again until the worker takes it, or falls silent: safe, but slow while a worker stays full.

--- a/poplarpitch/entry/entry_state.cpp
+++ b/poplarpitch/entry/entry_state.cpp
@@ -253,7 +253,7 @@
     answer.epoch = worker.epoch;
     answer.is_renewed = is_session_valid && told.epoch == worker.epoch && m_tasks.may_renew(worker);
     const bool is_unsure = !m_tasks.may_renew(worker) || !worker.ledger.is_open();
-    answer.wants_complete = told.epoch < worker.epoch || is_unsure;
+    answer.wants_complete = told.epoch < worker.epoch || is_unsure || task_agent::wants_list(worker);
 }
 
 // ---- upkeep
@@ -275,6 +275,11 @@
     return m_tasks.on_start_answered(action, answer, m_clock.now(), wall_ms);
 }
 
+void entry_state::on_stop_answered(const task_action& action) {
+    const absl::MutexLock lock(&m_mutex);
+    m_tasks.on_stop_answered(action);
+}
+
 void entry_state::on_event_committed(const std::string& worker, const wire::job_event& event) {
     const absl::MutexLock lock(&m_mutex);
     m_tasks.on_event_committed(worker, event);
--- a/poplarpitch/entry/entry_state.h
+++ b/poplarpitch/entry/entry_state.h
@@ -72,6 +72,7 @@
     upkeep tick(std::int64_t wall_ms);
     std::vector<wire::command> on_start_answered(const task_action& action, start_result answer,
                                                  std::int64_t wall_ms);
+    void on_stop_answered(const task_action& action);
     void on_event_committed(const std::string& worker, const wire::job_event& event);
 
     /// Numbers for /metrics and /v1/status.
--- a/poplarpitch/entry/owned_task.h
+++ b/poplarpitch/entry/owned_task.h
@@ -15,9 +15,10 @@
     starting, ///< sent; no answer yet
     unseen,   ///< of an earlier owner; the worker has not said yet whether it runs
     running,
-    stopping, ///< told to stop, for a cancellation
-    evicting, ///< told to checkpoint and stop
-    ended,    ///< its end is being committed
+    stopping,    ///< told to stop, for a cancellation
+    evicting,    ///< told to checkpoint and stop
+    withdrawing, ///< told to stop, since a start was refused after one whose answer is not known
+    ended,       ///< its end is being committed
 };
 
 /// A task on an owned worker, as its owner sees it.
@@ -35,10 +36,12 @@
     bool is_urgent = false;
     bool is_throttled = false;
     int evictions = 0;
-    std::uint64_t incarnation = 0;  ///< of the worker's process when it was assigned
-    bool is_lost_in_log = false;    ///< control waits for its lease to end
-    bool is_running_in_log = false; ///< control knows that it was started
-    bool is_maybe_sent = false;     ///< a start was sent and its answer lost
+    std::uint64_t incarnation = 0;   ///< of the worker's process when it was assigned
+    bool is_lost_in_log = false;     ///< control waits for its lease to end
+    bool is_running_in_log = false;  ///< control knows that it was started
+    bool is_maybe_sent = false;      ///< a start was sent whose answer is lost or still to come
+    bool is_stop_answered = false;   ///< while it is withdrawn: no start is carried out any more
+    std::uint64_t stop_sequence = 0; ///< newest announcement that may be older than that answer
     task_phase phase = task_phase::to_start;
     grant_id grant = 0; ///< in the worker's ledger; 0 while it holds nothing
     time_point since{}; ///< when the phase began
--- a/poplarpitch/entry/task_agent.cpp
+++ b/poplarpitch/entry/task_agent.cpp
@@ -10,7 +10,12 @@
 namespace {
 
 bool is_told(const task_phase phase) {
-    return phase == task_phase::stopping || phase == task_phase::evicting;
+    return phase == task_phase::stopping || phase == task_phase::evicting || phase == task_phase::withdrawing;
+}
+
+bool wants_stop(const owned_task& task) {
+    return task.phase == task_phase::stopping ||
+           (task.phase == task_phase::withdrawing && !task.is_stop_answered);
 }
 
 } // namespace
@@ -102,8 +107,9 @@
                 task.phase = task_phase::starting;
                 action.verb = task_verb::start;
             } else if (task.phase == task_phase::starting && is_due) {
+                task.is_maybe_sent = true; // the call before may have no answer yet
                 action.verb = task_verb::start;
-            } else if (task.phase == task_phase::stopping && is_due) {
+            } else if (wants_stop(task) && is_due) {
                 action.verb = task_verb::stop;
             } else if (task.phase == task_phase::evicting && is_due) {
                 action.verb = task_verb::evict;
--- a/poplarpitch/entry/task_agent.h
+++ b/poplarpitch/entry/task_agent.h
@@ -31,6 +31,8 @@
     /// Takes the worker's answer to a start; returns the event for the log.
     std::vector<wire::command> on_start_answered(const task_action& action, start_result answer,
                                                  time_point now, std::int64_t wall_ms);
+    /// Takes that the worker has carried out a stop, or will carry out no start of that attempt.
+    void on_stop_answered(const task_action& action);
     /// Takes what a worker told, after the fleet did; returns events, each with the number of its report or
     /// 0.
     struct reported_event {
@@ -47,6 +49,8 @@
     /// Returns true when the worker's task leases may go on: not while it is silent, and not while control
     /// may still count one of its tasks as lost, whose lease is about to end.
     [[nodiscard]] bool may_renew(const owned_worker& worker) const;
+    /// Returns true when only the complete list of a worker can tell what became of one of its tasks.
+    [[nodiscard]] static bool wants_list(const owned_worker& worker);
     /// Takes a worker that was silent as heard again: what runs there must be told anew.
     void revive(owned_worker& worker, time_point now);
     /// Returns the evictions begun since start.
@@ -55,6 +59,8 @@
 private:
     void take_job(owned_worker& worker, const wire::job& job, time_point now);
     void relieve(owned_worker& worker, time_point now);
+    /// Gives a task back that was refused although an earlier start may yet be carried out.
+    static void withdraw(owned_task& task);
     void check_unseen(owned_worker& worker, const announcement& told, time_point now, std::int64_t wall_ms,
                       std::vector<reported_event>& events);
     [[nodiscard]] static wire::command make_event(const owned_task& task, const std::string& worker,
--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -92,6 +92,10 @@
     if (answer == start_result::other_process && task.is_maybe_sent) {
         return {make_crash(task, action.worker, wall_ms)};
     }
+    if (answer == start_result::refused && task.is_maybe_sent) {
+        withdraw(task);
+        return {};
+    }
     if (answer != start_result::started) {
         m_fleet.end_task(*worker, task);
         task.phase = task_phase::ended;
@@ -104,6 +108,32 @@
     return {make_event(task, action.worker, wire::event_started, "", wall_ms)};
 }
 
+void task_agent::withdraw(owned_task& task) {
+    const bool is_cancelled = task.phase == task_phase::stopping;
+    // What must run at most once may have begun, and a stop would cut it off: it is sent until it is taken.
+    const bool may_stop = task.phase == task_phase::starting && task.is_idempotent;
+    if (is_cancelled || may_stop) {
+        task.phase = task_phase::withdrawing;
+        task.since = {};
+    }
+}
+
+void task_agent::on_stop_answered(const task_action& action) {
+    auto* worker = m_fleet.find(action.worker);
+    if (worker == nullptr || worker->epoch != action.epoch) {
+        return;
+    }
+    const auto found = worker->tasks.find(action.task.job);
+    if (found == worker->tasks.end() || found->second.attempt != action.task.attempt) {
+        return;
+    }
+    auto& task = found->second;
+    if (task.phase == task_phase::withdrawing && !task.is_stop_answered) {
+        task.is_stop_answered = true;
+        task.stop_sequence = worker->sequence + 1; // one announcement may be on its way
+    }
+}
+
 std::vector<task_agent::reported_event> task_agent::on_announced(const announcement& told, time_point now,
                                                                  std::int64_t wall_ms) {
     std::vector<reported_event> events;
@@ -182,6 +212,13 @@
             continue;
         }
         const bool is_same_process = task.incarnation == told.incarnation;
+        if (task.phase == task_phase::withdrawing && is_same_process && !task.is_running_in_log) {
+            if (task.is_stop_answered && told.sequence > task.stop_sequence) {
+                events.push_back(
+                    {0, make_event(task, told.id, wire::event_refused, "the worker refused it", wall_ms)});
+            }
+            continue;
+        }
         if (!task.is_running_in_log && is_same_process) {
             // Assigned under an older epoch, which the worker refuses by now, and never started there.
             events.push_back({0, make_event(task, told.id, wire::event_absent, "", wall_ms)});
@@ -234,6 +271,12 @@
     });
 }
 
+bool task_agent::wants_list(const owned_worker& worker) {
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const auto& item) {
+        return item.second.phase == task_phase::withdrawing && item.second.is_stop_answered;
+    });
+}
+
 void task_agent::revive(owned_worker& worker, time_point now) {
     worker.is_silent = false;
     worker.last_heard = now;
@@ -241,7 +284,9 @@
     for (auto& [job, task] : worker.tasks) {
         if (task.phase != task_phase::to_start) {
             m_fleet.adopt_task(worker, task);
-            task.phase = task_phase::unseen;
+            if (task.phase != task_phase::withdrawing) {
+                task.phase = task_phase::unseen;
+            }
             task.since = now;
         }
     }
--- a/poplarpitch/entry/task_caller.cpp
+++ b/poplarpitch/entry/task_caller.cpp
@@ -104,6 +104,8 @@
         m_workers.send(action.address, request, m_clock.now() + call_wait, connection_choice::pooled);
     if (exchange.progress != exchange_progress::answered) {
         m_workers.drop(action.address); // told again by the agent
+    } else if (action.verb == task_verb::stop && exchange.response.status == 200) {
+        m_state.on_stop_answered(action);
     }
 }
 
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -20,6 +20,26 @@
         return m_tasks.on_start_answered(action, answer, m_now, 1);
     }
 
+    /// Has a start refused after one whose answer was lost.
+    void refuse_after_lost_answer(bool is_idempotent = true) {
+        auto jobs = make_jobs(wire::job_assigned, 2);
+        jobs.mutable_jobs(0)->set_idempotent(is_idempotent);
+        m_tasks.take_jobs(jobs, m_now);
+        m_tasks.get_actions(m_now);
+        EXPECT_TRUE(answer_start(start_result::unknown).empty());
+        m_now += seconds{1};
+        m_tasks.get_actions(m_now);
+        EXPECT_TRUE(answer_start(start_result::refused).empty());
+    }
+
+    /// Has the worker answer the stop that is due.
+    void stop() {
+        const auto actions = m_tasks.get_actions(m_now);
+        ASSERT_EQ(actions.size(), 1U);
+        EXPECT_EQ(actions[0].verb, task_verb::stop);
+        m_tasks.on_stop_answered(actions[0]);
+    }
+
     void commit(wire::job_event_kind kind) {
         wire::job_event event;
         event.set_job("j");
@@ -73,6 +93,85 @@
     EXPECT_TRUE(events[0].event().crashed());
 }
 
+TEST_F(task_agent_test, refusal_of_a_repeated_start_says_nothing_of_the_first) {
+    refuse_after_lost_answer();
+    announce(tell(2, true));
+    EXPECT_TRUE(m_events.empty()); // it may yet come
+    EXPECT_EQ(m_fleet.find("w")->ledger.get_given().millicores, 1000);
+}
+
+TEST_F(task_agent_test, refusal_of_a_repeated_start_says_nothing_of_one_that_has_no_answer_yet) {
+    m_tasks.take_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_tasks.get_actions(m_now);
+    m_now += seconds{1};
+    ASSERT_EQ(m_tasks.get_actions(m_now).size(), 1U);
+    EXPECT_TRUE(answer_start(start_result::refused).empty());
+}
+
+TEST_F(task_agent_test, gives_back_a_refused_repeat_once_a_list_after_its_stop_is_without_it) {
+    refuse_after_lost_answer();
+    stop();
+    EXPECT_TRUE(task_agent::wants_list(*m_fleet.find("w")));
+    announce(tell(2, true)); // may have been on its way when the stop was answered
+    EXPECT_TRUE(m_events.empty());
+    announce(tell(2, true));
+    EXPECT_EQ(only_event(), wire::event_refused);
+    commit(wire::event_refused);
+    EXPECT_TRUE(m_fleet.find("w")->tasks.empty());
+    EXPECT_EQ(m_fleet.find("w")->ledger.get_given().millicores, 0);
+}
+
+TEST_F(task_agent_test, repeats_the_stop_of_a_refused_repeat_until_it_is_answered) {
+    refuse_after_lost_answer();
+    EXPECT_EQ(m_tasks.get_actions(m_now).size(), 1U);
+    EXPECT_TRUE(m_tasks.get_actions(m_now).empty());
+    m_now += seconds{1};
+    stop();
+    m_now += seconds{1};
+    EXPECT_TRUE(m_tasks.get_actions(m_now).empty());
+}
+
+TEST_F(task_agent_test, first_start_that_was_carried_out_is_stopped_not_refused) {
+    refuse_after_lost_answer();
+    stop();
+    announce(tell_running());
+    announce(tell_running());
+    EXPECT_TRUE(m_events.empty());
+    auto told = tell(2, true);
+    told.reports = {{41, "j", 1, "stopped", "", "", 1, 1, 1}};
+    announce(told);
+    EXPECT_EQ(only_event(), wire::event_stopped);
+}
+
+TEST_F(task_agent_test, withdrawn_task_on_a_restarted_worker_is_lost) {
+    refuse_after_lost_answer();
+    stop();
+    auto told = tell(2, true);
+    told.incarnation = 78;
+    announce(told);
+    EXPECT_EQ(only_event(), wire::event_lost);
+}
+
+TEST_F(task_agent_test, worker_heard_again_keeps_a_task_withdrawn) {
+    refuse_after_lost_answer();
+    m_now += seconds{3};
+    m_tasks.get_events(m_now, seconds{2}, 1);
+    m_tasks.revive(*m_fleet.find("w"), m_now);
+    announce(tell(2, true));
+    EXPECT_TRUE(m_events.empty());
+    m_now += seconds{1};
+    stop();
+}
+
+TEST_F(task_agent_test, sends_what_must_run_once_again_instead_of_stopping_it) {
+    refuse_after_lost_answer(false);
+    EXPECT_TRUE(m_tasks.get_actions(m_now).empty());
+    m_now += seconds{1};
+    const auto actions = m_tasks.get_actions(m_now);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(actions[0].verb, task_verb::start);
+}
+
 TEST_F(task_agent_test, gives_back_what_the_worker_refused) {
     m_tasks.take_jobs(make_jobs(wire::job_assigned, 2), m_now);
     m_tasks.get_actions(m_now);
