Take no list for the proof that a start without answer never comes

Callers saw: nothing yet; a job could run twice. A start was sent, no answer came, and the worker was silent for a while. Heard again, it sent its complete list, without the task. The entry told the log "absent: it was never started there", and control placed the task anew, while the first start could still come.

Cause: the rule for tasks of an older epoch, whose starts the worker refuses by now, was used for starts of the present epoch as well, which it does not refuse. And a withdrawn task of a worker that was silent let the leases there be renewed, although control may count that task as lost and wait for its lease to end.

Evidence: task_agent_test.list_of_a_worker_heard_again_says_nothing_of_a_start_without_answer, start_without_answer_that_must_run_once_is_lost_not_absent and renews_nothing_while_a_withdrawn_task_may_count_as_lost fail without this change and pass with it.

Why it works: a task whose start went out under this epoch without an answer is "absent" no more. Is it in the list, it goes on as before. Is it not, it is withdrawn (stopped, then looked for in a list made after the answer to that) or, when it must run at most once, told as lost, which ends as "unknown" and not in a second run. Until that is settled nothing on that worker is renewed, as for tasks it has not listed yet.

--- a/poplarpitch/entry/owned_task.h
+++ b/poplarpitch/entry/owned_task.h
@@ -40,6 +40,7 @@
     bool is_lost_in_log = false;     ///< control waits for its lease to end
     bool is_running_in_log = false;  ///< control knows that it was started
     bool is_maybe_sent = false;      ///< a start was sent whose answer is lost or still to come
+    bool is_doubted = false;         ///< its worker was silent: control may count it as lost
     bool is_stop_answered = false;   ///< while it is withdrawn: no start is carried out any more
     std::uint64_t stop_sequence = 0; ///< newest announcement that may be older than that answer
     task_phase phase = task_phase::to_start;
--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -219,7 +219,11 @@
             }
             continue;
         }
-        if (!task.is_running_in_log && is_same_process) {
+        const bool is_seen_nowhere = !task.is_running_in_log && is_same_process;
+        if (is_seen_nowhere && task.is_maybe_sent && task.phase == task_phase::unseen && task.is_idempotent) {
+            task.phase = task_phase::withdrawing; // its start may yet be carried out
+            task.since = {};
+        } else if (is_seen_nowhere && !task.is_maybe_sent) {
             // Assigned under an older epoch, which the worker refuses by now, and never started there.
             events.push_back({0, make_event(task, told.id, wire::event_absent, "", wall_ms)});
         } else if (!is_same_process || now - task.since > m_settings.missing_wait) {
@@ -267,7 +271,8 @@
 
 bool task_agent::may_renew(const owned_worker& worker) const {
     return !worker.is_silent && std::none_of(worker.tasks.begin(), worker.tasks.end(), [](const auto& item) {
-        return item.second.phase == task_phase::unseen;
+        const auto& task = item.second;
+        return task.phase == task_phase::unseen || (task.phase == task_phase::withdrawing && task.is_doubted);
     });
 }
 
@@ -284,9 +289,13 @@
     for (auto& [job, task] : worker.tasks) {
         if (task.phase != task_phase::to_start) {
             m_fleet.adopt_task(worker, task);
+            if (task.phase == task_phase::starting) {
+                task.is_maybe_sent = true; // the list may be older than its arrival
+            }
             if (task.phase != task_phase::withdrawing) {
                 task.phase = task_phase::unseen;
             }
+            task.is_doubted = true;
             task.since = now;
         }
     }
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -163,6 +163,55 @@
     stop();
 }
 
+TEST_F(task_agent_test, list_of_a_worker_heard_again_says_nothing_of_a_start_without_answer) {
+    m_tasks.take_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_tasks.get_actions(m_now);
+    m_now += seconds{3};
+    m_tasks.get_events(m_now, seconds{2}, 1);
+    m_tasks.revive(*m_fleet.find("w"), m_now);
+    announce(tell(2, true));
+    EXPECT_TRUE(m_events.empty());
+    stop();
+    announce(tell(2, true));
+    EXPECT_TRUE(m_events.empty());
+    announce(tell(2, true));
+    EXPECT_EQ(only_event(), wire::event_refused);
+}
+
+TEST_F(task_agent_test, start_without_answer_that_a_worker_heard_again_lists_goes_on) {
+    m_tasks.take_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_tasks.get_actions(m_now);
+    m_now += seconds{3};
+    m_tasks.get_events(m_now, seconds{2}, 1);
+    m_tasks.revive(*m_fleet.find("w"), m_now);
+    announce(tell_running());
+    EXPECT_EQ(only_event(), wire::event_started);
+}
+
+TEST_F(task_agent_test, start_without_answer_that_must_run_once_is_lost_not_absent) {
+    auto jobs = make_jobs(wire::job_assigned, 2);
+    jobs.mutable_jobs(0)->set_idempotent(false);
+    m_tasks.take_jobs(jobs, m_now);
+    m_tasks.get_actions(m_now);
+    m_now += seconds{3};
+    m_tasks.get_events(m_now, seconds{2}, 1);
+    m_tasks.revive(*m_fleet.find("w"), m_now);
+    announce(tell(2, true));
+    EXPECT_TRUE(m_events.empty());
+    m_now += seconds{3};
+    announce(tell(2, true));
+    EXPECT_EQ(only_event(), wire::event_lost);
+}
+
+TEST_F(task_agent_test, renews_nothing_while_a_withdrawn_task_may_count_as_lost) {
+    refuse_after_lost_answer();
+    EXPECT_TRUE(m_tasks.may_renew(*m_fleet.find("w")));
+    m_now += seconds{3};
+    m_tasks.get_events(m_now, seconds{2}, 1);
+    m_tasks.revive(*m_fleet.find("w"), m_now);
+    EXPECT_FALSE(m_tasks.may_renew(*m_fleet.find("w")));
+}
+
 TEST_F(task_agent_test, sends_what_must_run_once_again_instead_of_stopping_it) {
     refuse_after_lost_answer(false);
     EXPECT_TRUE(m_tasks.get_actions(m_now).empty());
