Connect before the tests of broken changes begin

Both tests now make a change first, on a long deadline, and then use that connection; what they ask for is the same.

--- a/unit_tests/transport/control_link_test.cpp
+++ b/unit_tests/transport/control_link_test.cpp
@@ -141,6 +141,7 @@
 }
 
 TEST_F(control_link_test, change_that_arrived_before_its_connection_broke_may_be_committed) {
+    ASSERT_TRUE(m_client->propose({}, make_deadline())); // the first connection may be slow
     absl::Notification has_arrived;
     absl::Notification may_end;
     std::once_flag first;
@@ -163,6 +164,7 @@
 }
 
 TEST_F(control_link_test, change_in_the_log_of_a_lost_leader_may_be_committed) {
+    ASSERT_TRUE(m_client->propose({}, make_deadline())); // the first connection may be slow
     std::atomic<int> calls{0};
     m_on_propose = [&] {
         wire::propose_answer answer;
