Tell in task_waits at which obstacle the room stands, and log workers that are set aside

The logs could not tell a pool in which only set-aside workers have room from one whose room is in pieces: with_room counted silent workers too. task_waits names with_room_by, free_millicores and most_free_millicores; worker_set_aside tells reason and time. No decision changes.

--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -296,6 +296,8 @@
         return;
     case order_failure::no_capacity:
         ++m_counts.refused_room;
+        worker.trust.on_refusal(now);
+        log_set_aside(worker, "no_room", now);
         break;
     case order_failure::no_ticket:
         ++m_counts.refused_other;
@@ -306,15 +308,13 @@
     case order_failure::unhealthy:
         ++m_counts.refused_other;
         worker.trust.on_refusal(now);
+        log_set_aside(worker, "unhealthy", now);
         break;
     default:
         ++m_counts.refused_other;
         break;
     }
     schedule_hold(worker, now); // the worker's list shows which runs it has
-    if (failure == order_failure::no_capacity) {
-        worker.trust.on_refusal(now);
-    }
     return_to_queue(track, now);
 }
 
--- a/poplarpitch/dispatch/dispatcher_waits.cpp
+++ b/poplarpitch/dispatch/dispatcher_waits.cpp
@@ -6,6 +6,7 @@
 #include "poplarpitch/telemetry/log_event.h"
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <tuple>
 
@@ -19,14 +20,13 @@
 constexpr std::size_t max_examined_steps = 20; // per pass; examining 490 workers takes some 20 us
 
 /// Returns the number of workers for each obstacle, as `name:count` separated by commas.
-std::string format_counts(const long_wait& wait) {
+std::string format_counts(const std::array<std::uint64_t, placement_obstacles>& counts) {
     std::string text;
     for (std::size_t number = 0; number < placement_obstacles; ++number) {
-        const auto obstacle = static_cast<placement_obstacle>(number);
-        if (wait.count(obstacle) > 0) {
+        if (counts[number] > 0) {
             text += text.empty() ? "" : ",";
-            text += get_obstacle_name(obstacle);
-            text += ":" + std::to_string(wait.count(obstacle));
+            text += get_obstacle_name(static_cast<placement_obstacle>(number));
+            text += ":" + std::to_string(counts[number]);
         }
     }
     return text;
@@ -74,7 +74,15 @@
         const bool stays = obstacle != placement_obstacle::unknown && obstacle != placement_obstacle::leaving;
         const bool has_room = get_room(*worker, request) >= request.spec->millicores &&
                               worker->get_free().holds(get_need(*request.spec));
-        wait.with_room += stays && has_room ? 1 : 0;
+        if (stays && has_room) {
+            ++wait.with_room;
+            ++wait.with_room_by_obstacle[static_cast<std::size_t>(obstacle)];
+        }
+        if (stays && obstacle != placement_obstacle::silent) {
+            const auto free = worker->get_free().millicores;
+            wait.free_millicores += free;
+            wait.most_free_millicores = std::max(wait.most_free_millicores, free);
+        }
     }
     return wait;
 }
@@ -115,7 +123,10 @@
             .add("paused", is_paused ? "yes" : "no")
             .add("workers", wait.workers)
             .add("with_room", wait.with_room)
-            .add("passed_over", format_counts(wait));
+            .add("passed_over", format_counts(wait.passed_over))
+            .add("with_room_by", format_counts(wait.with_room_by_obstacle))
+            .add("free_millicores", wait.free_millicores)
+            .add("most_free_millicores", wait.most_free_millicores);
     }
 }
 
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -383,7 +383,11 @@
         worker.trust.on_success();
     }
     if (row.end == run_end::failed) {
+        const bool was_set_aside = worker.trust.is_set_aside(now);
         worker.trust.on_failure(row.run.task.step.job, now);
+        if (!was_set_aside) {
+            log_set_aside(worker, "failed_run", now);
+        }
     }
     ++worker.ends_being_committed;
     const bool has_known_age = track->confirmed_at != time_point{};
--- a/poplarpitch/dispatch/history_log.cpp
+++ b/poplarpitch/dispatch/history_log.cpp
@@ -7,6 +7,12 @@
 #include "poplarpitch/telemetry/log_event.h"
 
 namespace poplarpitch {
+namespace {
+
+constexpr duration min_logged_pause =
+    milliseconds{500}; // one run in twenty fails by its own fault, and each pauses its worker for 0.1 s
+
+} // namespace
 
 void log_run_started(const run_track& track, const char* reason, log_term term, time_point now) {
     auto line = log_event(log_level::info, "run_started", log_class::history);
@@ -62,6 +68,19 @@
         .add("fence", worker.fence);
 }
 
+void log_set_aside(const worker_state& worker, const char* reason, time_point now) {
+    const auto left = worker.trust.get_time_left(now);
+    if (left < min_logged_pause) {
+        return;
+    }
+    auto line = log_event(log_level::info, "worker_set_aside");
+    add_worker(line, worker.report.incarnation)
+        .add("reason", reason)
+        .add("left_ms", to_milliseconds(left))
+        .add("runs", static_cast<std::uint64_t>(worker.runs.size()))
+        .add("free_millicores", worker.get_free().millicores);
+}
+
 void log_takeover(const takeover& taken) {
     log_event(log_level::info, "took_over", log_class::history)
         .add("term", taken.term)
--- a/poplarpitch/dispatch/history_log.h
+++ b/poplarpitch/dispatch/history_log.h
@@ -36,6 +36,9 @@
 void log_run_ended(const run_track& track, run_end end, log_term term, time_point now);
 /// Logs a listed end that changes nothing. `track`: of that run; null where the run is not known.
 void log_unknown_end(const worker_state& worker, const run_track* track, const run_end_entry& row);
+/// Logs that no task is placed on a worker for some time, and why. Shorter pauses, such as the one after a
+/// single failed run, are not logged.
+void log_set_aside(const worker_state& worker, const char* reason, time_point now);
 /// Logs what a new leader took over.
 void log_takeover(const takeover& taken);
 
--- a/poplarpitch/dispatch/long_wait.h
+++ b/poplarpitch/dispatch/long_wait.h
@@ -18,8 +18,13 @@
     std::uint64_t workers = 0; ///< workers of its pool
     std::uint64_t with_room =
         0; ///< of `workers`, those that are not draining and have enough free room for the task
+    std::int64_t free_millicores = 0; ///< free on all workers that answer and are not draining, in pieces
+                                      ///< that may be too small
+    std::int64_t most_free_millicores = 0; ///< the largest of these pieces
     std::array<std::uint64_t, placement_obstacles>
         passed_over{}; ///< number of workers by the obstacle that rules them out
+    std::array<std::uint64_t, placement_obstacles>
+        with_room_by_obstacle{}; ///< the same, of those counted in `with_room`
 
     friend auto operator<=>(const long_wait&, const long_wait&) = default;
 
--- a/poplarpitch/dispatch/worker_trust.h
+++ b/poplarpitch/dispatch/worker_trust.h
@@ -26,6 +26,8 @@
     void on_unsound(time_point now);
     /// Returns true while no task may be placed on the worker.
     [[nodiscard]] bool is_set_aside(time_point now) const { return now < m_until; }
+    /// Returns how much longer no task may be placed on the worker; zero or less while tasks may.
+    [[nodiscard]] duration get_time_left(time_point now) const { return m_until - now; }
     /// Returns true when the worker's last run failed: a task with one attempt left is placed elsewhere.
     [[nodiscard]] bool is_doubtful() const { return m_failures > 0; }
 
--- a/unit_tests/dispatch/dispatcher_waits_test.cpp
+++ b/unit_tests/dispatch/dispatcher_waits_test.cpp
@@ -31,6 +31,8 @@
     EXPECT_EQ(found[0].count(placement_obstacle::leaving), 1U);
     EXPECT_EQ(found[0].count(placement_obstacle::silent), 1U);
     EXPECT_EQ(found[0].count(placement_obstacle::room), 1U);
+    EXPECT_EQ(found[0].with_room_by_obstacle[static_cast<std::size_t>(placement_obstacle::silent)], 1U);
+    EXPECT_EQ(found[0].most_free_millicores, 0) << "neither the silent worker nor the one that leaves counts";
 }
 
 TEST(dispatcher_waits, finds_nothing_where_no_worker_that_stays_has_room) {
