--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -0,0 +1,134 @@
+// How long a long-running task stands still, from the end of its last run at its worker to its next start.
+#include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+#include "unit_tests/dispatch/vanishing_worker.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+// A long-running task has to be started within 6 s of the end of its last run, and may stand still beside
+// free room for 3 s more.
+constexpr duration max_standstill = seconds{9};
+constexpr duration limit = seconds{20};
+
+step_spec make_serving_step(std::int64_t millicores = 1000) {
+    auto step = make_step();
+    step.millicores = millicores;
+    step.long_running = true;
+    step.target_ms = 100;
+    step.image = "watch";
+    return step;
+}
+
+/// Submits a long-running task and starts it. Without another worker it first waits, since its worker is kept
+/// for short tasks.
+start_order start_serving(dispatch_world& world) {
+    world.submit({make_serving_step()});
+    auto starts = world.take<start_order>();
+    while (starts.empty()) {
+        world.advance(milliseconds{20});
+        starts = world.take<start_order>();
+    }
+    world.answer(starts[0]);
+    return starts[0];
+}
+
+/// Answers the worker's holds with its only run for a second, and leaves the last one just sent.
+void settle(dispatch_world& world, const start_order& run) {
+    const auto& id = run.target.worker.id;
+    hold_answer list;
+    list.running.push_back({run.run, {}, 100, 10});
+    for (int round = 0; round < 20; ++round) {
+        world.wait_for_hold(id);
+        world.answer_hold(id, list);
+        world.advance(milliseconds{50});
+    }
+    world.wait_for_hold(id);
+}
+
+void expect_in_time(const std::optional<duration>& standstill) {
+    ASSERT_TRUE(standstill.has_value()) << "it was not started again";
+    EXPECT_LE(to_milliseconds(*standstill), to_milliseconds(max_standstill));
+}
+
+TEST(dispatcher_long_running, is_started_again_in_time_when_its_worker_vanishes) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto run = start_serving(world);
+    world.add_worker("w2");
+    world.add_worker("w3");
+    settle(world, run);
+    vanishing_worker w1(world, "w1");
+    expect_in_time(w1.wait_for_restart(run.run.task, limit));
+}
+
+TEST(dispatcher_long_running, is_started_again_in_time_when_starts_are_sent_to_the_worker_that_vanished) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto run = start_serving(world);
+    settle(world, run);
+    vanishing_worker w1(world, "w1");
+    EXPECT_FALSE(w1.wait_for_restart(run.run.task, milliseconds{1500}).has_value());
+    world.submit({make_step()});
+    world.add_worker("w2");
+    world.add_worker("w3");
+    expect_in_time(w1.wait_for_restart(run.run.task, limit));
+}
+
+TEST(dispatcher_long_running, is_started_again_in_time_when_a_relay_reports_holds_as_not_sent) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto run = start_serving(world);
+    world.add_worker("w2");
+    world.add_worker("w3");
+    settle(world, run);
+    vanishing_worker w1(world, "w1");
+    w1.set_hold_failure(order_failure::not_sent);
+    expect_in_time(w1.wait_for_restart(run.run.task, limit));
+}
+
+TEST(dispatcher_long_running, does_not_wait_again_for_a_worker_that_is_kept_for_short_tasks) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto run = start_serving(world);
+    world.add_worker("w2");
+    settle(world, run);
+    vanishing_worker w1(world, "w1");
+    expect_in_time(w1.wait_for_restart(run.run.task, limit));
+}
+
+/// Fails runs of two jobs at a worker, so that it is set aside. `times` doubles the time.
+void set_aside(dispatch_world& world, const std::string& id, int times) {
+    std::uint64_t number = 0;
+    for (int round = 0; round < 2 * times; ++round) {
+        world.submit({make_step()}, 1);
+        auto starts = world.take<start_order>();
+        for (int waited = 0; starts.empty() && waited < 500; ++waited) {
+            world.advance(milliseconds{50});
+            starts = world.take<start_order>();
+        }
+        ASSERT_EQ(starts.size(), 1U);
+        world.answer(starts[0]);
+        world.wait_for_hold(id);
+        hold_answer list;
+        list.ended.push_back({++number, starts[0].run, run_end::failed, {}});
+        world.answer_hold(id, list);
+    }
+}
+
+TEST(dispatcher_long_running, uses_a_worker_that_is_set_aside_when_no_other_has_room) {
+    dispatch_world world;
+    world.add_worker("w1");
+    set_aside(world, "w1", 3);
+    world.submit({make_serving_step()});
+    const auto waits_since = world.now;
+    while (world.take<start_order>().empty() && world.now - waits_since < limit) {
+        world.advance(milliseconds{20});
+    }
+    EXPECT_LE(to_milliseconds(world.now - waits_since), 3000);
+}
+
+} // namespace
+} // namespace poplarpitch
