Extend a worker's lease only after an answer

Callers saw a long-running task stand still for over 9 s after its worker had vanished, beside free room (LOST). The leader waits until the worker's lease has surely expired, and the lease was extended after the worker had vanished: by the second hold, sent after the first one had timed out (1.9 s later), and by each start in the 2.7 s until the worker counted as silent. A hold now extends the lease only if the last one was answered, and a start repeats the end that the last hold granted while 4 s are left of it. So the lease of a vanished worker ends 7.4 s after its last answer at the latest.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -65,7 +65,9 @@
 /// incarnation answers, and its runs need not wait for their lease to expire.
 void dispatcher::adopt_worker(const assigned_run& run, time_point now) {
     auto& worker = get_or_add_worker(run.worker, now);
-    grant_lease(worker, now); // an earlier leader may have granted one just now
+    // An earlier leader may have granted a lease just now.
+    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.lease));
+    record_lease_sent(worker, now);
     if (worker.report.address.empty() && !run.address.empty()) {
         worker.report.address = run.address;
         worker.next_hold = now + announce_timeout;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -272,7 +272,14 @@
     /// Ends runs that are missing from the worker's list. Precondition: `listed` is sorted.
     void end_missing_runs(worker_state& worker, const std::vector<run_key>& listed, time_point now);
     void stop_stray_run(worker_state& worker, const run_key& key);
-    void grant_lease(worker_state& worker, time_point now);
+    /// Extends the worker's lease by the full length from now. Returns its end by the worker's clock.
+    /// Precondition: that clock is known.
+    std::int64_t extend_lease(worker_state& worker, time_point now);
+    /// Returns the end of the lease for a start that is sent now, by the worker's clock, or nothing while no
+    /// start may be sent. Precondition: that clock is known.
+    [[nodiscard]] std::optional<std::int64_t> get_lease_for_start(worker_state& worker, time_point now);
+    /// Records that an order with a lease leaves now.
+    void record_lease_sent(worker_state& worker, time_point now);
     /// Assumes that the worker holds a lease of the maximum length.
     void grant_max_lease(worker_state& worker, time_point now);
     /// Returns how long a lease may be valid at its worker after it was sent, by this leader's clock.
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -152,8 +152,7 @@
         return;
     }
     if (worker.is_silent()) {
-        return; // a start renews the lease of all runs there, so the silent worker's runs could never be
-                // given up
+        return;
     }
     std::string ticket;
     if (track.job->queue.advice.has_value()) {
@@ -163,16 +162,18 @@
             return;
         }
     }
+    const auto lease_end_ms = get_lease_for_start(worker, now);
+    if (!lease_end_ms.has_value()) {
+        return;
+    }
     const auto* task = m_job_state.find_task(track.key.task);
     start_order order;
     order.ticket = ticket;
     order.target = make_target(worker, m_settings.order_timeout);
     order.run = track.key;
     order.job = track.job;
-    order.lease_end_ms =
-        worker.estimate_clock(now, m_settings.clock_drift) + to_milliseconds(m_settings.lease);
+    order.lease_end_ms = *lease_end_ms;
     order.checkpoint = task == nullptr ? std::string{} : task->checkpoint;
-    grant_lease(worker, now);
     track.is_order_pending = true;
     track.start_sent = now;
     track.start_fence = worker.fence;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -20,6 +20,9 @@
 constexpr double hold_pause_growth_at_full_strain =
     5; // at full strain, this multiple of the pause is added to it; ends of runs then arrive in batches
 constexpr duration hold_slack = milliseconds{800}; // added to the requested wait
+// Minimum rest of a lease for a start. The next hold extends the lease; it is answered within 1.8 s, or the
+// one after it within 2 s more.
+constexpr duration min_start_lease = seconds{4};
 
 /// Returns the failure of a hold, or nothing. An answer without a start time is treated as no answer
 /// when the worker's report has one, since it does not show which incarnation sent it.
@@ -182,9 +185,33 @@
            worker.acknowledged_up_to > worker.acknowledged_sent || worker.hold_failures > 0;
 }
 
-void dispatcher::grant_lease(worker_state& worker, time_point now) {
-    worker.granted_at = now;
+std::int64_t dispatcher::extend_lease(worker_state& worker, time_point now) {
+    worker.granted_until_ms =
+        worker.estimate_clock(now, m_settings.clock_drift) + to_milliseconds(m_settings.lease);
     worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.lease));
+    record_lease_sent(worker, now);
+    return worker.granted_until_ms;
+}
+
+/// A start renews the lease of all runs on its worker. A worker that vanishes while starts are sent to it
+/// would keep its lease for longer, so a start repeats the end of the lease that the last hold granted. Only
+/// where too little is left of that, as at a worker without runs, it extends the lease.
+std::optional<std::int64_t> dispatcher::get_lease_for_start(worker_state& worker, time_point now) {
+    const auto left =
+        milliseconds{worker.granted_until_ms - worker.estimate_clock(now, m_settings.clock_drift)};
+    // More than the full lease is left only if the worker's clock was reset.
+    if (left >= min_start_lease && left <= m_settings.lease) {
+        record_lease_sent(worker, now);
+        return worker.granted_until_ms;
+    }
+    if (worker.is_hold_unanswered) {
+        return std::nullopt;
+    }
+    return extend_lease(worker, now);
+}
+
+void dispatcher::record_lease_sent(worker_state& worker, time_point now) {
+    worker.granted_at = now;
     // Another incarnation with the same worker id may receive the grant and apply it to its own clock.
     for (auto* other : m_workers.find_other_incarnations(worker.report.incarnation)) {
         grant_max_lease(*other, now);
@@ -221,12 +248,11 @@
     order.target = make_target(worker, order.wait + hold_slack);
     order.acknowledged_up_to = worker.acknowledged_up_to;
     // A worker that receives our orders while its answers are lost must not keep its lease, since its runs
-    // could then never be given up. Nor is a lease renewed for runs that should not be on the worker.
+    // could then never be given up. Each extension without an answer would also delay the restart of the runs
+    // of a lost worker. Nor is a lease renewed for runs that should not be on the worker.
     const bool has_only_strays = worker.has_stray_runs && worker.runs.empty();
-    if (!worker.is_silent() && worker.clock_ms != 0 && !has_only_strays) {
-        order.lease_end_ms =
-            worker.estimate_clock(now, m_settings.clock_drift) + to_milliseconds(m_settings.lease);
-        grant_lease(worker, now);
+    if (!worker.is_hold_unanswered && worker.clock_ms != 0 && !has_only_strays) {
+        order.lease_end_ms = extend_lease(worker, now);
     }
     worker.is_hold_pending = true;
     worker.hold_sent = now;
@@ -251,6 +277,7 @@
         return;
     }
     const auto failure = get_hold_failure(*worker, outcome);
+    worker->is_hold_unanswered = failure.has_value();
     if (failure.has_value()) {
         if (failure == order_failure::other_incarnation) {
             on_worker_lost(*worker, end_reason::another_incarnation_answers, now);
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -69,8 +69,11 @@
 
     std::int64_t clock_ms = 0; ///< the worker's clock at `clock_at`; 0 while unknown
     time_point clock_at{};
-    time_point granted_at{}; ///< when a lease was last granted
-    time_point lease_end{};  ///< when all leases of this leader and earlier ones have expired
+    bool is_hold_unanswered = false;   ///< the last hold ended without an answer; no lease is extended until
+                                       ///< one is answered
+    std::int64_t granted_until_ms = 0; ///< end of the lease that was last granted, by the worker's clock
+    time_point granted_at{};           ///< when an order with a lease was last sent
+    time_point lease_end{};            ///< when all leases of this leader and earlier ones have expired
 
     std::uint64_t last_processed_end =
         0; ///< highest sequence number among the ends of runs that were processed
@@ -112,8 +115,8 @@
         }
         ++hold_failures;
     }
-    /// Returns true when leases are no longer granted: the worker may receive orders although its answers do
-    /// not arrive. Thread safety: as the state.
+    /// Returns true when no starts are sent: the worker may receive orders although its answers do not
+    /// arrive. Thread safety: as the state.
     [[nodiscard]] bool is_silent() const { return hold_failures >= silent_after_failures; }
     /// Returns what is not reserved. Thread safety: as the state.
     [[nodiscard]] worker_amounts get_free() const { return report.capacity - reserved; }
