Give up the runs of a worker whose holds cannot be sent once its lease has expired

Callers saw tasks that never ran again. A hold that a relay gives up counts as not sent, which says nothing about the worker; so the worker never became silent, its runs were never given up, and new tasks were placed on it. No lease is extended without an answer, so the lease's end is proof enough: from then on the runs are given up, and a worker without a list for 2 s gets no tasks. It is asked until it answers. dispatcher_long_running.is_started_again_in_time_when_a_relay_reports_holds_as_not_sent passes; it failed before (not started again in 20 s).

--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -109,7 +109,8 @@
     if (worker.is_draining && !worker.is_lost) {
         evacuate(worker, now);
     }
-    const bool is_out_of_reach = !worker.has_report || worker.is_silent();
+    // Holds that were surely not sent say nothing about the worker, but no other hold extends its lease.
+    const bool is_out_of_reach = !worker.has_report || worker.is_hold_unanswered;
     if (!is_out_of_reach || worker.runs.empty() || now <= worker.lease_end) {
         return;
     }
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -182,7 +182,7 @@
         return false;
     }
     return !worker.is_confirmed || !worker.runs.empty() || worker.has_stray_runs ||
-           worker.acknowledged_up_to > worker.acknowledged_sent || worker.hold_failures > 0;
+           worker.acknowledged_up_to > worker.acknowledged_sent || worker.is_hold_unanswered;
 }
 
 std::int64_t dispatcher::extend_lease(worker_state& worker, time_point now) {
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -8,6 +8,8 @@
 namespace poplarpitch {
 namespace {
 
+// Maximum time since the last list of a worker whose holds cannot be sent. Lists arrive once a second.
+constexpr duration max_unheard = seconds{2};
 // Costs are only compared with each other. One unit is the difference between an empty and a full worker.
 constexpr double remote_data_cost = 4;  // tasks that are remote from their data take a multiple of the time
 constexpr double failed_there_cost = 3; // the task failed on this worker; another one may do better
@@ -100,7 +102,8 @@
     if (worker.is_draining) {
         return placement_obstacle::leaving;
     }
-    if (worker.hold_failures > 0) {
+    const bool is_unheard = worker.is_hold_unanswered && now - worker.listed_at > max_unheard;
+    if (worker.hold_failures > 0 || is_unheard) {
         return placement_obstacle::silent;
     }
     if (now > worker.room_known_until) {
