Count how long a long-running task has stood still from the end of its last run

Callers saw a long-running task stand still for 11.1 s after its worker had vanished, beside workers without serving tasks (LOST). The wait now counts from the last list that had the run, across an assignment that did not start it, and at a new leader from the job's acceptance.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -131,7 +131,7 @@
         }
     }
     if (!record.job->schedule.has_value()) {
-        begin_occurrence(record, 0, now);
+        begin_occurrence(record, 0, accepted); // how long a task has waited at an earlier leader is not known
         return;
     }
     const auto& schedule = *record.job->schedule;
@@ -172,7 +172,7 @@
     }
 }
 
-void dispatcher::make_task_ready(const task_key& key, time_point now) {
+void dispatcher::make_task_ready(const task_key& key, time_point since) {
     const auto* record = m_job_state.find_job(key.step.job);
     if (record == nullptr || record->phase != job_phase::open) {
         return;
@@ -184,7 +184,7 @@
         ready.objective_ms = to_milliseconds(record->job->get_objective(durations));
         ready.remaining_ms = record->job->get_remaining_path_ms(key.step.step, durations);
     }
-    ready.since = ready.waiting.empty() ? now : ready.since;
+    ready.since = ready.waiting.empty() ? since : std::min(ready.since, since);
     ready.waiting.insert(key.index);
     m_must_place = true;
 }
@@ -225,10 +225,12 @@
         }
         return;
     case job_state_event::kind::run_refused: {
+        const auto* track = find_track(event.run);
+        const auto idle_since = track == nullptr ? now : track->idle_since;
         drop_track(event.run, now);
         const auto* task = m_job_state.find_task(event.run.task);
         if (task == nullptr || task->phase == task_phase::waiting) {
-            make_task_ready(event.run.task, now);
+            make_task_ready(event.run.task, idle_since);
         }
         return;
     }
@@ -283,6 +285,7 @@
     if (ended == nullptr) {
         return;
     }
+    const auto idle_since = get_idle_since(*ended, event.end, now);
     record_run_time(*ended, event.end, now);
     log_run_ended(*ended, event.end, m_term, now);
     drop_track(event.run, now);
@@ -298,7 +301,7 @@
         return;
     }
     if (task->phase == task_phase::waiting) {
-        make_task_ready(event.run.task, now);
+        make_task_ready(event.run.task, idle_since);
         break_gang(event.run, now);
     }
     if (task->phase == task_phase::done) {
@@ -311,6 +314,16 @@
     }
 }
 
+/// A run on a worker that became unreachable is known to have existed only up to the worker's last list, and
+/// a run that was not confirmed may never have existed.
+time_point dispatcher::get_idle_since(const run_track& track, run_end end, time_point now) {
+    const bool has_run = track.confirmed_at != time_point{};
+    if (!has_run) {
+        return track.idle_since;
+    }
+    return end == run_end::lost ? track.listed_at : now;
+}
+
 void dispatcher::record_run_time(const run_track& track, run_end end, time_point now) {
     if (!track.has_known_start || track.get_spec().long_running) {
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -153,7 +153,7 @@
     struct ready_step {
         std::shared_ptr<const step_job> job;
         std::set<std::uint32_t> waiting;
-        time_point since{};            ///< when the first of them began to wait
+        time_point since{};            ///< since when the first of them has not run
         std::int64_t objective_ms = 0; ///< the job's objective
         std::int64_t remaining_ms = 0; ///< forecast for this step and those that follow it
 
@@ -209,11 +209,14 @@
     void restore_suspects(const job_record& record, time_point now);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
     void make_step_ready(const job_record& record, const step_key& key, time_point now);
-    void make_task_ready(const task_key& key, time_point now);
+    /// `since`: since when the task has not run; relevant for a long-running one.
+    void make_task_ready(const task_key& key, time_point since);
     void close(job_id id, time_point now);
     void record_first_start(job_id id, time_point now);
     void record_job_end(job_id id, time_point now);
     void on_run_ended(const job_state_event& event, time_point now);
+    /// Returns since when the task of an ending run has not run.
+    [[nodiscard]] static time_point get_idle_since(const run_track& track, run_end end, time_point now);
     /// Adds the duration of an ending run to the forecast.
     void record_run_time(const run_track& track, run_end end, time_point now);
     void break_gang(const run_key& ended, time_point now);
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -67,10 +67,12 @@
         }
         const auto& queue = ready.job->queue;
         if (ready.job->steps[key.step].long_running) {
-            // It has no deadline; one that has waited goes first.
-            const bool is_urgent = now - ready.since > max_long_running_wait;
+            // It has no deadline; one that has waited goes first, and of these the one that waited longest.
+            const auto waited = now - ready.since;
+            const auto bonus =
+                long_running_bonus_ms + std::min(to_milliseconds(waited), long_running_bonus_ms);
             ranked.emplace_back(queue.priority * priority_weight_ms +
-                                    (is_urgent ? -long_running_bonus_ms : long_running_rank_ms),
+                                    (waited > max_long_running_wait ? -bonus : long_running_rank_ms),
                                 key);
             continue;
         }
@@ -388,7 +390,8 @@
             }
             const run_key member{{key, index}, run};
             add_track(member, ready.job, chosen->report.incarnation, run_stage::committing,
-                      request.get_run_isolation(), pass.now);
+                      request.get_run_isolation(), pass.now)
+                .idle_since = ready.since;
             placed.emplace_back(member, chosen);
         }
         if (placed.size() == spec.count) {
@@ -420,7 +423,8 @@
     if (ready.job->steps[key.step.step].is_serving() && worker.serving_runs == 0) {
         m_non_serving_millicores -= worker.report.capacity.millicores;
     }
-    add_track(run, ready.job, worker.report.incarnation, run_stage::committing, isolation, now);
+    add_track(run, ready.job, worker.report.incarnation, run_stage::committing, isolation, now).idle_since =
+        ready.since;
     propose_assignment(run, worker);
 }
 
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -25,6 +25,7 @@
     track.job = std::move(job);
     track.assigned_to = worker;
     track.stage = stage;
+    track.idle_since = now; // an adopted run may have existed until now
     track.assigned_at = now;
     track.isolation = isolation;
     auto& state = get_or_add_worker(worker, now);
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -46,6 +46,7 @@
     time_point start_sent{};       ///< when the start was last sent; zero before
     std::uint64_t start_fence = 0; ///< fence of that start
     std::uint32_t starts = 0;      ///< number of times that the start was sent
+    time_point idle_since{};       ///< since when the task had not run at the assignment
     time_point assigned_at{};      ///< when this leader began to track the run
     time_point confirmed_at{};     ///< when the start was answered or first listed; zero before
     bool has_known_start = false;  ///< the start was answered, so the run began at `confirmed_at`
