Let a long-running task that has waited too long use a worker that is set aside

Callers saw a long-running task stand still for up to 8 s beside a worker with room (LOST): a worker on which runs of two jobs failed, or whose answers are slow, takes no task for 1.5 to 8 s, whatever waits, and in a full pool it may be the only one with room.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -166,6 +166,8 @@
     struct placing_pass {
         time_point now{};
         std::map<std::string, std::vector<worker_state*>> usable; ///< workers by pool
+        std::map<std::string, std::vector<worker_state*>>
+            set_aside; ///< workers by pool that only overdue long-running tasks may use
         refused_shapes refused;
         std::size_t probations_left = 0; ///< workers that may still be reserved for a suspect
     };
@@ -404,6 +406,12 @@
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
                                                  time_point now);
     worker_state* choose(const placing_pass& pass, const ready_step& ready, const placement_request& request);
+    worker_state* choose_among(const std::map<std::string, std::vector<worker_state*>>& workers,
+                               const ready_step& ready, const placement_request& request,
+                               time_point now) const;
+    /// Returns true when the task may be placed on a worker that is set aside.
+    [[nodiscard]] static bool may_use_set_aside(const worker_state& worker, const placement_request& request,
+                                                time_point now);
     /// Returns the obstacle that rules out a worker beyond the checks of `find_obstacle`, or `none`.
     [[nodiscard]] placement_obstacle find_policy_obstacle(const worker_state& worker, const ready_step& ready,
                                                           const placement_request& request,
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -134,7 +134,11 @@
     std::size_t usable = 0;
     std::size_t probations = 0;
     for (auto* worker : m_workers.get_all()) {
-        if (is_usable(*worker, now)) {
+        const auto obstacle = find_unusable(*worker, now);
+        if (obstacle == placement_obstacle::set_aside && !worker->trust.is_refusing(now)) {
+            pass.set_aside[worker->report.pool].push_back(worker);
+        }
+        if (obstacle == placement_obstacle::none) {
             pass.usable[worker->report.pool].push_back(worker);
             ++usable;
             // Only usable workers count, since workers that do not answer are lost anyway.
@@ -328,17 +332,34 @@
     return placement_obstacle::none;
 }
 
+/// A worker that is set aside may fail or slow the task, which is still better for a task that must not stand
+/// still than to wait for up to 8 s while no other worker has room.
+bool dispatcher::may_use_set_aside(const worker_state& worker, const placement_request& request,
+                                   time_point now) {
+    return request.spec->long_running && request.is_overdue && !worker.trust.is_refusing(now);
+}
+
 worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready,
                                  const placement_request& request) {
+    auto* best = choose_among(pass.usable, ready, request, pass.now);
+    if (best == nullptr && request.spec->long_running && request.is_overdue) {
+        best = choose_among(pass.set_aside, ready, request, pass.now);
+    }
+    return best;
+}
+
+worker_state* dispatcher::choose_among(const std::map<std::string, std::vector<worker_state*>>& workers,
+                                       const ready_step& ready, const placement_request& request,
+                                       time_point now) const {
     worker_state* best = nullptr;
     double best_cost = 0;
-    const auto usable = pass.usable.find(ready.job->queue.pool);
-    if (usable == pass.usable.end()) {
+    const auto found = workers.find(ready.job->queue.pool);
+    if (found == workers.end()) {
         return best;
     }
-    for (auto* worker : usable->second) {
+    for (auto* worker : found->second) {
         if (worker->report.incarnation == request.excluded ||
-            find_policy_obstacle(*worker, ready, request, pass.now) != placement_obstacle::none) {
+            find_policy_obstacle(*worker, ready, request, now) != placement_obstacle::none) {
             continue;
         }
         const auto cost = get_placement_cost(*worker, request);
--- a/poplarpitch/dispatch/dispatcher_waits.cpp
+++ b/poplarpitch/dispatch/dispatcher_waits.cpp
@@ -64,7 +64,10 @@
         }
         ++wait.workers;
         auto obstacle = find_unusable(*worker, now);
-        if (obstacle == placement_obstacle::none) {
+        const bool may_use =
+            obstacle == placement_obstacle::none ||
+            (obstacle == placement_obstacle::set_aside && may_use_set_aside(*worker, request, now));
+        if (may_use) {
             obstacle = find_obstacle(*worker, request);
         }
         if (obstacle == placement_obstacle::none) {
--- a/poplarpitch/dispatch/worker_trust.cpp
+++ b/poplarpitch/dispatch/worker_trust.cpp
@@ -37,7 +37,8 @@
 }
 
 void worker_trust::on_refusal(time_point now) {
-    m_until = std::max(m_until, now + refusal_pause);
+    m_refuses_until = now + refusal_pause;
+    m_until = std::max(m_until, m_refuses_until);
 }
 
 void worker_trust::on_unsound(time_point now) {
--- a/unit_tests/dispatch/dispatcher_long_running_test.cpp
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -130,5 +130,25 @@
     EXPECT_LE(to_milliseconds(world.now - waits_since), 3000);
 }
 
+TEST(dispatcher_long_running, does_not_repeat_a_refused_start_at_once_when_it_has_waited_for_long) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_serving_step()});
+    int refused = 0;
+    for (int round = 0; round < 300; ++round) {
+        world.advance(milliseconds{20});
+        for (const auto& start : world.take<start_order>()) {
+            world.answer(start, order_failure::no_capacity);
+            ++refused;
+        }
+        if (world.find_worker("w1")->is_hold_pending) {
+            world.answer_hold("w1", dispatch_world::make_empty_list());
+        }
+        world.send_heartbeat("w1");
+    }
+    EXPECT_GT(refused, 1);
+    EXPECT_LE(refused, 6000 / 700 + 1) << "a worker that refused a start gets none for 0.7 s";
+}
+
 } // namespace
 } // namespace poplarpitch
