Tell a new leader which long-running runs no start can follow to another incarnation

Callers saw a long-running task stand still for 11.9 s where its worker, one that reports when its process started, vanished together with the leader (LOST; 9 s are allowed). The new leader did not know whether a start of the run was still under way, which a later process of that worker would carry out with the longest lease of 10 s, so it waited that long from its election. The leader now records once for each long-running run that its starts were answered and that the intended process listed it (confirm_run, 14 commands for a job of 14 tasks, batched with the rest). A new leader waits for the usual lease with such a run; for all others it waits as before. dispatcher_long_running.is_started_again_in_time_when_its_worker_and_the_leader_vanish_together passes (11900 ms before); ..._while_a_start_may_have_reached_a_restarted_worker guards the other side.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -49,7 +49,8 @@
     for (const auto& [key, run] : m_job_state.get_assigned_runs()) {
         const auto* record = m_job_state.find_job(key.task.step.job);
         adopt_worker(run, now);
-        add_track(key, record->job, run.worker, run_stage::adopting, m_suspects.get_isolation(key.task), now);
+        add_track(key, record->job, run.worker, run_stage::adopting, m_suspects.get_isolation(key.task), now)
+            .is_confirmed = run.is_confirmed;
         if (record->phase != job_phase::open) {
             stop_run(*find(key), now);
         }
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -273,6 +273,8 @@
     [[nodiscard]] duration get_hold_wait(const worker_state& worker) const;
     [[nodiscard]] bool needs_hold(const worker_state& worker) const;
     void process_run_list(worker_state& worker, const hold_answer& answer, time_point now);
+    /// Records for later leaders that no start of the run can reach a later incarnation of its worker.
+    void propose_confirmation(run_track& track);
     void process_end(worker_state& worker, const run_end_entry& row, time_point now);
     /// Ends runs that are missing from the worker's list. Precondition: `listed` is sorted.
     void end_missing_runs(worker_state& worker, const std::vector<run_key>& listed, time_point now);
--- a/poplarpitch/dispatch/dispatcher_incarnations.cpp
+++ b/poplarpitch/dispatch/dispatcher_incarnations.cpp
@@ -149,6 +149,7 @@
     track.stage = run_stage::adopting;
     track.loss_of_former_incarnation = loss;
     track.is_order_pending = false;
+    track.is_confirmed = false;
     track.is_stop_answered = false; // only the former incarnation may have answered it
     track.stop_answered_at = {};
     track.next_order = now;
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -91,10 +91,11 @@
 /// answered. The clock of the later incarnation starts anew, so only the maximum lease length bounds how long
 /// the run may continue there. A long-running task stays at a worker for long, so its start is rarely recent,
 /// and it has to be restarted within seconds. It is exempt from this bound once the outcome of its start is
-/// known.
+/// known. A new leader knows it from the replicated job state.
 time_point dispatcher::get_lease_end(const run_track& track) const {
     const auto& worker = *track.host;
-    const bool is_start_known = !track.may_yet_start() && track.stage != run_stage::adopting;
+    const bool is_start_known =
+        !track.may_yet_start() && (track.stage != run_stage::adopting || track.is_confirmed);
     const bool may_be_elsewhere = !track.get_spec().long_running || !is_start_known;
     if (worker.report.incarnation.process_start_ms == 0 || !may_be_elsewhere) {
         return worker.lease_end;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -5,6 +5,7 @@
 #include "poplarpitch/dispatch/history_log.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/run_log.h"
+#include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
@@ -366,6 +367,7 @@
             track->confirmed_at = now;
             record_first_start(row.run.task.step.job, now);
         }
+        propose_confirmation(*track);
         track->listed_at = now;
         track->loss_of_former_incarnation.reset();
         track->percent = row.percent;
@@ -385,6 +387,25 @@
     observe_pressure(worker, now);
 }
 
+/// Only workers that report start times have incarnations that a new leader has to tell apart. A start that
+/// an earlier leader sent may be unanswered, so only a run that this leader started can be confirmed.
+void dispatcher::propose_confirmation(run_track& track) {
+    const auto& incarnation = track.host->report.incarnation;
+    const bool matters = track.get_spec().long_running && incarnation.process_start_ms != 0;
+    const bool is_known = track.has_known_start && !track.may_yet_start() && incarnation == track.assigned_to;
+    if (!matters || !is_known || track.is_confirmed) {
+        return;
+    }
+    track.is_confirmed = true;
+    job_wire::job_command command;
+    auto& message = *command.mutable_confirm();
+    encode(track.key.task, *message.mutable_task());
+    message.set_run(track.key.run);
+    message.set_worker(incarnation.id);
+    message.set_born_ms(incarnation.process_start_ms);
+    m_commands.push_back(std::move(command));
+}
+
 void dispatcher::process_end(worker_state& worker, const run_end_entry& row, time_point now) {
     auto* track = find(row.run);
     if (row.number <= worker.acknowledged_up_to) {
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -39,7 +39,9 @@
     isolation_level isolation = isolation_level::none; ///< isolation with which the task was placed
     bool is_ending = false;                            ///< the end is being committed
     time_point ending_since{};
-    end_evidence evidence; ///< for the end that is being committed
+    end_evidence evidence;     ///< for the end that is being committed
+    bool is_confirmed = false; ///< recorded in the replicated job state, or being recorded, that no start of
+                               ///< it can reach a later incarnation of its worker
     bool is_stop_wanted = false;
     bool is_stop_answered = false; ///< the worker answered the stop at `stop_answered_at`
     bool is_order_pending = false; ///< a start or stop is in flight
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -102,6 +102,7 @@
         item.set_worker(run.worker.id);
         item.set_born_ms(run.worker.process_start_ms);
         item.set_address(run.address);
+        item.set_confirmed(run.is_confirmed);
     }
     if (task.crash != crash_history{}) {
         message.mutable_crash()->set_sure(task.crash.certain_crashes);
@@ -118,7 +119,7 @@
     task.failures = message.failures();
     task.checkpoint = message.saved();
     for (const auto& run : message.runs()) {
-        task.runs.push_back({run.run(), {run.worker(), run.born_ms()}, run.address()});
+        task.runs.push_back({run.run(), {run.worker(), run.born_ms()}, run.address(), run.confirmed()});
     }
     task.crash = {message.crash().sure(), message.crash().crashes(), message.crash().longest_ms(),
                   message.crash().last_run()};
--- a/poplarpitch/scheduling/job_record.h
+++ b/poplarpitch/scheduling/job_record.h
@@ -17,7 +17,9 @@
 struct assigned_run {
     std::uint32_t run = 0;
     worker_incarnation worker;
-    std::string address; ///< of the worker, so that a new leader can ask it about the run
+    std::string address;       ///< of the worker, so that a new leader can ask it about the run
+    bool is_confirmed = false; ///< no start of it can reach a later incarnation of the worker; only recorded
+                               ///< for long-running tasks
 
     friend auto operator<=>(const assigned_run&, const assigned_run&) = default;
 };
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -50,7 +50,8 @@
         return assign({decode(command.assign().task()), command.assign().run()},
                       {command.assign().run(),
                        {command.assign().worker(), command.assign().born_ms()},
-                       command.assign().address()},
+                       command.assign().address(),
+                       false},
                       events);
     case job_wire::job_command::kEnd:
         return end(read_end(command.end()), command.end().saved(), events);
@@ -71,6 +72,9 @@
     case job_wire::job_command::kPressure:
         m_pressure = decode(command.pressure());
         return command_outcome::applied;
+    case job_wire::job_command::kConfirm:
+        return confirm({decode(command.confirm().task()), command.confirm().run()},
+                       {command.confirm().worker(), command.confirm().born_ms()});
     case job_wire::job_command::kCrash:
         return record_crash(read_crash(command.crash()), events);
     case job_wire::job_command::kForget:
@@ -140,6 +144,23 @@
     return command_outcome::applied;
 }
 
+command_outcome job_state_machine::confirm(const run_key& key, const worker_incarnation& worker) {
+    const auto found = m_jobs.find(key.task.step.job);
+    auto* task = found == m_jobs.end()
+                     ? nullptr
+                     : found->second.find_task(key.task.step.occurrence, key.task.step.step, key.task.index);
+    if (task == nullptr) {
+        return command_outcome::repeated;
+    }
+    for (auto& run : task->runs) {
+        if (run.run == key.run && run.worker == worker) {
+            run.is_confirmed = true;
+            return command_outcome::applied;
+        }
+    }
+    return command_outcome::repeated; // it has ended
+}
+
 command_outcome job_state_machine::retire(const worker_incarnation& worker,
                                           std::vector<job_state_event>& events) {
     m_retired.insert(worker);
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -61,6 +61,8 @@
     command_outcome submit(const job_wire::step_job& message, std::vector<job_state_event>& events);
     command_outcome cancel(job_id id, std::vector<job_state_event>& events);
     command_outcome assign(const run_key& key, assigned_run run, std::vector<job_state_event>& events);
+    /// Records that no start of the run can reach a later incarnation of its worker.
+    command_outcome confirm(const run_key& key, const worker_incarnation& worker);
     command_outcome retire(const worker_incarnation& worker, std::vector<job_state_event>& events);
     command_outcome end(const job_state_event& ended, const std::string& checkpoint,
                         std::vector<job_state_event>& events);
--- a/unit_tests/dispatch/dispatcher_long_running_test.cpp
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -22,19 +22,24 @@
     return step;
 }
 
-/// Submits a long-running task and starts it. Without another worker it first waits, since its worker is kept
-/// for short tasks.
-start_order start_serving(dispatch_world& world) {
+/// Submits a long-running task and returns its start, which is not answered. Without another worker it first
+/// waits, since its worker is kept for short tasks.
+start_order submit_serving(dispatch_world& world) {
     world.submit({make_serving_step()});
     auto starts = world.take<start_order>();
     while (starts.empty()) {
         world.advance(milliseconds{20});
         starts = world.take<start_order>();
     }
-    world.answer(starts[0]);
     return starts[0];
 }
 
+start_order start_serving(dispatch_world& world) {
+    const auto start = submit_serving(world);
+    world.answer(start);
+    return start;
+}
+
 /// Answers the worker's holds with its only run for a second, and leaves the last one just sent.
 void settle(dispatch_world& world, const start_order& run) {
     const auto& id = run.target.worker.id;
@@ -99,6 +104,49 @@
     expect_in_time(w1.wait_for_restart(run.run.task, limit));
 }
 
+/// Adds a worker that reports when its process started.
+void add_worker_with_start_time(dispatch_world& world, const std::string& id) {
+    constexpr std::int64_t process_start_ms = 5000;
+    world.add_worker(id);
+    world.restart_with_same_id(id, process_start_ms);
+    while (!world.find_worker(id)->is_confirmed) {
+        world.wait_for_hold(id);
+        world.answer_hold(id, dispatch_world::make_empty_list());
+    }
+}
+
+/// Elects another leader, which takes a second.
+void elect_leader(dispatch_world& world) {
+    world.now += seconds{1};
+    world.start_leading();
+}
+
+TEST(dispatcher_long_running, is_started_again_in_time_when_its_worker_and_the_leader_vanish_together) {
+    dispatch_world world;
+    add_worker_with_start_time(world, "w1");
+    const auto run = start_serving(world);
+    world.add_worker("w2");
+    world.add_worker("w3");
+    settle(world, run);
+    vanishing_worker w1(world, "w1");
+    elect_leader(world);
+    expect_in_time(w1.wait_for_restart(run.run.task, limit));
+}
+
+TEST(dispatcher_long_running, is_not_started_elsewhere_while_a_start_may_have_reached_a_restarted_worker) {
+    dispatch_world world;
+    add_worker_with_start_time(world, "w1");
+    const auto run = submit_serving(world);
+    world.answer(run, order_failure::unanswered);
+    world.add_worker("w2");
+    world.add_worker("w3");
+    vanishing_worker w1(world, "w1");
+    elect_leader(world);
+    const auto standstill = w1.wait_for_restart(run.run.task, limit);
+    ASSERT_TRUE(standstill.has_value());
+    EXPECT_GT(*standstill, dispatch_settings{}.max_lease);
+}
+
 /// Fails runs of two jobs at a worker, so that it is set aside. `times` doubles the time.
 void set_aside(dispatch_world& world, const std::string& id, int times) {
     std::uint64_t number = 0;
--- a/unit_tests/dispatch/vanishing_worker.cpp
+++ b/unit_tests/dispatch/vanishing_worker.cpp
@@ -13,7 +13,13 @@
 } // namespace
 
 vanishing_worker::vanishing_worker(dispatch_world& world, std::string id)
-    : m_world(world), m_id(std::move(id)), m_vanished_at(world.now) {}
+    : m_world(world), m_id(std::move(id)), m_vanished_at(world.now) {
+    for (const auto& [incarnation, state] : world.scheduler.get_workers()) {
+        if (incarnation.id != m_id) {
+            m_others.push_back(incarnation.id);
+        }
+    }
+}
 
 void vanishing_worker::add_running(const start_order& start) {
     m_running[start.target.worker.id].push_back(start.run);
@@ -56,17 +62,12 @@
 void vanishing_worker::answer_others() {
     const bool is_heartbeat_due = m_world.now >= m_next_heartbeat;
     m_next_heartbeat = is_heartbeat_due ? m_world.now + heartbeat_interval : m_next_heartbeat;
-    std::vector<std::string> ids;
-    for (const auto& [incarnation, state] : m_world.scheduler.get_workers()) {
-        if (incarnation.id != m_id) {
-            ids.push_back(incarnation.id);
-        }
-    }
-    for (const auto& id : ids) {
+    for (const auto& id : m_others) {
         if (is_heartbeat_due) {
             m_world.send_heartbeat(id);
         }
-        if (m_world.find_worker(id)->is_hold_pending) {
+        const auto* state = m_world.find_worker(id);
+        if (state != nullptr && state->is_hold_pending) {
             m_world.answer_hold(id, make_list(id));
         }
     }
--- a/unit_tests/dispatch/vanishing_worker.h
+++ b/unit_tests/dispatch/vanishing_worker.h
@@ -13,7 +13,8 @@
 /// each order to it ends at its timeout. All other workers answer at once. Thread safety: none.
 class vanishing_worker {
 public:
-    /// The worker vanishes at the present time of `world`, which outlives the object.
+    /// The worker vanishes at the present time of `world`, which outlives the object. Precondition: the
+    /// dispatcher knows all other workers.
     vanishing_worker(dispatch_world& world, std::string id);
 
     /// Lists these runs in the answers of another worker from now on.
@@ -36,6 +37,7 @@
 
     dispatch_world& m_world;
     std::string m_id;
+    std::vector<std::string> m_others;
     time_point m_vanished_at{};
     time_point m_next_heartbeat{}; ///< of the other workers
     order_failure m_hold_failure = order_failure::unanswered;
--- a/unit_tests/scheduling/job_state_machine_test.cpp
+++ b/unit_tests/scheduling/job_state_machine_test.cpp
@@ -226,6 +226,27 @@
     EXPECT_EQ(job_state.find_task(task)->phase, task_phase::done);
 }
 
+TEST(job_state_machine, confirms_a_run_only_for_the_incarnation_that_it_was_assigned_to) {
+    job_state_machine job_state;
+    apply(job_state, make_submit(make_job(1, 1)));
+    const task_key task{{1, 0, 0}, 0};
+    auto assign = make_assign(task, 1, "w1");
+    assign.mutable_assign()->set_born_ms(100);
+    apply(job_state, assign);
+    job_wire::job_command confirm;
+    encode(task, *confirm.mutable_confirm()->mutable_task());
+    confirm.mutable_confirm()->set_run(1);
+    confirm.mutable_confirm()->set_worker("w1");
+    confirm.mutable_confirm()->set_born_ms(200);
+    apply(job_state, confirm);
+    EXPECT_FALSE(job_state.find_task(task)->runs.at(0).is_confirmed);
+    confirm.mutable_confirm()->set_born_ms(100);
+    apply(job_state, confirm);
+    job_state_machine restored;
+    ASSERT_TRUE(restored.load(job_state.save()));
+    EXPECT_TRUE(restored.find_task(task)->runs.at(0).is_confirmed);
+}
+
 TEST(job_state_machine, reads_a_snapshot_of_a_version_without_start_times) {
     job_wire::job_book_snapshot snapshot;
     snapshot.add_retired("w1");
