Count a start that is overtaken by a stop as one that may still be carried out

A task could run twice at once: stop_run dropped the order that was on its way, and the answer of that start was ignored afterwards. When the stop got no answer and the next incarnation of the worker answered, the run was given up at once and its task (a member of a gang whose run broke, say) could start elsewhere, while the start could still reach that incarnation. The start now counts as one that may come late, so the run moves to the next incarnation, whose list under its own fence decides. dispatcher_long_running.gets_no_second_run_when_a_stopped_start_may_reach_the_next_incarnation fails without the change (the run had no track).

--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -203,7 +203,9 @@
     }
     track.is_stop_wanted = true;
     if (track.stage != run_stage::committing) {
-        // A start in flight does not matter: a run that is stopped before it has started never starts.
+        // A start in flight does not matter to this incarnation of the worker: a run that is stopped before
+        // it has started never starts. The start may still reach the next incarnation.
+        track.may_start_late = track.may_yet_start();
         track.is_order_pending = false;
         send_due_order(track, now);
     }
--- a/unit_tests/dispatch/dispatcher_long_running_test.cpp
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -147,6 +147,20 @@
     EXPECT_GT(*standstill, dispatch_settings{}.max_lease);
 }
 
+TEST(dispatcher_long_running, gets_no_second_run_when_a_stopped_start_may_reach_the_next_incarnation) {
+    dispatch_world world;
+    add_worker_with_start_time(world, "w1");
+    const auto start = submit_serving(world);
+    world.cancel(start.run.task.step.job);
+    const auto stops = world.take<stop_order>();
+    ASSERT_EQ(stops.size(), 1U);
+    world.answer(stops[0], order_failure::unanswered);
+    world.restart_with_same_id("w1", 9000);
+    world.wait_for_hold("w1");
+    world.answer_hold("w1", dispatch_world::make_empty_list());
+    EXPECT_NE(world.scheduler.find_track(start.run), nullptr) << "its start may reach the next incarnation";
+}
+
 /// Fails runs of two jobs at a worker, so that it is set aside. `times` doubles the time.
 void set_aside(dispatch_world& world, const std::string& id, int times) {
     std::uint64_t number = 0;
