--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -144,6 +144,10 @@
     if (!worker.runs.empty() && worker.lease_end > now) {
         next = std::min(next, worker.lease_end);
     }
+    const auto max_lease_end = worker.granted_at + get_lease_span(m_settings.max_lease);
+    if (!worker.runs.empty() && max_lease_end > now) {
+        next = std::min(next, max_lease_end);
+    }
     return next;
 }
 
--- a/unit_tests/dispatch/dispatcher_long_running_test.cpp
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -133,6 +133,42 @@
     expect_in_time(w1.wait_for_restart(run.run.task, limit));
 }
 
+TEST(dispatcher_long_running,
+     is_started_again_in_time_when_a_relay_reports_the_vanished_worker_to_a_new_leader) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto run = start_serving(world);
+    world.add_worker("w2");
+    world.add_worker("w3");
+    settle(world, run);
+    vanishing_worker w1(world, "w1");
+    elect_leader(world);
+    world.advance(milliseconds{600});
+    world.send_heartbeat("w1");
+    expect_in_time(w1.wait_for_restart(run.run.task, limit));
+}
+
+TEST(dispatcher_long_running, holds_no_lease_of_a_new_leader_before_its_worker_has_answered) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto run = start_serving(world);
+    settle(world, run);
+    elect_leader(world);
+    world.take<hold_order>();
+    world.send_heartbeat("w1");
+    world.wait_for_hold("w1");
+    const auto first = world.take<hold_order>();
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_FALSE(first[0].lease_end_ms.has_value()) << "a relay may report a worker that has vanished";
+    hold_answer list;
+    list.running.push_back({run.run, {}, 100, 10});
+    world.answer_hold("w1", list);
+    world.wait_for_hold("w1");
+    const auto second = world.take<hold_order>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_TRUE(second[0].lease_end_ms.has_value());
+}
+
 TEST(dispatcher_long_running, is_not_started_elsewhere_while_a_start_may_have_reached_a_restarted_worker) {
     dispatch_world world;
     add_worker_with_start_time(world, "w1");
