Give a task back whose start cannot be sent because the room of its worker is no longer known

Callers saw a task that never started beside workers with room, in pools whose workers do not enforce their capacity: where heartbeats of the assigned worker ended while it answered holds, the start was neither sent nor given back, without a bound. dispatcher_long_running.is_started_elsewhere_in_time_when_the_room_of_its_worker_is_no_longer_known passes; before, the task stayed at that worker for the 20 s of the test.

--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -146,6 +146,7 @@
     // The worker's free room may have shrunk since the assignment, or since a start without an answer was
     // sent.
     if (now > worker.room_known_until) {
+        return_to_queue(track, now); // other workers may have reported their room
         return;
     }
     if (!worker.report.capacity.holds(worker.reserved)) {
@@ -282,8 +283,9 @@
         return; // retried; a start is idempotent
     case order_failure::unreachable:
     case order_failure::not_sent:
-        return; // retried
-    case order_failure::lease_already_expired:
+        return;                                // retried
+    case order_failure::lease_already_expired: // its clock is ahead of the estimate; the next list corrects
+                                               // it
         track.next_order = now + unsent_pause;
         schedule_order(track);
         return;
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -1,6 +1,7 @@
 #include "unit_tests/dispatch/dispatch_world.h"
 
 #include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/scheduling/job_configuration.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <gtest/gtest.h>
@@ -139,18 +140,26 @@
     job.accepted_ms = wall_ms;
     job_wire::job_command command;
     encode(job, *command.mutable_submit()->mutable_job());
-    std::vector<job_state_event> events;
-    job_state.apply(command, events);
-    for (const auto& event : events) {
-        scheduler.on_event(event, now, wall_ms);
-    }
-    run_until_idle();
+    commit(command);
     return job.id;
 }
 
 void dispatch_world::cancel(job_id id) {
     job_wire::job_command command;
     command.mutable_cancel()->set_id(id);
+    commit(command);
+}
+
+void dispatch_world::configure_pool(bool enforces_capacity) {
+    job_configuration configuration;
+    configuration.version = 1;
+    configuration.pools.push_back({world_pool, enforces_capacity, false, 64});
+    job_wire::job_command command;
+    encode(configuration, *command.mutable_config());
+    commit(command);
+}
+
+void dispatch_world::commit(const job_wire::job_command& command) {
     std::vector<job_state_event> events;
     job_state.apply(command, events);
     for (const auto& event : events) {
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -45,6 +45,9 @@
     job_id submit_with_advice(const std::vector<step_spec>& steps);
     /// Submits a timed job.
     job_id submit_timed(const std::vector<step_spec>& steps, const job_schedule& schedule);
+    /// Commits a configuration with the world's pool. `enforces_capacity`: its workers refuse what does not
+    /// fit.
+    void configure_pool(bool enforces_capacity);
     /// Cancels a job.
     void cancel(job_id id);
 
@@ -88,6 +91,7 @@
 
 private:
     job_id submit_job(step_job job);
+    void commit(const job_wire::job_command& command);
     void register_worker(worker_report report);
     void end_process(const std::string& id);
     void collect();
--- a/unit_tests/dispatch/dispatcher_long_running_test.cpp
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -183,6 +183,36 @@
     EXPECT_GT(*standstill, dispatch_settings{}.max_lease);
 }
 
+TEST(dispatcher_long_running, is_started_elsewhere_in_time_when_the_room_of_its_worker_is_no_longer_known) {
+    dispatch_world world;
+    world.configure_pool(false);
+    world.add_worker("w1");
+    world.add_worker("w2");
+    world.add_worker("w3");
+    const auto waits_since = world.now;
+    auto start = submit_serving(world);
+    const auto first = start.target.worker.id;
+    while (start.target.worker.id == first && world.now - waits_since < limit) {
+        world.answer(start, order_failure::unreachable);
+        std::vector<start_order> starts;
+        while (starts.empty() && world.now - waits_since < limit) {
+            world.advance(milliseconds{20});
+            for (const auto* id : {"w1", "w2", "w3"}) {
+                if (id != first) {
+                    world.send_heartbeat(id);
+                }
+                if (world.find_worker(id)->is_hold_pending) {
+                    world.answer_hold(id, dispatch_world::make_empty_list());
+                }
+            }
+            starts = world.take<start_order>();
+        }
+        start = starts.empty() ? start : starts[0];
+    }
+    EXPECT_NE(start.target.worker.id, first);
+    EXPECT_LE(to_milliseconds(world.now - waits_since), to_milliseconds(max_standstill));
+}
+
 TEST(dispatcher_long_running, gets_no_second_run_when_a_stopped_start_may_reach_the_next_incarnation) {
     dispatch_world world;
     add_worker_with_start_time(world, "w1");
