--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -1026,6 +1026,7 @@
     const auto ended = key;
     target.running.erase(ended);
     --m_histories[ended.task].running;
+    m_histories[ended.task].failures += how == run_end::failed ? 1 : 0;
     if (how == run_end::done) {
         ++m_done_runs;
         m_histories[ended.task].is_done = true;
@@ -1069,6 +1070,14 @@
     return most;
 }
 
+int crash_world::get_max_failures(job_id id) const {
+    int most = 0;
+    for (const auto& [task, history] : m_histories) {
+        most = std::max(most, task.step.job == id ? history.failures : 0);
+    }
+    return most;
+}
+
 int crash_world::count_starts_after_three_crashes(const task_key& task) const {
     const auto found = m_histories.find(task);
     return found == m_histories.end() ? 0 : found->second.starts_after_three_crashes;
--- a/unit_tests/dispatch/crash_world.h
+++ b/unit_tests/dispatch/crash_world.h
@@ -94,6 +94,8 @@
     [[nodiscard]] int count_crashes(const task_key& task) const;
     /// Returns the largest number of worker crashes during runs of any one task of a job.
     [[nodiscard]] int get_max_crashes(job_id id) const;
+    /// Returns the largest number of runs of any one task of a job that workers ended as failed.
+    [[nodiscard]] int get_max_failures(job_id id) const;
     /// Returns how often the task was started after three worker crashes by a leader that had led for at
     /// least 3 s. A leader that has just taken over may not know of all crashes yet.
     [[nodiscard]] int count_starts_after_three_crashes(const task_key& task) const;
@@ -130,6 +132,7 @@
     using sent_order_ptr = std::shared_ptr<sent_order>;
     struct task_history {
         int crashes = 0;
+        int failures = 0; ///< runs that a worker ended as failed
         int starts_after_three_crashes = 0;
         int running = 0;
         bool is_done = false; ///< a run ended as done, and its worker's incarnation has not ended since
