End no run before a start that a relay holds up can no longer reach its worker

A task could run twice at once, or once more after a noted end, where its worker restarts under its id: a start that got no answer was sent again through another relay, the run ended, and the first start, still within its own 0.9 s in the queue of a relay that stood still, reached the next process of the worker before that had seen a higher fence. An end of a run one of whose starts got no answer is now noted once no relay can send that start any more, 2.05 s after it was sent; until then the worker lists it again. If the worker restarts before, the run moves to its next incarnation, whose list under its own fence decides. Only workers that report start times are concerned.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -249,6 +249,11 @@
     void send_scheduled_orders(time_point now);
     /// Schedules a start or stop that could not be sent or got no answer for `track.next_order`.
     void schedule_order(const run_track& track);
+    /// Records that the last start of a run may be executed although it has no answer.
+    void expect_late_start(run_track& track) const;
+    /// Returns true while a start of the run may reach the next incarnation of its worker, if that restarts
+    /// now. The run must not end before, since its task would be started elsewhere.
+    [[nodiscard]] static bool must_not_end_yet(const run_track& track, time_point now);
     /// Allows the task of a run that has not started to be placed elsewhere.
     void return_to_queue(run_track& track, time_point now);
     void on_start_refused(run_track& track, order_failure failure, time_point now);
@@ -275,6 +280,7 @@
     void process_run_list(worker_state& worker, const hold_answer& answer, time_point now);
     /// Records for later leaders that no start of the run can reach a later incarnation of its worker.
     void propose_confirmation(run_track& track);
+    void process_ends(worker_state& worker, const hold_answer& answer, time_point now);
     void process_end(worker_state& worker, const run_end_entry& row, time_point now);
     /// Ends runs that are missing from the worker's list. Precondition: `listed` is sorted.
     void end_missing_runs(worker_state& worker, const std::vector<run_key>& listed, time_point now);
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -206,12 +206,21 @@
     if (track.stage != run_stage::committing) {
         // A start in flight does not matter to this incarnation of the worker: a run that is stopped before
         // it has started never starts. The start may still reach the next incarnation.
-        track.may_start_late = track.may_yet_start();
+        if (track.may_yet_start()) {
+            expect_late_start(track);
+        }
         track.is_order_pending = false;
         send_due_order(track, now);
     }
 }
 
+/// A relay drops an order that has waited for its timeout, and gives up one that it has sent after as long
+/// again.
+void dispatcher::expect_late_start(run_track& track) const {
+    track.may_start_late = true;
+    track.late_start_until = track.start_sent + 2 * m_settings.order_timeout + m_settings.lease_margin;
+}
+
 void dispatcher::retry_delayed_orders(worker_state& worker, time_point now) {
     if (!worker.backoff.on_answer()) {
         return;
@@ -279,7 +288,7 @@
     }
     switch (failure) {
     case order_failure::unanswered:
-        track.may_start_late = true;
+        expect_late_start(track);
         return; // retried; a start is idempotent
     case order_failure::unreachable:
     case order_failure::not_sent:
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -338,9 +338,10 @@
     }
     const auto regular_pause = std::chrono::duration_cast<duration>(
         m_settings.hold_pause * (1 + hold_pause_growth_at_full_strain * m_load.get_strain()));
-    const auto pause = worker->ends_being_committed > 0 ? commit_hold_pause
-                       : worker->has_stray_runs         ? m_settings.retry_pause
-                                                        : regular_pause;
+    const bool has_open_ends = worker->ends_being_committed > 0 || worker->has_deferred_ends;
+    const auto pause = has_open_ends            ? commit_hold_pause
+                       : worker->has_stray_runs ? m_settings.retry_pause
+                                                : regular_pause;
     worker->next_hold = std::max(worker->next_hold, now + pause);
 }
 
@@ -373,12 +374,7 @@
         track->percent = row.percent;
         track->level = row.level;
     }
-    // Ends are acknowledged up to a sequence number, so they are processed in order and none may be skipped.
-    auto ended = answer.ended;
-    std::sort(ended.begin(), ended.end());
-    for (const auto& row : ended) {
-        process_end(worker, row, now);
-    }
+    process_ends(worker, answer, now);
     if (answer.ended.size() < max_ended_rows) {
         end_missing_runs(worker, answer.get_listed_runs(), now);
     }
@@ -387,6 +383,27 @@
     observe_pressure(worker, now);
 }
 
+/// Ends are acknowledged up to a sequence number, so they are processed in order and none may be skipped. The
+/// worker lists those again that are not acknowledged.
+void dispatcher::process_ends(worker_state& worker, const hold_answer& answer, time_point now) {
+    auto ended = answer.ended;
+    std::sort(ended.begin(), ended.end());
+    worker.has_deferred_ends = false;
+    for (const auto& row : ended) {
+        const auto* track = find_track(row.run);
+        if (track != nullptr && track->host == &worker && must_not_end_yet(*track, now)) {
+            worker.has_deferred_ends = true;
+            return;
+        }
+        process_end(worker, row, now);
+    }
+}
+
+bool dispatcher::must_not_end_yet(const run_track& track, time_point now) {
+    const bool may_restart = track.host->report.incarnation.process_start_ms != 0;
+    return may_restart && track.may_start_late && now < track.late_start_until && !track.is_ending;
+}
+
 /// Only workers that report start times have incarnations that a new leader has to tell apart. A start that
 /// an earlier leader sent may be unanswered, so only a run that this leader started can be confirmed.
 void dispatcher::propose_confirmation(run_track& track) {
@@ -446,7 +463,8 @@
 void dispatcher::end_missing_runs(worker_state& worker, const std::vector<run_key>& listed, time_point now) {
     for (const auto& [key, run] : worker.runs) {
         auto& track = *run;
-        if (track.is_ending || std::binary_search(listed.begin(), listed.end(), key)) {
+        if (track.is_ending || std::binary_search(listed.begin(), listed.end(), key) ||
+            must_not_end_yet(track, now)) {
             continue;
         }
         // A run that is still `adopting` can no longer start: the worker has this leader's fence, so it
--- a/unit_tests/dispatch/overlap_property_test.cpp
+++ b/unit_tests/dispatch/overlap_property_test.cpp
@@ -117,13 +117,18 @@
     std::map<job_id, int> m_long_running; ///< long-running jobs with their task counts
 };
 
+void run_seed(const crash_world_settings& settings, std::uint64_t seed,
+              const traffic_settings& traffic_options = {}) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    overlap_traffic traffic(settings, seed, traffic_options);
+    traffic.run(traffic_time);
+    traffic.stop_faults();
+    traffic.check_invariants();
+}
+
 void run_all_seeds(const crash_world_settings& settings, const traffic_settings& traffic_options = {}) {
     for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        overlap_traffic traffic(settings, seed, traffic_options);
-        traffic.run(traffic_time);
-        traffic.stop_faults();
-        traffic.check_invariants();
+        run_seed(settings, seed, traffic_options);
     }
 }
 
@@ -290,14 +295,24 @@
     }
 }
 
-TEST(overlap_property, holds_where_workers_restart_while_a_relay_stands_still) {
+crash_world_settings make_restarts_beside_stalls() {
     auto settings = make_relayed();
     settings.keeps_ids = true;
     settings.restart_time = milliseconds{20};
     settings.restart_spread = seconds{1};
     settings.worker_crashes = 3;
     settings.relay_stalls = 0.5;
-    run_all_seeds(settings);
+    return settings;
+}
+
+TEST(overlap_property, holds_where_workers_restart_while_a_relay_stands_still) {
+    run_all_seeds(make_restarts_beside_stalls());
+}
+
+TEST(overlap_property, lets_no_start_that_a_relay_held_up_reach_a_restarted_worker) {
+    for (const std::uint64_t seed : {1973U, 4392U, 4613U}) {
+        run_seed(make_restarts_beside_stalls(), seed);
+    }
 }
 
 TEST(overlap_property, outlives_the_lease_that_a_former_life_of_the_worker_was_granted) {
