Raise the refusal of a task again until it is committed

Cause: when a worker refuses a start, the owner ends the task locally and posts event_refused once. If that commit fails (no leader for 2 s, a leader that loses its leadership meanwhile, more than 4096 queued events), no code raised the event again: get_events skipped tasks in phase `ended`, and so do the checks of the worker's lists. The comments of post_events and get_events promise the opposite.

What callers saw: an accepted job that stays `assigned` and runs nowhere, with room for it, until its worker gets another owner. Control has no limit of its own for an assigned job.

The test failed before: task_agent_test.cpp:251: Failure events.size() Which is: 0 1U Which is: 1 [ FAILED ] task_agent_test.job_stays_assigned_when_the_commit_of_its_refusal_fails

Why the fix works: the event is raised every second (`resend_after`) until on_event_committed removes the task, as lost tasks are. A repeated event is safe: it names the attempt, the state machine refuses it as stale once the job has moved on, and the attempt was certainly never executed (a refusal after an unanswered start takes the other path, `withdrawing`).

--- a/poplarpitch/entry/task_agent.h
+++ b/poplarpitch/entry/task_agent.h
@@ -70,6 +70,9 @@
     [[nodiscard]] static wire::command make_event(const owned_task& task, const std::string& worker,
                                                   wire::job_event_kind kind, const std::string& detail,
                                                   std::int64_t wall_ms);
+    /// Returns the event for a task whose start the worker refused.
+    [[nodiscard]] static wire::command make_refused_event(const owned_task& task, const std::string& worker,
+                                                          std::int64_t wall_ms);
     /// Returns the event for a task whose worker process has ended.
     [[nodiscard]] static wire::command make_crash_event(const owned_task& task, const std::string& worker,
                                                         std::int64_t wall_ms);
--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -32,6 +32,11 @@
     return command;
 }
 
+wire::command task_agent::make_refused_event(const owned_task& task, const std::string& worker,
+                                             std::int64_t wall_ms) {
+    return make_event(task, worker, wire::event_refused, "the worker refused it", wall_ms);
+}
+
 wire::command task_agent::make_crash_event(const owned_task& task, const std::string& worker,
                                            std::int64_t wall_ms) {
     auto command = make_event(task, worker, wire::event_lost, "its worker was restarted", wall_ms);
@@ -65,6 +70,9 @@
                 events.push_back(make_event(task, id, is_unsent ? wire::event_refused : wire::event_lost,
                                             "its worker is silent", wall_ms));
                 task.since = now;
+            } else if (task.phase == task_phase::ended && is_due) {
+                events.push_back(make_refused_event(task, id, wall_ms)); // the last one was not committed
+                task.since = now;
             }
         }
     }
@@ -99,7 +107,8 @@
     if (answer != start_result::started) {
         m_fleet.end_task(*worker, task);
         task.phase = task_phase::ended;
-        return {make_event(task, action.worker, wire::event_refused, "the worker refused it", wall_ms)};
+        task.since = now;
+        return {make_refused_event(task, action.worker, wall_ms)};
     }
     if (task.phase == task_phase::starting) {
         task.phase = task_phase::running;
@@ -215,8 +224,7 @@
         const bool is_same_process = task.incarnation == message.incarnation;
         if (task.phase == task_phase::withdrawing && is_same_process && !task.is_running_in_log) {
             if (task.is_stop_answered && message.sequence > task.stop_sequence) {
-                events.push_back(
-                    {0, make_event(task, message.id, wire::event_refused, "the worker refused it", wall_ms)});
+                events.push_back({0, make_refused_event(task, message.id, wall_ms)});
             }
             continue;
         }
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -230,6 +230,22 @@
     EXPECT_EQ(m_fleet.find("w")->ledger.get_granted().millicores, 0);
 }
 
+TEST_F(task_agent_test, job_stays_assigned_when_the_commit_of_its_refusal_fails) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_tasks.get_actions(m_now);
+    ASSERT_EQ(answer_start(start_result::refused).size(), 1U);
+    EXPECT_TRUE(m_tasks.get_events(m_now, seconds{9}, 1).empty()); // its commit is in progress
+    for (int repeat = 0; repeat < 2; ++repeat) {
+        m_now += seconds{1};
+        const auto events = m_tasks.get_events(m_now, seconds{9}, 1);
+        ASSERT_EQ(events.size(), 1U);
+        EXPECT_EQ(events[0].event().kind(), wire::event_refused);
+    }
+    commit(wire::event_refused);
+    m_now += seconds{1};
+    EXPECT_TRUE(m_tasks.get_events(m_now, seconds{9}, 1).empty());
+}
+
 TEST_F(task_agent_test, adopts_a_running_task_of_the_last_owner) {
     m_tasks.apply_jobs(make_jobs(wire::job_running, 1), m_now);
     EXPECT_EQ(m_fleet.find("w")->ledger.get_granted().millicores, 1000); // charged to the ledger at once
