Repeat the mark of a silent worker until control's record agrees

Cause: get_events raised the mark of a silent worker once, in the moment in which the silence began. If its commit failed, control never learned of the silence. If the commit came late, after the worker had registered again, control kept the mark, and the owner took the worker for heard and never registered it again.

What callers saw: after a lost mark, a worker that comes back under its id at a new address is refused (409, address_taken) until its owner changes. After a late mark, control assigns nothing to a worker that is up, so accepted jobs that only this worker has room for stay `queued`. Neither ends by itself.

The tests failed before: task_agent_test.cpp:325: Failure get_marks() Which is: {} std::vector<bool>{true} Which is: { true } [ FAILED ] task_agent_test.worker_stays_marked_as_heard_when_the_commit_of_its_silence_fails task_agent_test.cpp:338: Failure get_marks() Which is: {} std::vector<bool>{false} Which is: { false } [ FAILED ] task_agent_test.worker_heard_again_stays_marked_as_silent_when_its_mark_is_committed_late

Why the fix works: the owner keeps what control's record says, which each renewal brings, and raises a mark every second while it differs from what it sees itself, in both directions. Only the owner of the present epoch can set the mark, so there is one source, and marks that commit in another order are corrected by the next one. Leases do not depend on the mark: the owner stops to renew them when the silence begins.

--- a/poplarpitch/entry/owned_fleet.cpp
+++ b/poplarpitch/entry/owned_fleet.cpp
@@ -67,6 +67,7 @@
         worker.data_centre = record.data_centre();
         worker.services.assign(record.services().begin(), record.services().end());
         worker.logged_incarnation = record.incarnation();
+        worker.is_silent_in_log = record.silent();
         worker.ledger.set_capacity(decode(record.capacity()));
         worker.relief.set_settings(make_relief_settings(m_settings->objective));
     }
--- a/poplarpitch/entry/owned_worker.h
+++ b/poplarpitch/entry/owned_worker.h
@@ -47,9 +47,11 @@
     time_point last_heard{};
     bool is_leaving = false;
     bool is_silent = false; ///< while silent, its task leases are not renewed and nothing is started on it
-    int outstanding = 0;    ///< requests in flight
-    double slowdown = 1;    ///< running mean of the ratio of measured to expected latency
-    resources request_peak; ///< recent peak of the resources that requests use
+    bool is_silent_in_log = false; ///< control's record marks it as silent
+    time_point marked{};           ///< when the last mark was raised; zero when a mark is due at once
+    int outstanding = 0;           ///< requests in flight
+    double slowdown = 1;           ///< running mean of the ratio of measured to expected latency
+    resources request_peak;        ///< recent peak of the resources that requests use
     std::map<grant_id, doubtful_request>
         doubtful; ///< by grant, because a retry may reach the same worker under the same request id
     std::map<std::string, owned_task> tasks; ///< by job
--- a/poplarpitch/entry/task_agent.h
+++ b/poplarpitch/entry/task_agent.h
@@ -26,8 +26,9 @@
     void apply_jobs(const wire::renew_answer& answer, time_point now);
     /// Returns the calls to workers that are due. Also updates the relief of workers for `now`.
     std::vector<task_action> get_actions(time_point now);
-    /// Returns the events for the log that are due: refused and lost tasks, and marks of workers that have
-    /// been silent for longer than `silence`. Events of tasks stay due until control confirms them.
+    /// Returns the events for the log that are due: refused and lost tasks, and marks of workers that are
+    /// silent, which they are after `silence` without an announcement, or that are heard again. Events stay
+    /// due until control confirms them, marks until its record of the worker agrees.
     std::vector<wire::command> get_events(time_point now, duration silence, std::int64_t wall_ms);
     /// Processes the worker's answer to a start. Returns the events for the log.
     std::vector<wire::command> on_start_answered(const task_action& action, start_result answer,
@@ -63,6 +64,8 @@
 private:
     void apply_job(owned_worker& worker, const wire::job& job, time_point now);
     void relieve(owned_worker& worker, time_point now);
+    /// Returns true when control's record of whether the worker is silent has to be corrected.
+    [[nodiscard]] bool is_mark_due(const owned_worker& worker, time_point now) const;
     /// Moves a task to `withdrawing` when its start was refused but an earlier start may still be executed.
     static void withdraw(owned_task& task);
     void check_unlisted_tasks(owned_worker& worker, const announcement& message, time_point now,
--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -16,6 +16,15 @@
     return sample;
 }
 
+wire::command make_mark(const owned_worker& worker) {
+    wire::command command;
+    auto& mark = *command.mutable_mark();
+    mark.set_worker(worker.id);
+    mark.set_epoch(worker.epoch);
+    mark.set_silent(worker.is_silent);
+    return command;
+}
+
 } // namespace
 
 wire::command task_agent::make_event(const owned_task& task, const std::string& worker,
@@ -44,19 +53,26 @@
     return command;
 }
 
+/// Control may lack a mark, because its commit failed, or hold one that was committed after the worker was
+/// heard again.
+bool task_agent::is_mark_due(const owned_worker& worker, time_point now) const {
+    return worker.is_silent != worker.is_silent_in_log &&
+           (worker.marked == time_point{} || now - worker.marked >= m_settings.resend_after);
+}
+
 std::vector<wire::command> task_agent::get_events(time_point now, duration silence, std::int64_t wall_ms) {
     std::vector<wire::command> events;
     for (auto& [id, worker] : m_fleet.get_workers()) {
         if (!worker.is_silent && now - worker.last_heard > silence) {
             // From now on no lease is renewed. Only after that may others rely on the leases expiring.
             worker.is_silent = true;
+            worker.marked = {};
             worker.ledger.set_open(false);
             m_fleet.refresh(worker, now);
-            wire::command mark;
-            mark.mutable_mark()->set_worker(id);
-            mark.mutable_mark()->set_epoch(worker.epoch);
-            mark.mutable_mark()->set_silent(true);
-            events.push_back(std::move(mark));
+        }
+        if (is_mark_due(worker, now)) {
+            worker.marked = now;
+            events.push_back(make_mark(worker));
         }
         for (auto& [job, task] : worker.tasks) {
             const bool is_due = now - task.since >= m_settings.resend_after;
@@ -295,6 +311,8 @@
 
 void task_agent::end_silence(owned_worker& worker, time_point now) {
     worker.is_silent = false;
+    worker.is_silent_in_log = false; // its registration has removed the mark
+    worker.marked = now;
     worker.last_heard = now;
     worker.ledger.set_open(false);
     for (auto& [job, task] : worker.tasks) {
--- a/unit_tests/entry/fleet_fixture.h
+++ b/unit_tests/entry/fleet_fixture.h
@@ -22,9 +22,10 @@
         m_dispatcher.set_configuration(settings);
     }
 
-    /// Makes the entry the owner of worker `w` under `epoch`.
-    void own(std::uint64_t epoch = 2, int slots = 2) {
+    /// Makes the entry the owner of worker `w` under `epoch`, or gives it a newer record of that ownership.
+    void own(std::uint64_t epoch = 2, int slots = 2, bool is_silent = false) {
         wire::worker record;
+        record.set_silent(is_silent);
         record.set_id("w");
         record.set_address("w:1");
         record.set_epoch(epoch);
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -48,6 +48,16 @@
         m_tasks.on_event_committed("w", event);
     }
 
+    /// Returns the silence that the marks which are due set.
+    std::vector<bool> get_marks() {
+        std::vector<bool> marks;
+        for (const auto& command : m_tasks.get_events(m_now, seconds{2}, 1)) {
+            EXPECT_TRUE(command.has_mark());
+            marks.push_back(command.mark().silent());
+        }
+        return marks;
+    }
+
     announcement make_running_announcement(std::uint64_t attempt = 1) {
         auto message = make_announcement(2, true);
         message.tasks = {{"j", attempt, seconds{1}}};
@@ -283,6 +293,30 @@
     EXPECT_FALSE(m_tasks.may_renew_leases(*m_fleet.find("w")));
 }
 
+TEST_F(task_agent_test, worker_stays_marked_as_heard_when_the_commit_of_its_silence_fails) {
+    m_now += seconds{3};
+    EXPECT_EQ(get_marks(), std::vector<bool>{true});
+    EXPECT_TRUE(get_marks().empty()); // its commit is in progress
+    m_now += seconds{1};
+    EXPECT_EQ(get_marks(), std::vector<bool>{true});
+    own(2, 2, true);
+    m_now += seconds{1};
+    EXPECT_TRUE(get_marks().empty());
+}
+
+TEST_F(task_agent_test, worker_heard_again_stays_marked_as_silent_when_its_mark_is_committed_late) {
+    m_now += seconds{3};
+    EXPECT_EQ(get_marks(), std::vector<bool>{true});
+    m_tasks.end_silence(*m_fleet.find("w"), m_now);
+    announce(make_announcement(2, true));
+    own(2, 2, true);
+    m_now += seconds{1};
+    EXPECT_EQ(get_marks(), std::vector<bool>{false});
+    own();
+    m_now += seconds{1};
+    EXPECT_TRUE(get_marks().empty());
+}
+
 TEST_F(task_agent_test, worker_heard_again_must_list_its_tasks_before_they_are_renewed) {
     m_tasks.apply_jobs(make_jobs(wire::job_running, 1), m_now);
     announce(make_running_announcement());
