Apply the configuration that was checked

Cause: `poplarctl config apply` read the file twice: to check it, and again to send it. The second read of standard input returns nothing, and a file may have changed between the two.

What callers saw: `poplarctl config apply -` checked the text and then put the empty configuration in force, which has no services, tenants and batch classes, and ended with success. Requests and jobs were refused from then on.

The test failed before: control_commands_test.cpp:52: Failure m_applied Which is: { "" } std::vector<std::string>{text} Which is: { "[tenant t]\nmax_in_flight = 50\n" } [ FAILED ] control_commands_test.configuration_from_standard_input_is_checked_and_then_applied_empty

Why the fix works: the text is read once, and what was checked is what is sent.

--- a/poplarpitch/tools/control_commands.cpp
+++ b/poplarpitch/tools/control_commands.cpp
@@ -16,6 +16,8 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <optional>
+#include <utility>
 
 namespace poplarpitch {
 namespace {
@@ -88,16 +90,18 @@
 
 // ---- configuration
 
-command_exit check_config(const std::string& file) {
-    const auto text = read_text_file(file);
+/// Reads and checks a configuration. Prints what is wrong with it and returns nothing when it has errors.
+std::optional<std::string> read_config(const std::string& file) {
+    auto text = read_text_file(file);
     if (!text.has_value()) {
-        return fail_usage("cannot read " + file);
+        static_cast<void>(fail_usage("cannot read " + file));
+        return std::nullopt;
     }
     const auto parsed = parse_configuration(*text);
     for (const auto& error : parsed.errors) {
         std::cerr << error.format(file) << "\n";
     }
-    return parsed.errors.empty() ? command_exit::success : command_exit::usage;
+    return parsed.errors.empty() ? std::move(text) : std::nullopt;
 }
 
 command_exit wait_until_in_force(operator_client& client, std::uint64_t version,
@@ -125,9 +129,9 @@
 }
 
 command_exit apply_config(operator_client& client, const std::string& file, const command_options& options) {
-    const auto checked = check_config(file);
-    if (checked != command_exit::success) {
-        return checked;
+    const auto text = read_config(file); // once, because standard input cannot be read again
+    if (!text.has_value()) {
+        return command_exit::usage;
     }
     auto base = options.base;
     if (base.empty()) {
@@ -137,7 +141,7 @@
         }
         base = current.response.headers.get("ETag");
     }
-    auto request = make_request("PUT", "/v1/config", *read_text_file(file));
+    auto request = make_request("PUT", "/v1/config", *text);
     request.headers.add("If-Match", base);
     if (!options.change_id.empty()) {
         request.headers.add("Poplarpitch-Change-Id", options.change_id);
@@ -156,7 +160,7 @@
                         const command_options& options) {
     const auto verb = arguments.size() > 1 ? arguments[1] : "";
     if (verb == "check" && arguments.size() == 3) {
-        return check_config(arguments[2]);
+        return read_config(arguments[2]).has_value() ? command_exit::success : command_exit::usage;
     }
     if (verb == "apply" && arguments.size() == 3) {
         return apply_config(client, arguments[2], options);
--- a/unit_tests/tools/control_commands_test.cpp
+++ b/unit_tests/tools/control_commands_test.cpp
@@ -46,6 +46,12 @@
     operator_client m_client;
 };
 
+TEST_F(control_commands_test, configuration_from_standard_input_is_checked_and_then_applied_empty) {
+    const std::string text = "[tenant t]\nmax_in_flight = 50\n";
+    EXPECT_EQ(apply_config("-", text), command_exit::success);
+    EXPECT_EQ(m_applied, std::vector<std::string>{text});
+}
+
 TEST_F(control_commands_test, folder_in_place_of_a_file_is_applied_as_an_empty_configuration) {
     EXPECT_EQ(apply_config(testing::TempDir(), ""), command_exit::usage);
     EXPECT_TRUE(m_applied.empty());
