Report a frame that a full buffer drops as not sent

Cause: frame_socket::send drops a frame when 16 MB already wait on the connection, closes the connection and told nobody. peer_mesh::send returned true, although its comment says that false means not sent.

What callers saw: found by reading, not seen in a play. The leader counts the orders in that frame as sent: their starts stay open until the relay counts as lost (0.4 s) or until the order's timeout and 0.25 s more, end as `unanswered`, and from then on the run can only be given back after its worker has answered a stop. Accepted work is delayed by that, not lost.

Why the fix works: the socket says whether it took the frame, and the mesh passes that on. worker_orders then answers the frame's orders as `not_sent` at once, the path that exists for a missing connection. No byte of a dropped frame was written, so that answer is true. Frames that were queued before it stay "may be sent".

--- a/poplarpitch/net/frame_socket.cpp
+++ b/poplarpitch/net/frame_socket.cpp
@@ -115,13 +115,13 @@
     read();
 }
 
-void frame_socket::send(const std::string& frame) {
+bool frame_socket::send(const std::string& frame) {
     if (!m_impl->socket.is_open()) {
-        return;
+        return false;
     }
     if (m_impl->pending.size() + frame.size() > max_unsent_bytes) {
         close_and_notify();
-        return;
+        return false;
     }
     append_header(m_impl->pending, frame.size());
     m_impl->pending += frame;
@@ -130,6 +130,7 @@
         // Frames sent in the same iteration share one write.
         m_impl->loop.post([self = shared_from_this()] { self->write(); });
     }
+    return true;
 }
 
 void frame_socket::write() {
--- a/poplarpitch/net/frame_socket.h
+++ b/poplarpitch/net/frame_socket.h
@@ -32,8 +32,9 @@
 
     /// Starts to read. `on_closed` is called once, when the connection ends for any reason except `close`.
     void start(frame_handler on_frame, std::function<void()> on_closed);
-    /// Queues a frame for sending. Frames are sent in order.
-    void send(const std::string& frame);
+    /// Queues a frame for sending. Frames are sent in order. Returns false when the frame was dropped,
+    /// because the connection is closed or this frame exceeds the bound of unsent frames and closes it.
+    bool send(const std::string& frame);
     /// Closes the connection. Neither handler is called afterwards.
     void close();
     /// Returns true until the connection is closed by either side.
--- a/poplarpitch/replica/peer_mesh.cpp
+++ b/poplarpitch/replica/peer_mesh.cpp
@@ -42,8 +42,8 @@
     if (peer.unconfirmed_since == time_point{}) {
         peer.unconfirmed_since = m_loop.now();
     }
-    peer.socket->send(frame.SerializeAsString());
-    return true;
+    const auto socket = peer.socket; // a full buffer closes it, which removes it from the link
+    return socket->send(frame.SerializeAsString());
 }
 
 void peer_mesh::on_received(std::uint32_t ip) {
--- a/poplarpitch/replica/peer_mesh.h
+++ b/poplarpitch/replica/peer_mesh.h
@@ -33,8 +33,8 @@
     peer_mesh(const peer_mesh&) = delete;
     peer_mesh& operator=(const peer_mesh&) = delete;
 
-    /// Sends a frame to the instance at `ip`. Returns false when it was not sent, because there is no
-    /// connection.
+    /// Sends a frame to the instance at `ip`. Returns false when it was certainly not sent, because there is
+    /// no connection or too much was already waiting on it.
     bool send(std::uint32_t ip, const job_wire::cluster_frame& frame);
     /// Called when a frame of the instance at `ip` arrived on any connection.
     void on_received(std::uint32_t ip);
