Hold no lock after another process's lock was found

Cause: posix_file_system::lock kept the descriptor of the lock file when flock failed. A second call took that descriptor for the lock and succeeded.

What callers saw: nothing yet. Both programs end after a failed lock, and none of them calls lock again on the same object. A caller that tried again would have written into the log of a running process, and what either of them had accepted would be lost.

The test failed before: raft_storage_test.cpp:238: Failure Value of: locked Actual: true Expected: false [ FAILED ] posix_file_system.second_call_takes_a_lock_that_another_process_holds

Why the fix works: the descriptor is kept only once flock has succeeded, and is closed otherwise, so every call asks for the lock anew until one gets it.

--- a/poplarpitch/storage/posix_file_system.cpp
+++ b/poplarpitch/storage/posix_file_system.cpp
@@ -52,13 +52,15 @@
     if (::mkdir(m_folder.c_str(), folder_mode) != 0 && errno != EEXIST) {
         return make_error_code(storage_errc::folder_missing);
     }
-    m_lock = ::open(get_path("lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, file_mode);
-    if (m_lock < 0) {
+    const int descriptor = ::open(get_path("lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, file_mode);
+    if (descriptor < 0) {
         return make_error_code(storage_errc::folder_missing);
     }
-    if (::flock(m_lock, LOCK_EX | LOCK_NB) != 0) {
+    if (::flock(descriptor, LOCK_EX | LOCK_NB) != 0) {
+        ::close(descriptor);
         return make_error_code(storage_errc::folder_locked);
     }
+    m_lock = descriptor;
     return boost::outcome_v2::success();
 }
 
--- a/unit_tests/storage/raft_storage_test.cpp
+++ b/unit_tests/storage/raft_storage_test.cpp
@@ -225,6 +225,25 @@
     std::filesystem::remove_all(folder);
 }
 
+TEST(posix_file_system, second_call_takes_a_lock_that_another_process_holds) {
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("poplarpitch-relock-" + std::to_string(::getpid()));
+    {
+        posix_file_system second(folder.string());
+        {
+            posix_file_system first(folder.string());
+            ASSERT_TRUE(first.lock());
+            for (int call = 0; call < 2; ++call) {
+                const auto locked = second.lock();
+                ASSERT_FALSE(locked);
+                EXPECT_EQ(locked.error(), make_error_code(storage_errc::folder_locked));
+            }
+        }
+        EXPECT_TRUE(second.lock()) << "the first one has ended";
+    }
+    std::filesystem::remove_all(folder);
+}
+
 TEST(posix_file_system, reports_a_folder_that_cannot_be_created) {
     posix_file_system files("/proc/no-such-folder/data");
     EXPECT_EQ(files.lock().error(), make_error_code(storage_errc::folder_missing));
