Return no task that a worker has started for a list made before

Cause: while control had not yet recorded the start of a task, a complete list without the task raised event_absent, "never started there", even when the worker had answered the start. A list that the worker made just before the start, and that the owner processes just after the answer, is such a list; workers send a complete list with every sixteenth announcement. The same happened for any late list while the commit of event_started had failed, since that event is raised once.

What callers saw: control queued the job again while it was running, and assigned it to another worker. Its run was stopped as superseded and its work lost; until then the job ran twice, jobs that may run only once too.

Why the fix works: a task whose start was answered is never "absent". If the worker's lists lack it for 2 s (`missing_task_wait`), it is lost, as a task that control knows to be running. A cancelled task that was never started is returned as before.

--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -244,7 +244,9 @@
             }
             continue;
         }
-        const bool is_seen_nowhere = !task.is_running_in_log && is_same_process;
+        // Its start was answered, so it ran. A list that was made before the start lacks it.
+        const bool is_started = task.phase == task_phase::running || task.phase == task_phase::evicting;
+        const bool is_seen_nowhere = !task.is_running_in_log && is_same_process && !is_started;
         if (is_seen_nowhere && task.has_unanswered_start && task.phase == task_phase::unconfirmed &&
             task.is_idempotent) {
             task.phase = task_phase::withdrawing; // its start may still be executed
