Judge tasks by the newest list of a worker only

Cause: owned_fleet drops an announcement that arrives after a newer one, but task_agent still compared its list of tasks with what runs now. A task that was started between the two counted as unknown to its worker.

A worker's announcement that hangs on a bad link for 2 s is followed by the next one on a new connection. When the first then arrived with a complete list, control recorded a running task as lost. Its worker was heard, so its lease was renewed, and nothing took the loss back: after the lease the job was queued again and ran twice; a job that may run only once ended as `outcome_unknown`.

The test failed before: task_agent_test.cpp:305: Failure Value of: m_events.empty() Actual: false Expected: true [ FAILED ] task_agent_test.list_that_arrives_after_a_newer_one_loses_a_task_that_runs

Why the fix works: a list is compared only if its announcement is the newest that the fleet has processed. The reports in a late announcement are still taken, since they are facts with numbers of their own.

--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -208,7 +208,8 @@
             m_usage.push_back(make_usage_sample(task, report));
         }
     }
-    if (message.is_complete && message.epoch == worker->epoch) {
+    const bool is_newest = message.sequence == worker->sequence; // a late list lacks what was started since
+    if (message.is_complete && message.epoch == worker->epoch && is_newest) {
         check_unlisted_tasks(*worker, message, now, wall_ms, events);
     }
     return events;
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -293,6 +293,18 @@
     EXPECT_EQ(only_event_kind(), wire::event_lost); // a list made long after the start
 }
 
+TEST_F(task_agent_test, list_that_arrives_after_a_newer_one_loses_a_task_that_runs) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    const auto late_list = make_announcement(2, true);
+    m_tasks.get_actions(m_now);
+    answer_start(start_result::started);
+    commit(wire::event_started);
+    m_now += seconds{3};
+    announce(make_running_announcement());
+    announce(late_list);
+    EXPECT_TRUE(m_events.empty());
+}
+
 TEST_F(task_agent_test, silent_worker_loses_its_tasks_and_renews_nothing) {
     m_tasks.apply_jobs(make_jobs(wire::job_running, 1), m_now);
     announce(make_running_announcement());
