Report a loss again when a late start has undone it

Cause: the owner notes that control has recorded a task as lost, and raises event_lost no more. It never looked at what control's record says since. An event_started whose commit was late, on a connection that hung, and that is applied after the loss takes the loss back, and ends the wait for the lease.

A job that counts as `running` on a worker that is gone; nothing requeued it until its worker got another owner or was heard again.

The test failed before: task_agent_test.cpp:332: Failure events.size() Which is: 0 1U Which is: 1 [ FAILED ] task_agent_test.start_that_is_committed_after_the_loss_leaves_the_job_running_nowhere

Why the fix works: every record of the job that a renewal brings also sets whether the loss is in the log, as it does for the start. If it is not, and the worker is silent, event_lost is raised again each second. A repeated event_lost neither restarts the wait for the lease nor counts twice.

--- a/poplarpitch/entry/task_agent.cpp
+++ b/poplarpitch/entry/task_agent.cpp
@@ -75,6 +75,7 @@
         }
     }
     task.is_running_in_log = job.state() == wire::job_running;
+    task.is_lost_in_log = job.lost(); // a start that is committed after the loss ends the wait for the lease
     if (job.cancel_requested() && !is_being_stopped(task.phase) && task.phase != task_phase::ended) {
         task.phase = task_phase::stopping;
         task.since = {};
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -317,6 +317,22 @@
     EXPECT_FALSE(m_tasks.may_renew_leases(*m_fleet.find("w")));
 }
 
+TEST_F(task_agent_test, start_that_is_committed_after_the_loss_leaves_the_job_running_nowhere) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_tasks.get_actions(m_now);
+    answer_start(start_result::started); // the commit of this start is late
+    m_now += seconds{3};
+    EXPECT_EQ(m_tasks.get_events(m_now, seconds{2}, 1).size(), 2U); // the mark and the loss
+    commit(wire::event_lost);
+    own(2, 2, true);
+    m_now += seconds{1};
+    EXPECT_TRUE(m_tasks.get_events(m_now, seconds{2}, 1).empty());
+    m_tasks.apply_jobs(make_jobs(wire::job_running, 2), m_now); // control counts it as running and not lost
+    const auto events = m_tasks.get_events(m_now, seconds{2}, 1);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].event().kind(), wire::event_lost);
+}
+
 TEST_F(task_agent_test, worker_stays_marked_as_heard_when_the_commit_of_its_silence_fails) {
     m_now += seconds{3};
     EXPECT_EQ(get_marks(), std::vector<bool>{true});
