Start no task whose return to control was raised

Cause: an assigned task that waits for room for 0.8 s, or whose worker leaves or is silent, is returned to control as refused. The task stayed in phase `to_start` until that event was committed. When room came back meanwhile, the owner started it. During a loss of control the events wait in the queue, so both happen as soon as control is back.

What callers saw: control queued the job again while it was running, and assigned it a second time. Seen in a run of process_test: after 14 s without a leader, attempt 1 of a job that may run only once started on w1-1, and attempt 2 on w2-1 0.1 s later (cluster_test.cluster_is_restored_from_a_backup: "job once ran in two places").

The tests failed before: task_agent_test.cpp:267: Failure Value of: m_tasks.get_actions(m_now).empty() Actual: false [ FAILED ] task_agent_test.task_is_started_after_its_return_for_want_of_room_was_raised task_agent_test.cpp:282: Failure Value of: m_tasks.get_actions(m_now).empty() Actual: false [ FAILED ] task_agent_test.task_is_started_after_its_return_for_a_silence_was_raised

Why the fix works: with its return the task ends here. The return is raised again each second until it is committed, as after a refusal by the worker, and a silence that ends meanwhile leaves it ended.

--- a/poplarpitch/entry/owned_task.h
+++ b/poplarpitch/entry/owned_task.h
@@ -20,7 +20,7 @@
     evicting,    ///< asked to write a checkpoint and stop
     withdrawing, ///< asked to stop, because a start was refused after an earlier start whose answer is not
                  ///< known
-    ended,       ///< its end is being committed to the log
+    ended,       ///< certainly not started; its return to control is being committed to the log
 };
 
 /// A task on an owned worker, as known to the owning entry.
--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -76,18 +76,20 @@
         }
         for (auto& [job, task] : worker.tasks) {
             const bool is_due = now - task.since >= m_settings.resend_after;
-            if (task.phase == task_phase::to_start &&
-                (worker.is_leaving || now - task.since > m_settings.capacity_wait)) {
-                events.push_back(make_event(task, id, wire::event_refused, "no room on the worker", wall_ms));
-            } else if (worker.is_silent && task.phase != task_phase::ended && !task.is_lost_in_log &&
-                       is_due) {
-                // A task whose start was never sent is not lost; it is returned to control as refused.
-                const bool is_unsent = task.phase == task_phase::to_start;
-                events.push_back(make_event(task, id, is_unsent ? wire::event_refused : wire::event_lost,
-                                            "its worker is silent", wall_ms));
+            const bool is_overdue = worker.is_leaving || now - task.since > m_settings.capacity_wait;
+            if (task.phase == task_phase::to_start && is_overdue) {
+                // Its start was never sent, so it is returned to control and must not be sent any more.
+                const auto* reason = worker.is_silent ? "its worker is silent" : "no room on the worker";
+                events.push_back(make_event(task, id, wire::event_refused, reason, wall_ms));
+                task.phase = task_phase::ended;
                 task.since = now;
             } else if (task.phase == task_phase::ended && is_due) {
-                events.push_back(make_refused_event(task, id, wall_ms)); // the last one was not committed
+                // The event was not committed.
+                events.push_back(make_event(task, id, wire::event_refused, "it was not started", wall_ms));
+                task.since = now;
+            } else if (worker.is_silent && task.phase != task_phase::ended && !task.is_lost_in_log &&
+                       is_due) {
+                events.push_back(make_event(task, id, wire::event_lost, "its worker is silent", wall_ms));
                 task.since = now;
             }
         }
@@ -319,7 +321,7 @@
     worker.last_heard = now;
     worker.ledger.set_open(false);
     for (auto& [job, task] : worker.tasks) {
-        if (task.phase != task_phase::to_start) {
+        if (task.phase != task_phase::to_start && task.phase != task_phase::ended) {
             m_fleet.adopt_task(worker, task);
             if (task.phase == task_phase::starting) {
                 task.has_unanswered_start = true; // the list may be older than the start's arrival
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -256,6 +256,36 @@
     EXPECT_TRUE(m_tasks.get_events(m_now, seconds{9}, 1).empty());
 }
 
+TEST_F(task_agent_test, task_is_started_after_its_return_for_want_of_room_was_raised) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_fleet.find("w")->ledger.set_open(false);
+    m_now += seconds{1};
+    const auto events = m_tasks.get_events(m_now, seconds{9}, 1);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].event().kind(), wire::event_refused);
+    announce(make_announcement(2, true)); // there is room again, and the commit is in progress
+    EXPECT_TRUE(m_tasks.get_actions(m_now).empty());
+    m_now += seconds{1};
+    EXPECT_EQ(m_tasks.get_events(m_now, seconds{9}, 1).size(), 1U);
+}
+
+TEST_F(task_agent_test, task_is_started_after_its_return_for_a_silence_was_raised) {
+    m_fleet.find("w")->ledger.set_open(false);
+    m_now += seconds{3};
+    EXPECT_EQ(get_marks(), std::vector<bool>{true});
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now - seconds{1});
+    const auto events = m_tasks.get_events(m_now, seconds{2}, 1);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].event().kind(), wire::event_refused);
+    m_tasks.end_silence(*m_fleet.find("w"), m_now);
+    announce(make_announcement(2, true));
+    EXPECT_TRUE(m_tasks.get_actions(m_now).empty());
+    m_now += seconds{1};
+    const auto repeated = m_tasks.get_events(m_now, seconds{2}, 1);
+    ASSERT_EQ(repeated.size(), 1U);
+    EXPECT_EQ(repeated[0].event().kind(), wire::event_refused);
+}
+
 TEST_F(task_agent_test, adopts_a_running_task_of_the_last_owner) {
     m_tasks.apply_jobs(make_jobs(wire::job_running, 1), m_now);
     EXPECT_EQ(m_fleet.find("w")->ledger.get_granted().millicores, 1000); // charged to the ledger at once
