--- a/poplarpitch/entry/task_agent_events.cpp
+++ b/poplarpitch/entry/task_agent_events.cpp
@@ -16,6 +16,15 @@
     return sample;
 }
 
+wire::command make_mark(const owned_worker& worker) {
+    wire::command command;
+    auto& mark = *command.mutable_mark();
+    mark.set_worker(worker.id);
+    mark.set_epoch(worker.epoch);
+    mark.set_silent(worker.is_silent);
+    return command;
+}
+
 } // namespace
 
 wire::command task_agent::make_event(const owned_task& task, const std::string& worker,
@@ -32,6 +41,11 @@
     return command;
 }
 
+wire::command task_agent::make_refused_event(const owned_task& task, const std::string& worker,
+                                             std::int64_t wall_ms) {
+    return make_event(task, worker, wire::event_refused, "the worker refused it", wall_ms);
+}
+
 wire::command task_agent::make_crash_event(const owned_task& task, const std::string& worker,
                                            std::int64_t wall_ms) {
     auto command = make_event(task, worker, wire::event_lost, "its worker was restarted", wall_ms);
@@ -39,31 +53,43 @@
     return command;
 }
 
+/// Control may lack a mark, because its commit failed, or hold one that was committed after the worker was
+/// heard again.
+bool task_agent::is_mark_due(const owned_worker& worker, time_point now) const {
+    return worker.is_silent != worker.is_silent_in_log &&
+           (worker.marked == time_point{} || now - worker.marked >= m_settings.resend_after);
+}
+
 std::vector<wire::command> task_agent::get_events(time_point now, duration silence, std::int64_t wall_ms) {
     std::vector<wire::command> events;
     for (auto& [id, worker] : m_fleet.get_workers()) {
         if (!worker.is_silent && now - worker.last_heard > silence) {
             // From now on no lease is renewed. Only after that may others rely on the leases expiring.
             worker.is_silent = true;
+            worker.marked = {};
             worker.ledger.set_open(false);
             m_fleet.refresh(worker, now);
-            wire::command mark;
-            mark.mutable_mark()->set_worker(id);
-            mark.mutable_mark()->set_epoch(worker.epoch);
-            mark.mutable_mark()->set_silent(true);
-            events.push_back(std::move(mark));
+        }
+        if (is_mark_due(worker, now)) {
+            worker.marked = now;
+            events.push_back(make_mark(worker));
         }
         for (auto& [job, task] : worker.tasks) {
             const bool is_due = now - task.since >= m_settings.resend_after;
-            if (task.phase == task_phase::to_start &&
-                (worker.is_leaving || now - task.since > m_settings.capacity_wait)) {
-                events.push_back(make_event(task, id, wire::event_refused, "no room on the worker", wall_ms));
+            const bool is_overdue = worker.is_leaving || now - task.since > m_settings.capacity_wait;
+            if (task.phase == task_phase::to_start && is_overdue) {
+                // Its start was never sent, so it is returned to control and must not be sent any more.
+                const auto* reason = worker.is_silent ? "its worker is silent" : "no room on the worker";
+                events.push_back(make_event(task, id, wire::event_refused, reason, wall_ms));
+                task.phase = task_phase::ended;
+                task.since = now;
+            } else if (task.phase == task_phase::ended && is_due) {
+                // The event was not committed.
+                events.push_back(make_event(task, id, wire::event_refused, "it was not started", wall_ms));
+                task.since = now;
             } else if (worker.is_silent && task.phase != task_phase::ended && !task.is_lost_in_log &&
                        is_due) {
-                // A task whose start was never sent is not lost; it is returned to control as refused.
-                const bool is_unsent = task.phase == task_phase::to_start;
-                events.push_back(make_event(task, id, is_unsent ? wire::event_refused : wire::event_lost,
-                                            "its worker is silent", wall_ms));
+                events.push_back(make_event(task, id, wire::event_lost, "its worker is silent", wall_ms));
                 task.since = now;
             }
         }
@@ -99,7 +125,8 @@
     if (answer != start_result::started) {
         m_fleet.end_task(*worker, task);
         task.phase = task_phase::ended;
-        return {make_event(task, action.worker, wire::event_refused, "the worker refused it", wall_ms)};
+        task.since = now;
+        return {make_refused_event(task, action.worker, wall_ms)};
     }
     if (task.phase == task_phase::starting) {
         task.phase = task_phase::running;
@@ -183,7 +210,8 @@
             m_usage.push_back(make_usage_sample(task, report));
         }
     }
-    if (message.is_complete && message.epoch == worker->epoch) {
+    const bool is_newest = message.sequence == worker->sequence; // a late list lacks what was started since
+    if (message.is_complete && message.epoch == worker->epoch && is_newest) {
         check_unlisted_tasks(*worker, message, now, wall_ms, events);
     }
     return events;
@@ -215,12 +243,13 @@
         const bool is_same_process = task.incarnation == message.incarnation;
         if (task.phase == task_phase::withdrawing && is_same_process && !task.is_running_in_log) {
             if (task.is_stop_answered && message.sequence > task.stop_sequence) {
-                events.push_back(
-                    {0, make_event(task, message.id, wire::event_refused, "the worker refused it", wall_ms)});
+                events.push_back({0, make_refused_event(task, message.id, wall_ms)});
             }
             continue;
         }
-        const bool is_seen_nowhere = !task.is_running_in_log && is_same_process;
+        // Its start was answered, so it ran. A list that was made before the start lacks it.
+        const bool is_started = task.phase == task_phase::running || task.phase == task_phase::evicting;
+        const bool is_seen_nowhere = !task.is_running_in_log && is_same_process && !is_started;
         if (is_seen_nowhere && task.has_unanswered_start && task.phase == task_phase::unconfirmed &&
             task.is_idempotent) {
             task.phase = task_phase::withdrawing; // its start may still be executed
@@ -287,10 +316,12 @@
 
 void task_agent::end_silence(owned_worker& worker, time_point now) {
     worker.is_silent = false;
+    worker.is_silent_in_log = false; // its registration has removed the mark
+    worker.marked = now;
     worker.last_heard = now;
     worker.ledger.set_open(false);
     for (auto& [job, task] : worker.tasks) {
-        if (task.phase != task_phase::to_start) {
+        if (task.phase != task_phase::to_start && task.phase != task_phase::ended) {
             m_fleet.adopt_task(worker, task);
             if (task.phase == task_phase::starting) {
                 task.has_unanswered_start = true; // the list may be older than the start's arrival
--- a/unit_tests/entry/task_agent_test.cpp
+++ b/unit_tests/entry/task_agent_test.cpp
@@ -48,6 +48,16 @@
         m_tasks.on_event_committed("w", event);
     }
 
+    /// Returns the silence that the marks which are due set.
+    std::vector<bool> get_marks() {
+        std::vector<bool> marks;
+        for (const auto& command : m_tasks.get_events(m_now, seconds{2}, 1)) {
+            EXPECT_TRUE(command.has_mark());
+            marks.push_back(command.mark().silent());
+        }
+        return marks;
+    }
+
     announcement make_running_announcement(std::uint64_t attempt = 1) {
         auto message = make_announcement(2, true);
         message.tasks = {{"j", attempt, seconds{1}}};
@@ -230,6 +240,52 @@
     EXPECT_EQ(m_fleet.find("w")->ledger.get_granted().millicores, 0);
 }
 
+TEST_F(task_agent_test, job_stays_assigned_when_the_commit_of_its_refusal_fails) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_tasks.get_actions(m_now);
+    ASSERT_EQ(answer_start(start_result::refused).size(), 1U);
+    EXPECT_TRUE(m_tasks.get_events(m_now, seconds{9}, 1).empty()); // its commit is in progress
+    for (int repeat = 0; repeat < 2; ++repeat) {
+        m_now += seconds{1};
+        const auto events = m_tasks.get_events(m_now, seconds{9}, 1);
+        ASSERT_EQ(events.size(), 1U);
+        EXPECT_EQ(events[0].event().kind(), wire::event_refused);
+    }
+    commit(wire::event_refused);
+    m_now += seconds{1};
+    EXPECT_TRUE(m_tasks.get_events(m_now, seconds{9}, 1).empty());
+}
+
+TEST_F(task_agent_test, task_is_started_after_its_return_for_want_of_room_was_raised) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_fleet.find("w")->ledger.set_open(false);
+    m_now += seconds{1};
+    const auto events = m_tasks.get_events(m_now, seconds{9}, 1);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].event().kind(), wire::event_refused);
+    announce(make_announcement(2, true)); // there is room again, and the commit is in progress
+    EXPECT_TRUE(m_tasks.get_actions(m_now).empty());
+    m_now += seconds{1};
+    EXPECT_EQ(m_tasks.get_events(m_now, seconds{9}, 1).size(), 1U);
+}
+
+TEST_F(task_agent_test, task_is_started_after_its_return_for_a_silence_was_raised) {
+    m_fleet.find("w")->ledger.set_open(false);
+    m_now += seconds{3};
+    EXPECT_EQ(get_marks(), std::vector<bool>{true});
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now - seconds{1});
+    const auto events = m_tasks.get_events(m_now, seconds{2}, 1);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].event().kind(), wire::event_refused);
+    m_tasks.end_silence(*m_fleet.find("w"), m_now);
+    announce(make_announcement(2, true));
+    EXPECT_TRUE(m_tasks.get_actions(m_now).empty());
+    m_now += seconds{1};
+    const auto repeated = m_tasks.get_events(m_now, seconds{2}, 1);
+    ASSERT_EQ(repeated.size(), 1U);
+    EXPECT_EQ(repeated[0].event().kind(), wire::event_refused);
+}
+
 TEST_F(task_agent_test, adopts_a_running_task_of_the_last_owner) {
     m_tasks.apply_jobs(make_jobs(wire::job_running, 1), m_now);
     EXPECT_EQ(m_fleet.find("w")->ledger.get_granted().millicores, 1000); // charged to the ledger at once
@@ -255,6 +311,30 @@
     EXPECT_EQ(only_event_kind(), wire::event_lost);
 }
 
+TEST_F(task_agent_test, list_made_before_a_start_returns_the_task_that_runs) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    const auto list = make_announcement(2, true);
+    m_tasks.get_actions(m_now);
+    ASSERT_EQ(answer_start(start_result::started).size(), 1U);
+    announce(list);
+    EXPECT_TRUE(m_events.empty());
+    m_now += seconds{3};
+    announce(make_announcement(2, true));
+    EXPECT_EQ(only_event_kind(), wire::event_lost); // a list made long after the start
+}
+
+TEST_F(task_agent_test, list_that_arrives_after_a_newer_one_loses_a_task_that_runs) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    const auto late_list = make_announcement(2, true);
+    m_tasks.get_actions(m_now);
+    answer_start(start_result::started);
+    commit(wire::event_started);
+    m_now += seconds{3};
+    announce(make_running_announcement());
+    announce(late_list);
+    EXPECT_TRUE(m_events.empty());
+}
+
 TEST_F(task_agent_test, silent_worker_loses_its_tasks_and_renews_nothing) {
     m_tasks.apply_jobs(make_jobs(wire::job_running, 1), m_now);
     announce(make_running_announcement());
@@ -267,6 +347,46 @@
     EXPECT_FALSE(m_tasks.may_renew_leases(*m_fleet.find("w")));
 }
 
+TEST_F(task_agent_test, start_that_is_committed_after_the_loss_leaves_the_job_running_nowhere) {
+    m_tasks.apply_jobs(make_jobs(wire::job_assigned, 2), m_now);
+    m_tasks.get_actions(m_now);
+    answer_start(start_result::started); // the commit of this start is late
+    m_now += seconds{3};
+    EXPECT_EQ(m_tasks.get_events(m_now, seconds{2}, 1).size(), 2U); // the mark and the loss
+    commit(wire::event_lost);
+    own(2, 2, true);
+    m_now += seconds{1};
+    EXPECT_TRUE(m_tasks.get_events(m_now, seconds{2}, 1).empty());
+    m_tasks.apply_jobs(make_jobs(wire::job_running, 2), m_now); // control counts it as running and not lost
+    const auto events = m_tasks.get_events(m_now, seconds{2}, 1);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].event().kind(), wire::event_lost);
+}
+
+TEST_F(task_agent_test, worker_stays_marked_as_heard_when_the_commit_of_its_silence_fails) {
+    m_now += seconds{3};
+    EXPECT_EQ(get_marks(), std::vector<bool>{true});
+    EXPECT_TRUE(get_marks().empty()); // its commit is in progress
+    m_now += seconds{1};
+    EXPECT_EQ(get_marks(), std::vector<bool>{true});
+    own(2, 2, true);
+    m_now += seconds{1};
+    EXPECT_TRUE(get_marks().empty());
+}
+
+TEST_F(task_agent_test, worker_heard_again_stays_marked_as_silent_when_its_mark_is_committed_late) {
+    m_now += seconds{3};
+    EXPECT_EQ(get_marks(), std::vector<bool>{true});
+    m_tasks.end_silence(*m_fleet.find("w"), m_now);
+    announce(make_announcement(2, true));
+    own(2, 2, true);
+    m_now += seconds{1};
+    EXPECT_EQ(get_marks(), std::vector<bool>{false});
+    own();
+    m_now += seconds{1};
+    EXPECT_TRUE(get_marks().empty());
+}
+
 TEST_F(task_agent_test, worker_heard_again_must_list_its_tasks_before_they_are_renewed) {
     m_tasks.apply_jobs(make_jobs(wire::job_running, 1), m_now);
     announce(make_running_announcement());
