--- a/unit_tests/dispatch/long_running_world.cpp
+++ b/unit_tests/dispatch/long_running_world.cpp
@@ -16,7 +16,9 @@
 constexpr duration short_tasks_interval = milliseconds{50}; // between two looks at the load of short tasks
 constexpr duration first_answer_delay = milliseconds{150};  // of a slow answer
 constexpr duration last_answer_delay = milliseconds{1300};  // some come after the order's timeout
-constexpr duration start_time = seconds{2};                 // until all workers are known
+constexpr duration min_order_delay = seconds{2}; // of a late order, longer than any order's timeout
+constexpr duration max_order_delay = seconds{12};
+constexpr duration start_time = seconds{2}; // until all workers are known
 constexpr std::int64_t max_short_millicores = 4000;
 constexpr duration min_short_length = milliseconds{300};
 constexpr duration max_short_length = seconds{4};
@@ -41,6 +43,8 @@
     time_point refusing_starts_until{};
     time_point unhealthy_until{};
     time_point unsent_until{};
+    time_point one_way_cut_until{};
+    time_point late_until{};
 };
 
 long_running_world::long_running_world(const long_running_world_settings& settings, std::uint64_t seed)
@@ -253,7 +257,7 @@
         if (target.process == nullptr || target.process_number != process_number) {
             return;
         }
-        if (m_now >= target.cut_until) {
+        if (m_now >= target.cut_until && m_now >= target.one_way_cut_until) {
             m_scheduler->on_deregister(target.process->get_report().incarnation, m_now);
         }
         end_for_good(target, true);
@@ -262,7 +266,7 @@
 
 void long_running_world::send_heartbeat(machine& target) {
     const auto report = target.process->make_heartbeat(m_now);
-    if (m_now < target.cut_until) {
+    if (m_now < target.cut_until || m_now < target.one_way_cut_until) {
         return;
     }
     if (m_scheduler->on_heartbeat(report, m_now)) {
@@ -280,7 +284,7 @@
     return target.process->get_report().is_draining || m_now < target.cut_until ||
            m_now < target.failing_until || m_now < target.slow_until ||
            m_now < target.refusing_starts_until || m_now < target.unhealthy_until ||
-           m_now < target.unsent_until;
+           m_now < target.unsent_until || m_now < target.one_way_cut_until || m_now < target.late_until;
 }
 
 void long_running_world::disrupt(const simulated_disruption& what) {
@@ -335,6 +339,12 @@
         case disruption_kind::cut:
             target.cut_until = until;
             break;
+        case disruption_kind::one_way_cut:
+            target.one_way_cut_until = until;
+            break;
+        case disruption_kind::late_orders:
+            target.late_until = until;
+            break;
         case disruption_kind::drain:
             leave(target, what.length);
             break;
@@ -441,7 +451,9 @@
         schedule_call(tick, [sent] { complete(sent, {order_failure::not_sent, {}}); });
         return;
     }
-    schedule_call(tick, [this, order, sent, &target] { receive(order, target, sent); });
+    const bool is_late = m_now < target.late_until && pick(0, 1) == 1;
+    const auto delay = is_late ? pick_time(min_order_delay, max_order_delay) : tick;
+    schedule_call(delay, [this, order, sent, &target] { receive(order, target, sent); });
     schedule_call(order.target.timeout, [sent] { complete(sent, {order_failure::unanswered, {}}); });
 }
 
@@ -478,7 +490,7 @@
 
 void long_running_world::send_answer(machine& target, const sent_order_ptr& sent,
                                      const order_outcome& outcome) {
-    if (m_now < target.cut_until) {
+    if (m_now < target.cut_until || m_now < target.one_way_cut_until) {
         return; // its timeout completes it
     }
     if (m_now < target.slow_until) {
--- a/unit_tests/dispatch/simulated_disruption.h
+++ b/unit_tests/dispatch/simulated_disruption.h
@@ -19,6 +19,8 @@
     unhealthy,       ///< workers refuse all orders
     unsent_orders,   ///< a relay reports the orders to its workers as not sent
     cut,             ///< workers are unreachable in both directions and keep running
+    one_way_cut,     ///< workers receive orders, while their answers and heartbeats are lost
+    late_orders,     ///< half of the orders get no answer and are carried out seconds later
     drain,           ///< workers announce that they leave, and leave
     leader_change,   ///< the leader is lost and a new one starts, which knows only the replicated job state
 };
@@ -44,6 +46,10 @@
         return "unsent_orders";
     case disruption_kind::cut:
         return "cut";
+    case disruption_kind::one_way_cut:
+        return "one_way_cut";
+    case disruption_kind::late_orders:
+        return "late_orders";
     case disruption_kind::drain:
         return "drain";
     case disruption_kind::leader_change:
