--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -153,7 +153,7 @@
     struct ready_step {
         std::shared_ptr<const step_job> job;
         std::set<std::uint32_t> waiting;
-        time_point since{};            ///< when the first of them began to wait
+        time_point since{};            ///< since when the first of them has not run
         std::int64_t objective_ms = 0; ///< the job's objective
         std::int64_t remaining_ms = 0; ///< forecast for this step and those that follow it
 
@@ -166,6 +166,8 @@
     struct placing_pass {
         time_point now{};
         std::map<std::string, std::vector<worker_state*>> usable; ///< workers by pool
+        std::map<std::string, std::vector<worker_state*>>
+            set_aside; ///< workers by pool that only overdue long-running tasks may use
         refused_shapes refused;
         std::size_t probations_left = 0; ///< workers that may still be reserved for a suspect
     };
@@ -209,11 +211,14 @@
     void restore_suspects(const job_record& record, time_point now);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
     void make_step_ready(const job_record& record, const step_key& key, time_point now);
-    void make_task_ready(const task_key& key, time_point now);
+    /// `since`: since when the task has not run; relevant for a long-running one.
+    void make_task_ready(const task_key& key, time_point since);
     void close(job_id id, time_point now);
     void record_first_start(job_id id, time_point now);
     void record_job_end(job_id id, time_point now);
     void on_run_ended(const job_state_event& event, time_point now);
+    /// Returns since when the task of an ending run has not run.
+    [[nodiscard]] static time_point get_idle_since(const run_track& track, run_end end, time_point now);
     /// Adds the duration of an ending run to the forecast.
     void record_run_time(const run_track& track, run_end end, time_point now);
     void break_gang(const run_key& ended, time_point now);
@@ -272,7 +277,14 @@
     /// Ends runs that are missing from the worker's list. Precondition: `listed` is sorted.
     void end_missing_runs(worker_state& worker, const std::vector<run_key>& listed, time_point now);
     void stop_stray_run(worker_state& worker, const run_key& key);
-    void grant_lease(worker_state& worker, time_point now);
+    /// Extends the worker's lease by the full length from now. Returns its end by the worker's clock.
+    /// Precondition: that clock is known.
+    std::int64_t extend_lease(worker_state& worker, time_point now);
+    /// Returns the end of the lease for a start that is sent now, by the worker's clock, or nothing while no
+    /// start may be sent. Precondition: that clock is known.
+    [[nodiscard]] std::optional<std::int64_t> get_lease_for_start(worker_state& worker, time_point now);
+    /// Records that an order with a lease leaves now.
+    void record_lease_sent(worker_state& worker, time_point now);
     /// Assumes that the worker holds a lease of the maximum length.
     void grant_max_lease(worker_state& worker, time_point now);
     /// Returns how long a lease may be valid at its worker after it was sent, by this leader's clock.
@@ -394,6 +406,12 @@
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
                                                  time_point now);
     worker_state* choose(const placing_pass& pass, const ready_step& ready, const placement_request& request);
+    worker_state* choose_among(const std::map<std::string, std::vector<worker_state*>>& workers,
+                               const ready_step& ready, const placement_request& request,
+                               time_point now) const;
+    /// Returns true when the task may be placed on a worker that is set aside.
+    [[nodiscard]] static bool may_use_set_aside(const worker_state& worker, const placement_request& request,
+                                                time_point now);
     /// Returns the obstacle that rules out a worker beyond the checks of `find_obstacle`, or `none`.
     [[nodiscard]] placement_obstacle find_policy_obstacle(const worker_state& worker, const ready_step& ready,
                                                           const placement_request& request,
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -67,10 +67,12 @@
         }
         const auto& queue = ready.job->queue;
         if (ready.job->steps[key.step].long_running) {
-            // It has no deadline; one that has waited goes first.
-            const bool is_urgent = now - ready.since > max_long_running_wait;
+            // It has no deadline; one that has waited goes first, and of these the one that waited longest.
+            const auto waited = now - ready.since;
+            const auto bonus =
+                long_running_bonus_ms + std::min(to_milliseconds(waited), long_running_bonus_ms);
             ranked.emplace_back(queue.priority * priority_weight_ms +
-                                    (is_urgent ? -long_running_bonus_ms : long_running_rank_ms),
+                                    (waited > max_long_running_wait ? -bonus : long_running_rank_ms),
                                 key);
             continue;
         }
@@ -132,7 +134,11 @@
     std::size_t usable = 0;
     std::size_t probations = 0;
     for (auto* worker : m_workers.get_all()) {
-        if (is_usable(*worker, now)) {
+        const auto obstacle = find_unusable(*worker, now);
+        if (obstacle == placement_obstacle::set_aside && !worker->trust.is_refusing(now)) {
+            pass.set_aside[worker->report.pool].push_back(worker);
+        }
+        if (obstacle == placement_obstacle::none) {
             pass.usable[worker->report.pool].push_back(worker);
             ++usable;
             // Only usable workers count, since workers that do not answer are lost anyway.
@@ -326,17 +332,34 @@
     return placement_obstacle::none;
 }
 
+/// A worker that is set aside may fail or slow the task, which is still better for a task that must not stand
+/// still than to wait for up to 8 s while no other worker has room.
+bool dispatcher::may_use_set_aside(const worker_state& worker, const placement_request& request,
+                                   time_point now) {
+    return request.spec->long_running && request.is_overdue && !worker.trust.is_refusing(now);
+}
+
 worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready,
                                  const placement_request& request) {
+    auto* best = choose_among(pass.usable, ready, request, pass.now);
+    if (best == nullptr && request.spec->long_running && request.is_overdue) {
+        best = choose_among(pass.set_aside, ready, request, pass.now);
+    }
+    return best;
+}
+
+worker_state* dispatcher::choose_among(const std::map<std::string, std::vector<worker_state*>>& workers,
+                                       const ready_step& ready, const placement_request& request,
+                                       time_point now) const {
     worker_state* best = nullptr;
     double best_cost = 0;
-    const auto usable = pass.usable.find(ready.job->queue.pool);
-    if (usable == pass.usable.end()) {
+    const auto found = workers.find(ready.job->queue.pool);
+    if (found == workers.end()) {
         return best;
     }
-    for (auto* worker : usable->second) {
+    for (auto* worker : found->second) {
         if (worker->report.incarnation == request.excluded ||
-            find_policy_obstacle(*worker, ready, request, pass.now) != placement_obstacle::none) {
+            find_policy_obstacle(*worker, ready, request, now) != placement_obstacle::none) {
             continue;
         }
         const auto cost = get_placement_cost(*worker, request);
@@ -388,7 +411,8 @@
             }
             const run_key member{{key, index}, run};
             add_track(member, ready.job, chosen->report.incarnation, run_stage::committing,
-                      request.get_run_isolation(), pass.now);
+                      request.get_run_isolation(), pass.now)
+                .idle_since = ready.since;
             placed.emplace_back(member, chosen);
         }
         if (placed.size() == spec.count) {
@@ -420,7 +444,8 @@
     if (ready.job->steps[key.step.step].is_serving() && worker.serving_runs == 0) {
         m_non_serving_millicores -= worker.report.capacity.millicores;
     }
-    add_track(run, ready.job, worker.report.incarnation, run_stage::committing, isolation, now);
+    add_track(run, ready.job, worker.report.incarnation, run_stage::committing, isolation, now).idle_since =
+        ready.since;
     propose_assignment(run, worker);
 }
 
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -25,6 +25,7 @@
     track.job = std::move(job);
     track.assigned_to = worker;
     track.stage = stage;
+    track.idle_since = now; // an adopted run may have existed until now
     track.assigned_at = now;
     track.isolation = isolation;
     auto& state = get_or_add_worker(worker, now);
@@ -152,8 +153,7 @@
         return;
     }
     if (worker.is_silent()) {
-        return; // a start renews the lease of all runs there, so the silent worker's runs could never be
-                // given up
+        return;
     }
     std::string ticket;
     if (track.job->queue.advice.has_value()) {
@@ -163,16 +163,18 @@
             return;
         }
     }
+    const auto lease_end_ms = get_lease_for_start(worker, now);
+    if (!lease_end_ms.has_value()) {
+        return;
+    }
     const auto* task = m_job_state.find_task(track.key.task);
     start_order order;
     order.ticket = ticket;
     order.target = make_target(worker, m_settings.order_timeout);
     order.run = track.key;
     order.job = track.job;
-    order.lease_end_ms =
-        worker.estimate_clock(now, m_settings.clock_drift) + to_milliseconds(m_settings.lease);
+    order.lease_end_ms = *lease_end_ms;
     order.checkpoint = task == nullptr ? std::string{} : task->checkpoint;
-    grant_lease(worker, now);
     track.is_order_pending = true;
     track.start_sent = now;
     track.start_fence = worker.fence;
@@ -296,6 +298,8 @@
         return;
     case order_failure::no_capacity:
         ++m_counts.refused_room;
+        worker.trust.on_refusal(now);
+        log_set_aside(worker, "no_room", now);
         break;
     case order_failure::no_ticket:
         ++m_counts.refused_other;
@@ -306,15 +310,13 @@
     case order_failure::unhealthy:
         ++m_counts.refused_other;
         worker.trust.on_refusal(now);
+        log_set_aside(worker, "unhealthy", now);
         break;
     default:
         ++m_counts.refused_other;
         break;
     }
     schedule_hold(worker, now); // the worker's list shows which runs it has
-    if (failure == order_failure::no_capacity) {
-        worker.trust.on_refusal(now);
-    }
     return_to_queue(track, now);
 }
 
