Lose workers and leaders at more moments in the tests of long waits

Now the moment at which the next worker or the leader is lost moves over the whole lease. The properties now submit long-running jobs between disruptions, too.

--- a/unit_tests/dispatch/long_running_property_test.cpp
+++ b/unit_tests/dispatch/long_running_property_test.cpp
@@ -79,29 +79,34 @@
     return settings;
 }
 
+step_spec draw_long_running_step(std::mt19937_64& random) {
+    const std::array<std::int64_t, 5> millicores = {1000, 2000, 4000, 6000, 8000};
+    auto step = make_step(static_cast<std::uint32_t>(1 + random() % 6));
+    step.long_running = true;
+    step.millicores = millicores.at(random() % millicores.size());
+    step.memory_mb = 500 * static_cast<std::int64_t>(1 + random() % 16);
+    step.max_per_worker = static_cast<std::uint32_t>(random() % 3);
+    if (random() % 4 == 0) {
+        step.required_label = "fast";
+    }
+    if (random() % 6 == 0) {
+        step.accelerators = 1;
+    }
+    if (random() % 3 == 0) {
+        step.image = "image";
+        step.target_ms = 200;
+    }
+    return step;
+}
+
 /// Submits long-running jobs of random sizes until they use the share of the processor time that they may.
 void submit_long_running_jobs(long_running_world& world, const long_running_world_settings& settings,
                               std::uint32_t seed) {
     std::mt19937_64 random(seed);
-    const std::array<std::int64_t, 5> millicores = {1000, 2000, 4000, 6000, 8000};
     auto left = static_cast<std::int64_t>(long_running_share * settings.workers *
                                           static_cast<double>(settings.capacity.millicores));
     while (left > 0) {
-        auto step = make_step(static_cast<std::uint32_t>(1 + random() % 6));
-        step.long_running = true;
-        step.millicores = millicores.at(random() % millicores.size());
-        step.memory_mb = 500 * static_cast<std::int64_t>(1 + random() % 16);
-        step.max_per_worker = static_cast<std::uint32_t>(random() % 3);
-        if (random() % 4 == 0) {
-            step.required_label = "fast";
-        }
-        if (random() % 6 == 0) {
-            step.accelerators = 1;
-        }
-        if (random() % 3 == 0) {
-            step.image = "image";
-            step.target_ms = 200;
-        }
+        const auto step = draw_long_running_step(random);
         left -= step.millicores * step.count;
         world.submit(step);
     }
@@ -112,11 +117,15 @@
     long_running_world world(settings, drawn.seed);
     submit_long_running_jobs(world, settings, drawn.seed);
     world.run(placing_time);
+    std::mt19937_64 random(drawn.seed + 1);
     for (const auto& series : all_series) {
         duration longest{0};
         for (const auto& item : series) {
             world.run(item.delay);
             world.disrupt(item);
+            if (random() % 3 == 0) {
+                world.submit(draw_long_running_step(random));
+            }
             longest = std::max(longest, item.length);
         }
         world.run(longest + calm_time);
--- a/unit_tests/dispatch/long_running_wait_test.cpp
+++ b/unit_tests/dispatch/long_running_wait_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <string>
 #include <vector>
 
 namespace poplarpitch {
@@ -47,32 +48,78 @@
     return workers;
 }
 
-TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_workers_are_lost_without_a_reset) {
-    long_running_world world({}, seed);
-    const auto job = world.submit(make_long_running(8, 2000, 1));
+/// Loses the workers of four long-running tasks, and a leader `leader_loss` later for `outage`.
+void lose_workers_and_leader(const long_running_world_settings& settings, duration leader_loss,
+                             duration outage) {
+    SCOPED_TRACE("leader lost " + std::to_string(to_milliseconds(leader_loss)) + " ms after the workers");
+    long_running_world world(settings, seed);
+    const auto job = world.submit(make_long_running(4, 2000, 1));
     world.run(placing_time);
-    world.disrupt(make(disruption_kind::loss), world.find_hosts(job));
+    world.disrupt(make(disruption_kind::loss_with_reset), world.find_hosts(job));
+    world.run(leader_loss);
+    world.disrupt(make(disruption_kind::leader_change, outage), {});
     expect_no_stall(world);
 }
 
-TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_the_leader_is_lost_with_workers) {
-    long_running_world world({}, seed);
-    const auto job = world.submit(make_long_running(4, 2000, 1));
+/// Loses the worker of a long-running task, and `moment` later in the way of `kind` the worker that is chosen
+/// for its next run.
+void lose_next_worker(disruption_kind kind, duration moment) {
+    SCOPED_TRACE("next worker lost after " + std::to_string(to_milliseconds(moment)) + " ms");
+    long_running_world_settings settings;
+    settings.workers = 4;
+    settings.fill = 0;
+    long_running_world world(settings, seed);
+    const auto job = world.submit(make_long_running(1, 2000));
     world.run(placing_time);
-    world.disrupt(make(disruption_kind::loss_with_reset), world.find_hosts(job));
-    world.disrupt(make(disruption_kind::leader_change), {});
+    const auto hosts = world.find_hosts(job);
+    ASSERT_EQ(hosts.size(), 1U);
+    world.disrupt(make(disruption_kind::loss_with_reset), hosts);
+    world.run(moment);
+    world.disrupt(make(kind), {find_other_workers(hosts.front(), 4).front()}); // the first one is chosen
     expect_no_stall(world);
 }
 
+TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_workers_are_lost_without_a_reset) {
+    for (duration moment{0}; moment < seconds{1}; moment += milliseconds{130}) {
+        SCOPED_TRACE("lost " + std::to_string(to_milliseconds(moment)) + " ms later");
+        long_running_world world({}, seed);
+        const auto job = world.submit(make_long_running(8, 2000, 1));
+        world.run(placing_time + moment);
+        world.disrupt(make(disruption_kind::loss), world.find_hosts(job));
+        expect_no_stall(world);
+    }
+}
+
+TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_the_leader_is_lost_with_workers) {
+    lose_workers_and_leader({}, duration{0}, duration{0});
+}
+
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_a_new_leader_starts_after_the_loss) {
     long_running_world_settings settings;
     settings.reports_start_times = false; // such a worker's adopted runs wait for the shorter lease
-    long_running_world world(settings, seed);
-    const auto job = world.submit(make_long_running(4, 2000, 1));
-    world.run(placing_time);
-    world.disrupt(make(disruption_kind::loss_with_reset), world.find_hosts(job));
-    world.disrupt(make(disruption_kind::leader_change, seconds{3}), {});
-    expect_no_stall(world);
+    lose_workers_and_leader(settings, duration{0}, seconds{3});
+}
+
+TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_the_leader_is_lost_while_it_waits) {
+    for (duration moment = seconds{1}; moment < seconds{7}; moment += milliseconds{700}) {
+        lose_workers_and_leader({}, moment, duration{0});
+    }
+}
+
+TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_leaders_are_lost_one_after_the_other) {
+    for (const bool reports_start_times : {false, true}) {
+        long_running_world_settings settings;
+        settings.reports_start_times = reports_start_times;
+        long_running_world world(settings, seed);
+        const auto job = world.submit(make_long_running(4, 2000, 1));
+        world.run(placing_time);
+        world.disrupt(make(disruption_kind::loss_with_reset), world.find_hosts(job));
+        for (int number = 0; number < 3; ++number) {
+            world.run(seconds{5});
+            world.disrupt(make(disruption_kind::leader_change, milliseconds{500}), {});
+        }
+        expect_no_stall(world);
+    }
 }
 
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_its_worker_leaves_without_a_leader) {
@@ -85,61 +132,47 @@
 }
 
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_workers_without_runs_are_lost_too) {
-    long_running_world_settings settings;
-    settings.workers = 6;
-    settings.fill = 0;
-    long_running_world world(settings, seed);
-    const auto job = world.submit(make_long_running(1, 2000));
-    world.run(placing_time);
-    const auto hosts = world.find_hosts(job);
-    ASSERT_EQ(hosts.size(), 1U);
-    auto idle = find_other_workers(hosts.front(), 6);
-    idle.resize(3); // two others stay
-    world.disrupt(make(disruption_kind::loss_with_reset), hosts);
-    world.disrupt(make(disruption_kind::loss), idle);
-    expect_no_stall(world);
+    for (const auto kind : {disruption_kind::loss, disruption_kind::loss_with_reset}) {
+        SCOPED_TRACE(get_disruption_name(kind));
+        long_running_world_settings settings;
+        settings.workers = 6;
+        settings.fill = 0;
+        long_running_world world(settings, seed);
+        const auto job = world.submit(make_long_running(1, 2000));
+        world.run(placing_time);
+        const auto hosts = world.find_hosts(job);
+        ASSERT_EQ(hosts.size(), 1U);
+        auto idle = find_other_workers(hosts.front(), 6);
+        idle.resize(3); // two others stay
+        world.disrupt(make(disruption_kind::loss_with_reset), hosts);
+        world.disrupt(make(kind), idle);
+        expect_no_stall(world);
+    }
 }
 
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_its_start_finds_no_connection) {
-    long_running_world_settings settings;
-    settings.workers = 4;
-    settings.fill = 0;
-    long_running_world world(settings, seed);
-    const auto job = world.submit(make_long_running(1, 2000));
-    world.run(placing_time);
-    const auto hosts = world.find_hosts(job);
-    ASSERT_EQ(hosts.size(), 1U);
-    world.disrupt(make(disruption_kind::loss_with_reset), hosts);
-    world.run(lease_time);
-    const auto others = find_other_workers(hosts.front(), 4);
-    world.disrupt(make(disruption_kind::loss_with_reset), {others.front()}); // the first one is chosen
-    expect_no_stall(world);
+    for (duration moment = seconds{5}; moment < seconds{9}; moment += milliseconds{100}) {
+        lose_next_worker(disruption_kind::loss_with_reset, moment);
+    }
 }
 
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_its_start_goes_to_a_worker_just_lost) {
-    long_running_world_settings settings;
-    settings.workers = 4;
-    settings.fill = 0;
-    long_running_world world(settings, seed);
-    const auto job = world.submit(make_long_running(1, 2000));
-    world.run(placing_time);
-    const auto hosts = world.find_hosts(job);
-    ASSERT_EQ(hosts.size(), 1U);
-    world.disrupt(make(disruption_kind::loss_with_reset), hosts);
-    world.run(lease_time);
-    const auto others = find_other_workers(hosts.front(), 4);
-    world.disrupt(make(disruption_kind::loss), {others.front()}); // the first one is chosen
-    expect_no_stall(world);
+    for (duration moment = seconds{5}; moment < seconds{9}; moment += milliseconds{100}) {
+        lose_next_worker(disruption_kind::loss, moment);
+    }
 }
 
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_holds_to_a_lost_worker_are_not_sent) {
-    long_running_world world({}, seed);
-    const auto job = world.submit(make_long_running(4, 2000, 1));
-    world.run(placing_time);
-    const auto hosts = world.find_hosts(job);
-    world.disrupt(make(disruption_kind::unsent_orders, seconds{6}), hosts);
-    world.disrupt(make(disruption_kind::loss), hosts);
-    expect_no_stall(world);
+    for (const auto length : {seconds{3}, seconds{6}, seconds{12}}) {
+        SCOPED_TRACE("not sent for " + std::to_string(to_milliseconds(length)) + " ms");
+        long_running_world world({}, seed);
+        const auto job = world.submit(make_long_running(4, 2000, 1));
+        world.run(placing_time);
+        const auto hosts = world.find_hosts(job);
+        world.disrupt(make(disruption_kind::unsent_orders, length), hosts);
+        world.disrupt(make(disruption_kind::loss), hosts);
+        expect_no_stall(world);
+    }
 }
 
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_only_workers_set_aside_have_room) {
