Let no step of the simulated time meet a time of the dispatcher, and test that case alone

In steps of 10 ms every lease ended at a step, and get_next_check then looks at the worker 500 ms later: waits came out up to 0.5 s longer than with real clocks.

--- a/unit_tests/dispatch/long_running_wait_test.cpp
+++ b/unit_tests/dispatch/long_running_wait_test.cpp
@@ -1,5 +1,6 @@
 // Ways in which a long-running task may stand still for too long, one test each. The bound is always that of
 // the rule: 6 s and 3 s after the last run, with 7 s without a disruption.
+#include "unit_tests/dispatch/dispatch_world.h"
 #include "unit_tests/dispatch/long_running_world.h"
 #include "unit_tests/dispatch/test_steps.h"
 
@@ -211,6 +212,20 @@
     expect_no_stall(world);
 }
 
+TEST(dispatcher_long_running, ends_at_the_end_of_the_lease_where_a_check_falls_on_that_very_moment) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_long_running(1, 2000)});
+    const auto start = world.start_one();
+    for (int number = 0; number < silent_after_failures; ++number) {
+        world.wait_for_hold("w1");
+        world.fail_hold("w1");
+    }
+    world.advance(world.find_worker("w1")->lease_end - world.now);
+    world.advance(milliseconds{20});
+    EXPECT_EQ(world.scheduler.find_track(start.run), nullptr);
+}
+
 TEST(dispatcher_long_running, is_not_given_up_when_its_workers_start_again_three_times) {
     long_running_world world({}, seed);
     const auto job = world.submit(make_long_running(1, 2000));
--- a/unit_tests/dispatch/long_running_world.cpp
+++ b/unit_tests/dispatch/long_running_world.cpp
@@ -11,18 +11,21 @@
 namespace poplarpitch {
 namespace {
 
-constexpr duration tick = milliseconds{10};
+// No time of the dispatcher is a multiple of it, as with real clocks.
+constexpr duration tick = std::chrono::microseconds{9973};
 constexpr duration heartbeat_interval = milliseconds{1100};
-constexpr duration short_tasks_interval = milliseconds{50}; // between two looks at the load of short tasks
-constexpr duration first_answer_delay = milliseconds{150};  // of a slow answer
-constexpr duration last_answer_delay = milliseconds{1300};  // some come after the order's timeout
-constexpr duration min_order_delay = seconds{2}; // of a late order, longer than any order's timeout
+constexpr std::uint64_t short_tasks_steps = 5;             // between two looks at the load of short tasks
+constexpr duration first_answer_delay = milliseconds{150}; // of a slow answer
+constexpr duration last_answer_delay = milliseconds{1300}; // some come after the order's timeout
+constexpr duration min_order_delay = seconds{2};           // of a late order, longer than any order's timeout
 constexpr duration max_order_delay = seconds{12};
 constexpr duration start_time = seconds{2}; // until all workers are known
 constexpr std::int64_t max_short_millicores = 4000;
 constexpr duration min_short_length = milliseconds{300};
 constexpr duration max_short_length = seconds{4};
 constexpr std::int64_t accelerators = 4; // of every fourth worker
+constexpr time_point first_time{seconds{1000}};
+constexpr std::int64_t first_wall_ms = 1'700'000'000'000;
 constexpr const char* pool = "mill";
 
 } // namespace
@@ -48,7 +51,7 @@
 };
 
 long_running_world::long_running_world(const long_running_world_settings& settings, std::uint64_t seed)
-    : m_settings(settings), m_random(seed) {
+    : m_settings(settings), m_random(seed), m_now(first_time), m_wall_ms(first_wall_ms) {
     configure();
     start_leading();
     for (int number = 0; number < settings.workers; ++number) {
@@ -156,7 +159,8 @@
 
 void long_running_world::step() {
     m_now += tick;
-    m_wall_ms += to_milliseconds(tick);
+    m_wall_ms = first_wall_ms + to_milliseconds(m_now - first_time);
+    ++m_steps;
     run_scheduled_calls();
     for (auto& target : m_machines) {
         if (target->process == nullptr) {
@@ -168,7 +172,7 @@
             send_heartbeat(*target);
         }
     }
-    if (m_now.time_since_epoch() % short_tasks_interval == duration{0}) {
+    if (m_steps % short_tasks_steps == 0) {
         submit_short_tasks();
     }
     tick_leader();
--- a/unit_tests/dispatch/long_running_world.h
+++ b/unit_tests/dispatch/long_running_world.h
@@ -128,8 +128,9 @@
     std::mt19937_64 m_random;
     job_state_machine m_job_state;
     std::unique_ptr<dispatcher> m_scheduler;
-    time_point m_now{seconds{1000}};
-    std::int64_t m_wall_ms = 1'700'000'000'000;
+    time_point m_now{};
+    std::int64_t m_wall_ms = 0;
+    std::uint64_t m_steps = 0;
     log_term m_term = 0;
     std::vector<job_wire::job_command> m_queued_commands;
     std::vector<job_wire::job_command> m_committing_commands;
