Draw pools that do not enforce their capacity, and test a first start without an answer

A worker may be lost before it answers the first start of a task. On the task then waits 12.94 s from its acceptance where 9 s are allowed; the lease of such a start counts with its greatest length (get_lease_end).

--- a/unit_tests/dispatch/long_running_property_test.cpp
+++ b/unit_tests/dispatch/long_running_property_test.cpp
@@ -32,10 +32,12 @@
     double fill = 0;
     bool reports_start_times = false;
     bool has_replacements = false;
+    bool enforces_capacity = true;
 
     friend std::ostream& operator<<(std::ostream& out, const drawn_world& item) {
         return out << "seed " << item.seed << ", fill " << item.fill << ", start times "
-                   << item.reports_start_times << ", replacements " << item.has_replacements;
+                   << item.reports_start_times << ", replacements " << item.has_replacements
+                   << ", enforces capacity " << item.enforces_capacity;
     }
 };
 
@@ -63,18 +65,21 @@
 
 rc::Gen<drawn_world> draw_world() {
     return rc::gen::apply(
-        [](std::uint32_t seed, std::size_t fill, bool reports_start_times, bool has_replacements) {
-            return drawn_world{seed, fills.at(fill), reports_start_times, has_replacements};
+        [](std::uint32_t seed, std::size_t fill, bool reports_start_times, bool has_replacements,
+           bool enforces_capacity) {
+            return drawn_world{seed, fills.at(fill), reports_start_times, has_replacements,
+                               enforces_capacity};
         },
         rc::gen::resize(100, rc::gen::inRange<std::uint32_t>(1, 100'000)),
         rc::gen::resize(100, rc::gen::inRange<std::size_t>(0, fills.size())), rc::gen::arbitrary<bool>(),
-        rc::gen::arbitrary<bool>());
+        rc::gen::arbitrary<bool>(), rc::gen::arbitrary<bool>());
 }
 
 long_running_world_settings make_settings(const drawn_world& drawn) {
     long_running_world_settings settings;
     settings.fill = drawn.fill;
     settings.reports_start_times = drawn.reports_start_times;
+    settings.enforces_capacity = drawn.enforces_capacity;
     settings.replacement_time = drawn.has_replacements ? duration{seconds{4}} : duration{0};
     return settings;
 }
--- a/unit_tests/dispatch/long_running_wait_test.cpp
+++ b/unit_tests/dispatch/long_running_wait_test.cpp
@@ -163,6 +163,23 @@
     }
 }
 
+TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_its_first_start_gets_no_answer) {
+    for (const bool reports_start_times : {false, true}) {
+        for (duration moment{0}; moment < seconds{2}; moment += milliseconds{400}) {
+            SCOPED_TRACE("submitted " + std::to_string(to_milliseconds(moment)) + " ms after the loss");
+            long_running_world_settings settings;
+            settings.workers = 4;
+            settings.fill = 0;
+            settings.reports_start_times = reports_start_times;
+            long_running_world world(settings, seed);
+            world.disrupt(make(disruption_kind::loss), {0}); // the first one is chosen
+            world.run(moment);
+            world.submit(make_long_running(1, 2000));
+            expect_no_stall(world);
+        }
+    }
+}
+
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_holds_to_a_lost_worker_are_not_sent) {
     for (const auto length : {seconds{3}, seconds{6}, seconds{12}}) {
         SCOPED_TRACE("not sent for " + std::to_string(to_milliseconds(length)) + " ms");
--- a/unit_tests/dispatch/long_running_world.cpp
+++ b/unit_tests/dispatch/long_running_world.cpp
@@ -77,7 +77,7 @@
 void long_running_world::configure() {
     job_configuration configuration;
     configuration.version = 1;
-    configuration.pools.push_back({pool, true, false, 64});
+    configuration.pools.push_back({pool, m_settings.enforces_capacity, false, 64});
     job_wire::job_command command;
     encode(configuration, *command.mutable_config());
     apply(command);
--- a/unit_tests/dispatch/long_running_world.h
+++ b/unit_tests/dispatch/long_running_world.h
@@ -25,6 +25,7 @@
     int workers = 20;
     worker_amounts capacity{16000, 64000, 0};
     bool reports_start_times = true; ///< else a worker that starts again does so under a new id
+    bool enforces_capacity = true;   ///< the leader relies on workers to refuse starts for want of room
     double fill = 0.5; ///< share of all processor time that tasks use or wait for, long-running ones included
     duration replacement_time{}; ///< after this a new worker takes the place of one that is gone; 0: never
     duration max_commit_time = milliseconds{30};
