--- a/unit_tests/dispatch/dispatcher_long_running_test.cpp
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -133,6 +133,42 @@
     expect_in_time(w1.wait_for_restart(run.run.task, limit));
 }
 
+TEST(dispatcher_long_running,
+     is_started_again_in_time_when_a_relay_reports_the_vanished_worker_to_a_new_leader) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto run = start_serving(world);
+    world.add_worker("w2");
+    world.add_worker("w3");
+    settle(world, run);
+    vanishing_worker w1(world, "w1");
+    elect_leader(world);
+    world.advance(milliseconds{600});
+    world.send_heartbeat("w1");
+    expect_in_time(w1.wait_for_restart(run.run.task, limit));
+}
+
+TEST(dispatcher_long_running, holds_no_lease_of_a_new_leader_before_its_worker_has_answered) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto run = start_serving(world);
+    settle(world, run);
+    elect_leader(world);
+    world.take<hold_order>();
+    world.send_heartbeat("w1");
+    world.wait_for_hold("w1");
+    const auto first = world.take<hold_order>();
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_FALSE(first[0].lease_end_ms.has_value()) << "a relay may report a worker that has vanished";
+    hold_answer list;
+    list.running.push_back({run.run, {}, 100, 10});
+    world.answer_hold("w1", list);
+    world.wait_for_hold("w1");
+    const auto second = world.take<hold_order>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_TRUE(second[0].lease_end_ms.has_value());
+}
+
 TEST(dispatcher_long_running, is_not_started_elsewhere_while_a_start_may_have_reached_a_restarted_worker) {
     dispatch_world world;
     add_worker_with_start_time(world, "w1");
@@ -147,6 +183,50 @@
     EXPECT_GT(*standstill, dispatch_settings{}.max_lease);
 }
 
+TEST(dispatcher_long_running, is_started_elsewhere_in_time_when_the_room_of_its_worker_is_no_longer_known) {
+    dispatch_world world;
+    world.configure_pool(false);
+    world.add_worker("w1");
+    world.add_worker("w2");
+    world.add_worker("w3");
+    const auto waits_since = world.now;
+    auto start = submit_serving(world);
+    const auto first = start.target.worker.id;
+    while (start.target.worker.id == first && world.now - waits_since < limit) {
+        world.answer(start, order_failure::unreachable);
+        std::vector<start_order> starts;
+        while (starts.empty() && world.now - waits_since < limit) {
+            world.advance(milliseconds{20});
+            for (const auto* id : {"w1", "w2", "w3"}) {
+                if (id != first) {
+                    world.send_heartbeat(id);
+                }
+                if (world.find_worker(id)->is_hold_pending) {
+                    world.answer_hold(id, dispatch_world::make_empty_list());
+                }
+            }
+            starts = world.take<start_order>();
+        }
+        start = starts.empty() ? start : starts[0];
+    }
+    EXPECT_NE(start.target.worker.id, first);
+    EXPECT_LE(to_milliseconds(world.now - waits_since), to_milliseconds(max_standstill));
+}
+
+TEST(dispatcher_long_running, gets_no_second_run_when_a_stopped_start_may_reach_the_next_incarnation) {
+    dispatch_world world;
+    add_worker_with_start_time(world, "w1");
+    const auto start = submit_serving(world);
+    world.cancel(start.run.task.step.job);
+    const auto stops = world.take<stop_order>();
+    ASSERT_EQ(stops.size(), 1U);
+    world.answer(stops[0], order_failure::unanswered);
+    world.restart_with_same_id("w1", 9000);
+    world.wait_for_hold("w1");
+    world.answer_hold("w1", dispatch_world::make_empty_list());
+    EXPECT_NE(world.scheduler.find_track(start.run), nullptr) << "its start may reach the next incarnation";
+}
+
 /// Fails runs of two jobs at a worker, so that it is set aside. `times` doubles the time.
 void set_aside(dispatch_world& world, const std::string& id, int times) {
     std::uint64_t number = 0;
