--- a/unit_tests/dispatch/long_running_wait_test.cpp
+++ b/unit_tests/dispatch/long_running_wait_test.cpp
@@ -216,17 +216,20 @@
 }
 
 TEST(dispatcher_long_running, waits_no_longer_than_allowed_when_workers_are_kept_for_short_tasks) {
-    long_running_world_settings settings;
-    settings.workers = 4;
-    settings.fill = 0.5;
-    long_running_world world(settings, seed);
-    auto step = make_long_running(1, 2000);
-    step.image = "image";
-    step.target_ms = 200;
-    const auto job = world.submit(step);
-    world.run(placing_time);
-    world.disrupt(make(disruption_kind::loss_with_reset), world.find_hosts(job));
-    expect_no_stall(world);
+    for (std::uint64_t world_seed = 1; world_seed <= 10; ++world_seed) {
+        SCOPED_TRACE("seed " + std::to_string(world_seed));
+        long_running_world_settings settings;
+        settings.workers = 4;
+        settings.fill = 0.5;
+        long_running_world world(settings, world_seed);
+        auto step = make_long_running(1, 2000);
+        step.image = "image";
+        step.target_ms = 200;
+        const auto job = world.submit(step);
+        world.run(placing_time);
+        world.disrupt(make(disruption_kind::loss_with_reset), world.find_hosts(job));
+        expect_no_stall(world);
+    }
 }
 
 TEST(dispatcher_long_running, ends_at_the_end_of_the_lease_where_a_check_falls_on_that_very_moment) {
