Let simulated workers be lost for good, and clusters of tests have several gateways

A worker that is lost silently drops every packet, on open connections and for new ones, as a machine without power does. Until now the workers of the cluster tests could only close their connections, so no test with real processes had a worker that never answers again.

The record keeps the times of all runs, and a cluster's folder may be in memory.

--- a/unit_tests/platform/run_record.cpp
+++ b/unit_tests/platform/run_record.cpp
@@ -1,9 +1,13 @@
 #include "unit_tests/platform/run_record.h"
 
+#include "poplarpitch/core/system_clock.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 
+#include <algorithm>
+
 namespace poplarpitch {
 
 void run_record::add_history_line(task_record& record, const std::string& what) {
@@ -25,6 +29,7 @@
     record.has_violation = record.has_violation || is_overlap || is_after_done;
     ++record.running;
     ++record.starts;
+    m_intervals.push_back({task, run, worker, system_clock().now(), std::nullopt});
     add_history_line(record, absl::StrCat("run ", run, " starts on ", worker,
                                           is_overlap ? " CONCURRENTLY WITH ANOTHER RUN" : "",
                                           is_after_done ? " AFTER AN ACKNOWLEDGED END" : ""));
@@ -44,6 +49,13 @@
     const absl::MutexLock lock(&m_mutex);
     auto& record = m_tasks[task];
     --record.running;
+    const auto interval =
+        std::find_if(m_intervals.rbegin(), m_intervals.rend(), [&](const run_interval& item) {
+            return !item.end.has_value() && item.task == task && item.run == run && item.worker == worker;
+        });
+    if (interval != m_intervals.rend()) {
+        interval->end = system_clock().now();
+    }
     if (outcome == "done") {
         ++record.done;
         record.done_ends[run] = {};
@@ -124,6 +136,11 @@
     return counts;
 }
 
+std::vector<run_interval> run_record::get_intervals() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_intervals;
+}
+
 std::string run_record::describe(const std::string& prefix) const {
     const absl::MutexLock lock(&m_mutex);
     std::string text;
--- a/unit_tests/platform/run_record.h
+++ b/unit_tests/platform/run_record.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "unit_tests/platform/run_interval.h"
+
 #include <absl/synchronization/mutex.h>
 
 #include <cstdint>
@@ -38,6 +40,8 @@
     [[nodiscard]] std::map<std::string, int> get_done_counts() const;
     /// Returns the number of starts, by task.
     [[nodiscard]] std::map<std::string, int> get_start_counts() const;
+    /// Returns all runs in the order of their starts.
+    [[nodiscard]] std::vector<run_interval> get_intervals() const;
     /// Returns the history of all tasks that violated a guarantee, and of those whose name starts with
     /// `prefix`.
     [[nodiscard]] std::string describe(const std::string& prefix = "none") const;
@@ -61,6 +65,7 @@
 
     mutable absl::Mutex m_mutex;
     std::map<std::string, task_record> m_tasks ABSL_GUARDED_BY(m_mutex);
+    std::vector<run_interval> m_intervals ABSL_GUARDED_BY(m_mutex);
     int m_concurrent_starts ABSL_GUARDED_BY(m_mutex) = 0;
     int m_starts_after_done ABSL_GUARDED_BY(m_mutex) = 0;
 };
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -24,10 +24,12 @@
 constexpr duration call_timeout = seconds{2};
 constexpr duration poll_interval = milliseconds{20};
 
-std::string make_folder() {
+std::string make_folder(const std::string& parent) {
     static std::atomic<int> next{0};
     const auto name = absl::StrCat("poplarpitch-scheduler-", ::getpid(), "-", next.fetch_add(1));
-    const auto folder = std::filesystem::temp_directory_path() / name;
+    const auto place =
+        parent.empty() ? std::filesystem::temp_directory_path() : std::filesystem::path(parent);
+    const auto folder = place / name;
     std::filesystem::create_directories(folder);
     return folder.string();
 }
@@ -56,17 +58,21 @@
 } // namespace
 
 scheduler_cluster::scheduler_cluster(int schedulers, std::string workers_settings,
-                                     std::vector<std::string> data_centres)
-    : m_folder(make_folder()), m_count(schedulers), m_workers_settings(std::move(workers_settings)),
-      m_data_centres(std::move(data_centres)), m_pool(http_client_settings{}) {
+                                     std::vector<std::string> data_centres, int gateways,
+                                     const std::string& parent_folder)
+    : m_folder(make_folder(parent_folder)), m_count(schedulers),
+      m_workers_settings(std::move(workers_settings)), m_data_centres(std::move(data_centres)),
+      m_pool(http_client_settings{}) {
     for (int number = 1; number <= schedulers; ++number) {
         start_scheduler(number, true);
     }
-    start_gateway();
+    for (int number = 1; number <= gateways; ++number) {
+        start_gateway(number);
+    }
 }
 
 scheduler_cluster::~scheduler_cluster() {
-    m_gateway.reset();
+    m_gateways.clear();
     m_schedulers.clear();
     if (testing::Test::HasFailure() || std::getenv("POPLARPITCH_KEEP_LOGS") != nullptr) {
         std::cerr << "logs are kept in " << m_folder << "\n";
@@ -80,6 +86,10 @@
     return absl::StrCat("127.0.0.", 10 + number);
 }
 
+std::string scheduler_cluster::get_gateway_host(int number) {
+    return absl::StrCat("127.0.0.", number);
+}
+
 std::string scheduler_cluster::get_data_centre(int number) const {
     return m_data_centres.empty() ? "default" : m_data_centres.at(static_cast<std::size_t>(number) - 1);
 }
@@ -112,23 +122,30 @@
         absl::StrCat(m_folder, "/", name, ".log"));
 }
 
-void scheduler_cluster::start_gateway() {
-    const auto file = absl::StrCat(m_folder, "/gateway.ini");
-    std::ofstream(file) << "[instance]\nid = gateway\nlink_port = " << m_link_port.get_port()
+void scheduler_cluster::start_gateway(int number) {
+    const auto name = number == 1 ? std::string("gateway") : absl::StrCat("gateway-", number);
+    const auto host = get_gateway_host(number);
+    const auto file = absl::StrCat(m_folder, "/", name, ".ini");
+    std::ofstream(file) << "[instance]\nid = " << name << "\nlink_port = " << m_link_port.get_port()
                         << "\nseeds = " << absl::StrJoin(get_control_addresses(), ",")
-                        << "\n[entry]\nlisten = 127.0.0.1:" << m_caller_port.get_port()
-                        << "\nready = 127.0.0.1:" << m_readiness_port.get_port() << "\ndrain_wait = 100ms\n";
-    m_gateway = std::make_unique<child_process>(
+                        << "\n[entry]\nlisten = " << host << ":" << m_caller_port.get_port()
+                        << "\nready = " << host << ":" << m_readiness_port.get_port()
+                        << "\ndrain_wait = 100ms\n";
+    m_gateways[number] = std::make_unique<child_process>(
         std::vector<std::string>{get_program("poplarpitch-gateway"), "--settings", file},
-        absl::StrCat(m_folder, "/gateway.log"));
+        absl::StrCat(m_folder, "/", name, ".log"));
 }
 
 void scheduler_cluster::crash_all() {
     for (const auto& [number, process] : m_schedulers) {
         process->send(SIGKILL);
     }
-    m_gateway->send(SIGKILL);
-    m_gateway->kill();
+    for (const auto& [number, process] : m_gateways) {
+        process->send(SIGKILL);
+    }
+    for (const auto& [number, process] : m_gateways) {
+        process->kill();
+    }
     for (const auto& [number, process] : m_schedulers) {
         process->kill();
         m_log_sizes_at_crash[number] = process->read_log().size();
@@ -195,8 +212,8 @@
 
 std::optional<http_response> scheduler_cluster::send_caller_request(const std::string& method,
                                                                     const std::string& path,
-                                                                    const std::string& body) {
-    return send(absl::StrCat("127.0.0.1:", m_caller_port.get_port()), method, path, body);
+                                                                    const std::string& body, int gateway) {
+    return send(absl::StrCat(get_gateway_host(gateway), ":", m_caller_port.get_port()), method, path, body);
 }
 
 void scheduler_cluster::put_config(std::uint64_t version, int max_attempts) {
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -16,15 +16,20 @@
 
 namespace poplarpitch {
 
-/// Schedulers and a gateway as real processes on loopback. Each scheduler has its own address, from
-/// 127.0.0.11 on, since control instances find each other by address and use the same port numbers.
+/// Schedulers and gateways as real processes on loopback. Each scheduler has its own address, from 127.0.0.11
+/// on, since control instances find each other by address and use the same port numbers. Each gateway has its
+/// own address as well, from 127.0.0.1 on. Gateways are numbered from 1. Thread safety: any thread, for
+/// `send_caller_request`; none, for the other methods.
 class scheduler_cluster {
 public:
     /// Starts all processes. `workers_settings` is appended to the section [workers] of the schedulers'
     /// settings. The lease is 2 s unless `workers_settings` starts with another one. Precondition:
-    /// `data_centres` is empty or has one entry for each scheduler.
+    /// `data_centres` is empty or has one entry for each scheduler, and there are at most 10 gateways.
+    /// `parent_folder` is the folder in which that of the cluster is created; empty for the one of temporary
+    /// files.
     explicit scheduler_cluster(int schedulers, std::string workers_settings = {},
-                               std::vector<std::string> data_centres = {});
+                               std::vector<std::string> data_centres = {}, int gateways = 1,
+                               const std::string& parent_folder = {});
     ~scheduler_cluster();
     scheduler_cluster(const scheduler_cluster&) = delete;
     scheduler_cluster& operator=(const scheduler_cluster&) = delete;
@@ -32,19 +37,19 @@
     /// Starts a scheduler that does not run. `may_found` allows it to found a new cluster and is true at the
     /// first start only.
     void start_scheduler(int number, bool may_found = false);
-    /// Starts the gateway.
-    void start_gateway();
+    /// Starts a gateway that does not run.
+    void start_gateway(int number = 1);
     /// Deletes a scheduler's data folder. Precondition: the scheduler does not run.
     void delete_data(int number) const;
-    /// Kills all schedulers and the gateway at the same moment. Their data folders stay.
+    /// Kills all schedulers and gateways at the same moment. Their data folders stay.
     void crash_all();
     /// Returns true when all schedulers vote again after the last crash of all, and those in `wiped`, whose
     /// data was deleted meanwhile, have been promoted to voters.
     [[nodiscard]] bool have_rejoined(const std::vector<int>& wiped) const;
     /// Returns the process of a scheduler, which may have ended. Precondition: it was started once.
     [[nodiscard]] child_process& get_scheduler(int number) { return *m_schedulers.at(number); }
-    /// Returns the gateway's process, which may have ended.
-    [[nodiscard]] child_process& get_gateway() { return *m_gateway; }
+    /// Returns the process of a gateway, which may have ended. Precondition: it was started once.
+    [[nodiscard]] child_process& get_gateway(int number = 1) { return *m_gateways.at(number); }
     /// Returns the folder of the settings, logs and data. The destructor removes it unless a test failed or
     /// POPLARPITCH_KEEP_LOGS is set.
     [[nodiscard]] const std::string& get_folder() const { return m_folder; }
@@ -55,9 +60,9 @@
     /// answer arrives.
     std::optional<http_response> send_control_request(int number, const std::string& method,
                                                       const std::string& path, const std::string& body = {});
-    /// Sends a caller's request through the gateway. Returns nothing when no answer arrives.
+    /// Sends a caller's request through a gateway. Returns nothing when no answer arrives.
     std::optional<http_response> send_caller_request(const std::string& method, const std::string& path,
-                                                     const std::string& body = {});
+                                                     const std::string& body = {}, int gateway = 1);
     /// Sends a configuration with one queue at `/jobs/` until it is acknowledged, and fails the test when it
     /// is not.
     void put_config(std::uint64_t version, int max_attempts = 3);
@@ -75,6 +80,7 @@
 
 private:
     [[nodiscard]] static std::string get_host(int number);
+    [[nodiscard]] static std::string get_gateway_host(int number);
     [[nodiscard]] std::string get_data_centre(int number) const;
     /// Returns true when the log of a scheduler, since the last crash of all, has `log_text` for the
     /// scheduler at `host` (for any when empty) and, on that line or later, that all schedulers vote.
@@ -94,7 +100,7 @@
     port_reservation m_caller_port;
     port_reservation m_readiness_port;
     std::map<int, std::unique_ptr<child_process>> m_schedulers;
-    std::unique_ptr<child_process> m_gateway;
+    std::map<int, std::unique_ptr<child_process>> m_gateways;
     http_client_pool m_pool;
 };
 
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -5,6 +5,7 @@
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_caller.h"
 #include "poplarpitch/net/http_listener.h"
+#include "unit_tests/platform/silent_port.h"
 #include "unit_tests/support/port_reservation.h"
 
 #include <absl/strings/str_cat.h>
@@ -319,19 +320,34 @@
         if (!worker.is_up || worker.incarnation != incarnation) {
             return;
         }
+        end_incarnation(worker, "crashed");
+        worker.listener.reset();
+        loop.call_after(downtime, [this, &worker] { restart(worker); });
+    }
+
+    void end_incarnation(simulated_worker& worker, const char* outcome) {
         worker.is_up = false;
         expire_lease_if_due(worker);
         while (!worker.running.empty()) {
-            remove_run(worker, std::string(worker.running.begin()->first), "crashed");
+            remove_run(worker, std::string(worker.running.begin()->first), outcome);
         }
         for (const auto& [respond, timer] : worker.holds) {
             loop.cancel(timer);
         }
         worker.holds.clear();
         worker.ended.clear();
-        worker.listener.reset();
         loop.cancel(worker.lease_timer);
-        loop.call_after(downtime, [this, &worker] { restart(worker); });
+    }
+
+    /// Ends a worker that is up, for good.
+    void lose(simulated_worker& worker, worker_loss loss) {
+        if (loss == worker_loss::silent) {
+            silence_port(worker.port.get_port());
+        }
+        end_incarnation(worker, "lost");
+        if (loss == worker_loss::reset) {
+            worker.listener.reset();
+        }
     }
 
     void expire_lease_if_due(simulated_worker& worker) {
@@ -645,6 +661,12 @@
     }
 }
 
+void stand_in_workers::lose(const std::vector<int>& numbers, worker_loss loss) {
+    for (const auto number : numbers) {
+        m_impl->post_to_worker(number, [this, loss](auto& worker) { m_impl->lose(worker, loss); });
+    }
+}
+
 void stand_in_workers::drain(int number, duration notice, duration downtime) {
     m_impl->post_to_worker(number, [this, notice, downtime](auto& worker) {
         auto& self = *m_impl;
--- a/unit_tests/platform/stand_in_workers.h
+++ b/unit_tests/platform/stand_in_workers.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/time.h"
 #include "unit_tests/platform/run_record.h"
 #include "unit_tests/platform/worker_behaviour.h"
+#include "unit_tests/platform/worker_loss.h"
 
 #include <map>
 #include <memory>
@@ -41,6 +42,9 @@
 
     /// Crashes these workers at the same moment and restarts them after `downtime`. Numbers count from 0.
     void crash(const std::vector<int>& numbers, duration downtime);
+    /// Ends these workers with all their runs at the same moment, for good. `loss` is what their peers
+    /// notice. Precondition for a silent loss: the workers' behaviour has no late answers.
+    void lose(const std::vector<int>& numbers, worker_loss loss);
     /// Makes a worker report that it is draining. At a random moment within `notice` it stops accepting
     /// calls, while its runs continue. After `notice` it deregisters and ends with all its runs. Its next
     /// incarnation starts after `downtime`.
