Add tests of how long tasks stand still when their worker and the leader are lost

A worker that runs long-running tasks is lost for good, without or with a reset, alone or in the moment in which the leader is killed; with workers that tell the start times of their processes and with others. Guards against waits that add up beyond the rule on LOST: 6 s after the last run and 3 s with room.

Power is also lost up to 30 ms after an answer, so that it meets assignments and starts under way.

--- a/unit_tests/platform/lost_power_cluster_test.cpp
+++ b/unit_tests/platform/lost_power_cluster_test.cpp
@@ -209,7 +209,7 @@
     }
 
     void lose_power_at_moment() {
-        m_answer_delay = absl::Microseconds(pick(0, 1) == 0 ? 0 : pick(0, 3000));
+        m_answer_delay = absl::Microseconds(pick(0, 1) == 0 ? 0 : pick(0, 30000));
         const auto request_delay = absl::Microseconds(pick(0, 8000));
         m_is_armed = get_moment().what.has_value();
         constexpr auto moment_limit = absl::Seconds(2);
@@ -502,5 +502,135 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, lost_power_cluster, testing::ValuesIn(get_seeds({1, 2, 3})));
 
+/// The parameter is the seed.
+class lost_worker_cluster : public testing::TestWithParam<std::uint64_t> {
+public:
+    ~lost_worker_cluster() override { write_files(m_cluster, *m_workers, m_timeline); }
+
+protected:
+    static constexpr int task_count = 18;
+    static constexpr duration observation = seconds{15}; // after the loss
+
+    [[nodiscard]] std::vector<run_interval> get_active_runs() const {
+        auto runs = m_workers->get_record().get_intervals();
+        std::erase_if(runs, [](const run_interval& run) { return run.end.has_value(); });
+        return runs;
+    }
+
+    void start_load(bool reports_start_times) {
+        m_workers = std::make_unique<stand_in_workers>(worker_count, m_cluster.get_control_addresses(),
+                                                       make_behaviour(GetParam(), reports_start_times));
+        m_cluster.put_config(1, max_attempts);
+        ASSERT_TRUE(wait_until(formation_limit, [this] { return m_cluster.have_rejoined({}); }));
+        ASSERT_TRUE(m_cluster.submit_long_running(m_job, task_count, formation_limit,
+                                                  stand_in_workers::long_running_payload));
+        ASSERT_TRUE(wait_until(formation_limit, [this] { return get_active_runs().size() == task_count; }));
+        // The moment within the second between two extensions of a lease is random.
+        absl::SleepFor(absl::Milliseconds(1000 + static_cast<int>(m_random() % 1000)));
+    }
+
+    /// Loses a random worker that runs tasks.
+    void lose_worker(worker_loss loss) {
+        const auto active = get_active_runs();
+        const int worker = get_worker_index(active[m_random() % active.size()]);
+        for (const auto& run : active) {
+            if (get_worker_index(run) == worker) {
+                m_lost_tasks.push_back(run.task);
+            }
+        }
+        m_lost_at = system_clock().now();
+        m_workers->lose({worker}, loss);
+        m_calm_since = m_lost_at;
+        m_timeline.add(absl::StrCat("worker ", worker + 1, " is lost"));
+    }
+
+    /// Loses a random worker that runs tasks, and kills the leader, which restarts soon.
+    void lose_worker_and_leader(worker_loss loss) {
+        const int leader = m_cluster.find_leader();
+        ASSERT_NE(leader, 0);
+        lose_worker(loss);
+        m_cluster.get_scheduler(leader).kill();
+        m_timeline.add(absl::StrCat("scheduler ", leader, " is killed"));
+        absl::SleepFor(absl::Milliseconds(300));
+        m_cluster.start_scheduler(leader);
+        m_calm_since = system_clock().now();
+        m_timeline.add(absl::StrCat("scheduler ", leader, " starts"));
+    }
+
+    void expect_short_waits() {
+        const auto do_lost_tasks_run = [this] {
+            const auto active = get_active_runs();
+            return std::all_of(m_lost_tasks.begin(), m_lost_tasks.end(), [&](const std::string& task) {
+                return std::any_of(active.begin(), active.end(), [&](const run_interval& run) {
+                    return run.task == task && run.start > m_lost_at;
+                });
+            });
+        };
+        wait_until(observation, do_lost_tasks_run);
+        const int slots = (worker_count - 1) * worker_slots;
+        const wait_check check(m_workers->get_record().get_intervals(), slots, m_calm_since,
+                               system_clock().now());
+        std::string gaps;
+        for (const auto& task : m_lost_tasks) {
+            const auto gap = check.get_gap_after(task, m_lost_at);
+            absl::StrAppend(&gaps, " ", to_milliseconds(gap));
+            const auto wait = check.get_longest_wait(task, m_lost_at);
+            EXPECT_LE(wait, wait_check::max_wait)
+                << task << " did not run for " << to_milliseconds(gap) << " ms; the rule allows 9000 ms";
+        }
+        m_timeline.add("tasks of the lost worker did not run for ms:" + gaps);
+        std::cout << "seed " << GetParam() << ": tasks of the lost worker did not run for ms:" << gaps
+                  << "\n";
+        EXPECT_EQ(get_active_runs().size(), task_count);
+        EXPECT_EQ(m_workers->get_concurrent_start_count(), 0);
+    }
+
+    /// A worker that runs long-running tasks is lost for good in the moment in which the leader is killed.
+    void expect_restarts_in_time(bool reports_start_times, worker_loss loss) {
+        ASSERT_NO_FATAL_FAILURE(start_load(reports_start_times));
+        ASSERT_NO_FATAL_FAILURE(lose_worker_and_leader(loss));
+        expect_short_waits();
+    }
+
+    const std::string m_job = "0000000000002f00";
+    std::mt19937_64 m_random{GetParam()};
+    timeline m_timeline;
+    std::vector<std::string> m_lost_tasks;
+    time_point m_lost_at{};
+    time_point m_calm_since{};
+    scheduler_cluster m_cluster{instance_count, deployed_leases, data_centres, 2, get_memory_folder()};
+    std::unique_ptr<stand_in_workers> m_workers;
+};
+
+TEST_P(lost_worker_cluster, restarts_its_tasks_in_time_without_start_times_when_the_leader_stays) {
+    ASSERT_NO_FATAL_FAILURE(start_load(false));
+    lose_worker(worker_loss::silent);
+    expect_short_waits();
+}
+
+TEST_P(lost_worker_cluster, restarts_its_tasks_in_time_with_start_times_when_the_leader_stays) {
+    ASSERT_NO_FATAL_FAILURE(start_load(true));
+    lose_worker(worker_loss::silent);
+    expect_short_waits();
+}
+
+TEST_P(lost_worker_cluster, restarts_its_tasks_in_time_without_start_times_after_a_silent_loss) {
+    expect_restarts_in_time(false, worker_loss::silent);
+}
+
+TEST_P(lost_worker_cluster, restarts_its_tasks_in_time_without_start_times_after_a_reset) {
+    expect_restarts_in_time(false, worker_loss::reset);
+}
+
+TEST_P(lost_worker_cluster, restarts_its_tasks_in_time_with_start_times_after_a_silent_loss) {
+    expect_restarts_in_time(true, worker_loss::silent);
+}
+
+TEST_P(lost_worker_cluster, restarts_its_tasks_in_time_with_start_times_after_a_reset) {
+    expect_restarts_in_time(true, worker_loss::reset);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, lost_worker_cluster, testing::ValuesIn(get_seeds({4})));
+
 } // namespace
 } // namespace poplarpitch
