Add a test of how long the tasks of a new job wait for a worker that was just lost

The leader still assigns tasks to a worker that was lost silently a moment ago. Guards against their first start being held up beyond the rule on LOST; they have never run, so that their turn has come at once.

By the log the unanswered starts, too, count as renewed leases until the worker counts as silent, 2.5 s after the loss, though they were refused as unreachable.

--- a/unit_tests/platform/lost_power_cluster_test.cpp
+++ b/unit_tests/platform/lost_power_cluster_test.cpp
@@ -532,7 +532,11 @@
     /// Loses a random worker that runs tasks.
     void lose_worker(worker_loss loss) {
         const auto active = get_active_runs();
-        const int worker = get_worker_index(active[m_random() % active.size()]);
+        lose_worker(get_worker_index(active[m_random() % active.size()]), loss);
+    }
+
+    void lose_worker(int worker, worker_loss loss) {
+        const auto active = get_active_runs();
         for (const auto& run : active) {
             if (get_worker_index(run) == worker) {
                 m_lost_tasks.push_back(run.task);
@@ -592,6 +596,38 @@
         expect_short_waits();
     }
 
+    /// Loses the worker that runs the fewest tasks of those that run some, so that more fit there, and
+    /// submits a job at once, some tasks of which the leader assigns to that worker.
+    void expect_start_in_time_after_loss(bool reports_start_times) {
+        constexpr int new_count = 40;
+        const std::string job = "0000000000002f01";
+        ASSERT_NO_FATAL_FAILURE(start_load(reports_start_times));
+        std::map<int, int> counts;
+        for (const auto& run : get_active_runs()) {
+            ++counts[get_worker_index(run)];
+        }
+        const auto worker =
+            std::min_element(counts.begin(), counts.end(),
+                             [](const auto& left, const auto& right) { return left.second < right.second; });
+        lose_worker(worker->first, worker_loss::silent);
+        ASSERT_TRUE(m_cluster.submit_long_running(job, new_count, formation_limit,
+                                                  stand_in_workers::long_running_payload));
+        const auto accepted_at = system_clock().now();
+        wait_until(observation, [&] { return get_active_runs().size() == task_count + new_count; });
+        const wait_check check(m_workers->get_record().get_intervals(), (worker_count - 1) * worker_slots,
+                               m_calm_since, system_clock().now());
+        duration longest{0};
+        for (int index = 0; index < new_count; ++index) {
+            const auto task = absl::StrCat(job, ".0.0.", index);
+            const auto gap = check.get_gap_after(task, accepted_at);
+            longest = std::max(longest, gap);
+            EXPECT_LE(check.get_longest_wait(task, accepted_at), wait_check::max_wait)
+                << task << " began " << to_milliseconds(gap) << " ms after the acceptance";
+        }
+        std::cout << "seed " << GetParam() << ": the last task of the new job began after "
+                  << to_milliseconds(longest) << " ms\n";
+    }
+
     const std::string m_job = "0000000000002f00";
     std::mt19937_64 m_random{GetParam()};
     timeline m_timeline;
@@ -630,6 +666,14 @@
     expect_restarts_in_time(true, worker_loss::reset);
 }
 
+TEST_P(lost_worker_cluster, starts_a_job_in_time_that_is_accepted_right_after_the_loss) {
+    expect_start_in_time_after_loss(false);
+}
+
+TEST_P(lost_worker_cluster, starts_a_job_in_time_that_is_accepted_right_after_the_loss_with_start_times) {
+    expect_start_in_time_after_loss(true);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, lost_worker_cluster, testing::ValuesIn(get_seeds({4})));
 
 } // namespace
