--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -88,7 +88,11 @@
     worker.report = report;
     worker.report_sequence = report.sequence;
     worker.has_report = true;
-    worker.last_heartbeat = now;
+    if (is_new) {
+        worker.last_heartbeat = now;
+    } else {
+        worker.record_heartbeat(now);
+    }
     update_room_expiry(worker);
     update_clock(worker, report.clock_ms, now);
     if (is_new) {
@@ -140,7 +144,7 @@
         return false;
     }
     worker->report.sequence = report.sequence;
-    worker->last_heartbeat = now;
+    worker->record_heartbeat(now);
     update_room_expiry(*worker);
     update_clock(*worker, report.clock_ms, now);
     return true;
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -10,6 +10,9 @@
 
 // Maximum time since the last list of a worker whose holds cannot be sent. Lists arrive once a second.
 constexpr duration max_unheard = seconds{2};
+constexpr duration max_heartbeat_interval = seconds{2}; // one that came late does not count as the usual one
+constexpr duration heartbeat_slack = milliseconds{500}; // a heartbeat that an instance does not answer goes
+                                                        // to the next one
 // Costs are only compared with each other. One unit is the difference between an empty and a full worker.
 constexpr double remote_data_cost = 4;  // tasks that are remote from their data take a multiple of the time
 constexpr double failed_there_cost = 3; // the task failed on this worker; another one may do better
@@ -84,6 +87,13 @@
            other_suspect_cost * static_cast<double>(worker.suspects);
 }
 
+/// A worker without runs gets no holds, so only missing heartbeats show that it has vanished.
+bool has_missed_heartbeats(const worker_state& worker, time_point now) {
+    const auto heard_at = std::max(worker.last_heartbeat, worker.listed_at);
+    const auto interval = std::min(worker.heartbeat_interval, max_heartbeat_interval);
+    return interval > duration{0} && now - heard_at > interval + interval / 2 + heartbeat_slack;
+}
+
 /// Returns a cost for best fit: the fuller worker that still holds the task costs less.
 double get_pack_cost(const worker_state& worker) {
     return worker.get_share(worker.get_free().millicores);
@@ -103,7 +113,7 @@
         return placement_obstacle::leaving;
     }
     const bool is_unheard = worker.is_hold_unanswered && now - worker.listed_at > max_unheard;
-    if (worker.hold_failures > 0 || is_unheard) {
+    if (worker.hold_failures > 0 || is_unheard || has_missed_heartbeats(worker, now)) {
         return placement_obstacle::silent;
     }
     if (now > worker.room_known_until) {
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -49,6 +49,7 @@
     bool is_lost = false;   ///< another incarnation answered, or another worker at its address
     time_point leaves_at{}; ///< while draining: the earliest time at which it ends
     time_point last_heartbeat{};
+    duration heartbeat_interval{}; ///< longest recent time between two heartbeats; zero before the second one
     time_point
         room_known_until{}; ///< nothing is started after this time, since its free room may have shrunk
 
@@ -108,6 +109,12 @@
             probations += static_cast<std::uint32_t>(sign);
         }
     }
+    /// Records a heartbeat. Thread safety: as the state.
+    void record_heartbeat(time_point now) {
+        const auto gap = now - last_heartbeat;
+        heartbeat_interval = std::max(gap, heartbeat_interval - heartbeat_interval / 4);
+        last_heartbeat = now;
+    }
     /// Records an unanswered hold. Thread safety: as the state.
     void record_hold_failure(time_point now) {
         if (hold_failures == 0) {
