--- a/unit_tests/dispatch/dispatcher_long_running_test.cpp
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -35,7 +35,7 @@
 }
 
 start_order start_serving(dispatch_world& world) {
-    const auto start = submit_serving(world);
+    auto start = submit_serving(world);
     world.answer(start);
     return start;
 }
