--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -69,7 +69,7 @@
     // An earlier leader may have granted a lease just now. A relay may report the worker although it has
     // vanished, so it gets no other lease before it has answered.
     worker.is_hold_unanswered = true;
-    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.lease));
+    assume_lease(worker, m_settings.lease, now);
     record_lease_sent(worker, now);
     if (worker.report.address.empty() && !run.address.empty()) {
         worker.report.address = run.address;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -277,10 +277,13 @@
     /// Returns how long a worker may delay its answer to a hold.
     [[nodiscard]] duration get_hold_wait(const worker_state& worker) const;
     [[nodiscard]] bool needs_hold(const worker_state& worker) const;
-    void process_run_list(worker_state& worker, const hold_answer& answer, time_point now);
+    /// Returns false when the list has ends that must not be processed yet.
+    bool process_run_list(worker_state& worker, const hold_answer& answer, time_point now);
     /// Records for later leaders that no start of the run can reach a later incarnation of its worker.
     void propose_confirmation(run_track& track);
-    void process_ends(worker_state& worker, const hold_answer& answer, time_point now);
+    /// Processes the listed ends in order. Returns false when it stopped at one that must not be processed
+    /// yet.
+    bool process_ends(worker_state& worker, const hold_answer& answer, time_point now);
     void process_end(worker_state& worker, const run_end_entry& row, time_point now);
     /// Ends runs that are missing from the worker's list. Precondition: `listed` is sorted.
     void end_missing_runs(worker_state& worker, const std::vector<run_key>& listed, time_point now);
@@ -293,8 +296,8 @@
     [[nodiscard]] std::optional<std::int64_t> get_lease_for_start(worker_state& worker, time_point now);
     /// Records that an order with a lease leaves now.
     void record_lease_sent(worker_state& worker, time_point now);
-    /// Assumes that the worker holds a lease of the maximum length.
-    void grant_max_lease(worker_state& worker, time_point now);
+    /// Assumes that the worker may have been granted a lease of this length just now.
+    void assume_lease(worker_state& worker, duration lease, time_point now) const;
     /// Returns how long a lease may be valid at its worker after it was sent, by this leader's clock.
     [[nodiscard]] duration get_lease_span(duration lease) const;
     /// Returns the time until which a run may exist on an unreachable worker.
@@ -417,9 +420,6 @@
     worker_state* choose_among(const std::map<std::string, std::vector<worker_state*>>& workers,
                                const ready_step& ready, const placement_request& request,
                                time_point now) const;
-    /// Returns true when the task may be placed on a worker that is set aside.
-    [[nodiscard]] static bool may_use_set_aside(const worker_state& worker, const placement_request& request,
-                                                time_point now);
     /// Returns the obstacle that rules out a worker beyond the checks of `find_obstacle`, or `none`.
     [[nodiscard]] placement_obstacle find_policy_obstacle(const worker_state& worker, const ready_step& ready,
                                                           const placement_request& request,
--- a/poplarpitch/dispatch/dispatcher_incarnations.cpp
+++ b/poplarpitch/dispatch/dispatcher_incarnations.cpp
@@ -25,7 +25,8 @@
     worker.needs_fence = !others.empty() || (lost != m_lost_workers.end() && lost->id == incarnation.id);
     worker.fence = get_fence();
     if (worker.needs_fence) {
-        grant_max_lease(worker, now); // a lease for a former incarnation may have reached this one
+        assume_lease(worker, m_settings.max_lease,
+                     now); // a lease for a former incarnation may have reached this one
     }
     // Until it has answered, this may be a late message of an even earlier incarnation. The live one must not
     // refuse orders that were sent to it before.
@@ -159,7 +160,7 @@
     refresh_pressure(successor);
     // The start's lease was computed for the former incarnation's clock. At the successor, only the maximum
     // lease length bounds its validity.
-    grant_max_lease(successor, now);
+    assume_lease(successor, m_settings.max_lease, now);
 }
 
 void dispatcher::check_clock_reset(worker_state& worker, std::int64_t clock_ms, time_point now) {
@@ -167,7 +168,7 @@
     if (clock_ms == 0 || clock_ms + margin >= worker.estimate_clock(now, m_settings.clock_drift)) {
         return;
     }
-    grant_max_lease(worker, now);
+    assume_lease(worker, m_settings.max_lease, now);
     schedule_hold(worker, now);
 }
 
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -134,15 +134,13 @@
     std::size_t usable = 0;
     std::size_t probations = 0;
     for (auto* worker : m_workers.get_all()) {
-        const auto obstacle = find_unusable(*worker, now);
-        if (obstacle == placement_obstacle::set_aside && !worker->trust.is_refusing(now)) {
-            pass.set_aside[worker->report.pool].push_back(worker);
-        }
-        if (obstacle == placement_obstacle::none) {
+        if (is_usable(*worker, now)) {
             pass.usable[worker->report.pool].push_back(worker);
             ++usable;
             // Only usable workers count, since workers that do not answer are lost anyway.
             probations += worker->probations > 0 ? 1 : 0;
+        } else if (is_last_resort(*worker, now)) {
+            pass.set_aside[worker->report.pool].push_back(worker);
         }
     }
     const auto max_probations = get_max_probations(usable);
@@ -332,17 +330,10 @@
     return placement_obstacle::none;
 }
 
-/// A worker that is set aside may fail or slow the task, which is still better for a task that must not stand
-/// still than to wait for up to 8 s while no other worker has room.
-bool dispatcher::may_use_set_aside(const worker_state& worker, const placement_request& request,
-                                   time_point now) {
-    return request.spec->long_running && request.is_overdue && !worker.trust.is_refusing(now);
-}
-
 worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready,
                                  const placement_request& request) {
     auto* best = choose_among(pass.usable, ready, request, pass.now);
-    if (best == nullptr && request.spec->long_running && request.is_overdue) {
+    if (best == nullptr && request.may_use_set_aside()) {
         best = choose_among(pass.set_aside, ready, request, pass.now);
     }
     return best;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -193,7 +193,7 @@
 std::int64_t dispatcher::extend_lease(worker_state& worker, time_point now) {
     worker.granted_until_ms =
         worker.estimate_clock(now, m_settings.clock_drift) + to_milliseconds(m_settings.lease);
-    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.lease));
+    assume_lease(worker, m_settings.lease, now);
     record_lease_sent(worker, now);
     return worker.granted_until_ms;
 }
@@ -219,12 +219,12 @@
     worker.granted_at = now;
     // Another incarnation with the same worker id may receive the grant and apply it to its own clock.
     for (auto* other : m_workers.find_other_incarnations(worker.report.incarnation)) {
-        grant_max_lease(*other, now);
+        assume_lease(*other, m_settings.max_lease, now);
     }
 }
 
-void dispatcher::grant_max_lease(worker_state& worker, time_point now) {
-    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(m_settings.max_lease));
+void dispatcher::assume_lease(worker_state& worker, duration lease, time_point now) const {
+    worker.lease_end = std::max(worker.lease_end, now + get_lease_span(lease));
 }
 
 duration dispatcher::get_lease_span(duration lease) const {
@@ -334,7 +334,7 @@
         schedule_hold(*worker, now);
         return;
     }
-    process_run_list(*worker, outcome.answer, now);
+    const bool has_all_ends = process_run_list(*worker, outcome.answer, now);
     const bool was_confirmed = worker->is_confirmed;
     worker->is_confirmed = true;
     if (!was_confirmed) {
@@ -342,14 +342,14 @@
     }
     const auto regular_pause = std::chrono::duration_cast<duration>(
         m_settings.hold_pause * (1 + hold_pause_growth_at_full_strain * m_load.get_strain()));
-    const bool has_open_ends = worker->ends_being_committed > 0 || worker->has_deferred_ends;
+    const bool has_open_ends = worker->ends_being_committed > 0 || !has_all_ends;
     const auto pause = has_open_ends            ? commit_hold_pause
                        : worker->has_stray_runs ? m_settings.retry_pause
                                                 : regular_pause;
     worker->next_hold = std::max(worker->next_hold, now + pause);
 }
 
-void dispatcher::process_run_list(worker_state& worker, const hold_answer& answer, time_point now) {
+bool dispatcher::process_run_list(worker_state& worker, const hold_answer& answer, time_point now) {
     worker.listed_at = now;
     worker.has_stray_runs = false;
     for (const auto& row : answer.running) {
@@ -378,34 +378,34 @@
         track->percent = row.percent;
         track->level = row.level;
     }
-    process_ends(worker, answer, now);
+    const bool has_all_ends = process_ends(worker, answer, now);
     if (answer.ended.size() < max_ended_rows) {
         end_missing_runs(worker, answer.get_listed_runs(), now);
     }
     update_acknowledged(worker);
     clear_suspects(worker, now);
     observe_pressure(worker, now);
+    return has_all_ends;
 }
 
 /// Ends are acknowledged up to a sequence number, so they are processed in order and none may be skipped. The
 /// worker lists those again that are not acknowledged.
-void dispatcher::process_ends(worker_state& worker, const hold_answer& answer, time_point now) {
+bool dispatcher::process_ends(worker_state& worker, const hold_answer& answer, time_point now) {
     auto ended = answer.ended;
     std::sort(ended.begin(), ended.end());
-    worker.has_deferred_ends = false;
     for (const auto& row : ended) {
         const auto* track = find_track(row.run);
         if (track != nullptr && track->host == &worker && must_not_end_yet(*track, now)) {
-            worker.has_deferred_ends = true;
-            return;
+            return false;
         }
         process_end(worker, row, now);
     }
+    return true;
 }
 
 bool dispatcher::must_not_end_yet(const run_track& track, time_point now) {
     const bool may_restart = track.host->report.incarnation.process_start_ms != 0;
-    return may_restart && track.may_start_late && now < track.late_start_until && !track.is_ending;
+    return may_restart && now < track.late_start_until && !track.is_ending;
 }
 
 /// Only workers that report start times have incarnations that a new leader has to tell apart. A start that
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -126,6 +126,10 @@
     return find_unusable(worker, now) == placement_obstacle::none;
 }
 
+bool is_last_resort(const worker_state& worker, time_point now) {
+    return find_unusable(worker, now) == placement_obstacle::set_aside && !worker.trust.is_refusing(now);
+}
+
 std::int64_t get_room(const worker_state& worker, const placement_request& request) {
     if (!request.spec->is_filling) {
         return worker.get_free().millicores;
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -38,6 +38,10 @@
 
     /// Returns true while the task waits for a worker without other runs. Thread safety: any thread.
     [[nodiscard]] bool wants_own_worker() const { return isolation == isolation_level::alone && may_wait; }
+    /// Returns true when workers that are set aside are allowed if no other has room. Such a worker may fail
+    /// or slow the task, which is better for a long-running task that has waited too long than to wait on.
+    /// Thread safety: any thread.
+    [[nodiscard]] bool may_use_set_aside() const { return spec->long_running && is_overdue; }
     /// Returns the isolation of the run at a worker. A task that no longer waits for a worker of its own does
     /// not exclude others. Thread safety: any thread.
     [[nodiscard]] isolation_level get_run_isolation() const {
@@ -56,6 +60,10 @@
 /// Returns true when tasks may be placed on the worker. Thread safety: as above.
 [[nodiscard]] bool is_usable(const worker_state& worker, time_point now);
 
+/// Returns true when the worker is set aside for another reason than a refusal, and nothing else rules it
+/// out. Only requests that may use it are placed on it. Thread safety: as above.
+[[nodiscard]] bool is_last_resort(const worker_state& worker, time_point now);
+
 /// Returns the obstacle that rules out a usable worker for a task, or `none`. Thread safety: as above.
 [[nodiscard]] placement_obstacle find_obstacle(const worker_state& worker, const placement_request& request);
 
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -59,7 +59,7 @@
         loss_of_former_incarnation; ///< set while the run may belong to a former incarnation of the
                                     ///< worker: what its loss says about the task
     bool may_start_late = false;    ///< a start got no answer and may be executed seconds later
-    time_point late_start_until{};  ///< until when a relay may still send such a start
+    time_point late_start_until{};  ///< until when a relay may still send such a start; zero for none
     std::int64_t percent = 0;
     std::int64_t level = 0;       ///< as in `run_entry`
     int pace = 100;               ///< share of its speed that was ordered and confirmed, percent
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -80,7 +80,6 @@
         0; ///< highest sequence number among the ends of runs that were processed
     std::uint64_t acknowledged_up_to = 0; ///< highest sequence number of an end that the worker may forget
     std::uint64_t acknowledged_sent = 0;  ///< highest acknowledgement sent; 0 if it may have been lost
-    bool has_deferred_ends = false;       ///< the last list had ends that must not be processed yet
     std::size_t ends_being_committed = 0; ///< ends of runs that it listed and that are being committed
 
     absl::btree_map<run_key, run_track*> runs;     ///< ordered, so that equal states lead to equal decisions
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -50,8 +50,7 @@
         return assign({decode(command.assign().task()), command.assign().run()},
                       {command.assign().run(),
                        {command.assign().worker(), command.assign().born_ms()},
-                       command.assign().address(),
-                       false},
+                       command.assign().address()},
                       events);
     case job_wire::job_command::kEnd:
         return end(read_end(command.end()), command.end().saved(), events);
