Remove what the tests with lost power no longer use, and repeat less in the dispatcher's tests

scheduler_cluster had a parameter for its parent folder, which only the folder in memory used. dispatch_world commits a retired worker by its own commit. Four tests of long-running tasks share their preparation. No assertion changes.

--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -97,11 +97,7 @@
         job_wire::job_command command;
         command.mutable_retire()->set_worker(id);
         command.mutable_retire()->set_born_ms(report.incarnation.process_start_ms);
-        std::vector<job_state_event> events;
-        job_state.apply(command, events);
-        for (const auto& event : events) {
-            scheduler.on_event(event, now, wall_ms);
-        }
+        commit(command);
     }
     run_until_idle();
 }
--- a/unit_tests/dispatch/dispatcher_long_running_test.cpp
+++ b/unit_tests/dispatch/dispatcher_long_running_test.cpp
@@ -53,6 +53,15 @@
     world.wait_for_hold(id);
 }
 
+/// Starts a long-running task on the only worker, then adds two workers that can take it over.
+start_order run_on_first_worker(dispatch_world& world) {
+    auto run = start_serving(world);
+    world.add_worker("w2");
+    world.add_worker("w3");
+    settle(world, run);
+    return run;
+}
+
 void expect_in_time(const std::optional<duration>& standstill) {
     ASSERT_TRUE(standstill.has_value()) << "it was not started again";
     EXPECT_LE(to_milliseconds(*standstill), to_milliseconds(max_standstill));
@@ -61,10 +70,7 @@
 TEST(dispatcher_long_running, is_started_again_in_time_when_its_worker_vanishes) {
     dispatch_world world;
     world.add_worker("w1");
-    const auto run = start_serving(world);
-    world.add_worker("w2");
-    world.add_worker("w3");
-    settle(world, run);
+    const auto run = run_on_first_worker(world);
     vanishing_worker w1(world, "w1");
     expect_in_time(w1.wait_for_restart(run.run.task, limit));
 }
@@ -85,10 +91,7 @@
 TEST(dispatcher_long_running, is_started_again_in_time_when_a_relay_reports_holds_as_not_sent) {
     dispatch_world world;
     world.add_worker("w1");
-    const auto run = start_serving(world);
-    world.add_worker("w2");
-    world.add_worker("w3");
-    settle(world, run);
+    const auto run = run_on_first_worker(world);
     vanishing_worker w1(world, "w1");
     w1.set_hold_failure(order_failure::not_sent);
     expect_in_time(w1.wait_for_restart(run.run.task, limit));
@@ -124,10 +127,7 @@
 TEST(dispatcher_long_running, is_started_again_in_time_when_its_worker_and_the_leader_vanish_together) {
     dispatch_world world;
     add_worker_with_start_time(world, "w1");
-    const auto run = start_serving(world);
-    world.add_worker("w2");
-    world.add_worker("w3");
-    settle(world, run);
+    const auto run = run_on_first_worker(world);
     vanishing_worker w1(world, "w1");
     elect_leader(world);
     expect_in_time(w1.wait_for_restart(run.run.task, limit));
@@ -137,10 +137,7 @@
      is_started_again_in_time_when_a_relay_reports_the_vanished_worker_to_a_new_leader) {
     dispatch_world world;
     world.add_worker("w1");
-    const auto run = start_serving(world);
-    world.add_worker("w2");
-    world.add_worker("w3");
-    settle(world, run);
+    const auto run = run_on_first_worker(world);
     vanishing_worker w1(world, "w1");
     elect_leader(world);
     world.advance(milliseconds{600});
--- a/unit_tests/platform/lost_power_cluster_test.cpp
+++ b/unit_tests/platform/lost_power_cluster_test.cpp
@@ -17,12 +17,10 @@
 #include <absl/time/time.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
 #include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -24,12 +24,10 @@
 constexpr duration call_timeout = seconds{2};
 constexpr duration poll_interval = milliseconds{20};
 
-std::string make_folder(const std::string& parent) {
+std::string make_folder() {
     static std::atomic<int> next{0};
     const auto name = absl::StrCat("poplarpitch-scheduler-", ::getpid(), "-", next.fetch_add(1));
-    const auto place =
-        parent.empty() ? std::filesystem::temp_directory_path() : std::filesystem::path(parent);
-    const auto folder = place / name;
+    const auto folder = std::filesystem::temp_directory_path() / name;
     std::filesystem::create_directories(folder);
     return folder.string();
 }
@@ -58,11 +56,9 @@
 } // namespace
 
 scheduler_cluster::scheduler_cluster(int schedulers, std::string workers_settings,
-                                     std::vector<std::string> data_centres, int gateways,
-                                     const std::string& parent_folder)
-    : m_folder(make_folder(parent_folder)), m_count(schedulers),
-      m_workers_settings(std::move(workers_settings)), m_data_centres(std::move(data_centres)),
-      m_pool(http_client_settings{}) {
+                                     std::vector<std::string> data_centres, int gateways)
+    : m_folder(make_folder()), m_count(schedulers), m_workers_settings(std::move(workers_settings)),
+      m_data_centres(std::move(data_centres)), m_pool(http_client_settings{}) {
     for (int number = 1; number <= schedulers; ++number) {
         start_scheduler(number, true);
     }
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -25,11 +25,8 @@
     /// Starts all processes. `workers_settings` is appended to the section [workers] of the schedulers'
     /// settings. The lease is 2 s unless `workers_settings` starts with another one. Precondition:
     /// `data_centres` is empty or has one entry for each scheduler, and there are at most 10 gateways.
-    /// `parent_folder` is the folder in which that of the cluster is created; empty for the one of temporary
-    /// files.
     explicit scheduler_cluster(int schedulers, std::string workers_settings = {},
-                               std::vector<std::string> data_centres = {}, int gateways = 1,
-                               const std::string& parent_folder = {});
+                               std::vector<std::string> data_centres = {}, int gateways = 1);
     ~scheduler_cluster();
     scheduler_cluster(const scheduler_cluster&) = delete;
     scheduler_cluster& operator=(const scheduler_cluster&) = delete;
