Give up a run in the moment its lease ends, also when a check falls on it

Callers saw: a task waited for up to 0.5 s more after the lease of its lost worker. Cause: check_worker gave up runs only after lease_end, and get_next_check scheduled no check for a lease that ends now. A check that fell on that very moment did nothing, and the next one came after max_check_interval. Change: at lease_end all leases have expired (it includes the margin), so the run is given up then.

--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -112,12 +112,12 @@
     }
     // Holds that were surely not sent say nothing about the worker, but no other hold extends its lease.
     const bool is_out_of_reach = !worker.has_report || worker.is_hold_unanswered;
-    if (!is_out_of_reach || worker.runs.empty() || now <= worker.lease_end) {
+    if (!is_out_of_reach || worker.runs.empty() || now < worker.lease_end) {
         return;
     }
     for (const auto& run : assess_crash_evidence(worker, now)) {
         auto& track = *worker.runs.at(run.run);
-        if (track.stage == run_stage::committing || now <= get_lease_end(track)) {
+        if (track.stage == run_stage::committing || now < get_lease_end(track)) {
             continue;
         }
         ++m_counts.lost_runs;
