Place a task elsewhere when its start finds no connection

Callers saw: a task that was assigned to a worker that had just ended stood still until the lease of that worker was over, 9.3 s after the last disruption, though no start had ever left. Cause: on_start_refused repeated a start that failed as unreachable, as one without an answer. But no connection means that nothing was sent (order_failure::unreachable), so the run cannot exist. Change: the run is given back like any refused start, unless an earlier start of it had no answer. The worker is set aside for a moment, and probed by a hold even if it has no other runs, so that it is not chosen again.

--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -290,9 +290,17 @@
     case order_failure::unanswered:
         expect_late_start(track);
         return; // retried; a start is idempotent
-    case order_failure::unreachable:
     case order_failure::not_sent:
-        return;                                // retried
+        return; // retried
+    case order_failure::unreachable:
+        if (track.may_start_late) {
+            return; // retried, since an earlier start of this run may have arrived
+        }
+        ++m_counts.refused_other;
+        worker.is_hold_unanswered = true; // a worker without runs gets a hold only then
+        worker.trust.on_refusal(now);
+        log_set_aside(worker, "unreachable", now);
+        break;
     case order_failure::lease_already_expired: // its clock is ahead of the estimate; the next list corrects
                                                // it
         track.next_order = now + unsent_pause;
