Keep a long-running job whose workers restart long after its starts

Callers saw: a job that is to last was shown as failed after its workers had restarted three times within 25 s, for reasons that had nothing to do with it. Cause: crash_history counted each loss of a worker under the task alike. A long-running task is on a worker most of the time, so unrelated restarts meet it again and again, and three of them with it alone on the worker gave it up. Change: a long-running task is given up only if none of its crashed runs lasted for more than 1 s. A task that crashes its workers does so at its start (within 10 ms in the incident of crash-loop.md). Limit: a task that first lasted for longer and then crashes each worker at its start is not given up until a run of it resets the count. Evidence: dispatcher_long_running.is_not_given_up_when_its_workers_start_again_three_times failed before (its job was given up) and passes, as does dispatcher_crash.gives_up_a_long_running_task_that_crashes_its_workers; crash_history.gives_up_a_long_running_task_only_for_crashes_soon_after_its_starts is new. long_running_property.runs_again_in_time_where_workers_start_again passes too.

--- a/poplarpitch/scheduling/crash_history.h
+++ b/poplarpitch/scheduling/crash_history.h
@@ -52,9 +52,13 @@
         return std::clamp(reset_run_multiple * longest_ms, min_reset_run_ms, max_reset_run_ms);
     }
 
-    /// Returns true when the task is to be given up, with `last` as the evidence of its last crash. Thread
-    /// safety: as above.
-    [[nodiscard]] bool should_give_up(crash_evidence last) const {
+    /// Returns true when the task is to be given up, with `last` as the evidence of its last crash. A
+    /// long-running task meets many restarts of machines that it did not cause. It is given up only if all
+    /// of its crashed runs were short; otherwise it runs on, without neighbours. Thread safety: as above.
+    [[nodiscard]] bool should_give_up(crash_evidence last, bool is_long_running) const {
+        if (is_long_running && longest_ms > max_blamed_run_ms) {
+            return false;
+        }
         const bool is_attributed = last == crash_evidence::clear ||
                                    (last == crash_evidence::likely && crashes >= min_crashes_if_likely);
         return (certain_crashes >= min_crashes && is_attributed) || crashes >= max_crashes;
@@ -66,6 +70,8 @@
            ///< `min_crashes`
     static constexpr std::uint32_t max_crashes =
         4; ///< crashes after which it is given up, whether or not the task certainly ran at them
+    static constexpr std::int64_t max_blamed_run_ms =
+        1'000; ///< a long-running task that crashes its workers at its start does so within this time
     static constexpr std::int64_t reset_run_multiple =
         4; ///< multiple of the longest run that ended in a crash
     static constexpr std::int64_t min_reset_run_ms = 5'000; ///< a shorter run never resets the count
