Let operators drain a data centre and take it back

What runs there goes on. An unknown name gets 404 once all workers had the time to report, 503 before. Where every data centre of a pool is drained, new jobs get 429 with a time to come back; the quota of long-running jobs counts only what runs there. task_waits names data_centre_drained as the obstacle; metric poplarpitch_data_centres_drained. Not covered: a copy of an earlier order that the network delays past its withdrawal (the call has no number).

--- a/poplarpitch/dispatch/admission.h
+++ b/poplarpitch/dispatch/admission.h
@@ -11,8 +11,9 @@
 struct admission {
     enum class admission_outcome : std::uint8_t {
         admitted,
-        long_running_quota, ///< long-running jobs have reserved their whole quota of the pool
-        overloaded,         ///< the leader lags too far behind to take more jobs
+        long_running_quota,   ///< long-running jobs have reserved their whole quota of the pool
+        data_centres_drained, ///< no data centre with workers of the pool takes tasks
+        overloaded,           ///< the leader lags too far behind to take more jobs
     };
 
     admission_outcome outcome = admission_outcome::admitted;
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -114,6 +114,7 @@
     m_timings.clear();
     m_next_check = {};
     m_next_pools = {};
+    m_drained_pools.clear();
     m_next_audit = {};
     m_next_waits = {};
     m_counts.stuck_tasks = 0;
@@ -261,6 +262,9 @@
             worker->is_draining = true;
         }
         return;
+    case job_state_event::kind::data_centres_changed:
+        on_data_centres_changed();
+        return;
     case job_state_event::kind::fence_raised:
         on_fence_raised(now);
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -88,6 +88,11 @@
     bool on_unchanged_report(const unchanged_report& report, time_point now);
     /// Called when a worker deregisters.
     void on_deregister(const worker_incarnation& worker, time_point now);
+    /// Returns true when a worker of this data centre has reported or the data centre is drained, and false
+    /// when neither is so. Right after an election, workers that exist may not have reported yet.
+    [[nodiscard]] bool is_data_centre_known(const std::string& data_centre) const;
+    /// Returns true when every live worker has had the time to report to this leader.
+    [[nodiscard]] bool have_workers_reported(time_point now) const;
     /// Processes the answer to a hold that was sent to `worker`. Another incarnation of it may have answered.
     void on_hold(const worker_incarnation& worker, const order_outcome& outcome, time_point now);
     /// Processes the answer to a start.
@@ -269,6 +274,9 @@
     [[nodiscard]] time_point get_next_check(const worker_state& worker, time_point now) const;
     /// Adds a run to the worker's runs and amounts, or removes it with `sign` -1.
     void count_run(worker_state& worker, run_track& track, int sign);
+    /// Updates whether an operator has drained the worker's data centre.
+    void update_drained(worker_state& worker) const;
+    void on_data_centres_changed();
     /// Updates the time until which the worker's reported room is considered valid.
     void update_room_expiry(worker_state& worker) const;
     /// Updates a worker's clock from a heartbeat, which may be late.
@@ -458,6 +466,7 @@
     work_forecast m_forecast;
     long_running_quota m_long_running;
     leader_load m_load;
+    std::set<std::string> m_drained_pools;   ///< pools of which every live worker is in a drained data centre
     std::set<std::string> m_underused_pools; ///< pools of which less than half is reserved
     double m_filling_backlog =
         0; ///< cores of waiting filling tasks as a share of those of running ones, 0 to 1; smoothed
--- a/poplarpitch/dispatch/dispatcher_admission.cpp
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -11,6 +11,7 @@
                                        // than a burst of new jobs waits
 
 constexpr duration overload_wait = seconds{2}; // when timers are 0.4 s late, some seconds of work are queued
+constexpr duration drained_wait = seconds{5};
 constexpr std::uint64_t overload_spread_ms =
     2000; // spreads the retries of callers that were refused together
 
@@ -21,6 +22,12 @@
     return overload_wait + milliseconds{static_cast<std::int64_t>(id % overload_spread_ms)};
 }
 
+/// Returns the time after which a job should be submitted again for which no data centre takes tasks. How
+/// long operators drain a data centre is not known; while a caller waits, it costs nothing.
+duration get_drained_wait(job_id id) {
+    return drained_wait + milliseconds{static_cast<std::int64_t>(id % overload_spread_ms)};
+}
+
 } // namespace
 
 admission dispatcher::admit(const step_job& job, time_point now) {
@@ -36,6 +43,12 @@
         decided.retry_after = get_overload_wait(job.id);
         return decided;
     }
+    if (m_drained_pools.contains(job.queue.pool)) {
+        ++m_counts.refused_jobs;
+        decided.outcome = admission::admission_outcome::data_centres_drained;
+        decided.retry_after = get_drained_wait(job.id);
+        return decided;
+    }
     if (decided.wanted == 0) {
         return decided;
     }
@@ -66,10 +79,16 @@
     m_next_pools = now + pool_interval;
     std::map<std::string, long_running_quota::pool_use> pools;
     std::map<std::string, std::int64_t> reserved; // millicores
+    std::set<std::string> open_pools;             // with a worker on which tasks may start
     for (const auto* worker : m_workers.get_all()) {
         if (worker->has_report && !worker->is_lost && !worker->is_draining) {
             auto& use = pools[worker->report.pool];
-            use.capacity += worker->report.capacity.millicores;
+            // A drained data centre has no room beyond what runs there.
+            use.capacity += worker->is_data_centre_drained ? worker->reserved.millicores
+                                                           : worker->report.capacity.millicores;
+            if (!worker->is_data_centre_drained) {
+                open_pools.insert(worker->report.pool);
+            }
             use.other_demand += worker->short_task_millicores + worker->filling_millicores;
             reserved[worker->report.pool] += worker->reserved.millicores;
         }
@@ -80,7 +99,11 @@
         }
     }
     m_underused_pools.clear();
+    m_drained_pools.clear();
     for (const auto& [pool, use] : pools) {
+        if (!open_pools.contains(pool) && !m_job_state.get_drained_data_centres().empty()) {
+            m_drained_pools.insert(pool);
+        }
         m_long_running.observe(pool, use, now);
         if (2 * reserved[pool] < use.capacity) {
             m_underused_pools.insert(pool);
--- a/poplarpitch/dispatch/dispatcher_incarnations.cpp
+++ b/poplarpitch/dispatch/dispatcher_incarnations.cpp
@@ -90,6 +90,7 @@
         worker.report = addressed.report; // a report without a start time may come from any incarnation
         worker.report.incarnation = answered;
         worker.has_report = true;
+        update_drained(worker);
         update_room_expiry(worker);
     }
     worker.is_lost = false;
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -139,7 +139,8 @@
     if (!worker.has_report || worker.clock_ms == 0 || !worker.is_confirmed) {
         return; // retried until it can be sent or the run's lease expires
     }
-    if (worker.is_draining) { // announced after the task was assigned
+    const bool may_start = !worker.is_draining && !worker.is_data_centre_drained;
+    if (!may_start) { // ordered or announced after the task was assigned
         return_to_queue(track, now);
         return;
     }
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -93,6 +93,7 @@
     } else {
         worker.record_heartbeat(now);
     }
+    update_drained(worker);
     update_room_expiry(worker);
     update_clock(worker, report.clock_ms, now);
     if (is_new) {
--- a/poplarpitch/dispatch/long_running_quota.h
+++ b/poplarpitch/dispatch/long_running_quota.h
@@ -53,6 +53,8 @@
     /// which jobs have ended so far, and varies by job so that callers do not all retry at once.
     [[nodiscard]] duration get_retry_after(job_id job, const std::string& pool, std::int64_t millicores,
                                            time_point now) const;
+    /// Returns true when all workers have had time to report since `clear`.
+    [[nodiscard]] bool have_all_reported(time_point now) const;
 
 private:
     struct job_reservation {
@@ -68,9 +70,6 @@
         time_point observed_at{};
     };
 
-    /// Returns true when all workers have had time to report since `clear`.
-    [[nodiscard]] bool have_all_reported(time_point now) const;
-
     double m_share;
     time_point m_cleared_at{};
     std::map<job_id, job_reservation> m_jobs;
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -112,6 +112,9 @@
     if (worker.is_draining) {
         return placement_obstacle::leaving;
     }
+    if (worker.is_data_centre_drained) {
+        return placement_obstacle::data_centre_drained;
+    }
     const bool is_unheard = worker.is_hold_unanswered && now - worker.listed_at > max_unheard;
     if (worker.hold_failures > 0 || is_unheard || has_missed_heartbeats(worker, now)) {
         return placement_obstacle::silent;
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -46,8 +46,9 @@
     bool awaits_fence = false; ///< this incarnation has answered, and the higher fence is being committed
     bool is_confirmed = false; ///< it has sent its list under its fence
     bool is_draining = false;
-    bool is_lost = false;   ///< another incarnation answered, or another worker at its address
-    time_point leaves_at{}; ///< while draining: the earliest time at which it ends
+    bool is_data_centre_drained = false; ///< by order of an operator: nothing starts here
+    bool is_lost = false;                ///< another incarnation answered, or another worker at its address
+    time_point leaves_at{};              ///< while draining: the earliest time at which it ends
     time_point last_heartbeat{};
     duration heartbeat_interval{}; ///< longest recent time between two heartbeats; zero before the second one
     time_point
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -159,14 +159,26 @@
         finish(std::move(answer), 429, "", on_answer);
     }
 
+    static const char* get_refusal_reason(admission::admission_outcome outcome) {
+        switch (outcome) {
+        case admission::admission_outcome::long_running_quota:
+            return "jobs that last long have reserved their share of the pool";
+        case admission::admission_outcome::data_centres_drained:
+            return "every data centre of the pool is drained";
+        case admission::admission_outcome::overloaded:
+            return "the leader is behind";
+        case admission::admission_outcome::admitted:
+            break;
+        }
+        return "none";
+    }
+
     /// Answers that the job was not admitted, with the time after which to retry.
     static void refuse(job_id id, const admission& decision, job_wire::relay_answer answer,
                        const answer_handler& on_answer) {
-        const bool is_quota = decision.outcome == admission::admission_outcome::long_running_quota;
         log_event(log_level::info, "job_refused")
             .add("job", format_job_id(id))
-            .add("reason", is_quota ? "jobs that last long have reserved their share of the pool"
-                                    : "the leader is behind")
+            .add("reason", get_refusal_reason(decision.outcome))
             .add("lag_ms", to_milliseconds(decision.lag))
             .add("wanted_millicores", decision.wanted)
             .add("reserved_millicores", decision.reserved)
--- a/poplarpitch/scheduler/control_service.h
+++ b/poplarpitch/scheduler/control_service.h
@@ -143,6 +143,33 @@
         });
     }
 
+    void answer(const drain_call& call, http_responder respond) {
+        if (!m_parts.dispatch.is_data_centre_known(call.data_centre)) {
+            refuse_unknown_data_centre(call, respond);
+            return;
+        }
+        log_event(log_level::info, "drain_received")
+            .add("data_centre", call.data_centre)
+            .add("undo", call.undo ? "yes" : "no");
+        // Also committed when it changes nothing, so that the answer is true after the latest order.
+        job_wire::job_command command;
+        command.mutable_drain()->set_name(call.data_centre);
+        command.mutable_drain()->set_undo(call.undo);
+        m_parts.batcher.add(std::move(command), make_result_handler({}, std::move(respond)));
+    }
+
+    /// Refuses an order for a data centre without workers. Until all workers have had the time to report, the
+    /// operator is asked to send it again.
+    void refuse_unknown_data_centre(const drain_call& call, const http_responder& respond) {
+        const bool is_sure = m_parts.dispatch.have_workers_reported(m_parts.loop.now());
+        log_event(log_level::warn, "call_refused")
+            .add("reason", "the data centre is not known")
+            .add("data_centre", call.data_centre)
+            .add("sure", is_sure ? "yes" : "no");
+        respond(is_sure ? make_error_response(404, "unknown_data_centre", "no worker is in this data centre")
+                        : make_error_response(503, "unsure", "the workers have not all reported yet"));
+    }
+
     void answer(const unsupported_call& call, const http_responder& respond) {
         log_event(log_level::warn, "call_refused").add("reason", call.reason);
         respond(make_error_response(501, "not_supported", call.reason));
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -74,6 +74,7 @@
     set("poplarpitch_leading", parts.log.is_leading() ? 1 : 0);
     set("poplarpitch_voters", parts.log.get_voter_count());
     set("poplarpitch_config_version", parts.job_state.get_configuration().version);
+    set("poplarpitch_data_centres_drained", parts.job_state.get_drained_data_centres().size());
     set("poplarpitch_jobs_known", parts.job_state.get_jobs().size());
     set("poplarpitch_workers", parts.dispatch.get_workers().size());
     set("poplarpitch_tasks_stuck", counts.stuck_tasks);
--- a/poplarpitch/scheduling/control_call.h
+++ b/poplarpitch/scheduling/control_call.h
@@ -23,6 +23,11 @@
 };
 /// An operator's request for the configuration.
 struct get_config_call {};
+/// An operator's order that no task starts any more on the workers of a data centre, or its withdrawal.
+struct drain_call {
+    std::string data_centre;
+    bool undo = false; ///< withdraws the order
+};
 /// A known call that this version does not implement.
 struct unsupported_call {
     std::string reason;
@@ -36,6 +41,6 @@
 
 /// A call by a worker or an operator to the control instances.
 using control_call = std::variant<heartbeat_call, deregister_call, put_config_call, get_config_call,
-                                  unsupported_call, malformed_call, unknown_call>;
+                                  drain_call, unsupported_call, malformed_call, unknown_call>;
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/job_state_event.h
+++ b/poplarpitch/scheduling/job_state_event.h
@@ -23,8 +23,9 @@
         task_crashed, ///< `worker` crashed under `run`; it is the `number`th crash counted for the task
         step_done,    ///< `run.task.step`
         config_changed,
-        worker_retired, ///< `worker`
-        fence_raised,   ///< orders may now carry a higher fence than any before
+        worker_retired,       ///< `worker`
+        data_centres_changed, ///< other data centres are drained than before
+        fence_raised,         ///< orders may now carry a higher fence than any before
     };
 
     kind what = kind::job_accepted;
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -64,6 +64,8 @@
         return command_outcome::applied;
     case job_wire::job_command::kRetire:
         return retire({command.retire().worker(), command.retire().born_ms()}, events);
+    case job_wire::job_command::kDrain:
+        return drain(command.drain().name(), command.drain().undo(), events);
     case job_wire::job_command::kRaiseFence:
         ++m_fence_raises;
         events.push_back(make_job_event(job_state_event::kind::fence_raised, 0));
@@ -170,6 +172,17 @@
     return command_outcome::applied;
 }
 
+command_outcome job_state_machine::drain(const std::string& data_centre, bool undo,
+                                         std::vector<job_state_event>& events) {
+    const bool is_changed = undo ? m_drained_data_centres.erase(data_centre) > 0
+                                 : m_drained_data_centres.insert(data_centre).second;
+    if (!is_changed) {
+        return command_outcome::repeated;
+    }
+    events.push_back(make_job_event(job_state_event::kind::data_centres_changed, 0));
+    return command_outcome::applied;
+}
+
 command_outcome job_state_machine::end(const job_state_event& ended, const std::string& checkpoint,
                                        std::vector<job_state_event>& events) {
     events.push_back(ended); // even when nothing changes, so that the worker may forget the end
@@ -367,6 +380,9 @@
         incarnation.set_id(worker.id);
         incarnation.set_born_ms(worker.process_start_ms);
     }
+    for (const auto& name : m_drained_data_centres) {
+        snapshot.add_drained_data_centres(name);
+    }
     snapshot.set_fence_raises(m_fence_raises);
     snapshot.set_next_sequence(m_next_sequence);
     encode(m_pressure, *snapshot.mutable_pressure());
@@ -389,6 +405,7 @@
     for (const auto& incarnation : snapshot.retired_lives()) {
         m_retired.insert({incarnation.id(), incarnation.born_ms()});
     }
+    m_drained_data_centres = {snapshot.drained_data_centres().begin(), snapshot.drained_data_centres().end()};
     m_fence_raises = snapshot.fence_raises();
     m_next_sequence = snapshot.next_sequence();
     m_pressure = decode(snapshot.pressure());
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -48,6 +48,13 @@
     [[nodiscard]] bool is_retired(const worker_incarnation& worker) const {
         return m_retired.contains(worker);
     }
+    /// Returns true when no task may start on the workers of a data centre, as an operator has ordered.
+    [[nodiscard]] bool is_drained(const std::string& data_centre) const {
+        return m_drained_data_centres.contains(data_centre);
+    }
+    [[nodiscard]] const std::set<std::string>& get_drained_data_centres() const {
+        return m_drained_data_centres;
+    }
     /// Returns how often the fence was raised within the terms of leaders. Added to the leader's term, it
     /// gives a fence that is higher than any that an earlier leader used, or that this leader used before the
     /// last raise.
@@ -64,6 +71,7 @@
     /// Records that no start of the run can reach a later incarnation of its worker.
     command_outcome confirm(const run_key& key, const worker_incarnation& worker);
     command_outcome retire(const worker_incarnation& worker, std::vector<job_state_event>& events);
+    command_outcome drain(const std::string& data_centre, bool undo, std::vector<job_state_event>& events);
     command_outcome end(const job_state_event& ended, const std::string& checkpoint,
                         std::vector<job_state_event>& events);
     /// Records a crash that was detected after its run had been given up.
@@ -80,6 +88,7 @@
     job_configuration m_configuration;
     absl::node_hash_map<job_id, job_record> m_jobs;
     std::set<worker_incarnation> m_retired;
+    std::set<std::string> m_drained_data_centres;
     std::uint64_t m_fence_raises = 0;
     std::vector<pressure_factor> m_pressure;
     std::uint64_t m_next_sequence = 1;
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -56,13 +56,14 @@
 }
 
 void dispatch_world::add_worker(const std::string& id, const worker_amounts& capacity,
-                                const std::string& rack) {
+                                const std::string& rack, const std::string& data_centre) {
     worker_report report;
     report.incarnation = {id, 0};
     report.address = "10.0.0." + std::to_string(m_reports.size() + 1) + ":80";
     report.pool = world_pool;
     report.labels = {"a", rack};
     report.rack = rack;
+    report.data_centre = data_centre;
     report.capacity = capacity;
     register_worker(std::move(report));
 }
@@ -140,6 +141,13 @@
     return job.id;
 }
 
+void dispatch_world::drain(const std::string& data_centre, bool undo) {
+    job_wire::job_command command;
+    command.mutable_drain()->set_name(data_centre);
+    command.mutable_drain()->set_undo(undo);
+    commit(command);
+}
+
 void dispatch_world::cancel(job_id id) {
     job_wire::job_command command;
     command.mutable_cancel()->set_id(id);
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -25,7 +25,7 @@
     void start_leading();
     /// Registers a worker: sends a heartbeat and answers the first hold with an empty list.
     void add_worker(const std::string& id, const worker_amounts& capacity = {64000, 256000, 0},
-                    const std::string& rack = "r1");
+                    const std::string& rack = "r1", const std::string& data_centre = {});
     /// Restarts a worker under a new id at the same address, without deregistering the old incarnation. The
     /// new incarnation runs nothing. It sends a heartbeat and a list, and a hold for the old id is refused
     /// with `other_incarnation`.
@@ -48,6 +48,8 @@
     /// Commits a configuration with the world's pool. `enforces_capacity`: its workers refuse what does not
     /// fit.
     void configure_pool(bool enforces_capacity);
+    /// Commits an operator's order that nothing starts in a data centre, or its withdrawal.
+    void drain(const std::string& data_centre, bool undo = false);
     /// Cancels a job.
     void cancel(job_id id);
 
--- a/unit_tests/dispatch/long_running_world.cpp
+++ b/unit_tests/dispatch/long_running_world.cpp
@@ -27,6 +27,7 @@
 constexpr time_point first_time{seconds{1000}};
 constexpr std::int64_t first_wall_ms = 1'700'000'000'000;
 constexpr const char* pool = "mill";
+constexpr duration max_start_after_drain = seconds{5}; // after an operator was told that a drain is in force
 
 } // namespace
 
@@ -148,6 +149,38 @@
     }
 }
 
+// ---- data centres
+
+void long_running_world::drain(const std::string& data_centre, bool undo) {
+    m_wanted_drains[data_centre] = !undo;
+    if (undo) {
+        m_drained_at.erase(data_centre);
+    }
+}
+
+bool long_running_world::are_drains_committed() const {
+    return std::all_of(m_wanted_drains.begin(), m_wanted_drains.end(), [this](const auto& item) {
+        return m_job_state.is_drained(item.first) == item.second;
+    });
+}
+
+void long_running_world::record_drains() {
+    for (const auto& [data_centre, is_wanted] : m_wanted_drains) {
+        if (is_wanted && m_job_state.is_drained(data_centre)) {
+            m_drained_at.try_emplace(data_centre, m_now);
+        }
+    }
+}
+
+void long_running_world::check_start(const start_order& order, const machine& target) {
+    const auto found = m_drained_at.find(target.process->get_report().data_centre);
+    if (found != m_drained_at.end() && m_now > found->second + max_start_after_drain) {
+        m_starts_after_drain.push_back(
+            "job " + std::to_string(order.run.task.step.job) + " started on " + target.id + " " +
+            std::to_string(to_milliseconds(m_now - found->second)) + " ms after its data centre was drained");
+    }
+}
+
 // ---- time
 
 void long_running_world::run(duration length) {
@@ -176,6 +209,7 @@
         submit_short_tasks();
     }
     tick_leader();
+    record_drains();
     check_runs();
     const bool is_any_disrupted = !m_scheduler->is_leading() ||
                                   std::any_of(m_machines.begin(), m_machines.end(),
@@ -217,6 +251,7 @@
     report.address = target.address;
     report.pool = pool;
     report.rack = "r1";
+    report.data_centre = world_data_centres.at(target.number % world_data_centres.size());
     report.labels = {"r1"};
     if (target.number % 2 == 0) {
         report.labels.emplace_back("fast");
@@ -412,6 +447,15 @@
     for (auto& command : m_scheduler->take_commands()) {
         m_queued_commands.push_back(std::move(command));
     }
+    const bool has_proposed = !m_committing_commands.empty() || !m_queued_commands.empty();
+    for (const auto& [data_centre, is_wanted] : m_wanted_drains) {
+        if (!has_proposed && m_job_state.is_drained(data_centre) != is_wanted) {
+            job_wire::job_command command;
+            command.mutable_drain()->set_name(data_centre);
+            command.mutable_drain()->set_undo(!is_wanted);
+            m_queued_commands.push_back(std::move(command));
+        }
+    }
     if (m_committing_commands.empty() && !m_queued_commands.empty()) {
         m_committing_commands = std::exchange(m_queued_commands, {});
         schedule_call(pick_time(milliseconds{1}, m_settings.max_commit_time), [this, term = m_term] {
@@ -456,6 +500,7 @@
         return;
     }
     const bool is_late = m_now < target.late_until && pick(0, 1) == 1;
+    sent->is_late = is_late;
     const auto delay = is_late ? pick_time(min_order_delay, max_order_delay) : tick;
     schedule_call(delay, [this, order, sent, &target] { receive(order, target, sent); });
     schedule_call(order.target.timeout, [sent] { complete(sent, {order_failure::unanswered, {}}); });
@@ -486,7 +531,11 @@
             on_answer({order_failure::no_capacity, {}});
             return;
         }
+        const bool was_there = target.process->get_runs().contains(order.run);
         target.process->receive(order, m_lengths.at(order.run.task.step.job), m_now, on_answer);
+        if (!was_there && !sent->is_late && target.process->get_runs().contains(order.run)) {
+            check_start(order, target);
+        }
     } else {
         target.process->receive(order, m_now, on_answer);
     }
@@ -584,6 +633,14 @@
     return running;
 }
 
+std::size_t long_running_world::count_runs_in(const std::string& data_centre) const {
+    std::size_t runs = 0;
+    for (const auto& worker : watch_workers()) {
+        runs += worker.report->data_centre == data_centre ? worker.runs.size() : 0;
+    }
+    return runs;
+}
+
 double long_running_world::get_used_share() const {
     std::int64_t used = 0;
     std::int64_t capacity = 0;
--- a/unit_tests/dispatch/long_running_world.h
+++ b/unit_tests/dispatch/long_running_world.h
@@ -7,6 +7,7 @@
 #include "unit_tests/dispatch/simulated_disruption.h"
 #include "unit_tests/dispatch/simulated_worker.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -33,11 +34,14 @@
     friend bool operator==(const long_running_world_settings&, const long_running_world_settings&) = default;
 };
 
+/// Names of the data centres of a long_running_world.
+inline constexpr std::array<const char*, 2> world_data_centres = {"east", "west"};
+
 /// Simulates a dispatcher, its replicated job state and its workers in virtual time. Short tasks keep the
 /// pool filled, while a test submits long-running tasks and disrupts workers and the leader. A watch judges
-/// by what the workers run. Every fourth worker has accelerators, and every second one has the label `fast`.
-/// The simulation is deterministic: the same seed gives the same run. Thread safety: none, as for all
-/// methods.
+/// by what the workers run. The workers are in two data centres by turns. Every fourth worker has
+/// accelerators, and every second one has the label `fast`. The simulation is deterministic: the same seed
+/// gives the same run. Thread safety: none, as for all methods.
 class long_running_world {
 public:
     /// Starts the leader and the workers, and runs until all workers are known.
@@ -53,6 +57,15 @@
     void cancel(job_id id);
     /// Advances the simulation.
     void run(duration length);
+    /// Orders that nothing starts in a data centre, or withdraws the order. The order is sent to each leader
+    /// until one has committed it.
+    void drain(const std::string& data_centre, bool undo);
+    /// Returns true when the latest order for each data centre is committed.
+    [[nodiscard]] bool are_drains_committed() const;
+    /// Returns the starts in data centres that had been drained for longer than the bound.
+    [[nodiscard]] const std::vector<std::string>& get_starts_after_drain() const {
+        return m_starts_after_drain;
+    }
     /// Sets the share of all processor time that tasks use or wait for.
     void set_fill(double fill) { m_settings.fill = fill; }
 
@@ -65,6 +78,8 @@
 
     /// Returns how many tasks of a job run.
     [[nodiscard]] std::size_t count_running(job_id id) const;
+    /// Returns how many runs the workers of a data centre have.
+    [[nodiscard]] std::size_t count_runs_in(const std::string& data_centre) const;
     /// Returns the share of the processor time of all workers that are up that runs use.
     [[nodiscard]] double get_used_share() const;
     [[nodiscard]] const long_running_watch& get_watch() const { return m_watch; }
@@ -79,6 +94,7 @@
     struct sent_order {
         std::function<void(const order_outcome&)> on_outcome;
         bool is_completed = false;
+        bool is_late = false; ///< it is executed long after its sender has given it up
     };
     using sent_order_ptr = std::shared_ptr<sent_order>;
     struct scheduled_call {
@@ -120,6 +136,9 @@
     void deliver(const hold_order& order, const order_outcome& outcome);
     void deliver(const start_order& order, const order_outcome& outcome);
     void deliver(const stop_order& order, const order_outcome& outcome);
+    /// Records when the order to drain was committed, which an operator is told, for the check of starts.
+    void record_drains();
+    void check_start(const start_order& order, const machine& target);
     void submit_short_tasks();
     void check_runs();
     [[nodiscard]] std::vector<watched_worker> watch_workers() const;
@@ -144,6 +163,9 @@
     std::int64_t m_long_running_millicores = 0;
     long_running_watch m_watch;
     std::vector<std::string> m_violations;
+    std::map<std::string, bool> m_wanted_drains;    ///< latest order for each data centre
+    std::map<std::string, time_point> m_drained_at; ///< when the order was committed, until it is withdrawn
+    std::vector<std::string> m_starts_after_drain;
     job_id m_next_job = 1;
     int m_process_count = 0;
 };
--- a/unit_tests/platform/dialect_test.cpp
+++ b/unit_tests/platform/dialect_test.cpp
@@ -102,6 +102,20 @@
     EXPECT_TRUE(put->configuration.pools.at(0).enforces_capacity);
 }
 
+TEST(platform_control, reads_orders_to_drain_a_data_centre_and_their_withdrawal) {
+    const auto order = read_control_call(make_post("/v1/Evacuation.Start/gimje-hall", ""));
+    const auto* drain = std::get_if<drain_call>(&order);
+    ASSERT_NE(drain, nullptr);
+    EXPECT_EQ(drain->data_centre, "gimje-hall");
+    EXPECT_FALSE(drain->undo);
+    const auto withdrawal = read_control_call(make_post("/v1/Evacuation.End/gimje-hall", ""));
+    const auto* undo = std::get_if<drain_call>(&withdrawal);
+    ASSERT_NE(undo, nullptr);
+    EXPECT_TRUE(undo->undo);
+    EXPECT_TRUE(
+        std::holds_alternative<malformed_call>(read_control_call(make_post("/v1/Evacuation.Start/", ""))));
+}
+
 TEST(platform_control, distinguishes_malformed_from_unknown_calls) {
     const auto is_malformed = [](const control_call& call) {
         return std::holds_alternative<malformed_call>(call);
--- a/unit_tests/scheduling/job_state_machine_test.cpp
+++ b/unit_tests/scheduling/job_state_machine_test.cpp
@@ -268,6 +268,26 @@
     EXPECT_EQ(restored.get_fence_raises(), 2U);
 }
 
+job_wire::job_command make_drain(const std::string& data_centre, bool undo) {
+    job_wire::job_command command;
+    command.mutable_drain()->set_name(data_centre);
+    command.mutable_drain()->set_undo(undo);
+    return command;
+}
+
+TEST(job_state_machine, keeps_drained_data_centres_in_a_snapshot_until_the_order_is_withdrawn) {
+    job_state_machine job_state;
+    EXPECT_EQ(apply(job_state, make_drain("east", false)), command_outcome::applied);
+    EXPECT_EQ(apply(job_state, make_drain("east", false)), command_outcome::repeated);
+    EXPECT_EQ(apply(job_state, make_drain("west", true)), command_outcome::repeated);
+    job_state_machine restored;
+    ASSERT_TRUE(restored.load(job_state.save()));
+    EXPECT_TRUE(restored.is_drained("east"));
+    EXPECT_FALSE(restored.is_drained("west"));
+    EXPECT_EQ(apply(restored, make_drain("east", true)), command_outcome::applied);
+    EXPECT_FALSE(restored.is_drained("east"));
+}
+
 /// Applies a random command that a leader may propose, valid or not.
 void apply_random(job_state_machine& job_state, std::mt19937& random) {
     const auto draw = [&](std::uint32_t end) {
