Send no entries to a follower that does not answer

Cause: at each heartbeat round the leader rewound a stalled follower and sent it up to 256 KB of the same entries again, ten times a second, for as long as it was silent. Change: after four rounds without a response a follower gets empty append messages; its first response brings the entries. last_response stays what the member planner needs it to be.

--- a/poplarpitch/consensus/raft_node_leader.cpp
+++ b/poplarpitch/consensus/raft_node_leader.cpp
@@ -38,6 +38,7 @@
     m_round_times[m_round] = now;
     m_next_heartbeat = now + m_settings.heartbeat_interval;
     for (auto& [id, progress] : m_progress) {
+        ++progress.unanswered_rounds;
         send_append(id, progress);
     }
     confirm_rounds();
@@ -66,7 +67,7 @@
     request.commit = m_commit;
     request.index = progress.next - 1;
     request.index_term = m_log.find_term(request.index).value_or(0);
-    if (progress.next <= m_log.get_last_index()) {
+    if (!progress.is_silent() && progress.next <= m_log.get_last_index()) {
         request.entries = m_log.copy_from(progress.next, m_settings.max_append_bytes);
         progress.next += request.entries.size();
         ++progress.inflight;
@@ -75,8 +76,8 @@
 }
 
 void raft_node::send_pending(node_id to, raft_progress& progress) {
-    while (!progress.is_sending_snapshot && progress.next <= m_log.get_last_index() &&
-           progress.inflight < m_settings.max_inflight) {
+    while (!progress.is_silent() && !progress.is_sending_snapshot &&
+           progress.next <= m_log.get_last_index() && progress.inflight < m_settings.max_inflight) {
         send_append(to, progress);
     }
 }
@@ -103,6 +104,7 @@
         return nullptr;
     }
     found->second.last_response = now;
+    found->second.unanswered_rounds = 0;
     found->second.acked_round = std::max(found->second.acked_round, message.round);
     confirm_rounds();
     return &found->second;
--- a/unit_tests/consensus/raft_node_test.cpp
+++ b/unit_tests/consensus/raft_node_test.cpp
@@ -43,6 +43,7 @@
             m_reads += output.reads.size();
         }
         for (const auto& message : messages) {
+            m_entries_sent[message.to] += message.entries.size();
             if (message.to != m_down && message.from != m_down) {
                 m_nodes[message.to]->step(message, m_now);
             }
@@ -61,6 +62,7 @@
     time_point m_now{seconds{100}};
     std::map<node_id, std::unique_ptr<raft_node>> m_nodes;
     std::map<node_id, std::size_t> m_applied;
+    std::map<node_id, std::size_t> m_entries_sent; ///< by receiver
     std::size_t m_reads = 0;
     node_id m_down = 0;
 };
@@ -184,5 +186,25 @@
     EXPECT_EQ(*m_nodes[isolated]->get_snapshot().data, *data);
 }
 
+TEST_F(raft_trio, sends_entries_once_to_a_follower_that_does_not_answer) {
+    run(seconds{2});
+    m_entries_sent.clear();
+    const auto leader = find_leader();
+    const node_id silent = leader == 1 ? 2 : 1;
+    m_down = silent;
+    const std::string payload(10'000, 'x');
+    for (int index = 0; index < 10; ++index) {
+        ASSERT_TRUE(m_nodes[leader]->propose(payload, m_now));
+        run(milliseconds{200});
+    }
+    EXPECT_LE(m_entries_sent[silent], 10U) << "only in the rounds before it counts as silent";
+    const auto sent = m_entries_sent[silent];
+    run(seconds{3});
+    EXPECT_EQ(m_entries_sent[silent], sent);
+    m_down = 0;
+    run(milliseconds{300});
+    EXPECT_EQ(m_nodes[silent]->get_commit(), m_nodes[leader]->get_commit());
+}
+
 } // namespace
 } // namespace poplarpitch
