Stay up while the disk is full

The instance was lost as a relay each time. Cause: every failed write ended the process, also one that found no space. Such a write leaves nothing behind (posix_file_system cuts what was written of it), so it can be repeated. Change: the replica treats a full disk like one that stalls. The write is repeated each 0.2 s; until it succeeds the raft node takes no input, so nothing unsynced is voted or acknowledged, and another instance takes over. A leader gives up its lease at once and tells the callers that wait that the outcome is unknown; they ask the next leader. Any other error still ends the process.

--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -9,6 +9,7 @@
 #include "poplarpitch/replica/node_identity.h"
 #include "poplarpitch/storage/raft_codec.h"
 #include "poplarpitch/storage/raft_message_codec.h"
+#include "poplarpitch/storage/storage_error.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/telemetry/storage_failure.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -23,6 +24,8 @@
 // Messages of other nodes deferred during one sync. A leader sends about 20 a second and resends lost ones,
 // so only a disk that stalls for long reaches this limit.
 constexpr std::size_t max_deferred_messages = 256;
+constexpr duration full_retry_pause = milliseconds{200}; // between two writes to a full disk
+constexpr duration full_snapshot_pause = seconds{2}; // a snapshot writes megabytes before it finds no space
 
 node_id generate_node_id(std::uint32_t ip) {
     std::random_device device;
@@ -200,7 +203,7 @@
 // ---- iterations
 
 void replica::run_iteration() {
-    if (m_node == nullptr || m_sync_task.is_running()) {
+    if (m_node == nullptr || is_saving()) {
         return;
     }
     m_node->tick(m_loop.now());
@@ -214,11 +217,11 @@
 }
 
 void replica::take_message(const wire::raft_message& message) {
-    if (!m_sync_task.is_running()) {
+    if (!is_saving()) {
         m_node->step(decode(message), m_loop.now());
         return;
     }
-    if (m_deferred_messages >= max_deferred_messages) {
+    if (is_storage_full() || m_deferred_messages >= max_deferred_messages) {
         return; // treated as lost: the sender resends what matters
     }
     ++m_deferred_messages;
@@ -250,14 +253,48 @@
             send(message);
         }
     }
-    m_sync_task.run([this] { m_save_result = m_storage->save(m_output); },
-                    [this] {
-                        if (!m_save_result) {
-                            end_process(m_save_result.error());
-                        }
-                        finish_output();
-                        run_deferred();
-                    });
+    start_sync();
+}
+
+void replica::start_sync() {
+    m_sync_task.run([this] { m_save_result = m_storage->save(m_output); }, [this] { on_sync_ended(); });
+}
+
+void replica::on_sync_ended() {
+    if (!m_save_result) {
+        if (!note_storage_full(m_save_result.error())) {
+            end_process(m_save_result.error());
+        }
+        m_loop.call_after(full_retry_pause, [this] { start_sync(); });
+        return;
+    }
+    note_storage_writable();
+    finish_output();
+    run_deferred();
+}
+
+bool replica::note_storage_full(const std::error_code& error) {
+    if (error != make_error_code(storage_errc::no_space)) {
+        return false;
+    }
+    if (!is_storage_full()) {
+        m_full_since = m_loop.now();
+        log_event(log_level::error, "storage_full")
+            .add("leads", m_is_leading ? "yes" : "no")
+            .add("action",
+                 "takes no part in the log until a write succeeds; nothing unsynced was acknowledged");
+        fail_pending_proposals(); // their callers ask the next leader
+        fail_pending_reads();
+    }
+    return true;
+}
+
+void replica::note_storage_writable() {
+    if (is_storage_full()) {
+        log_event(log_level::info, "storage_writable")
+            .add("full_ms", to_milliseconds(m_loop.now() - *m_full_since));
+        m_full_since.reset();
+    }
 }
 
 /// Called when the node's output is on disk. Sends messages, applies entries, then answers the reads that
@@ -351,8 +388,17 @@
     }
 }
 
+void replica::fail_pending_reads() {
+    const auto reads = std::exchange(m_reads, {});
+    for (const auto& [token, on_ready] : reads) {
+        on_ready(false);
+    }
+}
+
 void replica::take_snapshot_if_due() {
-    if (m_storage->get_written_bytes() - m_bytes_at_snapshot < m_settings.snapshot_bytes) {
+    const auto now = m_loop.now();
+    const auto written = m_storage->get_written_bytes() - m_bytes_at_snapshot;
+    if (written < m_settings.snapshot_bytes || now < m_next_snapshot) {
         return;
     }
     const auto term = m_node->get_log().find_term(m_applied);
@@ -363,6 +409,11 @@
                                  std::make_shared<const std::string>(m_handler.on_save())};
     const auto rest = m_node->get_log().copy_from(m_applied + 1, SIZE_MAX);
     const auto saved = m_storage->save_snapshot(snapshot, m_hard_state, rest);
+    if (!saved && saved.error() == make_error_code(storage_errc::no_space)) {
+        m_next_snapshot = now + full_snapshot_pause; // the log goes on without it
+        log_event(log_level::warn, "snapshot_delayed").add("index", m_applied);
+        return;
+    }
     if (!saved) {
         end_process(saved.error());
     }
@@ -376,7 +427,7 @@
 // ---- queries
 
 bool replica::has_lease() const {
-    return m_node != nullptr && m_node->has_lease(m_loop.now());
+    return m_node != nullptr && !is_storage_full() && m_node->has_lease(m_loop.now());
 }
 
 std::uint32_t replica::get_leader_ip() const {
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,8 +70,10 @@
 /// has ended. So nothing that depends on the sync is sent before it is on disk. An instance whose disk stalls
 /// sends no messages, and another instance takes over.
 ///
-/// A failed write or sync ends the process: the state of the disk is unknown, and callers can retry requests
-/// that got no answer. Thread safety: the loop's thread, for all methods.
+/// A full disk is treated like one that stalls: the write is repeated until it succeeds, while the instance
+/// relays orders and answers whatever needs no disk. Nothing of a write that found no space is on disk, so it
+/// can be repeated. Any other failed write or sync ends the process: the state of the disk is unknown, and
+/// callers can retry requests that got no answer. Thread safety: the loop's thread, for all methods.
 class replica {
 public:
     /// Precondition: `loop` outlives the replica.
@@ -95,12 +98,14 @@
     /// Returns the addresses of all other members, in host order.
     [[nodiscard]] std::vector<std::uint32_t> get_other_members() const;
 
-    /// Returns true while this instance leads and no other can have been elected.
+    /// Returns true while this instance leads, no other can have been elected, and its disk has room.
     [[nodiscard]] bool has_lease() const;
     /// Returns true when this instance leads and has applied everything committed before its term.
     [[nodiscard]] bool is_leading() const { return m_is_leading; }
     /// Returns the address of the leader's instance, in host order; 0 while none is known.
     [[nodiscard]] std::uint32_t get_leader_ip() const;
+    /// Returns true while the disk is full. The instance does not take part in the log then.
+    [[nodiscard]] bool is_storage_full() const { return m_full_since.has_value(); }
     [[nodiscard]] node_id get_id() const { return m_id; }
     [[nodiscard]] std::size_t get_voter_count() const;
 
@@ -115,6 +120,9 @@
     void start_node(const raft_membership& initial);
     /// Runs periodically: bootstraps the cluster or joins it, as far as is possible yet.
     void bootstrap_or_join();
+    /// Makes this instance a founding member, or one that joins. Returns false while the disk is full; it is
+    /// then tried again.
+    bool write_initial_members(const raft_membership& members);
     /// Requests the statuses of other instances while no leader is known.
     void request_statuses();
     void ask_to_join();
@@ -125,16 +133,25 @@
     void accept(const std::shared_ptr<frame_socket>& socket);
     void run_iteration();
     void save_output();
+    /// Writes and syncs `m_output` on the other thread.
+    void start_sync();
+    void on_sync_ended();
+    /// Returns true from the start of a sync until everything in it is on disk, which a full disk delays.
+    [[nodiscard]] bool is_saving() const { return m_sync_task.is_running() || is_storage_full(); }
+    /// Records that a write found no space. Returns true when `error` says so.
+    bool note_storage_full(const std::error_code& error);
+    void note_storage_writable();
     void finish_output();
     void send(const raft_message& message);
     void take_message(const wire::raft_message& message);
-    /// Calls `work` now, or after the sync in progress.
+    /// Calls `work` now, or after the save in progress.
     void run_after_sync(std::function<void()> work);
     void run_deferred();
     void apply(const log_entry& entry);
     /// Calls the handler when leadership was gained or lost.
     void update_role();
     void fail_pending_proposals();
+    void fail_pending_reads();
     /// Proposes the next membership step while this instance leads.
     void update_membership();
     void take_snapshot_if_due();
@@ -164,7 +181,9 @@
     hard_state m_hard_state;
     raft_membership m_applied_members;
     log_index m_applied = 0;
-    std::uint64_t m_bytes_at_snapshot = 0; ///< bytes written by the time of the last snapshot
+    std::uint64_t m_bytes_at_snapshot = 0;  ///< bytes written by the time of the last snapshot
+    time_point m_next_snapshot{};           ///< after one that found no space
+    std::optional<time_point> m_full_since; ///< set while the disk is full
     member_planner m_planner;
     std::unique_ptr<peer_mesh> m_mesh;
     std::unique_ptr<frame_listener> m_listener;
--- a/poplarpitch/replica/replica_calls.cpp
+++ b/poplarpitch/replica/replica_calls.cpp
@@ -1,4 +1,4 @@
-// Requests to the log: proposals, reads and resigning. All are deferred while a sync is in progress.
+// Requests to the log: proposals, reads and resigning. All are deferred while a save is in progress.
 #include "poplarpitch/replica/replica.h"
 
 #include "poplarpitch/net/event_loop.h"
@@ -8,7 +8,7 @@
 namespace poplarpitch {
 
 void replica::run_after_sync(std::function<void()> work) {
-    if (m_sync_task.is_running()) {
+    if (is_saving()) {
         m_deferred.push_back(std::move(work));
     } else {
         work();
--- a/poplarpitch/replica/replica_members.cpp
+++ b/poplarpitch/replica/replica_members.cpp
@@ -52,30 +52,38 @@
             m_phase = node_phase::joining;
         }
         if (decision.action == bootstrap_decision::kind::create) {
-            const auto written = m_storage->write_initial_members(decision.members);
-            if (!written) {
-                end_process(written.error());
+            if (write_initial_members(decision.members)) {
+                log_event(log_level::info, "cluster_founded")
+                    .add("node", m_id)
+                    .add("members", decision.members.encode());
+                start_node(decision.members);
             }
-            log_event(log_level::info, "cluster_founded")
-                .add("node", m_id)
-                .add("members", decision.members.encode());
-            start_node(decision.members);
         }
     }
     if (m_phase == node_phase::joining && m_reported_leader != 0) {
-        const auto written = m_storage->write_initial_members({});
-        if (!written) {
-            end_process(written.error());
+        if (write_initial_members({})) {
+            log_event(log_level::info, "cluster_joining")
+                .add("node", m_id)
+                .add("leader", format_ip(m_reported_leader));
+            start_node({});
         }
-        log_event(log_level::info, "cluster_joining")
-            .add("node", m_id)
-            .add("leader", format_ip(m_reported_leader));
-        start_node({});
     }
     ask_to_join();
     m_loop.call_after(pause, [this] { bootstrap_or_join(); });
 }
 
+bool replica::write_initial_members(const raft_membership& members) {
+    const auto written = m_storage->write_initial_members(members);
+    if (!written) {
+        if (!note_storage_full(written.error())) {
+            end_process(written.error());
+        }
+        return false;
+    }
+    note_storage_writable();
+    return true;
+}
+
 void replica::request_statuses() {
     const bool is_member = m_node != nullptr && m_node->get_leader() != 0;
     if (is_member) {
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -71,6 +71,7 @@
     set("poplarpitch_loop_lag_seconds", to_seconds(parts.loop.get_lag()));
     set("poplarpitch_loop_cut_turns_total", parts.loop.get_cut_iterations());
     set("poplarpitch_log_lines_left_out_total", get_left_out_log_lines());
+    set("poplarpitch_storage_full", parts.log.is_storage_full() ? 1 : 0);
     set("poplarpitch_leading", parts.log.is_leading() ? 1 : 0);
     set("poplarpitch_voters", parts.log.get_voter_count());
     set("poplarpitch_config_version", parts.job_state.get_configuration().version);
--- a/poplarpitch/storage/raft_storage.h
+++ b/poplarpitch/storage/raft_storage.h
@@ -17,8 +17,9 @@
 /// collected shares one sync. Therefore only the last frame of the last segment can be torn. `open` truncates
 /// it, because nothing in it was acknowledged. An invalid frame anywhere else is corruption, which is
 /// reported with its file and offset. A snapshot is written to a new file, synced and renamed over the old
-/// one. A new segment then starts with it, and older segments are removed. After an error the object must not
-/// be used again, because the state of the disk is unknown. Thread safety: none, as for all methods.
+/// one. A new segment then starts with it, and older segments are removed. A call that failed with `no_space`
+/// can be repeated. After any other error the object must not be used again, because the state of the disk is
+/// unknown. Thread safety: none, as for all methods.
 template <file_system FileSystem>
 class raft_storage {
 public:
@@ -38,8 +39,6 @@
 
     /// Returns the file and offset of the last error, for logs.
     [[nodiscard]] const std::string& get_error_location() const { return m_error_location; }
-    /// Returns the size of the current segment in bytes.
-    [[nodiscard]] std::uint64_t get_segment_bytes() const { return m_segment_bytes; }
     /// Returns the number of bytes written since `open`.
     [[nodiscard]] std::uint64_t get_written_bytes() const { return m_written_bytes; }
 
@@ -60,7 +59,6 @@
     storage_settings m_settings;
     std::string m_segment; ///< name of the current segment
     std::uint64_t m_segment_number = 0;
-    std::uint64_t m_segment_bytes = 0;
     std::uint64_t m_written_bytes = 0;
     log_index m_base_index = 0; ///< while reading: index before the first entry
     log_term m_base_term = 0;
--- a/poplarpitch/storage/raft_storage_impl.h
+++ b/poplarpitch/storage/raft_storage_impl.h
@@ -161,7 +161,6 @@
         BOOST_OUTCOME_TRY(apply_frame(name, offset, frame.payload, state));
         offset = frame.end;
     }
-    m_segment_bytes = offset;
     return boost::outcome_v2::success();
 }
 
@@ -207,7 +206,6 @@
     BOOST_OUTCOME_TRY(m_files.append(name, frame));
     BOOST_OUTCOME_TRY(m_files.sync(name));
     m_written_bytes += frame.size();
-    m_segment_bytes += frame.size();
     return boost::outcome_v2::success();
 }
 
@@ -283,8 +281,12 @@
     for (const auto& entry : tail) {
         encode(entry, *frame.add_entries());
     }
-    m_segment_bytes = 0;
-    BOOST_OUTCOME_TRY(write_frame(name, frame.SerializeAsString()));
+    const auto written = write_frame(name, frame.SerializeAsString());
+    if (!written) {
+        // An empty last segment would make a torn frame at the end of the one before it look like corruption.
+        BOOST_OUTCOME_TRY(m_files.remove(name));
+        return written.error();
+    }
     BOOST_OUTCOME_TRY(m_files.sync_folder());
     m_segment = name;
     return boost::outcome_v2::success();
--- a/unit_tests/storage/raft_storage_test.cpp
+++ b/unit_tests/storage/raft_storage_test.cpp
@@ -171,6 +171,66 @@
     EXPECT_EQ(reopened.open().value().entries.size(), 2U);
 }
 
+/// Calls `save` while the disk is full and again when it has room.
+template <class Save>
+void save_when_there_is_room(memory_file_system& files, int full_calls, const Save& save) {
+    files.set_full(true);
+    for (int call = 0; call < full_calls; ++call) {
+        RC_ASSERT(save().error() == make_error_code(storage_errc::no_space));
+    }
+    files.set_full(false);
+    RC_ASSERT(save().has_value());
+}
+
+RC_GTEST_PROP(raft_storage, goes_on_after_a_full_disk_and_survives_a_power_cut, ()) {
+    memory_file_system files;
+    std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+    log_index acknowledged = 0;
+    for (int restart = 0; restart < 4; ++restart) {
+        memory_storage storage(files, own_settings);
+        const auto opened = storage.open();
+        RC_ASSERT(opened.has_value());
+        if (opened.value().is_empty) {
+            save_when_there_is_room(files, *rc::gen::inRange(0, 3), [&] {
+                return storage.write_initial_members({{1}, {}});
+            });
+        }
+        const auto& state = opened.value();
+        log_index next = state.snapshot.index + state.entries.size() + 1;
+        RC_ASSERT(next > acknowledged);
+        for (int number = 0; number < 6; ++number) {
+            const auto output = make_entries(next, *rc::gen::inRange(1, 4), 1);
+            const raft_snapshot snapshot{
+                next + output.entries.size() - 1, 1, {{1}, {}}, std::make_shared<const std::string>("s")};
+            raft_output installation;
+            installation.install = snapshot;
+            installation.state = hard_state{1, 2};
+            const auto kind = *rc::gen::inRange(0, 4);
+            const auto full_calls = *rc::gen::inRange(0, 3);
+            if (kind == 0) {
+                save_when_there_is_room(files, full_calls, [&] { return storage.save(installation); });
+            } else {
+                save_when_there_is_room(files, full_calls, [&] { return storage.save(output); });
+            }
+            if (kind == 1) {
+                files.set_full(true);
+                RC_ASSERT(!storage.save_snapshot(snapshot, {1, 2}, {}).has_value()); // given up
+                files.set_full(false);
+            }
+            if (kind == 2) {
+                save_when_there_is_room(files, full_calls, [&] {
+                    return storage.save_snapshot(snapshot, {1, 2}, {});
+                });
+            }
+            next += output.entries.size();
+            acknowledged = next - 1;
+        }
+        files.fail_after(1, storage_errc::io_failed); // the power fails between the write and its sync
+        static_cast<void>(storage.save(make_entries(next, 1, 1)));
+        files.cut_power(random);
+    }
+}
+
 RC_GTEST_PROP(raft_storage, survives_a_power_cut_at_any_call, ()) {
     memory_file_system files;
     std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
--- a/unit_tests/support/memory_file_system.h
+++ b/unit_tests/support/memory_file_system.h
@@ -12,7 +12,8 @@
 namespace poplarpitch {
 
 /// A file system in memory. A simulated power loss discards data that was not synced, and any call can be
-/// made to fail. Thread safety: none.
+/// made to fail. While it is full, nothing can be appended; a file that does not exist is created empty.
+/// Thread safety: none.
 class memory_file_system {
 public:
     result<void> lock() { return check(); }
@@ -37,7 +38,11 @@
 
     result<void> append(const std::string& name, std::string_view bytes) {
         BOOST_OUTCOME_TRY(check());
-        m_files[name].append(bytes);
+        auto& file = m_files[name];
+        if (m_is_full) {
+            return make_error_code(storage_errc::no_space);
+        }
+        file.append(bytes);
         return boost::outcome_v2::success();
     }
 
@@ -111,6 +116,9 @@
     }
     /// Makes calls succeed again.
     void clear_failure() { m_fail_in = -1; }
+    /// Makes the disk full or leaves it room again.
+    void set_full(bool is_full) { m_is_full = is_full; }
+    [[nodiscard]] bool is_full() const { return m_is_full; }
     /// Returns the number of calls so far.
     [[nodiscard]] int get_calls() const { return m_calls; }
     std::map<std::string, std::string>& get_files() { return m_files; }
@@ -133,6 +141,7 @@
     std::map<std::string, std::string> m_synced_names;
     std::map<std::string, std::string> m_renames;
     storage_errc m_error = storage_errc::io_failed;
+    bool m_is_full = false;
     int m_fail_in = -1;
     int m_calls = 0;
 };
