Repeat unanswered holds without long pauses while there is a lease to renew

Cause: after each unanswered hold the pause doubled up to 0.96 s. A partition that ended shortly before the leases did was noticed up to a second later, and what ran behind it was given up. Change: while a worker has runs under a lease, pauses stop at 0.24 s. A refused connection backs off as before. Test: dispatcher_retry.repeats_unanswered_holds_without_long_pauses_while_there_is_a_lease_to_renew.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -281,6 +281,9 @@
     void update_room_expiry(worker_state& worker) const;
     /// Updates a worker's clock from a heartbeat, which may be late.
     void update_clock(worker_state& worker, std::int64_t clock_ms, time_point now) const;
+    /// Returns the pause after an unanswered or refused hold.
+    [[nodiscard]] duration get_hold_backoff(const worker_state& worker, order_failure failure,
+                                            time_point now) const;
     void send_hold(worker_state& worker, time_point now);
     /// Returns how long a worker may delay its answer to a hold.
     [[nodiscard]] duration get_hold_wait(const worker_state& worker) const;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -24,6 +24,7 @@
 // Minimum rest of a lease for a start. The next hold extends the lease; it is answered within 1.8 s, or the
 // one after it within 2 s more.
 constexpr duration min_start_lease = seconds{4};
+constexpr int max_urgent_doublings = 1; // of the pause between holds while a lease is to be renewed
 
 /// Returns the failure of a hold, or nothing. An answer without a start time is treated as no answer
 /// when the worker's report has one, since it does not show which incarnation sent it.
@@ -245,6 +246,18 @@
     return m_settings.mixed_hold_wait + std::chrono::duration_cast<duration>(longer * m_load.get_strain());
 }
 
+/// A partition that ends shortly before the leases do must not cost the runs behind it. As long as there is a
+/// lease to renew, unanswered holds are therefore repeated without long pauses. A refused connection costs
+/// its sender a new one each time and tells that no process listens, so the pause grows as usual.
+duration dispatcher::get_hold_backoff(const worker_state& worker, order_failure failure,
+                                      time_point now) const {
+    const bool has_lease = !worker.runs.empty() && now < worker.lease_end;
+    const bool is_urgent = has_lease && failure == order_failure::unanswered;
+    const int failures = is_urgent ? std::min(worker.hold_failures, max_urgent_doublings + 1)
+                                   : worker.hold_failures;
+    return get_backoff(static_cast<std::uint32_t>(failures), m_settings.retry_pause, worker.worker_hash);
+}
+
 void dispatcher::send_hold(worker_state& worker, time_point now) {
     hold_order order;
     const bool has_runs = !worker.runs.empty() && worker.is_confirmed;
@@ -299,8 +312,7 @@
             worker->fence = get_fence();
         }
         worker->record_hold_failure(now);
-        worker->next_hold = now + get_backoff(static_cast<std::uint32_t>(worker->hold_failures),
-                                              m_settings.retry_pause, worker->worker_hash);
+        worker->next_hold = now + get_hold_backoff(*worker, *failure, now);
         if (worker->hold_failures == silent_after_failures) {
             auto line = log_event(log_level::warn, "worker_silent");
             add_worker(line, incarnation)
--- a/unit_tests/dispatch/dispatcher_retry_test.cpp
+++ b/unit_tests/dispatch/dispatcher_retry_test.cpp
@@ -92,6 +92,28 @@
     EXPECT_EQ(second[0].target.worker.id, "w2");
 }
 
+/// Fails all holds at the worker for three seconds, less than its lease, and returns how many were sent.
+int count_holds(order_failure failure) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    world.start_one();
+    int holds = 0;
+    for (const auto end = world.now + seconds{3}; world.now < end; world.advance(milliseconds{10})) {
+        for (const auto& order : world.take<hold_order>()) {
+            ++holds;
+            world.fail_hold(order.target.worker.id, failure);
+        }
+    }
+    return holds;
+}
+
+TEST(dispatcher_retry, repeats_unanswered_holds_without_long_pauses_while_there_is_a_lease_to_renew) {
+    // Pauses of 0.24 s and a quarter; with doubled pauses there are 6.
+    EXPECT_GE(count_holds(order_failure::unanswered), 10);
+    EXPECT_LE(count_holds(order_failure::unreachable), 7) << "each costs a new connection";
+}
+
 TEST(order_backoff, doubles_its_pauses_up_to_eight_times_the_first) {
     duration last{};
     for (std::uint32_t failures = 1; failures <= 4; ++failures) {
