Take a slow answer for no clock that restarted

Callers saw: a long-running task stood still for 9.4 s where 9 are allowed, after the loss of a worker that had answered slowly before (trace of long_running_property.runs_again_in_time_after_disruptions_of_all_kinds: the worker's lease was assumed to last 9.3 s when it was lost). Cause: check_clock_reset compared the clock in the answer to a start with the estimate for the moment of its arrival. An answer that took over 0.25 s looked like a clock that had restarted, and the longest lease was assumed. Change: the worker read its clock after the start was sent, so the clock is compared with the estimate for that moment. A clock that restarted is still found (dispatcher_restart.is_suspected_when_the_clock_restarts). Test: dispatcher_restart.is_not_suspected_when_an_answer_is_slow failed before.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -346,8 +346,8 @@
     void mark_lost(worker_state& worker, const char* reason, time_point now);
     void move_run(run_track& track, worker_state& successor, const run_loss& loss, time_point now);
     void mark_run_lost(run_track& track, end_reason reason, const run_loss& loss, time_point now);
-    /// Detects by a clock that restarted that another incarnation received an order.
-    void check_clock_reset(worker_state& worker, std::int64_t clock_ms, time_point now);
+    /// Detects by a clock that restarted that another incarnation received the order sent at `sent`.
+    void check_clock_reset(worker_state& worker, std::int64_t clock_ms, time_point sent, time_point now);
 
     // tasks that crash their workers
     /// Returns the maximum age of the run when its worker stopped answering, or nothing while that is
--- a/poplarpitch/dispatch/dispatcher_incarnations.cpp
+++ b/poplarpitch/dispatch/dispatcher_incarnations.cpp
@@ -164,9 +164,11 @@
     assume_lease(successor, m_settings.max_lease, now);
 }
 
-void dispatcher::check_clock_reset(worker_state& worker, std::int64_t clock_ms, time_point now) {
+/// The worker read its clock after the order was sent, and the answer may have taken long since then.
+void dispatcher::check_clock_reset(worker_state& worker, std::int64_t clock_ms, time_point sent,
+                                   time_point now) {
     const auto margin = to_milliseconds(m_settings.lease_margin);
-    if (clock_ms == 0 || clock_ms + margin >= worker.estimate_clock(now, m_settings.clock_drift)) {
+    if (clock_ms == 0 || clock_ms + margin >= worker.estimate_clock(sent, m_settings.clock_drift)) {
         return;
     }
     assume_lease(worker, m_settings.max_lease, now);
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -263,7 +263,7 @@
         return; // the answer to the stop determines how the run ends
     }
     handle_order_answer(*track, answer, now);
-    check_clock_reset(*track->host, answer.clock_ms, now);
+    check_clock_reset(*track->host, answer.clock_ms, track->start_sent, now);
     if (!answer.failure.has_value()) {
         ++m_counts.started;
         track->stage = run_stage::running;
--- a/unit_tests/dispatch/dispatcher_restart_test.cpp
+++ b/unit_tests/dispatch/dispatcher_restart_test.cpp
@@ -299,6 +299,18 @@
     EXPECT_EQ(world.take<start_order>().size(), 1U);
 }
 
+TEST(dispatcher_restart, is_not_suspected_when_an_answer_is_slow) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 1U);
+    const auto clock_ms = to_milliseconds(world.now.time_since_epoch()); // as the worker received the start
+    world.advance(milliseconds{800});
+    world.scheduler.on_start(starts[0].run, {std::nullopt, clock_ms}, world.now);
+    EXPECT_LT(world.find_worker("w1")->lease_end, world.now + get_longest_span());
+}
+
 TEST(dispatcher_restart, is_suspected_when_the_clock_restarts) {
     dispatch_world world;
     add_worker(world);
