--- a/poplarpitch/scheduling/job_state_event.h
+++ b/poplarpitch/scheduling/job_state_event.h
@@ -36,8 +36,8 @@
     run_end end = run_end::done;
     std::uint64_t number = 0;
     crash_evidence crash = crash_evidence::none; ///< of `run_ended` or `task_crashed`
-    std::int64_t age_ms = 0; ///< how long the run had been on the worker, 0 when unknown; of
-                             ///< `lease_suspended`: age of the last grant at the proposal
+    std::int64_t age_ms = 0;        ///< how long the run had been on the worker, 0 when unknown; of
+                                    ///< `lease_suspended`: age of the last grant at the proposal
     std::int64_t lease_left_ms = 0; ///< of `lease_suspended`: time from the proposal to the end of all leases
 
     friend auto operator<=>(const job_state_event&, const job_state_event&) = default;
