Refuse no job for drained data centres before the workers have reported

Found by reading: right after an election with a drained data centre and waiting tasks, a pool of which no worker had reported yet counted as drained, and new jobs got 429 with 5 to 7 s to wait, though room was there. Change: a pool is drained only where workers of it have reported, all from drained data centres, and every worker has had the time to report. Test: dispatcher_drain.refuses_no_job_before_all_workers_had_the_time_to_report_to_a_new_leader failed before.

--- a/poplarpitch/dispatch/dispatcher_admission.cpp
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -80,15 +80,14 @@
     std::map<std::string, long_running_quota::pool_use> pools;
     std::map<std::string, std::int64_t> reserved; // millicores
     std::set<std::string> open_pools;             // with a worker on which tasks may start
+    std::set<std::string> drained_pools;          // with a worker in a drained data centre
     for (const auto* worker : m_workers.get_all()) {
         if (worker->has_report && !worker->is_lost && !worker->is_draining) {
             auto& use = pools[worker->report.pool];
             // A drained data centre has no room beyond what runs there.
             use.capacity += worker->is_data_centre_drained ? worker->reserved.millicores
                                                            : worker->report.capacity.millicores;
-            if (!worker->is_data_centre_drained) {
-                open_pools.insert(worker->report.pool);
-            }
+            (worker->is_data_centre_drained ? drained_pools : open_pools).insert(worker->report.pool);
             use.other_demand += worker->short_task_millicores + worker->filling_millicores;
             reserved[worker->report.pool] += worker->reserved.millicores;
         }
@@ -101,7 +100,8 @@
     m_underused_pools.clear();
     m_drained_pools.clear();
     for (const auto& [pool, use] : pools) {
-        if (!open_pools.contains(pool) && !m_job_state.get_drained_data_centres().empty()) {
+        const bool is_drained = drained_pools.contains(pool) && !open_pools.contains(pool);
+        if (is_drained && have_workers_reported(now)) {
             m_drained_pools.insert(pool);
         }
         m_long_running.observe(pool, use, now);
--- a/unit_tests/dispatch/dispatcher_drain_test.cpp
+++ b/unit_tests/dispatch/dispatcher_drain_test.cpp
@@ -153,6 +153,7 @@
     job.steps = {make_small_step(1)};
     job.queue.pool = world_pool;
     world.drain(east);
+    world.advance(seconds{4});
     EXPECT_TRUE(world.scheduler.admit(job, world.now).is_admitted());
     world.drain(west);
     const auto decision = world.scheduler.admit(job, world.now);
@@ -162,6 +163,21 @@
     EXPECT_TRUE(world.scheduler.admit(job, world.now).is_admitted());
 }
 
+TEST(dispatcher_drain, refuses_no_job_before_all_workers_had_the_time_to_report_to_a_new_leader) {
+    dispatch_world world;
+    add_worker(world, "e", east);
+    add_worker(world, "w", west);
+    world.submit({make_small_step(20)});
+    world.drain(east);
+    elect_leader(world, {"e"}); // the other one reports later
+    world.advance(seconds{1});
+    step_job job;
+    job.id = 79;
+    job.steps = {make_small_step(1)};
+    job.queue.pool = world_pool;
+    EXPECT_TRUE(world.scheduler.admit(job, world.now).is_admitted());
+}
+
 TEST(dispatcher_drain, keeps_the_room_of_running_long_running_jobs_in_their_quota) {
     dispatch_world world;
     add_worker(world, "e", east);
