--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -55,7 +55,6 @@
             stop_run(*find(key), now);
         }
     }
-    resume_unused_leases();
     limit_probations();
     m_must_place = true;
     log_takeover({term, get_fence(), m_jobs.size(), m_tracks.size(), m_workers.get_map().size(),
@@ -70,7 +69,8 @@
     // An earlier leader may have granted a lease just now. A relay may report the worker although it has
     // vanished, so it gets no other lease before it has answered.
     worker.is_hold_unanswered = true;
-    adopt_lease(worker, now);
+    assume_lease(worker, m_settings.lease, now);
+    record_lease_sent(worker, now);
     if (worker.report.address.empty() && !run.address.empty()) {
         worker.report.address = run.address;
         worker.next_hold = now + announce_timeout;
@@ -211,13 +211,6 @@
 }
 
 void dispatcher::on_event(const job_state_event& event, time_point now, std::int64_t wall_ms) {
-    using kind = job_state_event::kind;
-    if (event.what == kind::lease_suspended) { // every instance may have to lead later
-        on_lease_suspended(event, now);
-    }
-    if (event.what == kind::lease_resumed) {
-        on_lease_resumed(event.worker, now);
-    }
     if (!is_leading()) {
         return;
     }
@@ -269,9 +262,6 @@
             worker->is_draining = true;
         }
         return;
-    case kind::lease_suspended:
-    case kind::lease_resumed:
-        return;
     case job_state_event::kind::data_centres_changed:
         on_data_centres_changed();
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -104,9 +104,7 @@
     void on_pace(const run_key& key, int percent, const order_answer& answer, time_point now);
     /// Processes the answer of the advice service.
     void on_advice(const advice_request& request, const advice_outcome& outcome, time_point now);
-    /// Called when the replicated job state was replaced by that of a snapshot.
-    void on_state_replaced() { m_suspensions.clear(); }
-    /// Processes the effects of a committed command. Call it also while the dispatcher does not lead.
+    /// Processes the effects of a committed command.
     void on_event(const job_state_event& event, time_point now, std::int64_t wall_ms);
     /// Performs everything that is due: leases, retries, occurrences, placement. Nothing is placed while
     /// `can_commit` is false, since an assignment would only wait for the batch before it.
@@ -203,12 +201,6 @@
         time_point requested_at{};
     };
 
-    /// What is known of the leases of a worker to which none is granted.
-    struct lease_suspension {
-        time_point lease_end{};  ///< when all of them have expired
-        time_point granted_at{}; ///< time of the last grant, at the latest
-    };
-
     /// A start or stop that is due at a given time.
     struct scheduled_order {
         time_point when{};
@@ -282,14 +274,6 @@
     [[nodiscard]] time_point get_next_check(const worker_state& worker, time_point now) const;
     /// Adds a run to the worker's runs and amounts, or removes it with `sign` -1.
     void count_run(worker_state& worker, run_track& track, int sign);
-    void propose_suspension(worker_state& worker, time_point now);
-    void propose_resumption(worker_state& worker);
-    void propose_resumption(const worker_incarnation& worker);
-    void on_lease_suspended(const job_state_event& event, time_point now);
-    void on_lease_resumed(const worker_incarnation& incarnation, time_point now);
-    /// Assumes the leases that earlier leaders may have granted to a worker.
-    void adopt_lease(worker_state& worker, time_point now);
-    void resume_unused_leases();
     /// Updates whether an operator has drained the worker's data centre.
     void update_drained(worker_state& worker) const;
     void on_data_centres_changed();
@@ -465,8 +449,7 @@
     worker_table m_workers;
     std::set<worker_incarnation>
         m_lost_workers; ///< incarnations that are known to have ended, whose late heartbeats are ignored
-    bool m_is_raising_fence = false;                              ///< a raise of the fence is being committed
-    std::map<worker_incarnation, lease_suspension> m_suspensions; ///< kept while this instance does not lead
+    bool m_is_raising_fence = false; ///< a raise of the fence is being committed
     absl::node_hash_map<run_key, run_track> m_tracks;
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -22,9 +22,6 @@
     for (auto* worker : m_workers.take_due(now, time_point::max())) {
         check_worker(*worker, now);
         if (may_forget(*worker, now)) {
-            if (worker->granting != lease_granting::allowed) {
-                propose_resumption(*worker);
-            }
             m_workers.erase(
                 worker_incarnation{worker->report.incarnation}); // a copy, since the state is erased
         } else {
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -204,9 +204,6 @@
 /// would keep its lease for longer, so a start repeats the end of the lease that the last hold granted. Only
 /// where too little is left of that, as at a worker without runs, it extends the lease.
 std::optional<std::int64_t> dispatcher::get_lease_for_start(worker_state& worker, time_point now) {
-    if (worker.granting != lease_granting::allowed) {
-        return std::nullopt;
-    }
     const auto left =
         milliseconds{worker.granted_until_ms - worker.estimate_clock(now, m_settings.clock_drift)};
     // More than the full lease is left only if the worker's clock was reset.
@@ -214,7 +211,7 @@
         record_lease_sent(worker, now);
         return worker.granted_until_ms;
     }
-    if (!worker.may_extend_lease()) {
+    if (worker.is_hold_unanswered) {
         return std::nullopt;
     }
     return extend_lease(worker, now);
@@ -273,7 +270,7 @@
     // could then never be given up. Each extension without an answer would also delay the restart of the runs
     // of a lost worker. Nor is a lease renewed for runs that should not be on the worker.
     const bool has_only_strays = worker.has_stray_runs && worker.runs.empty();
-    if (worker.may_extend_lease() && worker.clock_ms != 0 && !has_only_strays) {
+    if (!worker.is_hold_unanswered && worker.clock_ms != 0 && !has_only_strays) {
         order.lease_end_ms = extend_lease(worker, now);
     }
     worker.is_hold_pending = true;
@@ -316,9 +313,6 @@
         }
         worker->record_hold_failure(now);
         worker->next_hold = now + get_hold_backoff(*worker, *failure, now);
-        if (worker->is_silent() && !worker->runs.empty() && worker->granting == lease_granting::allowed) {
-            propose_suspension(*worker, now);
-        }
         if (worker->hold_failures == silent_after_failures) {
             auto line = log_event(log_level::warn, "worker_silent");
             add_worker(line, incarnation)
@@ -338,9 +332,6 @@
         add_worker(line, incarnation);
     }
     worker->lapsed_runs.clear(); // the worker was unreachable and has not crashed
-    if (worker->granting == lease_granting::suspended) {
-        propose_resumption(*worker);
-    }
     worker->hold_failures = 0;
     retry_delayed_orders(*worker, now);
     if (outcome.answer.clock_ms > 0) {
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -31,15 +31,6 @@
     friend auto operator<=>(const lapsed_run&, const lapsed_run&) = default;
 };
 
-/// Whether the leader may grant leases to a worker. Changes are committed, so that a new leader knows since
-/// when none was granted.
-enum class lease_granting : std::uint8_t {
-    allowed,
-    suspending, ///< the suspension is being committed; no lease is granted
-    suspended,
-    resuming, ///< the end of the suspension is being committed; no lease is granted
-};
-
 /// Consecutive unanswered holds after which a worker counts as silent. A single one may be lost by chance.
 inline constexpr int silent_after_failures = 2;
 
@@ -80,9 +71,8 @@
 
     std::int64_t clock_ms = 0; ///< the worker's clock at `clock_at`; 0 while unknown
     time_point clock_at{};
-    bool is_hold_unanswered = false; ///< the last hold ended without an answer; no lease is extended until
-                                     ///< one is answered
-    lease_granting granting = lease_granting::allowed;
+    bool is_hold_unanswered = false;   ///< the last hold ended without an answer; no lease is extended until
+                                       ///< one is answered
     std::int64_t granted_until_ms = 0; ///< end of the lease that was last granted, by the worker's clock
     time_point granted_at{};           ///< when an order with a lease was last sent
     time_point lease_end{};            ///< when all leases of this leader and earlier ones have expired
@@ -136,10 +126,6 @@
     /// Returns true when no starts are sent: the worker may receive orders although its answers do not
     /// arrive. Thread safety: as the state.
     [[nodiscard]] bool is_silent() const { return hold_failures >= silent_after_failures; }
-    /// Returns true when orders may extend its lease. Thread safety: as the state.
-    [[nodiscard]] bool may_extend_lease() const {
-        return !is_hold_unanswered && granting == lease_granting::allowed;
-    }
     /// Returns what is not reserved. Thread safety: as the state.
     [[nodiscard]] worker_amounts get_free() const { return report.capacity - reserved; }
     /// Returns the processor time that is left for filling tasks, in millicores. Thread safety: as the state.
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -95,7 +95,6 @@
             return m_parts.job_state.save();
         };
         handler.on_load = [this](const std::string& bytes) {
-            m_parts.dispatch.on_state_replaced();
             if (!m_parts.job_state.load(bytes)) {
                 log_event(log_level::error, "snapshot_unreadable")
                     .add("bytes", static_cast<std::uint64_t>(bytes.size()));
--- a/poplarpitch/scheduling/job_state_event.h
+++ b/poplarpitch/scheduling/job_state_event.h
@@ -24,8 +24,6 @@
         step_done,    ///< `run.task.step`
         config_changed,
         worker_retired,       ///< `worker`
-        lease_suspended,      ///< no lease is granted to `worker`; `age_ms` and `lease_left_ms` hold
-        lease_resumed,        ///< `worker` may be granted leases again
         data_centres_changed, ///< other data centres are drained than before
         fence_raised,         ///< orders may now carry a higher fence than any before
     };
@@ -36,9 +34,7 @@
     run_end end = run_end::done;
     std::uint64_t number = 0;
     crash_evidence crash = crash_evidence::none; ///< of `run_ended` or `task_crashed`
-    std::int64_t age_ms = 0;        ///< how long the run had been on the worker, 0 when unknown; of
-                                    ///< `lease_suspended`: age of the last grant at the proposal
-    std::int64_t lease_left_ms = 0; ///< of `lease_suspended`: time from the proposal to the end of all leases
+    std::int64_t age_ms = 0;                     ///< how long the run had been on the worker; 0 when unknown
 
     friend auto operator<=>(const job_state_event&, const job_state_event&) = default;
 };
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -64,8 +64,6 @@
         return command_outcome::applied;
     case job_wire::job_command::kRetire:
         return retire({command.retire().worker(), command.retire().born_ms()}, events);
-    case job_wire::job_command::kSuspendLease:
-        return suspend_lease(command.suspend_lease(), events);
     case job_wire::job_command::kDrain:
         return drain(command.drain().name(), command.drain().undo(), events);
     case job_wire::job_command::kRaiseFence:
@@ -174,20 +172,6 @@
     return command_outcome::applied;
 }
 
-command_outcome job_state_machine::suspend_lease(const job_wire::suspend_lease& message,
-                                                 std::vector<job_state_event>& events) {
-    using kind = job_state_event::kind;
-    job_state_event event;
-    event.what = message.undo() ? kind::lease_resumed : kind::lease_suspended;
-    event.worker = {message.worker(), message.born_ms()};
-    event.age_ms = message.age_ms();
-    event.lease_left_ms = message.left_ms();
-    const bool is_changed = message.undo() ? m_suspended_leases.erase(event.worker) > 0
-                                           : m_suspended_leases.insert(event.worker).second;
-    events.push_back(std::move(event));
-    return is_changed ? command_outcome::applied : command_outcome::repeated;
-}
-
 command_outcome job_state_machine::drain(const std::string& data_centre, bool undo,
                                          std::vector<job_state_event>& events) {
     const bool is_changed = undo ? m_drained_data_centres.erase(data_centre) > 0
@@ -396,11 +380,6 @@
         incarnation.set_id(worker.id);
         incarnation.set_born_ms(worker.process_start_ms);
     }
-    for (const auto& worker : m_suspended_leases) {
-        auto& incarnation = *snapshot.add_suspended_leases();
-        incarnation.set_id(worker.id);
-        incarnation.set_born_ms(worker.process_start_ms);
-    }
     for (const auto& name : m_drained_data_centres) {
         snapshot.add_drained_data_centres(name);
     }
@@ -426,9 +405,6 @@
     for (const auto& incarnation : snapshot.retired_lives()) {
         m_retired.insert({incarnation.id(), incarnation.born_ms()});
     }
-    for (const auto& incarnation : snapshot.suspended_leases()) {
-        m_suspended_leases.insert({incarnation.id(), incarnation.born_ms()});
-    }
     m_drained_data_centres = {snapshot.drained_data_centres().begin(), snapshot.drained_data_centres().end()};
     m_fence_raises = snapshot.fence_raises();
     m_next_sequence = snapshot.next_sequence();
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -16,7 +16,6 @@
 namespace poplarpitch::job_wire {
 class job_command;
 class step_job;
-class suspend_lease;
 class task_name;
 } // namespace poplarpitch::job_wire
 
@@ -49,13 +48,6 @@
     [[nodiscard]] bool is_retired(const worker_incarnation& worker) const {
         return m_retired.contains(worker);
     }
-    /// Returns true while no lease is granted to the worker.
-    [[nodiscard]] bool is_lease_suspended(const worker_incarnation& worker) const {
-        return m_suspended_leases.contains(worker);
-    }
-    [[nodiscard]] const std::set<worker_incarnation>& get_suspended_leases() const {
-        return m_suspended_leases;
-    }
     /// Returns true when no task may start on the workers of a data centre, as an operator has ordered.
     [[nodiscard]] bool is_drained(const std::string& data_centre) const {
         return m_drained_data_centres.contains(data_centre);
@@ -79,8 +71,6 @@
     /// Records that no start of the run can reach a later incarnation of its worker.
     command_outcome confirm(const run_key& key, const worker_incarnation& worker);
     command_outcome retire(const worker_incarnation& worker, std::vector<job_state_event>& events);
-    command_outcome suspend_lease(const job_wire::suspend_lease& message,
-                                  std::vector<job_state_event>& events);
     command_outcome drain(const std::string& data_centre, bool undo, std::vector<job_state_event>& events);
     command_outcome end(const job_state_event& ended, const std::string& checkpoint,
                         std::vector<job_state_event>& events);
@@ -98,7 +88,6 @@
     job_configuration m_configuration;
     absl::node_hash_map<job_id, job_record> m_jobs;
     std::set<worker_incarnation> m_retired;
-    std::set<worker_incarnation> m_suspended_leases;
     std::set<std::string> m_drained_data_centres;
     std::uint64_t m_fence_raises = 0;
     std::vector<pressure_factor> m_pressure;
--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -331,15 +331,11 @@
 /// lost.
 void crash_world::drop_uncommitted_commands() {
     m_queued_commands.clear();
-    m_scheduler.stop_leading(); // from now on it follows the log
     if (!m_committing_commands.empty() && is_chosen(0.5)) {
         std::vector<job_state_event> events;
         for (const auto& command : m_committing_commands) {
             m_job_state.apply(command, events);
         }
-        for (const auto& event : events) {
-            m_scheduler.on_event(event, m_now, m_wall_ms);
-        }
     }
     m_committing_commands.clear();
 }
--- a/unit_tests/dispatch/long_running_world.cpp
+++ b/unit_tests/dispatch/long_running_world.cpp
@@ -52,10 +52,7 @@
 };
 
 long_running_world::long_running_world(const long_running_world_settings& settings, std::uint64_t seed)
-    : m_settings(settings), m_random(seed),
-      m_scheduler(std::make_unique<dispatcher>(dispatch_settings{}, m_job_state)),
-      m_follower(std::make_unique<dispatcher>(dispatch_settings{}, m_job_state)), m_now(first_time),
-      m_wall_ms(first_wall_ms) {
+    : m_settings(settings), m_random(seed), m_now(first_time), m_wall_ms(first_wall_ms) {
     configure();
     start_leading();
     for (int number = 0; number < settings.workers; ++number) {
@@ -421,16 +418,18 @@
 }
 
 void long_running_world::start_leading() {
-    std::swap(m_scheduler, m_follower);
+    m_scheduler = std::make_unique<dispatcher>(dispatch_settings{}, m_job_state);
     m_scheduler->start_leading(++m_term, m_now, m_wall_ms);
 }
 
 void long_running_world::apply(const job_wire::job_command& command) {
     std::vector<job_state_event> events;
     m_job_state.apply(command, events);
+    if (m_scheduler == nullptr) {
+        return;
+    }
     for (const auto& event : events) {
         m_scheduler->on_event(event, m_now, m_wall_ms);
-        m_follower->on_event(event, m_now, m_wall_ms);
     }
 }
 
--- a/unit_tests/dispatch/long_running_world.h
+++ b/unit_tests/dispatch/long_running_world.h
@@ -147,8 +147,7 @@
     long_running_world_settings m_settings;
     std::mt19937_64 m_random;
     job_state_machine m_job_state;
-    std::unique_ptr<dispatcher> m_scheduler; ///< of the instance that leads or led last
-    std::unique_ptr<dispatcher> m_follower;  ///< of another one, which applies the same log and leads next
+    std::unique_ptr<dispatcher> m_scheduler;
     time_point m_now{};
     std::int64_t m_wall_ms = 0;
     std::uint64_t m_steps = 0;
--- a/unit_tests/scheduling/job_state_machine_test.cpp
+++ b/unit_tests/scheduling/job_state_machine_test.cpp
@@ -288,22 +288,6 @@
     EXPECT_FALSE(restored.is_drained("east"));
 }
 
-TEST(job_state_machine, keeps_suspended_leases_of_one_incarnation_in_a_snapshot_until_they_are_resumed) {
-    job_wire::job_command command;
-    command.mutable_suspend_lease()->set_worker("w1");
-    command.mutable_suspend_lease()->set_born_ms(100);
-    job_state_machine job_state;
-    EXPECT_EQ(apply(job_state, command), command_outcome::applied);
-    EXPECT_EQ(apply(job_state, command), command_outcome::repeated);
-    job_state_machine restored;
-    ASSERT_TRUE(restored.load(job_state.save()));
-    EXPECT_TRUE(restored.is_lease_suspended({"w1", 100}));
-    EXPECT_FALSE(restored.is_lease_suspended({"w1", 200}));
-    command.mutable_suspend_lease()->set_undo(true);
-    EXPECT_EQ(apply(restored, command), command_outcome::applied);
-    EXPECT_TRUE(restored.get_suspended_leases().empty());
-}
-
 /// Applies a random command that a leader may propose, valid or not.
 void apply_random(job_state_machine& job_state, std::mt19937& random) {
     const auto draw = [&](std::uint32_t end) {
