Let a job that has starved not wait again after each of its tasks

Cause: in a pool of which less than half is reserved, a job with nothing running is given one task first after 1.5 s. When that task ended, the 1.5 s began again, so in a backlog nearly half of all jobs stood still at any moment beside free room, and one in a hundred at each of three moments 1.5 s apart. Ruled out: unusable workers (484 of 490 usable), lost leaders, tasks missing in the queue (all of them started a moment later). Change: a job that has been placed because it starved counts as starving as soon as nothing of it runs. Of several the one that has been idle for longest goes first; by slack alone, one job would have kept all room that becomes free. Test: lets_a_job_that_has_starved_not_wait_again_after_each_task fails before: of 540 looks 97, 41 and 36 found the job idle three times in a row (tasks of 600, 1000, 1400 ms).

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -151,6 +151,7 @@
         bool has_started = false;
         absl::btree_map<run_key, run_track*> runs; ///< assigned and not ended
         time_point idle_since{}; ///< since when it has no runs; only meaningful while it has none
+        bool has_starved = false; ///< a task of it was placed because it starved
         std::map<std::uint32_t, time_point>
             due; ///< start time of each occurrence that has begun; empty for a job that runs once
     };
@@ -230,8 +231,8 @@
     /// Updates the quota with the use of the pools.
     void observe_pools(time_point now);
     void measure_filling_backlog();
-    /// Returns true when a job has waited too long with nothing running, given how little of its pool is
-    /// reserved.
+    /// Returns true when nothing of a job runs although little of its pool is reserved, and it has waited too
+    /// long for that or has starved before.
     [[nodiscard]] bool is_starving(const open_job& job, const std::string& pool, time_point now) const;
     void save_pressure(time_point now);
     void report_load(time_point now);
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -26,7 +26,9 @@
 constexpr std::int64_t long_running_bonus_ms =
     100'000; // long-running tasks that have waited outrank all others of their priority except those of
              // starving jobs
-constexpr std::int64_t starving_bonus_ms = 5'000'000; // a starving job outranks all others of its priority
+constexpr std::int64_t starving_bonus_ms =
+    4'000'000; // a starving job outranks all others of its priority; with its idle time, which is added up to
+               // this, it stays below the weight of a priority
 // A job starves when none of its tasks has run for this long although less than half of its pool is reserved.
 // The requirement is at most 3 s; this limit is half of that.
 constexpr duration starving_after = milliseconds{1500};
@@ -76,13 +78,17 @@
                                 key);
             continue;
         }
+        if (is_starving(job->second, queue.pool, now)) {
+            // The one that has been idle for longest goes first, so that all take turns where room is short.
+            const auto idle = std::min(to_milliseconds(now - job->second.idle_since), starving_bonus_ms);
+            ranked.emplace_back(queue.priority * priority_weight_ms - starving_bonus_ms - idle, key);
+            continue;
+        }
         const auto due = job->second.due.find(key.occurrence);
         const auto since = due == job->second.due.end() ? job->second.accepted : due->second;
         const auto age = to_milliseconds(now - since);
-        const auto bonus = is_starving(job->second, queue.pool, now) ? starving_bonus_ms : 0;
         ranked.emplace_back(
-            queue.priority * priority_weight_ms - bonus +
-                rank_by_time(ready.objective_ms, age, ready.remaining_ms) -
+            queue.priority * priority_weight_ms + rank_by_time(ready.objective_ms, age, ready.remaining_ms) -
                 (job->second.has_started ? started_bonus_ms : 0) -
                 (m_failed_on.contains(task_key{key, *ready.waiting.begin()}) ? retry_bonus_ms : 0),
             key);
@@ -92,9 +98,11 @@
 }
 
 /// Load pattern: after an overload, hundreds of tasks wait that can no longer meet their objectives. The
-/// least late ones get all room that becomes free, and some jobs get none for minutes.
+/// least late ones get all room that becomes free, and some jobs get none for minutes. A job that has starved
+/// still gets no room without this when its task ends, so it does not wait again.
 bool dispatcher::is_starving(const open_job& job, const std::string& pool, time_point now) const {
-    return job.runs.empty() && now - job.idle_since > starving_after && m_underused_pools.contains(pool);
+    const bool is_idle_for_long = job.has_starved || now - job.idle_since > starving_after;
+    return job.runs.empty() && is_idle_for_long && m_underused_pools.contains(pool);
 }
 
 void dispatcher::place(time_point now) {
@@ -199,7 +207,11 @@
 
 void dispatcher::place_task_of_starving_job(placing_pass& pass, ready_step& ready, const step_key& key) {
     for (const auto index : std::vector(ready.waiting.begin(), ready.waiting.end())) {
-        if (place_task(pass, ready, {key, index}, true) != placement_result::deferred) {
+        const auto result = place_task(pass, ready, {key, index}, true);
+        if (result == placement_result::placed) {
+            m_jobs.at(key.job).has_starved = true;
+        }
+        if (result != placement_result::deferred) {
             return;
         }
     }
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -157,6 +157,80 @@
     EXPECT_EQ(starts[0].run.task.step.job, large);
 }
 
+/// A worker full of filling tasks that stay, beside a job whose tasks take `length` each.
+class crowded_worker {
+public:
+    explicit crowded_worker(duration length) : m_length(length) {
+        m_world.add_worker("w1", {20'000, 256'000, 0});
+        m_world.submit({make_filling(3)}, 3, 2);
+        m_world.submit({make_filling(60)}, 3, 2);
+        m_staying = m_world.take<start_order>().size();
+    }
+
+    /// Advances the clock. Returns true when at least one task of the job runs afterwards.
+    bool step(duration time) {
+        m_world.advance(time);
+        for (const auto& start : m_world.take<start_order>()) {
+            m_world.answer(start);
+            m_ends.emplace(start.run, m_world.now + m_length);
+        }
+        if (m_world.find_worker("w1")->is_hold_pending) {
+            answer_hold();
+        }
+        return !m_ends.empty();
+    }
+
+    [[nodiscard]] std::size_t count_staying() const { return m_staying; }
+
+private:
+    void answer_hold() {
+        hold_answer list;
+        for (const auto& [key, track] : m_world.find_worker("w1")->runs) {
+            const auto end = m_ends.find(key);
+            if (end == m_ends.end() || end->second > m_world.now) {
+                list.running.push_back({key, "", 20, 6000});
+                continue;
+            }
+            m_ended.push_back({++m_end_number, key, run_end::done, ""});
+            m_ends.erase(end);
+        }
+        list.ended = m_ended;
+        m_world.answer_hold("w1", list);
+    }
+
+    dispatch_world m_world;
+    duration m_length;
+    std::size_t m_staying = 0;
+    std::map<run_key, time_point> m_ends; ///< when each running task of the job ends
+    std::vector<run_end_entry> m_ended;
+    std::uint64_t m_end_number = 0;
+};
+
+/// Nothing of a job ran at several looks in a row, since it waited again after each of its tasks.
+TEST(dispatcher_pressure, lets_a_job_that_has_starved_not_wait_again_after_each_task) {
+    constexpr duration interval = milliseconds{50};
+    constexpr std::size_t look_distance = 30; // intervals; three looks span 3 s
+    for (const auto length :
+         {milliseconds{600}, milliseconds{1000}, milliseconds{1400}, milliseconds{2200}}) {
+        crowded_worker worker(length);
+        ASSERT_EQ(worker.count_staying(), 3U);
+        while (!worker.step(interval)) {
+        }
+        std::vector<bool> is_running;
+        for (int count = 0; count < 600; ++count) {
+            is_running.push_back(worker.step(interval));
+        }
+        std::size_t unlucky = 0;
+        for (std::size_t look = 0; look + 2 * look_distance < is_running.size(); ++look) {
+            unlucky += !is_running[look] && !is_running[look + look_distance] &&
+                               !is_running[look + 2 * look_distance]
+                           ? 1
+                           : 0;
+        }
+        EXPECT_EQ(unlucky, 0U) << "of tasks that take " << to_milliseconds(length) << " ms";
+    }
+}
+
 /// Load pattern: an overload with many times as many filling tasks as find room beside serving tasks at half
 /// load.
 TEST(dispatcher_pressure, places_nearer_to_the_target_the_more_filling_tasks_wait) {
