Count all the time in which a job stands still, not each wait alone

Cause: a job counted as starving after a single wait of 1.5 s. Change: the idle time of a job is added up, and beyond 1.5 s in all it starves as soon as nothing of it runs. Its tasks accept less room after 0.3 s, or at once beyond 3 s of idle time in all. Obstacles that a wait passes over are passed over only after 1.5 s on end. A run that never began counts as no work, and the time between two occurrences counts as no wait.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -155,7 +155,12 @@
 
 void dispatcher::begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now) {
     if (record.job->schedule.has_value()) {
-        m_jobs[record.job->id].due.emplace(occurrence, now);
+        auto& job = m_jobs[record.job->id];
+        job.due.emplace(occurrence, now);
+        if (const auto waiting = m_ready.lower_bound({record.job->id, 0, 0});
+            waiting == m_ready.end() || waiting->first.job != record.job->id) {
+            job.idle_since = std::max(job.idle_since, now); // nothing of it could run before
+        }
     }
     for (std::uint32_t step = 0; step < record.job->steps.size(); ++step) {
         make_step_ready(record, {record.job->id, occurrence, step}, now);
@@ -231,7 +236,7 @@
     case job_state_event::kind::run_refused: {
         const auto* track = find_track(event.run);
         const auto idle_since = track == nullptr ? now : track->idle_since;
-        drop_track(event.run, now);
+        drop_track(event.run);
         const auto* task = m_job_state.find_task(event.run.task);
         if (task == nullptr || task->phase == task_phase::waiting) {
             make_task_ready(event.run.task, idle_since);
@@ -295,7 +300,7 @@
     const auto idle_since = get_idle_since(*ended, event.end, now);
     record_run_time(*ended, event.end, now);
     log_run_ended(*ended, event.end, m_term, now);
-    drop_track(event.run, now);
+    drop_track(event.run, get_worked_until(*ended, event.end, now));
     if (event.end == run_end::done) {
         ++m_counts.done_runs;
     }
@@ -331,6 +336,14 @@
     return end == run_end::lost ? track.listed_at : now;
 }
 
+time_point dispatcher::get_worked_until(const run_track& track, run_end end, time_point now) {
+    const bool has_run = track.confirmed_at != time_point{} || end == run_end::done || end == run_end::failed;
+    if (!has_run) {
+        return {};
+    }
+    return end == run_end::lost ? track.listed_at : now;
+}
+
 void dispatcher::record_run_time(const run_track& track, run_end end, time_point now) {
     if (!track.has_known_start || track.get_spec().long_running) {
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -150,8 +150,9 @@
         time_point accepted{};
         bool has_started = false;
         absl::btree_map<run_key, run_track*> runs; ///< assigned and not ended
-        time_point idle_since{}; ///< since when it has no runs; only meaningful while it has none
-        bool has_starved = false; ///< a task of it was placed because it starved
+        duration idle_time{};    ///< time in which nothing of it ran although tasks of it could, up to
+                                 ///< `idle_since`
+        time_point idle_since{}; ///< since when nothing of it runs; only meaningful while it has no runs
         std::map<std::uint32_t, time_point>
             due; ///< start time of each occurrence that has begun; empty for a job that runs once
     };
@@ -225,14 +226,18 @@
     void on_run_ended(const job_state_event& event, time_point now);
     /// Returns since when the task of an ending run has not run.
     [[nodiscard]] static time_point get_idle_since(const run_track& track, run_end end, time_point now);
+    /// Returns when an ending run is last known to have run, or the default if it never did.
+    [[nodiscard]] static time_point get_worked_until(const run_track& track, run_end end, time_point now);
     /// Adds the duration of an ending run to the forecast.
     void record_run_time(const run_track& track, run_end end, time_point now);
     void break_gang(const run_key& ended, time_point now);
     /// Updates the quota with the use of the pools.
     void observe_pools(time_point now);
     void measure_filling_backlog();
-    /// Returns true when nothing of a job runs although little of its pool is reserved, and it has waited too
-    /// long for that or has starved before.
+    /// Returns since when nothing of a job runs as far as known, or `now` while something does.
+    [[nodiscard]] static time_point get_idle_since(const open_job& job, time_point now);
+    /// Returns true when nothing of a job runs although little of its pool is reserved, and it has been idle
+    /// for too long in all.
     [[nodiscard]] bool is_starving(const open_job& job, const std::string& pool, time_point now) const;
     void save_pressure(time_point now);
     void report_load(time_point now);
@@ -243,7 +248,8 @@
     run_track& add_track(const run_key& key, std::shared_ptr<const step_job> job,
                          const worker_incarnation& worker, run_stage stage, isolation_level isolation,
                          time_point now);
-    void drop_track(const run_key& key, time_point now);
+    /// Removes an ended run. `worked_until`: when it is last known to have run; the default if it never did.
+    void drop_track(const run_key& key, time_point worked_until = {});
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const end_evidence& evidence, time_point now,
                      const std::string& checkpoint = {}, const run_loss& loss = {});
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -32,6 +32,11 @@
 // A job starves when none of its tasks has run for this long although less than half of its pool is reserved.
 // The requirement is at most 3 s; this limit is half of that.
 constexpr duration starving_after = milliseconds{1500};
+// A starving job's task looks for the room that it requests for this long before it accepts less, since it
+// slows the tasks that it then runs beside. A job that has been idle for longer than the maximum in all is
+// one of a backlog: the ordinary order has no room for it.
+constexpr duration crowding_delay = milliseconds{300};
+constexpr duration max_idle_time = seconds{3};
 constexpr std::int64_t long_running_rank_ms = 2000; // a long-running task has no deadline; among others of
                                                     // its priority, it ranks like a task with this slack
 constexpr duration max_long_running_wait = milliseconds{
@@ -80,7 +85,8 @@
         }
         if (is_starving(job->second, queue.pool, now)) {
             // The one that has been idle for longest goes first, so that all take turns where room is short.
-            const auto idle = std::min(to_milliseconds(now - job->second.idle_since), starving_bonus_ms);
+            const auto idle =
+                std::min(to_milliseconds(now - get_idle_since(job->second, now)), starving_bonus_ms);
             ranked.emplace_back(queue.priority * priority_weight_ms - starving_bonus_ms - idle, key);
             continue;
         }
@@ -97,12 +103,18 @@
     return ranked;
 }
 
+time_point dispatcher::get_idle_since(const open_job& job, time_point now) {
+    return job.runs.empty() ? job.idle_since : now;
+}
+
 /// Load pattern: after an overload, hundreds of tasks wait that can no longer meet their objectives. The
-/// least late ones get all room that becomes free, and some jobs get none for minutes. A job that has starved
-/// still gets no room without this when its task ends, so it does not wait again.
+/// least late ones get all room that becomes free, and some jobs get none for minutes. All time in which
+/// nothing of a job ran counts: with a limit for each single wait, a job that gets one task at a time would
+/// stand still after each of them.
 bool dispatcher::is_starving(const open_job& job, const std::string& pool, time_point now) const {
-    const bool is_idle_for_long = job.has_starved || now - job.idle_since > starving_after;
-    return job.runs.empty() && is_idle_for_long && m_underused_pools.contains(pool);
+    const auto idle_since = get_idle_since(job, now);
+    const bool is_idle = job.runs.empty() || idle_since < now;
+    return is_idle && job.idle_time + (now - idle_since) > starving_after && m_underused_pools.contains(pool);
 }
 
 void dispatcher::place(time_point now) {
@@ -207,11 +219,7 @@
 
 void dispatcher::place_task_of_starving_job(placing_pass& pass, ready_step& ready, const step_key& key) {
     for (const auto index : std::vector(ready.waiting.begin(), ready.waiting.end())) {
-        const auto result = place_task(pass, ready, {key, index}, true);
-        if (result == placement_result::placed) {
-            m_jobs.at(key.job).has_starved = true;
-        }
-        if (result != placement_result::deferred) {
+        if (place_task(pass, ready, {key, index}, true) != placement_result::deferred) {
             return;
         }
     }
@@ -220,8 +228,12 @@
 dispatcher::placement_result dispatcher::place_task(placing_pass& pass, ready_step& ready,
                                                     const task_key& task, bool is_job_starving) {
     auto request = make_request(ready, task, pass.now);
-    request.is_starving = is_job_starving;
-    request.is_overdue = request.is_overdue || is_job_starving;
+    if (is_job_starving) {
+        const auto& job = m_jobs.at(task.step.job);
+        const auto idle = pass.now - get_idle_since(job, pass.now);
+        request.is_starving = idle >= crowding_delay || job.idle_time + idle > max_idle_time;
+        request.is_overdue = request.is_overdue || idle > starving_after;
+    }
     const bool wants_own = request.wants_own_worker();
     if (!m_suspects.may_start(task, pass.now) || (wants_own && pass.probations_left == 0)) {
         return placement_result::deferred;
@@ -427,7 +439,7 @@
             return;
         }
         for (const auto& [member, worker] : placed) {
-            drop_track(member, pass.now);
+            drop_track(member);
         }
     }
 }
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -32,6 +32,10 @@
     track.host = &state;
     count_run(state, track, 1);
     if (const auto job = m_jobs.find(key.task.step.job); job != m_jobs.end()) {
+        if (job->second.runs.empty()) {
+            job->second.idle_time += now - job->second.idle_since;
+            job->second.idle_since = now;
+        }
         job->second.runs.emplace(key, &track);
     }
     if (track.get_spec().is_filling || track.get_spec().is_serving()) {
@@ -41,14 +45,14 @@
     return track;
 }
 
-void dispatcher::drop_track(const run_key& key, time_point now) {
+void dispatcher::drop_track(const run_key& key, time_point worked_until) {
     const auto found = m_tracks.find(key);
     if (found == m_tracks.end()) {
         return;
     }
     if (const auto job = m_jobs.find(key.task.step.job); job != m_jobs.end()) {
         job->second.runs.erase(key);
-        job->second.idle_since = now;
+        job->second.idle_since = std::max(job->second.idle_since, worked_until);
     }
     const bool affects_pressure =
         found->second.get_spec().is_filling || found->second.get_spec().is_serving();
