Let a run that runs nowhere not keep its job from starving

Callers saw: nothing of a job runs for as long as a lease lasts, beside free room. Cause: a job counted as starving only while the leader held no run of it. Change: a run on a silent worker, one that is ending, and one that has not begun 1 s after its assignment count as no work.

--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -37,6 +37,8 @@
 // one of a backlog: the ordinary order has no room for it.
 constexpr duration crowding_delay = milliseconds{300};
 constexpr duration max_idle_time = seconds{3};
+// A run that has not begun after this time is not expected to begin: a start is given up after 0.9 s.
+constexpr duration max_start_time = seconds{1};
 constexpr std::int64_t long_running_rank_ms = 2000; // a long-running task has no deadline; among others of
                                                     // its priority, it ranks like a task with this slack
 constexpr duration max_long_running_wait = milliseconds{
@@ -50,6 +52,13 @@
 constexpr std::int64_t late_multiple =
     3; // a job expected to take longer than this multiple of its objective ranks last
 
+/// Returns true when the run works as far as known, or is about to begin.
+bool may_be_at_work(const run_track& run, time_point now) {
+    const bool has_begun = run.confirmed_at != time_point{};
+    const bool may_begin = now - run.assigned_at <= max_start_time;
+    return !run.is_ending && (has_begun ? !run.host->is_silent() : may_begin);
+}
+
 /// Ranks by least slack. A job that can no longer meet its objective ranks behind those that still can. Load
 /// pattern: a burst has 2.6 times the usual load for several seconds. With ranking by deadline alone, every
 /// job that arrives after the burst is late.
@@ -104,7 +113,14 @@
 }
 
 time_point dispatcher::get_idle_since(const open_job& job, time_point now) {
-    return job.runs.empty() ? job.idle_since : now;
+    auto idle_since = job.idle_since;
+    for (const auto& [key, run] : job.runs) {
+        if (may_be_at_work(*run, now)) {
+            return now;
+        }
+        idle_since = std::max(idle_since, run->listed_at);
+    }
+    return idle_since;
 }
 
 /// Load pattern: after an overload, hundreds of tasks wait that can no longer meet their objectives. The
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -231,6 +231,36 @@
     }
 }
 
+/// A run on a worker that was lost kept its job from counting as one that stands still.
+TEST(dispatcher_pressure, places_a_task_of_a_job_whose_only_run_is_on_a_lost_worker) {
+    dispatch_world world;
+    world.add_worker("w1", {20'000, 256'000, 0});
+    world.submit({make_filling(3)}, 3, 2);
+    world.add_worker("w2", {6'000, 256'000, 0});
+    const auto job = world.submit({make_filling(2)}, 3, 2);
+    std::vector<run_key> started;
+    for (const auto& start : world.take<start_order>()) {
+        world.answer(start);
+        started.push_back(start.run);
+    }
+    ASSERT_EQ(started.size(), 4U);
+    ASSERT_EQ(world.find_worker("w2")->runs.size(), 1U);
+    run_all(world, "w2", 0, 6000);
+    for (int failures = 0; failures < silent_after_failures; ++failures) {
+        world.wait_for_hold("w2");
+        world.fail_hold("w2");
+    }
+    const auto silent_since = world.now;
+    std::vector<start_order> starts;
+    while (starts.empty() && world.now - silent_since < seconds{20}) {
+        world.advance(milliseconds{100});
+        starts = world.take<start_order>();
+    }
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].run.task.step.job, job);
+    EXPECT_LE(world.now - silent_since, seconds{3});
+}
+
 /// Load pattern: an overload with many times as many filling tasks as find room beside serving tasks at half
 /// load.
 TEST(dispatcher_pressure, places_nearer_to_the_target_the_more_filling_tasks_wait) {
