Compare the tasks of the leader with the replicated job state each second and mend what it proves

Cause: the audit reported tasks that are in no queue and runs that are not tracked, and mended nothing; it did not look the other way, at jobs that the leader does not know or has not closed, nor at assignments that are never committed. It took a member of a gang for stuck while its assignment was committed under a number that skips one, as after a member's refused assignment.

Change: each step that may begin is compared task by task with its queue and with all tracked runs of the task. A ready task without queue entry or run is queued; a queue entry of a task that has a run or does not wait is removed; a run that has ended by the replicated state is given up; a job that was accepted or has ended unnoticed is opened or closed. A run that is assigned and not tracked, an end or assignment that is not committed and a run that lists lack are reported only. Nothing is started: each mended task goes the usual way over a committed assignment.

Not built: a task that is active without a run, and a task that is queued twice. No command leaves a task active without a run, and a queue holds an index once.

finds_a_run_that_the_leader_does_not_follow now expects one difference more: the task of that run is still queued, which the test did not look at before.

Measured: with audit() switched off, the tests that mend fail: takes_a_task_with_a_run_out_of_the_queue, takes_a_task_of_an_occurrence_out_of_the_queue_that_has_a_run, queues_a_ready_task_that_is_in_no_queue, gives_up_a_run_that_has_ended_by_the_replicated_job_state, opens_a_job_that_was_accepted_unnoticed, closes_a_job_that_has_ended_unnoticed; they pass with it. With the former search for a run by its expected number, takes_no_member_of_a_gang_for_stuck_whose_run_number_skips_one fails.

--- a/poplarpitch/dispatch/dispatch_counts.h
+++ b/poplarpitch/dispatch/dispatch_counts.h
@@ -23,7 +23,8 @@
     std::uint64_t jobs_given_up = 0; ///< those of `crashes` after which the task's job was given up
     std::uint64_t failed_runs = 0;
     std::uint64_t done_runs = 0;
-    std::uint64_t stuck_tasks = 0; ///< gauge, at the last audit: tasks that nothing will complete
+    std::uint64_t stuck_tasks = 0; ///< gauge, at the last audit: tasks that nothing would complete without it
+    std::uint64_t mended_differences = 0; ///< faults that an audit has mended
 
     friend auto operator<=>(const dispatch_counts&, const dispatch_counts&) = default;
 };
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -401,7 +401,7 @@
     observe_pools(now);
     save_pressure(now);
     report_load(now);
-    audit(now);
+    audit(now, wall_ms);
     report_waits(now);
 }
 
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -367,9 +367,16 @@
     void limit_probations();
 
     // tasks that make no progress
-    void find_stuck_tasks(const job_record& record, const step_key& key,
+    /// Compares the tasks of a step that may begin with the replicated job state.
+    void find_stuck_tasks(const open_job& job, const job_record& record, const step_key& key,
                           std::vector<stuck_task>& stuck) const;
-    void audit(time_point now);
+    void find_stuck_tasks_of_job(const open_job& job, const job_record& record,
+                                 std::vector<stuck_task>& stuck) const;
+    /// Mends what the replicated job state proves. Returns false where it proves nothing.
+    bool mend(const stuck_task& stuck, time_point now, std::int64_t wall_ms);
+    /// Precondition: the task is queued.
+    void remove_from_queue(const task_key& task);
+    void audit(time_point now, std::int64_t wall_ms);
 
     // tasks that wait although there is room
     /// Returns some of the steps whose tasks have waited for long, long-running ones and the oldest first.
--- a/unit_tests/dispatch/dispatcher_audit_test.cpp
+++ b/unit_tests/dispatch/dispatcher_audit_test.cpp
@@ -1,7 +1,9 @@
-// Detection of tasks that are stuck through a fault of the leader or a worker that violates the protocol.
+// Detection of tasks that are stuck through a fault of the leader or a worker that violates the protocol, and
+// of differences between what the leader holds and the replicated job state.
 #include "unit_tests/dispatch/dispatch_world.h"
 #include "unit_tests/dispatch/test_steps.h"
 
+#include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <gtest/gtest.h>
@@ -9,6 +11,30 @@
 namespace poplarpitch {
 namespace {
 
+/// Applies a command and returns its events, which the leader does not get to know.
+std::vector<job_state_event> apply_unnoticed(dispatch_world& world, const job_wire::job_command& command) {
+    std::vector<job_state_event> events;
+    world.job_state.apply(command, events);
+    return events;
+}
+
+job_wire::job_command make_assignment(const run_key& run, const std::string& worker) {
+    job_wire::job_command command;
+    encode(run.task, *command.mutable_assign()->mutable_task());
+    command.mutable_assign()->set_run(run.run);
+    command.mutable_assign()->set_worker(worker);
+    return command;
+}
+
+job_wire::job_command make_end(const run_key& run, const std::string& worker, run_end end) {
+    job_wire::job_command command;
+    encode(run.task, *command.mutable_end()->mutable_task());
+    command.mutable_end()->set_run(run.run);
+    command.mutable_end()->set_worker(worker);
+    command.mutable_end()->set_kind(static_cast<std::uint32_t>(end));
+    return command;
+}
+
 /// Answers the holds at w1 with `list` for `length`.
 void answer_holds(dispatch_world& world, const hold_answer& list, duration length) {
     const auto end = world.now + length;
@@ -78,14 +104,147 @@
 TEST(dispatcher_audit, finds_a_run_that_the_leader_does_not_follow) {
     dispatch_world world;
     const auto job = world.submit({make_step()});
-    job_wire::job_command command; // of another leader, unknown to this one
-    command.mutable_assign()->mutable_task()->set_job(job);
-    command.mutable_assign()->set_run(1);
-    command.mutable_assign()->set_worker("w9");
-    std::vector<job_state_event> events;
-    world.job_state.apply(command, events);
-    const std::vector<stuck_task> expected = {{{{{job, 0, 0}, 0}, 1}, stuck_reason::not_tracked}};
+    const run_key run{{{job, 0, 0}, 0}, 1};
+    apply_unnoticed(world, make_assignment(run, "w9")); // of another leader, unknown to this one
+    const std::vector<stuck_task> expected = {{{run.task, 0}, stuck_reason::not_waiting},
+                                              {run, stuck_reason::not_tracked}};
+    EXPECT_EQ(world.scheduler.find_stuck(world.now), expected);
+}
+
+TEST(dispatcher_audit, takes_a_task_with_a_run_out_of_the_queue) {
+    dispatch_world world;
+    const auto job = world.submit({make_step()});
+    const run_key run{{{job, 0, 0}, 0}, 1};
+    apply_unnoticed(world, make_assignment(run, "w9"));
+    EXPECT_EQ(world.scheduler.count_waiting_tasks(), 1U);
+    world.advance(seconds{1});
+    EXPECT_EQ(world.scheduler.count_waiting_tasks(), 0U);
+    EXPECT_EQ(world.scheduler.get_counts().mended_differences, 1U);
+    const std::vector<stuck_task> expected = {{run, stuck_reason::not_tracked}};
+    EXPECT_EQ(world.scheduler.find_stuck(world.now), expected) << "a start of it may be on its way";
+}
+
+TEST(dispatcher_audit, queues_a_ready_task_that_is_in_no_queue) {
+    dispatch_world world;
+    world.add_worker("w1");
+    auto second = make_step();
+    second.depends_on = {0};
+    world.submit({make_step(), second});
+    const auto first = world.start_one();
+    for (const auto& event : apply_unnoticed(world, make_end(first.run, "w1", run_end::done))) {
+        if (event.what != job_state_event::kind::step_done) {
+            world.scheduler.on_event(event, world.now, world.wall_ms);
+        }
+    }
+    const run_key next{{{first.run.task.step.job, 0, 1}, 0}, 0};
+    const std::vector<stuck_task> expected = {{next, stuck_reason::not_queued}};
+    EXPECT_EQ(world.scheduler.find_stuck(world.now), expected);
+    world.advance(seconds{1});
+    world.advance(milliseconds{100}); // the pass that follows the audit
+    EXPECT_EQ(world.start_one().run, (run_key{next.task, 1}));
+    EXPECT_TRUE(world.scheduler.find_stuck(world.now).empty());
+}
+
+TEST(dispatcher_audit, takes_a_task_of_an_occurrence_out_of_the_queue_that_has_a_run) {
+    dispatch_world world;
+    job_schedule schedule;
+    schedule.first_ms = world.wall_ms + 1000;
+    schedule.interval_ms = 60'000;
+    schedule.count = 2;
+    const auto job = world.submit_timed({make_step()}, schedule);
+    world.advance(milliseconds{1100});
+    EXPECT_EQ(world.scheduler.count_waiting_tasks(), 1U);
+    EXPECT_TRUE(world.scheduler.find_stuck(world.now).empty());
+    apply_unnoticed(world, make_assignment({{{job, 0, 0}, 0}, 1}, "w9"));
+    world.advance(seconds{1});
+    EXPECT_EQ(world.scheduler.count_waiting_tasks(), 0U);
+}
+
+TEST(dispatcher_audit, gives_up_a_run_that_has_ended_by_the_replicated_job_state) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto first = world.start_one();
+    apply_unnoticed(world, make_end(first.run, "w1", run_end::not_started));
+    const std::vector<stuck_task> expected = {{first.run, stuck_reason::not_assigned}};
     EXPECT_EQ(world.scheduler.find_stuck(world.now), expected);
+    world.advance(seconds{1});
+    world.advance(milliseconds{100});
+    EXPECT_EQ(world.start_one().run, (run_key{first.run.task, 2}));
+    EXPECT_EQ(world.scheduler.find_track(first.run), nullptr);
+    EXPECT_TRUE(world.scheduler.find_stuck(world.now).empty());
+}
+
+TEST(dispatcher_audit, opens_a_job_that_was_accepted_unnoticed) {
+    dispatch_world world;
+    world.add_worker("w1");
+    step_job job;
+    job.id = 77;
+    job.steps = {make_step()};
+    job.queue.pool = world_pool;
+    job.queue.max_attempts = 3;
+    job_wire::job_command command;
+    encode(job, *command.mutable_submit()->mutable_job());
+    apply_unnoticed(world, command);
+    const std::vector<stuck_task> expected = {{{{{77, 0, 0}, 0}, 0}, stuck_reason::not_opened}};
+    EXPECT_EQ(world.scheduler.find_stuck(world.now), expected);
+    world.advance(seconds{1});
+    world.advance(milliseconds{100});
+    EXPECT_EQ(world.start_one().run, (run_key{{{77, 0, 0}, 0}, 1}));
+}
+
+TEST(dispatcher_audit, closes_a_job_that_has_ended_unnoticed) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto job = world.submit({make_step()});
+    const auto started = world.start_one();
+    job_wire::job_command command;
+    command.mutable_cancel()->set_id(job);
+    apply_unnoticed(world, command);
+    const std::vector<stuck_task> expected = {{{{{job, 0, 0}, 0}, 0}, stuck_reason::not_closed}};
+    EXPECT_EQ(world.scheduler.find_stuck(world.now), expected);
+    world.advance(seconds{1});
+    const auto stops = world.take<stop_order>();
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].run, started.run);
+    EXPECT_EQ(world.scheduler.count_open_jobs(), 0U);
+}
+
+TEST(dispatcher_audit, finds_an_assignment_that_is_not_committed) {
+    dispatch_world world;
+    const auto job = world.submit({make_step()});
+    world.add_worker("w1", {0, 0, 0});
+    auto report = world.find_worker("w1")->report;
+    report.capacity = {64000, 256000, 0};
+    ++report.sequence;
+    world.scheduler.on_heartbeat(report, world.now);
+    world.scheduler.tick(world.now + milliseconds{100}, world.wall_ms);
+    EXPECT_EQ(world.scheduler.take_commands().size(), 1U); // the command is lost
+    EXPECT_TRUE(world.scheduler.find_stuck(world.now + seconds{9}).empty()) << "a disk may hang for seconds";
+    const std::vector<stuck_task> expected = {{{{{job, 0, 0}, 0}, 1}, stuck_reason::not_committed}};
+    EXPECT_EQ(world.scheduler.find_stuck(world.now + seconds{11}), expected);
+}
+
+TEST(dispatcher_audit, takes_no_member_of_a_gang_for_stuck_whose_run_number_skips_one) {
+    dispatch_world world;
+    auto gang = make_step(2);
+    gang.gang = true;
+    gang.max_per_worker = 1;
+    const auto job = world.submit({gang});
+    // An earlier run of the first member alone, as when the assignment of the second one was refused.
+    const run_key first{{{job, 0, 0}, 0}, 1};
+    for (const auto& command : {make_assignment(first, "w9"), make_end(first, "w9", run_end::not_started)}) {
+        apply_unnoticed(world, command);
+    }
+    world.add_worker("w1", {0, 0, 0});
+    world.add_worker("w2");
+    auto report = world.find_worker("w1")->report;
+    report.capacity = {64000, 256000, 0};
+    ++report.sequence;
+    world.scheduler.on_heartbeat(report, world.now);
+    world.scheduler.tick(world.now + milliseconds{100}, world.wall_ms);
+    EXPECT_EQ(world.scheduler.take_commands().size(), 2U) << "the assignments are being committed";
+    EXPECT_TRUE(world.scheduler.find_stuck(world.now).empty());
 }
 
 } // namespace
