Audit what is reserved on each worker, and holds, raises of the fence and advice whose outcome is overdue

Cause: nothing compared the reserved amounts of a worker with its runs. A hold whose outcome never comes leaves its worker without further holds, and its runs are never given up, since only an unanswered hold lets a lease count as lapsed. A raise of the fence whose commit never comes keeps all next incarnations unused, and a call for advice without an outcome blocks all steps that need advice. By reading each of them has an outcome; nothing would have shown a fault there.

Change: a second part of the audit, event leader_difference, metric poplarpitch_leader_differences. Reserved amounts are recounted. A hold that is 3 s late at a worker that has had a run for 3 s counts as unanswered and stays pending: a second hold could take its late answer, whose list would then seem newer than it is. A raise is proposed again after 10 s, which is safe since each raise is committed before it is used. A call for advice is given up 1 s after its time; calls are numbered, and the answer to one that was given up is ignored, since the age of its tickets is not known.

Measured: with audit() switched off, recounts_what_a_worker_has_reserved, gives_up_the_runs_of_a_worker_whose_hold_has_no_outcome, takes_a_late_answer_to_a_hold_that_was_overdue, raises_the_fence_again_when_its_commit_is_overdue and gives_up_a_call_for_advice_that_has_no_outcome fail; they pass with it.

--- a/poplarpitch/dispatch/dispatch_counts.h
+++ b/poplarpitch/dispatch/dispatch_counts.h
@@ -24,7 +24,8 @@
     std::uint64_t failed_runs = 0;
     std::uint64_t done_runs = 0;
     std::uint64_t stuck_tasks = 0; ///< gauge, at the last audit: tasks that nothing would complete without it
-    std::uint64_t mended_differences = 0; ///< faults that an audit has mended
+    std::uint64_t leader_differences = 0; ///< gauge, at the last audit: other faults of the leader's state
+    std::uint64_t mended_differences = 0; ///< faults of both kinds that an audit has mended
 
     friend auto operator<=>(const dispatch_counts&, const dispatch_counts&) = default;
 };
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -118,6 +118,7 @@
     m_next_audit = {};
     m_next_waits = {};
     m_counts.stuck_tasks = 0;
+    m_counts.leader_differences = 0;
 }
 
 // ---- jobs
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/admission.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
+#include "poplarpitch/dispatch/leader_difference.h"
 #include "poplarpitch/dispatch/leader_load.h"
 #include "poplarpitch/dispatch/long_running_quota.h"
 #include "poplarpitch/dispatch/long_wait.h"
@@ -138,6 +139,9 @@
     /// Returns the tasks of open jobs that nothing will complete, in order. There are none unless the leader
     /// has a fault.
     [[nodiscard]] std::vector<stuck_task> find_stuck(time_point now) const;
+    /// Returns what else of the leader's state is wrong, in order. There is nothing unless the leader has a
+    /// fault.
+    [[nodiscard]] std::vector<leader_difference> find_differences(time_point now) const;
     /// Returns some of the tasks that have waited for long although workers have room for them, long-running
     /// tasks and the oldest first.
     [[nodiscard]] std::vector<long_wait> find_long_waits(time_point now);
@@ -330,7 +334,8 @@
     [[nodiscard]] bool is_stale(const worker_incarnation& incarnation) const;
     /// Returns a fence that only orders since the last raise have carried.
     [[nodiscard]] std::uint64_t get_fence() const { return m_term + m_job_state.get_fence_raises(); }
-    void raise_fence(worker_state& worker);
+    void raise_fence(worker_state& worker, time_point now);
+    void propose_fence_raise(time_point now);
     void on_fence_raised(time_point now);
     /// Processes a list from another incarnation than the addressed one.
     void on_other_incarnation(worker_state& addressed, const worker_incarnation& answered,
@@ -377,6 +382,13 @@
     /// Precondition: the task is queued.
     void remove_from_queue(const task_key& task);
     void audit(time_point now, std::int64_t wall_ms);
+    /// Returns what the tracked runs of each worker reserve, by the worker's position.
+    [[nodiscard]] std::vector<worker_amounts> sum_reserved() const;
+    void audit_workers(time_point now);
+    /// Mends a difference where that is safe. Returns false where it is not.
+    bool mend(const leader_difference& difference, time_point now);
+    /// Counts the runs of a worker and what they reserve anew.
+    void recount_runs(worker_state& worker);
 
     // tasks that wait although there is room
     /// Returns some of the steps whose tasks have waited for long, long-running ones and the oldest first.
@@ -456,14 +468,17 @@
     worker_table m_workers;
     std::set<worker_incarnation>
         m_lost_workers; ///< incarnations that are known to have ended, whose late heartbeats are ignored
-    bool m_is_raising_fence = false; ///< a raise of the fence is being committed
+    bool m_is_raising_fence = false;     ///< a raise of the fence is being committed
+    time_point m_fence_raise_proposed{}; ///< when it was proposed
     absl::node_hash_map<run_key, run_track> m_tracks;
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
     std::map<task_key, std::vector<worker_incarnation>> m_failed_on; ///< workers on which a task failed
     suspect_watch m_suspects;
     std::map<step_key, step_advice> m_advice;
-    bool m_is_advice_pending = false; ///< a call to the advice service is in flight
+    bool m_is_advice_pending = false;  ///< a call to the advice service is in flight
+    std::uint64_t m_advice_number = 0; ///< of the last call
+    time_point m_advice_expires{};     ///< when the last call times out
     time_point m_next_advice{};
     std::multimap<std::int64_t, step_key> m_due; ///< wall time -> job and occurrence (step 0)
     std::multimap<time_point, job_id> m_ended;   ///< when ended jobs are forgotten
--- a/poplarpitch/dispatch/dispatcher_advice.cpp
+++ b/poplarpitch/dispatch/dispatcher_advice.cpp
@@ -46,11 +46,13 @@
         const auto& policy = *found->second.job->queue.advice;
         advice_request order;
         order.fence = m_term;
+        order.number = ++m_advice_number;
         order.step = key;
         order.timeout = policy.base_time +
                         policy.time_per_worker * static_cast<std::int64_t>(workers.size()) + answer_slack;
         order.workers = std::move(workers);
         m_is_advice_pending = true;
+        m_advice_expires = now + order.timeout;
         m_orders.emplace_back(std::move(order));
         return;
     }
@@ -82,8 +84,8 @@
 }
 
 void dispatcher::on_advice(const advice_request& request, const advice_outcome& outcome, time_point now) {
-    if (!is_leading()) {
-        return;
+    if (!is_leading() || request.number != m_advice_number || !m_is_advice_pending) {
+        return; // the call was given up; its tickets may be older than they seem
     }
     m_is_advice_pending = false;
     if (!outcome.is_answered) {
--- a/poplarpitch/dispatch/dispatcher_audit.cpp
+++ b/poplarpitch/dispatch/dispatcher_audit.cpp
@@ -2,6 +2,7 @@
 // leader. It is logged, and mended where the replicated job state proves what is right.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/telemetry/log_event.h"
 
@@ -13,6 +14,10 @@
 constexpr duration audit_interval = seconds{1};
 constexpr duration list_timeout = seconds{3};    // lists arrive at least once a second
 constexpr duration commit_timeout = seconds{10}; // a disk may stall for seconds
+constexpr duration hold_slack =
+    seconds{3}; // after the time of a hold, which may be sent twice with its whole time, 1.8 s
+constexpr duration advice_slack =
+    seconds{1};                       // after the time of a call; the leader's thread may lag by 400 ms
 constexpr std::size_t max_lines = 20; // per audit and event; a single fault usually affects many tasks
 
 /// Returns why a run makes no progress, or nothing.
@@ -30,6 +35,12 @@
     return has_lists_without ? std::optional{stuck_reason::not_listed} : std::nullopt;
 }
 
+/// Returns true when a run has been on the worker since this time.
+bool has_run_since(const worker_state& worker, time_point since) {
+    return std::any_of(worker.runs.begin(), worker.runs.end(),
+                       [&](const auto& item) { return item.second->assigned_at <= since; });
+}
+
 /// Returns true when the run has ended by the replicated job state. The end of a run whose end this leader
 /// has proposed is still to be processed.
 bool has_ended(const run_track& track, const task_record& task) {
@@ -190,6 +201,110 @@
         }
         line.add("mended", is_mended ? "yes" : "no").add("stuck", static_cast<std::uint64_t>(stuck.size()));
     }
+    audit_workers(now);
+}
+
+// ---- workers
+
+std::vector<worker_amounts> dispatcher::sum_reserved() const {
+    std::vector<worker_amounts> sums(m_workers.get_all().size());
+    for (const auto& [key, track] : m_tracks) {
+        sums[track.host->position] += get_need(track.get_spec());
+    }
+    return sums;
+}
+
+std::vector<leader_difference> dispatcher::find_differences(time_point now) const {
+    std::vector<leader_difference> found;
+    const auto reserved = sum_reserved();
+    for (const auto* worker : m_workers.get_all()) {
+        const auto& incarnation = worker->report.incarnation;
+        if (worker->reserved != reserved[worker->position]) {
+            found.push_back({difference_kind::reserved, incarnation, {}});
+        }
+        const auto overdue = now - worker->hold_expires_at;
+        if (worker->is_hold_pending && overdue > hold_slack) {
+            found.push_back({difference_kind::hold, incarnation, overdue});
+        }
+    }
+    const auto fence_overdue = now - m_fence_raise_proposed - commit_timeout;
+    if (m_is_raising_fence && fence_overdue > duration{0}) {
+        found.push_back({difference_kind::fence_raise, {}, fence_overdue});
+    }
+    const auto advice_overdue = now - m_advice_expires;
+    if (m_is_advice_pending && advice_overdue > advice_slack) {
+        found.push_back({difference_kind::advice, {}, advice_overdue});
+    }
+    return found;
+}
+
+/// A hold stays pending, so that a late answer is not taken for that of a later hold, whose list would seem
+/// newer than it is. Where its worker has had a run for some time, it counts as unanswered: no lease is
+/// extended, and the runs can be given up once their lease has expired. A fence may be raised twice: each
+/// raise is committed before it is used.
+bool dispatcher::mend(const leader_difference& difference, time_point now) {
+    switch (difference.kind) {
+    case difference_kind::reserved:
+        recount_runs(*find_worker(difference.worker));
+        return true;
+    case difference_kind::hold: {
+        auto& worker = *find_worker(difference.worker);
+        if (worker.is_hold_unanswered || !has_run_since(worker, now - hold_slack)) {
+            return false;
+        }
+        worker.is_hold_unanswered = true;
+        worker.record_hold_failure(now);
+        m_workers.schedule_check(worker, now);
+        return true;
+    }
+    case difference_kind::fence_raise:
+        propose_fence_raise(now);
+        return true;
+    case difference_kind::advice:
+        m_is_advice_pending = false;
+        return true;
+    }
+    return false;
+}
+
+void dispatcher::recount_runs(worker_state& worker) {
+    worker.runs.clear();
+    worker.step_counts.clear();
+    worker.reserved = {};
+    worker.filling_millicores = 0;
+    worker.short_task_millicores = 0;
+    worker.filling_runs = 0;
+    worker.serving_runs = 0;
+    worker.suspects = 0;
+    worker.probations = 0;
+    for (auto& [key, track] : m_tracks) {
+        if (track.host == &worker) {
+            count_run(worker, track, 1);
+        }
+    }
+    refresh_pressure(worker);
+    m_must_place = true;
+}
+
+void dispatcher::audit_workers(time_point now) {
+    const auto differences = find_differences(now);
+    m_counts.leader_differences = differences.size();
+    std::size_t lines = 0;
+    for (const auto& difference : differences) {
+        const bool is_mended = mend(difference, now);
+        m_counts.mended_differences += is_mended ? 1 : 0;
+        if (++lines > max_lines) {
+            continue;
+        }
+        auto line = log_event(log_level::error, "leader_difference");
+        line.add("reason", get_difference_name(difference.kind));
+        if (!difference.worker.id.empty()) {
+            add_worker(line, difference.worker);
+        }
+        line.add("overdue_ms", to_milliseconds(difference.overdue))
+            .add("mended", is_mended ? "yes" : "no")
+            .add("differences", static_cast<std::uint64_t>(differences.size()));
+    }
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_incarnations.cpp
+++ b/poplarpitch/dispatch/dispatcher_incarnations.cpp
@@ -51,12 +51,16 @@
 /// incarnation would accept such starts, and such acknowledgements of ends that it has not reported, as its
 /// own. Once it has seen a higher fence, it refuses all of them. The raise is committed before it is used, so
 /// that no later leader uses the same fence.
-void dispatcher::raise_fence(worker_state& worker) {
+void dispatcher::raise_fence(worker_state& worker, time_point now) {
     worker.awaits_fence = true;
-    if (m_is_raising_fence) {
-        return;
+    if (!m_is_raising_fence) {
+        propose_fence_raise(now);
     }
+}
+
+void dispatcher::propose_fence_raise(time_point now) {
     m_is_raising_fence = true;
+    m_fence_raise_proposed = now;
     job_wire::job_command command;
     command.mutable_raise_fence();
     m_commands.push_back(std::move(command));
@@ -96,7 +100,7 @@
     worker.is_lost = false;
     end_former_incarnations(worker, addressed, answer, now);
     if (worker.needs_fence) {
-        raise_fence(worker);
+        raise_fence(worker, now);
     }
 }
 
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -340,7 +340,7 @@
     }
     end_former_incarnations(*worker, *worker, outcome.answer, now);
     if (worker->needs_fence) {
-        raise_fence(*worker);
+        raise_fence(*worker, now);
         return;
     }
     if (worker->hold_fence < worker->fence) { // orders under the lower fence may still arrive
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -79,6 +79,7 @@
     set("poplarpitch_jobs_known", parts.job_state.get_jobs().size());
     set("poplarpitch_workers", parts.dispatch.get_workers().size());
     set("poplarpitch_tasks_stuck", counts.stuck_tasks);
+    set("poplarpitch_leader_differences", counts.leader_differences);
     set("poplarpitch_audit_mends_total", counts.mended_differences);
     set("poplarpitch_tasks_waiting", parts.dispatch.count_waiting_tasks());
     return m_registry.format();
--- a/poplarpitch/scheduling/worker_order.h
+++ b/poplarpitch/scheduling/worker_order.h
@@ -72,7 +72,8 @@
 /// Asks the advice service which of these workers may run a step. The service handles one such call at a
 /// time.
 struct advice_request {
-    std::uint64_t fence = 0; ///< term of the leader that asks
+    std::uint64_t fence = 0;  ///< term of the leader that asks
+    std::uint64_t number = 0; ///< of the call, counted by the leader
     step_key step;
     std::vector<worker_incarnation> workers;
     duration timeout{};
--- a/unit_tests/dispatch/dispatcher_audit_test.cpp
+++ b/unit_tests/dispatch/dispatcher_audit_test.cpp
@@ -3,11 +3,14 @@
 #include "unit_tests/dispatch/dispatch_world.h"
 #include "unit_tests/dispatch/test_steps.h"
 
+#include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace poplarpitch {
 namespace {
 
@@ -35,6 +38,13 @@
     return command;
 }
 
+bool has_overdue_fence_raise(const dispatch_world& world) {
+    const auto found = world.scheduler.find_differences(world.now);
+    return std::any_of(found.begin(), found.end(), [](const leader_difference& difference) {
+        return difference.kind == difference_kind::fence_raise;
+    });
+}
+
 /// Answers the holds at w1 with `list` for `length`.
 void answer_holds(dispatch_world& world, const hold_answer& list, duration length) {
     const auto end = world.now + length;
@@ -247,5 +257,122 @@
     EXPECT_TRUE(world.scheduler.find_stuck(world.now).empty());
 }
 
+TEST(dispatcher_audit, recounts_what_a_worker_has_reserved) {
+    dispatch_world world;
+    world.add_worker("w1");
+    step_job job;
+    job.id = 77;
+    job.steps = {make_step()};
+    job.queue.pool = world_pool;
+    job.queue.max_attempts = 3;
+    job_wire::job_command command;
+    encode(job, *command.mutable_submit()->mutable_job());
+    const auto accepted = apply_unnoticed(world, command);
+    ASSERT_EQ(accepted.size(), 1U);
+    for (int time = 0; time < 2; ++time) { // the leader gets to know of it twice, and assigns its task twice
+        world.scheduler.on_event(accepted[0], world.now, world.wall_ms);
+        world.scheduler.tick(world.now, world.wall_ms);
+    }
+    world.run_until_idle();
+    const std::vector<leader_difference> expected = {
+        {difference_kind::reserved, world.get_incarnation("w1"), {}}};
+    EXPECT_EQ(world.scheduler.find_differences(world.now), expected);
+    EXPECT_EQ(world.find_worker("w1")->reserved, get_need(make_step()));
+    world.advance(seconds{1});
+    EXPECT_EQ(world.find_worker("w1")->reserved, worker_amounts{});
+    EXPECT_TRUE(world.scheduler.find_differences(world.now).empty());
+}
+
+TEST(dispatcher_audit, gives_up_the_runs_of_a_worker_whose_hold_has_no_outcome) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    world.start_one();
+    world.wait_for_hold("w1"); // never comes to an end
+    const auto expires_at = world.find_worker("w1")->hold_expires_at;
+    EXPECT_TRUE(world.scheduler.find_differences(expires_at + milliseconds{2900}).empty());
+    const std::vector<leader_difference> expected = {
+        {difference_kind::hold, world.get_incarnation("w1"), milliseconds{3100}}};
+    EXPECT_EQ(world.scheduler.find_differences(expires_at + milliseconds{3100}), expected);
+    world.add_worker("w2");
+    std::vector<start_order> starts;
+    const auto sent = world.now;
+    while (starts.empty() && world.now < sent + seconds{30}) {
+        world.advance(milliseconds{100});
+        starts = world.take<start_order>();
+    }
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].target.worker.id, "w2");
+    EXPECT_GT(world.now - sent, seconds{7}) << "its lease has to lapse first";
+    EXPECT_LT(world.now - sent, seconds{9});
+}
+
+TEST(dispatcher_audit, takes_a_late_answer_to_a_hold_that_was_overdue) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto start = world.start_one();
+    world.wait_for_hold("w1");
+    world.advance(seconds{6});
+    EXPECT_EQ(world.find_worker("w1")->hold_failures, 1);
+    EXPECT_TRUE(world.find_worker("w1")->is_hold_pending) << "a later hold would take its answer";
+    hold_answer list;
+    list.running.push_back({start.run, "", 10, 0});
+    world.answer_hold("w1", list);
+    EXPECT_EQ(world.find_worker("w1")->hold_failures, 0);
+    EXPECT_NE(world.scheduler.find_track(start.run), nullptr);
+    EXPECT_TRUE(world.scheduler.find_differences(world.now).empty());
+}
+
+TEST(dispatcher_audit, raises_the_fence_again_when_its_commit_is_overdue) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    world.start_one();
+    world.restart_with_same_id("w1", 1'700'000'000'000);
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.clock_ms = to_milliseconds(world.now.time_since_epoch());
+    list.process_start_ms = world.get_incarnation("w1").process_start_ms;
+    world.scheduler.on_hold(world.get_incarnation("w1"), {std::nullopt, list}, world.now);
+    const auto commands = world.scheduler.take_commands();
+    EXPECT_TRUE(std::any_of(commands.begin(), commands.end(),
+                            [](const auto& command) { return command.has_raise_fence(); }));
+    const auto raises = world.job_state.get_fence_raises(); // the command is lost
+    for (int second = 0; second < 9; ++second) {
+        world.send_heartbeat("w1");
+        world.advance(seconds{1});
+    }
+    EXPECT_FALSE(has_overdue_fence_raise(world)) << "a disk may hang for seconds";
+    EXPECT_EQ(world.job_state.get_fence_raises(), raises);
+    EXPECT_TRUE(world.find_worker("w1")->awaits_fence);
+    for (int second = 0; second < 3; ++second) {
+        world.send_heartbeat("w1");
+        world.advance(seconds{1});
+    }
+    EXPECT_EQ(world.job_state.get_fence_raises(), raises + 1);
+    EXPECT_FALSE(world.find_worker("w1")->awaits_fence);
+}
+
+TEST(dispatcher_audit, gives_up_a_call_for_advice_that_has_no_outcome) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit_with_advice({make_step()});
+    const auto first = world.take<advice_request>();
+    ASSERT_EQ(first.size(), 1U);
+    world.advance(first[0].timeout + milliseconds{500});
+    EXPECT_TRUE(world.take<advice_request>().empty());
+    world.advance(seconds{1});
+    world.advance(seconds{1});
+    const auto second = world.take<advice_request>();
+    ASSERT_EQ(second.size(), 1U);
+    world.scheduler.on_advice(first[0], {true, {{"w1", "old"}}}, world.now);
+    world.run_until_idle();
+    EXPECT_TRUE(world.take<start_order>().empty()) << "its ticket may have run out";
+    world.scheduler.on_advice(second[0], {true, {{"w1", "new"}}}, world.now);
+    world.run_until_idle();
+    EXPECT_EQ(world.start_one().ticket, "new");
+}
+
 } // namespace
 } // namespace poplarpitch
