Report why a job does not count as starving, and jobs that stand still whether workers have room or not

Cause: task_waits is written only where a worker has room by the leader's books, and it does not tell what keeps the job from counting as starving: runs that are over and still held, a pool whose reserved share is too high, or a time that begins anew. A job whose only task is assigned and not at work is in no line at all.

Known gap: still_ms counts from idle_since, which each failed try to place a gang sets to now, so a job with a waiting gang is not in job_stands_still.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/admission.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
+#include "poplarpitch/dispatch/job_activity.h"
 #include "poplarpitch/dispatch/leader_difference.h"
 #include "poplarpitch/dispatch/leader_load.h"
 #include "poplarpitch/dispatch/long_running_quota.h"
@@ -13,6 +14,7 @@
 #include "poplarpitch/dispatch/refused_shapes.h"
 #include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/step_advice.h"
+#include "poplarpitch/dispatch/still_job.h"
 #include "poplarpitch/dispatch/stuck_task.h"
 #include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/work_forecast.h"
@@ -142,6 +144,10 @@
     /// Returns what else of the leader's state is wrong, in order. There is nothing unless the leader has a
     /// fault.
     [[nodiscard]] std::vector<leader_difference> find_differences(time_point now) const;
+    /// Returns some of the jobs of which no run is known to have been at work for long, although a task of
+    /// them waits or counts as assigned: those in pools of which less than half is reserved and the longest
+    /// first.
+    [[nodiscard]] std::vector<still_job> find_still_jobs(time_point now) const;
     /// Returns some of the tasks that have waited for long although workers have room for them, long-running
     /// tasks and the oldest first.
     [[nodiscard]] std::vector<long_wait> find_long_waits(time_point now);
@@ -395,6 +401,12 @@
     [[nodiscard]] std::vector<step_key> rank_by_wait(time_point now) const;
     /// Examines all workers of its pool for the first waiting task of a step.
     [[nodiscard]] long_wait explain_wait(const step_key& key, time_point now);
+    /// Returns since when no run of the job is known to have been at work although it has something to do, or
+    /// a time that never comes if it has nothing to do.
+    [[nodiscard]] time_point get_still_since(job_id id, const open_job& job) const;
+    [[nodiscard]] std::uint64_t count_waiting_tasks(job_id id) const;
+    [[nodiscard]] job_activity examine_job(job_id id, const std::string& pool, time_point now) const;
+    void report_still_jobs(time_point now);
     void report_waits(time_point now);
 
     // advice
--- a/poplarpitch/dispatch/dispatcher_waits.cpp
+++ b/poplarpitch/dispatch/dispatcher_waits.cpp
@@ -1,4 +1,5 @@
-// Finds tasks that wait for long although workers have room, and reports why each worker is ruled out.
+// Finds tasks that wait for long although workers have room, and reports why each worker is ruled out. Finds
+// jobs that stand still, whether workers have room or not.
 #include "poplarpitch/dispatch/dispatcher.h"
 
 #include "poplarpitch/dispatch/placement.h"
@@ -15,9 +16,54 @@
 
 constexpr duration waits_interval = seconds{1};
 constexpr duration long_wait_threshold =
-    seconds{3};                                // a task that finds room has no reason to wait for longer
-constexpr std::size_t max_reported_waits = 5;  // per pass; an obstacle for one task usually affects many
-constexpr std::size_t max_examined_steps = 20; // per pass; examining 490 workers takes some 20 us
+    seconds{3};                                  // a task that finds room has no reason to wait for longer
+constexpr std::size_t max_reported_waits = 5;    // per pass; an obstacle for one task usually affects many
+constexpr std::size_t max_examined_steps = 20;   // per pass; examining 490 workers takes some 20 us
+constexpr duration still_threshold = seconds{3}; // users allow no more while most of the room is free
+constexpr std::size_t max_still_jobs = 5;        // per pass
+
+held_run_state get_held_run_state(const run_track& track) {
+    if (track.is_ending) {
+        return held_run_state::ending;
+    }
+    switch (track.stage) {
+    case run_stage::committing:
+        return held_run_state::committing;
+    case run_stage::adopting:
+        return held_run_state::adopting;
+    case run_stage::starting:
+        return held_run_state::starting;
+    case run_stage::running:
+        return held_run_state::running;
+    }
+    return held_run_state::running;
+}
+
+/// Returns the number of runs by state, as `name:count` separated by commas.
+std::string format_runs(const job_activity& activity) {
+    std::string text;
+    for (std::size_t number = 0; number < held_run_states; ++number) {
+        if (activity.runs[number] > 0) {
+            text += text.empty() ? "" : ",";
+            text += get_held_run_state_name(static_cast<held_run_state>(number));
+            text += ":" + std::to_string(activity.runs[number]);
+        }
+    }
+    return text;
+}
+
+void add_activity(log_event& line, const job_activity& activity) {
+    line.add("starving", get_starving_name(activity.starving))
+        .add("job_runs", format_runs(activity))
+        .add("still_ms", to_milliseconds(activity.still))
+        .add("pool_core_percent", activity.pool_core_percent)
+        .add("pool_memory_percent", activity.pool_memory_percent);
+}
+
+std::int64_t get_percent(std::int64_t part, std::int64_t whole) {
+    constexpr std::int64_t hundred = 100;
+    return whole > 0 ? hundred * part / whole : 0;
+}
 
 /// Returns the number of workers for each obstacle, as `name:count` separated by commas.
 std::string format_counts(const std::array<std::uint64_t, placement_obstacles>& counts) {
@@ -37,7 +83,8 @@
 std::vector<step_key> dispatcher::rank_by_wait(time_point now) const {
     std::vector<std::tuple<bool, time_point, step_key>> waits;
     for (const auto& [key, ready] : m_ready) {
-        if (!ready.waiting.empty() && now - ready.since > long_wait_threshold) {
+        const bool is_open = m_jobs.contains(key.job);
+        if (is_open && !ready.waiting.empty() && now - ready.since > long_wait_threshold) {
             waits.emplace_back(!ready.job->steps[key.step].long_running, ready.since, key);
         }
     }
@@ -57,6 +104,7 @@
     wait.task = {key, *ready.waiting.begin()};
     wait.waited = now - ready.since;
     wait.waiting = ready.waiting.size();
+    wait.job = examine_job(key.job, ready.job->queue.pool, now);
     const auto request = make_request(ready, wait.task, now);
     for (const auto* worker : m_workers.get_all()) {
         if (worker->report.pool != ready.job->queue.pool) {
@@ -111,8 +159,8 @@
     for (const auto& wait : find_long_waits(now)) {
         const auto& spec = m_ready.at(wait.task.step).job->steps[wait.task.step.step];
         const bool is_paused = !m_suspects.may_start(wait.task, now);
-        log_event(log_level::warn, "task_waits")
-            .add("job", format_job_id(wait.task.step.job))
+        auto line = log_event(log_level::warn, "task_waits");
+        line.add("job", format_job_id(wait.task.step.job))
             .add("occurrence", static_cast<std::uint64_t>(wait.task.step.occurrence))
             .add("step", static_cast<std::uint64_t>(wait.task.step.step))
             .add("task", static_cast<std::uint64_t>(wait.task.index))
@@ -129,6 +177,89 @@
             .add("with_room_by", format_counts(wait.with_room_by_obstacle))
             .add("free_millicores", wait.free_millicores)
             .add("most_free_millicores", wait.most_free_millicores);
+        add_activity(line, wait.job);
+    }
+    report_still_jobs(now);
+}
+
+// ---- jobs that stand still
+
+/// The time at which its last run was dropped is known, and when a list last showed each of the others.
+time_point dispatcher::get_still_since(job_id id, const open_job& job) const {
+    auto since = job.idle_since;
+    for (const auto& [key, track] : job.runs) {
+        since = std::max(since, track->listed_at);
+    }
+    if (!job.runs.empty()) {
+        return since;
+    }
+    auto turn = time_point::max();
+    for (auto found = m_ready.lower_bound(step_key{id, 0, 0});
+         found != m_ready.end() && found->first.job == id; ++found) {
+        turn = std::min(turn, found->second.since);
+    }
+    return std::max(since, turn);
+}
+
+std::uint64_t dispatcher::count_waiting_tasks(job_id id) const {
+    std::uint64_t waiting = 0;
+    for (auto found = m_ready.lower_bound(step_key{id, 0, 0});
+         found != m_ready.end() && found->first.job == id; ++found) {
+        waiting += found->second.waiting.size();
+    }
+    return waiting;
+}
+
+job_activity dispatcher::examine_job(job_id id, const std::string& pool, time_point now) const {
+    const auto& job = m_jobs.at(id);
+    job_activity activity;
+    for (const auto& [key, track] : job.runs) {
+        ++activity.runs[static_cast<std::size_t>(get_held_run_state(*track))];
+    }
+    activity.still = now - get_still_since(id, job);
+    activity.starving = is_starving(job, pool, now)         ? starving_state::starving
+                        : !job.runs.empty()                 ? starving_state::has_runs
+                        : !m_underused_pools.contains(pool) ? starving_state::pool_in_use
+                                                            : starving_state::too_early;
+    worker_amounts capacity;
+    worker_amounts reserved;
+    for (const auto* worker : m_workers.get_all()) {
+        const bool counts = worker->has_report && !worker->is_lost && !worker->is_draining;
+        if (counts && worker->report.pool == pool) {
+            capacity += worker->is_data_centre_drained ? worker->reserved : worker->report.capacity;
+            reserved += worker->reserved;
+        }
+    }
+    activity.pool_core_percent = get_percent(reserved.millicores, capacity.millicores);
+    activity.pool_memory_percent = get_percent(reserved.memory_mb, capacity.memory_mb);
+    return activity;
+}
+
+std::vector<still_job> dispatcher::find_still_jobs(time_point now) const {
+    std::vector<std::tuple<bool, time_point, job_id>> ranked;
+    for (const auto& [id, job] : m_jobs) {
+        const auto since = get_still_since(id, job);
+        const auto* record = m_job_state.find_job(id);
+        if (record != nullptr && since < now - still_threshold) {
+            ranked.emplace_back(!m_underused_pools.contains(record->job->queue.pool), since, id);
+        }
+    }
+    const auto count = std::min(ranked.size(), max_still_jobs);
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
+    std::vector<still_job> found;
+    for (std::size_t number = 0; number < count; ++number) {
+        const auto id = std::get<job_id>(ranked[number]);
+        const auto& pool = m_job_state.find_job(id)->job->queue.pool;
+        found.push_back({id, count_waiting_tasks(id), examine_job(id, pool, now)});
+    }
+    return found;
+}
+
+void dispatcher::report_still_jobs(time_point now) {
+    for (const auto& still : find_still_jobs(now)) {
+        auto line = log_event(log_level::warn, "job_stands_still");
+        line.add("job", format_job_id(still.job)).add("waiting", still.waiting);
+        add_activity(line, still.activity);
     }
 }
 
--- a/poplarpitch/dispatch/long_wait.h
+++ b/poplarpitch/dispatch/long_wait.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/dispatch/job_activity.h"
 #include "poplarpitch/dispatch/placement_obstacle.h"
 #include "poplarpitch/scheduling/task_key.h"
 
@@ -25,6 +26,7 @@
         passed_over{}; ///< number of workers by the obstacle that rules them out
     std::array<std::uint64_t, placement_obstacles>
         with_room_by_obstacle{}; ///< the same, of those counted in `with_room`
+    job_activity job;            ///< of the task's job
 
     friend auto operator<=>(const long_wait&, const long_wait&) = default;
 
