Measure the audit and the search for long waits at 50,000 tasks

Change: two benchmarks in dispatch_benchmark, with 490 and 2,500 workers.

What either took before was not measured.

--- a/performance_test/dispatch_benchmark.cpp
+++ b/performance_test/dispatch_benchmark.cpp
@@ -46,6 +46,18 @@
         static_cast<void>(m_dispatch.take_orders());
     }
 
+    /// Compares the leader's state with the replicated job state, which it does each second.
+    void audit() {
+        benchmark::DoNotOptimize(m_dispatch.find_stuck(m_now).size());
+        benchmark::DoNotOptimize(m_dispatch.find_differences(m_now).size());
+    }
+
+    /// Searches for tasks and jobs that wait for long, which the leader does each second.
+    void find_waits() {
+        benchmark::DoNotOptimize(m_dispatch.find_long_waits(m_now).size());
+        benchmark::DoNotOptimize(m_dispatch.find_still_jobs(m_now).size());
+    }
+
     void settle() {
         m_dispatch.tick(m_now, m_wall_ms);
         for (const auto& command : m_dispatch.take_commands()) {
@@ -142,5 +154,28 @@
 }
 BENCHMARK(place_all)->Arg(66)->Arg(490)->Arg(640)->Unit(benchmark::kMillisecond)->Iterations(5);
 
+/// Measures the audit of a leader with 50,000 tasks. With 2,500 workers most of them run.
+void run_audit(benchmark::State& state) {
+    loaded_leader leader(static_cast<int>(state.range(0)), 50'000);
+    leader.settle();
+    for (auto _ : state) {
+        leader.audit();
+    }
+}
+BENCHMARK(run_audit)->Arg(490)->Arg(2500)->Unit(benchmark::kMicrosecond);
+
+/// Measures the search for long waits with the same tasks.
+void search_waits(benchmark::State& state) {
+    loaded_leader leader(static_cast<int>(state.range(0)), 50'000);
+    leader.settle();
+    for (int pass = 0; pass < 50; ++pass) { // 5 s
+        leader.pass();
+    }
+    for (auto _ : state) {
+        leader.find_waits();
+    }
+}
+BENCHMARK(search_waits)->Arg(490)->Arg(2500)->Unit(benchmark::kMicrosecond);
+
 } // namespace
 } // namespace poplarpitch
