--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -118,6 +118,7 @@
     m_next_audit = {};
     m_next_waits = {};
     m_counts.stuck_tasks = 0;
+    m_counts.leader_differences = 0;
 }
 
 // ---- jobs
@@ -414,7 +415,7 @@
     observe_pools(now);
     save_pressure(now);
     report_load(now);
-    audit(now);
+    audit(now, wall_ms);
     report_waits(now);
 }
 
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -4,6 +4,8 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/admission.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
+#include "poplarpitch/dispatch/job_activity.h"
+#include "poplarpitch/dispatch/leader_difference.h"
 #include "poplarpitch/dispatch/leader_load.h"
 #include "poplarpitch/dispatch/long_running_quota.h"
 #include "poplarpitch/dispatch/long_wait.h"
@@ -12,6 +14,7 @@
 #include "poplarpitch/dispatch/refused_shapes.h"
 #include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/step_advice.h"
+#include "poplarpitch/dispatch/still_job.h"
 #include "poplarpitch/dispatch/stuck_task.h"
 #include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/work_forecast.h"
@@ -138,6 +141,13 @@
     /// Returns the tasks of open jobs that nothing will complete, in order. There are none unless the leader
     /// has a fault.
     [[nodiscard]] std::vector<stuck_task> find_stuck(time_point now) const;
+    /// Returns what else of the leader's state is wrong, in order. There is nothing unless the leader has a
+    /// fault.
+    [[nodiscard]] std::vector<leader_difference> find_differences(time_point now) const;
+    /// Returns some of the jobs of which no run is known to have been at work for long, although a task of
+    /// them waits or counts as assigned: those in pools of which less than half is reserved and the longest
+    /// first.
+    [[nodiscard]] std::vector<still_job> find_still_jobs(time_point now) const;
     /// Returns some of the tasks that have waited for long although workers have room for them, long-running
     /// tasks and the oldest first.
     [[nodiscard]] std::vector<long_wait> find_long_waits(time_point now);
@@ -337,7 +347,8 @@
     [[nodiscard]] bool is_stale(const worker_incarnation& incarnation) const;
     /// Returns a fence that only orders since the last raise have carried.
     [[nodiscard]] std::uint64_t get_fence() const { return m_term + m_job_state.get_fence_raises(); }
-    void raise_fence(worker_state& worker);
+    void raise_fence(worker_state& worker, time_point now);
+    void propose_fence_raise(time_point now);
     void on_fence_raised(time_point now);
     /// Processes a list from another incarnation than the addressed one.
     void on_other_incarnation(worker_state& addressed, const worker_incarnation& answered,
@@ -374,15 +385,35 @@
     void limit_probations();
 
     // tasks that make no progress
-    void find_stuck_tasks(const job_record& record, const step_key& key,
+    /// Compares the tasks of a step that may begin with the replicated job state.
+    void find_stuck_tasks(const open_job& job, const job_record& record, const step_key& key,
                           std::vector<stuck_task>& stuck) const;
-    void audit(time_point now);
+    void find_stuck_tasks_of_job(const open_job& job, const job_record& record,
+                                 std::vector<stuck_task>& stuck) const;
+    /// Mends what the replicated job state proves. Returns false where it proves nothing.
+    bool mend(const stuck_task& stuck, time_point now, std::int64_t wall_ms);
+    /// Precondition: the task is queued.
+    void remove_from_queue(const task_key& task);
+    void audit(time_point now, std::int64_t wall_ms);
+    /// Returns what the tracked runs of each worker reserve, by the worker's position.
+    [[nodiscard]] std::vector<worker_amounts> sum_reserved() const;
+    void audit_workers(time_point now);
+    /// Mends a difference where that is safe. Returns false where it is not.
+    bool mend(const leader_difference& difference, time_point now);
+    /// Counts the runs of a worker and what they reserve anew.
+    void recount_runs(worker_state& worker);
 
     // tasks that wait although there is room
     /// Returns some of the steps whose tasks have waited for long, long-running ones and the oldest first.
     [[nodiscard]] std::vector<step_key> rank_by_wait(time_point now) const;
     /// Examines all workers of its pool for the first waiting task of a step.
     [[nodiscard]] long_wait explain_wait(const step_key& key, time_point now);
+    /// Returns since when no run of the job is known to have been at work although it has something to do, or
+    /// a time that never comes if it has nothing to do.
+    [[nodiscard]] time_point get_still_since(job_id id, const open_job& job) const;
+    [[nodiscard]] std::uint64_t count_waiting_tasks(job_id id) const;
+    [[nodiscard]] job_activity examine_job(job_id id, const std::string& pool, time_point now) const;
+    void report_still_jobs(time_point now);
     void report_waits(time_point now);
 
     // advice
@@ -456,14 +487,17 @@
     worker_table m_workers;
     std::set<worker_incarnation>
         m_lost_workers; ///< incarnations that are known to have ended, whose late heartbeats are ignored
-    bool m_is_raising_fence = false; ///< a raise of the fence is being committed
+    bool m_is_raising_fence = false;     ///< a raise of the fence is being committed
+    time_point m_fence_raise_proposed{}; ///< when it was proposed
     absl::node_hash_map<run_key, run_track> m_tracks;
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
     std::map<task_key, std::vector<worker_incarnation>> m_failed_on; ///< workers on which a task failed
     suspect_watch m_suspects;
     std::map<step_key, step_advice> m_advice;
-    bool m_is_advice_pending = false; ///< a call to the advice service is in flight
+    bool m_is_advice_pending = false;  ///< a call to the advice service is in flight
+    std::uint64_t m_advice_number = 0; ///< of the last call
+    time_point m_advice_expires{};     ///< when the last call times out
     time_point m_next_advice{};
     std::multimap<std::int64_t, step_key> m_due; ///< wall time -> job and occurrence (step 0)
     std::multimap<time_point, job_id> m_ended;   ///< when ended jobs are forgotten
