Start a last attempt on a worker whose last run failed when its job would stand still

Callers saw: a task that could run and did not, beside idle workers. Cause: a task with one attempt left is not placed on a worker whose last run failed, and only a run that ends well there clears the worker. An idle worker gets no such run, so nothing ended the wait. Change: obstacles that only make a worker a worse choice are grouped as soft, without a change of their meaning for tasks that are in time. An overdue task (for tasks that end: the one task of a starving job) passes over them. The cost makes a doubtful worker the last choice for a last attempt.

--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -34,6 +34,7 @@
     20.0; // after a crash of two suspects together, neither could be identified as the cause
 constexpr double beside_suspect_cost = 2.0; // a task that is no suspect beside a suspect
 constexpr double beside_kept_cost = 10.0;   // a worker kept for a suspect is the last choice
+constexpr double last_attempt_cost = 10.0;  // a doubtful worker is the last choice for a last attempt
 constexpr double short_beside_filling_cost =
     0.5; // a task that neither fills nor serves on a worker with filling tasks
 
@@ -94,6 +95,13 @@
     return interval > duration{0} && now - heard_at > interval + interval / 2 + heartbeat_slack;
 }
 
+placement_obstacle find_soft_obstacle(const worker_state& worker, const placement_request& request) {
+    if (request.is_last_attempt && worker.trust.is_doubtful()) {
+        return placement_obstacle::doubtful;
+    }
+    return worker.probations > 0 ? placement_obstacle::kept_for_suspect : placement_obstacle::none;
+}
+
 /// Returns a cost for best fit: the fuller worker that still holds the task costs less.
 double get_pack_cost(const worker_state& worker) {
     return worker.get_share(worker.get_free().millicores);
@@ -169,11 +177,9 @@
             return placement_obstacle::spread;
         }
     }
-    if (request.is_last_attempt && worker.trust.is_doubtful()) {
-        return placement_obstacle::doubtful;
-    }
-    if (worker.probations > 0 && !request.is_overdue) {
-        return placement_obstacle::kept_for_suspect;
+    const auto soft = find_soft_obstacle(worker, request);
+    if (soft != placement_obstacle::none && !request.is_overdue) {
+        return soft;
     }
     if (request.wants_own_worker() && !worker.runs.empty()) {
         return placement_obstacle::not_empty;
@@ -203,7 +209,7 @@
         cost += remote_data_cost;
     }
     if (worker.trust.is_doubtful()) {
-        cost += doubtful_cost;
+        cost += doubtful_cost + (request.is_last_attempt ? last_attempt_cost : 0);
     }
     if (request.avoided != nullptr && std::find(request.avoided->begin(), request.avoided->end(),
                                                 worker.report.incarnation) != request.avoided->end()) {
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -30,7 +30,7 @@
     bool is_starving = false;     ///< no task of the job runs: a filling task accepts less than it requests
     isolation_level isolation = isolation_level::none;
     bool may_wait = false;       ///< a task that must run alone waits for a worker without other runs
-    bool is_overdue = false;     ///< the task has waited too long: workers kept for a suspect are allowed too
+    bool is_overdue = false;     ///< the task has waited too long: it passes over soft obstacles
     std::string rack;            ///< restricts the choice to this rack; empty for any
     worker_incarnation excluded; ///< this worker is not allowed: a copy has to run elsewhere
 
@@ -64,7 +64,9 @@
 /// out. Only requests that may use it are placed on it. Thread safety: as above.
 [[nodiscard]] bool is_last_resort(const worker_state& worker, time_point now);
 
-/// Returns the obstacle that rules out a usable worker for a task, or `none`. Thread safety: as above.
+/// Returns the obstacle that rules out a usable worker for a task, or `none`. Soft obstacles only make a worker
+/// a worse choice. They have no bound in time, so a task that is overdue passes over them at a cost. Thread
+/// safety: as above.
 [[nodiscard]] placement_obstacle find_obstacle(const worker_state& worker, const placement_request& request);
 
 /// Returns the most processor time, in millicores, that a task of the request's kind may request on a worker.
--- /dev/null
+++ b/unit_tests/dispatch/dispatcher_overdue_test.cpp
@@ -0,0 +1,84 @@
+// A task that ends and has waited for too long uses a worker that is otherwise avoided, if no other has room.
+#include "unit_tests/dispatch/dispatch_world.h"
+#include "unit_tests/dispatch/test_steps.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration max_wait = seconds{3}; // of a job that has nothing running while workers have room
+constexpr duration limit = seconds{20};   // for the wait of a test
+
+/// A world that records the ends of runs, so that a test can fail some of them.
+class overdue_world : public dispatch_world {
+public:
+    /// Confirms a start, then lets its worker list the run's end.
+    void end_run(const start_order& start, run_end end) {
+        answer(start);
+        const auto id = start.target.worker.id;
+        wait_for_hold(id);
+        hold_answer list;
+        for (const auto& [key, track] : find_worker(id)->runs) {
+            if (key != start.run) {
+                list.running.push_back({key, "", 50, 0});
+            }
+        }
+        list.ended.push_back({++m_ends[id], start.run, end, {}});
+        answer_hold(id, list);
+    }
+
+    /// Returns the only start, which must be on this worker.
+    start_order take_start(const std::string& worker) {
+        const auto starts = take<start_order>();
+        EXPECT_EQ(starts.size(), 1U);
+        EXPECT_EQ(starts.empty() ? std::string{} : starts[0].target.worker.id, worker);
+        return starts.empty() ? start_order{} : starts[0];
+    }
+
+    /// Returns the start of a job that is the first within `limit`, or an empty one.
+    start_order wait_for_start() {
+        const auto since = now;
+        while (now - since < limit) {
+            const auto starts = take<start_order>();
+            if (!starts.empty()) {
+                return starts[0];
+            }
+            advance(milliseconds{20});
+        }
+        return {};
+    }
+
+    /// Fails runs of `jobs` jobs on the only worker.
+    void fail_jobs(const std::string& worker, int jobs) {
+        for (int number = 0; number < jobs; ++number) {
+            submit({make_step()}, 1);
+            const auto start = wait_for_start();
+            ASSERT_EQ(start.target.worker.id, worker);
+            end_run(start, run_end::failed);
+        }
+    }
+
+private:
+    std::map<std::string, std::uint64_t> m_ends;
+};
+
+TEST(dispatcher_overdue, starts_a_last_attempt_where_the_last_run_of_each_idle_worker_failed) {
+    overdue_world world;
+    world.add_worker("w1");
+    world.fail_jobs("w1", 1);
+    world.add_worker("w2");
+    world.submit({make_step()}, 2);
+    world.end_run(world.take_start("w2"), run_end::failed);
+    const auto since = world.now;
+    EXPECT_EQ(world.wait_for_start().run.run, 2U);
+    EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
+}
+
+} // namespace
+} // namespace poplarpitch
