Start a task of a starving job on a worker that is set aside when no other has room

Callers saw: a job of tasks that end stood still for up to 8 s beside workers with room. Cause: only a long-running task that had waited could use a worker that is set aside. Change: every overdue task may, also one of a starving job.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -172,7 +172,7 @@
         time_point now{};
         std::map<std::string, std::vector<worker_state*>> usable; ///< workers by pool
         std::map<std::string, std::vector<worker_state*>>
-            set_aside; ///< workers by pool that only overdue long-running tasks may use
+            set_aside; ///< workers by pool that only overdue tasks may use
         refused_shapes refused;
         std::size_t probations_left = 0; ///< workers that may still be reserved for a suspect
     };
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -333,7 +333,7 @@
 worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready,
                                  const placement_request& request) {
     auto* best = choose_among(pass.usable, ready, request, pass.now);
-    if (best == nullptr && request.may_use_set_aside()) {
+    if (best == nullptr && request.is_overdue) {
         best = choose_among(pass.set_aside, ready, request, pass.now);
     }
     return best;
--- a/poplarpitch/dispatch/dispatcher_waits.cpp
+++ b/poplarpitch/dispatch/dispatcher_waits.cpp
@@ -65,7 +65,7 @@
         ++wait.workers;
         auto obstacle = find_unusable(*worker, now);
         const bool may_use = obstacle == placement_obstacle::none ||
-                             (request.may_use_set_aside() && is_last_resort(*worker, now));
+                             (request.is_overdue && is_last_resort(*worker, now));
         if (may_use) {
             obstacle = find_obstacle(*worker, request);
         }
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -30,7 +30,8 @@
     bool is_starving = false;     ///< no task of the job runs: a filling task accepts less than it requests
     isolation_level isolation = isolation_level::none;
     bool may_wait = false;       ///< a task that must run alone waits for a worker without other runs
-    bool is_overdue = false;     ///< the task has waited too long: it passes over soft obstacles
+    bool is_overdue = false;     ///< the task has waited too long: it passes over soft obstacles, and uses
+                                 ///< workers that are set aside if no other has room
     std::string rack;            ///< restricts the choice to this rack; empty for any
     worker_incarnation excluded; ///< this worker is not allowed: a copy has to run elsewhere
 
@@ -38,10 +39,6 @@
 
     /// Returns true while the task waits for a worker without other runs. Thread safety: any thread.
     [[nodiscard]] bool wants_own_worker() const { return isolation == isolation_level::alone && may_wait; }
-    /// Returns true when workers that are set aside are allowed if no other has room. Such a worker may fail
-    /// or slow the task, which is better for a long-running task that has waited too long than to wait on.
-    /// Thread safety: any thread.
-    [[nodiscard]] bool may_use_set_aside() const { return spec->long_running && is_overdue; }
     /// Returns the isolation of the run at a worker. A task that no longer waits for a worker of its own does
     /// not exclude others. Thread safety: any thread.
     [[nodiscard]] isolation_level get_run_isolation() const {
@@ -61,7 +58,8 @@
 [[nodiscard]] bool is_usable(const worker_state& worker, time_point now);
 
 /// Returns true when the worker is set aside for another reason than a refusal, and nothing else rules it
-/// out. Only requests that may use it are placed on it. Thread safety: as above.
+/// out. Such a worker may fail or slow a task, so only overdue tasks for which no other worker has room are
+/// placed on it. Thread safety: as above.
 [[nodiscard]] bool is_last_resort(const worker_state& worker, time_point now);
 
 /// Returns the obstacle that rules out a usable worker for a task, or `none`. Soft obstacles only make a worker
--- a/unit_tests/dispatch/dispatcher_overdue_test.cpp
+++ b/unit_tests/dispatch/dispatcher_overdue_test.cpp
@@ -80,5 +80,27 @@
     EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
 }
 
+TEST(dispatcher_overdue, starts_a_task_that_ends_where_all_workers_are_set_aside) {
+    overdue_world world;
+    world.add_worker("w1");
+    world.fail_jobs("w1", 6);
+    world.submit({make_step()});
+    const auto since = world.now;
+    EXPECT_EQ(world.wait_for_start().target.worker.id, "w1");
+    EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
+}
+
+TEST(dispatcher_overdue, loses_no_attempt_on_a_worker_that_is_set_aside_while_another_has_room) {
+    overdue_world world;
+    world.add_worker("w1");
+    world.fail_jobs("w1", 6);
+    world.add_worker("w2", {1000, 1000, 0});
+    world.submit({make_step(4)});
+    for (int number = 0; number < 3; ++number) {
+        world.end_run(world.take_start("w2"), run_end::done);
+        world.advance(milliseconds{100});
+    }
+}
+
 } // namespace
 } // namespace poplarpitch
