--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -150,7 +150,8 @@
         time_point accepted{};
         bool has_started = false;
         absl::btree_map<run_key, run_track*> runs; ///< assigned and not ended
-        time_point idle_since{}; ///< since when it has no runs; only meaningful while it has none
+        time_point idle_since{};  ///< since when it has no runs; only meaningful while it has none
+        bool has_starved = false; ///< a task of it was placed because it starved
         std::map<std::uint32_t, time_point>
             due; ///< start time of each occurrence that has begun; empty for a job that runs once
     };
@@ -230,9 +231,11 @@
     /// Updates the quota with the use of the pools.
     void observe_pools(time_point now);
     void measure_filling_backlog();
-    /// Returns true when a job has waited too long with nothing running, given how little of its pool is
-    /// reserved.
+    /// Returns true when nothing of a job runs although little of its pool is reserved, and it has waited too
+    /// long for that or has starved before.
     [[nodiscard]] bool is_starving(const open_job& job, const std::string& pool, time_point now) const;
+    /// Returns true when nothing of a job has run for too long.
+    [[nodiscard]] static bool is_idle_for_long(const open_job& job, time_point now);
     void save_pressure(time_point now);
     void report_load(time_point now);
     void begin_due_occurrences(time_point now, std::int64_t wall_ms);
@@ -427,6 +430,8 @@
     [[nodiscard]] bool may_take_first_serving_task(const worker_state& worker) const;
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
                                                  time_point now);
+    /// Lets the request of a task of a starving job accept a worse worker.
+    static void accept_less(placement_request& request, const open_job& job, time_point now);
     worker_state* choose(const placing_pass& pass, const ready_step& ready, const placement_request& request);
     worker_state* choose_among(const std::map<std::string, std::vector<worker_state*>>& workers,
                                const ready_step& ready, const placement_request& request,
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -62,9 +62,9 @@
 /// placed on it. Thread safety: as above.
 [[nodiscard]] bool is_last_resort(const worker_state& worker, time_point now);
 
-/// Returns the obstacle that rules out a usable worker for a task, or `none`. Soft obstacles only make a worker
-/// a worse choice. They have no bound in time, so a task that is overdue passes over them at a cost. Thread
-/// safety: as above.
+/// Returns the obstacle that rules out a usable worker for a task, or `none`. Soft obstacles only make a
+/// worker a worse choice. They have no bound in time, so a task that is overdue passes over them at a cost.
+/// Thread safety: as above.
 [[nodiscard]] placement_obstacle find_obstacle(const worker_state& worker, const placement_request& request);
 
 /// Returns the most processor time, in millicores, that a task of the request's kind may request on a worker.
