Place the other tasks of a step while a last attempt finds no worker that it may use

Callers saw: tasks of a step waited beside free room, for as long as a task of the step with one attempt left did. Cause: tasks of a step with failed tasks are placed one by one, and the first that finds no room ends the loop. A last attempt is not placed on workers whose last run failed, so its wait says nothing of the tasks behind it. Change: such a result ends only the search for further last attempts of the step in this pass; a pass examines all workers once more for the step at most.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -180,8 +180,9 @@
     /// Result of an attempt to place a task.
     enum class placement_result : std::uint8_t {
         placed,
-        deferred, ///< the task waits for a condition that concerns only itself; others may be placed
-        no_room,  ///< the tasks behind it are blocked too
+        deferred,        ///< the task waits for a condition that concerns only itself; others may be placed
+        no_trusted_room, ///< the other last attempts of its step are blocked too
+        no_room,         ///< the tasks behind it are blocked too
     };
     /// A worker with room for a task. The one with the least cost is best, and the first of those with equal
     /// cost.
@@ -428,6 +429,8 @@
     void measure_short_task_demand(const placing_pass& pass);
     /// Returns true when enough other workers without serving tasks remain for the short tasks.
     [[nodiscard]] bool may_take_first_serving_task(const worker_state& worker) const;
+    /// Returns true when one more failure of the task fails its job.
+    [[nodiscard]] bool is_last_attempt(const ready_step& ready, const task_key& key) const;
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
                                                  time_point now);
     /// Lets the request of a task of a starving job accept a worse worker.
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -202,10 +202,16 @@
 
 void dispatcher::place_each(placing_pass& pass, ready_step& ready, const step_key& key,
                             const std::vector<std::uint32_t>& indexes) {
+    bool may_place_last_attempts = true;
     for (const auto index : indexes) {
-        if (place_task(pass, ready, {key, index}, false) == placement_result::no_room) {
+        if (!may_place_last_attempts && is_last_attempt(ready, {key, index})) {
+            continue;
+        }
+        const auto result = place_task(pass, ready, {key, index}, false);
+        if (result == placement_result::no_room) {
             return;
         }
+        may_place_last_attempts = may_place_last_attempts && result != placement_result::no_trusted_room;
     }
 }
 
@@ -233,7 +239,9 @@
     }
     auto* worker = choose(pass, ready, request);
     if (worker == nullptr) {
-        return wants_own ? placement_result::deferred : placement_result::no_room;
+        const auto no_room =
+            request.is_last_attempt ? placement_result::no_trusted_room : placement_result::no_room;
+        return wants_own ? placement_result::deferred : no_room;
     }
     pass.probations_left -= wants_own ? 1 : 0;
     assign_task(ready, task, *worker, request.get_run_isolation(), pass.now);
@@ -321,6 +329,12 @@
     return static_cast<double>(m_non_serving_millicores - worker.report.capacity.millicores) >= kept_free;
 }
 
+bool dispatcher::is_last_attempt(const ready_step& ready, const task_key& key) const {
+    const auto failed = m_failed_on.find(key);
+    return failed != m_failed_on.end() && !ready.job->steps[key.step.step].long_running &&
+           failed->second.size() + 1 >= ready.job->queue.max_attempts;
+}
+
 placement_request dispatcher::make_request(const ready_step& ready, const task_key& key, time_point now) {
     const auto failed = m_failed_on.find(key);
     placement_request request;
@@ -330,8 +344,7 @@
     request.may_wait = m_suspects.may_wait(key, now);
     request.is_overdue = request.spec->long_running && now - ready.since > max_long_running_wait;
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
-    request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
-                              failed->second.size() + 1 >= ready.job->queue.max_attempts;
+    request.is_last_attempt = is_last_attempt(ready, key);
     if (request.spec->is_filling || request.spec->is_serving()) {
         request.image = m_pressure.get_image_number(request.spec->image);
     }
--- a/unit_tests/dispatch/dispatcher_overdue_test.cpp
+++ b/unit_tests/dispatch/dispatcher_overdue_test.cpp
@@ -102,5 +102,44 @@
     }
 }
 
+TEST(dispatcher_overdue, starts_the_others_of_a_step_while_a_last_attempt_finds_no_worker) {
+    overdue_world world;
+    world.add_worker("w1", {8000, 8000, 0});
+    auto large = make_step();
+    large.millicores = 6000;
+    const auto blocker = world.submit({large}, 1);
+    world.start_one();
+    const auto job = world.submit({make_step(4)}, 2);
+    const auto first = world.take<start_order>();
+    ASSERT_EQ(first.size(), 2U);
+    world.answer(first[1]);
+    world.end_run(first[0], run_end::failed);
+    world.cancel(blocker);
+    const auto stops = world.take<stop_order>();
+    ASSERT_EQ(stops.size(), 1U);
+    world.answer(stops[0]);
+    const auto since = world.now;
+    std::size_t started = 0;
+    while (started < 2 && world.now - since < limit) {
+        world.advance(milliseconds{20});
+        for (const auto& start : world.take<start_order>()) {
+            EXPECT_EQ(start.run.task.step.job, job);
+            started += start.run.task.index > 1 ? 1 : 0;
+            world.answer(start);
+        }
+        if (world.find_worker("w1")->is_hold_pending) {
+            hold_answer list;
+            for (const auto& [key, track] : world.find_worker("w1")->runs) {
+                if (key.task.step.job == job) {
+                    list.running.push_back({key, "", 50, 0});
+                }
+            }
+            world.answer_hold("w1", list);
+        }
+    }
+    EXPECT_EQ(started, 2U);
+    EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
+}
+
 } // namespace
 } // namespace poplarpitch
