Let a gang of a starving job pass over soft obstacles too

Callers saw: a gang of tasks that end stood still beside idle workers after one member had failed. Cause: only single tasks of a starving job were overdue; members of a gang never were.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -424,8 +424,9 @@
     void place_identical(placing_pass& pass, ready_step& ready, const step_key& key,
                          const std::vector<std::uint32_t>& indexes);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
-    /// Returns how many members of a gang wait for workers of their own.
-    [[nodiscard]] std::size_t count_own_workers(const ready_step& ready, const step_key& key, time_point now);
+    /// Returns the requests of all members of a gang, by index. Precondition: all of them wait.
+    [[nodiscard]] std::vector<placement_request> make_gang_requests(const ready_step& ready,
+                                                                    const step_key& key, time_point now);
     void measure_short_task_demand(const placing_pass& pass);
     /// Returns true when enough other workers without serving tasks remain for the short tasks.
     [[nodiscard]] bool may_take_first_serving_task(const worker_state& worker) const;
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -409,7 +409,10 @@
             return;
         }
     }
-    const auto own_workers = count_own_workers(ready, key, pass.now);
+    auto requests = make_gang_requests(ready, key, pass.now);
+    const auto own_workers = static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(),
+                      [](const placement_request& request) { return request.wants_own_worker(); }));
     if (own_workers > pass.probations_left) {
         return;
     }
@@ -431,7 +434,7 @@
     for (const auto& rack : racks) {
         std::vector<std::pair<run_key, const worker_state*>> placed;
         for (std::uint32_t index = 0; index < spec.count; ++index) {
-            auto request = make_request(ready, {key, index}, pass.now);
+            auto& request = requests[index];
             request.rack = rack;
             const auto* chosen = choose(pass, ready, request);
             if (chosen == nullptr) {
@@ -457,12 +460,18 @@
     }
 }
 
-std::size_t dispatcher::count_own_workers(const ready_step& ready, const step_key& key, time_point now) {
-    std::size_t count = 0;
+std::vector<placement_request> dispatcher::make_gang_requests(const ready_step& ready, const step_key& key,
+                                                              time_point now) {
+    const auto& job = m_jobs.at(key.job);
+    const bool is_job_starving = is_starving(job, ready.job->queue.pool, now);
+    std::vector<placement_request> requests;
     for (const auto index : ready.waiting) {
-        count += make_request(ready, {key, index}, now).wants_own_worker() ? 1 : 0;
+        requests.push_back(make_request(ready, {key, index}, now));
+        if (is_job_starving) {
+            accept_less(requests.back(), job, now);
+        }
     }
-    return count;
+    return requests;
 }
 
 void dispatcher::assign_task(const ready_step& ready, const task_key& key, worker_state& worker,
--- a/unit_tests/dispatch/dispatcher_overdue_test.cpp
+++ b/unit_tests/dispatch/dispatcher_overdue_test.cpp
@@ -141,5 +141,27 @@
     EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
 }
 
+TEST(dispatcher_overdue, starts_a_gang_where_the_last_run_of_each_idle_worker_failed) {
+    overdue_world world;
+    world.add_worker("w1");
+    world.fail_jobs("w1", 1);
+    auto gang = make_step(2);
+    gang.gang = true;
+    world.add_worker("w2");
+    world.submit({gang}, 2);
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    world.answer(starts[1]);
+    world.end_run(starts[0], run_end::failed);
+    for (const auto& stop : world.take<stop_order>()) {
+        world.answer(stop);
+    }
+    world.wait_for_hold("w2");
+    world.answer_hold("w2", dispatch_world::make_empty_list());
+    const auto since = world.now;
+    EXPECT_EQ(world.wait_for_start().run.run, 2U);
+    EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
+}
+
 } // namespace
 } // namespace poplarpitch
