--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace poplarpitch {
@@ -231,6 +233,128 @@
     }
 }
 
+/// A worker of 64 cores with one serving task of 10 cores, whose tail depends on the filling tasks beside it.
+class loaded_worker {
+public:
+    explicit loaded_worker(std::int64_t tail) : m_tail(tail) {
+        world.add_worker("w1");
+        world.submit({make_serving(1)});
+        run_for(seconds{6});
+    }
+
+    /// Answers all orders for this time. Returns the time until the first filling task ran, or nothing.
+    std::optional<duration> run_for(duration length) {
+        std::optional<duration> first_fill;
+        const auto begin = world.now;
+        while (world.now - begin < length) {
+            world.advance(milliseconds{20});
+            answer_orders();
+            observe_tail();
+            if (!first_fill.has_value() && !m_paces.empty()) {
+                first_fill = world.now - begin;
+            }
+        }
+        return first_fill;
+    }
+
+    /// Sets the tail without filling tasks; 0 when the serving task reports none.
+    void set_tail(std::int64_t tail) { m_tail = tail; }
+    /// Returns the longest time on end for which filling tasks kept the tail over its target.
+    [[nodiscard]] duration get_longest_harm() const { return m_longest_harm; }
+
+    dispatch_world world;
+
+private:
+    [[nodiscard]] std::int64_t get_tail() const {
+        std::int64_t pace = 0;
+        for (const auto& [key, percent] : m_paces) {
+            pace += percent;
+        }
+        return m_tail == 0 ? 0 : m_tail + tail_rise * pace / 100;
+    }
+
+    void observe_tail() {
+        const bool is_harmed = m_tail <= target_ms && get_tail() > target_ms;
+        m_harmed_since = is_harmed ? std::min(m_harmed_since, world.now) : time_point::max();
+        m_longest_harm = is_harmed ? std::max(m_longest_harm, world.now - m_harmed_since) : m_longest_harm;
+    }
+
+    void answer_orders() {
+        for (const auto& start : world.take<start_order>()) {
+            world.answer(start);
+            if (start.job->steps[start.run.task.step.step].is_filling) {
+                m_paces[start.run] = 100;
+            }
+        }
+        apply_pace_orders(world, m_paces);
+        std::vector<run_end_entry> ended;
+        for (const auto& stop : world.take<stop_order>()) {
+            m_paces.erase(stop.run);
+            ended.push_back({++m_ends, stop.run, run_end::stopped, {}});
+            world.answer(stop);
+        }
+        m_ended.insert(m_ended.end(), ended.begin(), ended.end());
+        if (world.now >= m_next_list && world.find_worker("w1")->is_hold_pending) {
+            m_next_list = world.now + milliseconds{340};
+            hold_answer list;
+            for (const auto& [key, track] : world.find_worker("w1")->runs) {
+                const auto& spec = world.scheduler.find_track(key)->get_spec();
+                if (spec.is_serving()) {
+                    const auto noise = get_tail() == 0 ? 0 : ++m_lists % 2;
+                    list.running.push_back({key, "", 100, get_tail() + noise});
+                } else if (m_paces.contains(key)) {
+                    list.running.push_back({key, "", 30, spec.millicores * m_paces.at(key) / 100});
+                }
+            }
+            list.ended = std::exchange(m_ended, {});
+            world.answer_hold("w1", list);
+        }
+    }
+
+    static constexpr std::int64_t tail_rise = 30; // ms, by a filling task at full speed
+
+    std::int64_t m_tail;
+    std::map<run_key, int> m_paces;
+    std::vector<run_end_entry> m_ended;
+    std::uint64_t m_ends = 0;
+    std::int64_t m_lists = 0;
+    time_point m_next_list{};
+    time_point m_harmed_since = time_point::max();
+    duration m_longest_harm{};
+};
+
+TEST(dispatcher_pressure, starts_a_filling_task_beside_a_serving_one_that_no_longer_reports_a_tail) {
+    loaded_worker worker(200);
+    worker.set_tail(0);
+    worker.run_for(seconds{2});
+    worker.world.submit({make_filling(1)}, 3, 2);
+    const auto waited = worker.run_for(seconds{20});
+    ASSERT_TRUE(waited.has_value());
+    EXPECT_LE(to_milliseconds(*waited), 3000);
+}
+
+TEST(dispatcher_pressure, starts_a_filling_task_in_an_idle_pool_where_all_tails_are_near_their_target) {
+    loaded_worker worker(47);
+    worker.world.submit({make_filling(1)}, 3, 2);
+    const auto waited = worker.run_for(seconds{20});
+    ASSERT_TRUE(waited.has_value());
+    EXPECT_LE(to_milliseconds(*waited), 3000);
+    EXPECT_LT(to_milliseconds(worker.get_longest_harm()), 2000); // 4500 are allowed
+}
+
+TEST(dispatcher_pressure, places_filling_tasks_of_starving_jobs_on_unrequested_cores_only) {
+    loaded_worker worker(47);
+    auto large = make_filling(1);
+    large.millicores = 30'000;
+    for (int number = 0; number < 4; ++number) {
+        worker.world.submit({large}, 3, 2);
+    }
+    for (int number = 0; number < 100; ++number) {
+        worker.run_for(milliseconds{100});
+        EXPECT_LE(worker.world.find_worker("w1")->filling_millicores, 54'000);
+    }
+}
+
 /// Load pattern: an overload with many times as many filling tasks as find room beside serving tasks at half
 /// load.
 TEST(dispatcher_pressure, places_nearer_to_the_target_the_more_filling_tasks_wait) {
