--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -184,15 +184,16 @@
         time_point now{};
         std::map<std::string, std::vector<worker_state*>> usable; ///< workers by pool
         std::map<std::string, std::vector<worker_state*>>
-            set_aside; ///< workers by pool that only overdue long-running tasks may use
+            set_aside; ///< workers by pool that only overdue tasks may use
         refused_shapes refused;
         std::size_t probations_left = 0; ///< workers that may still be reserved for a suspect
     };
     /// Result of an attempt to place a task.
     enum class placement_result : std::uint8_t {
         placed,
-        deferred, ///< the task waits for a condition that concerns only itself; others may be placed
-        no_room,  ///< the tasks behind it are blocked too
+        deferred,        ///< the task waits for a condition that concerns only itself; others may be placed
+        no_trusted_room, ///< the other last attempts of its step are blocked too
+        no_room,         ///< the tasks behind it are blocked too
     };
     /// A worker with room for a task. The one with the least cost is best, and the first of those with equal
     /// cost.
@@ -458,13 +459,18 @@
     void place_identical(placing_pass& pass, ready_step& ready, const step_key& key,
                          const std::vector<std::uint32_t>& indexes);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
-    /// Returns how many members of a gang wait for workers of their own.
-    [[nodiscard]] std::size_t count_own_workers(const ready_step& ready, const step_key& key, time_point now);
+    /// Returns the requests of all members of a gang, by index. Precondition: all of them wait.
+    [[nodiscard]] std::vector<placement_request> make_gang_requests(const ready_step& ready,
+                                                                    const step_key& key, time_point now);
     void measure_short_task_demand(const placing_pass& pass);
     /// Returns true when enough other workers without serving tasks remain for the short tasks.
     [[nodiscard]] bool may_take_first_serving_task(const worker_state& worker) const;
+    /// Returns true when one more failure of the task fails its job.
+    [[nodiscard]] bool is_last_attempt(const ready_step& ready, const task_key& key) const;
     [[nodiscard]] placement_request make_request(const ready_step& ready, const task_key& key,
                                                  time_point now);
+    /// Lets the request of a task of a starving job accept a worse worker.
+    static void accept_less(placement_request& request, const open_job& job, time_point now);
     worker_state* choose(const placing_pass& pass, const ready_step& ready, const placement_request& request);
     worker_state* choose_among(const std::map<std::string, std::vector<worker_state*>>& workers,
                                const ready_step& ready, const placement_request& request,
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -226,10 +226,16 @@
 
 void dispatcher::place_each(placing_pass& pass, ready_step& ready, const step_key& key,
                             const std::vector<std::uint32_t>& indexes) {
+    bool may_place_last_attempts = true;
     for (const auto index : indexes) {
-        if (place_task(pass, ready, {key, index}, false) == placement_result::no_room) {
+        if (!may_place_last_attempts && is_last_attempt(ready, {key, index})) {
+            continue;
+        }
+        const auto result = place_task(pass, ready, {key, index}, false);
+        if (result == placement_result::no_room) {
             return;
         }
+        may_place_last_attempts = may_place_last_attempts && result != placement_result::no_trusted_room;
     }
 }
 
@@ -245,10 +251,7 @@
                                                     const task_key& task, bool is_job_starving) {
     auto request = make_request(ready, task, pass.now);
     if (is_job_starving) {
-        const auto& job = m_jobs.at(task.step.job);
-        const auto idle = pass.now - get_idle_since(job, pass.now);
-        request.is_starving = idle >= crowding_delay || job.idle_time + idle > max_idle_time;
-        request.is_overdue = request.is_overdue || idle > starving_after;
+        accept_less(request, m_jobs.at(task.step.job), pass.now);
     }
     const bool wants_own = request.wants_own_worker();
     if (!m_suspects.may_start(task, pass.now) || (wants_own && pass.probations_left == 0)) {
@@ -256,7 +259,9 @@
     }
     auto* worker = choose(pass, ready, request);
     if (worker == nullptr) {
-        return wants_own ? placement_result::deferred : placement_result::no_room;
+        const auto no_room =
+            request.is_last_attempt ? placement_result::no_trusted_room : placement_result::no_room;
+        return wants_own ? placement_result::deferred : no_room;
     }
     pass.probations_left -= wants_own ? 1 : 0;
     assign_task(ready, task, *worker, request.get_run_isolation(), pass.now);
@@ -264,6 +269,14 @@
     return placement_result::placed;
 }
 
+/// A job that has starved waits before each of its tasks passes over soft obstacles, so that a worker that
+/// fails all its runs does not use up all attempts at once.
+void dispatcher::accept_less(placement_request& request, const open_job& job, time_point now) {
+    const auto idle = now - get_idle_since(job, now);
+    request.is_starving = idle >= crowding_delay || job.idle_time + idle > max_idle_time;
+    request.is_overdue = request.is_overdue || idle > starving_after;
+}
+
 /// Places tasks that differ only in their index. All workers are examined once, since a placed task changes
 /// only the cost of its own worker. Load pattern: jobs of 20 to 30 tasks a step, 1,400 starts a second on 490
 /// workers. Examining all workers for each task took a quarter of the leader's time.
@@ -337,6 +350,12 @@
     return static_cast<double>(m_non_serving_millicores - worker.report.capacity.millicores) >= kept_free;
 }
 
+bool dispatcher::is_last_attempt(const ready_step& ready, const task_key& key) const {
+    const auto failed = m_failed_on.find(key);
+    return failed != m_failed_on.end() && !ready.job->steps[key.step.step].long_running &&
+           failed->second.size() + 1 >= ready.job->queue.max_attempts;
+}
+
 placement_request dispatcher::make_request(const ready_step& ready, const task_key& key, time_point now) {
     const auto failed = m_failed_on.find(key);
     placement_request request;
@@ -346,8 +365,7 @@
     request.may_wait = m_suspects.may_wait(key, now);
     request.is_overdue = request.spec->long_running && now - ready.since > max_long_running_wait;
     request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
-    request.is_last_attempt = failed != m_failed_on.end() && !request.spec->long_running &&
-                              failed->second.size() + 1 >= ready.job->queue.max_attempts;
+    request.is_last_attempt = is_last_attempt(ready, key);
     if (request.spec->is_filling || request.spec->is_serving()) {
         request.image = m_pressure.get_image_number(request.spec->image);
     }
@@ -373,7 +391,7 @@
 worker_state* dispatcher::choose(const placing_pass& pass, const ready_step& ready,
                                  const placement_request& request) {
     auto* best = choose_among(pass.usable, ready, request, pass.now);
-    if (best == nullptr && request.may_use_set_aside()) {
+    if (best == nullptr && request.is_overdue) {
         best = choose_among(pass.set_aside, ready, request, pass.now);
     }
     return best;
@@ -412,7 +430,10 @@
             return;
         }
     }
-    const auto own_workers = count_own_workers(ready, key, pass.now);
+    auto requests = make_gang_requests(ready, key, pass.now);
+    const auto own_workers = static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(),
+                      [](const placement_request& request) { return request.wants_own_worker(); }));
     if (own_workers > pass.probations_left) {
         return;
     }
@@ -434,7 +455,7 @@
     for (const auto& rack : racks) {
         std::vector<std::pair<run_key, const worker_state*>> placed;
         for (std::uint32_t index = 0; index < spec.count; ++index) {
-            auto request = make_request(ready, {key, index}, pass.now);
+            auto& request = requests[index];
             request.rack = rack;
             const auto* chosen = choose(pass, ready, request);
             if (chosen == nullptr) {
@@ -460,12 +481,18 @@
     }
 }
 
-std::size_t dispatcher::count_own_workers(const ready_step& ready, const step_key& key, time_point now) {
-    std::size_t count = 0;
+std::vector<placement_request> dispatcher::make_gang_requests(const ready_step& ready, const step_key& key,
+                                                              time_point now) {
+    const auto& job = m_jobs.at(key.job);
+    const bool is_job_starving = is_starving(job, ready.job->queue.pool, now);
+    std::vector<placement_request> requests;
     for (const auto index : ready.waiting) {
-        count += make_request(ready, {key, index}, now).wants_own_worker() ? 1 : 0;
+        requests.push_back(make_request(ready, {key, index}, now));
+        if (is_job_starving) {
+            accept_less(requests.back(), job, now);
+        }
     }
-    return count;
+    return requests;
 }
 
 void dispatcher::assign_task(const ready_step& ready, const task_key& key, worker_state& worker,
