Count a crash as certain only where no end of the run can have been missed

Cause: a run that was confirmed before its worker crashed counted as surely there, also where no hold was pending at the crash or the last one found the process ended. A short run can have ended since the last list; with two such runs a job was given up though its task had crashed at most one worker. Change: evidence above `possible` needs, beside what it needed before, a hold that had waited at the worker for its next end when the connection broke (0.1 s after it was sent at the earliest, and within its wait), or a run that was started by this leader without a checkpoint and is younger than a quarter of its estimate, and a run that this incarnation of the worker has confirmed.

--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -30,6 +30,24 @@
     return age <= just_begun_age && is_long;
 }
 
+/// Returns true when the run cannot have ended unnoticed before its worker crashed: the worker was waiting to
+/// report the next end, or the run was too young to have completed. A run that resumes from a checkpoint
+/// takes less time than its estimate.
+bool is_surely_there(const run_track& track, bool has_checkpoint, time_point now) {
+    if (track.stage != run_stage::running) {
+        return false; // confirmed only at a former incarnation of the worker
+    }
+    const auto& worker = *track.host;
+    const bool began_before_failure = worker.hold_failures > 0 && track.confirmed_at < worker.failing_since;
+    if (began_before_failure && worker.has_broken_poll) {
+        return true;
+    }
+    const auto& spec = track.get_spec();
+    const auto max_age = (began_before_failure ? worker.failing_since : now) - track.assigned_at;
+    const bool is_long = spec.long_running || milliseconds{spec.estimate_ms} >= just_begun_part * max_age;
+    return is_long && track.has_known_start && !has_checkpoint;
+}
+
 bool is_other_job(const run_track& left, const run_track& right) {
     return left.key.task.step.job != right.key.task.step.job;
 }
@@ -54,7 +72,7 @@
 
 /// A draining worker has not crashed, whatever happened to it. A worker that became unreachable may have
 /// crashed at any time since then, or its runs may have ended. A confirmed run certainly existed at the crash
-/// only if the last connection broke, as it does when the process ends.
+/// only if the last connection broke, as it does when the process ends, and if no end can have been missed.
 run_loss dispatcher::assess_loss(const run_track& track, time_point now) const {
     const auto& worker = *track.host;
     const auto age = get_age_at_loss(track, now);
@@ -65,7 +83,10 @@
         return loss;
     }
     const bool was_heard = worker.hold_failures > 0 ? worker.has_failed_early : !worker.is_hold_pending;
-    loss.crash = is_confirmed && was_heard ? compare_with_neighbours(track, age) : crash_evidence::possible;
+    const auto* task = m_job_state.find_task(track.key.task);
+    const bool has_checkpoint = task != nullptr && !task->checkpoint.empty();
+    const bool was_there = is_confirmed && was_heard && is_surely_there(track, has_checkpoint, now);
+    loss.crash = was_there ? compare_with_neighbours(track, age) : crash_evidence::possible;
     return loss;
 }
 
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -277,6 +277,7 @@
     worker.hold_sent = now;
     worker.hold_fence = worker.fence;
     worker.hold_expires_at = now + order.target.timeout;
+    worker.hold_wait = order.wait;
     worker.acknowledged_sent = std::max(worker.acknowledged_sent, worker.acknowledged_up_to);
     ++m_counts.hold_orders;
     m_orders.emplace_back(std::move(order));
@@ -311,7 +312,7 @@
         if (failure == order_failure::lower_fence) {
             worker->fence = get_fence();
         }
-        worker->record_hold_failure(now);
+        worker->record_hold_failure(*failure, now);
         worker->next_hold = now + get_hold_backoff(*worker, *failure, now);
         if (worker->hold_failures == silent_after_failures) {
             auto line = log_event(log_level::warn, "worker_silent");
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -7,6 +7,7 @@
 #include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/worker_pressure.h"
 #include "poplarpitch/dispatch/worker_trust.h"
+#include "poplarpitch/scheduling/order_failure.h"
 #include "poplarpitch/scheduling/task_key.h"
 #include "poplarpitch/scheduling/worker_report.h"
 
@@ -34,6 +35,10 @@
 /// Consecutive unanswered holds after which a worker counts as silent. A single one may be lost by chance.
 inline constexpr int silent_after_failures = 2;
 
+/// A hold that is in flight for this long has reached its worker, unless the worker's process had ended
+/// before. Its connection then fails within a round trip of the network, also through a relay.
+inline constexpr duration max_hold_arrival = milliseconds{100};
+
 /// What the leader knows of one incarnation of a worker. It is not replicated: a new leader learns it again.
 struct worker_state {
     worker_report report;
@@ -60,10 +65,13 @@
     time_point listed_at{};       ///< when the last list was received
     bool has_stray_runs = false;  ///< the last list had runs that should not be on the worker
     time_point hold_expires_at{}; ///< when the hold in flight times out
+    duration hold_wait{};         ///< for how long the worker waits for an end before it answers that hold
     time_point next_hold{};
     int hold_failures = 0;         ///< consecutive failures
     time_point failing_since{};    ///< time of the first of them; only meaningful while there are failures
     bool has_failed_early = false; ///< the first of them failed before its timeout, as when the process ends
+    bool has_broken_poll = false;  ///< at the first of them the worker was waiting for an end when its
+                                   ///< connection broke, so no end was missed
     order_backoff backoff;         ///< for starts and stops
     std::size_t position = 0;      ///< index in the table of workers
     std::uint64_t worker_hash =
@@ -116,10 +124,13 @@
         last_heartbeat = now;
     }
     /// Records an unanswered hold. Thread safety: as the state.
-    void record_hold_failure(time_point now) {
+    void record_hold_failure(order_failure failure, time_point now) {
         if (hold_failures == 0) {
+            const auto waited = now - hold_sent;
             failing_since = now;
             has_failed_early = now < hold_expires_at;
+            has_broken_poll =
+                failure == order_failure::unanswered && waited >= max_hold_arrival && waited <= hold_wait;
         }
         ++hold_failures;
     }
--- a/unit_tests/dispatch/dispatcher_crash_test.cpp
+++ b/unit_tests/dispatch/dispatcher_crash_test.cpp
@@ -286,6 +286,41 @@
     EXPECT_EQ(world.job_state.find_task({{job, 0, 0}, 0})->crash.crashes, 0U);
 }
 
+TEST(dispatcher_crash, counts_no_certain_crash_for_a_run_that_may_have_ended_before_it) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto job = world.submit({make_step()});
+    const auto starts = confirm_starts(world);
+    run_without_crash(world, "w1", starts, milliseconds{600}); // no hold is pending at its end
+    world.restart_with_new_id("w1", "w1+");
+    const auto& crash = world.job_state.find_task({{job, 0, 0}, 0})->crash;
+    EXPECT_EQ(crash.crashes, 1U);
+    EXPECT_EQ(crash.certain_crashes, 0U);
+}
+
+TEST(dispatcher_crash, counts_no_certain_crash_where_a_hold_may_have_found_the_process_ended) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto job = world.submit({make_step()});
+    const auto starts = confirm_starts(world);
+    run_without_crash(world, "w1", starts, milliseconds{600});
+    world.wait_for_hold("w1");
+    world.restart_with_new_id("w1", "w1+");
+    EXPECT_EQ(world.job_state.find_task({{job, 0, 0}, 0})->crash.certain_crashes, 0U);
+}
+
+TEST(dispatcher_crash, counts_a_certain_crash_for_a_run_whose_worker_was_waiting_for_its_end) {
+    dispatch_world world;
+    world.add_worker("w1");
+    const auto job = world.submit({make_step()});
+    const auto starts = confirm_starts(world);
+    run_without_crash(world, "w1", starts, milliseconds{600});
+    world.wait_for_hold("w1");
+    world.advance(milliseconds{300});
+    world.restart_with_new_id("w1", "w1+");
+    EXPECT_EQ(world.job_state.find_task({{job, 0, 0}, 0})->crash.certain_crashes, 1U);
+}
+
 TEST(dispatcher_crash, starts_no_copy_of_what_may_have_crashed_its_worker) {
     dispatch_world world;
     add_workers(world, 3);
