Let simulated workers pace runs, fail them and report tail latencies

Worlds can now have filling tasks beside serving ones, so that workers are ruled out by pressure. Without report_loads() the lists are as before.

--- a/unit_tests/dispatch/simulated_worker.cpp
+++ b/unit_tests/dispatch/simulated_worker.cpp
@@ -1,6 +1,7 @@
 #include "unit_tests/dispatch/simulated_worker.h"
 
 #include "poplarpitch/dispatch/placement.h"
+#include "unit_tests/dispatch/simulated_tail.h"
 
 #include <algorithm>
 #include <utility>
@@ -77,7 +78,9 @@
     if (runs_already || order.run.run <= m_highest_runs[order.run.task]) {
         return order_failure::stale_run;
     }
-    simulated_worker_run run{order.job, now};
+    simulated_worker_run run;
+    run.job = order.job;
+    run.started = now;
     auto free = m_report.capacity;
     for (const auto& [key, other] : m_runs) {
         free -= get_need(other.get_spec(key));
@@ -87,6 +90,7 @@
         return order_failure::no_capacity;
     }
     if (!spec.long_running) {
+        run.length = length;
         run.ends_at = now + length;
     }
     m_runs.emplace(order.run, std::move(run));
@@ -108,6 +112,31 @@
     on_answer(outcome);
 }
 
+void simulated_worker::receive(const pace_order& order, time_point now, const answer_handler& on_answer) {
+    if (has_lower_fence(order.target)) {
+        on_answer({order_failure::lower_fence, {}});
+        return;
+    }
+    if (const auto found = m_runs.find(order.run); found != m_runs.end()) {
+        auto& run = found->second;
+        if (run.ends_at != time_point::max() || run.left_at_pace_0 > duration{0}) {
+            const auto left = run.pace == 0 ? run.left_at_pace_0 : (run.ends_at - now) * run.pace / 100;
+            run.left_at_pace_0 = order.percent == 0 ? left : duration{0};
+            run.ends_at = order.percent == 0 ? time_point::max() : now + left * 100 / order.percent;
+        }
+        run.pace = order.percent;
+    }
+    order_outcome outcome;
+    outcome.answer.clock_ms = get_clock(now);
+    on_answer(outcome);
+}
+
+void simulated_worker::fail_run(const run_key& key, time_point when) {
+    if (const auto found = m_runs.find(key); found != m_runs.end()) {
+        found->second.fails_at = when;
+    }
+}
+
 std::optional<run_end> simulated_worker::find_end(const simulated_worker_run& run, time_point now) const {
     if (get_clock(now) > m_lease_ms) {
         return run_end::lease_expired;
@@ -118,6 +147,9 @@
     if (now < m_fails_until && now >= run.started + failure_time) {
         return run_end::failed;
     }
+    if (now >= run.fails_at) {
+        return run_end::failed;
+    }
     return now >= run.ends_at ? std::optional{run_end::done} : std::nullopt;
 }
 
@@ -148,13 +180,41 @@
     outcome.answer.clock_ms = get_clock(now);
     outcome.answer.process_start_ms = m_report.incarnation.process_start_ms;
     for (const auto& [key, run] : m_runs) {
-        outcome.answer.running.push_back({key, "", 50, 0});
+        outcome.answer.running.push_back(m_reports_loads ? make_entry(key, run, now)
+                                                         : run_entry{key, "", 50, 0});
     }
     outcome.answer.ended = m_ended;
     const auto on_answer = take_pending_hold();
     on_answer(outcome);
 }
 
+run_entry simulated_worker::make_entry(const run_key& key, const simulated_worker_run& run,
+                                       time_point now) const {
+    const auto& spec = run.get_spec(key);
+    run_entry entry{key, "", 100, spec.millicores * run.pace / 100};
+    if (spec.is_serving()) {
+        entry.level = get_simulated_tail_ms(spec, get_interference(spec), key.task.step.job, now);
+    }
+    if (!spec.long_running && run.length > duration{0}) {
+        const auto left = run.pace == 0 ? run.left_at_pace_0 : (run.ends_at - now) * run.pace / 100;
+        entry.percent = std::clamp<std::int64_t>(100 - 100 * left / run.length, 0, 99);
+    }
+    return entry;
+}
+
+double simulated_worker::get_interference(const step_spec& serving) const {
+    double interference = 0;
+    for (const auto& [key, run] : m_runs) {
+        const auto& spec = run.get_spec(key);
+        if (spec.is_filling) {
+            const auto share = static_cast<double>(spec.millicores * run.pace) / 100 /
+                               static_cast<double>(m_report.capacity.millicores);
+            interference += get_simulated_factor(serving.image, spec.image) * share;
+        }
+    }
+    return interference;
+}
+
 simulated_worker::answer_handler simulated_worker::take_pending_hold() {
     return std::exchange(m_hold, nullptr);
 }
