--- a/unit_tests/dispatch/long_running_world.cpp
+++ b/unit_tests/dispatch/long_running_world.cpp
@@ -23,7 +23,11 @@
 constexpr std::int64_t max_short_millicores = 4000;
 constexpr duration min_short_length = milliseconds{300};
 constexpr duration max_short_length = seconds{4};
-constexpr std::int64_t accelerators = 4; // of every fourth worker
+constexpr std::int64_t accelerators = 4;      // of every fourth worker
+constexpr std::uint64_t idle_watch_steps = 5; // between two looks at all jobs; no run is shorter
+constexpr std::int64_t max_look_phase_ms = 1500;
+constexpr duration crash_time = milliseconds{50};      // from the start of a crashing task to the crash
+constexpr duration min_fault_time = milliseconds{100}; // from the start of a run that fails to its end
 constexpr time_point first_time{seconds{1000}};
 constexpr std::int64_t first_wall_ms = 1'700'000'000'000;
 constexpr const char* pool = "mill";
@@ -52,7 +56,9 @@
 };
 
 long_running_world::long_running_world(const long_running_world_settings& settings, std::uint64_t seed)
-    : m_settings(settings), m_random(seed), m_now(first_time), m_wall_ms(first_wall_ms) {
+    : m_settings(settings), m_random(seed), m_now(first_time), m_wall_ms(first_wall_ms),
+      m_fault_random(seed + 1),
+      m_idle_watch(first_time + milliseconds{seed % static_cast<std::uint64_t>(max_look_phase_ms)}) {
     configure();
     start_leading();
     for (int number = 0; number < settings.workers; ++number) {
@@ -87,21 +93,35 @@
 // ---- jobs
 
 job_id long_running_world::submit(const step_spec& step, duration length) {
+    constexpr std::uint32_t max_attempts = 3;
+    return submit_job({step}, length, max_attempts);
+}
+
+job_id long_running_world::submit_job(const std::vector<step_spec>& steps, duration length,
+                                      std::uint32_t max_attempts, const std::optional<task_key>& crashing) {
     step_job job;
     job.id = m_next_job++;
-    job.steps = {step};
+    job.steps = steps;
     job.queue.name = "queue";
     job.queue.pool = pool;
-    job.queue.max_attempts = 3;
+    job.queue.max_attempts = max_attempts;
     job.queue.latency_factor = 2;
     job.queue.target_latency = seconds{1};
     job.accepted_ms = m_wall_ms;
     m_lengths[job.id] = length;
     const auto& kept = m_jobs[job.id] = std::make_shared<const step_job>(job);
-    if (step.long_running) {
+    m_open_jobs.insert(job.id);
+    if (crashing.has_value()) {
+        m_crashing_tasks.insert({{job.id, 0, crashing->step.step}, crashing->index});
+    }
+    for (std::uint32_t number = 0; number < steps.size(); ++number) {
+        const auto& step = kept->steps[number];
+        if (!step.long_running) {
+            continue;
+        }
         m_long_running_millicores += step.millicores * step.count;
         for (std::uint32_t index = 0; index < step.count; ++index) {
-            m_watch.add_task({{job.id, 0, 0}, index}, kept->steps.front(), m_now);
+            m_watch.add_task({{job.id, 0, number}, index}, step, m_now);
         }
     }
     job_wire::job_command command;
@@ -111,8 +131,9 @@
 }
 
 void long_running_world::cancel(job_id id) {
-    const auto& step = m_jobs.at(id)->steps.front();
-    m_long_running_millicores -= step.long_running ? step.millicores * step.count : 0;
+    for (const auto& step : m_jobs.at(id)->steps) {
+        m_long_running_millicores -= step.long_running ? step.millicores * step.count : 0;
+    }
     m_watch.remove_job(id);
     job_wire::job_command command;
     command.mutable_cancel()->set_id(id);
@@ -216,8 +237,12 @@
                                               [this](const auto& target) { return is_disrupted(*target); });
     if (is_any_disrupted) {
         m_watch.record_disruption(m_now);
+        m_idle_watch.record_disruption(m_now);
     }
     m_watch.observe(watch_workers(), m_now);
+    if (m_steps % idle_watch_steps == 0) {
+        observe_jobs();
+    }
 }
 
 void long_running_world::run_scheduled_calls() {
@@ -260,6 +285,9 @@
     report.capacity.accelerators = target.number % 4 == 0 ? accelerators : 0;
     target.process = std::make_unique<simulated_worker>(report, m_now);
     target.process->fail_runs_until(target.failing_until);
+    if (m_settings.reports_loads) {
+        target.process->report_loads();
+    }
     target.next_heartbeat = m_now + pick_time(milliseconds{10}, heartbeat_interval);
 }
 
@@ -274,6 +302,15 @@
         on_answer({order_failure::unanswered, {}});
     }
     m_watch.record_disruption(m_now);
+    m_idle_watch.record_disruption(m_now);
+}
+
+void long_running_world::restart_machine(machine& target, duration outage) {
+    if (target.process != nullptr) {
+        end_process(target, true);
+        target.is_restarting = true;
+        schedule_call(outage, [this, &target] { start_process(target); });
+    }
 }
 
 void long_running_world::end_for_good(machine& target, bool with_reset) {
@@ -338,6 +375,7 @@
 
 void long_running_world::disrupt(const simulated_disruption& what, const std::vector<std::size_t>& workers) {
     m_watch.record_disruption(m_now);
+    m_idle_watch.record_disruption(m_now);
     if (what.kind == disruption_kind::leader_change) {
         lose_leader(what.length);
         return;
@@ -351,11 +389,7 @@
             end_for_good(target, what.kind == disruption_kind::loss_with_reset);
             break;
         case disruption_kind::restart:
-            if (target.process != nullptr) {
-                end_process(target, true);
-                target.is_restarting = true;
-                schedule_call(what.length, [this, &target] { start_process(target); });
-            }
+            restart_machine(target, what.length);
             break;
         case disruption_kind::failures:
             target.failing_until = until;
@@ -476,7 +510,7 @@
         [this](const auto& item) {
             using order_type = std::decay_t<decltype(item)>;
             if constexpr (std::is_same_v<order_type, hold_order> || std::is_same_v<order_type, start_order> ||
-                          std::is_same_v<order_type, stop_order>) {
+                          std::is_same_v<order_type, stop_order> || std::is_same_v<order_type, pace_order>) {
                 for (const auto& target : m_machines) {
                     if (target->address == item.target.address) {
                         send_to(item, *target);
@@ -536,6 +570,9 @@
         if (!was_there && !sent->is_late && target.process->get_runs().contains(order.run)) {
             check_start(order, target);
         }
+        if (!was_there && target.process->get_runs().contains(order.run)) {
+            begin_run(order, target);
+        }
     } else {
         target.process->receive(order, m_now, on_answer);
     }
@@ -572,8 +609,50 @@
     m_scheduler->on_stop(order.run, order.target.worker, {outcome.failure, outcome.answer.clock_ms}, m_now);
 }
 
+void long_running_world::deliver(const pace_order& order, const order_outcome& outcome) {
+    m_scheduler->on_pace(order.run, order.percent, {outcome.failure, outcome.answer.clock_ms}, m_now);
+}
+
+/// Lets the run fail or crash its worker if it is at fault.
+void long_running_world::begin_run(const start_order& order, machine& target) {
+    const auto& spec = order.job->steps[order.run.task.step.step];
+    if (m_crashing_tasks.contains(order.run.task)) {
+        schedule_call(crash_time, [this, &target, number = target.process_number, run = order.run] {
+            if (target.process != nullptr && target.process_number == number &&
+                target.process->get_runs().contains(run)) {
+                restart_machine(target, m_settings.restart_time);
+            }
+        });
+    }
+    const auto drawn = static_cast<int>(m_fault_random() % 100);
+    const auto share = static_cast<std::int64_t>(m_fault_random() % 100);
+    if (!spec.long_running && drawn < m_settings.faulty_percent) {
+        const auto length = m_lengths.at(order.run.task.step.job);
+        target.process->fail_run(order.run, m_now + std::max(length * share / 100, min_fault_time));
+    }
+}
+
 // ---- observations
 
+void long_running_world::observe_jobs() {
+    std::erase_if(m_open_jobs, [this](job_id id) {
+        const auto* record = m_job_state.find_job(id);
+        return record == nullptr || record->phase != job_phase::open;
+    });
+    std::set<task_key> done;
+    for (const auto& target : m_machines) {
+        if (target->process == nullptr) {
+            continue;
+        }
+        for (const auto& row : target->process->get_ended()) {
+            if (row.end == run_end::done) {
+                done.insert(row.run.task);
+            }
+        }
+    }
+    m_idle_watch.observe(watch_workers(), find_due_steps(m_job_state, m_open_jobs, done), m_now);
+}
+
 std::vector<watched_worker> long_running_world::watch_workers() const {
     std::vector<watched_worker> workers;
     workers.reserve(m_machines.size());
--- a/unit_tests/dispatch/long_running_world.h
+++ b/unit_tests/dispatch/long_running_world.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/dispatcher.h"
 #include "poplarpitch/scheduling/job_state_machine.h"
+#include "unit_tests/dispatch/idle_job_watch.h"
 #include "unit_tests/dispatch/long_running_watch.h"
 #include "unit_tests/dispatch/simulated_disruption.h"
 #include "unit_tests/dispatch/simulated_worker.h"
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -30,6 +32,9 @@
     double fill = 0.5; ///< share of all processor time that tasks use or wait for, long-running ones included
     duration replacement_time{}; ///< after this a new worker takes the place of one that is gone; 0: never
     duration max_commit_time = milliseconds{30};
+    bool reports_loads = false;         ///< workers report tail latencies and progress
+    int faulty_percent = 0;             ///< share of the runs that end that fail by their own fault
+    duration restart_time = seconds{3}; ///< after a task has crashed its worker
 
     friend bool operator==(const long_running_world_settings&, const long_running_world_settings&) = default;
 };
@@ -53,6 +58,12 @@
     /// Submits a job of one step and watches its tasks if they are long-running. Other tasks take `length`
     /// each. Returns its id.
     job_id submit(const step_spec& step, duration length = {});
+    /// Submits a job of several steps whose tasks take `length` each. The task `crashing`, if any, crashes
+    /// every worker that starts it. Returns the job's id.
+    job_id submit_job(const std::vector<step_spec>& steps, duration length, std::uint32_t max_attempts,
+                      const std::optional<task_key>& crashing = std::nullopt);
+    /// Lets no task crash its worker any more.
+    void stop_crashes() { m_crashing_tasks.clear(); }
     /// Cancels a job; its tasks are no longer watched.
     void cancel(job_id id);
     /// Advances the simulation.
@@ -83,6 +94,8 @@
     /// Returns the share of the processor time of all workers that are up that runs use.
     [[nodiscard]] double get_used_share() const;
     [[nodiscard]] const long_running_watch& get_watch() const { return m_watch; }
+    [[nodiscard]] const idle_job_watch& get_idle_watch() const { return m_idle_watch; }
+    [[nodiscard]] const job_state_machine& get_job_state() const { return m_job_state; }
     [[nodiscard]] const dispatcher& get_dispatcher() const { return *m_scheduler; }
     [[nodiscard]] time_point get_now() const { return m_now; }
     /// Returns the observed cases of two runs of a task at a time.
@@ -139,6 +152,10 @@
     /// Records when the order to drain was committed, which an operator is told, for the check of starts.
     void record_drains();
     void check_start(const start_order& order, const machine& target);
+    void deliver(const pace_order& order, const order_outcome& outcome);
+    void begin_run(const start_order& order, machine& target);
+    void restart_machine(machine& target, duration outage);
+    void observe_jobs();
     void submit_short_tasks();
     void check_runs();
     [[nodiscard]] std::vector<watched_worker> watch_workers() const;
@@ -159,9 +176,13 @@
     std::uint64_t m_next_call = 0;
     std::map<job_id, std::shared_ptr<const step_job>> m_jobs;
     std::map<job_id, duration> m_lengths;
+    std::mt19937_64 m_fault_random; ///< of the faults of tasks
+    std::set<task_key> m_crashing_tasks;
+    std::set<job_id> m_open_jobs;  ///< not ended when last examined
     std::set<job_id> m_short_jobs; ///< not ended when last examined
     std::int64_t m_long_running_millicores = 0;
     long_running_watch m_watch;
+    idle_job_watch m_idle_watch;
     std::vector<std::string> m_violations;
     std::map<std::string, bool> m_wanted_drains;    ///< latest order for each data centre
     std::map<std::string, time_point> m_drained_at; ///< when the order was committed, until it is withdrawn
