--- a/unit_tests/dispatch/idle_job_property_test.cpp
+++ b/unit_tests/dispatch/idle_job_property_test.cpp
@@ -27,6 +27,7 @@
 constexpr std::uint64_t max_delay_ms = 4000;  // between the starts of two disruptions of a series
 constexpr std::uint64_t max_length_ms = 8000; // of a disruption
 constexpr std::uint64_t max_percent = 25;     // of the workers, in one disruption
+constexpr int sparse_percent = 100;           // where there are few workers
 constexpr std::uint64_t crashing_part = 60;   // one in this many jobs crashes its workers
 constexpr int faulty_percent = 2;             // of all runs
 
@@ -39,17 +40,25 @@
     on_the_way_by_looks, ///< by looks, from 4 s after the last disruption
 };
 
+/// How much there is to do.
+enum class load_kind : std::uint8_t {
+    backlog, ///< some 150 jobs on 20 workers; more wait than run
+    sparse,  ///< some 10 jobs on 2 to 5 workers, so that a worker may have no other runs for long
+};
+
 /// Submits few long-running jobs and a backlog that reserves little of the workers' capacity, mostly of
 /// filling tasks, and disrupts the workers and the leader.
 class idle_job_traffic {
 public:
-    explicit idle_job_traffic(std::uint64_t seed)
-        : m_random(seed + 1), m_settings(make_settings(seed)), m_world(m_settings, seed) {}
+    idle_job_traffic(load_kind load, std::uint64_t seed)
+        : m_random(seed + 1), m_load(load), m_settings(make_settings(load, seed)), m_world(m_settings, seed) {
+    }
 
     void run(const disruption_kinds& kinds) {
         submit_long_running_jobs();
         m_world.run(placing_time);
-        const auto interval = milliseconds{pick(10, 40)};
+        const auto interval =
+            m_load == load_kind::backlog ? milliseconds{pick(10, 40)} : milliseconds{pick(200, 400)};
         for (duration passed{0}; passed < submit_time; passed += interval) {
             submit_one();
             m_world.run(interval);
@@ -79,9 +88,12 @@
         return least + m_random() % (most - least + 1);
     }
 
-    static long_running_world_settings make_settings(std::uint64_t seed) {
+    static long_running_world_settings make_settings(load_kind load, std::uint64_t seed) {
         long_running_world_settings settings;
         settings.fill = 0;
+        if (load == load_kind::sparse) {
+            settings.workers = static_cast<int>(2 + seed % 4);
+        }
         settings.reports_loads = true;
         settings.faulty_percent = faulty_percent;
         settings.reports_start_times = seed % 2 == 0;
@@ -92,7 +104,7 @@
 
     void submit_long_running_jobs() {
         const std::array<const char*, 3> images = {"serving-a", "serving-b", "serving-c"};
-        const auto jobs = pick(1, 4);
+        const auto jobs = m_load == load_kind::backlog ? pick(1, 4) : 1;
         for (std::uint64_t number = 0; number < jobs; ++number) {
             auto step = make_step(static_cast<std::uint32_t>(pick(2, 6)));
             step.long_running = true;
@@ -157,7 +169,8 @@
             simulated_disruption what;
             what.kind = kinds.at(pick(0, kinds.size() - 1));
             what.length = milliseconds{pick(100, max_length_ms)};
-            what.percent = static_cast<int>(pick(5, max_percent));
+            what.percent =
+                m_load == load_kind::backlog ? static_cast<int>(pick(5, max_percent)) : sparse_percent;
             if (what.kind == disruption_kind::leader_change) {
                 what.length = milliseconds{pick(0, 1) == 0 ? 0 : pick(200, 3000)};
             }
@@ -183,16 +196,18 @@
     }
 
     std::mt19937_64 m_random;
+    load_kind m_load;
     long_running_world_settings m_settings;
     long_running_world m_world;
     std::map<checked_part, std::vector<std::string>> m_findings;
 };
 
-void check_all_seeds(const disruption_kinds& kinds, const std::vector<checked_part>& parts) {
+void check_all_seeds(const disruption_kinds& kinds, const std::vector<checked_part>& parts,
+                     load_kind load = load_kind::backlog) {
     constexpr std::size_t max_shown = 5;
     for (std::uint64_t seed = 1; seed <= get_seed_count(); ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
-        idle_job_traffic traffic(seed);
+        idle_job_traffic traffic(load, seed);
         traffic.run(kinds);
         EXPECT_TRUE(traffic.get_world().get_violations().empty())
             << traffic.get_world().get_violations().front();
@@ -241,6 +256,17 @@
     check_all_seeds(all_kinds, {checked_part::at_the_end});
 }
 
+TEST(idle_job_property, keeps_every_job_running_where_few_workers_fail_all_runs) {
+    check_all_seeds({disruption_kind::failures}, {checked_part::at_the_end, checked_part::on_the_way},
+                    load_kind::sparse);
+}
+
+TEST(idle_job_property, keeps_every_job_running_where_few_workers_fail_or_refuse_and_leaders_change) {
+    check_all_seeds({disruption_kind::failures, disruption_kind::refused_starts,
+                     disruption_kind::slow_answers, disruption_kind::leader_change},
+                    {checked_part::at_the_end, checked_part::on_the_way}, load_kind::sparse);
+}
+
 TEST(idle_job_property, keeps_every_job_running_on_the_way_where_workers_are_lost_or_start_again) {
     check_all_seeds(losses, {checked_part::on_the_way});
 }
