--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -161,6 +161,7 @@
     job.accepted_ms = m_wall_ms;
     m_lengths[job.id] = length;
     m_jobs[job.id] = std::make_shared<const step_job>(job);
+    m_open_jobs.insert(job.id);
     job_wire::job_command command;
     encode(job, *command.mutable_submit()->mutable_job());
     std::vector<job_state_event> events;
@@ -208,6 +209,9 @@
         }
     }
     tick_leader();
+    if (m_idle_watch.has_value()) {
+        observe_jobs();
+    }
 }
 
 void crash_world::inject_faults() {
@@ -1047,6 +1051,58 @@
 
 // ---- observations
 
+bool crash_world::is_sound(const worker& target) const {
+    return target.is_up && !target.is_draining && !target.is_refusing && m_now >= target.partitioned_until &&
+           m_now >= target.one_way_partition_until && m_now >= target.unhealthy_until;
+}
+
+bool crash_world::is_any_disrupted() const {
+    return !m_has_leader || std::any_of(m_workers.begin(), m_workers.end(), [this](const auto& target) {
+        return !is_sound(*target);
+    }) || std::any_of(m_relays.begin(), m_relays.end(), [this](const auto& node) {
+        return node->agent == nullptr || m_now < node->stalled_until;
+    });
+}
+
+std::vector<watched_worker> crash_world::watch_workers(std::vector<worker_report>& reports) const {
+    std::vector<watched_worker> workers;
+    reports.resize(m_workers.size());
+    for (std::size_t number = 0; number < m_workers.size(); ++number) {
+        const auto& target = *m_workers[number];
+        if (!target.is_up) {
+            continue;
+        }
+        reports[number].capacity = target.get_capacity();
+        reports[number].is_draining = target.is_draining;
+        watched_worker worker{&reports[number], true, is_sound(target), {}};
+        for (const auto& [key, run] : target.running) {
+            worker.runs.push_back({key.task, &run.job->steps[key.task.step.step]});
+        }
+        workers.push_back(std::move(worker));
+    }
+    return workers;
+}
+
+void crash_world::observe_jobs() {
+    if (is_any_disrupted()) {
+        m_idle_watch->record_disruption(m_now);
+    }
+    std::erase_if(m_open_jobs, [this](job_id id) {
+        const auto* record = m_job_state.find_job(id);
+        return record == nullptr || record->phase != job_phase::open;
+    });
+    std::set<task_key> done;
+    for (const auto& target : m_workers) {
+        for (const auto& row : target->ended) {
+            if (target->is_up && row.end == run_end::done) {
+                done.insert(row.run.task);
+            }
+        }
+    }
+    std::vector<worker_report> reports;
+    m_idle_watch->observe(watch_workers(reports), find_due_steps(m_job_state, m_open_jobs, done), m_now);
+}
+
 int crash_world::count_running(job_id id) const {
     int running = 0;
     for (const auto& target : m_workers) {
--- a/unit_tests/dispatch/crash_world.h
+++ b/unit_tests/dispatch/crash_world.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/dispatch/dispatcher.h"
 #include "poplarpitch/relay/relay_hub.h"
 #include "poplarpitch/scheduling/job_state_machine.h"
+#include "unit_tests/dispatch/idle_job_watch.h"
 
 #include <cstdint>
 #include <functional>
@@ -107,8 +108,14 @@
     void crash_random_workers(double share);
     /// Partitions a random share of the workers for `length`.
     void partition_random_workers(double share, duration length);
-    /// Disables all faults.
+    /// Disables all faults but the tasks that crash their workers.
     void stop_faults();
+    /// Lets no task crash its worker any more.
+    void stop_crashes() { m_crashing_tasks.clear(); }
+    /// Begins to watch for jobs with nothing running; the first look takes place after `phase`.
+    void watch_idle_jobs(duration phase) { m_idle_watch.emplace(m_now + phase); }
+    /// Precondition: `watch_idle_jobs` was called.
+    [[nodiscard]] const idle_job_watch& get_idle_watch() const { return *m_idle_watch; }
     /// Returns the number of runs that ended as done.
     [[nodiscard]] int get_done_runs() const { return m_done_runs; }
     /// Returns the number of runs whose lease expired at their worker.
@@ -202,6 +209,12 @@
     [[nodiscard]] order_outcome make_outcome(const worker& target,
                                              std::optional<order_failure> failure) const;
 
+    /// Returns the workers that are up; `reports` gets their reports.
+    [[nodiscard]] std::vector<watched_worker> watch_workers(std::vector<worker_report>& reports) const;
+    [[nodiscard]] bool is_sound(const worker& target) const;
+    [[nodiscard]] bool is_any_disrupted() const;
+    void observe_jobs();
+
     void inject_control_faults();
     void inject_worker_faults();
     void lose_power();
@@ -236,6 +249,8 @@
     std::uint64_t m_next_call = 0;
     std::map<job_id, duration> m_lengths;
     std::map<job_id, std::shared_ptr<const step_job>> m_jobs; ///< a relayed order contains only the payload
+    std::set<job_id> m_open_jobs;                             ///< not ended when last examined
+    std::optional<idle_job_watch> m_idle_watch;
     std::set<task_key> m_crashing_tasks;
     std::map<task_key, task_history> m_histories;
     std::vector<std::string> m_violations;
