--- a/poplarpitch/dispatch/dispatcher_audit.cpp
+++ b/poplarpitch/dispatch/dispatcher_audit.cpp
@@ -253,7 +253,7 @@
             return false;
         }
         worker.is_hold_unanswered = true;
-        worker.record_hold_failure(now);
+        worker.record_hold_failure(order_failure::unanswered, now);
         m_workers.schedule_check(worker, now);
         return true;
     }
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -219,6 +219,7 @@
         while (!worker.step(interval)) {
         }
         std::vector<bool> is_running;
+        is_running.reserve(600);
         for (int count = 0; count < 600; ++count) {
             is_running.push_back(worker.step(interval));
         }
