--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -4,7 +4,6 @@
 #include "poplarpitch/dispatch/history_log.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/run_log.h"
-#include "poplarpitch/dispatch/unsent_runs.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -15,25 +14,6 @@
 namespace {
 
 constexpr duration unsent_pause = milliseconds{20}; // before an order that could not be sent is tried again
-// A worker that has answered this recently need not be asked again before a start is sent.
-constexpr duration max_answer_age = milliseconds{100};
-
-/// Returns true when a long-running task is not to be started before its worker has answered. A worker
-/// without runs may have vanished since its last heartbeat. A start to it would keep the task from another
-/// worker until the lease in it has expired, or the longest lease where the next incarnation may receive the
-/// start.
-bool awaits_answer(const run_track& track, time_point now) {
-    const auto& worker = *track.host;
-    const bool has_answered =
-        worker.listed_at >= track.assigned_at || now - worker.listed_at <= max_answer_age;
-    return track.get_spec().long_running && !has_answered && has_only_unsent_runs(worker);
-}
-
-/// Returns true when the worker did not answer a hold that was sent since the run was assigned.
-bool has_failed_to_answer(const run_track& track) {
-    const auto& worker = *track.host;
-    return worker.is_hold_unanswered && !worker.is_hold_pending && worker.hold_sent >= track.assigned_at;
-}
 
 } // namespace
 
@@ -178,14 +158,6 @@
         return_to_queue(track, now);
         return;
     }
-    if (awaits_answer(track, now)) {
-        if (has_failed_to_answer(track)) {
-            return_to_queue(track, now);
-        } else if (needs_hold(worker) && worker.next_hold <= now) {
-            send_hold(worker, now);
-        }
-        return;
-    }
     if (worker.is_silent()) {
         return;
     }
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -5,7 +5,6 @@
 #include "poplarpitch/dispatch/history_log.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/run_log.h"
-#include "poplarpitch/dispatch/unsent_runs.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -262,9 +261,7 @@
 void dispatcher::send_hold(worker_state& worker, time_point now) {
     hold_order order;
     const bool has_runs = !worker.runs.empty() && worker.is_confirmed;
-    // Starts of long-running tasks wait for the answer of a worker that had no runs.
-    const bool may_wait = worker.hold_failures == 0 && worker.ends_being_committed == 0;
-    if (has_runs && may_wait && !has_only_unsent_runs(worker)) {
+    if (has_runs && worker.hold_failures == 0 && worker.ends_being_committed == 0) {
         order.wait = get_hold_wait(worker);
     }
     order.target = make_target(worker, order.wait + hold_slack);
@@ -352,11 +349,6 @@
         return;
     }
     const bool has_all_ends = process_run_list(*worker, outcome.answer, now);
-    if (has_only_unsent_runs(*worker)) {
-        for (const auto& [key, track] : worker->runs) { // starts that waited for this answer
-            send_due_order(*track, now);
-        }
-    }
     const bool was_confirmed = worker->is_confirmed;
     worker->is_confirmed = true;
     if (!was_confirmed) {
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -1,6 +1,5 @@
 #include "unit_tests/dispatch/dispatch_world.h"
 
-#include "poplarpitch/dispatch/unsent_runs.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/scheduling/job_configuration.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -36,7 +35,7 @@
     for (int round = 0; round < max_rounds; ++round) {
         scheduler.tick(now, wall_ms);
         const auto commands = scheduler.take_commands();
-        if (commands.empty() && !answer_before_starts()) {
+        if (commands.empty()) {
             return;
         }
         for (const auto& command : commands) {
@@ -50,23 +49,6 @@
     ADD_FAILURE() << "the dispatcher failed to become idle";
 }
 
-bool dispatch_world::answer_before_starts() {
-    std::vector<worker_incarnation> asked;
-    for (const auto& [incarnation, state] : scheduler.get_workers()) {
-        const bool is_asked = state.is_hold_pending && state.hold_wait == duration{0} && state.is_confirmed;
-        if (answers_before_starts && is_asked && has_only_unsent_runs(state)) {
-            asked.push_back(incarnation);
-        }
-    }
-    for (const auto& incarnation : asked) {
-        auto answer = make_empty_list();
-        answer.clock_ms = to_milliseconds(now.time_since_epoch());
-        answer.process_start_ms = incarnation.process_start_ms;
-        scheduler.on_hold(incarnation, {std::nullopt, answer}, now);
-    }
-    return !asked.empty();
-}
-
 void dispatch_world::advance(duration length) {
     now += length;
     wall_ms += to_milliseconds(length);
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -86,16 +86,12 @@
     [[nodiscard]] static hold_answer make_empty_list();
 
     job_state_machine job_state;
-    bool answers_before_starts = true; ///< a worker without runs answers the hold that precedes the start of
-                                       ///< a long-running task at once
     dispatcher scheduler;
     time_point now{seconds{1000}};
     std::int64_t wall_ms = 1'700'000'000'000;
     log_term term = 0;
 
 private:
-    /// Answers the holds that precede starts. Returns false when there are none.
-    bool answer_before_starts();
     job_id submit_job(step_job job);
     void commit(const job_wire::job_command& command);
     void register_worker(worker_report report);
--- a/unit_tests/dispatch/dispatcher_start_test.cpp
+++ b/unit_tests/dispatch/dispatcher_start_test.cpp
@@ -85,39 +85,5 @@
     EXPECT_EQ(third[0].run.run, 2U);
 }
 
-step_spec make_long_running() {
-    auto step = make_step();
-    step.long_running = true;
-    return step;
-}
-
-TEST(dispatcher_start, sends_no_long_running_task_to_a_worker_without_runs_before_it_has_answered) {
-    dispatch_world world;
-    world.add_worker("w1");
-    world.advance(seconds{1});
-    world.answers_before_starts = false;
-    world.submit({make_long_running()});
-    EXPECT_TRUE(world.take<start_order>().empty()) << "the worker may have vanished";
-    ASSERT_TRUE(world.find_worker("w1")->is_hold_pending);
-    EXPECT_EQ(world.find_worker("w1")->hold_wait, duration{0});
-    world.answer_hold("w1", dispatch_world::make_empty_list());
-    EXPECT_EQ(world.take<start_order>().size(), 1U);
-}
-
-TEST(dispatcher_start, places_a_long_running_task_elsewhere_at_once_whose_worker_does_not_answer) {
-    dispatch_world world;
-    world.add_worker("w1");
-    world.advance(seconds{1});
-    world.answers_before_starts = false;
-    const auto job = world.submit({make_long_running()});
-    world.add_worker("w2");
-    world.fail_hold("w1");
-    world.advance(milliseconds{50});
-    const auto starts = world.take<start_order>();
-    ASSERT_EQ(starts.size(), 1U);
-    EXPECT_EQ(starts[0].run.task.step.job, job);
-    EXPECT_EQ(starts[0].target.worker.id, "w2");
-}
-
 } // namespace
 } // namespace poplarpitch
