--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -32,11 +32,9 @@
     2.0; // the same for a serving run, whose callers wait for its answers
 constexpr double other_suspect_cost =
     20.0; // after a crash of two suspects together, neither could be identified as the cause
-constexpr double beside_suspect_cost = 2.0;     // a task that is no suspect beside a suspect
-constexpr double beside_kept_cost = 10.0;       // a worker kept for a suspect is the last choice
-constexpr double last_attempt_cost = 10.0;      // a doubtful worker is the last choice for a last attempt
-constexpr double over_limit_cost = 10.0;        // a filling task beside serving tasks that do not tolerate it
-constexpr double least_allowed_slowdown = 0.05; // in costs; serving tasks at half load tolerate about 0.4
+constexpr double beside_suspect_cost = 2.0; // a task that is no suspect beside a suspect
+constexpr double beside_kept_cost = 10.0;   // a worker kept for a suspect is the last choice
+constexpr double last_attempt_cost = 10.0;  // a doubtful worker is the last choice for a last attempt
 constexpr double short_beside_filling_cost =
     0.5; // a task that neither fills nor serves on a worker with filling tasks
 
@@ -53,10 +51,7 @@
     double highest = 0;
     for (const auto& group : worker.pressure.groups) {
         const auto slowdown = request.factors[group.image] * share;
-        // A group that tolerates less than this, or nothing, counts as one that is over its limit by that.
-        const auto allowed = std::max(group.allowed_slowdown, least_allowed_slowdown);
-        const auto excess = allowed - group.allowed_slowdown;
-        highest = std::max(highest, (group.slowdown + slowdown + excess) / allowed);
+        highest = std::max(highest, (group.slowdown + slowdown) / group.allowed_slowdown);
     }
     return highest;
 }
@@ -74,28 +69,15 @@
 }
 
 /// Returns the room that a filling task requires, in millicores. A task of a starving job accepts less. On
-/// a worker without serving tasks this only slows the filling tasks; on others the task is paced. An overdue
-/// task accepts any tails where no other task has requested the cores, since the estimate of what serving
-/// tasks tolerate may be old, and paces keep it from harming them for long.
+/// a worker without serving tasks this only slows the filling tasks; on others the task is paced.
 std::int64_t get_least_room(const worker_state& worker, const placement_request& request) {
     const auto wanted = request.spec->millicores;
-    if (request.is_overdue && worker.get_free().millicores - worker.filling_millicores >= wanted) {
-        return std::numeric_limits<std::int64_t>::min();
-    }
     if (!request.is_starving) {
         return wanted;
     }
     return worker.serving_runs == 0 ? std::numeric_limits<std::int64_t>::min() : wanted / starving_divisor;
 }
 
-/// Returns a cost that makes a worker the last choice if a filling task may only use it because it is
-/// overdue.
-double get_over_limit_cost(const worker_state& worker, const placement_request& request) {
-    const bool is_over_limit = request.is_overdue && worker.serving_runs > 0 &&
-                               get_room(worker, request) < request.spec->millicores / starving_divisor;
-    return is_over_limit ? over_limit_cost : 0;
-}
-
 /// Returns a cost for the runs that another crash would end, and for the difficulty of identifying its cause.
 double get_risk_cost(const worker_state& worker, isolation_level isolation) {
     if (isolation == isolation_level::none) {
@@ -215,8 +197,7 @@
     const auto& spec = *request.spec;
     double cost = get_risk_cost(worker, request.isolation);
     if (spec.is_filling) {
-        cost += get_slowdown_cost(worker, request) + get_over_limit_cost(worker, request) +
-                fullness_weight * get_fill_cost(worker);
+        cost += get_slowdown_cost(worker, request) + fullness_weight * get_fill_cost(worker);
     } else if (spec.is_serving()) {
         cost += get_pack_cost(worker) + get_mixing_cost(worker, request) +
                 (worker.filling_runs > 0 ? beside_filling_cost : 0) +
