Keep the idle time of a job over failed tries of a gang and beside a run that runs nowhere

Callers saw: a gang that was never started beside idle workers; jobs that waited 1.6 s again after each task. Cause: a gang is placed by adding its runs and taking them back where a member finds no place, and each try began the idle time of its job anew. And idle time was added up only where the job held no run at all, so with one run on a lost worker it was lost. Change: a try that assigns nothing leaves the idle time as it was; idle time is added up by when a run of the job last worked.

--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -452,6 +452,9 @@
         run = std::max(run, task == nullptr ? 0 : task->last_run);
     }
     ++run;
+    auto& job = m_jobs.at(key.job);
+    const auto idle_since = job.idle_since;
+    const auto idle_time = job.idle_time;
     for (const auto& rack : racks) {
         std::vector<std::pair<run_key, const worker_state*>> placed;
         for (std::uint32_t index = 0; index < spec.count; ++index) {
@@ -478,6 +481,8 @@
         for (const auto& [member, worker] : placed) {
             drop_track(member);
         }
+        job.idle_since = idle_since; // nothing was assigned
+        job.idle_time = idle_time;
     }
 }
 
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -32,10 +32,8 @@
     track.host = &state;
     count_run(state, track, 1);
     if (const auto job = m_jobs.find(key.task.step.job); job != m_jobs.end()) {
-        if (job->second.runs.empty()) {
-            job->second.idle_time += now - job->second.idle_since;
-            job->second.idle_since = now;
-        }
+        job->second.idle_time += now - get_idle_since(job->second, now);
+        job->second.idle_since = now;
         job->second.runs.emplace(key, &track);
     }
     if (track.get_spec().is_filling || track.get_spec().is_serving()) {
--- a/unit_tests/dispatch/dispatcher_overdue_test.cpp
+++ b/unit_tests/dispatch/dispatcher_overdue_test.cpp
@@ -163,5 +163,29 @@
     EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
 }
 
+TEST(dispatcher_overdue, starts_a_gang_of_which_a_trusted_worker_has_room_for_some_members_only) {
+    overdue_world world;
+    world.add_worker("w1");
+    world.fail_jobs("w1", 1);
+    auto gang = make_step(2);
+    gang.gang = true;
+    world.add_worker("w2");
+    world.submit({gang}, 2);
+    const auto starts = world.take<start_order>();
+    ASSERT_EQ(starts.size(), 2U);
+    const std::size_t failing = starts[0].run.task.index == 1 ? 0 : 1;
+    world.answer(starts[1 - failing]);
+    world.end_run(starts[failing], run_end::failed);
+    for (const auto& stop : world.take<stop_order>()) {
+        world.answer(stop);
+    }
+    world.wait_for_hold("w2");
+    world.answer_hold("w2", dispatch_world::make_empty_list());
+    world.add_worker("w3", {1000, 100, 0});
+    const auto since = world.now;
+    EXPECT_EQ(world.wait_for_start().run.run, 2U);
+    EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
+}
+
 } // namespace
 } // namespace poplarpitch
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -264,6 +264,48 @@
     EXPECT_LE(world.now - silent_since, seconds{3});
 }
 
+/// A job that has starved waited again after each of its tasks while it had a run on a lost worker.
+TEST(dispatcher_pressure, lets_a_job_with_a_run_on_a_lost_worker_not_wait_again_after_each_task) {
+    dispatch_world world;
+    world.add_worker("w1", {20'000, 256'000, 0});
+    world.submit({make_filling(3)}, 3, 2);
+    world.add_worker("w2", {6'000, 256'000, 0});
+    world.submit({make_filling(12)}, 3, 2);
+    for (const auto& start : world.take<start_order>()) {
+        world.answer(start);
+    }
+    run_all(world, "w2", 0, 6000);
+    for (int failures = 0; failures < silent_after_failures; ++failures) {
+        world.wait_for_hold("w2");
+        world.fail_hold("w2");
+    }
+    std::vector<run_end_entry> ended;
+    for (int task = 0; task < 3; ++task) { // the lease of the lost worker lapses later
+        const auto idle_since = world.now;
+        std::vector<start_order> starts;
+        while (starts.empty() && world.now - idle_since < seconds{3}) {
+            world.advance(milliseconds{50});
+            starts = world.take<start_order>();
+        }
+        ASSERT_EQ(starts.size(), 1U);
+        if (task > 0) {
+            EXPECT_LT(to_milliseconds(world.now - idle_since), 1500);
+        }
+        world.answer(starts[0]);
+        world.advance(milliseconds{600});
+        world.wait_for_hold("w1");
+        hold_answer list;
+        for (const auto& [key, track] : world.find_worker("w1")->runs) {
+            if (key != starts[0].run) {
+                list.running.push_back({key, "", 20, 6000});
+            }
+        }
+        ended.push_back({ended.size() + 1, starts[0].run, run_end::done, ""});
+        list.ended = ended;
+        world.answer_hold("w1", list);
+    }
+}
+
 /// A worker of 64 cores with one serving task of 10 cores, whose tail depends on the filling tasks beside it.
 class loaded_worker {
 public:
