Say once when a job last worked, what a worker offers to its pool, and how counts are logged

Found by reading the whole change again; no behaviour changes. The last work of a job was computed in placing and again for job_stands_still; whether a worker counts for its pool, and with what, in observe_pools and again in examine_job; counts by name were formatted twice; the end of an ending run was distinguished twice. begin_occurrence uses count_waiting_tasks instead of a search of its own, and a job is examined only for waits that are reported, not for each step that is looked at.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -158,8 +158,7 @@
     if (record.job->schedule.has_value()) {
         auto& job = m_jobs[record.job->id];
         job.due.emplace(occurrence, now);
-        if (const auto waiting = m_ready.lower_bound({record.job->id, 0, 0});
-            waiting == m_ready.end() || waiting->first.job != record.job->id) {
+        if (count_waiting_tasks(record.job->id) == 0) {
             job.idle_since = std::max(job.idle_since, now); // nothing of it could run before
         }
     }
@@ -331,10 +330,7 @@
 /// a run that was not confirmed may never have existed.
 time_point dispatcher::get_idle_since(const run_track& track, run_end end, time_point now) {
     const bool has_run = track.confirmed_at != time_point{};
-    if (!has_run) {
-        return track.idle_since;
-    }
-    return end == run_end::lost ? track.listed_at : now;
+    return has_run ? get_worked_until(track, end, now) : track.idle_since;
 }
 
 time_point dispatcher::get_worked_until(const run_track& track, run_end end, time_point now) {
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -245,6 +245,9 @@
     /// Updates the quota with the use of the pools.
     void observe_pools(time_point now);
     void measure_filling_backlog();
+    /// Returns when a run of a job is last known to have worked: when the last one ended, or when a list last
+    /// showed one that has not ended.
+    [[nodiscard]] static time_point get_last_work(const open_job& job);
     /// Returns since when nothing of a job runs as far as known, or `now` while something does.
     [[nodiscard]] static time_point get_idle_since(const open_job& job, time_point now);
     /// Returns true when nothing of a job runs although little of its pool is reserved, and it has been idle
--- a/poplarpitch/dispatch/dispatcher_admission.cpp
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -82,11 +82,9 @@
     std::set<std::string> open_pools;             // with a worker on which tasks may start
     std::set<std::string> drained_pools;          // with a worker in a drained data centre
     for (const auto* worker : m_workers.get_all()) {
-        if (worker->has_report && !worker->is_lost && !worker->is_draining) {
+        if (worker->counts_for_pool()) {
             auto& use = pools[worker->report.pool];
-            // A drained data centre has no room beyond what runs there.
-            use.capacity += worker->is_data_centre_drained ? worker->reserved.millicores
-                                                           : worker->report.capacity.millicores;
+            use.capacity += worker->get_pool_capacity().millicores;
             (worker->is_data_centre_drained ? drained_pools : open_pools).insert(worker->report.pool);
             use.other_demand += worker->short_task_millicores + worker->filling_millicores;
             reserved[worker->report.pool] += worker->reserved.millicores;
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -112,15 +112,19 @@
     return ranked;
 }
 
-time_point dispatcher::get_idle_since(const open_job& job, time_point now) {
-    auto idle_since = job.idle_since;
+time_point dispatcher::get_last_work(const open_job& job) {
+    auto last_work = job.idle_since;
     for (const auto& [key, run] : job.runs) {
-        if (may_be_at_work(*run, now)) {
-            return now;
-        }
-        idle_since = std::max(idle_since, run->listed_at);
+        last_work = std::max(last_work, run->listed_at);
     }
-    return idle_since;
+    return last_work;
+}
+
+time_point dispatcher::get_idle_since(const open_job& job, time_point now) {
+    const bool is_at_work = std::any_of(job.runs.begin(), job.runs.end(), [now](const auto& item) {
+        return may_be_at_work(*item.second, now);
+    });
+    return is_at_work ? now : get_last_work(job);
 }
 
 /// Load pattern: after an overload, hundreds of tasks wait that can no longer meet their objectives. The
--- a/poplarpitch/dispatch/dispatcher_waits.cpp
+++ b/poplarpitch/dispatch/dispatcher_waits.cpp
@@ -39,14 +39,16 @@
     return held_run_state::running;
 }
 
-/// Returns the number of runs by state, as `name:count` separated by commas.
-std::string format_runs(const job_activity& activity) {
+/// Returns the counts that are not zero as `name:count`, separated by commas. `get_name` returns the name of
+/// an enumerator, whose value is its index in `counts`.
+template <class Enum, std::size_t Size>
+std::string format_counts(const std::array<std::uint64_t, Size>& counts, const char* (*get_name)(Enum)) {
     std::string text;
-    for (std::size_t number = 0; number < held_run_states; ++number) {
-        if (activity.runs[number] > 0) {
+    for (std::size_t number = 0; number < Size; ++number) {
+        if (counts[number] > 0) {
             text += text.empty() ? "" : ",";
-            text += get_held_run_state_name(static_cast<held_run_state>(number));
-            text += ":" + std::to_string(activity.runs[number]);
+            text += get_name(static_cast<Enum>(number));
+            text += ":" + std::to_string(counts[number]);
         }
     }
     return text;
@@ -54,7 +56,7 @@
 
 void add_activity(log_event& line, const job_activity& activity) {
     line.add("starving", get_starving_name(activity.starving))
-        .add("job_runs", format_runs(activity))
+        .add("job_runs", format_counts(activity.runs, get_held_run_state_name))
         .add("still_ms", to_milliseconds(activity.still))
         .add("pool_core_percent", activity.pool_core_percent)
         .add("pool_memory_percent", activity.pool_memory_percent);
@@ -65,19 +67,6 @@
     return whole > 0 ? hundred * part / whole : 0;
 }
 
-/// Returns the number of workers for each obstacle, as `name:count` separated by commas.
-std::string format_counts(const std::array<std::uint64_t, placement_obstacles>& counts) {
-    std::string text;
-    for (std::size_t number = 0; number < placement_obstacles; ++number) {
-        if (counts[number] > 0) {
-            text += text.empty() ? "" : ",";
-            text += get_obstacle_name(static_cast<placement_obstacle>(number));
-            text += ":" + std::to_string(counts[number]);
-        }
-    }
-    return text;
-}
-
 } // namespace
 
 std::vector<step_key> dispatcher::rank_by_wait(time_point now) const {
@@ -104,7 +93,6 @@
     wait.task = {key, *ready.waiting.begin()};
     wait.waited = now - ready.since;
     wait.waiting = ready.waiting.size();
-    wait.job = examine_job(key.job, ready.job->queue.pool, now);
     const auto request = make_request(ready, wait.task, now);
     for (const auto* worker : m_workers.get_all()) {
         if (worker->report.pool != ready.job->queue.pool) {
@@ -142,6 +130,7 @@
     for (const auto& key : rank_by_wait(now)) {
         auto wait = explain_wait(key, now);
         if (wait.with_room > 0) {
+            wait.job = examine_job(key.job, m_ready.at(key).job->queue.pool, now);
             found.push_back(wait);
         }
         if (found.size() == max_reported_waits) {
@@ -173,8 +162,8 @@
             .add("paused", is_paused ? "yes" : "no")
             .add("workers", wait.workers)
             .add("with_room", wait.with_room)
-            .add("passed_over", format_counts(wait.passed_over))
-            .add("with_room_by", format_counts(wait.with_room_by_obstacle))
+            .add("passed_over", format_counts(wait.passed_over, get_obstacle_name))
+            .add("with_room_by", format_counts(wait.with_room_by_obstacle, get_obstacle_name))
             .add("free_millicores", wait.free_millicores)
             .add("most_free_millicores", wait.most_free_millicores);
         add_activity(line, wait.job);
@@ -184,12 +173,8 @@
 
 // ---- jobs that stand still
 
-/// The time at which its last run was dropped is known, and when a list last showed each of the others.
 time_point dispatcher::get_still_since(job_id id, const open_job& job) const {
-    auto since = job.idle_since;
-    for (const auto& [key, track] : job.runs) {
-        since = std::max(since, track->listed_at);
-    }
+    const auto since = get_last_work(job);
     if (!job.runs.empty()) {
         return since;
     }
@@ -224,9 +209,8 @@
     worker_amounts capacity;
     worker_amounts reserved;
     for (const auto* worker : m_workers.get_all()) {
-        const bool counts = worker->has_report && !worker->is_lost && !worker->is_draining;
-        if (counts && worker->report.pool == pool) {
-            capacity += worker->is_data_centre_drained ? worker->reserved : worker->report.capacity;
+        if (worker->counts_for_pool() && worker->report.pool == pool) {
+            capacity += worker->get_pool_capacity();
             reserved += worker->reserved;
         }
     }
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -137,6 +137,13 @@
     /// Returns true when no starts are sent: the worker may receive orders although its answers do not
     /// arrive. Thread safety: as the state.
     [[nodiscard]] bool is_silent() const { return hold_failures >= silent_after_failures; }
+    /// Returns true when the worker is part of what its pool offers. Thread safety: as the state.
+    [[nodiscard]] bool counts_for_pool() const { return has_report && !is_lost && !is_draining; }
+    /// Returns what the worker offers to its pool. A drained data centre has no room beyond what runs there.
+    /// Thread safety: as the state.
+    [[nodiscard]] const worker_amounts& get_pool_capacity() const {
+        return is_data_centre_drained ? reserved : report.capacity;
+    }
     /// Returns what is not reserved. Thread safety: as the state.
     [[nodiscard]] worker_amounts get_free() const { return report.capacity - reserved; }
     /// Returns the processor time that is left for filling tasks, in millicores. Thread safety: as the state.
