--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -1087,10 +1087,6 @@
     if (is_any_disrupted()) {
         m_idle_watch->record_disruption(m_now);
     }
-    std::erase_if(m_open_jobs, [this](job_id id) {
-        const auto* record = m_job_state.find_job(id);
-        return record == nullptr || record->phase != job_phase::open;
-    });
     std::set<task_key> done;
     for (const auto& target : m_workers) {
         for (const auto& row : target->ended) {
--- a/unit_tests/dispatch/dispatcher_audit_test.cpp
+++ b/unit_tests/dispatch/dispatcher_audit_test.cpp
@@ -38,6 +38,27 @@
     return command;
 }
 
+/// Accepts a job of one task, and returns the events, which the leader does not get to know.
+std::vector<job_state_event> accept_unnoticed(dispatch_world& world, job_id id) {
+    step_job job;
+    job.id = id;
+    job.steps = {make_step()};
+    job.queue.pool = world_pool;
+    job.queue.max_attempts = 3;
+    job_wire::job_command command;
+    encode(job, *command.mutable_submit()->mutable_job());
+    return apply_unnoticed(world, command);
+}
+
+/// Lets w1, which was added without room, report some. The assignments that follow are not committed.
+void assign_without_commit(dispatch_world& world) {
+    auto report = world.find_worker("w1")->report;
+    report.capacity = {64000, 256000, 0};
+    ++report.sequence;
+    world.scheduler.on_heartbeat(report, world.now);
+    world.scheduler.tick(world.now + milliseconds{100}, world.wall_ms);
+}
+
 bool has_overdue_fence_raise(const dispatch_world& world) {
     const auto found = world.scheduler.find_differences(world.now);
     return std::any_of(found.begin(), found.end(), [](const leader_difference& difference) {
@@ -188,14 +209,7 @@
 TEST(dispatcher_audit, opens_a_job_that_was_accepted_unnoticed) {
     dispatch_world world;
     world.add_worker("w1");
-    step_job job;
-    job.id = 77;
-    job.steps = {make_step()};
-    job.queue.pool = world_pool;
-    job.queue.max_attempts = 3;
-    job_wire::job_command command;
-    encode(job, *command.mutable_submit()->mutable_job());
-    apply_unnoticed(world, command);
+    accept_unnoticed(world, 77);
     const std::vector<stuck_task> expected = {{{{{77, 0, 0}, 0}, 0}, stuck_reason::not_opened}};
     EXPECT_EQ(world.scheduler.find_stuck(world.now), expected);
     world.advance(seconds{1});
@@ -224,11 +238,7 @@
     dispatch_world world;
     const auto job = world.submit({make_step()});
     world.add_worker("w1", {0, 0, 0});
-    auto report = world.find_worker("w1")->report;
-    report.capacity = {64000, 256000, 0};
-    ++report.sequence;
-    world.scheduler.on_heartbeat(report, world.now);
-    world.scheduler.tick(world.now + milliseconds{100}, world.wall_ms);
+    assign_without_commit(world);
     EXPECT_EQ(world.scheduler.take_commands().size(), 1U); // the command is lost
     EXPECT_TRUE(world.scheduler.find_stuck(world.now + seconds{9}).empty()) << "a disk may hang for seconds";
     const std::vector<stuck_task> expected = {{{{{job, 0, 0}, 0}, 1}, stuck_reason::not_committed}};
@@ -248,11 +258,7 @@
     }
     world.add_worker("w1", {0, 0, 0});
     world.add_worker("w2");
-    auto report = world.find_worker("w1")->report;
-    report.capacity = {64000, 256000, 0};
-    ++report.sequence;
-    world.scheduler.on_heartbeat(report, world.now);
-    world.scheduler.tick(world.now + milliseconds{100}, world.wall_ms);
+    assign_without_commit(world);
     EXPECT_EQ(world.scheduler.take_commands().size(), 2U) << "the assignments are being committed";
     EXPECT_TRUE(world.scheduler.find_stuck(world.now).empty());
 }
@@ -260,14 +266,7 @@
 TEST(dispatcher_audit, recounts_what_a_worker_has_reserved) {
     dispatch_world world;
     world.add_worker("w1");
-    step_job job;
-    job.id = 77;
-    job.steps = {make_step()};
-    job.queue.pool = world_pool;
-    job.queue.max_attempts = 3;
-    job_wire::job_command command;
-    encode(job, *command.mutable_submit()->mutable_job());
-    const auto accepted = apply_unnoticed(world, command);
+    const auto accepted = accept_unnoticed(world, 77);
     ASSERT_EQ(accepted.size(), 1U);
     for (int time = 0; time < 2; ++time) { // the leader gets to know of it twice, and assigns its task twice
         world.scheduler.on_event(accepted[0], world.now, world.wall_ms);
--- a/unit_tests/dispatch/dispatcher_overdue_test.cpp
+++ b/unit_tests/dispatch/dispatcher_overdue_test.cpp
@@ -64,6 +64,25 @@
         }
     }
 
+    /// Adds a second worker, starts a gang of two with two attempts there, and fails the member with this
+    /// index. The other one is stopped.
+    void fail_member_of_gang(std::uint32_t index) {
+        auto gang = make_step(2);
+        gang.gang = true;
+        add_worker("w2");
+        submit({gang}, 2);
+        const auto starts = take<start_order>();
+        ASSERT_EQ(starts.size(), 2U);
+        const std::size_t failing = starts[0].run.task.index == index ? 0 : 1;
+        answer(starts[1 - failing]);
+        end_run(starts[failing], run_end::failed);
+        for (const auto& stop : take<stop_order>()) {
+            answer(stop);
+        }
+        wait_for_hold("w2");
+        answer_hold("w2", make_empty_list());
+    }
+
 private:
     std::map<std::string, std::uint64_t> m_ends;
 };
@@ -145,19 +164,7 @@
     overdue_world world;
     world.add_worker("w1");
     world.fail_jobs("w1", 1);
-    auto gang = make_step(2);
-    gang.gang = true;
-    world.add_worker("w2");
-    world.submit({gang}, 2);
-    const auto starts = world.take<start_order>();
-    ASSERT_EQ(starts.size(), 2U);
-    world.answer(starts[1]);
-    world.end_run(starts[0], run_end::failed);
-    for (const auto& stop : world.take<stop_order>()) {
-        world.answer(stop);
-    }
-    world.wait_for_hold("w2");
-    world.answer_hold("w2", dispatch_world::make_empty_list());
+    world.fail_member_of_gang(0);
     const auto since = world.now;
     EXPECT_EQ(world.wait_for_start().run.run, 2U);
     EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
@@ -167,20 +174,7 @@
     overdue_world world;
     world.add_worker("w1");
     world.fail_jobs("w1", 1);
-    auto gang = make_step(2);
-    gang.gang = true;
-    world.add_worker("w2");
-    world.submit({gang}, 2);
-    const auto starts = world.take<start_order>();
-    ASSERT_EQ(starts.size(), 2U);
-    const std::size_t failing = starts[0].run.task.index == 1 ? 0 : 1;
-    world.answer(starts[1 - failing]);
-    world.end_run(starts[failing], run_end::failed);
-    for (const auto& stop : world.take<stop_order>()) {
-        world.answer(stop);
-    }
-    world.wait_for_hold("w2");
-    world.answer_hold("w2", dispatch_world::make_empty_list());
+    world.fail_member_of_gang(1);
     world.add_worker("w3", {1000, 100, 0});
     const auto since = world.now;
     EXPECT_EQ(world.wait_for_start().run.run, 2U);
--- a/unit_tests/dispatch/dispatcher_pressure_test.cpp
+++ b/unit_tests/dispatch/dispatcher_pressure_test.cpp
@@ -234,25 +234,31 @@
     }
 }
 
-/// A run on a worker that was lost kept its job from counting as one that stands still.
-TEST(dispatcher_pressure, places_a_task_of_a_job_whose_only_run_is_on_a_lost_worker) {
-    dispatch_world world;
+/// Fills `w1` with filling tasks that stay, starts the first of `tasks` tasks of a job on `w2`, then lets
+/// that worker fall silent. Returns the job.
+job_id lose_worker_of_job(dispatch_world& world, std::uint32_t tasks) {
     world.add_worker("w1", {20'000, 256'000, 0});
     world.submit({make_filling(3)}, 3, 2);
     world.add_worker("w2", {6'000, 256'000, 0});
-    const auto job = world.submit({make_filling(2)}, 3, 2);
-    std::vector<run_key> started;
-    for (const auto& start : world.take<start_order>()) {
+    const auto job = world.submit({make_filling(tasks)}, 3, 2);
+    const auto starts = world.take<start_order>();
+    EXPECT_EQ(starts.size(), 4U);
+    for (const auto& start : starts) {
         world.answer(start);
-        started.push_back(start.run);
     }
-    ASSERT_EQ(started.size(), 4U);
-    ASSERT_EQ(world.find_worker("w2")->runs.size(), 1U);
+    EXPECT_EQ(world.find_worker("w2")->runs.size(), 1U);
     run_all(world, "w2", 0, 6000);
     for (int failures = 0; failures < silent_after_failures; ++failures) {
         world.wait_for_hold("w2");
         world.fail_hold("w2");
     }
+    return job;
+}
+
+/// A run on a worker that was lost kept its job from counting as one that stands still.
+TEST(dispatcher_pressure, places_a_task_of_a_job_whose_only_run_is_on_a_lost_worker) {
+    dispatch_world world;
+    const auto job = lose_worker_of_job(world, 2);
     const auto silent_since = world.now;
     std::vector<start_order> starts;
     while (starts.empty() && world.now - silent_since < seconds{20}) {
@@ -267,18 +273,7 @@
 /// A job that has starved waited again after each of its tasks while it had a run on a lost worker.
 TEST(dispatcher_pressure, lets_a_job_with_a_run_on_a_lost_worker_not_wait_again_after_each_task) {
     dispatch_world world;
-    world.add_worker("w1", {20'000, 256'000, 0});
-    world.submit({make_filling(3)}, 3, 2);
-    world.add_worker("w2", {6'000, 256'000, 0});
-    world.submit({make_filling(12)}, 3, 2);
-    for (const auto& start : world.take<start_order>()) {
-        world.answer(start);
-    }
-    run_all(world, "w2", 0, 6000);
-    for (int failures = 0; failures < silent_after_failures; ++failures) {
-        world.wait_for_hold("w2");
-        world.fail_hold("w2");
-    }
+    lose_worker_of_job(world, 12);
     std::vector<run_end_entry> ended;
     for (int task = 0; task < 3; ++task) { // the lease of the lost worker lapses later
         const auto idle_since = world.now;
--- a/unit_tests/dispatch/idle_job_watch.cpp
+++ b/unit_tests/dispatch/idle_job_watch.cpp
@@ -58,7 +58,6 @@
 
 bool idle_job_watch::has_room(const due_step& item) const {
     const auto& spec = *item.spec;
-    const auto need = get_need(spec);
     const auto wanted = enough_room * (spec.gang ? spec.count : 1);
     std::size_t room = 0;
     for (const auto& worker : m_free) {
@@ -66,14 +65,8 @@
             continue;
         }
         const auto count = worker.step_counts.find(item.step);
-        std::size_t of_step = count == worker.step_counts.end() ? 0 : count->second;
-        auto free = worker.free;
-        while (room < wanted && free.holds(need) &&
-               (spec.max_per_worker == 0 || of_step < spec.max_per_worker)) {
-            free -= need;
-            ++of_step;
-            ++room;
-        }
+        const std::size_t of_step = count == worker.step_counts.end() ? 0 : count->second;
+        room += count_fitting_tasks(spec, worker.free, of_step, wanted - room);
         if (room == wanted) {
             return true;
         }
--- a/unit_tests/dispatch/long_running_watch.cpp
+++ b/unit_tests/dispatch/long_running_watch.cpp
@@ -26,6 +26,13 @@
         free -= get_need(*run.spec);
         of_step += run.task.step == step ? 1 : 0;
     }
+    return count_fitting_tasks(spec, free, of_step, most);
+}
+
+} // namespace
+
+std::size_t count_fitting_tasks(const step_spec& spec, worker_amounts free, std::size_t of_step,
+                                std::size_t most) {
     const auto need = get_need(spec);
     std::size_t room = 0;
     while (room < most && free.holds(need) &&
@@ -36,8 +43,6 @@
     return room;
 }
 
-} // namespace
-
 std::size_t count_room(const step_key& step, const step_spec& spec,
                        const std::vector<watched_worker>& workers, std::size_t most) {
     std::size_t room = 0;
--- a/unit_tests/dispatch/long_running_watch.h
+++ b/unit_tests/dispatch/long_running_watch.h
@@ -80,6 +80,11 @@
     std::vector<stalled_task> m_stalled;
 };
 
+/// Returns how many more tasks of a step fit into `free` on one worker that runs `of_step` tasks of it, up to
+/// `most`. Thread safety: any thread.
+[[nodiscard]] std::size_t count_fitting_tasks(const step_spec& spec, worker_amounts free, std::size_t of_step,
+                                              std::size_t most);
+
 /// Returns how many more tasks of a step fit on the workers that are up, sound and not draining, up to
 /// `most`. Thread safety: any thread while nobody changes the workers.
 [[nodiscard]] std::size_t count_room(const step_key& step, const step_spec& spec,
--- a/unit_tests/dispatch/long_running_world.cpp
+++ b/unit_tests/dispatch/long_running_world.cpp
@@ -635,10 +635,6 @@
 // ---- observations
 
 void long_running_world::observe_jobs() {
-    std::erase_if(m_open_jobs, [this](job_id id) {
-        const auto* record = m_job_state.find_job(id);
-        return record == nullptr || record->phase != job_phase::open;
-    });
     std::set<task_key> done;
     for (const auto& target : m_machines) {
         if (target->process == nullptr) {
