--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -69,6 +69,15 @@
     dispatch.max_open_jobs = reader.get_integer("max_open_jobs", dispatch.max_open_jobs, 1, 10'000'000);
 }
 
+void read_decisions(section_reader& reader, scheduler_settings& value) {
+    auto& decisions = value.dispatch.decisions;
+    decisions.refuse_late = reader.get_flag("refuse_late", decisions.refuse_late);
+    decisions.keep_learned = reader.get_flag("keep_learned", decisions.keep_learned);
+    decisions.move_from_slow = reader.get_flag("move_from_slow", decisions.move_from_slow);
+    decisions.plan_layout = reader.get_flag("plan_layout", decisions.plan_layout);
+    decisions.fair_shares = reader.get_flag("fair_shares", decisions.fair_shares);
+}
+
 } // namespace
 
 parsed_scheduler_settings parse_scheduler_settings(std::string_view text) {
@@ -89,6 +98,8 @@
             read_connections(reader, parsed.value);
         } else if (section.kind == "workers") {
             read_workers(reader, parsed.value);
+        } else if (section.kind == "decisions") {
+            read_decisions(reader, parsed.value);
         } else {
             parsed.errors.push_back({section.line, "unknown section [" + section.kind + "]"});
             continue;
--- a/poplarpitch/scheduler/scheduler_settings.h
+++ b/poplarpitch/scheduler/scheduler_settings.h
@@ -12,8 +12,8 @@
 
 namespace poplarpitch {
 
-/// Settings of a scheduler instance: `[instance]`, `[control]`, `[connections]` and `[workers]` of its
-/// settings file.
+/// Settings of a scheduler instance: `[instance]`, `[control]`, `[connections]`, `[workers]` and
+/// `[decisions]` of its settings file.
 struct scheduler_settings {
     std::string id; ///< name of this instance, unique among all
     std::string data_centre = "default";
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/scheduling/decision_settings.h"
 
 #include <compare>
 #include <cstdint>
@@ -43,6 +44,8 @@
     std::int64_t max_open_jobs = 20'000;  ///< further jobs are refused; this many jobs are 60 MB of records,
                                           ///< and an hour of a day's peak load
 
+    decision_settings decisions;
+
     friend auto operator<=>(const dispatch_settings&, const dispatch_settings&) = default;
 };
 
--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -29,6 +29,33 @@
     return text.value_or("");
 }
 
+/// The section of a deployment that does not ask for the decisions must not turn them on.
+TEST(scheduler_settings, leaves_the_decisions_under_hard_load_off_unless_they_are_turned_on) {
+    const std::string required = "[instance]\nid = a\nhost = 127.0.0.1\nlink_port = 1\nseeds = 127.0.0.1:2\n"
+                                 "[control]\nlisten = 127.0.0.1:3\ndata_folder = /d\n";
+    const auto without = parse_scheduler_settings(required);
+    EXPECT_TRUE(without.errors.empty());
+    EXPECT_EQ(without.value.dispatch.decisions, decision_settings{});
+    const auto with = parse_scheduler_settings(required + "[decisions]\nrefuse_late = true\n"
+                                                          "keep_learned = true\nmove_from_slow = true\n"
+                                                          "plan_layout = true\nfair_shares = true\n");
+    EXPECT_TRUE(with.errors.empty());
+    EXPECT_EQ(with.value.dispatch.decisions, (decision_settings{true, true, true, true, true}));
+}
+
+TEST(scheduler_settings, rejects_a_decision_that_is_unknown_or_no_flag) {
+    const auto parsed =
+        parse_scheduler_settings("[instance]\nid = a\n[control]\nlisten = 127.0.0.1:3\n"
+                                 "data_folder = /d\n[decisions]\nrefuse_late = 7\nrefuse = true\n");
+    std::string errors;
+    for (const auto& error : parsed.errors) {
+        errors += error.format("scheduler.ini");
+    }
+    EXPECT_NE(errors.find("refuse_late"), std::string::npos);
+    EXPECT_NE(errors.find("refuse"), std::string::npos);
+    EXPECT_GE(parsed.errors.size(), 2U);
+}
+
 TEST(scheduler_settings, reads_the_filled_template) {
     const auto text =
         fill(read_template("scheduler.ini"), {{"node", "core-1"},
