--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -35,8 +35,9 @@
     stop_leading();
     m_term = term;
     m_long_running.clear(now);
-    m_filling_backlog = 0;
+    m_demand.filling_backlog = 0;
     m_pressure.load(m_job_state.get_pressure());
+    restore_learned(now, wall_ms); // before jobs are opened: their objectives rest on learned durations
     for (const auto& [id, record] : m_job_state.get_jobs()) {
         if (record.phase == job_phase::open) {
             restore_suspects(record, now);
@@ -410,6 +411,7 @@
     }
     observe_pools(now);
     save_pressure(now);
+    save_learned(now, wall_ms);
     report_load(now);
     audit(now, wall_ms);
     report_waits(now);
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -3,10 +3,12 @@
 #include "poplarpitch/consensus/node_id.h"
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/admission.h"
+#include "poplarpitch/dispatch/demand_levels.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
 #include "poplarpitch/dispatch/job_activity.h"
 #include "poplarpitch/dispatch/leader_difference.h"
 #include "poplarpitch/dispatch/leader_load.h"
+#include "poplarpitch/dispatch/learned_state.h"
 #include "poplarpitch/dispatch/long_running_quota.h"
 #include "poplarpitch/dispatch/long_wait.h"
 #include "poplarpitch/dispatch/placement.h"
@@ -254,6 +256,10 @@
     /// for too long in all.
     [[nodiscard]] bool is_starving(const open_job& job, const std::string& pool, time_point now) const;
     void save_pressure(time_point now);
+    /// Records what was learned for the next leader.
+    void save_learned(time_point now, std::int64_t wall_ms);
+    /// Starts with what the former leader has recorded.
+    void restore_learned(time_point now, std::int64_t wall_ms);
     void report_load(time_point now);
     void begin_due_occurrences(time_point now, std::int64_t wall_ms);
     void forget_old_jobs(time_point now);
@@ -518,13 +524,12 @@
     pressure_model m_pressure;
     work_forecast m_forecast;
     long_running_quota m_long_running;
+    learned_state m_learned{learned_state_settings{}};
     leader_load m_load;
     std::set<std::string> m_drained_pools;   ///< pools of which every live worker is in a drained data centre
     std::set<std::string> m_underused_pools; ///< pools of which less than half is reserved
-    double m_filling_backlog =
-        0; ///< cores of waiting filling tasks as a share of those of running ones, 0 to 1; smoothed
+    demand_levels m_demand;
     bool m_must_place = false;
-    double m_short_task_millicores = 0;        ///< demand of tasks that neither serve nor fill, smoothed
     std::int64_t m_non_serving_millicores = 0; ///< capacity of the usable workers without serving tasks
     std::int64_t m_total_millicores = 0;       ///< capacity of the usable workers
     time_point m_measured_at{};
--- a/poplarpitch/dispatch/dispatcher_admission.cpp
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -120,7 +120,7 @@
         waiting += ready.job->steps[key.step].is_filling ? ready.get_wanted(key) : 0;
     }
     const auto share = static_cast<double>(waiting) / static_cast<double>(std::max<std::int64_t>(running, 1));
-    m_filling_backlog += backlog_weight * (std::min(share, 1.0) - m_filling_backlog);
+    m_demand.filling_backlog += backlog_weight * (std::min(share, 1.0) - m_demand.filling_backlog);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -345,11 +345,12 @@
     }
     const auto decay_factor = std::exp(-to_seconds(pass.now - m_measured_at) / demand_smoothing_s);
     m_measured_at = pass.now;
-    m_short_task_millicores = decay_factor * m_short_task_millicores + (1 - decay_factor) * wanted;
+    m_demand.short_task_millicores =
+        decay_factor * m_demand.short_task_millicores + (1 - decay_factor) * wanted;
 }
 
 bool dispatcher::may_take_first_serving_task(const worker_state& worker) const {
-    const auto kept_free = std::max(m_short_task_millicores * peak_factor,
+    const auto kept_free = std::max(m_demand.short_task_millicores * peak_factor,
                                     min_non_serving_share * static_cast<double>(m_total_millicores));
     return static_cast<double>(m_non_serving_millicores - worker.report.capacity.millicores) >= kept_free;
 }
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -42,7 +42,7 @@
 
 void dispatcher::refresh_pressure(worker_state& worker) {
     const auto placing_share =
-        share_without_backlog + (share_with_backlog - share_without_backlog) * m_filling_backlog;
+        share_without_backlog + (share_with_backlog - share_without_backlog) * m_demand.filling_backlog;
     auto& groups = worker.pressure.groups;
     groups.clear();
     worker.serving_unused_millicores = 0;
--- a/poplarpitch/dispatch/dispatcher_reports.cpp
+++ b/poplarpitch/dispatch/dispatcher_reports.cpp
@@ -61,6 +61,37 @@
     m_commands.push_back(std::move(command));
 }
 
+void dispatcher::save_learned(time_point now, std::int64_t wall_ms) {
+    if (!m_settings.decisions.keep_learned || !m_learned.begin_round(now)) {
+        return;
+    }
+    const auto& committed = m_job_state.get_learned();
+    m_learned.add(m_forecast, committed, wall_ms);
+    m_learned.add(m_long_running, committed, wall_ms);
+    m_learned.add(m_demand, committed, wall_ms);
+    const auto records = m_learned.take_records();
+    if (records.empty()) {
+        return;
+    }
+    job_wire::job_command command;
+    encode(records, *command.mutable_learned());
+    m_counts.learned_bytes += command.ByteSizeLong();
+    m_commands.push_back(std::move(command));
+}
+
+void dispatcher::restore_learned(time_point now, std::int64_t wall_ms) {
+    m_learned.clear(now);
+    if (!m_settings.decisions.keep_learned) {
+        return;
+    }
+    const auto& committed = m_job_state.get_learned();
+    m_learned.restore(m_forecast, committed, wall_ms);
+    m_learned.restore(m_long_running, committed, wall_ms);
+    if (m_learned.restore(m_demand, committed, wall_ms)) {
+        m_measured_at = now;
+    }
+}
+
 void dispatcher::report_load(time_point now) {
     if (now < m_next_report) {
         return;
--- a/poplarpitch/dispatch/duration_model.cpp
+++ b/poplarpitch/dispatch/duration_model.cpp
@@ -1,7 +1,11 @@
 #include "poplarpitch/dispatch/duration_model.h"
 
+#include "poplarpitch/wire/scheduling.pb.h"
+
 #include <algorithm>
 #include <cmath>
+#include <utility>
+#include <vector>
 
 namespace poplarpitch {
 namespace {
@@ -41,4 +45,34 @@
     return std::max<std::int64_t>(std::llround(std::exp(x + level + slope * (x - mean_x))), 1);
 }
 
+void duration_model::save(job_wire::learned_durations& message) const {
+    std::vector<std::pair<double, std::string>> order;
+    for (const auto& [queue, observed] : m_queues) {
+        order.emplace_back(-observed.count, queue);
+    }
+    std::sort(order.begin(), order.end());
+    for (const auto& [count, queue] : order) {
+        const auto& observed = m_queues.at(queue);
+        auto& item = *message.add_queues();
+        item.set_queue(queue);
+        item.set_count(observed.count);
+        item.set_x(observed.x);
+        item.set_xx(observed.xx);
+        item.set_y(observed.y);
+        item.set_xy(observed.xy);
+    }
+}
+
+void duration_model::load(const job_wire::learned_durations& message) {
+    m_queues.clear();
+    for (const auto& item : message.queues()) {
+        const sums read{item.count(), item.x(), item.xx(), item.y(), item.xy()};
+        const bool is_finite = std::isfinite(read.x) && std::isfinite(read.xx) && std::isfinite(read.y) &&
+                               std::isfinite(read.xy) && std::isfinite(read.count);
+        if (is_finite && read.count >= 1) {
+            m_queues[item.queue()] = read;
+        }
+    }
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/duration_model.h
+++ b/poplarpitch/dispatch/duration_model.h
@@ -5,6 +5,10 @@
 #include <cstdint>
 #include <string>
 
+namespace poplarpitch::job_wire {
+class learned_durations;
+} // namespace poplarpitch::job_wire
+
 namespace poplarpitch {
 
 /// Predicts how long steps take, learned for each queue from the steps that ended.
@@ -22,6 +26,10 @@
     /// Returns the predicted duration of a step with this estimate, in milliseconds. Returns the estimate
     /// itself where the queue has no observations.
     [[nodiscard]] std::int64_t predict(const std::string& queue, std::int64_t estimate_ms) const;
+    /// Adds the sums of each queue to a message, those with the most observations first.
+    void save(job_wire::learned_durations& message) const;
+    /// Replaces all observations. Queues whose sums are not finite are left out.
+    void load(const job_wire::learned_durations& message);
     /// Removes all observations.
     void clear() { m_queues.clear(); }
 
--- a/poplarpitch/dispatch/long_running_quota.cpp
+++ b/poplarpitch/dispatch/long_running_quota.cpp
@@ -1,5 +1,7 @@
 #include "poplarpitch/dispatch/long_running_quota.h"
 
+#include "poplarpitch/wire/scheduling.pb.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -32,6 +34,7 @@
     m_cleared_at = now;
     m_jobs.clear();
     m_pools.clear();
+    m_former.clear();
 }
 
 void long_running_quota::add(job_id job, const std::string& pool, std::int64_t millicores) {
@@ -55,7 +58,10 @@
 void long_running_quota::observe(const std::string& pool, const pool_use& use, time_point now) {
     auto& state = m_pools[pool];
     if (state.first_observed == time_point{}) {
-        state.first_observed = now;
+        const auto former = m_former.find(pool);
+        const bool is_known = former != m_former.end();
+        state.first_observed = is_known ? now - former->second.observed_for : now;
+        state.peak_demand = is_known ? former->second.peak_demand : 0;
         state.observed_at = now;
     }
     const double decay_factor = std::exp(-to_seconds(now - state.observed_at) / peak_decay_s);
@@ -114,4 +120,36 @@
     return milliseconds{static_cast<std::int64_t>(wait * 1000)};
 }
 
+std::string long_running_quota::save(std::int64_t /*wall_ms*/, std::size_t max_bytes) const {
+    job_wire::learned_quota message;
+    for (const auto& [pool, state] : m_pools) {
+        if (state.first_observed == time_point{}) {
+            continue;
+        }
+        auto& item = *message.add_pools();
+        item.set_pool(pool);
+        item.set_peak_demand(state.peak_demand);
+        item.set_observed_for_ms(std::min(to_milliseconds(state.observed_at - state.first_observed),
+                                          to_milliseconds(learning_time)));
+    }
+    while (message.ByteSizeLong() > max_bytes) {
+        message.mutable_pools()->RemoveLast();
+    }
+    return message.SerializeAsString();
+}
+
+bool long_running_quota::load(std::string_view body, std::int64_t /*wall_ms*/) {
+    job_wire::learned_quota message;
+    if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        return false;
+    }
+    for (const auto& item : message.pools()) {
+        if (std::isfinite(item.peak_demand()) && item.peak_demand() >= 0 && item.observed_for_ms() >= 0) {
+            const auto observed = std::min<duration>(milliseconds{item.observed_for_ms()}, learning_time);
+            m_former[item.pool()] = {item.peak_demand(), observed};
+        }
+    }
+    return true;
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/long_running_quota.h
+++ b/poplarpitch/dispatch/long_running_quota.h
@@ -3,9 +3,11 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/scheduling/job_id.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace poplarpitch {
 
@@ -42,6 +44,14 @@
     /// Updates the observed use of a pool.
     void observe(const std::string& pool, const pool_use& use, time_point now);
 
+    static constexpr std::string_view part_name = "quota";
+    static constexpr std::uint32_t format_version = 1;
+    /// Returns the peaks of other demand for the next leader, see `learned_part`.
+    [[nodiscard]] std::string save(std::int64_t wall_ms, std::size_t max_bytes) const;
+    /// Restores peaks of other demand, see `learned_part`. They apply from the first observation of each
+    /// pool.
+    bool load(std::string_view body, std::int64_t wall_ms);
+
     /// Returns true when the job is already counted.
     [[nodiscard]] bool contains(job_id job) const { return m_jobs.contains(job); }
     /// Returns true when a job that reserves `millicores` may be accepted.
@@ -70,7 +80,14 @@
         time_point observed_at{};
     };
 
+    /// What a former leader has observed of a pool.
+    struct former_peak {
+        double peak_demand = 0; ///< millicores
+        duration observed_for{};
+    };
+
     double m_share;
+    std::map<std::string, former_peak> m_former; ///< of pools that this leader has not observed yet
     time_point m_cleared_at{};
     std::map<job_id, job_reservation> m_jobs;
     std::map<std::string, pool_state> m_pools;
--- a/poplarpitch/dispatch/work_forecast.cpp
+++ b/poplarpitch/dispatch/work_forecast.cpp
@@ -1,6 +1,7 @@
 #include "poplarpitch/dispatch/work_forecast.h"
 
 #include "poplarpitch/dispatch/erase_job.h"
+#include "poplarpitch/wire/scheduling.pb.h"
 
 #include <algorithm>
 
@@ -59,4 +60,22 @@
     return durations;
 }
 
+std::string work_forecast::save(std::int64_t /*wall_ms*/, std::size_t max_bytes) const {
+    job_wire::learned_durations message;
+    m_durations.save(message);
+    while (message.ByteSizeLong() > max_bytes) {
+        message.mutable_queues()->RemoveLast(); // the queue with the fewest observations
+    }
+    return message.SerializeAsString();
+}
+
+bool work_forecast::load(std::string_view body, std::int64_t /*wall_ms*/) {
+    job_wire::learned_durations message;
+    if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        return false;
+    }
+    m_durations.load(message);
+    return true;
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/work_forecast.h
+++ b/poplarpitch/dispatch/work_forecast.h
@@ -4,8 +4,11 @@
 #include "poplarpitch/scheduling/step_job.h"
 #include "poplarpitch/scheduling/task_key.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplarpitch {
@@ -29,6 +32,13 @@
     /// Removes everything.
     void clear();
 
+    static constexpr std::string_view part_name = "durations";
+    static constexpr std::uint32_t format_version = 1;
+    /// Returns the learned durations for the next leader, see `learned_part`.
+    [[nodiscard]] std::string save(std::int64_t wall_ms, std::size_t max_bytes) const;
+    /// Replaces the learned durations, see `learned_part`.
+    bool load(std::string_view body, std::int64_t wall_ms);
+
     /// Returns how long each step of an occurrence takes, in milliseconds, including the failed runs of its
     /// tasks.
     [[nodiscard]] std::vector<std::int64_t> get_step_durations_ms(const step_job& job,
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -256,4 +256,22 @@
     return factors;
 }
 
+void encode(const std::vector<learned_record>& records, job_wire::note_learned& message) {
+    for (const auto& record : records) {
+        auto& item = *message.add_records();
+        item.set_part(record.part);
+        item.set_version(record.version);
+        item.set_body(record.body);
+        item.set_written_ms(record.written_ms);
+    }
+}
+
+std::vector<learned_record> decode(const job_wire::note_learned& message) {
+    std::vector<learned_record> records;
+    for (const auto& item : message.records()) {
+        records.push_back({item.part(), item.version(), item.body(), item.written_ms()});
+    }
+    return records;
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/job_codec.h
+++ b/poplarpitch/scheduling/job_codec.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/scheduling/job_configuration.h"
 #include "poplarpitch/scheduling/job_record.h"
+#include "poplarpitch/scheduling/learned_record.h"
 #include "poplarpitch/scheduling/pressure_factor.h"
 #include "poplarpitch/scheduling/step_job.h"
 #include "poplarpitch/scheduling/task_key.h"
@@ -10,6 +11,7 @@
 
 namespace poplarpitch::job_wire {
 class job_state_record;
+class note_learned;
 class note_pressure;
 class put_config;
 class step_job;
@@ -29,5 +31,7 @@
 [[nodiscard]] job_record decode(const job_wire::job_state_record& message);
 void encode(const std::vector<pressure_factor>& factors, job_wire::note_pressure& message);
 [[nodiscard]] std::vector<pressure_factor> decode(const job_wire::note_pressure& message);
+void encode(const std::vector<learned_record>& records, job_wire::note_learned& message);
+[[nodiscard]] std::vector<learned_record> decode(const job_wire::note_learned& message);
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -8,6 +8,8 @@
 namespace poplarpitch {
 namespace {
 
+constexpr std::size_t max_learned_parts = 16; // bounds the snapshot, whatever a leader sends
+
 job_state_event make_job_event(job_state_event::kind what, job_id id) {
     job_state_event event;
     event.what = what;
@@ -73,6 +75,9 @@
     case job_wire::job_command::kPressure:
         m_pressure = decode(command.pressure());
         return command_outcome::applied;
+    case job_wire::job_command::kLearned:
+        replace_learned(decode(command.learned()));
+        return command_outcome::applied;
     case job_wire::job_command::kConfirm:
         return confirm({decode(command.confirm().task()), command.confirm().run()},
                        {command.confirm().worker(), command.confirm().born_ms()});
@@ -386,6 +391,7 @@
     snapshot.set_fence_raises(m_fence_raises);
     snapshot.set_next_sequence(m_next_sequence);
     encode(m_pressure, *snapshot.mutable_pressure());
+    encode(m_learned, *snapshot.mutable_learned());
     return snapshot.SerializeAsString();
 }
 
@@ -409,7 +415,17 @@
     m_fence_raises = snapshot.fence_raises();
     m_next_sequence = snapshot.next_sequence();
     m_pressure = decode(snapshot.pressure());
+    m_learned = decode(snapshot.learned());
     return true;
 }
 
+void job_state_machine::replace_learned(std::vector<learned_record> records) {
+    for (auto& record : records) {
+        std::erase_if(m_learned, [&](const learned_record& known) { return known.part == record.part; });
+        if (m_learned.size() < max_learned_parts) {
+            m_learned.push_back(std::move(record));
+        }
+    }
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/scheduling/job_configuration.h"
 #include "poplarpitch/scheduling/job_record.h"
 #include "poplarpitch/scheduling/job_state_event.h"
+#include "poplarpitch/scheduling/learned_record.h"
 #include "poplarpitch/scheduling/pressure_factor.h"
 
 #include <absl/container/node_hash_map.h>
@@ -61,6 +62,8 @@
     [[nodiscard]] std::uint64_t get_fence_raises() const { return m_fence_raises; }
     /// Returns the pressure factors that a leader has recorded; a new leader starts with them.
     [[nodiscard]] const std::vector<pressure_factor>& get_pressure() const { return m_pressure; }
+    /// Returns what leaders have recorded of what they learned, one record a part, in no particular order.
+    [[nodiscard]] const std::vector<learned_record>& get_learned() const { return m_learned; }
     /// Returns the runs that were assigned and have not ended, sorted by their keys.
     [[nodiscard]] std::vector<std::pair<run_key, assigned_run>> get_assigned_runs() const;
 
@@ -84,6 +87,8 @@
     void finish_task(job_record& record, const task_key& key, std::vector<job_state_event>& events);
     void end_job(job_record& record, job_phase phase, std::vector<job_state_event>& events);
     void drop_idle_tasks(job_record& record);
+    /// Replaces the records of the parts that are named.
+    void replace_learned(std::vector<learned_record> records);
 
     job_configuration m_configuration;
     absl::node_hash_map<job_id, job_record> m_jobs;
@@ -91,6 +96,7 @@
     std::set<std::string> m_drained_data_centres;
     std::uint64_t m_fence_raises = 0;
     std::vector<pressure_factor> m_pressure;
+    std::vector<learned_record> m_learned;
     std::uint64_t m_next_sequence = 1;
 };
 
