--- a/poplarpitch/dispatch/dispatch_counts.h
+++ b/poplarpitch/dispatch/dispatch_counts.h
@@ -23,6 +23,8 @@
     std::uint64_t jobs_given_up = 0; ///< those of `crashes` after which the task's job was given up
     std::uint64_t failed_runs = 0;
     std::uint64_t done_runs = 0;
+    std::uint64_t slow_workers = 0;    ///< gauge: workers that are slow compared with their pool
+    std::uint64_t moved_from_slow = 0; ///< tasks stopped on slow workers to run elsewhere
     std::uint64_t stuck_tasks = 0; ///< gauge, at the last audit: tasks that nothing would complete without it
     std::uint64_t leader_differences = 0; ///< gauge, at the last audit: other faults of the leader's state
     std::uint64_t mended_differences = 0; ///< faults of both kinds that an audit has mended
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -114,6 +114,8 @@
     m_timings.clear();
     m_next_check = {};
     m_next_pools = {};
+    m_next_speeds = {};
+    m_counts.slow_workers = 0;
     m_drained_pools.clear();
     m_next_audit = {};
     m_next_waits = {};
@@ -409,6 +411,7 @@
         start_copies(now);
     }
     observe_pools(now);
+    check_speeds(now);
     save_pressure(now);
     report_load(now);
     audit(now, wall_ms);
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -427,6 +427,17 @@
     std::vector<worker_incarnation> pick_workers_to_ask_about(const ready_step& ready, const step_key& key,
                                                               time_point now);
 
+    // workers that are slow compared with their pool
+    /// Returns how long the run is forecast to take in all, in seconds.
+    [[nodiscard]] double get_expected_s(const run_track& track) const;
+    /// Adds the progress of a run since it was last listed to its worker's speed.
+    void observe_progress(run_track& track, std::int64_t percent, time_point now);
+    /// Adds tail latencies that no filling task explains to the worker's speed.
+    void observe_tails(worker_state& worker, time_point now);
+    void check_speeds(time_point now);
+    /// Moves tasks away from slow workers.
+    void leave_slow(const std::vector<worker_state*>& slow, time_point now);
+
     // interference of filling tasks with serving ones
     void refresh_pressure(worker_state& worker);
     void smooth_fill_shares(worker_state& worker, time_point now);
@@ -537,6 +548,7 @@
     time_point m_next_audit{};
     time_point m_next_waits{}; ///< of the report of long waits
     time_point m_next_pressure_save{};
+    time_point m_next_speeds{}; ///< of the check for slow workers
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -170,6 +170,9 @@
         track.watch.observe(static_cast<double>(track.level), static_cast<double>(spec.target_ms), passed);
         track.observed_at = now;
         track.observed_level = track.level;
+        if (worker.speed.is_slow()) {
+            continue; // the worker's fault would be learned as interference of the images
+        }
         m_pressure.observe(track.image, static_cast<double>(track.level), static_cast<double>(spec.target_ms),
                            worker.fill_shares, since, track.own_load);
     }
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -130,7 +130,10 @@
     if (now > worker.room_known_until) {
         return placement_obstacle::room_unknown;
     }
-    return worker.trust.is_set_aside(now) ? placement_obstacle::set_aside : placement_obstacle::none;
+    // A worker on probation is tried with one task at a time, besides those that never left it.
+    const bool is_tried = worker.speed.is_on_probation() && worker.runs.size() > worker.serving_runs;
+    return worker.trust.is_set_aside(now) || is_tried ? placement_obstacle::set_aside
+                                                      : placement_obstacle::none;
 }
 
 bool is_usable(const worker_state& worker, time_point now) {
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -70,6 +70,8 @@
     tail_watch watch;        ///< of a serving task
     std::int64_t observed_level = 0; ///< the last tail latency that was processed
     time_point observed_at{};        ///< when a tail latency was last processed
+    time_point progress_at{};        ///< when progress was last added to the worker's speed
+    time_point tail_at{};            ///< when a tail latency was last considered for the worker's speed
 
     /// Returns the resources and properties of the run's step. Thread safety: any thread while nobody changes
     /// it.
--- a/poplarpitch/dispatch/work_forecast.h
+++ b/poplarpitch/dispatch/work_forecast.h
@@ -29,6 +29,11 @@
     /// Removes everything.
     void clear();
 
+    /// Returns how long a task of this step is expected to take, in milliseconds, by what was learned from
+    /// the job's queue.
+    [[nodiscard]] std::int64_t predict_ms(const step_job& job, const step_spec& step) const {
+        return m_durations.predict(job.queue.name, step.estimate_ms);
+    }
     /// Returns how long each step of an occurrence takes, in milliseconds, including the failed runs of its
     /// tasks.
     [[nodiscard]] std::vector<std::int64_t> get_step_durations_ms(const step_job& job,
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -6,6 +6,7 @@
 #include "poplarpitch/dispatch/run_loss.h"
 #include "poplarpitch/dispatch/suspect_watch.h"
 #include "poplarpitch/dispatch/worker_pressure.h"
+#include "poplarpitch/dispatch/worker_speed.h"
 #include "poplarpitch/dispatch/worker_trust.h"
 #include "poplarpitch/scheduling/order_failure.h"
 #include "poplarpitch/scheduling/task_key.h"
@@ -107,6 +108,7 @@
     time_point fill_shares_at{};
     worker_pressure pressure;
     worker_trust trust;
+    worker_speed speed;
 
     /// Counts a run with this isolation, or removes it from the counts with -1. Thread safety: as the state.
     void count_isolated(isolation_level isolation, int sign) {
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -78,6 +78,8 @@
     set("poplarpitch_data_centres_drained", parts.job_state.get_drained_data_centres().size());
     set("poplarpitch_jobs_known", parts.job_state.get_jobs().size());
     set("poplarpitch_workers", parts.dispatch.get_workers().size());
+    set("poplarpitch_workers_slow", counts.slow_workers);
+    set("poplarpitch_tasks_moved_total", counts.moved_from_slow, "worker_slow");
     set("poplarpitch_tasks_stuck", counts.stuck_tasks);
     set("poplarpitch_leader_differences", counts.leader_differences);
     set("poplarpitch_audit_mends_total", counts.mended_differences);
