--- a/poplarpitch/dispatch/admission.h
+++ b/poplarpitch/dispatch/admission.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace poplarpitch {
 
@@ -14,14 +15,18 @@
         long_running_quota,   ///< long-running jobs have reserved their whole quota of the pool
         data_centres_drained, ///< no data centre with workers of the pool takes tasks
         overloaded,           ///< the leader lags too far behind to take more jobs
+        completion_too_late,  ///< the job is forecast to be completed past its late limit
     };
 
     admission_outcome outcome = admission_outcome::admitted;
-    duration retry_after{};    ///< time after which the caller should submit a refused job again
-    duration lag{};            ///< by which the leader's timers are late
-    std::int64_t wanted = 0;   ///< millicores that the job would reserve
-    std::int64_t reserved = 0; ///< millicores that are reserved already
-    std::int64_t allowed = 0;  ///< limit on reserved millicores
+    duration retry_after{};           ///< time after which the caller should submit a refused job again
+    duration lag{};                   ///< by which the leader's timers are late
+    std::int64_t wanted = 0;          ///< millicores that the job would reserve
+    std::int64_t reserved = 0;        ///< millicores that are reserved already
+    std::int64_t allowed = 0;         ///< limit on reserved millicores
+    std::optional<duration> expected; ///< forecast time until completion; nothing while it is not known
+    duration objective{};             ///< of a job that ends, while there is a forecast
+    bool was_promised = false;        ///< the caller returned at the time that it was told
 
     friend auto operator<=>(const admission&, const admission&) = default;
 
--- a/poplarpitch/dispatch/admission_policy.cpp
+++ b/poplarpitch/dispatch/admission_policy.cpp
@@ -75,21 +75,21 @@
         return made;
     }
     const bool is_early = has_promise && !made.was_promised;
-    made.retry_after = is_early ? milliseconds{found->second.due_ms - wall_ms}
-                                : promise_time(job, forecast, wall_ms);
+    made.retry_after =
+        is_early ? milliseconds{found->second.due_ms - wall_ms} : promise_time(job, forecast, wall_ms);
     return made;
 }
 
 duration admission_policy::promise_time(const job_work& job, const completion_forecast& forecast,
                                         std::int64_t wall_ms) {
     m_promises.erase(job.job);
-    const auto wait = std::clamp<duration>(
-        forecast.get_time_until_room(job, get_promised_core_ms(job.room)), m_settings.min_retry_after,
-        m_settings.max_retry_after);
+    const auto wait = std::clamp<duration>(forecast.get_time_until_room(job, get_promised_core_ms(job.room)),
+                                           m_settings.min_retry_after, m_settings.max_retry_after);
     if (m_promises.size() >= m_settings.max_promises) {
-        m_promises.erase(std::min_element(
-            m_promises.begin(), m_promises.end(),
-            [](const auto& left, const auto& right) { return left.second.due_ms < right.second.due_ms; }));
+        m_promises.erase(
+            std::min_element(m_promises.begin(), m_promises.end(), [](const auto& left, const auto& right) {
+                return left.second.due_ms < right.second.due_ms;
+            }));
     }
     m_promises[job.job] = {job.room, wall_ms + to_milliseconds(wait), job.core_ms};
     return wait;
--- a/poplarpitch/dispatch/admission_policy.h
+++ b/poplarpitch/dispatch/admission_policy.h
@@ -18,15 +18,16 @@
 ///
 /// A job that would be completed past its late limit is refused at once, with the time at which the forecast
 /// has room for it. Each refused job is promised its own part of the room to come, so that callers return at
-/// the rate of the drain and not all at once; one that returns at its time is admitted before others. The promises
-/// are a help and nothing else: a lost one makes its caller wait again. Thread safety: none, as for all methods.
+/// the rate of the drain and not all at once; one that returns at its time is admitted before others. The
+/// promises are a help and nothing else: a lost one makes its caller wait again. Thread safety: none, as for
+/// all methods.
 class admission_policy {
 public:
     /// What is decided for one submission.
     struct decision {
         bool is_admitted = true;
-        bool was_promised = false;       ///< the caller returned at the time that it was told
-        duration retry_after{};          ///< of a refused job
+        bool was_promised = false;        ///< the caller returned at the time that it was told
+        duration retry_after{};           ///< of a refused job
         std::optional<duration> expected; ///< forecast time until completion; nothing while it is not known
 
         friend auto operator<=>(const decision&, const decision&) = default;
@@ -60,13 +61,14 @@
     /// Hysteresis of one queue.
     struct queue_state {
         bool is_refusing = false;
-        std::optional<time_point> past_since;  ///< while not refusing: since when forecasts are past the limit
+        std::optional<time_point> past_since; ///< while not refusing: since when forecasts are past the limit
         std::optional<time_point> sound_since; ///< while refusing: since when forecasts are well within it
     };
 
     void drop_expired(std::int64_t wall_ms);
     [[nodiscard]] double get_promised_core_ms(const room_key& room) const;
-    /// Updates the hysteresis. Returns true when a job with this forecast, as a share of its limit, is refused.
+    /// Updates the hysteresis. Returns true when a job with this forecast, as a share of its limit, is
+    /// refused.
     bool is_refused(queue_state& state, double share, time_point now) const;
     duration promise_time(const job_work& job, const completion_forecast& forecast, std::int64_t wall_ms);
 
--- a/poplarpitch/dispatch/completion_forecast.cpp
+++ b/poplarpitch/dispatch/completion_forecast.cpp
@@ -1,5 +1,7 @@
 #include "poplarpitch/dispatch/completion_forecast.h"
 
+#include "poplarpitch/wire/scheduling.pb.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,6 +29,7 @@
 void completion_forecast::clear(time_point now) {
     m_flows.clear();
     m_open.clear();
+    m_expected.clear();
     m_updated_at = now;
 }
 
@@ -34,9 +37,22 @@
     m_flows[room].done += core_ms;
 }
 
-void completion_forecast::on_accepted(const job_work& job) {
+void completion_forecast::on_accepted(const job_work& job, std::optional<duration> expected) {
     m_flows[job.room].accepted += job.core_ms;
     m_open.push_back(job);
+    if (expected.has_value()) {
+        m_expected[job.job] = *expected;
+    }
+}
+
+std::optional<duration> completion_forecast::take_expected(job_id job) {
+    const auto found = m_expected.find(job);
+    if (found == m_expected.end()) {
+        return std::nullopt;
+    }
+    const auto expected = found->second;
+    m_expected.erase(found);
+    return expected;
 }
 
 void completion_forecast::update(std::vector<job_work> open, const std::vector<room_key>& waiting,
@@ -120,20 +136,35 @@
     return flow == nullptr ? 0 : flow->drain_cores;
 }
 
-void completion_forecast::restore_drain(const room_key& room, double cores) {
-    auto& flow = m_flows[room];
-    flow.drain_cores = cores;
-    flow.samples = min_samples;
-}
-
-std::map<room_key, double> completion_forecast::get_drains() const {
-    std::map<room_key, double> drains;
+std::string completion_forecast::save(std::int64_t /*wall_ms*/, std::size_t max_bytes) const {
+    job_wire::learned_drains message;
     for (const auto& [room, flow] : m_flows) {
         if (find_flow(room) != nullptr) {
-            drains[room] = flow.drain_cores;
+            auto& item = *message.add_drains();
+            item.set_pool(room.pool);
+            item.set_is_filling(room.is_filling);
+            item.set_cores(std::round(flow.drain_cores));
+        }
+    }
+    while (message.ByteSizeLong() > max_bytes) {
+        message.mutable_drains()->RemoveLast();
+    }
+    return message.SerializeAsString();
+}
+
+bool completion_forecast::load(std::string_view body, std::int64_t /*wall_ms*/) {
+    job_wire::learned_drains message;
+    if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        return false;
+    }
+    for (const auto& item : message.drains()) {
+        if (std::isfinite(item.cores()) && item.cores() > 0) {
+            auto& flow = m_flows[{item.pool(), item.is_filling()}];
+            flow.drain_cores = item.cores();
+            flow.samples = min_samples;
         }
     }
-    return drains;
+    return true;
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/completion_forecast.h
+++ b/poplarpitch/dispatch/completion_forecast.h
@@ -3,21 +3,26 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/job_work.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplarpitch {
 
 /// Forecasts when a job that is submitted now would be completed.
 ///
-/// The forecast follows the order of service: first the jobs of better priority, then those of its own that can
-/// still meet their objectives and have less time left, then the late ones. Their remaining work is divided by
-/// the drain rate, the work that the workers have finished per second while some waited. Jobs that arrive later and can
-/// still be in time overtake a late one, so a late job gets only what the arrivals leave of the drain rate. Load
-/// pattern: jobs arrive at 2.4 times the rate that fits for 12 s and more; all were accepted, and the last ones waited
-/// 40 s for an answer that came too late. Thread safety: none, as for all methods.
+/// The forecast follows the order of service: first the jobs of better priority, then those of its own that
+/// can still meet their objectives and have less time left, then the late ones. Their remaining work is
+/// divided by the drain rate, the work that the workers have finished per second while some waited. Jobs that
+/// arrive later and can still be in time overtake a late one, so a late job gets only what the arrivals leave
+/// of the drain rate. Load pattern: jobs arrive at 2.4 times the rate that fits for 12 s and more; all were
+/// accepted, and the last ones waited 40 s for an answer that came too late. Thread safety: none, as for all
+/// methods.
 class completion_forecast {
 public:
     /// Returned for a job that would wait for as long as the load stays as it is.
@@ -27,32 +32,38 @@
     void clear(time_point now);
     /// Records that a task was done whose work was forecast at `core_ms`.
     void on_task_done(const room_key& room, double core_ms);
-    /// Records that a job was accepted. It counts until the next call of `update`.
-    void on_accepted(const job_work& job);
-    /// Replaces the open jobs, and measures the drain rate since the last call. `waiting`: rooms for which tasks wait.
+    /// Records that a job was accepted, with its forecast if there was one. Its work counts from now on.
+    void on_accepted(const job_work& job, std::optional<duration> expected);
+    /// Returns and removes the forecast that an accepted job had, or nothing. Called when the job ends.
+    std::optional<duration> take_expected(job_id job);
+    /// Replaces the open jobs, and measures the drain rate since the last call. `waiting`: rooms for which
+    /// tasks wait.
     void update(std::vector<job_work> open, const std::vector<room_key>& waiting, time_point now);
 
     /// Returns how long the job would take, or nothing while the drain rate is not known or no task waits.
     [[nodiscard]] std::optional<duration> forecast(const job_work& job) const;
-    /// Returns how long it takes until a new submission of the job would be in time, with `promised_core_ms` of
-    /// further work before it. Zero while nothing is known.
+    /// Returns how long it takes until a new submission of the job would be in time, with `promised_core_ms`
+    /// of further work before it. Zero while nothing is known.
     [[nodiscard]] duration get_time_until_room(const job_work& job, double promised_core_ms) const;
     /// Returns the drain rate in cores, or 0 while it is not known.
     [[nodiscard]] double get_drain(const room_key& room) const;
-    /// Sets the drain rate that a former leader has measured. Precondition: it is positive.
-    void restore_drain(const room_key& room, double cores);
-    /// Returns the known drain rates, in cores.
-    [[nodiscard]] std::map<room_key, double> get_drains() const;
+
+    static constexpr std::string_view part_name = "drains";
+    static constexpr std::uint32_t format_version = 1;
+    /// Returns the drain rates for the next leader, see `learned_part`.
+    [[nodiscard]] std::string save(std::int64_t wall_ms, std::size_t max_bytes) const;
+    /// Restores drain rates, see `learned_part`. New measurements replace them.
+    bool load(std::string_view body, std::int64_t wall_ms);
 
 private:
     /// The measured flow of work through one room. Amounts are core-milliseconds.
     struct room_flow {
-        double done = 0;           ///< since the last update
-        double accepted = 0;       ///< since the last update
-        double drain_cores = 0;    ///< smoothed; 0 while unknown
-        double arrival_cores = 0;  ///< accepted work per time, smoothed
-        std::size_t samples = 0;   ///< of the drain rate
-        bool has_waiting = false;  ///< tasks waited at the last update
+        double done = 0;          ///< since the last update
+        double accepted = 0;      ///< since the last update
+        double drain_cores = 0;   ///< smoothed; 0 while unknown
+        double arrival_cores = 0; ///< accepted work per time, smoothed
+        std::size_t samples = 0;  ///< of the drain rate
+        bool has_waiting = false; ///< tasks waited at the last update
     };
     /// Work that is served before a job.
     struct work_ahead {
@@ -65,6 +76,7 @@
 
     std::map<room_key, room_flow> m_flows;
     std::vector<job_work> m_open;
+    absl::flat_hash_map<job_id, duration> m_expected; ///< forecasts of accepted jobs that have not ended
     time_point m_updated_at{};
 };
 
--- a/poplarpitch/dispatch/dispatch_counts.h
+++ b/poplarpitch/dispatch/dispatch_counts.h
@@ -23,7 +23,9 @@
     std::uint64_t jobs_given_up = 0; ///< those of `crashes` after which the task's job was given up
     std::uint64_t failed_runs = 0;
     std::uint64_t done_runs = 0;
-    std::uint64_t learned_bytes = 0; ///< written to the log for the next leader
+    std::uint64_t refused_late = 0;    ///< those of `refused_jobs` that would have been completed too late
+    std::uint64_t promised_jobs = 0;   ///< gauge: refused jobs that were told when to return and have not yet
+    std::uint64_t learned_bytes = 0;   ///< written to the log for the next leader
     std::uint64_t slow_workers = 0;    ///< gauge: workers that are slow compared with their pool
     std::uint64_t moved_from_slow = 0; ///< tasks stopped on slow workers to run elsewhere
     std::uint64_t stuck_tasks = 0; ///< gauge, at the last audit: tasks that nothing would complete without it
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -35,6 +35,7 @@
     stop_leading();
     m_term = term;
     m_long_running.clear(now);
+    m_completion.clear(now);
     m_demand.filling_backlog = 0;
     m_pressure.load(m_job_state.get_pressure());
     restore_learned(now, wall_ms); // before jobs are opened: their objectives rest on learned durations
@@ -105,6 +106,7 @@
     m_failed_on.clear();
     m_suspects.clear();
     m_forecast.clear();
+    m_admission.clear();
     m_advice.clear();
     m_is_advice_pending = false;
     m_due.clear();
@@ -306,6 +308,7 @@
     drop_track(event.run, get_worked_until(*ended, event.end, now));
     if (event.end == run_end::done) {
         ++m_counts.done_runs;
+        record_drain(event.run.task);
     }
     if (event.end == run_end::failed) {
         ++m_counts.failed_runs;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -3,6 +3,8 @@
 #include "poplarpitch/consensus/node_id.h"
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/admission.h"
+#include "poplarpitch/dispatch/admission_policy.h"
+#include "poplarpitch/dispatch/completion_forecast.h"
 #include "poplarpitch/dispatch/demand_levels.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
 #include "poplarpitch/dispatch/job_activity.h"
@@ -243,10 +245,19 @@
     [[nodiscard]] static time_point get_worked_until(const run_track& track, run_end end, time_point now);
     /// Adds the duration of an ending run to the forecast.
     void record_run_time(const run_track& track, run_end end, time_point now);
+    /// Adds the work of a task that is done to the drain rate.
+    void record_drain(const task_key& task);
     void break_gang(const run_key& ended, time_point now);
     /// Updates the quota with the use of the pools.
     void observe_pools(time_point now);
     void measure_filling_backlog();
+    /// Updates the forecast with what the open jobs still need.
+    void update_forecast(time_point now);
+    /// Decides by the forecast whether a job that ends is accepted.
+    void admit_by_forecast(admission& decided, const step_job& job, time_point now);
+    /// Returns what an open job that runs once still needs.
+    [[nodiscard]] job_work get_remaining_work(const open_job& job, const job_record& record,
+                                              time_point now) const;
     /// Returns when a run of a job is last known to have worked: when the last one ended, or when a list last
     /// showed one that has not ended.
     [[nodiscard]] static time_point get_last_work(const open_job& job);
@@ -535,6 +546,8 @@
     pressure_model m_pressure;
     work_forecast m_forecast;
     long_running_quota m_long_running;
+    completion_forecast m_completion;
+    admission_policy m_admission{admission_policy_settings{}};
     learned_state m_learned{learned_state_settings{}};
     leader_load m_load;
     std::set<std::string> m_drained_pools;   ///< pools of which every live worker is in a drained data centre
--- a/poplarpitch/dispatch/dispatcher_admission.cpp
+++ b/poplarpitch/dispatch/dispatcher_admission.cpp
@@ -50,6 +50,9 @@
         return decided;
     }
     if (decided.wanted == 0) {
+        if (m_settings.decisions.refuse_late) {
+            admit_by_forecast(decided, job, now);
+        }
         return decided;
     }
     const auto& pool = job.queue.pool;
@@ -108,6 +111,9 @@
         }
     }
     measure_filling_backlog();
+    if (m_settings.decisions.refuse_late) {
+        update_forecast(now);
+    }
 }
 
 void dispatcher::measure_filling_backlog() {
--- a/poplarpitch/dispatch/dispatcher_reports.cpp
+++ b/poplarpitch/dispatch/dispatcher_reports.cpp
@@ -37,12 +37,18 @@
                       : record->phase == job_phase::failed  ? job_timing::kind::failed
                                                             : job_timing::kind::cancelled;
     m_timings.push_back({what, job.queue.name, total_time, total_time <= objective});
+    const auto expected = m_completion.take_expected(id);
+    if (expected.has_value() && record->phase == job_phase::completed) {
+        const auto error = *expected > total_time ? *expected - total_time : total_time - *expected;
+        m_timings.push_back({job_timing::kind::forecast_error, job.queue.name, error, false});
+    }
     log_event(log_level::info, "job_ended")
         .add("job", format_job_id(id))
         .add("queue", job.queue.name)
         .add("phase", get_phase_name(record->phase))
         .add("took_ms", to_milliseconds(total_time))
-        .add("objective_ms", to_milliseconds(objective));
+        .add("objective_ms", to_milliseconds(objective))
+        .add("expected_ms", expected.has_value() ? to_milliseconds(*expected) : -1);
 }
 
 /// Learning the factors takes ten seconds of tail latencies under interference, so they are committed for the
@@ -69,6 +75,8 @@
     m_learned.add(m_forecast, committed, wall_ms);
     m_learned.add(m_long_running, committed, wall_ms);
     m_learned.add(m_demand, committed, wall_ms);
+    m_learned.add(m_completion, committed, wall_ms);
+    m_learned.add(m_admission, committed, wall_ms);
     const auto records = m_learned.take_records();
     if (records.empty()) {
         return;
@@ -87,6 +95,8 @@
     const auto& committed = m_job_state.get_learned();
     m_learned.restore(m_forecast, committed, wall_ms);
     m_learned.restore(m_long_running, committed, wall_ms);
+    m_learned.restore(m_completion, committed, wall_ms);
+    m_learned.restore(m_admission, committed, wall_ms);
     if (m_learned.restore(m_demand, committed, wall_ms)) {
         m_measured_at = now;
     }
--- a/poplarpitch/dispatch/job_work.h
+++ b/poplarpitch/dispatch/job_work.h
@@ -9,8 +9,8 @@
 
 namespace poplarpitch {
 
-/// Room that jobs of one kind share: in one pool, filling tasks share what others leave, and the rest share whole
-/// cores.
+/// Room that jobs of one kind share: in one pool, filling tasks share what others leave, and the rest share
+/// whole cores.
 struct room_key {
     std::string pool;
     bool is_filling = false;
@@ -22,9 +22,9 @@
 struct job_work {
     job_id job = 0;
     room_key room;
-    int priority = 0;             ///< 0 is served first
-    double core_ms = 0;           ///< work of all tasks that are not done
-    std::int64_t path_ms = 0;     ///< remaining critical path
+    int priority = 0;              ///< 0 is served first
+    double core_ms = 0;            ///< work of all tasks that are not done
+    std::int64_t path_ms = 0;      ///< remaining critical path
     std::int64_t time_left_ms = 0; ///< until its objective passes
 
     friend auto operator<=>(const job_work&, const job_work&) = default;
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -167,6 +167,8 @@
             return "every data centre of the pool is drained";
         case admission::admission_outcome::overloaded:
             return "the leader is behind";
+        case admission::admission_outcome::completion_too_late:
+            return "the job would be completed too late";
         case admission::admission_outcome::admitted:
             break;
         }
@@ -183,6 +185,9 @@
             .add("wanted_millicores", decision.wanted)
             .add("reserved_millicores", decision.reserved)
             .add("allowed_millicores", decision.allowed)
+            .add("expected_ms", decision.expected.has_value() ? to_milliseconds(*decision.expected) : -1)
+            .add("objective_ms", to_milliseconds(decision.objective))
+            .add("promised", decision.was_promised ? "yes" : "no")
             .add("retry_after_ms", to_milliseconds(decision.retry_after));
         answer_retry_later(decision.retry_after, std::move(answer), on_answer);
     }
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -17,6 +17,8 @@
         return "failed";
     case job_timing::kind::cancelled:
         return "cancelled";
+    case job_timing::kind::forecast_error:
+        return "forecast_error";
     }
     return "unknown";
 }
@@ -78,6 +80,8 @@
     set("poplarpitch_data_centres_drained", parts.job_state.get_drained_data_centres().size());
     set("poplarpitch_jobs_known", parts.job_state.get_jobs().size());
     set("poplarpitch_workers", parts.dispatch.get_workers().size());
+    set("poplarpitch_jobs_refused_late_total", counts.refused_late);
+    set("poplarpitch_jobs_promised", counts.promised_jobs);
     set("poplarpitch_learned_bytes_total", counts.learned_bytes);
     set("poplarpitch_workers_slow", counts.slow_workers);
     set("poplarpitch_tasks_moved_total", counts.moved_from_slow, "worker_slow");
--- a/poplarpitch/scheduling/job_timing.h
+++ b/poplarpitch/scheduling/job_timing.h
@@ -15,6 +15,7 @@
         completed,   ///< from acceptance to the last end
         failed,
         cancelled,
+        forecast_error, ///< difference between the forecast and the measured time of a completed job
     };
     kind what = kind::first_start;
     std::string queue;
