--- /dev/null
+++ b/unit_tests/dispatch/completion_forecast_test.cpp
@@ -0,0 +1,116 @@
+// Forecasts of when a submitted job would be completed.
+#include "poplarpitch/dispatch/completion_forecast.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+const room_key filling{"mill", true};
+const room_key whole_cores{"mill", false};
+
+job_work make_job(job_id id, double core_ms, std::int64_t time_left_ms, int priority = 0) {
+    return {id, filling, priority, core_ms, 1000, time_left_ms};
+}
+
+/// A forecast that has measured a drain rate of 10 cores for 4 s.
+class completion_forecast_test : public ::testing::Test {
+protected:
+    completion_forecast_test() {
+        m_forecast.clear(m_now);
+        for (int round = 0; round < 8; ++round) {
+            pass(milliseconds{500}, 10, {});
+        }
+    }
+
+    /// Lets time pass in which the workers finish work at `cores` while tasks wait.
+    void pass(duration step, double cores, std::vector<job_work> open) {
+        m_now += step;
+        m_forecast.on_task_done(filling, cores * static_cast<double>(to_milliseconds(step)));
+        m_forecast.update(std::move(open), {filling}, m_now);
+    }
+
+    time_point m_now{seconds{100}};
+    completion_forecast m_forecast;
+};
+
+TEST_F(completion_forecast_test, measures_the_drain_rate_while_tasks_wait) {
+    EXPECT_NEAR(m_forecast.get_drain(filling), 10, 0.01);
+    EXPECT_EQ(m_forecast.get_drain(whole_cores), 0);
+}
+
+TEST_F(completion_forecast_test, adds_the_work_ahead_to_the_critical_path) {
+    pass(milliseconds{500}, 10, {make_job(1, 20'000, 3000)}); // 2 s of the room
+    const auto expected = m_forecast.forecast(make_job(2, 5000, 9000));
+    ASSERT_TRUE(expected.has_value());
+    EXPECT_NEAR(to_seconds(*expected), 3.0, 0.05);
+}
+
+/// A job that can be in time is served before one with more time left and before those that are late.
+TEST_F(completion_forecast_test, does_not_wait_for_jobs_that_are_served_later) {
+    auto late = make_job(1, 500'000, -2000);
+    auto later = make_job(2, 500'000, 60'000);
+    auto worse = make_job(3, 500'000, 2000, 1);
+    pass(milliseconds{500}, 10, {late, later, worse});
+    const auto expected = m_forecast.forecast(make_job(4, 5000, 9000));
+    ASSERT_TRUE(expected.has_value());
+    EXPECT_NEAR(to_seconds(*expected), 1.0, 0.05);
+}
+
+TEST_F(completion_forecast_test, waits_for_all_jobs_of_better_priority) {
+    pass(milliseconds{500}, 10, {make_job(1, 40'000, 60'000, 0)});
+    const auto expected = m_forecast.forecast(make_job(2, 5000, 9000, 1));
+    ASSERT_TRUE(expected.has_value());
+    EXPECT_NEAR(to_seconds(*expected), 5.0, 0.05);
+}
+
+/// Load pattern: arrivals that can be in time take the whole drain rate, and late jobs get nothing for as
+/// long as the overload lasts.
+TEST_F(completion_forecast_test, gives_a_late_job_no_end_while_arrivals_take_the_whole_drain_rate) {
+    job_id id = 10;
+    for (int round = 0; round < 12; ++round) {
+        m_forecast.on_accepted(make_job(id++, 12'000, 9000), {}); // 24 cores
+        pass(milliseconds{500}, 10, {make_job(1, 200'000, 5000)});
+    }
+    const auto expected = m_forecast.forecast(make_job(2, 5000, 9000));
+    ASSERT_TRUE(expected.has_value());
+    EXPECT_EQ(*expected, completion_forecast::unbounded);
+}
+
+TEST_F(completion_forecast_test, forecasts_nothing_while_no_task_waits) {
+    m_now += milliseconds{500};
+    m_forecast.update({}, {}, m_now);
+    EXPECT_FALSE(m_forecast.forecast(make_job(1, 5000, 9000)).has_value());
+}
+
+TEST(completion_forecast, forecasts_nothing_before_a_drain_rate_is_known) {
+    completion_forecast forecast;
+    forecast.clear(time_point{seconds{100}});
+    forecast.update({make_job(1, 1e9, 3000)}, {filling}, time_point{seconds{101}});
+    EXPECT_FALSE(forecast.forecast(make_job(2, 5000, 9000)).has_value());
+}
+
+TEST_F(completion_forecast_test, counts_accepted_jobs_before_the_next_update) {
+    m_forecast.on_accepted(make_job(1, 50'000, 3000), {});
+    const auto expected = m_forecast.forecast(make_job(2, 5000, 20'000));
+    ASSERT_TRUE(expected.has_value());
+    EXPECT_NEAR(to_seconds(*expected), 6.0, 0.05);
+}
+
+TEST_F(completion_forecast_test, the_next_leader_starts_with_the_drain_rate) {
+    completion_forecast next;
+    next.clear(m_now);
+    ASSERT_TRUE(next.load(m_forecast.save(0, 8192), 0));
+    EXPECT_EQ(next.get_drain(filling), 10);
+    EXPECT_FALSE(next.load("\xff\xff", 0));
+    EXPECT_EQ(next.get_drain(filling), 10) << "an unreadable record changes nothing";
+}
+
+TEST_F(completion_forecast_test, returns_the_forecast_of_a_job_once) {
+    m_forecast.on_accepted(make_job(1, 1, 3000), seconds{4});
+    EXPECT_EQ(m_forecast.take_expected(1), std::optional<duration>(seconds{4}));
+    EXPECT_FALSE(m_forecast.take_expected(1).has_value());
+}
+
+} // namespace
+} // namespace poplarpitch
--- /dev/null
+++ b/unit_tests/dispatch/worker_speed_test.cpp
@@ -0,0 +1,83 @@
+// Which workers count as slow compared with their pool.
+#include "poplarpitch/dispatch/worker_speed.h"
+
+#include <gtest/gtest.h>
+
+namespace poplarpitch {
+namespace {
+
+const worker_speed_settings settings;
+constexpr double median = 0.9;
+
+/// Adds two seconds of four runs at this speed, half a second each.
+void work(worker_speed& worker, double speed, time_point& now) {
+    for (int round = 0; round < 4; ++round) {
+        now += milliseconds{500};
+        worker.observe(speed * 2.0, 2.0, now);
+        static_cast<void>(worker.classify(median, settings, now));
+    }
+}
+
+TEST(worker_speed, finds_a_worker_that_is_seven_times_slower) {
+    time_point now{seconds{100}};
+    worker_speed worker;
+    work(worker, 1.0, now);
+    EXPECT_FALSE(worker.is_slow());
+    work(worker, 0.13, now);
+    EXPECT_TRUE(worker.is_slow());
+}
+
+TEST(worker_speed, does_not_take_a_worker_near_the_median_for_slow) {
+    time_point now{seconds{100}};
+    worker_speed worker;
+    work(worker, 0.6, now);
+    EXPECT_FALSE(worker.is_slow());
+}
+
+TEST(worker_speed, needs_more_evidence_than_one_short_run) {
+    const time_point now{seconds{100}};
+    worker_speed worker;
+    worker.observe(0.1, 0.8, now);
+    static_cast<void>(worker.classify(median, settings, now));
+    EXPECT_FALSE(worker.is_slow());
+}
+
+TEST(worker_speed, keeps_the_class_between_the_two_limits) {
+    time_point now{seconds{100}};
+    worker_speed slow;
+    work(slow, 0.13, now);
+    work(slow, 0.55, now);
+    EXPECT_TRUE(slow.is_slow());
+    work(slow, 0.9, now);
+    EXPECT_FALSE(slow.is_slow());
+    EXPECT_FALSE(slow.is_on_probation());
+}
+
+/// All tasks were moved away, so nothing shows whether the worker has recovered.
+TEST(worker_speed, puts_a_slow_worker_without_new_evidence_on_probation) {
+    time_point now{seconds{100}};
+    worker_speed worker;
+    work(worker, 0.13, now);
+    now += seconds{8};
+    EXPECT_TRUE(worker.classify(median, settings, now));
+    EXPECT_TRUE(worker.is_on_probation());
+    work(worker, 1.0, now);
+    EXPECT_FALSE(worker.is_on_probation());
+    EXPECT_FALSE(worker.is_slow());
+}
+
+TEST(worker_speed, a_pool_that_is_slow_as_a_whole_has_no_slow_workers) {
+    time_point now{seconds{100}};
+    worker_speed worker;
+    now += milliseconds{500};
+    worker.observe(0.4, 3.0, now);
+    EXPECT_FALSE(worker.classify(get_median_speed({0.13, 0.14, 0.13, 0.12, 0.13}, settings), settings, now));
+}
+
+TEST(worker_speed, a_small_pool_has_no_median) {
+    EXPECT_EQ(get_median_speed({1, 1, 1, 1}, settings), 0);
+    EXPECT_EQ(get_median_speed({1, 2, 3, 4, 5}, settings), 3);
+}
+
+} // namespace
+} // namespace poplarpitch
