--- a/poplarpitch/dispatch/dispatcher_speed.cpp
+++ b/poplarpitch/dispatch/dispatcher_speed.cpp
@@ -19,7 +19,8 @@
 constexpr double quiet_fill_share = 0.03; // of the worker; filling tasks below it do not explain a tail
 constexpr double new_run_time_s = 0.3;    // until a stopped task runs elsewhere, where there is room
 constexpr double min_gain = 1.3;          // a move must be expected to end this many times sooner
-constexpr std::size_t max_moves = 12; // of long-running tasks in one check, so that not all are away at once
+constexpr std::uint64_t max_moves =
+    12; // of long-running tasks in one check, so that not all are away at once
 
 /// Workers with room for long-running tasks that are about to be moved, less the room that is planned for.
 class destinations {
@@ -62,6 +63,27 @@
     return here > min_gain * elsewhere;
 }
 
+/// What one check did with the tasks on slow workers.
+struct slow_worker_moves {
+    std::uint64_t ending = 0;       ///< tasks that end, stopped to run elsewhere
+    std::uint64_t long_running = 0; ///< long-running tasks that do not meet their target
+    std::uint64_t moved = 0;        ///< those that were stopped
+    std::uint64_t over_budget = 0;  ///< those that had to stay, since others of their step are away
+    std::uint64_t without_room = 0; ///< those that had to stay, since no other worker has room
+    std::uint64_t postponed = 0;    ///< those that are left for the next check
+};
+
+void log_moves(const slow_worker_moves& moves, std::size_t slow) {
+    log_event(log_level::info, "slow_workers")
+        .add("workers", static_cast<std::uint64_t>(slow))
+        .add("ending_moved", moves.ending)
+        .add("long_running", moves.long_running)
+        .add("moved", moves.moved)
+        .add("over_budget", moves.over_budget)
+        .add("without_room", moves.without_room)
+        .add("postponed", moves.postponed);
+}
+
 bool is_movable(const run_track& track) {
     return track.stage == run_stage::running && !track.is_ending && !track.is_stop_wanted &&
            !track.get_spec().gang;
@@ -88,10 +110,13 @@
 }
 
 void dispatcher::observe_tails(worker_state& worker, time_point now) {
-    if (!m_settings.decisions.move_from_slow || worker.serving_runs == 0 ||
-        get_fill_share(worker) > quiet_fill_share) {
+    if (!m_settings.decisions.move_from_slow || worker.serving_runs == 0) {
         return;
     }
+    const bool has_quiet_fills = get_fill_share(worker) <= quiet_fill_share;
+    if (!has_quiet_fills && !is_unsound(worker)) {
+        return; // filling tasks may explain the tails
+    }
     for (const auto& [key, run] : worker.runs) {
         const auto& target_ms = run->get_spec().target_ms;
         if (run->get_spec().is_serving() && run->level > 0 && run->percent >= full_percent) {
@@ -143,37 +168,45 @@
 }
 
 void dispatcher::leave_slow(const std::vector<worker_state*>& slow, time_point now) {
+    if (slow.empty()) {
+        return;
+    }
     destinations room(m_workers.get_all(), now);
-    std::size_t moves = 0;
+    slow_worker_moves moves;
     for (auto* worker : slow) {
         for (const auto& [key, run] : worker->runs) {
             auto& track = *run;
-            const auto& spec = track.get_spec();
             if (!is_movable(track) || worker->is_draining) {
                 continue;
             }
-            if (!spec.long_running) {
+            if (!track.get_spec().long_running) {
                 if (would_end_sooner_elsewhere(track, get_expected_s(track), worker->speed.get_speed())) {
-                    ++m_counts.moved_from_slow;
+                    ++moves.ending;
                     stop_run(track, now);
                 }
                 continue;
             }
-            const bool is_served_well = spec.is_serving() && track.level <= spec.target_ms;
             const auto job = m_jobs.find(key.task.step.job);
-            if (is_served_well || moves >= max_moves || job == m_jobs.end() ||
-                !disruption_budget(job->second.runs).may_stop(track, now) ||
-                !room.take(track.job->queue.pool, get_need(spec))) {
+            const bool is_served_well =
+                track.get_spec().is_serving() && track.level <= track.get_spec().target_ms;
+            if (is_served_well || job == m_jobs.end()) {
                 continue;
             }
-            ++moves;
-            ++m_counts.moved_from_slow;
-            log_event line(log_level::info, "task_moved");
-            add_run(line, key);
-            add_worker(line, worker->report.incarnation).add("reason", "worker_slow");
-            stop_run(track, now);
+            ++moves.long_running;
+            if (!disruption_budget(job->second.runs).may_stop(track, now)) {
+                ++moves.over_budget;
+            } else if (moves.moved >= max_moves) {
+                ++moves.postponed;
+            } else if (!room.take(track.job->queue.pool, get_need(track.get_spec()))) {
+                ++moves.without_room;
+            } else {
+                ++moves.moved;
+                stop_run(track, now);
+            }
         }
     }
+    m_counts.moved_from_slow += moves.ending + moves.moved;
+    log_moves(moves, slow.size());
 }
 
 } // namespace poplarpitch
