--- a/poplarpitch/dispatch/worker_speed.cpp
+++ b/poplarpitch/dispatch/worker_speed.cpp
@@ -28,20 +28,33 @@
     return m_time_s * get_weight(now - m_observed_at, settings);
 }
 
+void worker_speed::observe_tail(bool is_slow, double took_s, time_point now) {
+    const auto weight = get_weight(now - m_tail_at, worker_speed_settings{});
+    m_slow_tail_s = m_slow_tail_s * weight + (is_slow ? took_s : 0);
+    m_sound_tail_s = m_sound_tail_s * weight + (is_slow ? 0 : took_s);
+    m_tail_at = now;
+}
+
 worker_speed::speed_state worker_speed::find_state(double median, const worker_speed_settings& settings,
                                                    time_point now) const {
     const auto evidence = get_evidence_s(settings, now);
-    if (evidence < negligible_evidence_s) {
-        return m_state == speed_state::sound ? speed_state::sound : speed_state::probation;
-    }
-    if (median <= 0 || evidence < settings.min_evidence_s) {
-        return m_state;
+    const auto tails = (m_slow_tail_s + m_sound_tail_s) * get_weight(now - m_tail_at, settings);
+    if (median > 0 && evidence >= settings.min_evidence_s) {
+        const auto share = get_speed() / median;
+        if (share < settings.slow_share) {
+            return speed_state::slow;
+        }
+        return share > settings.sound_share ? speed_state::sound : m_state;
     }
-    const auto share = get_speed() / median;
-    if (share < settings.slow_share) {
-        return speed_state::slow;
+    if (tails >= settings.min_tail_s) {
+        const auto slow_share = m_slow_tail_s / (m_slow_tail_s + m_sound_tail_s);
+        if (slow_share >= settings.clear_share) {
+            return speed_state::slow;
+        }
+        return slow_share <= 1 - settings.clear_share ? speed_state::sound : m_state;
     }
-    return share > settings.sound_share ? speed_state::sound : m_state;
+    const bool is_unknown = evidence < negligible_evidence_s && tails < negligible_evidence_s;
+    return is_unknown && m_state == speed_state::slow ? speed_state::probation : m_state;
 }
 
 bool worker_speed::classify(double median, const worker_speed_settings& settings, time_point now) {
