--- a/poplarpitch/dispatch/dispatcher_speed.cpp
+++ b/poplarpitch/dispatch/dispatcher_speed.cpp
@@ -13,9 +13,9 @@
 
 constexpr duration speed_interval = milliseconds{250}; // lists arrive every 350 ms to 1 s
 constexpr double full_percent = 100;
-// At its peak a serving task's own load brings the tail to this share of the target. A higher tail without
-// filling tasks beside it is the worker's fault.
-constexpr double peak_tail_share = 0.6;
+// Multiple of the target. At its peak a serving task's own load brings the tail to 0.6 of the target. A tail
+// that is three times higher without filling tasks beside it is the worker's fault.
+constexpr std::int64_t slow_tail_multiple = 2;
 constexpr double quiet_fill_share = 0.03; // of the worker; filling tasks below it do not explain a tail
 constexpr double new_run_time_s = 0.3;    // until a stopped task runs elsewhere, where there is room
 constexpr double min_gain = 1.3;          // a move must be expected to end this many times sooner
@@ -121,9 +121,8 @@
         const auto& target_ms = run->get_spec().target_ms;
         if (run->get_spec().is_serving() && run->level > 0 && run->percent >= full_percent) {
             const auto took = std::min(to_seconds(now - run->tail_at), 1.0);
-            const auto speed = std::min(
-                peak_tail_share * static_cast<double>(target_ms) / static_cast<double>(run->level), 1.0);
-            worker.speed.observe(speed * took, took, now);
+            const bool is_slow = run->level > slow_tail_multiple * target_ms;
+            worker.speed.observe_tail(is_slow, took, now);
         }
         run->tail_at = now;
     }
--- a/unit_tests/dispatch/worker_speed_test.cpp
+++ b/unit_tests/dispatch/worker_speed_test.cpp
@@ -74,6 +74,24 @@
     EXPECT_FALSE(worker.classify(get_median_speed({0.13, 0.14, 0.13, 0.12, 0.13}, settings), settings, now));
 }
 
+TEST(worker_speed, tail_latencies_decide_where_no_task_ends) {
+    time_point now{seconds{100}};
+    worker_speed worker;
+    for (int round = 0; round < 4; ++round) {
+        now += milliseconds{500};
+        worker.observe_tail(true, 0.5, now);
+        static_cast<void>(worker.classify(median, settings, now));
+    }
+    EXPECT_TRUE(worker.is_slow());
+    for (int round = 0; round < 10; ++round) {
+        now += milliseconds{500};
+        worker.observe_tail(false, 0.5, now);
+        static_cast<void>(worker.classify(median, settings, now));
+    }
+    EXPECT_FALSE(worker.is_slow()) << "the worker has recovered, and is used again";
+    EXPECT_FALSE(worker.is_on_probation());
+}
+
 TEST(worker_speed, a_small_pool_has_no_median) {
     EXPECT_EQ(get_median_speed({1, 1, 1, 1}, settings), 0);
     EXPECT_EQ(get_median_speed({1, 2, 3, 4, 5}, settings), 3);
