--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -8,7 +8,21 @@
 namespace poplarpitch {
 namespace {
 
-constexpr std::size_t max_learned_parts = 16; // bounds the snapshot, whatever a leader sends
+// Bounds on learned records in the snapshot, whatever leaders send.
+constexpr std::size_t max_learned_parts = 16;
+constexpr std::size_t max_learned_bytes = 65'536;
+
+std::size_t get_size(const learned_record& record) {
+    return record.part.size() + record.body.size();
+}
+
+std::size_t get_size(const std::vector<learned_record>& records) {
+    std::size_t bytes = 0;
+    for (const auto& record : records) {
+        bytes += get_size(record);
+    }
+    return bytes;
+}
 
 job_state_event make_job_event(job_state_event::kind what, job_id id) {
     job_state_event event;
@@ -391,7 +405,9 @@
     snapshot.set_fence_raises(m_fence_raises);
     snapshot.set_next_sequence(m_next_sequence);
     encode(m_pressure, *snapshot.mutable_pressure());
-    encode(m_learned, *snapshot.mutable_learned());
+    if (!m_learned.empty()) {
+        encode(m_learned, *snapshot.mutable_learned());
+    }
     return snapshot.SerializeAsString();
 }
 
@@ -415,16 +431,25 @@
     m_fence_raises = snapshot.fence_raises();
     m_next_sequence = snapshot.next_sequence();
     m_pressure = decode(snapshot.pressure());
-    m_learned = decode(snapshot.learned());
+    replace_learned(decode(snapshot.learned()));
     return true;
 }
 
 void job_state_machine::replace_learned(std::vector<learned_record> records) {
     for (auto& record : records) {
+        if (get_size(record) > max_learned_bytes) {
+            continue;
+        }
         std::erase_if(m_learned, [&](const learned_record& known) { return known.part == record.part; });
-        if (m_learned.size() < max_learned_parts) {
-            m_learned.push_back(std::move(record));
+        // The oldest records give way. They belong to parts that only another version of the program writes.
+        while (m_learned.size() >= max_learned_parts ||
+               get_size(m_learned) + get_size(record) > max_learned_bytes) {
+            m_learned.erase(std::min_element(m_learned.begin(), m_learned.end(),
+                                             [](const learned_record& left, const learned_record& right) {
+                                                 return left.written_ms < right.written_ms;
+                                             }));
         }
+        m_learned.push_back(std::move(record));
     }
 }
 
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -87,7 +87,7 @@
     void finish_task(job_record& record, const task_key& key, std::vector<job_state_event>& events);
     void end_job(job_record& record, job_phase phase, std::vector<job_state_event>& events);
     void drop_idle_tasks(job_record& record);
-    /// Replaces the records of the parts that are named.
+    /// Replaces the records of the parts that are named, within the bounds on all records.
     void replace_learned(std::vector<learned_record> records);
 
     job_configuration m_configuration;
