Fix what loading and saving learned state did with odd values, and test a new leader

Causes: smoothed values changed in every round, so an idle leader wrote records without end; the age of a record with a damaged time overflowed, and so did predictions from sums that no steps can have; a record of an unknown part was dropped without a log line; after the wall clock was set back a caller was told to wait for as long as the clock had moved; the quota and the drain rates kept what an earlier load had brought; a part that learned nothing wrote an empty record. Saved values are rounded, loads leave out what cannot be, and learned_restored names unknown parts.

--- a/poplarpitch/dispatch/admission_policy.cpp
+++ b/poplarpitch/dispatch/admission_policy.cpp
@@ -13,9 +13,14 @@
     m_queues.clear();
 }
 
+bool admission_policy::is_current(std::int64_t due_ms, std::int64_t wall_ms) const {
+    return due_ms >= wall_ms - to_milliseconds(m_settings.promise_lifetime) &&
+           due_ms <= wall_ms + to_milliseconds(m_settings.max_retry_after);
+}
+
 void admission_policy::drop_expired(std::int64_t wall_ms) {
-    const auto lifetime_ms = to_milliseconds(m_settings.promise_lifetime);
-    std::erase_if(m_promises, [&](const auto& item) { return item.second.due_ms + lifetime_ms < wall_ms; });
+    // A promise due later than any that is given now dates from before the clock was set back.
+    std::erase_if(m_promises, [&](const auto& item) { return !is_current(item.second.due_ms, wall_ms); });
 }
 
 double admission_policy::get_promised_core_ms(const room_key& room) const {
@@ -126,11 +131,10 @@
     if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
         return false;
     }
-    const auto latest_ms = wall_ms + to_milliseconds(m_settings.max_retry_after);
     m_promises.clear();
     for (const auto& item : message.promises()) {
         const bool is_valid =
-            std::isfinite(item.core_ms()) && item.core_ms() >= 0 && item.due_ms() <= latest_ms;
+            std::isfinite(item.core_ms()) && item.core_ms() >= 0 && is_current(item.due_ms(), wall_ms);
         if (is_valid && m_promises.size() < m_settings.max_promises) {
             m_promises[item.job()] = {{item.pool(), item.is_filling()}, item.due_ms(), item.core_ms()};
         }
--- a/poplarpitch/dispatch/admission_policy.h
+++ b/poplarpitch/dispatch/admission_policy.h
@@ -65,6 +65,8 @@
         std::optional<time_point> sound_since; ///< while refusing: since when forecasts are well within it
     };
 
+    /// Returns true for a promise that has not expired and can have been given by this clock.
+    [[nodiscard]] bool is_current(std::int64_t due_ms, std::int64_t wall_ms) const;
     void drop_expired(std::int64_t wall_ms);
     [[nodiscard]] double get_promised_core_ms(const room_key& room) const;
     /// Updates the hysteresis. Returns true when a job with this forecast, as a share of its limit, is
--- a/poplarpitch/dispatch/completion_forecast.cpp
+++ b/poplarpitch/dispatch/completion_forecast.cpp
@@ -157,6 +157,10 @@
     if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
         return false;
     }
+    for (auto& [room, flow] : m_flows) {
+        flow.drain_cores = 0;
+        flow.samples = 0;
+    }
     for (const auto& item : message.drains()) {
         if (std::isfinite(item.cores()) && item.cores() > 0) {
             auto& flow = m_flows[{item.pool(), item.is_filling()}];
--- a/poplarpitch/dispatch/demand_levels.cpp
+++ b/poplarpitch/dispatch/demand_levels.cpp
@@ -5,10 +5,17 @@
 #include <cmath>
 
 namespace poplarpitch {
+namespace {
+
+// Levels are saved in steps of a thousandth: a smoothed level approaches zero without end, and each further
+// digit of it would be one more record of an idle leader.
+constexpr double saved_steps = 1000;
+
+} // namespace
 
 std::string demand_levels::save(std::int64_t /*wall_ms*/, std::size_t /*max_bytes*/) const {
     job_wire::learned_demand message;
-    message.set_filling_backlog(filling_backlog);
+    message.set_filling_backlog(std::round(filling_backlog * saved_steps) / saved_steps);
     message.set_short_task_millicores(std::round(short_task_millicores));
     return message.SerializeAsString();
 }
--- a/poplarpitch/dispatch/dispatcher_reports.cpp
+++ b/poplarpitch/dispatch/dispatcher_reports.cpp
@@ -100,6 +100,10 @@
     if (m_learned.restore(m_demand, committed, wall_ms)) {
         m_measured_at = now;
     }
+    learned_state::log_unknown({work_forecast::part_name, long_running_quota::part_name,
+                                completion_forecast::part_name, admission_policy::part_name,
+                                demand_levels::part_name},
+                               committed, wall_ms);
 }
 
 void dispatcher::report_load(time_point now) {
--- a/poplarpitch/dispatch/duration_model.h
+++ b/poplarpitch/dispatch/duration_model.h
@@ -28,7 +28,7 @@
     [[nodiscard]] std::int64_t predict(const std::string& queue, std::int64_t estimate_ms) const;
     /// Adds the sums of each queue to a message, those with the most observations first.
     void save(job_wire::learned_durations& message) const;
-    /// Replaces all observations. Queues whose sums are not finite are left out.
+    /// Replaces all observations. Queues whose sums no steps can have are left out.
     void load(const job_wire::learned_durations& message);
     /// Removes all observations.
     void clear() { m_queues.clear(); }
@@ -41,6 +41,9 @@
         double xx = 0;
         double y = 0;
         double xy = 0;
+
+        /// Returns true when steps can have these sums.
+        [[nodiscard]] bool is_plausible() const;
     };
 
     absl::flat_hash_map<std::string, sums> m_queues;
--- a/poplarpitch/dispatch/learned_state.cpp
+++ b/poplarpitch/dispatch/learned_state.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t record_overhead_bytes = 64; // name, version, time and the log entry's own fields
+// Bounds the logged age. The time of a damaged record can be any number, and the difference would overflow.
+constexpr std::int64_t max_logged_age_ms = 1'000'000'000'000;
 
 const learned_record* find(std::string_view part, const std::vector<learned_record>& records) {
     const auto found = std::find_if(records.begin(), records.end(),
@@ -44,6 +46,9 @@
             .add("bytes", static_cast<std::uint64_t>(record.body.size()));
         return;
     }
+    if (known == nullptr && record.body.empty()) {
+        return; // without a record a part starts from nothing as well
+    }
     if (known == nullptr || known->version != record.version || known->body != record.body) {
         m_round.push_back(std::move(record));
     }
@@ -69,9 +74,9 @@
     if (record == nullptr) {
         return nullptr;
     }
-    const auto age_ms = wall_ms - record->written_ms;
     const auto max_age_ms = to_milliseconds(m_settings.max_age);
-    const bool is_recent = age_ms <= max_age_ms && age_ms >= -max_age_ms; // clocks of two instances differ
+    const bool is_recent = record->written_ms >= wall_ms - max_age_ms &&
+                           record->written_ms <= wall_ms + max_age_ms; // clocks of two instances differ
     if (record->version != version || !is_recent) {
         log_restored(*record, is_recent ? "other_version" : "too_old", wall_ms);
         return nullptr;
@@ -79,12 +84,23 @@
     return record;
 }
 
+void learned_state::log_unknown(const std::vector<std::string_view>& known,
+                                const std::vector<learned_record>& committed, std::int64_t wall_ms) {
+    for (const auto& record : committed) {
+        if (std::find(known.begin(), known.end(), record.part) == known.end()) {
+            log_restored(record, "unknown_part", wall_ms);
+        }
+    }
+}
+
 void learned_state::log_restored(const learned_record& record, const char* result, std::int64_t wall_ms) {
+    const auto written_ms =
+        std::clamp(record.written_ms, wall_ms - max_logged_age_ms, wall_ms + max_logged_age_ms);
     log_event(log_level::info, "learned_restored")
         .add("part", record.part)
         .add("version", static_cast<std::uint64_t>(record.version))
         .add("bytes", static_cast<std::uint64_t>(record.body.size()))
-        .add("age_ms", wall_ms - record.written_ms)
+        .add("age_ms", wall_ms - written_ms)
         .add("result", result);
 }
 
--- a/poplarpitch/dispatch/learned_state.h
+++ b/poplarpitch/dispatch/learned_state.h
@@ -5,6 +5,7 @@
 #include "poplarpitch/dispatch/learned_state_settings.h"
 #include "poplarpitch/scheduling/learned_record.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,10 @@
         return is_loaded;
     }
 
+    /// Logs the committed records of parts other than those named. Nothing loads them.
+    static void log_unknown(const std::vector<std::string_view>& known,
+                            const std::vector<learned_record>& committed, std::int64_t wall_ms);
+
 private:
     void add(learned_record record, const std::vector<learned_record>& committed);
     [[nodiscard]] const learned_record* find_usable(std::string_view part, std::uint32_t version,
--- a/poplarpitch/dispatch/long_running_quota.cpp
+++ b/poplarpitch/dispatch/long_running_quota.cpp
@@ -128,7 +128,7 @@
         }
         auto& item = *message.add_pools();
         item.set_pool(pool);
-        item.set_peak_demand(state.peak_demand);
+        item.set_peak_demand(std::round(state.peak_demand)); // a decaying peak would change without end
         item.set_observed_for_ms(std::min(to_milliseconds(state.observed_at - state.first_observed),
                                           to_milliseconds(learning_time)));
     }
@@ -143,6 +143,7 @@
     if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
         return false;
     }
+    m_former.clear();
     for (const auto& item : message.pools()) {
         if (std::isfinite(item.peak_demand()) && item.peak_demand() >= 0 && item.observed_for_ms() >= 0) {
             const auto observed = std::min<duration>(milliseconds{item.observed_for_ms()}, learning_time);
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-dispatch_world::dispatch_world() : scheduler(dispatch_settings{}, job_state) {
+dispatch_world::dispatch_world(const dispatch_settings& settings) : scheduler(settings, job_state) {
     start_leading();
 }
 
@@ -39,6 +39,7 @@
             return;
         }
         for (const auto& command : commands) {
+            m_learned_commands += command.has_learned() ? 1 : 0;
             std::vector<job_state_event> events;
             job_state.apply(command, events);
             for (const auto& event : events) {
@@ -49,6 +50,11 @@
     ADD_FAILURE() << "the dispatcher failed to become idle";
 }
 
+std::vector<job_wire::job_command> dispatch_world::tick_without_commit() {
+    scheduler.tick(now, wall_ms);
+    return scheduler.take_commands();
+}
+
 void dispatch_world::advance(duration length) {
     now += length;
     wall_ms += to_milliseconds(length);
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -15,7 +15,7 @@
 /// the orders for the test to answer, so that the test can inject a fault between any two steps.
 class dispatch_world {
 public:
-    dispatch_world();
+    explicit dispatch_world(const dispatch_settings& settings = {});
 
     /// Advances the clock in one step, then runs the dispatcher until it is idle.
     void advance(duration step);
@@ -23,6 +23,10 @@
     void run_until_idle();
     /// Makes the dispatcher lead in the next term, without its former soft state.
     void start_leading();
+    /// Ticks the dispatcher once and drops its commands, as when their batch is not committed. Returns them.
+    std::vector<job_wire::job_command> tick_without_commit();
+    /// Returns the commands committed so far that record learned state.
+    [[nodiscard]] std::size_t count_learned_commands() const { return m_learned_commands; }
     /// Registers a worker: sends a heartbeat and answers the first hold with an empty list.
     void add_worker(const std::string& id, const worker_amounts& capacity = {64000, 256000, 0},
                     const std::string& rack = "r1", const std::string& data_centre = {});
@@ -101,6 +105,7 @@
     std::vector<worker_order> m_orders;
     std::map<std::string, worker_report> m_reports;
     job_id m_next_job = 1;
+    std::size_t m_learned_commands = 0;
 };
 
 } // namespace poplarpitch
