--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -22,6 +22,23 @@
 // hold before they have reported.
 constexpr duration announce_timeout = milliseconds{400};
 
+/// Returns when an ending run is last known to have run, or the default if it never did. A run on a worker
+/// that became unreachable is known to have existed only up to the worker's last list.
+time_point get_worked_until(const run_track& track, run_end end, time_point now) {
+    const bool has_run = track.confirmed_at != time_point{} || end == run_end::done || end == run_end::failed;
+    if (!has_run) {
+        return {};
+    }
+    return end == run_end::lost ? track.listed_at : now;
+}
+
+/// Returns since when the task of an ending run has not run. A run that was not confirmed may never have
+/// existed.
+time_point get_task_idle_since(const run_track& track, run_end end, time_point now) {
+    const bool has_run = track.confirmed_at != time_point{};
+    return has_run ? get_worked_until(track, end, now) : track.idle_since;
+}
+
 } // namespace
 
 dispatcher::dispatcher(const dispatch_settings& settings, const job_state_machine& job_state)
@@ -302,7 +319,7 @@
     if (ended == nullptr) {
         return;
     }
-    const auto idle_since = get_idle_since(*ended, event.end, now);
+    const auto idle_since = get_task_idle_since(*ended, event.end, now);
     record_run_time(*ended, event.end, now);
     log_run_ended(*ended, event.end, m_term, now);
     drop_track(event.run, get_worked_until(*ended, event.end, now));
@@ -332,21 +349,6 @@
     }
 }
 
-/// A run on a worker that became unreachable is known to have existed only up to the worker's last list, and
-/// a run that was not confirmed may never have existed.
-time_point dispatcher::get_idle_since(const run_track& track, run_end end, time_point now) {
-    const bool has_run = track.confirmed_at != time_point{};
-    return has_run ? get_worked_until(track, end, now) : track.idle_since;
-}
-
-time_point dispatcher::get_worked_until(const run_track& track, run_end end, time_point now) {
-    const bool has_run = track.confirmed_at != time_point{} || end == run_end::done || end == run_end::failed;
-    if (!has_run) {
-        return {};
-    }
-    return end == run_end::lost ? track.listed_at : now;
-}
-
 void dispatcher::record_run_time(const run_track& track, run_end end, time_point now) {
     if (!track.has_known_start || track.get_spec().long_running) {
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -49,8 +49,6 @@
 
 namespace poplarpitch {
 
-class log_event;
-
 /// Decides for the leader which task runs on which worker, and tracks every run until it has ended.
 ///
 /// The class sends and stores nothing itself. Its inputs are heartbeats, answers, committed events and time,
@@ -239,10 +237,6 @@
     void record_first_start(job_id id, time_point now);
     void record_job_end(job_id id, time_point now);
     void on_run_ended(const job_state_event& event, time_point now);
-    /// Returns since when the task of an ending run has not run.
-    [[nodiscard]] static time_point get_idle_since(const run_track& track, run_end end, time_point now);
-    /// Returns when an ending run is last known to have run, or the default if it never did.
-    [[nodiscard]] static time_point get_worked_until(const run_track& track, run_end end, time_point now);
     /// Adds the duration of an ending run to the forecast.
     void record_run_time(const run_track& track, run_end end, time_point now);
     /// Adds the work of a task that is done to the drain rate.
@@ -294,9 +288,6 @@
     void schedule_order(const run_track& track);
     /// Records that the last start of a run may be executed although it has no answer.
     void expect_late_start(run_track& track) const;
-    /// Returns true while a start of the run may reach the next incarnation of its worker, if that restarts
-    /// now. The run must not end before, since its task would be started elsewhere.
-    [[nodiscard]] static bool must_not_end_yet(const run_track& track, time_point now);
     /// Allows the task of a run that has not started to be placed elsewhere.
     void return_to_queue(run_track& track, time_point now);
     void on_start_refused(run_track& track, order_failure failure, time_point now);
@@ -352,7 +343,6 @@
     /// Returns the time until which a run may exist on an unreachable worker.
     [[nodiscard]] time_point get_lease_end(const run_track& track) const;
     void on_worker_lost(worker_state& worker, end_reason reason, time_point now);
-    static void add_loss_fields(log_event& line, const run_track& track, time_point now);
     void evacuate(worker_state& worker, time_point now);
     void check_workers(time_point now);
     /// Returns true when the worker's state may be removed.
@@ -389,9 +379,6 @@
     void check_clock_reset(worker_state& worker, std::int64_t clock_ms, time_point sent, time_point now);
 
     // tasks that crash their workers
-    /// Returns the maximum age of the run when its worker stopped answering, or nothing while that is
-    /// unknown.
-    [[nodiscard]] static std::optional<duration> get_age_at_loss(const run_track& track, time_point now);
     /// Returns what the loss of its worker says about a run, if the worker crashed.
     [[nodiscard]] run_loss assess_loss(const run_track& track, time_point now) const;
     [[nodiscard]] crash_evidence compare_with_neighbours(const run_track& track,
--- a/poplarpitch/dispatch/dispatcher_copies.cpp
+++ b/poplarpitch/dispatch/dispatcher_copies.cpp
@@ -1,6 +1,7 @@
 // Copies: second runs of slow tasks whose callers allow them.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/age_at_loss.h"
 #include "poplarpitch/dispatch/copy_need.h"
 #include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/telemetry/log_event.h"
--- a/poplarpitch/dispatch/dispatcher_crashes.cpp
+++ b/poplarpitch/dispatch/dispatcher_crashes.cpp
@@ -1,6 +1,7 @@
 // Tasks that may have crashed their workers: what a loss says about each run, and how suspects are treated.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/age_at_loss.h"
 #include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/telemetry/log_event.h"
@@ -60,16 +61,6 @@
 
 } // namespace
 
-std::optional<duration> dispatcher::get_age_at_loss(const run_track& track, time_point now) {
-    if (track.stage == run_stage::adopting) {
-        return std::nullopt; // an earlier leader started it
-    }
-    const auto& worker = *track.host;
-    const auto begin = track.confirmed_at == time_point{} ? track.assigned_at : track.confirmed_at;
-    const auto end = worker.hold_failures > 0 ? worker.failing_since : now;
-    return std::max(end - begin, duration{0});
-}
-
 /// A draining worker has not crashed, whatever happened to it. A worker that became unreachable may have
 /// crashed at any time since then, or its runs may have ended. A confirmed run certainly existed at the crash
 /// only if the last connection broke, as it does when the process ends, and if no end can have been missed.
--- a/poplarpitch/dispatch/dispatcher_losses.cpp
+++ b/poplarpitch/dispatch/dispatcher_losses.cpp
@@ -1,6 +1,7 @@
 // Workers that leave, become silent or are lost: when each is checked, and what becomes of its runs.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/dispatch/age_at_loss.h"
 #include "poplarpitch/dispatch/run_log.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -16,6 +17,17 @@
     milliseconds{20};                               // between checks of a draining worker that still has runs
 constexpr duration leave_slack = milliseconds{300}; // before a draining worker's deadline
 
+/// Adds the age of the run and the number of runs on the worker. They help to distinguish a task that
+/// crashes its worker from one that only ran on the same worker, and a crash from a network failure.
+void add_loss_fields(log_event& line, const run_track& track, time_point now) {
+    add_run(line, track.key);
+    add_worker(line, track.host->report.incarnation);
+    if (const auto age = get_age_at_loss(track, now); age.has_value()) {
+        line.add("age_ms", to_milliseconds(*age));
+    }
+    line.add("runs", static_cast<std::uint64_t>(track.host->runs.size()));
+}
+
 } // namespace
 
 void dispatcher::check_workers(time_point now) {
@@ -38,17 +50,6 @@
     return is_idle && (worker.is_lost || has_no_heartbeats) && !worker.is_hold_pending;
 }
 
-/// Adds the age of the run and the number of runs on the worker. They help to distinguish a task that
-/// crashes its worker from one that only ran on the same worker, and a crash from a network failure.
-void dispatcher::add_loss_fields(log_event& line, const run_track& track, time_point now) {
-    add_run(line, track.key);
-    add_worker(line, track.host->report.incarnation);
-    if (const auto age = get_age_at_loss(track, now); age.has_value()) {
-        line.add("age_ms", to_milliseconds(*age));
-    }
-    line.add("runs", static_cast<std::uint64_t>(track.host->runs.size()));
-}
-
 void dispatcher::mark_lost(worker_state& worker, const char* reason, time_point now) {
     worker.is_lost = true;
     worker.awaits_fence = false;
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -37,6 +37,13 @@
     return outcome.failure;
 }
 
+/// Returns true while a start of the run may reach the next incarnation of its worker, if that restarts now.
+/// The run must not end before, since its task would be started elsewhere.
+bool must_not_end_yet(const run_track& track, time_point now) {
+    const bool may_restart = track.host->report.incarnation.process_start_ms != 0;
+    return may_restart && now < track.late_start_until && !track.is_ending;
+}
+
 } // namespace
 
 void dispatcher::schedule_hold(worker_state& worker, time_point when) {
@@ -419,11 +426,6 @@
     return true;
 }
 
-bool dispatcher::must_not_end_yet(const run_track& track, time_point now) {
-    const bool may_restart = track.host->report.incarnation.process_start_ms != 0;
-    return may_restart && now < track.late_start_until && !track.is_ending;
-}
-
 /// Only workers that report start times have incarnations that a new leader has to tell apart. A start that
 /// an earlier leader sent may be unanswered, so only a run that this leader started can be confirmed.
 void dispatcher::propose_confirmation(run_track& track) {
