--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -54,6 +54,8 @@
     void configure_pool(bool enforces_capacity);
     /// Commits an operator's order that nothing starts in a data centre, or its withdrawal.
     void drain(const std::string& data_centre, bool undo = false);
+    /// Commits a command.
+    void commit(const job_wire::job_command& command);
     /// Cancels a job.
     void cancel(job_id id);
 
@@ -97,7 +99,6 @@
 
 private:
     job_id submit_job(step_job job);
-    void commit(const job_wire::job_command& command);
     void register_worker(worker_report report);
     void end_process(const std::string& id);
     void collect();
