Judge a worker's speed by several steps, and move tasks only to known room

A single uneven task or a step with a wrong forecast made a worker count as slow, tail latencies were not compared with the pool, tasks were stopped without room elsewhere, and a worker on probation received several tasks in one pass or, beside a long-running task without a target, none. Evidence is kept by step and must hold without the slowest one. Paced, crowded and resumed runs and coarse progress are left out.

Run: worker_speed, disruption_budget, placement, dispatcher_copy pass. Of dispatcher_speed three tests fail (places_new_tasks_elsewhere, moves_tasks_that_end_sooner, uses_a_recovered_worker); they are being examined.

--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -183,6 +183,14 @@
             return job->steps[key.step].millicores * static_cast<std::int64_t>(waiting.size());
         }
     };
+    /// Room for the runs that one check moves away from slow workers.
+    struct move_plan {
+        std::map<std::string, std::vector<worker_state*>> targets; ///< by pool; the last one found is first
+        std::map<const worker_state*, worker_amounts> planned;     ///< reservations of the planned runs
+        std::map<const worker_state*, std::int64_t> filling;       ///< millicores of the planned filling runs
+        std::set<step_key> refused;                                ///< steps without room
+        std::uint64_t searches_left = 0;
+    };
     /// State of one pass over the waiting tasks.
     struct placing_pass {
         time_point now{};
@@ -447,13 +455,15 @@
     // workers that are slow compared with their pool
     /// Returns how long the run is forecast to take in all, in seconds.
     [[nodiscard]] double get_expected_s(const run_track& track) const;
-    /// Adds the progress of a run since it was last listed to its worker's speed.
-    void observe_progress(run_track& track, std::int64_t percent, time_point now);
-    /// Adds tail latencies that no filling task explains to the worker's speed.
-    void observe_tails(worker_state& worker, time_point now);
+    /// Adds the progress of a run that was listed, or has ended as done, to its worker's speed.
+    void observe_progress(run_track& track, std::int64_t percent, bool has_ended, time_point now);
+    /// Finds slow workers and moves tasks away from them.
     void check_speeds(time_point now);
-    /// Moves tasks away from slow workers.
     void leave_slow(const std::vector<worker_state*>& slow, time_point now);
+    /// Returns true when a sound worker has room for a run besides what is planned there, and plans for it.
+    bool plan_move(const run_track& track, move_plan& plan, time_point now);
+    /// Returns true when the run's worker is slow and the run would end sooner elsewhere.
+    [[nodiscard]] bool should_leave(const run_track& track) const;
 
     // interference of filling tasks with serving ones
     void refresh_pressure(worker_state& worker);
@@ -566,7 +576,10 @@
     time_point m_next_audit{};
     time_point m_next_waits{}; ///< of the report of long waits
     time_point m_next_pressure_save{};
-    time_point m_next_speeds{}; ///< of the check for slow workers
+    worker_speed_settings m_speed_settings;
+    time_point m_next_speeds{};    ///< of the check for slow workers
+    time_point m_next_speed_log{}; ///< of the report on slow workers
+    time_point m_speeds_since{};   ///< of the first check by this leader
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_copies.cpp
+++ b/poplarpitch/dispatch/dispatcher_copies.cpp
@@ -28,7 +28,7 @@
                            (track.host->hold_failures > 0 && get_age_at_loss(track, now) <= suspicious_age);
     const auto* task = m_job_state.find_task(track.key.task);
     return !may_crash && task != nullptr && task->runs.size() <= max_copies &&
-           needs_copy({now - track.confirmed_at, track.percent, spec.estimate_ms});
+           (should_leave(track) || needs_copy({now - track.confirmed_at, track.percent, spec.estimate_ms}));
 }
 
 /// Starts copies only while no task waits, since a copy discards the work of the slower run.
--- a/poplarpitch/dispatch/dispatcher_pressure.cpp
+++ b/poplarpitch/dispatch/dispatcher_pressure.cpp
@@ -281,6 +281,7 @@
     }
     static_cast<void>(now);
     track->is_pace_pending = false;
+    track->is_pace_known = !answer.failure.has_value();
     if (!answer.failure.has_value()) {
         track->pace = percent;
     }
--- a/poplarpitch/dispatch/dispatcher_speed.cpp
+++ b/poplarpitch/dispatch/dispatcher_speed.cpp
@@ -11,56 +11,136 @@
 namespace poplarpitch {
 namespace {
 
-constexpr duration speed_interval = milliseconds{250}; // lists arrive every 350 ms to 1 s
-constexpr double full_percent = 100;
-// Multiple of the target. At its peak a serving task's own load brings the tail to 0.6 of the target. A tail
-// that is three times higher without filling tasks beside it is the worker's fault.
-constexpr std::int64_t slow_tail_multiple = 2;
-constexpr double quiet_fill_share = 0.03; // of the worker; filling tasks below it do not explain a tail
-constexpr double new_run_time_s = 0.3;    // until a stopped task runs elsewhere, where there is room
-constexpr double min_gain = 1.3;          // a move must be expected to end this many times sooner
-constexpr std::uint64_t max_moves =
-    12; // of long-running tasks in one check, so that not all are away at once
-
-/// Workers with room for long-running tasks that are about to be moved, less the room that is planned for.
-class destinations {
-public:
-    destinations(const std::vector<worker_state*>& workers, time_point now) {
-        for (const auto* worker : workers) {
-            if (is_usable(*worker, now)) {
-                m_free.emplace_back(worker->report.pool, worker->get_free());
-            }
-        }
+constexpr std::int64_t full_percent = 100;
+// Share of a run's forecast time after which its progress is considered: progress is reported in whole
+// percent, so a shorter time shows mostly rounding.
+constexpr double min_progress_share = 0.1;
+// Multiple of the forecast after which a run without any progress counts. Some workers report no progress;
+// their runs count when they end.
+constexpr double max_silent_multiple = 2;
+constexpr double max_tail_span_s = 1; // time that one list's tail latencies stand for, at most
+constexpr duration max_list_age = seconds{2};
+constexpr std::size_t max_speed_lines = 20;        // in one check
+constexpr duration move_log_interval = seconds{1}; // of checks that move nothing
+
+/// Numbers of slow and of all tail latencies of a group of serving tasks or of workers.
+struct tail_tally {
+    std::size_t slow = 0;
+    std::size_t all = 0;
+};
+
+bool is_tail_slow(const run_track& track, const worker_speed_settings& settings) {
+    return track.level > settings.slow_tail_multiple * track.get_spec().target_ms;
+}
+
+bool has_tail(const run_track& track) {
+    return track.get_spec().is_serving() && track.stage == run_stage::running && track.level > 0 &&
+           track.percent >= full_percent;
+}
+
+/// Returns true when filling tasks cannot explain the worker's tail latencies.
+bool has_unexplained_tails(const worker_state& worker, bool is_unsound,
+                           const worker_speed_settings& settings) {
+    double share = 0;
+    for (const auto& item : worker.fill_shares) {
+        share += item.share;
     }
-    /// Plans a task and returns true when there is room for it.
-    bool take(const std::string& pool, const worker_amounts& need) {
-        for (auto& [name, free] : m_free) {
-            if (name == pool && free.holds(need)) {
-                free = free - need;
-                return true;
+    return share <= settings.quiet_fill_share || is_unsound;
+}
+
+/// Counts the serving tasks by step. A step whose tasks are nearly all slow suffers from its own load.
+std::map<step_key, tail_tally> tally_steps(const std::vector<worker_state*>& workers,
+                                           const worker_speed_settings& settings, time_point now) {
+    std::map<step_key, tail_tally> tallies;
+    for (const auto* worker : workers) {
+        if (worker->serving_runs == 0 || now - worker->listed_at > max_list_age) {
+            continue;
+        }
+        for (const auto& [key, run] : worker->runs) {
+            if (has_tail(*run)) {
+                auto& tally = tallies[key.task.step];
+                tally.slow += is_tail_slow(*run, settings) ? 1 : 0;
+                ++tally.all;
             }
         }
-        return false;
     }
+    return tallies;
+}
 
-private:
-    std::vector<std::pair<std::string, worker_amounts>> m_free;
+/// Returns true when the tails of other tasks of the step show whether the worker or the step is at fault.
+bool is_comparable(const tail_tally& step) {
+    return step.all >= 2 && step.slow * 4 <= step.all * 3;
+}
+
+/// A worker's tail latencies that say something about its speed.
+struct worker_tails {
+    worker_state* worker;
+    bool is_slow;
 };
 
-double get_fill_share(const worker_state& worker) {
-    double share = 0;
-    for (const auto& item : worker.fill_shares) {
-        share += item.share;
+/// Returns the workers with new tail latencies that other tasks do not explain. Leaves out the pools in which
+/// most workers have slow ones: the pool is slow as a whole.
+std::vector<worker_tails> find_tails(const std::vector<worker_state*>& workers,
+                                     const std::set<const worker_state*>& unsound,
+                                     const worker_speed_settings& settings, time_point now) {
+    const auto steps = tally_steps(workers, settings, now);
+    std::map<std::string, tail_tally> pools;
+    std::vector<worker_tails> found;
+    for (auto* worker : workers) {
+        const bool is_current = worker->serving_runs > 0 && now - worker->listed_at <= max_list_age;
+        if (!is_current || !has_unexplained_tails(*worker, unsound.contains(worker), settings)) {
+            continue;
+        }
+        tail_tally tally;
+        for (const auto& [key, run] : worker->runs) {
+            if (has_tail(*run) && is_comparable(steps.at(key.task.step))) {
+                tally.slow += is_tail_slow(*run, settings) ? 1 : 0;
+                ++tally.all;
+            }
+        }
+        if (tally.all > 0) {
+            const bool is_slow = tally.slow * 2 > tally.all;
+            auto& pool = pools[worker->report.pool];
+            pool.slow += is_slow ? 1 : 0;
+            ++pool.all;
+            found.push_back({worker, is_slow});
+        }
+    }
+    std::erase_if(found, [&](const worker_tails& item) {
+        const auto& pool = pools.at(item.worker->report.pool);
+        return pool.all < settings.min_pool || pool.slow * 2 > pool.all ||
+               item.worker->listed_at <= item.worker->tails_at;
+    });
+    return found;
+}
+
+/// Adds the tail latencies since the last list to the speeds.
+void observe_tails(const std::vector<worker_state*>& workers, const std::vector<worker_tails>& tails,
+                   const worker_speed_settings& settings, time_point now) {
+    for (const auto& [worker, is_slow] : tails) {
+        const bool has_before = worker->tails_at != time_point{};
+        const auto span = has_before ? to_seconds(worker->listed_at - worker->tails_at) : 0;
+        worker->speed.observe_tail(is_slow, std::min(span, max_tail_span_s), settings, now);
+    }
+    for (auto* worker : workers) {
+        worker->tails_at = worker->listed_at;
     }
-    return share;
 }
 
-/// Returns true when a run would end sooner elsewhere, including what a stop discards.
-bool would_end_sooner_elsewhere(const run_track& track, double expected_s, double speed) {
-    const auto left = 1 - static_cast<double>(track.percent) / full_percent;
-    const auto here = left * expected_s / std::max(speed, 0.01);
-    const auto elsewhere = (track.get_spec().checkpointing ? left : 1.0) * expected_s + new_run_time_s;
-    return here > min_gain * elsewhere;
+std::map<std::string, double> get_medians(const std::vector<worker_state*>& workers,
+                                          const worker_speed_settings& settings, time_point now) {
+    std::map<std::string, std::vector<double>> speeds;
+    for (const auto* worker : workers) {
+        if (worker->counts_for_pool() &&
+            worker->speed.get_evidence_s(settings, now) >= settings.min_evidence_s) {
+            speeds[worker->report.pool].push_back(worker->speed.get_speed());
+        }
+    }
+    std::map<std::string, double> medians;
+    for (auto& [pool, values] : speeds) {
+        medians[pool] = get_median_speed(std::move(values), settings);
+    }
+    return medians;
 }
 
 /// What one check did with the tasks on slow workers.
@@ -70,7 +150,7 @@
     std::uint64_t moved = 0;        ///< those that were stopped
     std::uint64_t over_budget = 0;  ///< those that had to stay, since others of their step are away
     std::uint64_t without_room = 0; ///< those that had to stay, since no other worker has room
-    std::uint64_t postponed = 0;    ///< those that are left for the next check
+    std::uint64_t postponed = 0;    ///< those that are left for a later check
 };
 
 void log_moves(const slow_worker_moves& moves, std::size_t slow) {
@@ -84,81 +164,98 @@
         .add("postponed", moves.postponed);
 }
 
+void log_speed(const worker_state& worker, double median) {
+    log_event line(log_level::info, "worker_speed");
+    add_worker(line, worker.report.incarnation)
+        .add("state", worker.speed.is_slow() ? "slow" : "sound")
+        .add("speed", worker.speed.get_speed())
+        .add("median", median)
+        .add("runs", static_cast<std::uint64_t>(worker.runs.size()));
+}
+
 bool is_movable(const run_track& track) {
     return track.stage == run_stage::running && !track.is_ending && !track.is_stop_wanted &&
            !track.get_spec().gang;
 }
 
+bool is_served_well(const run_track& track) {
+    return track.get_spec().is_serving() && track.level <= track.get_spec().target_ms;
+}
+
+/// Returns true when nothing slows the run by intention: its pace is full, and no other task takes the
+/// processor time that a filling task uses.
+bool is_at_full_speed(const run_track& track) {
+    if (!track.get_spec().is_filling) {
+        return true;
+    }
+    const bool is_paced =
+        track.pace != full_percent || track.is_pace_pending || !track.is_pace_known || !track.has_known_start;
+    return !is_paced && track.host->get_spare_millicores() >= 0;
+}
+
 } // namespace
 
 double dispatcher::get_expected_s(const run_track& track) const {
-    const auto& step = track.get_spec();
-    return static_cast<double>(m_forecast.predict_ms(*track.job, step)) / 1000;
+    return static_cast<double>(m_forecast.predict_ms(*track.job, track.get_spec())) / 1000;
 }
 
-void dispatcher::observe_progress(run_track& track, std::int64_t percent, time_point now) {
-    if (!m_settings.decisions.move_from_slow) {
+void dispatcher::observe_progress(run_track& track, std::int64_t percent, bool has_ended, time_point now) {
+    if (!m_settings.decisions.move_from_slow || track.get_spec().long_running) {
         return;
     }
-    const bool is_known = track.has_known_start && track.pace == 100 && !track.is_pace_pending;
-    const auto since = std::max(track.progress_at, track.confirmed_at);
-    if (is_known && !track.get_spec().long_running && percent >= track.percent) {
-        const auto work = static_cast<double>(percent - track.percent) / full_percent * get_expected_s(track);
-        track.host->speed.observe(work, to_seconds(now - since), now);
-    }
-    track.progress_at = now;
-}
-
-void dispatcher::observe_tails(worker_state& worker, time_point now) {
-    if (!m_settings.decisions.move_from_slow || worker.serving_runs == 0) {
+    const bool was_at_full_speed = track.was_at_full_speed;
+    track.was_at_full_speed = is_at_full_speed(track);
+    const bool is_first = track.progress_at == time_point{};
+    const bool may_resume = track.key.run > 1 && track.get_spec().checkpointing;
+    const bool has_base = !is_first || (track.has_known_start && !may_resume);
+    const auto since = is_first ? track.confirmed_at : track.progress_at;
+    if (!has_base || !was_at_full_speed || !track.was_at_full_speed || percent < track.progress_percent) {
+        track.progress_at = now;
+        track.progress_percent = percent;
         return;
     }
-    const bool has_quiet_fills = get_fill_share(worker) <= quiet_fill_share;
-    if (!has_quiet_fills && !is_unsound(worker)) {
-        return; // filling tasks may explain the tails
-    }
-    for (const auto& [key, run] : worker.runs) {
-        const auto& target_ms = run->get_spec().target_ms;
-        if (run->get_spec().is_serving() && run->level > 0 && run->percent >= full_percent) {
-            const auto took = std::min(to_seconds(now - run->tail_at), 1.0);
-            const bool is_slow = run->level > slow_tail_multiple * target_ms;
-            worker.speed.observe_tail(is_slow, took, now);
-        }
-        run->tail_at = now;
+    const auto expected_s = get_expected_s(track);
+    const auto took_s = to_seconds(now - since);
+    const bool has_moved = percent > track.progress_percent && took_s >= min_progress_share * expected_s;
+    if (!has_ended && !has_moved && took_s < max_silent_multiple * expected_s) {
+        return;
     }
+    const auto done = static_cast<double>(percent - track.progress_percent) / full_percent;
+    track.host->speed.observe(track.key.task.step, done * expected_s, took_s, m_speed_settings, now);
+    track.progress_at = now;
+    track.progress_percent = percent;
 }
 
 void dispatcher::check_speeds(time_point now) {
     if (!m_settings.decisions.move_from_slow || now < m_next_speeds) {
         return;
     }
-    m_next_speeds = now + speed_interval;
-    const worker_speed_settings settings;
-    std::map<std::string, std::vector<double>> speeds;
-    for (const auto* worker : m_workers.get_all()) {
-        if (worker->has_report && worker->speed.get_evidence_s(settings, now) >= settings.min_evidence_s) {
-            speeds[worker->report.pool].push_back(worker->speed.get_speed());
-        }
+    if (m_next_speeds == time_point{}) {
+        m_speeds_since = now;
     }
-    std::map<std::string, double> medians;
-    for (auto& [pool, values] : speeds) {
-        medians[pool] = get_median_speed(std::move(values), settings);
+    m_next_speeds = now + m_speed_settings.check_interval;
+    const auto& workers = m_workers.get_all();
+    std::set<const worker_state*> unsound;
+    for (const auto* worker : workers) {
+        if (worker->serving_runs > 0 && is_unsound(*worker)) {
+            unsound.insert(worker);
+        }
     }
+    observe_tails(workers, find_tails(workers, unsound, m_speed_settings, now), m_speed_settings, now);
+    auto medians = get_medians(workers, m_speed_settings, now);
     std::vector<worker_state*> slow;
-    for (auto* worker : m_workers.get_all()) {
+    std::size_t lines = 0;
+    for (auto* worker : workers) {
         const auto median = medians[worker->report.pool];
-        if (worker->speed.classify(median, settings, now)) {
-            log_event line(log_level::info, "worker_speed");
-            add_worker(line, worker->report.incarnation)
-                .add("state", worker->speed.is_slow()           ? "slow"
-                              : worker->speed.is_on_probation() ? "probation"
-                                                                : "sound")
-                .add("speed", worker->speed.get_speed())
-                .add("median", median)
-                .add("runs", static_cast<std::uint64_t>(worker->runs.size()));
+        const bool was_sound = !worker->speed.is_slow() && !worker->speed.is_on_probation();
+        if (worker->speed.classify(median, m_speed_settings, now)) {
+            m_must_place = m_must_place || !worker->speed.is_slow();
+            const bool is_sound = !worker->speed.is_slow() && !worker->speed.is_on_probation();
+            if (was_sound != is_sound && ++lines <= max_speed_lines) {
+                log_speed(*worker, median);
+            }
         }
-        if (worker->speed.is_slow()) {
-            worker->trust.on_slow(now);
+        if (worker->speed.is_slow() && !worker->is_lost) {
             slow.push_back(worker);
         }
     }
@@ -166,37 +263,90 @@
     leave_slow(slow, now);
 }
 
+bool dispatcher::should_leave(const run_track& track) const {
+    if (track.host == nullptr || !track.host->speed.is_slow()) {
+        return false;
+    }
+    const auto done = static_cast<double>(track.percent) / full_percent;
+    return track.host->speed.would_end_sooner_elsewhere(1 - done, track.get_spec().checkpointing ? 0 : done,
+                                                        get_expected_s(track), m_speed_settings);
+}
+
+bool dispatcher::plan_move(const run_track& track, move_plan& plan, time_point now) {
+    const auto& step = track.key.task.step;
+    if (plan.refused.contains(step) || plan.searches_left == 0) {
+        return false;
+    }
+    --plan.searches_left;
+    ready_step ready;
+    ready.job = track.job;
+    ready.since = now;
+    const auto request = make_request(ready, track.key.task, now);
+    const auto need = get_need(*request.spec);
+    auto& targets = plan.targets[track.job->queue.pool];
+    for (auto target = targets.begin(); target != targets.end(); ++target) {
+        const auto* worker = *target;
+        const auto& planned = plan.planned[worker];
+        auto& filling = plan.filling[worker];
+        const bool has_room =
+            (worker->get_free() - planned).holds(need) &&
+            find_obstacle(*worker, request) == placement_obstacle::none &&
+            find_policy_obstacle(*worker, ready, request, now) == placement_obstacle::none &&
+            (!request.spec->is_filling ||
+             get_room(*worker, request) - filling - planned.millicores >= request.spec->millicores);
+        if (has_room) {
+            plan.planned[worker] += need;
+            filling += request.spec->is_filling ? request.spec->millicores : 0;
+            std::rotate(targets.begin(), target, targets.end()); // the next search begins here
+            return true;
+        }
+    }
+    plan.refused.insert(step);
+    return false;
+}
+
 void dispatcher::leave_slow(const std::vector<worker_state*>& slow, time_point now) {
     if (slow.empty()) {
         return;
     }
-    destinations room(m_workers.get_all(), now);
+    move_plan plan;
+    plan.searches_left = m_speed_settings.max_searches;
+    for (auto* worker : m_workers.get_all()) {
+        if (is_usable(*worker, now) && !worker->speed.is_on_probation()) {
+            plan.targets[worker->report.pool].push_back(worker);
+        }
+    }
+    const bool may_move_long_running = now - m_speeds_since >= m_speed_settings.takeover_pause;
     slow_worker_moves moves;
     for (auto* worker : slow) {
+        if (worker->is_draining || worker->is_silent()) {
+            continue;
+        }
         for (const auto& [key, run] : worker->runs) {
             auto& track = *run;
-            if (!is_movable(track) || worker->is_draining) {
+            const auto job = m_jobs.find(key.task.step.job);
+            if (!is_movable(track) || job == m_jobs.end()) {
                 continue;
             }
             if (!track.get_spec().long_running) {
-                if (would_end_sooner_elsewhere(track, get_expected_s(track), worker->speed.get_speed())) {
+                const auto* task = m_job_state.find_task(key.task);
+                const bool has_copy = task == nullptr || task->runs.size() > 1;
+                const bool is_copied = track.get_spec().speculative && (has_copy || m_ready.empty());
+                if (!is_copied && should_leave(track) && plan_move(track, plan, now)) {
                     ++moves.ending;
                     stop_run(track, now);
                 }
                 continue;
             }
-            const auto job = m_jobs.find(key.task.step.job);
-            const bool is_served_well =
-                track.get_spec().is_serving() && track.level <= track.get_spec().target_ms;
-            if (is_served_well || job == m_jobs.end()) {
+            if (is_served_well(track) || !disruption_budget::is_at_work(track, now)) {
                 continue;
             }
             ++moves.long_running;
             if (!disruption_budget(job->second.runs).may_stop(track, now)) {
                 ++moves.over_budget;
-            } else if (moves.moved >= max_moves) {
+            } else if (!may_move_long_running || moves.moved >= m_speed_settings.max_long_running_moves) {
                 ++moves.postponed;
-            } else if (!room.take(track.job->queue.pool, get_need(track.get_spec()))) {
+            } else if (!plan_move(track, plan, now)) {
                 ++moves.without_room;
             } else {
                 ++moves.moved;
@@ -205,7 +355,10 @@
         }
     }
     m_counts.moved_from_slow += moves.ending + moves.moved;
-    log_moves(moves, slow.size());
+    if (moves.ending + moves.moved > 0 || now >= m_next_speed_log) {
+        m_next_speed_log = now + move_log_interval;
+        log_moves(moves, slow.size());
+    }
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -389,7 +389,7 @@
         propose_confirmation(*track);
         track->listed_at = now;
         track->loss_of_former_incarnation.reset();
-        observe_progress(*track, row.percent, now);
+        observe_progress(*track, row.percent, false, now);
         track->percent = row.percent;
         track->level = row.level;
     }
@@ -400,7 +400,6 @@
     update_acknowledged(worker);
     clear_suspects(worker, now);
     observe_pressure(worker, now);
-    observe_tails(worker, now);
     return has_all_ends;
 }
 
@@ -466,7 +465,7 @@
     }
     if (row.end == run_end::done) {
         worker.trust.on_success();
-        observe_progress(*track, 100, now);
+        observe_progress(*track, 100, true, now);
     }
     if (row.end == run_end::failed) {
         const bool was_set_aside = worker.trust.is_set_aside(now);
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/dispatch/placement.h"
 
+#include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/worker_state.h"
 
 #include <algorithm>
@@ -95,10 +96,22 @@
     return interval > duration{0} && now - heard_at > interval + interval / 2 + heartbeat_slack;
 }
 
+/// A worker on probation is tried with one task that ends, besides those that never left it. A long-running
+/// task would have to be moved again if the worker were still slow.
+bool is_kept_for_trial(const worker_state& worker, const step_spec& spec) {
+    return worker.speed.is_on_probation() &&
+           (spec.long_running || std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& item) {
+                return item.second->assigned_at >= worker.speed.get_state_since();
+            }));
+}
+
 placement_obstacle find_soft_obstacle(const worker_state& worker, const placement_request& request) {
     if (request.is_last_attempt && worker.trust.is_doubtful()) {
         return placement_obstacle::doubtful;
     }
+    if (is_kept_for_trial(worker, *request.spec)) {
+        return placement_obstacle::set_aside;
+    }
     return worker.probations > 0 ? placement_obstacle::kept_for_suspect : placement_obstacle::none;
 }
 
@@ -130,10 +143,8 @@
     if (now > worker.room_known_until) {
         return placement_obstacle::room_unknown;
     }
-    // A worker on probation is tried with one task at a time, besides those that never left it.
-    const bool is_tried = worker.speed.is_on_probation() && worker.runs.size() > worker.serving_runs;
-    return worker.trust.is_set_aside(now) || is_tried ? placement_obstacle::set_aside
-                                                      : placement_obstacle::none;
+    return worker.trust.is_set_aside(now) || worker.speed.is_slow() ? placement_obstacle::set_aside
+                                                                    : placement_obstacle::none;
 }
 
 bool is_usable(const worker_state& worker, time_point now) {
--- a/poplarpitch/dispatch/run_track.h
+++ b/poplarpitch/dispatch/run_track.h
@@ -68,10 +68,12 @@
     time_point slow_since{}; ///< since when the planned pace is too low to be useful; zero while it is not
     serving_load own_load;   ///< of a serving task
     tail_watch watch;        ///< of a serving task
-    std::int64_t observed_level = 0; ///< the last tail latency that was processed
-    time_point observed_at{};        ///< when a tail latency was last processed
-    time_point progress_at{};        ///< when progress was last added to the worker's speed
-    time_point tail_at{};            ///< when a tail latency was last considered for the worker's speed
+    std::int64_t observed_level = 0;   ///< the last tail latency that was processed
+    time_point observed_at{};          ///< when a tail latency was last processed
+    time_point progress_at{};          ///< up to when its progress was considered for the worker's speed
+    std::int64_t progress_percent = 0; ///< its progress at that time
+    bool was_at_full_speed = true;     ///< nothing slowed the run by intention when it was last considered
+    bool is_pace_known = true;         ///< false after a pace order without an answer
 
     /// Returns the resources and properties of the run's step. Thread safety: any thread while nobody changes
     /// it.
--- a/poplarpitch/dispatch/worker_state.h
+++ b/poplarpitch/dispatch/worker_state.h
@@ -109,6 +109,7 @@
     worker_pressure pressure;
     worker_trust trust;
     worker_speed speed;
+    time_point tails_at{}; ///< time of the last list whose tail latencies were considered for the speed
 
     /// Counts a run with this isolation, or removes it from the counts with -1. Thread safety: as the state.
     void count_isolated(isolation_level isolation, int sign) {
--- a/poplarpitch/dispatch/worker_trust.cpp
+++ b/poplarpitch/dispatch/worker_trust.cpp
@@ -11,7 +11,6 @@
 constexpr std::uint32_t max_doublings = 2;       // 8 s at most; faults of this kind last 5 to 8 s
 constexpr duration unsound_pause =
     milliseconds{1500}; // longer than the time between two checks, so that it is renewed
-constexpr duration slow_pause = milliseconds{500}; // twice the time between two checks of speeds
 constexpr duration refusal_pause = milliseconds{700};
 
 } // namespace
@@ -46,8 +45,4 @@
     m_until = std::max(m_until, now + unsound_pause);
 }
 
-void worker_trust::on_slow(time_point now) {
-    m_until = std::max(m_until, now + slow_pause);
-}
-
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/worker_trust.h
+++ b/poplarpitch/dispatch/worker_trust.h
@@ -24,8 +24,6 @@
     void on_refusal(time_point now);
     /// Records that the worker is slow or stalled, whatever runs there.
     void on_unsound(time_point now);
-    /// Records that the worker is slow compared with its pool.
-    void on_slow(time_point now);
     /// Returns true while no task may be placed on the worker.
     [[nodiscard]] bool is_set_aside(time_point now) const { return now < m_until; }
     /// Returns true shortly after a refusal, while another start would be refused too.
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-dispatch_world::dispatch_world() : scheduler(dispatch_settings{}, job_state) {
+dispatch_world::dispatch_world(const dispatch_settings& settings) : scheduler(settings, job_state) {
     start_leading();
 }
 
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -15,7 +15,7 @@
 /// the orders for the test to answer, so that the test can inject a fault between any two steps.
 class dispatch_world {
 public:
-    dispatch_world();
+    explicit dispatch_world(const dispatch_settings& settings = {});
 
     /// Advances the clock in one step, then runs the dispatcher until it is idle.
     void advance(duration step);
--- a/unit_tests/dispatch/simulated_worker.cpp
+++ b/unit_tests/dispatch/simulated_worker.cpp
@@ -14,6 +14,10 @@
 constexpr duration stop_time = milliseconds{100};    // from a stop to the end of its run
 constexpr duration failure_time = milliseconds{100}; // from the start of a run that fails to its end
 
+duration stretch(duration length, double factor) {
+    return std::chrono::duration_cast<duration>(length * factor);
+}
+
 } // namespace
 
 simulated_worker::simulated_worker(const worker_report& report, time_point now)
@@ -91,7 +95,7 @@
     }
     if (!spec.long_running) {
         run.length = length;
-        run.ends_at = now + length;
+        run.ends_at = now + stretch(length, 1 / m_speed);
     }
     m_runs.emplace(order.run, std::move(run));
     return std::nullopt;
@@ -193,11 +197,12 @@
     const auto& spec = run.get_spec(key);
     run_entry entry{key, "", 100, spec.millicores * run.pace / 100};
     if (spec.is_serving()) {
-        entry.level = get_simulated_tail_ms(spec, get_interference(spec), key.task.step.job, now);
+        const auto slowdown = (1 + get_interference(spec)) / m_speed;
+        entry.level = get_simulated_tail_ms(spec, slowdown - 1, key.task.step.job, now);
     }
     if (!spec.long_running && run.length > duration{0}) {
         const auto left = run.pace == 0 ? run.left_at_pace_0 : (run.ends_at - now) * run.pace / 100;
-        entry.percent = std::clamp<std::int64_t>(100 - 100 * left / run.length, 0, 99);
+        entry.percent = std::clamp<std::int64_t>(100 - 100 * stretch(left, m_speed) / run.length, 0, 99);
     }
     return entry;
 }
@@ -219,6 +224,16 @@
     return std::exchange(m_hold, nullptr);
 }
 
+void simulated_worker::set_speed(double speed, time_point now) {
+    for (auto& [key, run] : m_runs) {
+        if (run.ends_at != time_point::max()) {
+            run.ends_at = now + stretch(run.ends_at - now, m_speed / speed);
+        }
+        run.left_at_pace_0 = stretch(run.left_at_pace_0, m_speed / speed);
+    }
+    m_speed = speed;
+}
+
 void simulated_worker::drain(duration remaining) {
     m_report.is_draining = true;
     m_report.remaining_ms = to_milliseconds(remaining);
--- a/unit_tests/dispatch/simulated_worker.h
+++ b/unit_tests/dispatch/simulated_worker.h
@@ -61,6 +61,9 @@
     /// Makes the worker's lists report the progress of runs, the tail latencies of serving tasks and the
     /// processor time that other tasks use. Else all are at 50% and report no such level.
     void report_loads() { m_reports_loads = true; }
+    /// Makes the worker work at this multiple of its usual speed: its runs end earlier or later, and the
+    /// tail latencies of its serving tasks follow.
+    void set_speed(double speed, time_point now);
     /// Makes the worker report that it is draining and stays for `remaining`.
     void drain(duration remaining);
     /// Returns the next heartbeat.
@@ -92,6 +95,7 @@
     std::int64_t m_lease_ms = 0;
     time_point m_fails_until{};
     bool m_reports_loads = false;
+    double m_speed = 1; ///< multiple of the usual speed
     std::map<run_key, simulated_worker_run> m_runs;
     std::map<task_key, std::uint32_t> m_highest_runs; ///< runs up to this number are refused
     std::vector<run_end_entry> m_ended;
