--- a/poplarpitch/config/section_reader.cpp
+++ b/poplarpitch/config/section_reader.cpp
@@ -145,6 +145,16 @@
     return items;
 }
 
+std::vector<std::string> section_reader::find_keys(std::string_view prefix) const {
+    std::vector<std::string> keys;
+    for (const auto& entry : m_section.entries) {
+        if (entry.key.compare(0, prefix.size(), prefix) == 0) {
+            keys.push_back(entry.key);
+        }
+    }
+    return keys;
+}
+
 int section_reader::get_line(const std::string& key) const {
     for (const auto& entry : m_section.entries) {
         if (entry.key == key) {
--- a/poplarpitch/config/section_reader.h
+++ b/poplarpitch/config/section_reader.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplarpitch {
@@ -35,6 +36,8 @@
     /// Returns the comma-separated words of `key`; empty when it is absent.
     std::vector<std::string> get_list(const std::string& key);
 
+    /// Returns the keys that begin with `prefix`, in the order of the section.
+    [[nodiscard]] std::vector<std::string> find_keys(std::string_view prefix) const;
     /// Returns the line of `key`, or the line of the section header when it is absent.
     [[nodiscard]] int get_line(const std::string& key) const;
     /// Records an error at the line of `key`.
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -22,10 +22,17 @@
 // hold before they have reported.
 constexpr duration announce_timeout = milliseconds{400};
 
+fair_share_settings make_share_settings(const decision_settings& decisions) {
+    fair_share_settings settings;
+    settings.weights = decisions.share_weights;
+    return settings;
+}
+
 } // namespace
 
 dispatcher::dispatcher(const dispatch_settings& settings, const job_state_machine& job_state)
-    : m_settings(settings), m_job_state(job_state), m_long_running(settings.long_running_share) {}
+    : m_settings(settings), m_job_state(job_state), m_long_running(settings.long_running_share),
+      m_shares(make_share_settings(settings.decisions)) {}
 
 dispatcher::~dispatcher() = default;
 
@@ -107,6 +114,7 @@
     m_suspects.clear();
     m_forecast.clear();
     m_admission.clear();
+    m_shares.clear();
     m_advice.clear();
     m_is_advice_pending = false;
     m_due.clear();
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "poplarpitch/dispatch/completion_forecast.h"
 #include "poplarpitch/dispatch/demand_levels.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
+#include "poplarpitch/dispatch/fair_share.h"
 #include "poplarpitch/dispatch/job_activity.h"
 #include "poplarpitch/dispatch/leader_difference.h"
 #include "poplarpitch/dispatch/leader_load.h"
@@ -136,6 +137,9 @@
         return m_workers.get_map();
     }
     [[nodiscard]] const dispatch_counts& get_counts() const { return m_counts; }
+    /// Returns the use of scarce room by queues and data centres of callers. It is empty unless room is
+    /// shared.
+    [[nodiscard]] const fair_share& get_shares() const { return m_shares; }
     /// Returns how many tasks are suspected of having crashed a worker.
     [[nodiscard]] std::size_t count_suspects() const { return m_suspects.get_size(); }
     /// Returns the state of a worker, or null.
@@ -470,7 +474,7 @@
     void place(time_point now);
     /// Returns the minimum time between two passes over the waiting tasks.
     [[nodiscard]] duration get_pass_interval() const;
-    [[nodiscard]] std::vector<std::pair<std::int64_t, step_key>> rank_ready(time_point now) const;
+    [[nodiscard]] std::vector<std::pair<std::int64_t, step_key>> rank_ready(time_point now);
     [[nodiscard]] placing_pass begin_pass(time_point now);
     /// Places tasks of a step until one finds no room.
     void place_tasks(placing_pass& pass, ready_step& ready, const step_key& key);
@@ -548,6 +552,7 @@
     long_running_quota m_long_running;
     completion_forecast m_completion;
     admission_policy m_admission{admission_policy_settings{}};
+    fair_share m_shares;
     learned_state m_learned{learned_state_settings{}};
     leader_load m_load;
     std::set<std::string> m_drained_pools;   ///< pools of which every live worker is in a drained data centre
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -59,22 +59,39 @@
     return !run.is_ending && (has_begun ? !run.host->is_silent() : may_begin);
 }
 
+/// Returns the work of one task, given its length.
+double get_core_seconds(const step_spec& spec, std::int64_t length_ms) {
+    constexpr double millicores_by_ms = 1e6; // in a core-second
+    return static_cast<double>(spec.millicores) * static_cast<double>(length_ms) / millicores_by_ms;
+}
+
+/// Returns true for a step whose tasks, where they wait, wait for room and nothing else.
+bool may_be_corrected(const step_job& job, const step_key& key) {
+    return !job.steps[key.step].gang && !job.queue.advice.has_value();
+}
+
+/// Returns 0 for a job that can meet its objective, 1 for one that will be late, 2 for one past the late
+/// limit.
+int get_lateness(std::int64_t allowed_ms, std::int64_t age_ms, std::int64_t remaining_ms) {
+    if (age_ms + remaining_ms <= allowed_ms) {
+        return 0;
+    }
+    return age_ms + remaining_ms > late_multiple * allowed_ms ? 2 : 1;
+}
+
 /// Ranks by least slack. A job that can no longer meet its objective ranks behind those that still can. Load
 /// pattern: a burst has 2.6 times the usual load for several seconds. With ranking by deadline alone, every
 /// job that arrives after the burst is late.
 std::int64_t rank_by_time(std::int64_t allowed_ms, std::int64_t age_ms, std::int64_t remaining_ms) {
-    const auto slack = allowed_ms - age_ms - remaining_ms;
-    if (slack >= 0) {
-        return slack;
-    }
-    const bool is_past_late_limit = age_ms + remaining_ms > late_multiple * allowed_ms;
-    return (is_past_late_limit ? 2 : 1) * late_penalty_ms + slack;
+    return get_lateness(allowed_ms, age_ms, remaining_ms) * late_penalty_ms + allowed_ms - age_ms -
+           remaining_ms;
 }
 
 } // namespace
 
-std::vector<std::pair<std::int64_t, step_key>> dispatcher::rank_ready(time_point now) const {
+std::vector<std::pair<std::int64_t, step_key>> dispatcher::rank_ready(time_point now) {
     std::vector<std::pair<std::int64_t, step_key>> ranked;
+    std::vector<fair_share::waiting_step> shared;
     ranked.reserve(m_ready.size());
     for (const auto& [key, ready] : m_ready) {
         const auto job = m_jobs.find(key.job);
@@ -107,8 +124,21 @@
                 (job->second.has_started ? started_bonus_ms : 0) -
                 (m_failed_on.contains(task_key{key, *ready.waiting.begin()}) ? retry_bonus_ms : 0),
             key);
+        if (m_settings.decisions.fair_shares && may_be_corrected(*ready.job, key)) {
+            const auto& spec = ready.job->steps[key.step];
+            shared.push_back({ranked.back().first,
+                              key,
+                              get_lateness(ready.objective_ms, age, ready.remaining_ms),
+                              {queue.pool, queue.priority, spec.is_filling},
+                              {queue.name, ready.job->caller_data_centre},
+                              ready.waiting.size(),
+                              get_core_seconds(spec, m_forecast.predict_ms(*ready.job, spec))});
+        }
     }
     std::sort(ranked.begin(), ranked.end());
+    if (m_settings.decisions.fair_shares) {
+        m_shares.begin_pass(ranked, shared, now);
+    }
     return ranked;
 }
 
@@ -158,6 +188,14 @@
             m_ready.erase(found);
         }
     }
+    if (m_settings.decisions.fair_shares) {
+        m_shares.end_pass(
+            [this](const step_key& key) {
+                const auto found = m_ready.find(key);
+                return found == m_ready.end() ? 0 : found->second.waiting.size();
+            },
+            now);
+    }
     request_advice(ranked, now);
 }
 
@@ -526,6 +564,12 @@
     command.mutable_assign()->set_address(worker.report.address);
     m_commands.push_back(std::move(command));
     ++m_counts.assigned;
+    const auto* track = m_settings.decisions.fair_shares ? find(key) : nullptr;
+    if (track != nullptr && !track->get_spec().long_running) {
+        const auto length_ms = m_forecast.predict_ms(*track->job, track->get_spec());
+        m_shares.add_use({track->job->queue.name, track->job->caller_data_centre},
+                         get_core_seconds(track->get_spec(), length_ms), track->assigned_at);
+    }
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_reports.cpp
+++ b/poplarpitch/dispatch/dispatcher_reports.cpp
@@ -77,6 +77,9 @@
     m_learned.add(m_demand, committed, wall_ms);
     m_learned.add(m_completion, committed, wall_ms);
     m_learned.add(m_admission, committed, wall_ms);
+    if (m_settings.decisions.fair_shares) {
+        m_learned.add(m_shares, committed, wall_ms);
+    }
     const auto records = m_learned.take_records();
     if (records.empty()) {
         return;
@@ -97,6 +100,9 @@
     m_learned.restore(m_long_running, committed, wall_ms);
     m_learned.restore(m_completion, committed, wall_ms);
     m_learned.restore(m_admission, committed, wall_ms);
+    if (m_settings.decisions.fair_shares) {
+        m_learned.restore(m_shares, committed, wall_ms);
+    }
     if (m_learned.restore(m_demand, committed, wall_ms)) {
         m_measured_at = now;
     }
--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -101,6 +101,7 @@
         message.set_host(request.headers.get("Host"));
         message.set_target(request.target);
         message.set_body(request.body);
+        message.set_data_centre(m_settings.data_centre);
         const auto timeout = std::max(read_request_timeout(request) - response_margin, response_margin);
         message.set_remaining_ms(to_milliseconds(timeout));
         m_link.relay(std::move(message), m_loop.now() + timeout,
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -122,6 +122,7 @@
         job->id = id;
         job->queue = queue;
         job->accepted_ms = get_wall_ms();
+        job->caller_data_centre = request.data_centre();
         if (const auto error = validate_job(*job); error.has_value()) {
             log_event(log_level::warn, "job_refused").add("job", format_job_id(id)).add("reason", *error);
             finish(answer, 400, "", on_answer);
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -34,6 +34,18 @@
     }
 }
 
+void scheduler_metrics::set_queue_shares(const std::map<std::string, double>& shares) {
+    for (const auto& queue : m_share_queues) {
+        if (!shares.contains(queue)) {
+            m_registry.set("poplarpitch_queue_use_share", {"", queue, ""}, 0);
+        }
+    }
+    for (const auto& [queue, share] : shares) {
+        m_registry.set("poplarpitch_queue_use_share", {"", queue, ""}, share);
+        m_share_queues.insert(queue);
+    }
+}
+
 std::string scheduler_metrics::format(const scheduler_parts& parts) {
     const auto set = [this](const char* name, auto value, const char* outcome = "") {
         m_registry.set(name, {"", "", outcome}, static_cast<double>(value));
@@ -89,6 +101,7 @@
     set("poplarpitch_leader_differences", counts.leader_differences);
     set("poplarpitch_audit_mends_total", counts.mended_differences);
     set("poplarpitch_tasks_waiting", parts.dispatch.count_waiting_tasks());
+    set_queue_shares(parts.dispatch.get_shares().get_queue_shares());
     return m_registry.format();
 }
 
--- a/poplarpitch/scheduler/scheduler_metrics.h
+++ b/poplarpitch/scheduler/scheduler_metrics.h
@@ -2,6 +2,8 @@
 
 #include "poplarpitch/telemetry/metrics_registry.h"
 
+#include <map>
+#include <set>
 #include <string>
 
 namespace poplarpitch {
@@ -19,7 +21,11 @@
     [[nodiscard]] std::string format(const scheduler_parts& parts);
 
 private:
+    /// Sets the share of each queue; a queue that is no longer listed has none.
+    void set_queue_shares(const std::map<std::string, double>& shares);
+
     metrics_registry m_registry;
+    std::set<std::string> m_share_queues; ///< whose share was set; one for each queue that submitted
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -69,6 +69,21 @@
     dispatch.max_open_jobs = reader.get_integer("max_open_jobs", dispatch.max_open_jobs, 1, 10'000'000);
 }
 
+void read_share_weights(section_reader& reader, decision_settings& decisions) {
+    constexpr std::string_view prefix = "share.";
+    constexpr double min_weight = 0.001;
+    constexpr double max_weight = 1000;
+    for (const auto& key : reader.find_keys(prefix)) {
+        const auto queue = key.substr(prefix.size());
+        const auto weight = reader.get_number(key, 1, min_weight, max_weight);
+        if (queue.empty()) {
+            reader.add_error(key, "the name of the queue is missing");
+        } else {
+            decisions.share_weights[queue] = weight;
+        }
+    }
+}
+
 void read_decisions(section_reader& reader, scheduler_settings& value) {
     auto& decisions = value.dispatch.decisions;
     decisions.refuse_late = reader.get_flag("refuse_late", decisions.refuse_late);
@@ -76,6 +91,7 @@
     decisions.move_from_slow = reader.get_flag("move_from_slow", decisions.move_from_slow);
     decisions.plan_layout = reader.get_flag("plan_layout", decisions.plan_layout);
     decisions.fair_shares = reader.get_flag("fair_shares", decisions.fair_shares);
+    read_share_weights(reader, decisions);
 }
 
 } // namespace
--- a/poplarpitch/scheduling/decision_settings.h
+++ b/poplarpitch/scheduling/decision_settings.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <compare>
+#include <map>
+#include <string>
 
 namespace poplarpitch {
 
@@ -12,6 +14,7 @@
         false;                ///< avoid workers that are slow compared with their pool, and move tasks away
     bool plan_layout = false; ///< move serving tasks so that waiting filling tasks find room
     bool fair_shares = false; ///< share scarce room between queues and data centres of callers
+    std::map<std::string, double> share_weights{}; ///< by queue, positive; a queue that is not listed has 1
 
     friend auto operator<=>(const decision_settings&, const decision_settings&) = default;
 };
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -141,6 +141,7 @@
     }
     encode_queue(job.queue, *message.mutable_queue());
     message.set_accepted_ms(job.accepted_ms);
+    message.set_caller_data_centre(job.caller_data_centre);
 }
 
 step_job decode(const job_wire::step_job& message) {
@@ -155,6 +156,7 @@
     }
     job.queue = decode_queue(message.queue());
     job.accepted_ms = message.accepted_ms();
+    job.caller_data_centre = message.caller_data_centre();
     return job;
 }
 
--- a/poplarpitch/scheduling/step_job.h
+++ b/poplarpitch/scheduling/step_job.h
@@ -29,6 +29,7 @@
     std::optional<job_schedule> schedule; ///< nothing: the job runs once, immediately
     queue_settings queue;                 ///< as configured at acceptance
     std::int64_t accepted_ms = 0;         ///< wall time on the instance that accepted it
+    std::string caller_data_centre; ///< of the entry instance that relayed the submission; empty when unknown
 
     friend bool operator==(const step_job&, const step_job&) = default;
 
--- a/unit_tests/dispatch/dispatch_world.cpp
+++ b/unit_tests/dispatch/dispatch_world.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-dispatch_world::dispatch_world() : scheduler(dispatch_settings{}, job_state) {
+dispatch_world::dispatch_world(const dispatch_settings& settings) : scheduler(settings, job_state) {
     start_leading();
 }
 
@@ -111,6 +111,16 @@
     return submit_job(std::move(job));
 }
 
+job_id dispatch_world::submit_from(const std::string& queue, const std::string& data_centre,
+                                   const std::vector<step_spec>& steps) {
+    step_job job;
+    job.steps = steps;
+    job.queue.name = queue;
+    job.queue.max_attempts = 3;
+    job.caller_data_centre = data_centre;
+    return submit_job(std::move(job));
+}
+
 job_id dispatch_world::submit_with_advice(const std::vector<step_spec>& steps) {
     step_job job;
     job.steps = steps;
@@ -130,7 +140,7 @@
 job_id dispatch_world::submit_job(step_job job) {
     job.id = m_next_job++;
     job.payload = "payload";
-    job.queue.name = "queue";
+    job.queue.name = job.queue.name.empty() ? "queue" : job.queue.name;
     job.queue.pool = world_pool;
     job.queue.latency_factor = 2;
     job.queue.target_latency = seconds{1};
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -15,7 +15,7 @@
 /// the orders for the test to answer, so that the test can inject a fault between any two steps.
 class dispatch_world {
 public:
-    dispatch_world();
+    explicit dispatch_world(const dispatch_settings& settings = {});
 
     /// Advances the clock in one step, then runs the dispatcher until it is idle.
     void advance(duration step);
@@ -41,6 +41,9 @@
     void send_heartbeat(const std::string& id, bool is_draining = false, std::int64_t remaining_ms = 0);
     /// Submits a job to a queue with these attempts and priority. Returns its id.
     job_id submit(const std::vector<step_spec>& steps, std::uint32_t max_attempts = 3, int priority = 0);
+    /// Submits a job that callers in this data centre sent to a queue.
+    job_id submit_from(const std::string& queue, const std::string& data_centre,
+                       const std::vector<step_spec>& steps);
     /// Submits a job to a queue that requires advice; tickets are valid for 3 s.
     job_id submit_with_advice(const std::vector<step_spec>& steps);
     /// Submits a timed job.
--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -43,6 +43,30 @@
     EXPECT_EQ(with.value.dispatch.decisions, (decision_settings{true, true, true, true, true}));
 }
 
+const std::string decisions_text = "[instance]\nid = a\nhost = 127.0.0.1\n[control]\nlisten = 127.0.0.1:3\n"
+                                   "data_folder = /d\n[decisions]\n";
+
+TEST(scheduler_settings, reads_the_weights_of_queues) {
+    const auto parsed =
+        parse_scheduler_settings(decisions_text + "fair_shares = true\nshare.batch = 2.5\nshare.web = 1\n");
+    EXPECT_TRUE(parsed.errors.empty());
+    const std::map<std::string, double> weights = {{"batch", 2.5}, {"web", 1}};
+    EXPECT_EQ(parsed.value.dispatch.decisions.share_weights, weights);
+}
+
+/// A weight of 0 would give a queue nothing while others wait, and a misspelt one would silently count as 1.
+TEST(scheduler_settings, rejects_a_weight_that_is_no_positive_number) {
+    for (const std::string value : {"0", "-1", "much", "inf", "nan", "1e9"}) {
+        const auto parsed = parse_scheduler_settings(decisions_text + "share.batch = " + value + "\n");
+        ASSERT_EQ(parsed.errors.size(), 1U) << value;
+        EXPECT_EQ(parsed.errors[0].line, 8) << value;
+        EXPECT_NE(parsed.errors[0].format("scheduler.ini").find("share.batch"), std::string::npos) << value;
+    }
+    const auto without_queue = parse_scheduler_settings(decisions_text + "share. = 2\n");
+    ASSERT_EQ(without_queue.errors.size(), 1U);
+    EXPECT_NE(without_queue.errors[0].format("scheduler.ini").find("share."), std::string::npos);
+}
+
 TEST(scheduler_settings, rejects_a_decision_that_is_unknown_or_no_flag) {
     const auto parsed =
         parse_scheduler_settings("[instance]\nid = a\n[control]\nlisten = 127.0.0.1:3\n"
