--- a/unit_tests/dispatch/dispatcher_shares_test.cpp
+++ b/unit_tests/dispatch/dispatcher_shares_test.cpp
@@ -84,13 +84,10 @@
             for (const auto& [run, since] : m_running) {
                 list.running.push_back({run, "", 0, 0});
             }
-            std::erase_if(m_ended, [&hold](const auto& end) { return end.number <= hold.acknowledged; });
+            std::erase_if(m_ended,
+                          [&hold](const auto& end) { return end.number <= hold.acknowledged_up_to; });
             list.ended = m_ended;
-            list.clock_ms = to_milliseconds(world.now.time_since_epoch());
-            order_outcome outcome;
-            outcome.answer = list;
-            world.scheduler.on_hold({"w1", 0}, outcome, world.now);
-            world.run_until_idle();
+            world.answer_hold("w1", list);
         }
     }
 
--- a/unit_tests/scheduling/job_state_machine_test.cpp
+++ b/unit_tests/scheduling/job_state_machine_test.cpp
@@ -139,6 +139,22 @@
     EXPECT_EQ(other.find_task(task)->crash, crash_history{});
 }
 
+/// A new leader has to count the use of a job for the data centre that submitted it.
+TEST(job_state_machine, keeps_the_data_centre_of_the_caller_and_reads_none_from_an_older_version) {
+    auto job = make_job(1, 1);
+    job.caller_data_centre = "east";
+    job_state_machine job_state;
+    apply(job_state, make_submit(job));
+    job_state_machine other;
+    ASSERT_TRUE(other.load(job_state.save()));
+    EXPECT_EQ(other.find_job(1)->job->caller_data_centre, "east");
+    job_wire::job_book_snapshot older;
+    ASSERT_TRUE(older.ParseFromString(job_state.save()));
+    older.mutable_jobs(0)->mutable_job()->clear_caller_data_centre();
+    ASSERT_TRUE(other.load(older.SerializeAsString()));
+    EXPECT_EQ(other.find_job(1)->job->caller_data_centre, "");
+}
+
 TEST(job_state_machine, fails_a_job_whose_task_crashed_its_workers_and_keeps_it_failed) {
     job_state_machine job_state;
     apply(job_state, make_submit(make_job(1, 2)));
