--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -39,10 +39,17 @@
     return has_run ? get_worked_until(track, end, now) : track.idle_since;
 }
 
+fair_share_settings make_share_settings(const decision_settings& decisions) {
+    fair_share_settings settings;
+    settings.weights = decisions.share_weights;
+    return settings;
+}
+
 } // namespace
 
 dispatcher::dispatcher(const dispatch_settings& settings, const job_state_machine& job_state)
-    : m_settings(settings), m_job_state(job_state), m_long_running(settings.long_running_share) {}
+    : m_settings(settings), m_job_state(job_state), m_long_running(settings.long_running_share),
+      m_shares(make_share_settings(settings.decisions)) {}
 
 dispatcher::~dispatcher() = default;
 
@@ -124,6 +131,7 @@
     m_suspects.clear();
     m_forecast.clear();
     m_admission.clear();
+    m_shares.clear();
     m_advice.clear();
     m_is_advice_pending = false;
     m_due.clear();
--- a/unit_tests/dispatch/dispatch_world.h
+++ b/unit_tests/dispatch/dispatch_world.h
@@ -45,6 +45,9 @@
     void send_heartbeat(const std::string& id, bool is_draining = false, std::int64_t remaining_ms = 0);
     /// Submits a job to a queue with these attempts and priority. Returns its id.
     job_id submit(const std::vector<step_spec>& steps, std::uint32_t max_attempts = 3, int priority = 0);
+    /// Submits a job that callers in this data centre sent to a queue.
+    job_id submit_from(const std::string& queue, const std::string& data_centre,
+                       const std::vector<step_spec>& steps);
     /// Submits a job to a queue that requires advice; tickets are valid for 3 s.
     job_id submit_with_advice(const std::vector<step_spec>& steps);
     /// Submits a timed job.
