Add a load digest to the status of the leader

Cause: entry instances know nothing of the load, so that all callers that are refused in one moment of an outage return in one moment.

The new tests of completion_forecast were not run yet.

--- a/poplarpitch/dispatch/completion_forecast.cpp
+++ b/poplarpitch/dispatch/completion_forecast.cpp
@@ -31,6 +31,7 @@
     m_open.clear();
     m_expected.clear();
     m_updated_at = now;
+    m_backlog_time = duration{0};
 }
 
 void completion_forecast::on_task_done(const room_key& room, double core_ms) {
@@ -81,6 +82,7 @@
         flow.done = 0;
         flow.accepted = 0;
     }
+    m_backlog_time = measure_backlog_time();
 }
 
 const completion_forecast::room_flow* completion_forecast::find_flow(const room_key& room) const {
@@ -136,6 +138,21 @@
     return flow == nullptr ? 0 : flow->drain_cores;
 }
 
+duration completion_forecast::measure_backlog_time() const {
+    std::map<room_key, double> backlogs; // core-milliseconds
+    for (const auto& job : m_open) {
+        backlogs[job.room] += job.core_ms;
+    }
+    duration longest{};
+    for (const auto& [room, core_ms] : backlogs) {
+        const auto* flow = find_flow(room);
+        if (flow != nullptr && flow->has_waiting) {
+            longest = std::max(longest, to_duration(core_ms / flow->drain_cores));
+        }
+    }
+    return longest;
+}
+
 std::string completion_forecast::save(std::int64_t /*wall_ms*/, std::size_t max_bytes) const {
     job_wire::learned_drains message;
     for (const auto& [room, flow] : m_flows) {
--- a/poplarpitch/dispatch/completion_forecast.h
+++ b/poplarpitch/dispatch/completion_forecast.h
@@ -47,6 +47,10 @@
     [[nodiscard]] duration get_time_until_room(const job_work& job, double promised_core_ms) const;
     /// Returns the drain rate in cores, or 0 while it is not known.
     [[nodiscard]] double get_drain(const room_key& room) const;
+    /// Returns the time in which the work of the open jobs is done at the drain rate, in the room where that
+    /// takes longest, as of the last update. Rooms for which no task waits, or whose drain rate is not known,
+    /// are left out.
+    [[nodiscard]] duration get_backlog_time() const { return m_backlog_time; }
 
     static constexpr std::string_view part_name = "drains";
     static constexpr std::uint32_t format_version = 1;
@@ -72,12 +76,14 @@
     };
 
     [[nodiscard]] work_ahead get_work_ahead(const job_work& job) const;
+    [[nodiscard]] duration measure_backlog_time() const;
     [[nodiscard]] const room_flow* find_flow(const room_key& room) const;
 
     std::map<room_key, room_flow> m_flows;
     std::vector<job_work> m_open;
     absl::flat_hash_map<job_id, duration> m_expected; ///< forecasts of accepted jobs that have not ended
     time_point m_updated_at{};
+    duration m_backlog_time{}; ///< kept, since it is asked for more often than it is measured
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -128,6 +128,9 @@
     [[nodiscard]] std::uint64_t count_waiting_tasks() const;
     /// Returns how many accepted jobs have not ended.
     [[nodiscard]] std::size_t count_open_jobs() const { return m_jobs.size(); }
+    /// Returns the time in which the work that waits is done by the forecast; zero while none waits and with
+    /// `refuse_late` off.
+    [[nodiscard]] duration get_backlog_time() const { return m_completion.get_backlog_time(); }
     /// Returns how many accepted jobs of a queue have not started any task.
     [[nodiscard]] std::uint64_t count_pending_jobs(const std::string& queue) const;
     /// Returns true when a task of the job has started.
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -174,7 +174,7 @@
     }
 }
 
-job_wire::cluster_status replica::make_status() const {
+job_wire::cluster_status replica::make_status() {
     job_wire::cluster_status status;
     status.set_node(m_id);
     status.set_phase(static_cast<std::uint32_t>(m_phase));
@@ -183,6 +183,9 @@
         encode(m_node->get_membership(), *status.mutable_members());
     }
     status.set_leads(m_is_leading && has_lease());
+    if (status.leads() && m_handler.get_figures) {
+        m_digest_writer.write(m_last_term, m_handler.get_figures(), *status.mutable_load());
+    }
     return status;
 }
 
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/consensus/raft_node.h"
 #include "poplarpitch/core/result.h"
 #include "poplarpitch/net/background_task.h"
+#include "poplarpitch/replica/load_digest_writer.h"
 #include "poplarpitch/replica/member_planner.h"
 #include "poplarpitch/replica/node_phase.h"
 #include "poplarpitch/replica/peer_mesh.h"
@@ -59,6 +60,9 @@
     std::function<void(const job_wire::cluster_frame&,
                        const std::function<void(const job_wire::cluster_frame&)>&)>
         on_frame;
+    /// Returns the leader's figures for the load digest in its status. Called only while this instance leads.
+    /// Without it, the status has no digest.
+    std::function<leader_figures()> get_figures;
 };
 
 /// A control instance's replica of the log, on an event loop: raft node, storage, peers, bootstrap and
@@ -129,7 +133,7 @@
     void on_frame(std::uint32_t ip, const job_wire::cluster_frame& frame,
                   const std::function<void(const job_wire::cluster_frame&)>& reply);
     void on_status(std::uint32_t ip, const job_wire::cluster_status& status);
-    [[nodiscard]] job_wire::cluster_status make_status() const;
+    [[nodiscard]] job_wire::cluster_status make_status();
     void accept(const std::shared_ptr<frame_socket>& socket);
     void run_iteration();
     void save_output();
@@ -185,6 +189,7 @@
     time_point m_next_snapshot{};           ///< after one that found no space
     std::optional<time_point> m_full_since; ///< set while the disk is full
     member_planner m_planner;
+    load_digest_writer m_digest_writer;
     std::unique_ptr<peer_mesh> m_mesh;
     std::unique_ptr<frame_listener> m_listener;
     std::set<std::shared_ptr<frame_socket>> m_accepted;
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -124,6 +124,9 @@
                 });
             }
         };
+        handler.get_figures = [this] {
+            return leader_figures{m_parts.dispatch.get_backlog_time(), m_parts.dispatch.count_open_jobs()};
+        };
         return handler;
     }
 
