Spread the return of callers that find no leader by its load digest

Cause: while no leader can be reached, every caller is refused with a Retry-After that depends only on the length of the outage, so that all return together to a leader that was just elected.

It refuses nothing for load, and requests that were sent get the same answers as before.

--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -20,13 +20,15 @@
 namespace {
 
 constexpr int startup_failure_exit_code = 1;
+constexpr double no_digest_age = -1;                   // of the metric, while no load digest is valid
 constexpr duration response_margin = milliseconds{50}; // lets a response arrive before the deadline
 
 /// The components of an entry instance. All are used on the loop's thread only.
 class gateway {
 public:
     explicit gateway(const gateway_settings& settings)
-        : m_settings(settings), m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait),
+        : m_settings(settings),
+          m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait, settings.spread_returns),
           m_caller_listener(m_loop, make_listener_settings(settings.caller_host, settings.caller_port),
                             [this](const http_request& request, const http_responder& respond) {
                                 relay(request, respond);
@@ -83,6 +85,13 @@
         m_metrics.set("poplarpitch_open_requests", {}, static_cast<double>(m_link.get_open_requests()));
         m_metrics.set("poplarpitch_caller_connections", {},
                       static_cast<double>(m_caller_listener.get_connections()));
+        if (m_settings.spread_returns) {
+            const auto age = m_link.get_digest_age();
+            m_metrics.set("poplarpitch_load_digest_age_seconds", {},
+                          age.has_value() ? to_seconds(*age) : no_digest_age);
+            m_metrics.set("poplarpitch_spread_refusals_total", {},
+                          static_cast<double>(m_link.get_spread_refusals()));
+        }
         return m_metrics.format();
     }
 
--- a/poplarpitch/gateway/gateway_settings.cpp
+++ b/poplarpitch/gateway/gateway_settings.cpp
@@ -39,6 +39,7 @@
     value.leader_wait = reader.get_duration("leader_wait", value.leader_wait);
     value.drain_wait = reader.get_duration("drain_wait", value.drain_wait);
     value.stop_limit = reader.get_duration("stop_limit", value.stop_limit);
+    value.spread_returns = reader.get_flag("spread_returns", value.spread_returns);
 }
 
 } // namespace
--- a/poplarpitch/gateway/gateway_settings.h
+++ b/poplarpitch/gateway/gateway_settings.h
@@ -29,6 +29,8 @@
     duration drain_wait = milliseconds{2600};
     duration stop_limit = seconds{5}; ///< at shutdown: time limit for open requests
     int metrics_port = 0;
+    /// Spreads the return of callers that are refused for want of a leader, by the last leader's load digest.
+    bool spread_returns = false;
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -66,8 +66,9 @@
 };
 
 leader_link::leader_link(event_loop& loop, const std::vector<std::string>& seeds, int port,
-                         duration leader_wait)
-    : m_loop(loop), m_port(port), m_leader_wait(leader_wait), m_is_alive(std::make_shared<bool>(true)) {
+                         duration leader_wait, bool spread_returns)
+    : m_loop(loop), m_port(port), m_leader_wait(leader_wait), m_spread_returns(spread_returns),
+      m_is_alive(std::make_shared<bool>(true)) {
     for (const auto& seed : seeds) {
         if (const auto ip = parse_ip(seed); ip.has_value()) {
             m_control_ips.insert(*ip);
@@ -185,6 +186,9 @@
         return;
     }
     m_leader_heard_at = m_loop.now();
+    if (m_spread_returns && status.has_load()) {
+        on_load_digest(ip, status.load());
+    }
     if (ip == m_leader) {
         return;
     }
@@ -204,6 +208,23 @@
     send_pending();
 }
 
+void leader_link::on_load_digest(std::uint32_t ip, const job_wire::load_digest& message) {
+    const auto statement = read_load_digest(message);
+    if (m_digest.update(statement, m_loop.now()) != admission_digest::update_result::new_term) {
+        return;
+    }
+    log_event(log_level::info, "load_digest_taken")
+        .add("leader", format_ip(ip))
+        .add("term", statement.term)
+        .add("version", statement.version)
+        .add("spread_ms", to_milliseconds(statement.return_spread))
+        .add("open_jobs", statement.open_jobs);
+}
+
+std::optional<duration> leader_link::get_digest_age() const {
+    return m_digest.get_age(m_loop.now());
+}
+
 void leader_link::mark_leader_lost(const char* reason) {
     log_event(log_level::warn, "leader_lost")
         .add("leader", format_ip(m_leader))
@@ -265,6 +286,12 @@
                      : min_retry_after;
 }
 
+duration leader_link::take_return_delay(const pending_request& item) {
+    const auto delay = m_digest.get_return_delay(item.request->target(), m_loop.now());
+    m_spread_refusals += delay > duration{0} ? 1 : 0;
+    return delay;
+}
+
 void leader_link::send(pending_request& item) {
     const auto found = m_sockets.find(m_leader);
     if (found == m_sockets.end()) {
@@ -330,6 +357,9 @@
     relay_outcome outcome;
     outcome.result = classify_abandoned(*finished);
     outcome.retry_after = get_retry_after();
+    if (outcome.result == relay_outcome::kind::never_sent) {
+        outcome.retry_after += take_return_delay(*finished);
+    }
     log_abandoned(*finished, outcome.result);
     finished->on_outcome(outcome);
 }
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/gateway/admission_digest.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -56,8 +58,11 @@
     using outcome_handler = std::function<void(const relay_outcome&)>;
 
     /// `seeds` are IPv4 addresses of control instances; all of them listen on `port`. A request waits for a
-    /// leader for `leader_wait`. Precondition: `loop` outlives the link.
-    leader_link(event_loop& loop, const std::vector<std::string>& seeds, int port, duration leader_wait);
+    /// leader for `leader_wait`. With `spread_returns`, the callers of requests that are refused for want of
+    /// a leader are asked to return one after the other, by the last leader's load digest; without it,
+    /// digests are ignored. Precondition: `loop` outlives the link.
+    leader_link(event_loop& loop, const std::vector<std::string>& seeds, int port, duration leader_wait,
+                bool spread_returns = false);
     ~leader_link();
     leader_link(const leader_link&) = delete;
     leader_link& operator=(const leader_link&) = delete;
@@ -71,6 +76,10 @@
     [[nodiscard]] bool is_connected() const;
     /// Returns the number of requests that have no outcome yet.
     [[nodiscard]] std::size_t get_open_requests() const { return m_pending.size(); }
+    /// Returns the time since the load digest in use arrived, or nothing while there is none.
+    [[nodiscard]] std::optional<duration> get_digest_age() const;
+    /// Returns how many refusals had their time of return changed by a load digest.
+    [[nodiscard]] std::uint64_t get_spread_refusals() const { return m_spread_refusals; }
 
 private:
     struct pending_request;
@@ -81,9 +90,12 @@
     void on_frame(std::uint32_t ip, const std::string& bytes);
     void on_status(std::uint32_t ip, const job_wire::cluster_status& status);
     void on_answer(std::uint32_t ip, const job_wire::relay_answer& answer);
+    void on_load_digest(std::uint32_t ip, const job_wire::load_digest& message);
     void mark_leader_lost(const char* reason);
     void send_pending();
     [[nodiscard]] duration get_retry_after() const;
+    /// Returns what is added to the retry time of a request that was never sent, and counts it.
+    [[nodiscard]] duration take_return_delay(const pending_request& item);
     /// Returns the time until which a new request waits for a leader.
     [[nodiscard]] time_point get_leader_wait_deadline() const;
     void send(pending_request& item);
@@ -95,6 +107,7 @@
     event_loop& m_loop;
     int m_port;
     duration m_leader_wait;
+    bool m_spread_returns;
     std::set<std::uint32_t> m_control_ips; ///< known control instances: seeds and reported voters
     std::map<std::uint32_t, std::shared_ptr<frame_socket>> m_sockets;
     std::set<std::uint32_t> m_connecting;
@@ -106,6 +119,8 @@
     std::map<std::uint64_t, std::unique_ptr<pending_request>> m_pending;
     bool m_is_confirming_leader = false; ///< queued changes wait for the leader's next frame
     std::uint64_t m_next_number = 1;
+    admission_digest m_digest; ///< kept when the leader is lost: it is needed until the next one is found
+    std::uint64_t m_spread_refusals = 0;
     std::shared_ptr<bool> m_is_alive;
 };
 
