--- a/poplarpitch/dispatch/completion_forecast.cpp
+++ b/poplarpitch/dispatch/completion_forecast.cpp
@@ -47,6 +47,7 @@
     m_jobs.clear();
     m_expected.clear();
     m_measured_at = now;
+    m_backlog_time = duration{0};
 }
 
 void completion_forecast::on_task_done(job_id job, const room_key& room, double core_ms) {
@@ -148,6 +149,7 @@
         flow.has_waiting = has_waiting;
         flow.accepted = 0;
     }
+    m_backlog_time = measure_backlog_time();
 }
 
 const completion_forecast::room_flow* completion_forecast::find_flow(const room_key& room) const {
@@ -214,6 +216,21 @@
     return flow == nullptr ? 0 : flow->drain_cores;
 }
 
+duration completion_forecast::measure_backlog_time() const {
+    duration longest{};
+    for (const auto& [room, flow] : m_flows) {
+        if (find_flow(room) == nullptr || !flow.has_waiting) {
+            continue;
+        }
+        double core_ms = 0;
+        for (const auto& [priority, work] : flow.open) {
+            core_ms += add_up(work.begin(), work.end());
+        }
+        longest = std::max(longest, to_duration(core_ms / flow.drain_cores));
+    }
+    return longest;
+}
+
 std::string completion_forecast::save(std::int64_t /*wall_ms*/, std::size_t max_bytes) const {
     job_wire::learned_drains message;
     for (const auto& [room, flow] : m_flows) {
--- a/poplarpitch/dispatch/completion_forecast.h
+++ b/poplarpitch/dispatch/completion_forecast.h
@@ -58,6 +58,10 @@
                                                time_point now) const;
     /// Returns the drain rate in cores, or 0 while it is not known.
     [[nodiscard]] double get_drain(const room_key& room) const;
+    /// Returns the time in which the work of the open jobs is done at the drain rate, in the room where that
+    /// takes longest, as of the last update. Rooms for which no task waits, or whose drain rate is not known,
+    /// are left out.
+    [[nodiscard]] duration get_backlog_time() const { return m_backlog_time; }
 
     static constexpr std::string_view part_name = "drains";
     static constexpr std::uint32_t format_version = 1;
@@ -100,12 +104,14 @@
     static void sample_drain(room_flow& flow, bool has_waiting, double passed_ms);
     [[nodiscard]] static work_ahead get_work_ahead(const room_flow& flow, const job_work& job,
                                                    time_point now);
+    [[nodiscard]] duration measure_backlog_time() const;
     [[nodiscard]] const room_flow* find_flow(const room_key& room) const;
 
     std::map<room_key, room_flow> m_flows; ///< entries are never removed within a term
     absl::flat_hash_map<job_id, counted_work> m_jobs;
     absl::flat_hash_map<job_id, duration> m_expected; ///< forecasts of accepted jobs that have not ended
     time_point m_measured_at{};
+    duration m_backlog_time{}; ///< kept, since it is asked for more often than it is measured
 };
 
 } // namespace poplarpitch
