--- a/unit_tests/dispatch/completion_forecast_test.cpp
+++ b/unit_tests/dispatch/completion_forecast_test.cpp
@@ -189,7 +189,8 @@
 /// Work that runs and leaves nothing waiting is no reason for callers to stay away.
 TEST_F(completion_forecast_test, has_no_backlog_time_while_no_task_waits) {
     m_now += milliseconds{500};
-    m_forecast.update({make_job(1, 20'000, 3000)}, {}, m_now);
+    m_forecast.set_open({make_job(1, 20'000, 3000)}, m_now);
+    m_forecast.measure({}, m_now);
     EXPECT_EQ(m_forecast.get_backlog_time(), duration{0});
     pass(milliseconds{500}, 10, {});
     EXPECT_EQ(m_forecast.get_backlog_time(), duration{0});
@@ -198,7 +199,8 @@
 TEST_F(completion_forecast_test, has_no_backlog_time_while_the_drain_rate_is_not_known) {
     m_forecast.clear(m_now);
     m_now += milliseconds{500};
-    m_forecast.update({make_job(1, 20'000, 3000)}, {filling}, m_now);
+    m_forecast.set_open({make_job(1, 20'000, 3000)}, m_now);
+    m_forecast.measure({filling}, m_now);
     EXPECT_EQ(m_forecast.get_backlog_time(), duration{0});
 }
 
@@ -207,9 +209,10 @@
     other.room = whole_cores;
     for (int round = 0; round < 8; ++round) {
         m_now += milliseconds{500};
-        m_forecast.on_task_done(filling, 5000);
-        m_forecast.on_task_done(whole_cores, 10'000);
-        m_forecast.update({make_job(1, 20'000, 3000), other}, {filling, whole_cores}, m_now);
+        m_forecast.on_task_done(0, filling, 5000);
+        m_forecast.on_task_done(0, whole_cores, 10'000);
+        m_forecast.set_open({make_job(1, 20'000, 3000), other}, m_now);
+        m_forecast.measure({filling, whole_cores}, m_now);
     }
     EXPECT_NEAR(to_seconds(m_forecast.get_backlog_time()), 3.0, 0.05); // 2 s and 3 s
 }
