Find slow workers also by several runs of one step

Placement packs the short tasks of a step, so half of the slow workers under load had evidence of one step only and were not found (43 starts on 6 slow workers of 24 in 4 s, 18 allowed). Evidence is now kept by task; one step suffices where the worker is below a quarter of the median without its slowest task, which is more than a forecast is off.

--- a/poplarpitch/dispatch/dispatcher_speed.cpp
+++ b/poplarpitch/dispatch/dispatcher_speed.cpp
@@ -221,7 +221,7 @@
         return;
     }
     const auto done = static_cast<double>(percent - track.progress_percent) / full_percent;
-    track.host->speed.observe(track.key.task.step, done * expected_s, took_s, m_speed_settings, now);
+    track.host->speed.observe(track.key.task, done * expected_s, took_s, m_speed_settings, now);
     track.progress_at = now;
     track.progress_percent = percent;
 }
--- a/poplarpitch/dispatch/worker_speed.cpp
+++ b/poplarpitch/dispatch/worker_speed.cpp
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace poplarpitch {
 namespace {
 
-constexpr std::size_t max_steps = 16;      // a worker has runs of fewer steps that end, so this rarely binds
-constexpr double negligible_time_s = 0.02; // run-seconds below which a step is forgotten
+constexpr std::size_t max_tasks = 32;         // a worker has fewer runs that end, so this rarely binds
+constexpr double negligible_time_s = 0.02;    // run-seconds below which a task is forgotten
 constexpr double least_relative_speed = 0.01; // so that the time left stays finite
 
 double get_weight(duration age, duration memory) {
@@ -16,28 +17,28 @@
 
 } // namespace
 
-void worker_speed::observe(const step_key& step, double work_s, double took_s,
+void worker_speed::observe(const task_key& task, double work_s, double took_s,
                            const worker_speed_settings& settings, time_point now) {
     if (took_s <= 0) {
         return;
     }
     const auto weight = get_weight(now - m_observed_at, settings.memory);
-    for (auto& row : m_steps) {
+    for (auto& row : m_tasks) {
         row.work_s *= weight;
         row.time_s *= weight;
     }
-    std::erase_if(m_steps, [](const step_evidence& row) { return row.time_s < negligible_time_s; });
-    auto found = std::find_if(m_steps.begin(), m_steps.end(),
-                              [&](const step_evidence& row) { return row.step == step; });
-    if (found == m_steps.end() && m_steps.size() >= max_steps) {
-        m_steps.erase(
-            std::min_element(m_steps.begin(), m_steps.end(),
+    std::erase_if(m_tasks, [](const task_evidence& row) { return row.time_s < negligible_time_s; });
+    auto found = std::find_if(m_tasks.begin(), m_tasks.end(),
+                              [&](const task_evidence& row) { return row.task == task; });
+    if (found == m_tasks.end() && m_tasks.size() >= max_tasks) {
+        m_tasks.erase(
+            std::min_element(m_tasks.begin(), m_tasks.end(),
                              [](const auto& left, const auto& right) { return left.time_s < right.time_s; }));
-        found = m_steps.end();
+        found = m_tasks.end();
     }
-    if (found == m_steps.end()) {
-        m_steps.push_back({step, 0, 0});
-        found = m_steps.end() - 1;
+    if (found == m_tasks.end()) {
+        m_tasks.push_back({task, 0, 0});
+        found = m_tasks.end() - 1;
     }
     found->work_s += std::max(work_s, 0.0);
     found->time_s += took_s;
@@ -50,7 +51,7 @@
 double worker_speed::get_speed() const {
     double work_s = 0;
     double time_s = 0;
-    for (const auto& row : m_steps) {
+    for (const auto& row : m_tasks) {
         work_s += row.work_s;
         time_s += row.time_s;
     }
@@ -59,7 +60,7 @@
 
 double worker_speed::get_evidence_s(const worker_speed_settings& settings, time_point now) const {
     double time_s = 0;
-    for (const auto& row : m_steps) {
+    for (const auto& row : m_tasks) {
         time_s += row.time_s;
     }
     return time_s * get_weight(now - m_observed_at, settings.memory);
@@ -84,29 +85,39 @@
     return now - m_tail_at < seconds{1} && m_sound_tail_run >= settings.sound_tail_s;
 }
 
+template <class Same>
+bool worker_speed::is_below(double limit, double min_other_s, const Same& is_same) const {
+    return std::all_of(m_tasks.begin(), m_tasks.end(), [&](const task_evidence& left_out) {
+        double work_s = 0;
+        double time_s = 0;
+        for (const auto& row : m_tasks) {
+            if (!is_same(row.task, left_out.task)) {
+                work_s += row.work_s;
+                time_s += row.time_s;
+            }
+        }
+        return time_s >= min_other_s && work_s < limit * time_s;
+    });
+}
+
 worker_speed::speed_state worker_speed::find_state_of_sound(double median,
                                                             const worker_speed_settings& settings,
                                                             time_point now) const {
-    const auto weight = get_weight(now - m_observed_at, settings.memory);
-    double work_s = 0;
-    double time_s = 0;
-    for (const auto& row : m_steps) {
-        work_s += row.work_s * weight;
-        time_s += row.time_s * weight;
-    }
-    const bool is_enough = median > 0 && time_s >= settings.min_evidence_s &&
-                           std::all_of(m_steps.begin(), m_steps.end(), [&](const step_evidence& row) {
-                               return time_s - row.time_s * weight >= settings.min_other_s;
-                           });
-    if (!is_enough) {
+    if (median <= 0 || get_evidence_s(settings, now) < settings.min_evidence_s) {
         return has_slow_tails(settings, now) ? speed_state::slow : speed_state::sound;
     }
     const auto limit = settings.slow_share * median;
-    const bool is_slow =
-        work_s < limit * time_s && std::all_of(m_steps.begin(), m_steps.end(), [&](const step_evidence& row) {
-            return work_s - row.work_s * weight < limit * (time_s - row.time_s * weight);
-        });
-    return is_slow ? speed_state::slow : speed_state::sound;
+    if (get_speed() >= limit) {
+        return speed_state::sound;
+    }
+    const auto min_other_s = settings.min_other_s / get_weight(now - m_observed_at, settings.memory);
+    const bool is_slow = is_below(limit, min_other_s, std::equal_to<task_key>()) &&
+                         is_below(limit, min_other_s, [](const task_key& left, const task_key& right) {
+                             return left.step == right.step;
+                         });
+    const bool is_far_slower =
+        is_below(settings.single_step_share * median, min_other_s, std::equal_to<task_key>());
+    return is_slow || is_far_slower || has_slow_tails(settings, now) ? speed_state::slow : speed_state::sound;
 }
 
 worker_speed::speed_state
@@ -152,7 +163,7 @@
 }
 
 void worker_speed::forget_evidence() {
-    m_steps.clear();
+    m_tasks.clear();
     m_recent_work_s = 0;
     m_recent_time_s = 0;
     m_slow_tail_s = 0;
@@ -163,7 +174,7 @@
 bool worker_speed::classify(double median, const worker_speed_settings& settings, time_point now) {
     const auto before = m_state;
     m_state = find_state(median, settings, now);
-    if (m_state == speed_state::slow && median > 0 && !m_steps.empty()) {
+    if (m_state == speed_state::slow && median > 0 && !m_tasks.empty()) {
         m_relative_speed = get_speed() / median;
         m_median = median;
     }
--- a/poplarpitch/dispatch/worker_speed.h
+++ b/poplarpitch/dispatch/worker_speed.h
@@ -11,15 +11,17 @@
 
 /// When a worker counts as slow, and how its tasks are moved.
 struct worker_speed_settings {
-    double slow_share = 0.5;     ///< of the pool's median speed: a worker below it is slow
-    double sound_share = 0.7;    ///< of the pool's median speed: a slow worker above it is sound again
-    double min_evidence_s = 1.5; ///< run-seconds of at least two steps
-    double min_other_s = 0.4;    ///< of them, run-seconds without those of the slowest step
-    double min_trial_s = 0.4;    ///< run-seconds of the task that tries a worker on probation
-    double min_recent_s = 0.3;   ///< run-seconds at the speed of a sound worker that end slowness
-    double min_tail_s = 1;       ///< seconds of tail latencies
-    double clear_share = 0.8;    ///< of those seconds that must agree
-    double sound_tail_s = 0.6;   ///< seconds of tail latencies without a slow one that end slowness
+    double slow_share = 0.5;         ///< of the pool's median speed: a worker below it is slow
+    double sound_share = 0.7;        ///< of the pool's median speed: a slow worker above it is sound again
+    double single_step_share = 0.25; ///< the same where all evidence is of one step: its forecast may be off
+                                     ///< by a factor of 2.5
+    double min_evidence_s = 1.5;     ///< run-seconds of at least two tasks
+    double min_other_s = 0.4;        ///< of them, run-seconds without those of the slowest task or step
+    double min_trial_s = 0.4;        ///< run-seconds of the task that tries a worker on probation
+    double min_recent_s = 0.3;       ///< run-seconds at the speed of a sound worker that end slowness
+    double min_tail_s = 1;           ///< seconds of tail latencies
+    double clear_share = 0.8;        ///< of those seconds that must agree
+    double sound_tail_s = 0.6;       ///< seconds of tail latencies without a slow one that end slowness
     duration memory = milliseconds{1500};       ///< time constant with which older evidence loses weight
     duration recent_memory = milliseconds{400}; ///< the same of the evidence for a recovery
     duration retry_after = seconds{1};          ///< without evidence: when a slow worker is tried again
@@ -54,13 +56,15 @@
 /// 7.5 times slower for 12 s, while their answers and heartbeats arrive as usual. The ends of runs show this
 /// too late, so their progress counts. Forecasts are off by the same factor for all workers of a pool, so a
 /// worker is compared with the median of its pool, and a pool that is slow as a whole has no slow workers.
-/// The forecast of a single step may be off, and single tasks are uneven, so the worker must also be slow
-/// without its slowest step. A slow worker without new evidence is on probation: it is tried with one task.
-/// Thread safety: none, as for all methods.
+/// The forecast of a single step may be off, so the worker must also be slow without its slowest step, or far
+/// slower than such errors. Single tasks are uneven, so it must be that without its slowest task. Load
+/// pattern: placement packs short tasks, so the runs of a worker that show its speed are often of one step. A
+/// slow worker without new evidence is on probation: it is tried with one task. Thread safety: none, as for
+/// all methods.
 class worker_speed {
 public:
     /// Adds a run's progress: work that was forecast to take `work_s` seconds took `took_s` seconds.
-    void observe(const step_key& step, double work_s, double took_s, const worker_speed_settings& settings,
+    void observe(const task_key& task, double work_s, double took_s, const worker_speed_settings& settings,
                  time_point now);
     /// Adds a tail latency of the worker's serving tasks that nothing beside them explains, as it was for
     /// `took_s` seconds.
@@ -87,15 +91,19 @@
 
 private:
     enum class speed_state : std::uint8_t { sound, slow, probation };
-    /// Work of the runs of one step and the time they took for it, decayed.
-    struct step_evidence {
-        step_key step;
+    /// Work of the runs of one task and the time they took for it, decayed.
+    struct task_evidence {
+        task_key task;
         double work_s = 0;
         double time_s = 0;
     };
 
     [[nodiscard]] speed_state find_state(double median, const worker_speed_settings& settings,
                                          time_point now) const;
+    /// Returns true when the speed is below `limit`, also without any one group of tasks. `is_same` tells
+    /// whether two tasks are in one group.
+    template <class Same>
+    [[nodiscard]] bool is_below(double limit, double min_other_s, const Same& is_same) const;
     [[nodiscard]] speed_state find_state_of_sound(double median, const worker_speed_settings& settings,
                                                   time_point now) const;
     [[nodiscard]] speed_state find_state_of_slow(double median, const worker_speed_settings& settings,
@@ -107,7 +115,7 @@
     [[nodiscard]] bool has_recovered_tails(const worker_speed_settings& settings, time_point now) const;
     void forget_evidence();
 
-    std::vector<step_evidence> m_steps; ///< a few at most
+    std::vector<task_evidence> m_tasks; ///< a few dozen at most
     time_point m_observed_at{};
     double m_recent_work_s = 0;
     double m_recent_time_s = 0;
