Move no step of fair shares across the border of a class

A step in time with a slack above 1,000,000 ms ranks behind late ones, and the corrected order put it before them. Each run of steps of one class is now corrected by itself.

--- a/poplarpitch/dispatch/fair_share.cpp
+++ b/poplarpitch/dispatch/fair_share.cpp
@@ -111,21 +111,25 @@
 }
 
 std::vector<step_key> fair_share::correct_order(const room_state& room, double allowance) {
-    std::map<int, std::pair<std::vector<step_key>, std::vector<step_key>>> classes; // first ones, others
+    std::vector<step_key> order;
+    std::vector<step_key> others; // that go behind those of their class which go first
+    order.reserve(room.steps.size());
+    int lateness = 0;
     for (const auto& step : room.steps) {
-        auto& [first, others] = classes[step.lateness];
-        const bool is_over = room.over_share.contains(step.key);
-        const bool goes_first = !is_over && (others.empty() || allowance > 0);
+        // Slack of more than a quarter of an hour ranks behind late steps, so a class need not be in one
+        // piece.
+        if (step.lateness != lateness) {
+            order.insert(order.end(), others.begin(), others.end());
+            others.clear();
+            lateness = step.lateness;
+        }
+        const bool goes_first = !room.over_share.contains(step.key) && (others.empty() || allowance > 0);
         if (goes_first && !others.empty()) {
             allowance -= static_cast<double>(step.tasks) * step.task_core_seconds;
         }
-        (goes_first ? first : others).push_back(step.step);
-    }
-    std::vector<step_key> order;
-    for (const auto& [lateness, steps] : classes) {
-        order.insert(order.end(), steps.first.begin(), steps.first.end());
-        order.insert(order.end(), steps.second.begin(), steps.second.end());
+        (goes_first ? order : others).push_back(step.step);
     }
+    order.insert(order.end(), others.begin(), others.end());
     return order;
 }
 
@@ -165,11 +169,13 @@
         if (uncorrected.empty()) {
             uncorrected = ranked;
         }
-        const auto order = correct_order(room, allowance);
-        for (std::size_t index = 0; index < order.size(); ++index) {
-            const std::pair place{room.steps[index].rank, room.steps[index].step};
-            const auto found = std::lower_bound(uncorrected.begin(), uncorrected.end(), place);
-            ranked[static_cast<std::size_t>(found - uncorrected.begin())].second = order[index];
+        auto place = uncorrected.begin(); // both lists are in the same order
+        std::size_t index = 0;
+        for (const auto& step : correct_order(room, allowance)) {
+            const std::pair next{room.steps[index].rank, room.steps[index].step};
+            place = std::find(place, uncorrected.end(), next);
+            ranked[static_cast<std::size_t>(place - uncorrected.begin())].second = step;
+            ++index;
         }
     }
 }
--- a/unit_tests/dispatch/fair_share_test.cpp
+++ b/unit_tests/dispatch/fair_share_test.cpp
@@ -189,29 +189,75 @@
     EXPECT_EQ(shares.save(wall_ms, max_bytes), before);
 }
 
-/// A step of better priority, a long-running or a starving one is ranked among the others but not corrected.
-TEST(fair_share, leaves_steps_that_may_not_be_corrected_at_their_positions) {
-    fair_share shares(make_settings());
+const fair_share::room_kind mill{"mill", 0, false};
+
+fair_share::waiting_step make_waiting(std::int64_t rank, job_id job, int lateness,
+                                      const fair_share::share_key& key) {
+    return {rank, {job, 0, 0}, lateness, mill, key, 1, 1};
+}
+
+/// Runs passes in which none of these steps finds room, after the large caller got all of it. Returns the
+/// jobs in the order of the last pass.
+std::vector<job_id> rank_without_room(const std::vector<fair_share::waiting_step>& steps,
+                                      const std::vector<std::pair<std::int64_t, job_id>>& fixed = {}) {
+    constexpr std::size_t many_tasks = 100;
     const time_point now{seconds{100}};
+    fair_share shares(make_settings());
     shares.add_use(large_caller, 100, now);
-    const fair_share::room_kind room{"mill", 0, false};
-    const std::vector<fair_share::waiting_step> steps = {{10, {1, 0, 0}, 0, room, large_caller, 1, 1},
-                                                         {30, {3, 0, 0}, 0, room, small_caller, 1, 1}};
-    const fair_share::ranked_steps uncorrected = {{10, {1, 0, 0}}, {20, {2, 0, 0}}, {30, {3, 0, 0}}};
-    auto ranked = uncorrected;
-    shares.begin_pass(ranked, steps, now);
-    EXPECT_EQ(ranked, uncorrected) << "no task is known to have found no room";
-    shares.end_pass([](const step_key&) { return 1; }, now);
-    // Other steps were placed, so it is known how fast the room drains.
-    ranked = {{5, {9, 0, 0}}};
-    shares.begin_pass(ranked, {{5, {9, 0, 0}, 0, room, large_caller, 100, 1}}, now);
+    auto served = make_waiting(0, 99, 0, large_caller);
+    served.tasks = many_tasks;
+    fair_share::ranked_steps ranked = {{served.rank, served.step}};
+    shares.begin_pass(ranked, {served}, now); // shows how fast the room drains
     shares.end_pass([](const step_key&) { return 0; }, now);
-    ranked = uncorrected;
-    shares.begin_pass(ranked, steps, now);
-    shares.end_pass([](const step_key&) { return 1; }, now);
-    ranked = uncorrected;
-    shares.begin_pass(ranked, steps, now);
-    EXPECT_EQ(ranked, (fair_share::ranked_steps{{10, {3, 0, 0}}, {20, {2, 0, 0}}, {30, {1, 0, 0}}}));
+    for (int pass = 0; pass < 2; ++pass) {
+        ranked.clear();
+        for (const auto& step : steps) {
+            ranked.emplace_back(step.rank, step.step);
+        }
+        for (const auto& [rank, job] : fixed) {
+            ranked.emplace_back(rank, step_key{job, 0, 0});
+        }
+        std::sort(ranked.begin(), ranked.end());
+        shares.begin_pass(ranked, steps, now);
+        shares.end_pass([](const step_key&) { return many_tasks; }, now);
+    }
+    std::vector<job_id> order;
+    for (const auto& [rank, step] : ranked) {
+        order.push_back(step.job);
+    }
+    return order;
+}
+
+/// A long-running or a starving step is ranked among the others but not corrected.
+TEST(fair_share, leaves_steps_that_may_not_be_corrected_at_their_positions) {
+    const std::vector<fair_share::waiting_step> steps = {make_waiting(10, 1, 0, large_caller),
+                                                         make_waiting(30, 3, 0, small_caller)};
+    EXPECT_EQ(rank_without_room(steps), (std::vector<job_id>{3, 1}));
+    EXPECT_EQ(rank_without_room(steps, {{20, 2}}), (std::vector<job_id>{3, 2, 1}));
+}
+
+/// A late result is worth less, so a late step must not displace one in time. A step with a slack of 33
+/// minutes ranks behind late ones, and must not overtake them because it is in time.
+TEST(fair_share, moves_no_step_across_the_border_of_a_class) {
+    EXPECT_EQ(rank_without_room(
+                  {make_waiting(10, 1, 0, large_caller), make_waiting(1'000'000, 2, 1, small_caller)}),
+              (std::vector<job_id>{1, 2}));
+    EXPECT_EQ(rank_without_room({make_waiting(10, 1, 0, large_caller), make_waiting(20, 2, 0, small_caller),
+                                 make_waiting(1'000'000, 3, 1, large_caller),
+                                 make_waiting(2'000'000, 4, 0, small_caller)}),
+              (std::vector<job_id>{2, 1, 3, 4}));
+}
+
+/// Steps of another pool, priority or kind do not compete for the same room.
+TEST(fair_share, leaves_the_order_where_keys_wait_for_different_room) {
+    auto filling = make_waiting(30, 3, 0, small_caller);
+    filling.room.is_filling = true;
+    EXPECT_EQ(rank_without_room({make_waiting(10, 1, 0, large_caller), filling}),
+              (std::vector<job_id>{1, 3}));
+    auto other_pool = make_waiting(30, 3, 0, small_caller);
+    other_pool.room.pool = "other";
+    EXPECT_EQ(rank_without_room({make_waiting(10, 1, 0, large_caller), other_pool}),
+              (std::vector<job_id>{1, 3}));
 }
 
 } // namespace
