Give the tests of spread_returns all required settings

Cause: the texts lacked the required key ready, so that both tests failed with one error more than expected.

--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -141,21 +141,26 @@
     EXPECT_TRUE(parsed.value.spread_returns);
 }
 
+/// Returns settings whose first seven lines are the required ones, with `entry_line` as the eighth.
+std::string make_gateway_text(const std::string& entry_line) {
+    return "[instance]\nid = g\nseeds = 10.1.0.16:1\nlink_port = 3\n"
+           "[entry]\nlisten = 10.0.0.1:1\nready = 10.0.0.1:2\n" +
+           entry_line;
+}
+
 TEST(gateway_settings, spreads_returns_only_where_it_is_set) {
-    const std::string text = "[instance]\nid = g\nseeds = 10.1.0.16:1\n[entry]\nlisten = 10.0.0.1:1\n";
-    const auto without = parse_gateway_settings(text);
+    const auto without = parse_gateway_settings(make_gateway_text(""));
     EXPECT_TRUE(without.errors.empty());
     EXPECT_FALSE(without.value.spread_returns);
-    const auto with = parse_gateway_settings(text + "spread_returns = true\n");
+    const auto with = parse_gateway_settings(make_gateway_text("spread_returns = true\n"));
     EXPECT_TRUE(with.errors.empty());
     EXPECT_TRUE(with.value.spread_returns);
 }
 
 TEST(gateway_settings, reports_a_bad_value_of_spread_returns_with_its_line) {
-    const auto parsed = parse_gateway_settings("[instance]\nid = g\nseeds = 10.1.0.16:1\n[entry]\n"
-                                               "listen = 10.0.0.1:1\nspread_returns = often\n");
+    const auto parsed = parse_gateway_settings(make_gateway_text("spread_returns = often\n"));
     ASSERT_EQ(parsed.errors.size(), 1U);
-    EXPECT_EQ(parsed.errors[0].line, 6);
+    EXPECT_EQ(parsed.errors[0].line, 8);
     EXPECT_FALSE(parsed.value.spread_returns);
 }
 
