--- a/poplarpitch/replica/load_digest_writer.h
+++ b/poplarpitch/replica/load_digest_writer.h
@@ -23,8 +23,8 @@
 /// Writes the load digests of a leader, and numbers them within its term. Thread safety: none.
 class load_digest_writer {
 public:
-    /// Upper bound of the spread. Callers have four attempts, and should not use one up by waiting for longer
-    /// than the leader needs to work off a burst.
+    /// Upper bound of the spread. With a longer backlog, the next leader refuses the jobs that would be too
+    /// late and gives each caller its own time.
     static constexpr duration max_return_spread = seconds{10};
     /// How long a digest is used. All control instances may be without power for 5 to 10 s, and an election
     /// and the first attempts of callers take some seconds more.
