--- a/unit_tests/dispatch/dispatcher_speed_test.cpp
+++ b/unit_tests/dispatch/dispatcher_speed_test.cpp
@@ -32,7 +32,8 @@
 struct speed_world_settings {
     bool is_on = true;
     std::uint64_t seed = 1;
-    int lost_answers_percent = 0; ///< of the answers to stops
+    int lost_answers_percent = 0;            ///< of the answers to stops
+    std::string filling_image = "filling-a"; ///< disturbs serving tasks little
 };
 
 /// A dispatch_world with simulated workers whose speed can be changed, under a steady load.
@@ -151,7 +152,7 @@
             filling.millicores = 7000;
             filling.estimate_ms = to_milliseconds(filling_length);
             filling.is_filling = true;
-            filling.image = "filling-a";
+            filling.image = m_settings.filling_image;
             filling.checkpointing = false;
             m_lengths[m_world.submit({filling})] = filling_length;
             auto quick = make_step(10);
@@ -304,6 +305,24 @@
     EXPECT_EQ(world.get_serving_stops(), 0U);
 }
 
+/// Guards against a worker that counts as slow because its filling tasks are paced for its serving tasks, or
+/// get no processor time beside the short tasks.
+TEST(dispatcher_speed, moves_nothing_from_sound_workers_whose_filling_tasks_are_paced) {
+    speed_world world({true, 1, 0, "filling-b"});
+    for (int job = 0; job < 6; ++job) {
+        world.submit_serving(14, 2);
+    }
+    world.start_load();
+    std::size_t most_slow = 0;
+    for (int round = 0; round < 80; ++round) {
+        world.run(milliseconds{250});
+        most_slow = std::max(most_slow, world.count_slow());
+    }
+    EXPECT_GT(world.get_counts().pace_orders, 0U);
+    EXPECT_EQ(most_slow, 0U);
+    EXPECT_EQ(world.get_counts().moved_from_slow, 0U);
+}
+
 /// Guards against a comparison with an absolute speed: the forecasts may be off for a whole pool.
 TEST(dispatcher_speed, moves_nothing_in_a_pool_that_is_slow_as_a_whole) {
     speed_world world;
--- a/unit_tests/dispatch/worker_speed_test.cpp
+++ b/unit_tests/dispatch/worker_speed_test.cpp
@@ -23,6 +23,13 @@
     }
 }
 
+TEST(worker_speed, accepts_its_default_settings_and_refuses_limits_out_of_order) {
+    EXPECT_TRUE(settings.is_valid());
+    worker_speed_settings wrong;
+    wrong.sound_share = wrong.slow_share;
+    EXPECT_FALSE(wrong.is_valid());
+}
+
 TEST(worker_speed, finds_a_worker_that_is_seven_times_slower) {
     time_point now{seconds{100}};
     worker_speed worker;
