Take out the switch of the layout, which nothing reads

Change: the key plan_layout is unknown again, so a deployment that sets it gets an error. Result: no decision changes.

--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -89,7 +89,6 @@
     decisions.refuse_late = reader.get_flag("refuse_late", decisions.refuse_late);
     decisions.keep_learned = reader.get_flag("keep_learned", decisions.keep_learned);
     decisions.move_from_slow = reader.get_flag("move_from_slow", decisions.move_from_slow);
-    decisions.plan_layout = reader.get_flag("plan_layout", decisions.plan_layout);
     decisions.fair_shares = reader.get_flag("fair_shares", decisions.fair_shares);
     read_share_weights(reader, decisions);
 }
--- a/poplarpitch/scheduling/decision_settings.h
+++ b/poplarpitch/scheduling/decision_settings.h
@@ -12,7 +12,6 @@
     bool keep_learned = false; ///< replicate what the leader learns, so that a new leader starts with it
     bool move_from_slow =
         false;                ///< avoid workers that are slow compared with their pool, and move tasks away
-    bool plan_layout = false; ///< move serving tasks so that waiting filling tasks find room
     bool fair_shares = false; ///< share scarce room between queues and data centres of callers
     std::map<std::string, double> share_weights{}; ///< by queue, positive; a queue that is not listed has 1
 
--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -38,9 +38,9 @@
     EXPECT_EQ(without.value.dispatch.decisions, decision_settings{});
     const auto with = parse_scheduler_settings(required + "[decisions]\nrefuse_late = true\n"
                                                           "keep_learned = true\nmove_from_slow = true\n"
-                                                          "plan_layout = true\nfair_shares = true\n");
+                                                          "fair_shares = true\n");
     EXPECT_TRUE(with.errors.empty());
-    EXPECT_EQ(with.value.dispatch.decisions, (decision_settings{true, true, true, true, true}));
+    EXPECT_EQ(with.value.dispatch.decisions, (decision_settings{true, true, true, true, {}}));
 }
 
 const std::string decisions_text = "[instance]\nid = a\nhost = 127.0.0.1\n[control]\nlisten = 127.0.0.1:3\n"
