Keep the delay by fair shares within its bound

Cause: the test of the bound allowed a tenth and 0.4 s more than the stated 2 s, since the code exceeded it: one step may go beyond the allowance and its tasks are placed over several passes. Change: the allowance leaves out that time and a tenth of the drain; the test has the stated bound.

--- a/poplarpitch/dispatch/fair_share.cpp
+++ b/poplarpitch/dispatch/fair_share.cpp
@@ -10,7 +10,11 @@
 namespace {
 
 constexpr double negligible_core_seconds = 0.001; // a thousandth of a small task
-constexpr double saved_unit = 0.001;              // core-seconds; the records need no more precision
+// A step that is placed before its turn may exceed the allowance by one step, and its tasks are placed over
+// several passes. The delay that this adds is less than this.
+constexpr duration placing_time = milliseconds{500};
+constexpr double max_drain_share = 0.9; // the drain varies by a tenth with the lengths of tasks
+constexpr double saved_unit = 0.001;    // core-seconds; the records need no more precision
 
 std::int64_t get_due_ms(std::int64_t rank, time_point now) {
     return rank + to_milliseconds(now.time_since_epoch());
@@ -90,7 +94,8 @@
     // than that at first, so the bound is met from the start.
     const auto placed = room.placed_core_seconds * get_decay(room.decayed_at, now);
     const auto drain = placed * std::log(2.0) / to_seconds(m_settings.half_life);
-    auto allowance = drain * to_seconds(m_settings.max_delay);
+    const auto delay = std::max<duration>(m_settings.max_delay - placing_time, duration{0});
+    auto allowance = max_drain_share * drain * to_seconds(delay);
     for (const auto& debt : room.debts) {
         allowance -= debt.core_seconds;
     }
--- a/unit_tests/dispatch/fair_share_test.cpp
+++ b/unit_tests/dispatch/fair_share_test.cpp
@@ -116,17 +116,11 @@
 
 TEST(fair_share, delays_no_step_by_more_than_the_bound) {
     fair_share_settings settings;
-    // The drain varies by a tenth with the tasks' lengths. Both runs place pass by pass; one step may go
-    // beyond the allowance, and one may have its two tasks placed in two passes, each of which is 100 ms of
-    // drain.
-    const auto get_limit = [](duration bound) {
-        return bound + bound / 10 + 4 * simulated_room::pass_interval;
-    };
     const auto longest = find_longest_delay(settings);
     EXPECT_GT(longest, milliseconds{500}) << "the correction has an effect";
-    EXPECT_LE(longest, get_limit(settings.max_delay));
+    EXPECT_LE(longest, settings.max_delay);
     settings.max_delay = milliseconds{500};
-    EXPECT_LE(find_longest_delay(settings), get_limit(settings.max_delay));
+    EXPECT_LE(find_longest_delay(settings), settings.max_delay);
 }
 
 TEST(fair_share, halves_the_use_in_ten_seconds) {
