--- a/unit_tests/dispatch/learned_state_test.cpp
+++ b/unit_tests/dispatch/learned_state_test.cpp
@@ -214,7 +214,7 @@
         job.steps = {step};
         for (int number = 0; number < queues; ++number) {
             const auto queue = is_reversed ? queues - 1 - number : number;
-            job.id = static_cast<job_id>(queue + 1);
+            job.id = static_cast<job_id>(queue) + 1;
             job.queue.name = "queue" + std::to_string(queue);
             forecast.on_done({{job.id, 0, 0}, 0}, 1000 + queue);
             forecast.on_step_done(job, {job.id, 0, 0});
