--- a/unit_tests/dispatch/overload_world.cpp
+++ b/unit_tests/dispatch/overload_world.cpp
@@ -24,7 +24,8 @@
 
 /// Returns how long a task takes: the same in every run, whatever else happens.
 duration get_length(const run_key& key) {
-    const auto mixed = (key.task.step.job * 31 + key.task.step.step) * 131 + key.task.index * 7919;
+    const auto mixed =
+        (key.task.step.job * 31 + key.task.step.step) * 131 + std::uint64_t{key.task.index} * 7919;
     return milliseconds{min_length_ms + static_cast<std::int64_t>(mixed % length_spread_ms)};
 }
 
