--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -57,7 +57,9 @@
 /// A weight of 0 would give a queue nothing while others wait, and a misspelt one would silently count as 1.
 TEST(scheduler_settings, rejects_a_weight_that_is_no_positive_number) {
     for (const std::string value : {"0", "-1", "much", "inf", "nan", "1e9"}) {
-        const auto parsed = parse_scheduler_settings(decisions_text + "share.batch = " + value + "\n");
+        auto text = decisions_text;
+        text.append("share.batch = ").append(value).append("\n");
+        const auto parsed = parse_scheduler_settings(text);
         ASSERT_EQ(parsed.errors.size(), 1U) << value;
         EXPECT_EQ(parsed.errors[0].line, 8) << value;
         EXPECT_NE(parsed.errors[0].format("scheduler.ini").find("share.batch"), std::string::npos) << value;
