Name the use of shares among the known learned records

Cause: the parts of fair shares and of learned state were merged, and the list of known parts was not extended. With fair_shares on, a new leader loaded the record of the use and also logged it as that of an unknown part. Change: the list has the part's name. Nothing but the log line changes. Result: the tests of learned state and of shares with the dispatcher pass.

--- a/poplarpitch/dispatch/dispatcher_reports.cpp
+++ b/poplarpitch/dispatch/dispatcher_reports.cpp
@@ -115,7 +115,7 @@
     }
     learned_state::log_unknown({work_forecast::part_name, long_running_quota::part_name,
                                 completion_forecast::part_name, admission_policy::part_name,
-                                demand_levels::part_name},
+                                demand_levels::part_name, fair_share::part_name},
                                committed, wall_ms);
 }
 
