Let every instance with a disk relay, also those that do not vote

Cause: the leader sent frames of orders to the members of its log only. The workers of two of five data centres had no relay near them.

Change: an instance that requests to join is sent frames as well.

Result: relay_cluster.sends_orders_through_instances_that_do_not_vote (three voters of five instances) waits without end on the former code, which finds two relays. Deployments with as many voters as instances are served as before.

--- a/poplarpitch/relay/relay_agent.cpp
+++ b/poplarpitch/relay/relay_agent.cpp
@@ -200,6 +200,16 @@
            now - m_last_frame_at <= m_settings.peer_timeout;
 }
 
+std::vector<std::uint32_t> relay_agent::get_other_relays() const {
+    std::vector<std::uint32_t> others;
+    for (const auto& relay : m_relays) {
+        if (relay.ip != m_self.ip) {
+            others.push_back(relay.ip);
+        }
+    }
+    return others;
+}
+
 std::uint32_t relay_agent::pick(const worker_report& report) const {
     return pick_relay(m_relays, report.data_centre, hash_bytes(report.incarnation.id)).value_or(m_self.ip);
 }
--- a/poplarpitch/relay/relay_agent.h
+++ b/poplarpitch/relay/relay_agent.h
@@ -60,6 +60,8 @@
     /// Returns the instance that should take a worker's later heartbeats; this one where there is no better
     /// one.
     [[nodiscard]] std::uint32_t pick(const worker_report& report) const;
+    /// Returns the addresses of the other relays of the last leader, in host order.
+    [[nodiscard]] std::vector<std::uint32_t> get_other_relays() const;
     /// Returns the number of orders in progress.
     [[nodiscard]] std::size_t count_open() const { return m_open; }
     /// Returns the number of orders received since the start.
--- a/poplarpitch/relay/relay_hub.cpp
+++ b/poplarpitch/relay/relay_hub.cpp
@@ -23,9 +23,12 @@
 
 relay_hub::~relay_hub() = default;
 
-void relay_hub::start_leading(log_term term) {
+void relay_hub::start_leading(log_term term, const std::vector<std::uint32_t>& former_relays,
+                              time_point now) {
     stop_leading();
     m_term = term;
+    m_former_relays = former_relays;
+    m_former_relays_until = now + m_settings.announcement_limit;
 }
 
 void relay_hub::stop_leading() {
@@ -35,6 +38,7 @@
     m_deadlines = {};
     m_outboxes.clear();
     m_requested_reports.clear();
+    m_former_relays.clear();
 }
 
 bool relay_hub::add(const worker_order& order, const std::string& data_centre, std::uint64_t worker_hash,
@@ -145,10 +149,20 @@
     return outcomes;
 }
 
-std::vector<relay_frame> relay_hub::take_frames(const std::vector<std::uint32_t>& instances, time_point now) {
+std::vector<relay_frame> relay_hub::take_frames(const std::set<std::uint32_t>& instances, time_point now) {
+    if (now >= m_former_relays_until) {
+        return take_due_frames(instances, now);
+    }
+    auto recipients = instances;
+    recipients.insert(m_former_relays.begin(), m_former_relays.end());
+    return take_due_frames(recipients, now);
+}
+
+std::vector<relay_frame> relay_hub::take_due_frames(const std::set<std::uint32_t>& recipients,
+                                                    time_point now) {
     std::vector<relay_frame> frames;
     const auto requested = std::exchange(m_requested_reports, {});
-    for (const auto ip : instances) {
+    for (const auto ip : recipients) {
         auto& box = m_outboxes[ip];
         for (const auto& worker : requested) {
             open_frame(ip).add_unknown_workers(worker);
--- a/poplarpitch/relay/relay_hub.h
+++ b/poplarpitch/relay/relay_hub.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,10 @@
     relay_hub(const relay_hub&) = delete;
     relay_hub& operator=(const relay_hub&) = delete;
 
-    /// Starts to lead in `term`, with no known relays.
-    void start_leading(log_term term);
+    /// Starts to lead in `term`, with no known relays. `former_relays`: the addresses of the other relays of
+    /// the former leader, as far as known. An instance that is no member of the log announces itself to a new
+    /// leader only after some time, so those relays get frames at once.
+    void start_leading(log_term term, const std::vector<std::uint32_t>& former_relays, time_point now);
     /// Stops leading. Discards all orders in flight; they get no outcome.
     void stop_leading();
 
@@ -65,8 +68,9 @@
     std::vector<relayed_outcome> on_frame_not_sent(std::uint32_t ip, const job_wire::relay_orders& frame);
     /// Returns the outcomes of orders whose relay was lost or whose timeout has passed.
     std::vector<relayed_outcome> expire_orders(time_point now);
-    /// Returns the frames that are due to be sent. `instances`: all instances that may relay.
-    std::vector<relay_frame> take_frames(const std::vector<std::uint32_t>& instances, time_point now);
+    /// Returns the frames that are due to be sent. `instances`: all instances that may relay, besides the
+    /// former leader's relays in the first seconds of a term.
+    std::vector<relay_frame> take_frames(const std::set<std::uint32_t>& instances, time_point now);
 
     /// Returns the relay that takes a worker's heartbeats, or nothing where there is none.
     [[nodiscard]] std::optional<std::uint32_t> pick(const std::string& data_centre,
@@ -102,10 +106,14 @@
     /// Removes an order and returns its outcome, or nothing when the order is not open.
     std::optional<relayed_outcome> complete_order(std::uint64_t number, order_outcome outcome);
     void on_relays_changed();
+    /// Returns the frames that are due to be sent to these addresses.
+    std::vector<relay_frame> take_due_frames(const std::set<std::uint32_t>& recipients, time_point now);
 
     relay_settings m_settings;
     relay_registry m_registry;
     log_term m_term = 0;
+    std::vector<std::uint32_t> m_former_relays; ///< of the former leader
+    time_point m_former_relays_until{};         ///< when the last of them has announced itself
     std::uint64_t m_next_number = 1;
     std::uint64_t m_relayed = 0;
     std::uint64_t m_relays_version = 1;
--- a/poplarpitch/relay/relay_settings.h
+++ b/poplarpitch/relay/relay_settings.h
@@ -18,6 +18,9 @@
     duration min_frame_interval = milliseconds{3};
     /// Added to an order's own timeout, for the way to the relay and back.
     duration answer_slack = milliseconds{250};
+    /// An instance that is no member of the log has announced itself to a new leader after this time: it
+    /// searches for the leader four times a second.
+    duration announcement_limit = seconds{2};
     /// A heartbeat is reported to a new leader for this long.
     duration report_lifetime = seconds{3};
 
--- a/poplarpitch/replica/member_planner.cpp
+++ b/poplarpitch/replica/member_planner.cpp
@@ -31,6 +31,16 @@
     return found != m_candidates.end() && now - found->second < candidate_timeout;
 }
 
+std::vector<node_id> member_planner::get_candidates(time_point now) const {
+    std::vector<node_id> candidates;
+    for (const auto& [node, requested_at] : m_candidates) {
+        if (is_candidate(node, now)) {
+            candidates.push_back(node);
+        }
+    }
+    return candidates;
+}
+
 std::optional<member_step> member_planner::replace_lost_disk(const membership_view& view,
                                                              time_point now) const {
     for (const auto& [candidate, requested_at] : m_candidates) {
--- a/poplarpitch/replica/member_planner.h
+++ b/poplarpitch/replica/member_planner.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace poplarpitch {
 
@@ -42,6 +43,8 @@
 
     /// Called when a node that is not a member requests to join.
     void on_join(node_id node, time_point now);
+    /// Returns the nodes that requested to join recently, and may be members by now.
+    [[nodiscard]] std::vector<node_id> get_candidates(time_point now) const;
     /// Removes all candidates. Called at the start of a term of leadership.
     void clear() { m_candidates.clear(); }
     /// Returns the next step, or nothing. Only one step is in progress at a time.
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -448,17 +448,15 @@
     return m_mesh->send(ip, frame);
 }
 
-std::vector<std::uint32_t> replica::get_other_members() const {
-    std::vector<std::uint32_t> others;
+std::set<std::uint32_t> replica::get_other_instances() const {
+    std::set<std::uint32_t> others;
     if (m_node == nullptr) {
         return others;
     }
     const auto& members = m_node->get_membership();
-    for (const auto* list : {&members.voters, &members.learners}) {
-        for (const auto member : *list) {
-            if (const auto ip = get_node_ip(member); ip != m_ip) {
-                others.push_back(ip);
-            }
+    for (const auto& list : {members.voters, members.learners, m_planner.get_candidates(m_loop.now())}) {
+        for (const auto node : list) {
+            others.insert(get_node_ip(node));
         }
     }
     return others;
@@ -469,3 +467,4 @@
 }
 
 } // namespace poplarpitch
+    others.erase(m_ip);
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -99,8 +99,10 @@
 
     /// Sends a frame to the instance at `ip`; it may be lost in transit. Returns false when it was not sent.
     bool send_frame(std::uint32_t ip, const job_wire::cluster_frame& frame);
-    /// Returns the addresses of all other members, in host order.
-    [[nodiscard]] std::vector<std::uint32_t> get_other_members() const;
+    /// Returns the addresses of all other instances, in host order: the members, and while this instance
+    /// leads also those that request to join. With more instances than the log needs voters, those stay
+    /// candidates.
+    [[nodiscard]] std::set<std::uint32_t> get_other_instances() const;
 
     /// Returns true while this instance leads, no other can have been elected, and its disk has room.
     [[nodiscard]] bool has_lease() const;
--- a/poplarpitch/scheduler/worker_orders.h
+++ b/poplarpitch/scheduler/worker_orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplarpitch/consensus/node_id.h"
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/relay/relay_codec.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
@@ -7,6 +8,8 @@
 #include "poplarpitch/scheduler/worker_link.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
+#include <cstdint>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -80,8 +83,8 @@
         if (!m_parts.settings.relay.is_enabled) {
             return;
         }
-        const auto others = m_parts.log.get_other_members();
-        for (const auto& frame : m_parts.relays.take_frames(others, m_parts.loop.now())) {
+        update_instances();
+        for (const auto& frame : m_parts.relays.take_frames(m_instances, m_parts.loop.now())) {
             job_wire::cluster_frame message;
             message.mutable_orders()->Swap(frame.orders.get());
             if (m_parts.log.send_frame(frame.ip, message)) {
@@ -93,6 +96,19 @@
         }
     }
 
+    /// Updates the list of instances that may relay. It changes seldom, and frames are sent in each
+    /// iteration.
+    void update_instances() {
+        const auto now = m_parts.loop.now();
+        const auto term = m_parts.dispatch.get_term();
+        if (term == m_instances_term && now < m_next_instances) {
+            return;
+        }
+        m_instances_term = term;
+        m_next_instances = now + instances_interval;
+        m_instances = m_parts.log.get_other_instances();
+    }
+
     /// Passes an order's outcome to the dispatcher.
     void deliver(const relayed_outcome& item) {
         const auto now = m_parts.loop.now();
@@ -127,8 +143,13 @@
         });
     }
 
+    static constexpr duration instances_interval = milliseconds{50}; // between two updates of the list
+
     scheduler_parts& m_parts;
     worker_link<Dialect>& m_link;
+    std::set<std::uint32_t> m_instances; ///< addresses of the instances that may relay
+    log_term m_instances_term = 0;       ///< in which that list was made
+    time_point m_next_instances{};       ///< when it is made again
 };
 
 } // namespace poplarpitch
--- a/unit_tests/dispatch/crash_world.cpp
+++ b/unit_tests/dispatch/crash_world.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <memory>
+#include <set>
 #include <utility>
 
 namespace poplarpitch {
@@ -388,9 +389,9 @@
 }
 
 void crash_world::send_frames() {
-    std::vector<std::uint32_t> addresses;
+    std::set<std::uint32_t> addresses;
     for (const auto& node : m_relays) {
-        addresses.push_back(node->instance.ip);
+        addresses.insert(node->instance.ip);
     }
     for (const auto& frame : m_hub.take_frames(addresses, m_now)) {
         auto& node = *m_relays[frame.ip - 1];
@@ -459,7 +460,7 @@
     m_leader_since = m_now;
     m_has_leader = true;
     m_scheduler.start_leading(++m_term, m_now, m_wall_ms);
-    m_hub.start_leading(m_term);
+    m_hub.start_leading(m_term, {}, m_now);
 }
 
 void crash_world::tick_leader() {
--- a/unit_tests/platform/relay_cluster_test.cpp
+++ b/unit_tests/platform/relay_cluster_test.cpp
@@ -63,6 +63,32 @@
     env.expect_each_done_once(id);
 }
 
+// Guards against a fleet in which only the voters relay, so that the other control instances idle while each
+// of the few relays has the connections of several shares.
+TEST(relay_cluster, sends_orders_through_instances_that_do_not_vote) {
+    constexpr int schedulers = 5;
+    constexpr int voters = 3;
+    scheduler_cluster cluster(schedulers, {}, {}, 1, voters);
+    const stand_in_workers workers(worker_count, cluster.get_control_addresses(), milliseconds{100});
+    cluster.put_config(1);
+    const auto count_relays = [&] {
+        const auto log = cluster.get_scheduler(cluster.find_leader()).read_log();
+        int found = 0;
+        for (auto place = log.find("event=relay_found"); place != std::string::npos;
+             place = log.find("event=relay_found", place + 1)) {
+            ++found;
+        }
+        return found;
+    };
+    while (count_relays() < schedulers - 1) {
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    const std::string id = "0000000000000a07";
+    ASSERT_TRUE(cluster.submit(id, task_count, wait_timeout));
+    ASSERT_TRUE(cluster.wait_for_state(id, "completed", wait_timeout));
+    poplarpitch::expect_each_done_once(workers, id, task_count);
+}
+
 TEST(relay_cluster, calls_workers_directly_when_relaying_is_disabled) {
     relay_cluster_environment env(milliseconds{100}, "relayed = false\n");
     const std::string id = "0000000000000a02";
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -56,9 +56,10 @@
 } // namespace
 
 scheduler_cluster::scheduler_cluster(int schedulers, std::string workers_settings,
-                                     std::vector<std::string> data_centres, int gateways)
-    : m_folder(make_folder()), m_count(schedulers), m_workers_settings(std::move(workers_settings)),
-      m_data_centres(std::move(data_centres)), m_pool(http_client_settings{}) {
+                                     std::vector<std::string> data_centres, int gateways, int voters)
+    : m_folder(make_folder()), m_count(schedulers), m_voters(voters == 0 ? schedulers : voters),
+      m_workers_settings(std::move(workers_settings)), m_data_centres(std::move(data_centres)),
+      m_pool(http_client_settings{}) {
     for (int number = 1; number <= schedulers; ++number) {
         start_scheduler(number, true);
     }
@@ -110,7 +111,7 @@
                         << "\n[control]\nlisten = " << control_addresses[static_cast<std::size_t>(number) - 1]
                         << "\ndata_folder = " << m_folder << "/data-" << number
                         << "\nmay_found = " << (may_found ? "true" : "false")
-                        << "\ntolerated_losses = " << (m_count - 1) / 2 << "\n[workers]\n"
+                        << "\ntolerated_losses = " << (m_voters - 1) / 2 << "\n[workers]\n"
                         << (m_workers_settings.starts_with("lease = ") ? "" : "lease = 2s\n")
                         << m_workers_settings;
     m_schedulers[number] = std::make_unique<child_process>(
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -23,10 +23,11 @@
 class scheduler_cluster {
 public:
     /// Starts all processes. `workers_settings` is appended to the section [workers] of the schedulers'
-    /// settings. The lease is 2 s unless `workers_settings` starts with another one. Precondition:
-    /// `data_centres` is empty or has one entry for each scheduler, and there are at most 10 gateways.
+    /// settings. The lease is 2 s unless `workers_settings` starts with another one. `voters`: how many
+    /// schedulers vote in the log; 0 for all. Precondition: `data_centres` is empty or has one entry for each
+    /// scheduler, there are at most 10 gateways, and `voters` is odd or 0.
     explicit scheduler_cluster(int schedulers, std::string workers_settings = {},
-                               std::vector<std::string> data_centres = {}, int gateways = 1);
+                               std::vector<std::string> data_centres = {}, int gateways = 1, int voters = 0);
     ~scheduler_cluster();
     scheduler_cluster(const scheduler_cluster&) = delete;
     scheduler_cluster& operator=(const scheduler_cluster&) = delete;
@@ -89,6 +90,7 @@
 
     std::string m_folder;
     int m_count;
+    int m_voters;
     std::string m_workers_settings;
     std::vector<std::string> m_data_centres;
     std::map<int, std::size_t> m_log_sizes_at_crash; ///< size of each log at the last crash of all
--- a/unit_tests/relay/relay_age_test.cpp
+++ b/unit_tests/relay/relay_age_test.cpp
@@ -100,7 +100,7 @@
 
 TEST(relay_age, every_frame_of_the_leader_has_its_send_time) {
     relay_hub hub(relay_settings{});
-    hub.start_leading(3);
+    hub.start_leading(3, {}, begin);
     const auto frames = hub.take_frames({0x0a010002}, begin);
     ASSERT_EQ(frames.size(), 1U);
     EXPECT_EQ(frames[0].orders->sent_ms(), to_milliseconds(begin.time_since_epoch()));
--- a/unit_tests/relay/relay_hub_test.cpp
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -17,7 +17,7 @@
 
 class hub_world {
 public:
-    hub_world() : hub(settings) { hub.start_leading(term); }
+    hub_world() : hub(settings) { hub.start_leading(term, {}, now); }
 
     /// Delivers a frame of a relay without answers, which makes the relay known.
     void announce(std::uint32_t ip, const std::string& data_centre) {
@@ -105,6 +105,18 @@
         << "each instance is asked whether it relays";
 }
 
+// Guards against a new leader that loses the relays which are no members of its log: their workers' orders
+// would move to the other relays, and back when they announce themselves.
+TEST(relay_hub, sends_frames_to_the_former_leaders_relays_until_they_have_announced_themselves) {
+    hub_world world;
+    world.hub.start_leading(term + 1, {far}, world.now);
+    EXPECT_EQ(world.hub.take_frames({near}, world.now).size(), 2U);
+    world.now += world.settings.announcement_limit;
+    EXPECT_EQ(world.hub.take_frames({near}, world.now).size(), 1U);
+    world.hub.start_leading(term + 2, {}, world.now);
+    EXPECT_EQ(world.hub.take_frames({near}, world.now).size(), 1U);
+}
+
 TEST(relay_hub, sends_an_order_by_the_relay_in_the_data_centre_of_its_worker) {
     hub_world world;
     world.announce(near, "near");
--- a/unit_tests/relay/relay_term_test.cpp
+++ b/unit_tests/relay/relay_term_test.cpp
@@ -23,7 +23,7 @@
 TEST(relay_term, ignores_answers_of_another_term) {
     const time_point now{seconds{100}};
     relay_hub hub{relay_settings{}};
-    hub.start_leading(term);
+    hub.start_leading(term, {}, now);
     EXPECT_TRUE(hub.on_answers(make_answers(term), now).empty());
     stop_order order;
     order.target = {{"w1", 0}, "10.9.0.1:80", term, false, milliseconds{900}};
--- a/unit_tests/replica/membership_test.cpp
+++ b/unit_tests/replica/membership_test.cpp
@@ -91,6 +91,14 @@
     EXPECT_EQ(planner.plan(view, now), (member_step{member_step::kind::add_learner, make_node(4)}));
 }
 
+TEST(member_planner, lists_the_nodes_that_asked_to_join_recently) {
+    member_planner planner(5, voter_loss_timeout);
+    const auto spare = make_node(6);
+    planner.on_join(spare, start);
+    EXPECT_EQ(planner.get_candidates(start + seconds{1}), std::vector<node_id>{spare});
+    EXPECT_TRUE(planner.get_candidates(start + seconds{3}).empty());
+}
+
 TEST(member_planner, keeps_a_silent_voter_until_another_can_take_its_place) {
     member_planner planner(5, voter_loss_timeout);
     const auto now = start + seconds{60};
