Do not take a pause of the leader for the silence of its relays

Cause: a leader that was busy for 400 ms looked for silent relays before it read the frames that had arrived meanwhile.

Change: the time between two looks beyond the interval of frames counts as no silence, and nothing expires until frames can have been read again.

Result: relay_hub.keeps_its_relays_and_orders_after_a_pause_of_its_own fails on the former code; loses_a_relay_that_is_silent_after_a_pause_too passes on both.

--- a/poplarpitch/relay/relay_hub.cpp
+++ b/poplarpitch/relay/relay_hub.cpp
@@ -39,6 +39,8 @@
     m_outboxes.clear();
     m_requested_reports.clear();
     m_former_relays.clear();
+    m_last_expiry = {};
+    m_caught_up_after = {};
 }
 
 bool relay_hub::add(const worker_order& order, const std::string& data_centre, std::uint64_t worker_hash,
@@ -122,8 +124,26 @@
     }
 }
 
+bool relay_hub::is_catching_up(time_point now) {
+    const auto last_expiry = std::exchange(m_last_expiry, now);
+    const auto passed = now - last_expiry;
+    if (last_expiry == time_point{} || passed <= m_settings.max_frame_interval) {
+        return now < m_caught_up_after;
+    }
+    m_registry.ignore_silence(passed);
+    m_caught_up_after = now + m_settings.max_frame_interval;
+    log_event(log_level::info, "relay_silence_ignored")
+        .add("pause_ms", to_milliseconds(passed))
+        .add("relays", static_cast<std::uint64_t>(count_relays()))
+        .add("orders", static_cast<std::uint64_t>(count_open()));
+    return true;
+}
+
 std::vector<relayed_outcome> relay_hub::expire_orders(time_point now) {
     std::vector<relayed_outcome> outcomes;
+    if (is_catching_up(now)) {
+        return outcomes;
+    }
     for (const auto ip : m_registry.remove_timed_out(now)) {
         on_relays_changed();
         std::vector<std::uint64_t> numbers;
--- a/poplarpitch/relay/relay_hub.h
+++ b/poplarpitch/relay/relay_hub.h
@@ -66,7 +66,11 @@
     /// Called when a frame could not be sent to `ip`. Returns the outcomes of its orders, which were
     /// certainly not sent.
     std::vector<relayed_outcome> on_frame_not_sent(std::uint32_t ip, const job_wire::relay_orders& frame);
-    /// Returns the outcomes of orders whose relay was lost or whose timeout has passed.
+    /// Returns the outcomes of orders whose relay was lost or whose timeout has passed. To be called at least
+    /// every `max_frame_interval`: a longer time between two calls counts as a pause, in which this process
+    /// was busy or had no lease. Such a time is no silence of the relays, and nothing expires until the
+    /// frames that arrived in it can have been read. Load pattern: a new leader with 10,000 workers is busy
+    /// for half a second; without this, it would lose all relays and open connections to the workers itself.
     std::vector<relayed_outcome> expire_orders(time_point now);
     /// Returns the frames that are due to be sent. `instances`: all instances that may relay, besides the
     /// former leader's relays in the first seconds of a term.
@@ -106,6 +110,8 @@
     /// Removes an order and returns its outcome, or nothing when the order is not open.
     std::optional<relayed_outcome> complete_order(std::uint64_t number, order_outcome outcome);
     void on_relays_changed();
+    /// Records a call of `expire_orders`. Returns true while frames that arrived in a pause may be unread.
+    bool is_catching_up(time_point now);
     /// Returns the frames that are due to be sent to these addresses.
     std::vector<relay_frame> take_due_frames(const std::set<std::uint32_t>& recipients, time_point now);
 
@@ -114,6 +120,8 @@
     log_term m_term = 0;
     std::vector<std::uint32_t> m_former_relays; ///< of the former leader
     time_point m_former_relays_until{};         ///< when the last of them has announced itself
+    time_point m_last_expiry{};                 ///< last call of `expire_orders`; zero before the first one
+    time_point m_caught_up_after{};             ///< end of the time in which nothing expires after a pause
     std::uint64_t m_next_number = 1;
     std::uint64_t m_relayed = 0;
     std::uint64_t m_relays_version = 1;
--- a/poplarpitch/relay/relay_registry.cpp
+++ b/poplarpitch/relay/relay_registry.cpp
@@ -50,6 +50,12 @@
     return is_new;
 }
 
+void relay_registry::ignore_silence(duration pause) {
+    for (auto& [ip, last_contact] : m_last_contact) {
+        last_contact += pause;
+    }
+}
+
 std::vector<std::uint32_t> relay_registry::remove_timed_out(time_point now) {
     std::vector<std::uint32_t> lost;
     for (const auto& [ip, last_contact] : m_last_contact) {
--- a/poplarpitch/relay/relay_registry.h
+++ b/poplarpitch/relay/relay_registry.h
@@ -32,6 +32,8 @@
     void clear();
     /// Records that a frame of a relay arrived. Returns true when the relay is new.
     bool record_contact(const relay_instance& relay, time_point now);
+    /// Does not count the last `pause` as silence, since this process read no frames during it.
+    void ignore_silence(duration pause);
     /// Removes the relays that sent nothing within the timeout, and returns their addresses.
     std::vector<std::uint32_t> remove_timed_out(time_point now);
     /// Returns the relay for a worker, or nothing where there is none.
--- a/unit_tests/relay/relay_hub_test.cpp
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -173,6 +173,37 @@
     EXPECT_EQ(world.hub.count_relays(), 1U) << "but it makes the relay known again";
 }
 
+// Guards against a leader that takes its own pause for the silence of all relays. It would call all workers
+// itself, which opens thousands of connections and makes it pause again.
+TEST(relay_hub, keeps_its_relays_and_orders_after_a_pause_of_its_own) {
+    hub_world world;
+    world.announce(near, "near");
+    ASSERT_TRUE(world.hub.add(make_start("w1", 0), "near", 1, world.now));
+    const auto numbers = world.take_numbers().at(near);
+    EXPECT_TRUE(world.hub.expire_orders(world.now).empty());
+    world.now += 3 * world.settings.peer_timeout;
+    EXPECT_TRUE(world.hub.expire_orders(world.now).empty());
+    EXPECT_EQ(world.hub.count_relays(), 1U);
+    EXPECT_EQ(world.answer(near, numbers).size(), 1U) << "the answer had arrived in the pause";
+}
+
+TEST(relay_hub, loses_a_relay_that_is_silent_after_a_pause_too) {
+    hub_world world;
+    world.announce(near, "near");
+    ASSERT_TRUE(world.hub.add(make_start("w1", 0), "near", 1, world.now));
+    static_cast<void>(world.hub.expire_orders(world.now));
+    world.now += world.settings.peer_timeout;
+    EXPECT_TRUE(world.hub.expire_orders(world.now).empty());
+    const auto limit = world.now + world.settings.peer_timeout + world.settings.max_frame_interval;
+    std::size_t lost = 0;
+    while (world.now <= limit) {
+        world.now += world.settings.max_frame_interval / 4;
+        lost += world.hub.expire_orders(world.now).size();
+    }
+    EXPECT_EQ(lost, 1U);
+    EXPECT_EQ(world.hub.count_relays(), 0U);
+}
+
 TEST(relay_hub, reports_orders_as_not_sent_where_the_frame_found_no_connection) {
     hub_world world;
     world.announce(near, "near");
