Keep workers' reports for as long as the interval between heartbeats asks for

The fleet's workers send one every 3 s. Where a pool does not enforce its capacity, a worker's room was unknown a third of the time (2 s of 3 s).

Change: the setting heartbeat tells the interval, filled in by the platform. Reports are kept for two intervals, room for one and half a second more, and a new leader expects all workers within two. With 1.5 s or less, as on all earlier deployments, nothing changes.

Result: settings tests for 3 s and 1.5 s. The first does not hold without the setting, which was an unknown key.

--- a/poplarpitch/dispatch/long_running_quota.cpp
+++ b/poplarpitch/dispatch/long_running_quota.cpp
@@ -8,8 +8,6 @@
 namespace poplarpitch {
 namespace {
 
-constexpr duration initial_report_time =
-    seconds{3}; // two heartbeat intervals; workers send a heartbeat every 1 to 1.5 s
 constexpr duration learning_time =
     seconds{30}; // observation time before the demand of other tasks is relied on
 constexpr double peak_decay_s =
@@ -71,7 +69,7 @@
 }
 
 bool long_running_quota::have_all_reported(time_point now) const {
-    return now - m_cleared_at >= initial_report_time;
+    return now - m_cleared_at >= m_initial_report_time;
 }
 
 std::int64_t long_running_quota::get_allowed(const std::string& pool, time_point now) const {
--- a/poplarpitch/dispatch/long_running_quota.h
+++ b/poplarpitch/dispatch/long_running_quota.h
@@ -31,10 +31,12 @@
         friend auto operator<=>(const pool_use&, const pool_use&) = default;
     };
 
-    /// Precondition: `share` lies in (0, 1].
-    explicit long_running_quota(double share) : m_share(share) {}
+    /// Within `initial_report_time`, all workers report to a new leader. Precondition: `share` lies in (0,
+    /// 1].
+    explicit long_running_quota(double share, duration initial_report_time = seconds{3})
+        : m_share(share), m_initial_report_time(initial_report_time) {}
 
-    /// Resets the quota to no jobs. All workers are expected to report within `initial_report_time` from
+    /// Resets the quota to no jobs. All workers are expected to report within the initial report time from
     /// `now`.
     void clear(time_point now);
     /// Adds an accepted job that reserves `millicores` for as long as it lasts.
@@ -87,6 +89,7 @@
     };
 
     double m_share;
+    duration m_initial_report_time;
     std::map<std::string, former_peak> m_former; ///< of pools that this leader has not observed yet
     time_point m_cleared_at{};
     std::map<job_id, job_reservation> m_jobs;
--- a/poplarpitch/relay/relay_settings.h
+++ b/poplarpitch/relay/relay_settings.h
@@ -21,7 +21,7 @@
     /// An instance that is no member of the log has announced itself to a new leader after this time: it
     /// searches for the leader four times a second.
     duration announcement_limit = seconds{2};
-    /// A heartbeat is reported to a new leader for this long.
+    /// A heartbeat is reported to a new leader for this long: two heartbeat intervals.
     duration report_lifetime = seconds{3};
 
     friend auto operator<=>(const relay_settings&, const relay_settings&) = default;
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -54,9 +54,22 @@
     value.caller.max_connections = budget.outbound;
 }
 
+/// Adapts to how often workers send heartbeats. Larger fleets send them less often. A time that is shorter
+/// than the interval between two heartbeats makes a live worker count as silent, or its room as unknown.
+void read_heartbeat(section_reader& reader, scheduler_settings& value) {
+    constexpr int reports_per_term = 2;                     // heartbeat intervals; one heartbeat may be lost
+    constexpr duration heartbeat_slack = milliseconds{500}; // of a heartbeat that is sent late
+    const auto interval = reader.get_duration("heartbeat", duration{0});
+    value.relay.report_lifetime = std::max(value.relay.report_lifetime, reports_per_term * interval);
+    auto& dispatch = value.dispatch;
+    dispatch.initial_report_time = std::max(dispatch.initial_report_time, reports_per_term * interval);
+    dispatch.max_capacity_age = std::max(dispatch.max_capacity_age, interval + heartbeat_slack);
+}
+
 void read_workers(section_reader& reader, scheduler_settings& value) {
     value.advice_address = reader.get_text("advice", "");
     value.relay.is_enabled = reader.get_flag("relayed", value.relay.is_enabled);
+    read_heartbeat(reader, value);
     auto& dispatch = value.dispatch;
     dispatch.max_lease = reader.get_duration("longest_lease", dispatch.max_lease);
     dispatch.lease = std::min(reader.get_duration("lease", dispatch.lease), dispatch.max_lease);
--- a/poplarpitch/scheduling/dispatch_settings.h
+++ b/poplarpitch/scheduling/dispatch_settings.h
@@ -35,6 +35,8 @@
         seconds{2}; ///< for how long a report of free capacity is valid if the worker does not
                     ///< enforce its capacity. This, the time of an order and a late heartbeat together
                     ///< are less than the 3 s and one heartbeat interval that users allow
+    duration initial_report_time =
+        seconds{3}; ///< within which all workers report to a new leader; two heartbeat intervals
     duration ended_job_retention = seconds{125}; ///< how long the state of an ended job is kept
     double long_running_share =
         0.8; ///< share of a pool that long-running jobs may reserve while others want the
--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -97,6 +97,9 @@
                                               {"bounds.holdMaxMs", "10000"},
                                               {"bounds.stopMs", "900"},
                                               {"bounds.status_s", "120"},
+                                              {"#heartbeatMs", ""},
+                                              {"heartbeatMs", "3000"},
+                                              {"/heartbeatMs", ""},
                                               {"limits.maxFds", "6424"}});
     const auto parsed = parse_scheduler_settings(text);
     for (const auto& error : parsed.errors) {
@@ -109,6 +112,35 @@
     EXPECT_EQ(parsed.value.control_port, 8166);
     EXPECT_EQ(parsed.value.dispatch.ended_job_retention, seconds{125});
     EXPECT_EQ(parsed.value.advice_address, "10.200.1.9:8169");
+    EXPECT_EQ(parsed.value.relay.report_lifetime, seconds{6});
+}
+
+/// Returns the settings of a scheduler whose workers send heartbeats at this interval.
+scheduler_settings read_with_heartbeat(const std::string& interval) {
+    const auto parsed = parse_scheduler_settings("[instance]\nid = a\n[control]\nlisten = 10.0.0.4:8080\n"
+                                                 "data_folder = /d\n[workers]\nheartbeat = " +
+                                                 interval + "\n");
+    for (const auto& error : parsed.errors) {
+        ADD_FAILURE() << error.format("scheduler.ini");
+    }
+    return parsed.value;
+}
+
+// Guards against a fleet whose workers send heartbeats every 3 s: relays dropped the reports of live workers
+// before the next ones came, and the room of a pool that does not enforce it was unknown a third of the time.
+TEST(scheduler_settings, keeps_reports_for_longer_than_the_interval_between_heartbeats) {
+    const auto value = read_with_heartbeat("3s");
+    EXPECT_EQ(value.relay.report_lifetime, seconds{6});
+    EXPECT_EQ(value.dispatch.initial_report_time, seconds{6});
+    EXPECT_GT(value.dispatch.max_capacity_age, seconds{3});
+}
+
+TEST(scheduler_settings, changes_nothing_for_the_usual_interval_between_heartbeats) {
+    const scheduler_settings usual;
+    const auto value = read_with_heartbeat("1500ms");
+    EXPECT_EQ(value.relay.report_lifetime, usual.relay.report_lifetime);
+    EXPECT_EQ(value.dispatch.initial_report_time, usual.dispatch.initial_report_time);
+    EXPECT_EQ(value.dispatch.max_capacity_age, usual.dispatch.max_capacity_age);
 }
 
 TEST(scheduler_settings, divides_the_descriptors_that_the_process_may_have) {
