Spread the first holds of idle workers over time in a large cluster

Cause: a new leader sends a hold to each worker that reports, all at once. With 10,000 workers, a relay got up to 2,700 orders in one frame, and with half of the processor was silent for longer than the 400 ms after which the leader gives it up.

Change: workers that run something get their first hold at once, as before. Idle ones share a token bucket: 2,000 at once, then five a millisecond, so that 10,000 are known within 1.6 s. Smaller clusters do not reach the burst.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -125,6 +125,7 @@
 void dispatcher::stop_leading() {
     m_term = 0;
     m_workers.clear();
+    m_first_holds.clear();
     m_lost_workers.clear();
     m_is_raising_fence = false;
     m_tracks.clear();
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "poplarpitch/dispatch/demand_levels.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
 #include "poplarpitch/dispatch/fair_share.h"
+#include "poplarpitch/dispatch/first_hold_pacer.h"
 #include "poplarpitch/dispatch/job_activity.h"
 #include "poplarpitch/dispatch/leader_difference.h"
 #include "poplarpitch/dispatch/leader_load.h"
@@ -525,6 +526,7 @@
     dispatch_settings m_settings;
     const job_state_machine& m_job_state;
     log_term m_term = 0;
+    first_hold_pacer m_first_holds;
     worker_table m_workers;
     std::set<worker_incarnation>
         m_lost_workers; ///< incarnations that are known to have ended, whose late heartbeats are ignored
--- a/poplarpitch/dispatch/dispatcher_workers.cpp
+++ b/poplarpitch/dispatch/dispatcher_workers.cpp
@@ -105,8 +105,8 @@
     update_room_expiry(worker);
     update_clock(worker, report.clock_ms, now);
     if (is_new) {
-        worker.next_hold = now;
-        m_workers.schedule_check(worker, now);
+        worker.next_hold = worker.runs.empty() ? m_first_holds.reserve(now) : now;
+        m_workers.schedule_check(worker, worker.next_hold);
         auto line = log_event(log_level::info, "worker_seen");
         add_worker(line, report.incarnation)
             .add("address", report.address)
