Follow a leader with many entry instances through its followers

Cause: each entry instance asks the leader for its status three times a second, whether anything changed or not: 1,700 requests a second from 583 entry instances, in proportion to their number, at the process that decides everything. After the loss of a leader each asked all known instances ten times a second.

Change: a leader with more than 200 connections says so in its status. An entry instance then asks another instance, by its hash, which hears the leader ten times a second anyway, tells how long ago that was, and sends a new leader's name unasked. The leader itself is asked every 2 s, at once when the observer no longer hears it, and before a change is sent, as before. The search for a new leader asks the observer alone for the first 0.8 s. Fewer connections, an older leader or an older follower: as before.

Result: leader_watch.leaves_the_leader_less_work_at_four_times_as_many_entry_instances counts the requests.

--- a/poplarpitch/consensus/raft_node.h
+++ b/poplarpitch/consensus/raft_node.h
@@ -76,6 +76,8 @@
     [[nodiscard]] log_term get_term() const { return m_state.term; }
     /// Returns the leader of the current term, or 0 when it is not known.
     [[nodiscard]] node_id get_leader() const { return m_leader; }
+    /// Returns when this node last heard the leader. Meaningful on a follower that knows a leader.
+    [[nodiscard]] time_point get_last_leader_contact() const { return m_last_leader_contact; }
     /// Returns the commit index.
     [[nodiscard]] log_index get_commit() const { return m_commit; }
     /// Returns the log entries after the compacted part.
--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/gateway/gateway_daemon.h"
 
+#include "poplarpitch/core/hash.h"
 #include "poplarpitch/core/text.h"
 #include "poplarpitch/gateway/leader_link.h"
 #include "poplarpitch/net/event_loop.h"
@@ -27,8 +28,8 @@
 class gateway {
 public:
     explicit gateway(const gateway_settings& settings)
-        : m_settings(settings),
-          m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait, settings.spread_returns),
+        : m_settings(settings), m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait,
+                                       settings.spread_returns, hash_bytes(settings.id)),
           m_caller_listener(m_loop, make_listener_settings(settings.caller_host, settings.caller_port),
                             [this](const http_request& request, const http_responder& respond) {
                                 relay(request, respond);
--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -66,9 +66,9 @@
 };
 
 leader_link::leader_link(event_loop& loop, const std::vector<std::string>& seeds, int port,
-                         duration leader_wait, bool spread_returns)
+                         duration leader_wait, bool spread_returns, std::uint64_t own_hash)
     : m_loop(loop), m_port(port), m_leader_wait(leader_wait), m_spread_returns(spread_returns),
-      m_is_alive(std::make_shared<bool>(true)) {
+      m_watch(own_hash), m_is_alive(std::make_shared<bool>(true)) {
     for (const auto& seed : seeds) {
         if (const auto ip = parse_ip(seed); ip.has_value()) {
             m_control_ips.insert(*ip);
@@ -90,14 +90,21 @@
 
 void leader_link::poll_status() {
     const auto now = m_loop.now();
-    if (m_leader != 0 && now - m_leader_heard_at > silence_limit) {
+    if (m_leader != 0 && is_leader_silent(now)) {
         mark_leader_lost("silent");
     }
-    if (m_leader != 0) {
+    const auto observer = m_watch.get_observer();
+    if (observer != 0) {
+        request_status(observer);
+    }
+    if (m_leader != 0 && m_watch.must_ask_leader(m_leader, now)) {
         request_status(m_leader);
-    } else {
+    }
+    if (m_leader == 0 && m_watch.must_ask_all(now - m_leader_lost_at)) {
         for (const auto ip : m_control_ips) {
-            request_status(ip);
+            if (ip != observer) {
+                request_status(ip);
+            }
         }
     }
     m_loop.call_after(m_leader != 0 ? leader_poll_interval : leader_search_interval,
@@ -118,12 +125,15 @@
     if (m_loop.now() - requested_at > silence_limit) { // the connection may be dead: open a new one
         found->second->close();
         m_sockets.erase(found);
-        m_status_requested_at.erase(ip);
+        on_connection_lost(ip);
         connect(ip);
         return;
     }
+    if (ip == m_leader) {
+        m_watch.on_leader_asked(m_loop.now());
+    }
     job_wire::cluster_frame frame;
-    frame.mutable_ask_status();
+    frame.mutable_ask_status()->set_wants_changes(ip == m_watch.get_observer());
     found->second->send(frame.SerializeAsString());
 }
 
@@ -139,6 +149,7 @@
                              }
                              m_connecting.erase(ip);
                              if (socket == nullptr) {
+                                 on_connection_lost(ip);
                                  return;
                              }
                              m_sockets[ip] = socket;
@@ -146,15 +157,32 @@
                              socket->start([this, ip](const std::string& bytes) { on_frame(ip, bytes); },
                                            [this, ip] {
                                                m_sockets.erase(ip);
-                                               m_status_requested_at.erase(ip);
-                                               if (ip == m_leader) {
-                                                   mark_leader_lost("connection_ended");
-                                               }
+                                               on_connection_lost(ip);
                                            });
                              request_status(ip);
                          });
 }
 
+void leader_link::on_connection_lost(std::uint32_t ip) {
+    m_status_requested_at.erase(ip);
+    if (ip == m_watch.get_observer()) {
+        m_watch.on_observer_lost();
+    }
+    if (ip == m_leader) {
+        mark_leader_lost("connection_ended");
+    }
+}
+
+bool leader_link::is_leader_silent(time_point now) const {
+    const auto asked = m_status_requested_at.find(m_leader);
+    const bool is_unanswered = asked != m_status_requested_at.end() && now - asked->second > silence_limit;
+    return is_unanswered || now - get_last_contact() > silence_limit;
+}
+
+time_point leader_link::get_last_contact() const {
+    return std::max(m_leader_heard_at, m_watch.get_heard_at(m_leader));
+}
+
 void leader_link::on_frame(std::uint32_t ip, const std::string& bytes) {
     job_wire::cluster_frame frame;
     if (!frame.ParseFromString(bytes)) {
@@ -179,6 +207,9 @@
     for (const auto member : status.members().voters()) {
         m_control_ips.insert(get_node_ip(member));
     }
+    if (ip == m_watch.get_observer()) {
+        on_observer_status(ip, status);
+    }
     if (!status.leads()) {
         if (ip == m_leader) {
             mark_leader_lost("leads_no_longer");
@@ -186,6 +217,7 @@
         return;
     }
     m_leader_heard_at = m_loop.now();
+    m_watch.on_leader_status(ip, status.wants_followers_asked(), m_control_ips);
     if (m_spread_returns && status.has_load()) {
         on_load_digest(ip, status.load());
     }
@@ -197,7 +229,7 @@
         .add("waiting", static_cast<std::uint64_t>(m_pending.size()));
     m_leader = ip;
     for (auto item = m_sockets.begin(); item != m_sockets.end();) {
-        if (item->first == ip) {
+        if (item->first == ip || item->first == m_watch.get_observer()) {
             ++item;
             continue;
         }
@@ -208,6 +240,15 @@
     send_pending();
 }
 
+void leader_link::on_observer_status(std::uint32_t ip, const job_wire::cluster_status& status) {
+    const auto told = status.leads() ? ip : status.leader() == 0 ? 0 : get_node_ip(status.leader());
+    m_watch.on_observer_status(told, milliseconds{status.leader_age_ms()}, m_loop.now());
+    if (told != 0 && told != ip && told != m_leader) {
+        m_control_ips.insert(told);
+        request_status(told); // only its own answer shows that it leads
+    }
+}
+
 void leader_link::on_load_digest(std::uint32_t ip, const job_wire::load_digest& message) {
     const auto statement = read_load_digest(message);
     if (m_digest.update(statement, m_loop.now()) != admission_digest::update_result::new_term) {
@@ -236,6 +277,7 @@
         m_sockets.erase(found);
         m_status_requested_at.erase(m_leader);
     }
+    m_leader_heard_at = get_last_contact();
     m_leader = 0;
     m_leader_lost_at = m_loop.now();
     m_is_confirming_leader = false; // all pending requests are sent to the next leader
@@ -245,7 +287,7 @@
 }
 
 bool leader_link::is_connected() const {
-    return m_leader != 0 && m_loop.now() - m_leader_heard_at <= silence_limit;
+    return m_leader != 0 && m_loop.now() - get_last_contact() <= silence_limit;
 }
 
 // ---- requests
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/gateway/admission_digest.h"
+#include "poplarpitch/gateway/leader_watch.h"
 
 #include <cstdint>
 #include <functional>
@@ -43,8 +44,10 @@
 /// An entry instance's connection to the control instance that leads.
 ///
 /// While no leader is known, the link requests the status of all known control instances. It polls a known
-/// leader a few times a second, and drops it when it falls silent or reports that it no longer leads.
-/// Requests without an answer are then sent to the next leader, so every relayed request may arrive twice.
+/// leader a few times a second, and drops it when it falls silent or reports that it no longer leads. A
+/// leader with many entry instances is polled seldom and followed through another instance, see
+/// `leader_watch`. Requests without an answer are then sent to the next leader, so every relayed request may
+/// arrive twice.
 ///
 /// A change is sent only to a leader that was heard from within the last 50 ms. Otherwise the link first
 /// requests the leader's status. A change that was sent to a leader which had just lost power could be
@@ -60,9 +63,10 @@
     /// `seeds` are IPv4 addresses of control instances; all of them listen on `port`. A request waits for a
     /// leader for `leader_wait`. With `spread_returns`, the callers of requests that are refused for want of
     /// a leader are asked to return one after the other, by the last leader's load digest; without it,
-    /// digests are ignored. Precondition: `loop` outlives the link.
+    /// digests are ignored. `own_hash` differs between entry instances and spreads them over the instances
+    /// through which they follow the leader. Precondition: `loop` outlives the link.
     leader_link(event_loop& loop, const std::vector<std::string>& seeds, int port, duration leader_wait,
-                bool spread_returns = false);
+                bool spread_returns = false, std::uint64_t own_hash = 0);
     ~leader_link();
     leader_link(const leader_link&) = delete;
     leader_link& operator=(const leader_link&) = delete;
@@ -86,6 +90,13 @@
 
     void poll_status();
     void request_status(std::uint32_t ip);
+    /// Called when the connection to an instance ended or could not be opened.
+    void on_connection_lost(std::uint32_t ip);
+    void on_observer_status(std::uint32_t ip, const job_wire::cluster_status& status);
+    /// Returns true when nothing was heard of the leader for too long, or it does not answer this instance.
+    [[nodiscard]] bool is_leader_silent(time_point now) const;
+    /// Returns when the leader was last heard, by this instance or through the observer.
+    [[nodiscard]] time_point get_last_contact() const;
     void connect(std::uint32_t ip);
     void on_frame(std::uint32_t ip, const std::string& bytes);
     void on_status(std::uint32_t ip, const job_wire::cluster_status& status);
@@ -113,9 +124,10 @@
     std::set<std::uint32_t> m_connecting;
     /// When the oldest unanswered status request to each instance was sent.
     std::map<std::uint32_t, time_point> m_status_requested_at;
+    leader_watch m_watch;
     std::uint32_t m_leader = 0;
-    time_point m_leader_heard_at{};
-    time_point m_leader_lost_at{}; ///< start of the search for a leader while none is known
+    time_point m_leader_heard_at{}; ///< when its last frame arrived
+    time_point m_leader_lost_at{};  ///< start of the search for a leader while none is known
     std::map<std::uint64_t, std::unique_ptr<pending_request>> m_pending;
     bool m_is_confirming_leader = false; ///< queued changes wait for the leader's next frame
     std::uint64_t m_next_number = 1;
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -24,6 +24,9 @@
 // Messages of other nodes deferred during one sync. A leader sends about 20 a second and resends lost ones,
 // so only a disk that stalls for long reaches this limit.
 constexpr std::size_t max_deferred_messages = 256;
+// Connections of other processes beyond which the leader asks the entry instances to follow it through other
+// instances. Each entry instance that asks the leader itself sends it three requests a second.
+constexpr std::size_t max_direct_connections = 200;
 constexpr duration full_retry_pause = milliseconds{200}; // between two writes to a full disk
 constexpr duration full_snapshot_pause = seconds{2}; // a snapshot writes megabytes before it finds no space
 
@@ -132,6 +135,9 @@
                     .add("bytes", static_cast<std::uint64_t>(bytes.size()));
                 return;
             }
+            if (frame.has_ask_status() && frame.ask_status().wants_changes()) {
+                m_watchers.insert(weak.lock());
+            }
             const auto from = frame.has_raft() ? get_node_ip(frame.raft().from()) : 0;
             on_frame(from, frame, [weak](const job_wire::cluster_frame& answer) {
                 if (const auto open = weak.lock()) {
@@ -142,10 +148,29 @@
         [this, weak] {
             if (const auto gone = weak.lock()) {
                 m_accepted.erase(gone);
+                m_watchers.erase(gone);
             }
         });
 }
 
+void replica::report_leader_change() {
+    const bool is_leader = m_node->get_role() == raft_role::leader;
+    if (is_leader && !(m_is_leading && has_lease())) {
+        return; // it does not act as the leader yet
+    }
+    const auto leader = m_node->get_leader();
+    if (leader == 0 || leader == m_reported_leader_change) {
+        return;
+    }
+    m_reported_leader_change = leader;
+    job_wire::cluster_frame frame;
+    *frame.mutable_status()->mutable_status() = make_status();
+    const auto bytes = frame.SerializeAsString();
+    for (const auto& socket : std::set(m_watchers)) { // a full socket closes itself, which changes the set
+        socket->send(bytes);
+    }
+}
+
 void replica::on_frame(std::uint32_t ip, const job_wire::cluster_frame& frame,
                        const std::function<void(const job_wire::cluster_frame&)>& reply) {
     switch (frame.kind_case()) {
@@ -180,9 +205,13 @@
     status.set_phase(static_cast<std::uint32_t>(m_phase));
     if (m_node != nullptr) {
         status.set_leader(m_node->get_leader());
+        if (m_node->get_role() == raft_role::follower) {
+            status.set_leader_age_ms(to_milliseconds(m_loop.now() - m_node->get_last_leader_contact()));
+        }
         encode(m_node->get_membership(), *status.mutable_members());
     }
     status.set_leads(m_is_leading && has_lease());
+    status.set_wants_followers_asked(status.leads() && m_accepted.size() > max_direct_connections);
     if (status.leads() && m_handler.get_figures) {
         m_digest_writer.write(m_last_term, m_handler.get_figures(), *status.mutable_load());
     }
@@ -331,6 +360,7 @@
     answer(output.reads, true);
     answer(output.failed_reads, false);
     update_role();
+    report_leader_change();
     take_snapshot_if_due();
     arm_tick();
 }
@@ -459,6 +489,7 @@
             others.insert(get_node_ip(node));
         }
     }
+    others.erase(m_ip);
     return others;
 }
 
@@ -467,4 +498,3 @@
 }
 
 } // namespace poplarpitch
-    others.erase(m_ip);
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -137,6 +137,9 @@
     void on_status(std::uint32_t ip, const job_wire::cluster_status& status);
     [[nodiscard]] job_wire::cluster_status make_status();
     void accept(const std::shared_ptr<frame_socket>& socket);
+    /// Sends the status to all who want to know of changes, when this instance knows another leader than at
+    /// the last call that sent it.
+    void report_leader_change();
     void run_iteration();
     void save_output();
     /// Writes and syncs `m_output` on the other thread.
@@ -195,6 +198,8 @@
     std::unique_ptr<peer_mesh> m_mesh;
     std::unique_ptr<frame_listener> m_listener;
     std::set<std::shared_ptr<frame_socket>> m_accepted;
+    std::set<std::shared_ptr<frame_socket>> m_watchers; ///< of `m_accepted`: those that want changes
+    node_id m_reported_leader_change = 0;               ///< the leader in the last report of a change
     std::map<log_index, pending_proposal> m_proposals;
     std::map<std::uint64_t, std::function<void(bool)>> m_reads;
     std::map<std::uint32_t, seed_status> m_peer_statuses; ///< other instances, by address
