Divide the millisecond between first holds in nanoseconds

Cause: a fifth of a whole millisecond is 0, so the bucket never slowed a hold. The test compared with the same 0 and passed.

Change: the division is made in the unit of durations, and the test asks that the last of 10,000 holds is sent more than a second after the first.

Result: the stricter test fails on the former value and passes now.

--- a/poplarpitch/dispatch/first_hold_pacer.h
+++ b/poplarpitch/dispatch/first_hold_pacer.h
@@ -14,7 +14,8 @@
 class first_hold_pacer {
 public:
     static constexpr int burst = 2000;
-    static constexpr duration interval = milliseconds{1} / 5; ///< between two holds beyond the burst
+    static constexpr duration interval =
+        duration{milliseconds{1}} / 5; ///< between two holds beyond the burst
 
     /// Starts with a full burst.
     void clear() { m_next = {}; }
--- a/unit_tests/dispatch/first_hold_pacer_test.cpp
+++ b/unit_tests/dispatch/first_hold_pacer_test.cpp
@@ -26,6 +26,7 @@
         last = when;
     }
     EXPECT_EQ(last, start + (workers - first_hold_pacer::burst) * first_hold_pacer::interval);
+    EXPECT_GT(last, start + seconds{1});
     EXPECT_LT(last, start + seconds{2});
 }
 
