Spread the voters over the data centres

Cause: the leader added the candidates in the order of their addresses.

Change: statuses and requests to join tell the data centre, and the planner adds the candidate whose data centre has the fewest members. Where instances tell none, or there are no more instances than voters, the order is as before.

Result: member_planner.adds_an_instance_of_the_data_centre_with_the_fewest_members gets an instance of a data centre that has a voter on the former code.

--- a/poplarpitch/replica/member_planner.cpp
+++ b/poplarpitch/replica/member_planner.cpp
@@ -17,6 +17,22 @@
            found->second.match + catch_up_gap >= view.last_index;
 }
 
+/// Returns the number of members in the data centre of `node`.
+std::size_t count_members_near(const membership_view& view, node_id node) {
+    const auto own = view.data_centres.find(get_node_ip(node));
+    if (own == view.data_centres.end()) {
+        return 0;
+    }
+    std::size_t count = 0;
+    for (const auto& list : {view.members.voters, view.members.learners}) {
+        for (const auto member : list) {
+            const auto found = view.data_centres.find(get_node_ip(member));
+            count += found != view.data_centres.end() && found->second == own->second ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 } // namespace
 
 member_planner::member_planner(std::size_t voters, duration voter_loss_timeout)
@@ -84,6 +100,22 @@
     return 0;
 }
 
+node_id member_planner::choose_candidate(const membership_view& view, time_point now) const {
+    node_id chosen = 0;
+    std::size_t fewest = 0;
+    for (const auto candidate : get_candidates(now)) {
+        if (view.members.has(candidate)) {
+            continue;
+        }
+        const auto near = count_members_near(view, candidate);
+        if (chosen == 0 || near < fewest) {
+            chosen = candidate;
+            fewest = near;
+        }
+    }
+    return chosen;
+}
+
 std::optional<member_step> member_planner::plan(const membership_view& view, time_point now) const {
     if (const auto step = replace_lost_disk(view, now)) {
         return step;
@@ -107,12 +139,9 @@
     if (!wants_learner && (silent == 0 || !view.members.learners.empty())) {
         return std::nullopt;
     }
-    for (const auto& [candidate, requested_at] : m_candidates) {
-        if (is_candidate(candidate, now) && !view.members.has(candidate)) {
-            return member_step{member_step::kind::add_learner, candidate};
-        }
-    }
-    return std::nullopt;
+    const auto candidate = choose_candidate(view, now);
+    return candidate == 0 ? std::nullopt
+                          : std::optional(member_step{member_step::kind::add_learner, candidate});
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/replica/member_planner.h
+++ b/poplarpitch/replica/member_planner.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace poplarpitch {
@@ -28,6 +29,8 @@
     node_id self = 0;
     log_index last_index = 0;
     time_point leading_since{};
+    /// The data centres of instances, by address. An instance without one is in a data centre of its own.
+    std::map<std::uint32_t, std::string> data_centres;
 };
 
 /// Decides how the membership changes: adds voters up to the wanted number, and replaces lost disks and lost
@@ -35,7 +38,9 @@
 ///
 /// An instance that requests to join with a new node ID while its old one is a member has lost its disk. The
 /// old ID is removed first: it can never acknowledge an entry again, and each such member lowers the number
-/// of further losses that are tolerated. A silent voter is removed only when a learner that has caught up can
+/// of further losses that are tolerated. Of several nodes that request to join, the one whose data centre has
+/// the fewest members is added, so that the loss of one data centre costs as few voters as possible. A silent
+/// voter is removed only when a learner that has caught up can
 /// take its place at once. Thread safety: none, as for all methods.
 class member_planner {
 public:
@@ -57,6 +62,8 @@
                                                              time_point now) const;
     [[nodiscard]] node_id find_silent_voter(const membership_view& view, time_point now) const;
     [[nodiscard]] bool is_candidate(node_id node, time_point now) const;
+    /// Returns the candidate to add next, or 0 where there is none.
+    [[nodiscard]] node_id choose_candidate(const membership_view& view, time_point now) const;
 
     std::size_t m_voters;
     duration m_voter_loss_timeout;
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -56,6 +56,7 @@
         return make_error_code(net_errc::listen_failed);
     }
     m_ip = *ip;
+    note_data_centre(m_ip, m_settings.data_centre);
     BOOST_OUTCOME_TRY(m_files.lock());
     BOOST_OUTCOME_TRY(id, load_node_identity(m_files, generate_node_id(m_ip)));
     m_id = id;
@@ -192,6 +193,7 @@
         on_status(ip, frame.status().status());
         return;
     case job_wire::cluster_frame::kJoin:
+        note_data_centre(get_node_ip(frame.join().node()), frame.join().data_centre());
         m_planner.on_join(frame.join().node(), m_loop.now());
         return;
     default:
@@ -202,6 +204,7 @@
 job_wire::cluster_status replica::make_status() {
     job_wire::cluster_status status;
     status.set_node(m_id);
+    status.set_data_centre(m_settings.data_centre);
     status.set_phase(static_cast<std::uint32_t>(m_phase));
     if (m_node != nullptr) {
         status.set_leader(m_node->get_leader());
@@ -218,7 +221,14 @@
     return status;
 }
 
+void replica::note_data_centre(std::uint32_t ip, const std::string& name) {
+    if (!name.empty()) { // older versions do not tell theirs
+        m_data_centres[ip] = name;
+    }
+}
+
 void replica::on_status(std::uint32_t ip, const job_wire::cluster_status& status) {
+    note_data_centre(ip, status.data_centre());
     auto& peer = m_peer_statuses[ip];
     peer = {true, status.node(), static_cast<node_phase>(status.phase()), decode(status.members())};
     for (const auto* list : {&peer.members.voters, &peer.members.learners}) {
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -135,6 +135,7 @@
     void on_frame(std::uint32_t ip, const job_wire::cluster_frame& frame,
                   const std::function<void(const job_wire::cluster_frame&)>& reply);
     void on_status(std::uint32_t ip, const job_wire::cluster_status& status);
+    void note_data_centre(std::uint32_t ip, const std::string& name);
     [[nodiscard]] job_wire::cluster_status make_status();
     void accept(const std::shared_ptr<frame_socket>& socket);
     /// Sends the status to all who want to know of changes, when this instance knows another leader than at
@@ -203,6 +204,7 @@
     std::map<log_index, pending_proposal> m_proposals;
     std::map<std::uint64_t, std::function<void(bool)>> m_reads;
     std::map<std::uint32_t, seed_status> m_peer_statuses; ///< other instances, by address
+    std::map<std::uint32_t, std::string> m_data_centres;  ///< of instances, by address
     std::set<std::uint32_t> m_known_addresses;            ///< addresses of all known control instances
     std::uint32_t m_reported_leader = 0; ///< last instance that reported to lead; used while not a member
     time_point m_leader_reported_at{};
--- a/poplarpitch/replica/replica_members.cpp
+++ b/poplarpitch/replica/replica_members.cpp
@@ -109,6 +109,7 @@
     }
     job_wire::cluster_frame frame;
     frame.mutable_join()->set_node(m_id);
+    frame.mutable_join()->set_data_centre(m_settings.data_centre);
     m_mesh->send(m_reported_leader, frame);
 }
 
@@ -118,8 +119,8 @@
         return;
     }
     m_next_member_check = now + member_interval;
-    const membership_view view{m_node->get_membership(), m_node->get_progress(), m_id,
-                               m_node->get_log().get_last_index(), m_leading_since};
+    const membership_view view{m_node->get_membership(),           m_node->get_progress(), m_id,
+                               m_node->get_log().get_last_index(), m_leading_since,        m_data_centres};
     const auto step = m_planner.plan(view, now);
     if (!step.has_value()) {
         return;
--- a/poplarpitch/replica/replica_settings.h
+++ b/poplarpitch/replica/replica_settings.h
@@ -16,6 +16,7 @@
     std::string cluster = "poplarpitch"; ///< name of the cluster; a data folder of another cluster is refused
     std::string host = "127.0.0.1";      ///< address to listen on, and at which peers connect
     int port = 0;                        ///< for frames between instances; the same on all instances
+    std::string data_centre;             ///< of this instance; empty when it is not known
     std::string data_folder;
     std::vector<std::string> seeds; ///< addresses of up to three control instances, without port
     bool may_found = false;         ///< true when the whole system starts for the first time
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -15,6 +15,7 @@
 void read_instance(section_reader& reader, scheduler_settings& value) {
     value.id = reader.get_text("id", "");
     value.data_centre = reader.get_text("data_centre", value.data_centre);
+    value.replica.data_centre = value.data_centre;
     value.log_level = reader.get_text("log_level", value.log_level);
     value.replica.host = reader.get_text("host", value.replica.host);
     value.replica.port = static_cast<int>(reader.get_integer("link_port", 0, 0, max_port));
--- a/unit_tests/replica/membership_test.cpp
+++ b/unit_tests/replica/membership_test.cpp
@@ -91,6 +91,32 @@
     EXPECT_EQ(planner.plan(view, now), (member_step{member_step::kind::add_learner, make_node(4)}));
 }
 
+// Guards against voters that stand in few data centres although others have instances: the loss of one data
+// centre then costs two votes of five.
+TEST(member_planner, adds_an_instance_of_the_data_centre_with_the_fewest_members) {
+    member_planner planner(5, voter_loss_timeout);
+    const auto now = start + seconds{1};
+    auto view = make_view(now);
+    view.members = view.members.without(make_node(4)).without(make_node(5));
+    for (std::uint32_t ip = 1; ip <= 3; ++ip) {
+        view.data_centres[ip] = "hall-" + std::to_string(ip);
+    }
+    view.data_centres[6] = "hall-1";
+    view.data_centres[7] = "hall-4";
+    planner.on_join(make_node(6), now);
+    planner.on_join(make_node(7), now);
+    EXPECT_EQ(planner.plan(view, now), (member_step{member_step::kind::add_learner, make_node(7)}));
+}
+
+TEST(member_planner, adds_an_instance_whose_data_centre_is_not_known) {
+    member_planner planner(5, voter_loss_timeout);
+    const auto now = start + seconds{1};
+    auto view = make_view(now);
+    view.members = view.members.without(make_node(4)).without(make_node(5));
+    planner.on_join(make_node(6), now);
+    EXPECT_EQ(planner.plan(view, now), (member_step{member_step::kind::add_learner, make_node(6)}));
+}
+
 TEST(member_planner, lists_the_nodes_that_asked_to_join_recently) {
     member_planner planner(5, voter_loss_timeout);
     const auto spare = make_node(6);
--- a/unit_tests/replica/replaced_disks_test.cpp
+++ b/unit_tests/replica/replaced_disks_test.cpp
@@ -277,8 +277,9 @@
                 m_planner.on_join(other.get_id(), m_now);
             }
         }
-        const membership_view view{self.node->get_membership(), self.node->get_progress(), self.get_id(),
-                                   self.node->get_log().get_last_index(), m_leading_since};
+        const membership_view view{
+            self.node->get_membership(),           self.node->get_progress(), self.get_id(),
+            self.node->get_log().get_last_index(), m_leading_since,           {}};
         const auto step = m_planner.plan(view, m_now);
         if (!step.has_value()) {
             return;
