--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -48,7 +48,8 @@
 } // namespace
 
 dispatcher::dispatcher(const dispatch_settings& settings, const job_state_machine& job_state)
-    : m_settings(settings), m_job_state(job_state), m_long_running(settings.long_running_share, settings.initial_report_time),
+    : m_settings(settings), m_job_state(job_state),
+      m_long_running(settings.long_running_share, settings.initial_report_time),
       m_shares(make_share_settings(settings.decisions)) {}
 
 dispatcher::~dispatcher() = default;
