--- a/poplarpitch/dispatch/worker_table.cpp
+++ b/poplarpitch/dispatch/worker_table.cpp
@@ -23,7 +23,7 @@
 std::size_t worker_table::take_slot() {
     if (m_free_slots.empty()) {
         m_by_slot.push_back(nullptr);
-        m_check_times.push_back(time_point{});
+        m_check_times.emplace_back();
         return m_by_slot.size() - 1;
     }
     const auto slot = m_free_slots.back();
