--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -23,7 +23,8 @@
 constexpr duration min_retry_after = seconds{1}; // an election takes less time
 constexpr duration max_retry_after = seconds{5};
 constexpr duration connect_timeout = milliseconds{700};
-constexpr int first_error_status = 400; // the lowest HTTP status that rejects a request
+constexpr std::int64_t max_leader_age_ms = 3'600'000; // an hour; no follower waits longer for an election
+constexpr int first_error_status = 400;               // the lowest HTTP status that rejects a request
 
 const char* get_outcome_name(relay_outcome::kind result) {
     switch (result) {
@@ -241,6 +242,12 @@
 }
 
 void leader_link::on_observer_status(std::uint32_t ip, const job_wire::cluster_status& status) {
+    if (status.leader_age_ms() < 0 || status.leader_age_ms() > max_leader_age_ms) {
+        log_event(log_level::warn, "observer_status_refused")
+            .add("observer", format_ip(ip))
+            .add("age_ms", status.leader_age_ms());
+        return;
+    }
     const auto told = status.leads() ? ip : status.leader() == 0 ? 0 : get_node_ip(status.leader());
     m_watch.on_observer_status(told, milliseconds{status.leader_age_ms()}, m_loop.now());
     if (told != 0 && told != ip && told != m_leader) {
--- a/unit_tests/gateway/observed_leader_test.cpp
+++ b/unit_tests/gateway/observed_leader_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -56,6 +57,7 @@
     bool leads = false;
     bool is_responsive = true;
     const char* known_leader = nullptr;
+    std::int64_t leader_age_ms = 0;
     int requests = 0; ///< for the status
 
 private:
@@ -98,6 +100,7 @@
         status.set_node(get_node(m_host));
         status.set_leads(leads);
         status.set_wants_followers_asked(leads);
+        status.set_leader_age_ms(leader_age_ms);
         status.set_leader(leads ? get_node(m_host) : known_leader == nullptr ? 0 : get_node(known_leader));
         for (const auto* host : {first_host, second_host}) {
             status.mutable_members()->add_voters(get_node(host));
@@ -190,6 +193,15 @@
     EXPECT_TRUE(link.is_connected());
 }
 
+// Guards against a status that makes a leader count as heard in the future, which never ages.
+TEST_F(observed_leader, is_not_taken_as_heard_at_a_negative_age) {
+    second.leader_age_ms = -3'600'000;
+    run_for(seconds{1});
+    const auto before = first.requests;
+    run_for(seconds{3});
+    EXPECT_GE(first.requests - before, 5) << "it is asked itself again";
+}
+
 TEST_F(observed_leader, is_asked_itself_when_the_observer_is_lost) {
     second.is_responsive = false;
     second.end_connections();
