--- a/poplarpitch/gateway/leader_watch.h
+++ b/poplarpitch/gateway/leader_watch.h
@@ -39,8 +39,8 @@
     [[nodiscard]] std::uint32_t get_observer() const { return m_observer; }
     /// Returns the last time at which the observer is known to have heard the leader at `leader`.
     [[nodiscard]] time_point get_heard_at(std::uint32_t leader) const;
-    /// Returns true when the leader at `leader` should be asked itself, because nothing vouches for it or the
-    /// path to it was not used for some time.
+    /// Returns true when the leader at `leader` should be asked itself, because the observer has not heard it
+    /// lately or the path to it was not used for some time.
     [[nodiscard]] bool must_ask_leader(std::uint32_t leader, time_point now) const;
     /// Returns true when all instances should be asked for a leader, `searched` after it was lost. The
     /// observer reports a new one first.
--- a/unit_tests/dispatch/worker_table_test.cpp
+++ b/unit_tests/dispatch/worker_table_test.cpp
@@ -25,6 +25,7 @@
 /// Returns the incarnations of these workers, in their order.
 std::vector<worker_incarnation> get_incarnations(const std::vector<worker_state*>& workers) {
     std::vector<worker_incarnation> found;
+    found.reserve(workers.size());
     for (const auto* worker : workers) {
         found.push_back(worker->report.incarnation);
     }
--- a/unit_tests/gateway/observed_leader_test.cpp
+++ b/unit_tests/gateway/observed_leader_test.cpp
@@ -33,9 +33,8 @@
 class fake_instance {
 public:
     fake_instance(event_loop& loop, const char* host, int at_port)
-        : m_host(host), m_listener(loop, host, at_port, [this](std::shared_ptr<frame_socket> socket) {
-              serve(std::move(socket));
-          }) {
+        : m_host(host), m_listener(loop, host, at_port,
+                                   [this](const std::shared_ptr<frame_socket>& socket) { serve(socket); }) {
         port = m_listener.start();
     }
 
@@ -61,7 +60,7 @@
     int requests = 0; ///< for the status
 
 private:
-    void serve(std::shared_ptr<frame_socket> socket) {
+    void serve(const std::shared_ptr<frame_socket>& socket) {
         const std::weak_ptr<frame_socket> weak = socket;
         m_sockets.push_back(socket);
         socket->start(
