--- a/unit_tests/replica/load_digest_test.cpp
+++ b/unit_tests/replica/load_digest_test.cpp
@@ -4,11 +4,10 @@
 #include "poplarpitch/replica/load_digest_writer.h"
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/wire/scheduling.pb.h"
+#include "unit_tests/support/temporary_folder.h"
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <filesystem>
 #include <memory>
 #include <string>
 #include <utility>
@@ -49,24 +48,6 @@
     EXPECT_EQ(write(writer, 4, {-seconds{1}, 0}).return_spread_ms(), 0);
 }
 
-/// A data folder that is removed at the end.
-class temporary_folder {
-public:
-    temporary_folder() {
-        std::string path = ::testing::TempDir() + "load-digest-XXXXXX";
-        if (::mkdtemp(path.data()) != nullptr) {
-            m_path = path;
-        }
-    }
-    ~temporary_folder() { std::filesystem::remove_all(m_path); }
-    temporary_folder(const temporary_folder&) = delete;
-    temporary_folder& operator=(const temporary_folder&) = delete;
-    [[nodiscard]] const std::string& get_path() const { return m_path; }
-
-private:
-    std::string m_path;
-};
-
 /// A cluster of one instance, asked for its status over a real connection.
 class status_test_environment {
 public:
