Count what the leader exchanges with its relays and entry instances

Cause: nothing told what the leader's messages consist of, so that what grows with the fleet had no name.

Change: metrics for frames, orders, answers, whole and unchanged reports, status requests and link connections at a scheduler, and whether a gateway follows the leader through another instance.

Result: relay_hub.counts_what_it_exchanges_with_its_relays.

--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -83,6 +83,7 @@
 
     std::string format_metrics() {
         m_metrics.set("poplarpitch_leader_connected", {}, m_link.is_connected() ? 1 : 0);
+        m_metrics.set("poplarpitch_leader_observed", {}, m_link.has_observer() ? 1 : 0);
         m_metrics.set("poplarpitch_open_requests", {}, static_cast<double>(m_link.get_open_requests()));
         m_metrics.set("poplarpitch_caller_connections", {},
                       static_cast<double>(m_caller_listener.get_connections()));
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -78,6 +78,8 @@
     void relay(job_wire::relay_request request, time_point deadline, outcome_handler on_outcome);
     /// Returns true when a leader is known and was heard from within the silence limit.
     [[nodiscard]] bool is_connected() const;
+    /// Returns true while the leader is followed through another instance.
+    [[nodiscard]] bool has_observer() const { return m_watch.get_observer() != 0; }
     /// Returns the number of requests that have no outcome yet.
     [[nodiscard]] std::size_t get_open_requests() const { return m_pending.size(); }
     /// Returns the time since the load digest in use arrived, or nothing while there is none.
--- a/poplarpitch/relay/relay_hub.cpp
+++ b/poplarpitch/relay/relay_hub.cpp
@@ -54,7 +54,7 @@
     append_order(order, number, open_frame(*relay));
     m_open.emplace(number, open_order{std::move(*key), *relay});
     m_deadlines.push({now + get_order_target(order)->timeout + m_settings.answer_slack, number});
-    ++m_relayed;
+    ++m_counts.orders;
     return true;
 }
 
@@ -85,6 +85,7 @@
             .add("data_centre", frame.data_centre())
             .add("relays", static_cast<std::uint64_t>(count_relays()));
     }
+    count_received(frame);
     outcomes.reserve(static_cast<std::size_t>(frame.answers_size()));
     for (const auto& answer : frame.answers()) {
         if (auto outcome = complete_order(answer.number(), decode(answer)); outcome.has_value()) {
@@ -94,6 +95,16 @@
     return outcomes;
 }
 
+void relay_hub::count_received(const job_wire::relay_answers& frame) {
+    const auto whole =
+        std::count_if(frame.reports().begin(), frame.reports().end(),
+                      [](const job_wire::relayed_report& report) { return report.is_whole(); });
+    ++m_counts.frames_received;
+    m_counts.answers += static_cast<std::uint64_t>(frame.answers_size());
+    m_counts.whole_reports += static_cast<std::uint64_t>(whole);
+    m_counts.unchanged_reports += static_cast<std::uint64_t>(frame.reports_size() - whole);
+}
+
 std::optional<relayed_outcome> relay_hub::complete_order(std::uint64_t number, order_outcome outcome) {
     const auto found = m_open.find(number);
     if (found == m_open.end()) {
@@ -202,6 +213,7 @@
             }
         }
         box.sent = now;
+        ++m_counts.frames_sent;
         frame.set_sent_ms(to_milliseconds(now.time_since_epoch()));
         frames.push_back({ip, std::exchange(box.frame, nullptr)});
     }
--- a/poplarpitch/relay/relay_hub.h
+++ b/poplarpitch/relay/relay_hub.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/consensus/node_id.h"
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/relay/relay_counts.h"
 #include "poplarpitch/relay/relay_registry.h"
 #include "poplarpitch/relay/relay_settings.h"
 #include "poplarpitch/relay/relayed_outcome.h"
@@ -83,8 +84,8 @@
     [[nodiscard]] std::size_t count_relays() const { return m_registry.get_relays().size(); }
     /// Returns the number of orders without an outcome.
     [[nodiscard]] std::size_t count_open() const { return m_open.size(); }
-    /// Returns the number of orders relayed since the start.
-    [[nodiscard]] std::uint64_t count_relayed() const { return m_relayed; }
+    /// Returns what was exchanged with relays since the start.
+    [[nodiscard]] const relay_counts& get_counts() const { return m_counts; }
 
 private:
     struct open_order {
@@ -110,6 +111,7 @@
     /// Removes an order and returns its outcome, or nothing when the order is not open.
     std::optional<relayed_outcome> complete_order(std::uint64_t number, order_outcome outcome);
     void on_relays_changed();
+    void count_received(const job_wire::relay_answers& frame);
     /// Records a call of `expire_orders`. Returns true while frames that arrived in a pause may be unread.
     bool is_catching_up(time_point now);
     /// Returns the frames that are due to be sent to these addresses.
@@ -123,7 +125,7 @@
     time_point m_last_expiry{};                 ///< last call of `expire_orders`; zero before the first one
     time_point m_caught_up_after{};             ///< end of the time in which nothing expires after a pause
     std::uint64_t m_next_number = 1;
-    std::uint64_t m_relayed = 0;
+    relay_counts m_counts;
     std::uint64_t m_relays_version = 1;
     absl::flat_hash_map<std::uint64_t, open_order> m_open;
     std::priority_queue<deadline, std::vector<deadline>, std::greater<>> m_deadlines;
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -183,6 +183,7 @@
         }
         return;
     case job_wire::cluster_frame::kAskStatus: {
+        ++m_status_requests;
         job_wire::cluster_frame answer;
         answer.mutable_status()->set_number(frame.ask_status().number());
         *answer.mutable_status()->mutable_status() = make_status();
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -114,6 +114,10 @@
     [[nodiscard]] bool is_storage_full() const { return m_full_since.has_value(); }
     [[nodiscard]] node_id get_id() const { return m_id; }
     [[nodiscard]] std::size_t get_voter_count() const;
+    /// Returns the number of status requests of other processes since the start.
+    [[nodiscard]] std::uint64_t get_status_requests() const { return m_status_requests; }
+    /// Returns the number of connections that other processes have opened to the link port.
+    [[nodiscard]] std::size_t count_link_connections() const { return m_accepted.size(); }
 
 private:
     struct pending_proposal {
@@ -200,7 +204,8 @@
     std::unique_ptr<frame_listener> m_listener;
     std::set<std::shared_ptr<frame_socket>> m_accepted;
     std::set<std::shared_ptr<frame_socket>> m_watchers; ///< of `m_accepted`: those that want changes
-    node_id m_reported_leader_change = 0;               ///< the leader in the last report of a change
+    std::uint64_t m_status_requests = 0;
+    node_id m_reported_leader_change = 0; ///< the leader in the last report of a change
     std::map<log_index, pending_proposal> m_proposals;
     std::map<std::uint64_t, std::function<void(bool)>> m_reads;
     std::map<std::uint32_t, seed_status> m_peer_statuses; ///< other instances, by address
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -81,7 +81,15 @@
     set("poplarpitch_orders_not_sent_total", stats.not_sent);
     set("poplarpitch_descriptors_exhausted_total", stats.exhausted);
     set("poplarpitch_relays", parts.relays.count_relays());
-    set("poplarpitch_relayed_orders_total", parts.relays.count_relayed());
+    const auto& relayed = parts.relays.get_counts();
+    set("poplarpitch_relayed_orders_total", relayed.orders);
+    set("poplarpitch_relayed_answers_total", relayed.answers);
+    set("poplarpitch_relay_frames_total", relayed.frames_sent, "sent");
+    set("poplarpitch_relay_frames_total", relayed.frames_received, "received");
+    set("poplarpitch_relayed_reports_total", relayed.whole_reports, "whole");
+    set("poplarpitch_relayed_reports_total", relayed.unchanged_reports, "unchanged");
+    set("poplarpitch_status_requests_total", parts.log.get_status_requests());
+    set("poplarpitch_link_connections", parts.log.count_link_connections());
     set("poplarpitch_relayed_orders_open", parts.relays.count_open());
     set("poplarpitch_log_batches_total", parts.batcher.get_batches());
     set("poplarpitch_log_commands_total", parts.batcher.get_commands());
--- a/unit_tests/relay/relay_hub_test.cpp
+++ b/unit_tests/relay/relay_hub_test.cpp
@@ -157,6 +157,25 @@
     EXPECT_TRUE(world.hub.expire_orders(world.now).empty());
 }
 
+TEST(relay_hub, counts_what_it_exchanges_with_its_relays) {
+    hub_world world;
+    world.announce(near, "near");
+    ASSERT_TRUE(world.hub.add(make_start("w1", 0), "near", 1, world.now));
+    ASSERT_TRUE(world.hub.add(make_hold("w1"), "near", 1, world.now));
+    const auto numbers = world.take_numbers().at(near);
+    static_cast<void>(world.answer(near, numbers));
+    job_wire::relay_answers heartbeats;
+    heartbeats.set_term(term);
+    heartbeats.set_ip(near);
+    heartbeats.set_data_centre("near");
+    heartbeats.set_version(relay_version);
+    heartbeats.add_reports()->set_is_whole(true);
+    heartbeats.add_reports();
+    heartbeats.add_reports();
+    static_cast<void>(world.hub.on_answers(heartbeats, world.now));
+    EXPECT_EQ(world.hub.get_counts(), (relay_counts{2, 3, 2, 2, 1, 2}));
+}
+
 TEST(relay_hub, reports_a_start_at_a_silent_relay_as_unanswered) {
     hub_world world;
     world.announce(near, "near");
--- a/unit_tests/replica/leader_report_test.cpp
+++ b/unit_tests/replica/leader_report_test.cpp
@@ -50,7 +50,7 @@
         });
     }
 
-    ~leader_report() override {
+    void TearDown() override {
         for (const auto& socket : m_sockets) {
             socket->close();
         }
--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/gateway/gateway_settings.h"
 #include "poplarpitch/scheduler/scheduler_settings.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include <map>
@@ -117,9 +118,10 @@
 
 /// Returns the settings of a scheduler whose workers send heartbeats at this interval.
 scheduler_settings read_with_heartbeat(const std::string& interval) {
-    const auto parsed = parse_scheduler_settings("[instance]\nid = a\n[control]\nlisten = 10.0.0.4:8080\n"
-                                                 "data_folder = /d\n[workers]\nheartbeat = " +
-                                                 interval + "\n");
+    const auto text = absl::StrCat("[instance]\nid = a\n[control]\nlisten = 10.0.0.4:8080\ndata_folder = /d\n"
+                                   "[workers]\nheartbeat = ",
+                                   interval, "\n");
+    const auto parsed = parse_scheduler_settings(text);
     for (const auto& error : parsed.errors) {
         ADD_FAILURE() << error.format("scheduler.ini");
     }
