Build a status frame, and count lines of a log, in one place

Only a refactoring: the answer to a status request and the report of a new leader were built by the same lines in replica.cpp, and two loops of relay_cluster_test counted the same text. No behaviour and no assertion changes.

--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -164,9 +164,7 @@
         return;
     }
     m_reported_leader_change = leader;
-    job_wire::cluster_frame frame;
-    *frame.mutable_status()->mutable_status() = make_status();
-    const auto bytes = frame.SerializeAsString();
+    const auto bytes = make_status_frame(0).SerializeAsString();
     for (const auto& socket : std::set(m_watchers)) { // a full socket closes itself, which changes the set
         socket->send(bytes);
     }
@@ -182,14 +180,10 @@
             take_message(frame.raft());
         }
         return;
-    case job_wire::cluster_frame::kAskStatus: {
+    case job_wire::cluster_frame::kAskStatus:
         ++m_status_requests;
-        job_wire::cluster_frame answer;
-        answer.mutable_status()->set_number(frame.ask_status().number());
-        *answer.mutable_status()->mutable_status() = make_status();
-        reply(answer);
+        reply(make_status_frame(frame.ask_status().number()));
         return;
-    }
     case job_wire::cluster_frame::kStatus:
         on_status(ip, frame.status().status());
         return;
@@ -202,6 +196,13 @@
     }
 }
 
+job_wire::cluster_frame replica::make_status_frame(std::uint64_t number) {
+    job_wire::cluster_frame frame;
+    frame.mutable_status()->set_number(number);
+    *frame.mutable_status()->mutable_status() = make_status();
+    return frame;
+}
+
 job_wire::cluster_status replica::make_status() {
     job_wire::cluster_status status;
     status.set_node(m_id);
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -141,6 +141,8 @@
     void on_status(std::uint32_t ip, const job_wire::cluster_status& status);
     void note_data_centre(std::uint32_t ip, const std::string& name);
     [[nodiscard]] job_wire::cluster_status make_status();
+    /// Returns a frame with the status, which answers the request with this number; 0 for none.
+    [[nodiscard]] job_wire::cluster_frame make_status_frame(std::uint64_t number);
     void accept(const std::shared_ptr<frame_socket>& socket);
     /// Sends the status to all who want to know of changes, when this instance knows another leader than at
     /// the last call that sent it.
--- a/unit_tests/platform/relay_cluster_test.cpp
+++ b/unit_tests/platform/relay_cluster_test.cpp
@@ -16,6 +16,16 @@
 constexpr int task_count = 24;
 constexpr int worker_count = 6;
 
+/// Returns how often a scheduler's log has `text`.
+int count_in_log(scheduler_cluster& cluster, int scheduler, const std::string& text) {
+    const auto log = cluster.get_scheduler(scheduler).read_log();
+    int found = 0;
+    for (auto place = log.find(text); place != std::string::npos; place = log.find(text, place + 1)) {
+        ++found;
+    }
+    return found;
+}
+
 /// A cluster in which all instances but the leader are relays, and its workers.
 class relay_cluster_environment {
 public:
@@ -27,15 +37,7 @@
 
     /// Waits until the leader's log has `text` at least `min_count` times.
     void wait_for_log_text(const std::string& text, int min_count) {
-        const auto count = [&] {
-            const auto log = cluster.get_scheduler(leader).read_log();
-            int found = 0;
-            for (auto place = log.find(text); place != std::string::npos; place = log.find(text, place + 1)) {
-                ++found;
-            }
-            return found;
-        };
-        while (count() < min_count) {
+        while (count_in_log(cluster, leader, text) < min_count) {
             absl::SleepFor(absl::Milliseconds(10));
         }
     }
@@ -71,16 +73,7 @@
     scheduler_cluster cluster(schedulers, {}, {}, 1, voters);
     const stand_in_workers workers(worker_count, cluster.get_control_addresses(), milliseconds{100});
     cluster.put_config(1);
-    const auto count_relays = [&] {
-        const auto log = cluster.get_scheduler(cluster.find_leader()).read_log();
-        int found = 0;
-        for (auto place = log.find("event=relay_found"); place != std::string::npos;
-             place = log.find("event=relay_found", place + 1)) {
-            ++found;
-        }
-        return found;
-    };
-    while (count_relays() < schedulers - 1) {
+    while (count_in_log(cluster, cluster.find_leader(), "event=relay_found") < schedulers - 1) {
         absl::SleepFor(absl::Milliseconds(10));
     }
     const std::string id = "0000000000000a07";
