Log what each failed run does to the attempts of its task or gang

Cause: a job that is shown as failed left no record of the decision.

Change: the replicated state reports each end that counts as an event with the count before and after it and max_attempts. The leader logs it as attempt_failed, and attempts_exhausted where the job fails for it; two metrics count both. poplarctl explain prints them for each run, with how the tasks of the step ended in it.

--- a/poplarpitch/dispatch/dispatch_counts.h
+++ b/poplarpitch/dispatch/dispatch_counts.h
@@ -22,6 +22,8 @@
     std::uint64_t crashes = 0;       ///< crashes of a worker, counted once for each task that ran there
     std::uint64_t jobs_given_up = 0; ///< those of `crashes` after which the task's job was given up
     std::uint64_t failed_runs = 0;
+    std::uint64_t failed_attempts = 0;      ///< failed runs that count against their queue's `max_attempts`
+    std::uint64_t jobs_out_of_attempts = 0; ///< jobs that failed because a task or gang had no attempt left
     std::uint64_t done_runs = 0;
     std::uint64_t refused_late = 0;    ///< those of `refused_jobs` that would have been completed too late
     std::uint64_t promised_jobs = 0;   ///< gauge: refused jobs that were told when to return and have not yet
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -282,6 +282,9 @@
     case job_state_event::kind::run_ended:
         on_run_ended(event, now);
         return;
+    case job_state_event::kind::attempt_failed:
+        on_attempt_failed(event);
+        return;
     case job_state_event::kind::task_crashed:
         on_task_crashed(event, now);
         return;
@@ -363,6 +366,12 @@
     }
 }
 
+void dispatcher::on_attempt_failed(const job_state_event& event) {
+    ++m_counts.failed_attempts;
+    m_counts.jobs_out_of_attempts += event.attempts.is_exhausted() ? 1 : 0;
+    log_attempt_failed(event, m_term);
+}
+
 void dispatcher::record_run_time(const run_track& track, run_end end, time_point now) {
     if (!track.has_known_start || track.get_spec().long_running) {
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -253,6 +253,7 @@
     void record_first_start(job_id id, time_point now);
     void record_job_end(job_id id, time_point now);
     void on_run_ended(const job_state_event& event, time_point now);
+    void on_attempt_failed(const job_state_event& event);
     /// Adds the duration of an ending run to the forecast.
     void record_run_time(const run_track& track, run_end end, time_point now);
     /// Adds the work of a task that is done to the drain rate.
--- a/poplarpitch/dispatch/history_log.cpp
+++ b/poplarpitch/dispatch/history_log.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/dispatch/run_track.h"
 #include "poplarpitch/dispatch/worker_state.h"
 #include "poplarpitch/scheduling/hold_answer.h"
+#include "poplarpitch/scheduling/job_state_event.h"
 #include "poplarpitch/telemetry/log_event.h"
 
 namespace poplarpitch {
@@ -53,6 +54,26 @@
     line.add("term", term).add("fence", track.host->fence);
 }
 
+void log_attempt_failed(const job_state_event& event, log_term term) {
+    const auto add_attempts = [&](log_event& line) {
+        add_run(line, event.run);
+        add_worker(line, event.worker)
+            .add("counted", event.attempts.is_counted() ? "yes" : "no")
+            .add("failures_before", static_cast<std::uint64_t>(event.attempts.before))
+            .add("failures", static_cast<std::uint64_t>(event.attempts.after))
+            .add("max_attempts", static_cast<std::uint64_t>(event.attempts.max))
+            .add("term", term);
+    };
+    {
+        auto line = log_event(log_level::info, "attempt_failed", log_class::history);
+        add_attempts(line);
+    }
+    if (event.attempts.is_exhausted()) {
+        auto line = log_event(log_level::warn, "attempts_exhausted", log_class::history);
+        add_attempts(line);
+    }
+}
+
 void log_unknown_end(const worker_state& worker, const run_track* track, const run_end_entry& row) {
     const auto* why = track == nullptr ? "not_known" : "ending";
     if (track != nullptr && track->host != &worker) {
--- a/poplarpitch/dispatch/history_log.h
+++ b/poplarpitch/dispatch/history_log.h
@@ -9,6 +9,7 @@
 
 namespace poplarpitch {
 
+struct job_state_event;
 struct run_end_entry;
 struct run_track;
 struct worker_state;
@@ -34,6 +35,9 @@
 void log_run_taken_over(const run_track& track, const char* found, log_term term);
 /// Logs how a run ended, and the evidence for it.
 void log_run_ended(const run_track& track, run_end end, log_term term, time_point now);
+/// Logs how an `attempt_failed` event changed the failed attempts of its task or gang, and in a second line
+/// that this fails the job. `run_ended` lines of the same run tell how the other members of a gang ended.
+void log_attempt_failed(const job_state_event& event, log_term term);
 /// Logs a listed end that changes nothing. `track`: of that run; null where the run is not known.
 void log_unknown_end(const worker_state& worker, const run_track* track, const run_end_entry& row);
 /// Logs that no task is placed on a worker for some time, and why. Shorter pauses, such as the one after a
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -63,6 +63,8 @@
     set("poplarpitch_runs_total", counts.lost_runs, "lost");
     set("poplarpitch_task_crashes_total", counts.crashes);
     set("poplarpitch_jobs_given_up_total", counts.jobs_given_up, "crashes");
+    set("poplarpitch_jobs_given_up_total", counts.jobs_out_of_attempts, "attempts");
+    set("poplarpitch_failed_attempts_total", counts.failed_attempts);
     set("poplarpitch_suspect_tasks", parts.dispatch.count_suspects());
     set("poplarpitch_starts_refused_total", counts.refused_room, "no_room");
     set("poplarpitch_starts_refused_total", counts.refused_other, "other");
--- a/poplarpitch/scheduling/job_state_event.h
+++ b/poplarpitch/scheduling/job_state_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "poplarpitch/scheduling/attempt_count.h"
 #include "poplarpitch/scheduling/crash_evidence.h"
 #include "poplarpitch/scheduling/run_end.h"
 #include "poplarpitch/scheduling/task_key.h"
@@ -14,14 +15,15 @@
 /// A change made by a committed command. The leader updates its own state by these events.
 struct job_state_event {
     enum class kind : std::uint8_t {
-        job_accepted, ///< `run.task.step.job`
-        job_ended,    ///< `run.task.step.job`: completed, failed or cancelled
-        run_assigned, ///< `run` to `worker`
-        run_refused,  ///< `run` was not assigned to `worker`: its job or task had changed, or the worker is
-                      ///< retired
-        run_ended,    ///< `run` on `worker` ended with `end`; `number` in the worker's list of ends
-        task_crashed, ///< `worker` crashed under `run`; it is the `number`th crash counted for the task
-        step_done,    ///< `run.task.step`
+        job_accepted,   ///< `run.task.step.job`
+        job_ended,      ///< `run.task.step.job`: completed, failed or cancelled
+        run_assigned,   ///< `run` to `worker`
+        run_refused,    ///< `run` was not assigned to `worker`: its job or task had changed, or the worker is
+                        ///< retired
+        run_ended,      ///< `run` on `worker` ended with `end`; `number` in the worker's list of ends
+        attempt_failed, ///< `run` on `worker` ended as failed, which changed `attempts`; follows `run_ended`
+        task_crashed,   ///< `worker` crashed under `run`; it is the `number`th crash counted for the task
+        step_done,      ///< `run.task.step`
         config_changed,
         worker_retired,       ///< `worker`
         data_centres_changed, ///< other data centres are drained than before
@@ -35,6 +37,7 @@
     std::uint64_t number = 0;
     crash_evidence crash = crash_evidence::none; ///< of `run_ended` or `task_crashed`
     std::int64_t age_ms = 0;                     ///< how long the run had been on the worker; 0 when unknown
+    attempt_count attempts;                      ///< of `attempt_failed`
 
     friend auto operator<=>(const job_state_event&, const job_state_event&) = default;
 };
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -241,14 +241,8 @@
         }
         return command_outcome::applied;
     }
-    if (ended.end == run_end::failed && !spec.long_running) {
-        ++task->failures;
-        const auto failures = spec.gang ? count_failures(record, key.step) : task->failures;
-        if (failures >= record.job->queue.max_attempts && record.phase == job_phase::open) {
-            task->phase = task_phase::failed;
-            end_job(record, job_phase::failed, events);
-            return command_outcome::applied;
-        }
+    if (ended.end == run_end::failed && !spec.long_running && count_failure(record, *task, ended, events)) {
+        return command_outcome::applied;
     }
     if (task->runs.empty()) {
         task->phase = task_phase::waiting;
@@ -290,6 +284,25 @@
     return true;
 }
 
+bool job_state_machine::count_failure(job_record& record, task_record& task, const job_state_event& ended,
+                                      std::vector<job_state_event>& events) {
+    const auto& key = ended.run.task.step;
+    const bool is_gang = record.job->steps[key.step].gang;
+    auto event = ended;
+    event.what = job_state_event::kind::attempt_failed;
+    event.attempts.before = is_gang ? count_failures(record, key) : task.failures;
+    event.attempts.after = event.attempts.before + 1;
+    event.attempts.max = record.job->queue.max_attempts;
+    ++task.failures;
+    events.push_back(event);
+    if (!event.attempts.is_exhausted() || record.phase != job_phase::open) {
+        return false;
+    }
+    task.phase = task_phase::failed;
+    end_job(record, job_phase::failed, events);
+    return true;
+}
+
 std::uint32_t job_state_machine::count_failures(job_record& record, const step_key& key) {
     std::uint32_t failures = 0;
     for (const auto& task : record.get_occurrence(key.occurrence).steps[key.step].tasks) {
--- a/poplarpitch/tools/control_commands.cpp
+++ b/poplarpitch/tools/control_commands.cpp
@@ -415,6 +415,9 @@
     for (const auto& line : explanation.history.runs) {
         std::cout << line << "\n";
     }
+    for (const auto& line : explanation.history.attempts) {
+        std::cout << "attempt: " << line << "\n";
+    }
     for (const auto& line : explanation.history.overlaps) {
         std::cout << "OVERLAP: " << line << "\n";
     }
--- a/poplarpitch/tools/log_explainer.cpp
+++ b/poplarpitch/tools/log_explainer.cpp
@@ -13,9 +13,10 @@
 
 // In order of precedence: a line with an earlier event explains the end better than any line with a later
 // one.
-constexpr std::array<std::string_view, 8> deciding_events = {
-    "event=job_given_up", "event=job_refused",   "event=request_given_up", "event=lease_lapsed",
-    "event=run_lost",     "event=start_refused", "event=run_ended",        "event=job_ended",
+constexpr std::array<std::string_view, 9> deciding_events = {
+    "event=job_given_up",     "event=attempts_exhausted", "event=job_refused",
+    "event=request_given_up", "event=lease_lapsed",       "event=run_lost",
+    "event=start_refused",    "event=run_ended",          "event=job_ended",
 };
 
 std::string_view get_time(std::string_view line) {
--- a/poplarpitch/tools/run_history.cpp
+++ b/poplarpitch/tools/run_history.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <map>
+#include <set>
 #include <string_view>
 #include <tuple>
 
@@ -40,6 +41,44 @@
 /// Identifies a task of the job: occurrence, step and index.
 using task_key = std::tuple<std::string, std::string, std::string>;
 
+/// Identifies all runs of a step with one number, such as those of a gang: occurrence, step and run.
+using step_run_key = std::tuple<std::string, std::string, std::uint64_t>;
+
+/// What the log lines record about failed attempts in the runs of a step with one number.
+struct logged_attempt {
+    std::vector<std::string> counts;                                ///< a text for each end that failed
+    std::map<std::string, std::vector<std::uint64_t>> tasks_by_end; ///< indexes of tasks by how they ended
+
+    void add(const log_line& entry);
+};
+
+void logged_attempt::add(const log_line& entry) {
+    const auto& line = entry.line;
+    const auto event = get_value(line, "event");
+    const auto task = get_value(line, "task");
+    if (event == "run_ended") {
+        tasks_by_end[get_value(line, "end")].push_back(std::strtoull(task.c_str(), nullptr, 10));
+    }
+    if (event == "attempt_failed") {
+        counts.push_back(get_value(line, "time") + " " + entry.instance + ": task " + task + " failed, " +
+                         (get_value(line, "counted") == "yes" ? "counted" : "not counted") + ", failures " +
+                         get_value(line, "failures_before") + " -> " + get_value(line, "failures") + " of " +
+                         get_value(line, "max_attempts"));
+    }
+}
+
+/// Returns the tasks of each end, such as "failed 0 2, broken 1".
+std::string format_ends(const std::map<std::string, std::vector<std::uint64_t>>& tasks_by_end) {
+    std::string text;
+    for (const auto& [end, tasks] : tasks_by_end) {
+        text += (text.empty() ? "" : ", ") + end;
+        for (const auto task : std::set<std::uint64_t>(tasks.begin(), tasks.end())) {
+            text += " " + std::to_string(task);
+        }
+    }
+    return text;
+}
+
 /// What the log lines record about one run.
 struct logged_run {
     std::string begin; ///< time of the first line that shows it running; empty when there is none
@@ -115,6 +154,7 @@
 
 run_history build_run_history(const std::vector<log_line>& lines) {
     std::map<task_key, std::map<std::uint64_t, logged_run>> tasks;
+    std::map<step_run_key, logged_attempt> attempts;
     for (const auto& entry : lines) {
         const auto& line = entry.line;
         const auto run = get_value(line, "run");
@@ -122,9 +162,21 @@
             continue;
         }
         const task_key task{get_value(line, "occurrence"), get_value(line, "step"), get_value(line, "task")};
-        tasks[task][std::strtoull(run.c_str(), nullptr, 10)].add(entry);
+        const auto number = std::strtoull(run.c_str(), nullptr, 10);
+        tasks[task][number].add(entry);
+        attempts[{std::get<0>(task), std::get<1>(task), number}].add(entry);
     }
     run_history history;
+    for (const auto& [key, attempt] : attempts) {
+        const auto& [occurrence, step, number] = key;
+        const auto name = "occurrence " + occurrence + " step " + step + " run " + std::to_string(number);
+        for (const auto& count : attempt.counts) {
+            history.attempts.push_back(name + ": " + count);
+        }
+        if (!attempt.counts.empty()) {
+            history.attempts.push_back(name + ": ends by task: " + format_ends(attempt.tasks_by_end));
+        }
+    }
     for (const auto& [task, runs] : tasks) {
         for (const auto& [number, run] : runs) {
             for (const auto& description : run.descriptions) {
--- a/poplarpitch/tools/run_history.h
+++ b/poplarpitch/tools/run_history.h
@@ -18,6 +18,9 @@
     std::vector<std::string> runs; ///< for each run, who started it and what ended it
     /// Each pair of runs of one task for which no line shows that the first ended before the second began.
     std::vector<std::string> overlaps;
+    /// For each run with an end that changed the failed attempts of its task or gang: the counts before and
+    /// after each such end, and how the tasks of the step ended in the run of this number.
+    std::vector<std::string> attempts;
 
     friend bool operator==(const run_history&, const run_history&) = default;
 };
--- a/unit_tests/dispatch/dispatcher_history_log_test.cpp
+++ b/unit_tests/dispatch/dispatcher_history_log_test.cpp
@@ -112,5 +112,28 @@
                 "reason=not_known"});
 }
 
+// A job that failed must be explained by its id alone: which runs counted, and from what to what.
+TEST(dispatcher_history_log, logs_the_failed_attempts_before_and_after_each_that_counts) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.add_worker("w2");
+    world.submit({make_step()}, 2);
+    const log_capture logs;
+    for (std::uint64_t attempt = 1; attempt <= 2; ++attempt) {
+        const auto start = world.start_one();
+        auto list = list_end(start, attempt);
+        list.ended[0].end = run_end::failed;
+        world.wait_for_hold(start.target.worker.id);
+        world.answer_hold(start.target.worker.id, list);
+        world.advance(seconds{10});
+    }
+    const auto lines = logs.find("attempt_failed");
+    ASSERT_EQ(lines.size(), 2U);
+    EXPECT_NE(lines[0].find(" counted=yes failures_before=0 failures=1 max_attempts=2"), std::string::npos);
+    expect_one(logs, "attempts_exhausted", {"run=2", "failures_before=1", "failures=2", "max_attempts=2"});
+    EXPECT_EQ(world.scheduler.get_counts().failed_attempts, 2U);
+    EXPECT_EQ(world.scheduler.get_counts().jobs_out_of_attempts, 1U);
+}
+
 } // namespace
 } // namespace poplarpitch
--- a/unit_tests/tools/log_explainer_test.cpp
+++ b/unit_tests/tools/log_explainer_test.cpp
@@ -117,5 +117,29 @@
     EXPECT_TRUE(story.cause.empty());
 }
 
+// Logs must tell a gang that failed twice from two members of a gang that failed once.
+TEST(log_explainer, names_the_runs_whose_failures_count_and_how_the_members_of_a_gang_ended) {
+    const std::string run = " job=00000000000000af occurrence=0 step=0 task=";
+    const std::string log =
+        "time=1 event=attempt_failed" + run +
+        "2 run=1 worker=w2 counted=yes failures_before=0 failures=1 max_attempts=2 term=1\n"
+        "time=2 event=attempt_failed" +
+        run +
+        "0 run=1 worker=w0 counted=no failures_before=1 failures=1 max_attempts=2 term=1\n"
+        "time=2 event=run_ended" +
+        run + "2 run=1 end=failed\ntime=2 event=run_ended" + run +
+        "0 run=1 end=failed\ntime=3 event=run_ended" + run +
+        "1 run=1 end=broken\n"
+        "time=4 event=attempts_exhausted" +
+        run + "1 run=2 worker=w1 failures_before=1 failures=2 max_attempts=2 term=1\n";
+    const auto story = explain_id("00000000000000af", {log});
+    const std::string name = "occurrence 0 step 0 run 1: ";
+    EXPECT_EQ(story.history.attempts,
+              (std::vector<std::string>{name + "1 log 1: task 2 failed, counted, failures 0 -> 1 of 2",
+                                        name + "2 log 1: task 0 failed, not counted, failures 1 -> 1 of 2",
+                                        name + "ends by task: broken 1, failed 0 2"}));
+    EXPECT_NE(story.cause.find("event=attempts_exhausted"), std::string::npos);
+}
+
 } // namespace
 } // namespace poplarpitch
