Count a run of a gang once, whichever of its members fail in it

Cause: the replicated state added up the ends `failed` of all members. It took for granted that one member fails in a run and the others end as broken. Members on different workers fail in the same run, and each was counted. Evidence: poplarctl explain of the job's id printed tasks 2, 1 and 0 of run 1 with failures 0 -> 1, 1 -> 2 and 2 -> 3 of 3.

Change: the leader proposes only the first end `failed` of a run of a gang as one that counts. The others are proposed with the kind of a broken gang, which no version counts, and beside it the end as the worker listed it. The step's record holds the newest run that counts, so that the next leader counts none again.

Why it works: PROTOCOL.md's sentence is "a task, or a gang, has failed maxAttempts times", and the members of a gang share their runs. Each run has at most one end that counts, and by the order of the log exactly one if any. What an entry means does not change: replicas of the former release draw the same conclusion, also from an entry that its leader wrote.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -133,6 +133,7 @@
     m_jobs.clear();
     m_ready.clear();
     m_failed_on.clear();
+    m_claimed_attempts.clear();
     m_suspects.clear();
     m_forecast.clear();
     m_admission.clear();
@@ -248,6 +249,7 @@
     }
     erase_job(m_advice, first_step);
     erase_job(m_failed_on, task_key{first_step, 0});
+    erase_job(m_claimed_attempts, first_step);
     m_suspects.forget_job(id);
 }
 
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -295,6 +295,9 @@
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const end_evidence& evidence, time_point now,
                      const std::string& checkpoint = {}, const run_loss& loss = {});
+    /// Returns true when the end of this run as failed is to count as an attempt, and remembers it for the
+    /// other members of its gang.
+    [[nodiscard]] bool claim_attempt(const run_track& track);
     void send_start(run_track& track, time_point now);
     void send_stop(run_track& track, time_point now);
     void stop_run(run_track& track, time_point now);
@@ -535,6 +538,8 @@
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
     std::map<task_key, std::vector<worker_incarnation>> m_failed_on; ///< workers on which a task failed
+    std::map<step_key, std::uint32_t> m_claimed_attempts; ///< by gang: the newest run of which an end was
+                                                          ///< proposed that counts as a failed attempt
     suspect_watch m_suspects;
     std::map<step_key, step_advice> m_advice;
     bool m_is_advice_pending = false;  ///< a call to the advice service is in flight
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -89,7 +89,11 @@
     message.set_run(track.key.run);
     message.set_worker(track.assigned_to.id);
     message.set_born_ms(track.assigned_to.process_start_ms);
-    message.set_kind(static_cast<std::uint32_t>(end));
+    const bool is_counted_already = end == run_end::failed && !claim_attempt(track);
+    message.set_kind(static_cast<std::uint32_t>(is_counted_already ? run_end::gang_broken : end));
+    if (is_counted_already) {
+        message.set_listed_kind(static_cast<std::uint32_t>(end));
+    }
     message.set_saved(checkpoint);
     message.set_number(evidence.number);
     message.set_crash(static_cast<std::uint32_t>(loss.crash));
@@ -97,6 +101,25 @@
     m_commands.push_back(std::move(command));
 }
 
+/// Members on several workers may fail in one run. The gang has failed once then, so only the first of these
+/// ends counts, whichever leader proposes the others.
+bool dispatcher::claim_attempt(const run_track& track) {
+    const auto& spec = track.get_spec();
+    if (!spec.gang || spec.long_running) {
+        return true;
+    }
+    const auto& key = track.key.task.step;
+    const auto* record = m_job_state.find_job(key.job);
+    const auto* step = record == nullptr ? nullptr : record->find_step(key.occurrence, key.step);
+    auto& claimed = m_claimed_attempts[key];
+    claimed = std::max(claimed, step == nullptr ? 0 : step->last_failed_run);
+    if (claimed >= track.key.run) {
+        return false;
+    }
+    claimed = track.key.run;
+    return true;
+}
+
 // ---- orders
 
 order_target dispatcher::make_target(const worker_state& worker, duration timeout) const {
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -211,6 +211,7 @@
         item.set_done(occurrence.is_done);
         for (const auto& step : occurrence.steps) {
             auto& part = *item.add_steps();
+            part.set_last_failed_run(step.last_failed_run);
             for (const auto& task : step.tasks) {
                 encode_task(task, *part.add_tasks());
             }
@@ -229,6 +230,7 @@
         occurrence.is_done = item.done();
         for (const auto& part : item.steps()) {
             step_record step;
+            step.last_failed_run = part.last_failed_run();
             for (const auto& task : part.tasks()) {
                 step.tasks.push_back(decode_task(task));
                 step.done += step.tasks.back().phase == task_phase::done ? 1 : 0;
--- a/poplarpitch/scheduling/job_record.cpp
+++ b/poplarpitch/scheduling/job_record.cpp
@@ -4,6 +4,14 @@
 
 namespace poplarpitch {
 
+std::uint32_t step_record::count_gang_failures() const {
+    std::uint32_t failures = 0;
+    for (const auto& task : tasks) {
+        failures += task.failures;
+    }
+    return failures;
+}
+
 task_record* job_record::find_task(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) {
     const auto found = occurrences.find(occurrence);
     if (found == occurrences.end() || step >= found->second.steps.size() ||
@@ -33,7 +41,7 @@
     const auto [item, is_new] = occurrences.try_emplace(occurrence);
     if (is_new) {
         for (const auto& step : job->steps) {
-            item->second.steps.push_back({std::vector<task_record>(step.count), 0});
+            item->second.steps.push_back({std::vector<task_record>(step.count), 0, 0});
         }
     }
     return item->second;
--- a/poplarpitch/scheduling/job_record.h
+++ b/poplarpitch/scheduling/job_record.h
@@ -39,12 +39,16 @@
 /// The tasks of one step in one occurrence.
 struct step_record {
     std::vector<task_record> tasks;
-    std::uint32_t done = 0; ///< number of done tasks; derived from `tasks`
+    std::uint32_t done = 0;            ///< number of done tasks; derived from `tasks`
+    std::uint32_t last_failed_run = 0; ///< of a gang: the newest run that counts as a failed attempt
 
     friend bool operator==(const step_record&, const step_record&) = default;
 
     /// Returns true when all tasks are done. Thread safety: any thread while no thread modifies the object.
     [[nodiscard]] bool is_done() const { return done == tasks.size(); }
+    /// Returns how many attempts of the step's gang have failed. At most one member's end counts in each run.
+    /// Precondition: the step is a gang. Thread safety: as above.
+    [[nodiscard]] std::uint32_t count_gang_failures() const;
 };
 
 /// An occurrence that is due or has started.
--- a/poplarpitch/scheduling/job_state_event.h
+++ b/poplarpitch/scheduling/job_state_event.h
@@ -37,6 +37,7 @@
     std::uint64_t number = 0;
     crash_evidence crash = crash_evidence::none; ///< of `run_ended` or `task_crashed`
     std::int64_t age_ms = 0;                     ///< how long the run had been on the worker; 0 when unknown
+    bool counts_as_attempt = false;              ///< of `run_ended` with the end `failed`
     attempt_count attempts;                      ///< of `attempt_failed`
 
     friend auto operator<=>(const job_state_event&, const job_state_event&) = default;
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -36,7 +36,9 @@
     event.what = job_state_event::kind::run_ended;
     event.run = {decode(message.task()), message.run()};
     event.worker = {message.worker(), message.born_ms()};
-    event.end = static_cast<run_end>(message.kind());
+    const auto listed = message.listed_kind() == 0 ? message.kind() : message.listed_kind();
+    event.end = static_cast<run_end>(listed);
+    event.counts_as_attempt = static_cast<run_end>(message.kind()) == run_end::failed;
     event.number = message.number();
     event.crash = static_cast<crash_evidence>(message.crash());
     event.age_ms = message.age_ms();
@@ -287,14 +289,19 @@
 bool job_state_machine::count_failure(job_record& record, task_record& task, const job_state_event& ended,
                                       std::vector<job_state_event>& events) {
     const auto& key = ended.run.task.step;
+    auto& step = record.get_occurrence(key.occurrence).steps[key.step];
     const bool is_gang = record.job->steps[key.step].gang;
     auto event = ended;
     event.what = job_state_event::kind::attempt_failed;
-    event.attempts.before = is_gang ? count_failures(record, key) : task.failures;
-    event.attempts.after = event.attempts.before + 1;
+    event.attempts.before = is_gang ? step.count_gang_failures() : task.failures;
+    event.attempts.after = event.attempts.before + (ended.counts_as_attempt ? 1 : 0);
     event.attempts.max = record.job->queue.max_attempts;
-    ++task.failures;
     events.push_back(event);
+    if (!ended.counts_as_attempt) {
+        return false;
+    }
+    ++task.failures;
+    step.last_failed_run = is_gang ? std::max(step.last_failed_run, ended.run.run) : 0;
     if (!event.attempts.is_exhausted() || record.phase != job_phase::open) {
         return false;
     }
@@ -303,15 +310,6 @@
     return true;
 }
 
-std::uint32_t job_state_machine::count_failures(job_record& record, const step_key& key) {
-    std::uint32_t failures = 0;
-    for (const auto& task : record.get_occurrence(key.occurrence).steps[key.step].tasks) {
-        failures += task.failures; // when one member of a gang fails, the others end as `broken`, which does
-                                   // not count
-    }
-    return failures;
-}
-
 void job_state_machine::finish_gang(job_record& record, const step_key& key,
                                     std::vector<job_state_event>& events) {
     // The members finish together, so one end counts for all: the others may be lost with their workers.
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -82,11 +82,12 @@
     /// Counts a crash of a worker under a task. Returns true when the job fails because of it.
     bool count_crash(job_record& record, task_record& task, const job_state_event& crashed,
                      std::vector<job_state_event>& events);
-    /// Counts a run that ended as failed against the queue's `max_attempts`. Returns true when the job fails
-    /// because of it.
+    /// Counts a run that ended as failed against the queue's `max_attempts`, unless the command says that it
+    /// does not count. Which members' ends count is decided by the leader that proposes them and not here, so
+    /// that instances of different versions draw the same conclusion from a command. Returns true when the
+    /// job fails because of it.
     bool count_failure(job_record& record, task_record& task, const job_state_event& ended,
                        std::vector<job_state_event>& events);
-    static std::uint32_t count_failures(job_record& record, const step_key& key);
     void finish_gang(job_record& record, const step_key& key, std::vector<job_state_event>& events);
     void finish_task(job_record& record, const task_key& key, std::vector<job_state_event>& events);
     void end_job(job_record& record, job_phase phase, std::vector<job_state_event>& events);
--- a/unit_tests/dispatch/dispatcher_job_test.cpp
+++ b/unit_tests/dispatch/dispatcher_job_test.cpp
@@ -4,6 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+#include <vector>
+
 namespace poplarpitch {
 namespace {
 
@@ -102,6 +106,93 @@
     EXPECT_EQ(world.job_state.find_job(job)->phase, job_phase::completed);
 }
 
+/// A gang of three on three workers whose queue allows two attempts.
+class failing_gang : public testing::Test {
+protected:
+    failing_gang() {
+        for (const auto* worker : {"w1", "w2", "w3"}) {
+            m_world.add_worker(worker);
+        }
+        auto gang = make_step(3);
+        gang.gang = true;
+        gang.max_per_worker = 1;
+        m_job = m_world.submit({gang}, 2);
+    }
+
+    /// Confirms the starts of all members.
+    std::vector<start_order> start_members() {
+        auto starts = m_world.take<start_order>();
+        EXPECT_EQ(starts.size(), 3U);
+        for (const auto& start : starts) {
+            m_world.answer(start);
+        }
+        return starts;
+    }
+
+    /// Ends the members of a run in this way, each in a list of its own worker.
+    void end_members(const std::vector<start_order>& starts, const std::vector<run_end>& ends) {
+        for (std::size_t index = 0; index < starts.size(); ++index) {
+            end_run(m_world, starts[index], ++m_ends[starts[index].target.worker.id], ends[index]);
+        }
+        for (int step = 0; step < 30; ++step) { // a last attempt waits for workers that did not fail
+            m_world.advance(milliseconds{100});
+        }
+    }
+
+    [[nodiscard]] job_phase get_phase() const { return m_world.job_state.find_job(m_job)->phase; }
+
+    dispatch_world m_world;
+    job_id m_job = 0;
+    std::map<std::string, std::uint64_t> m_ends;
+};
+
+// Members that failed in one run were counted as so many attempts, and the job was lost after one run.
+TEST_F(failing_gang, counts_a_run_once_in_which_several_members_fail) {
+    end_members(start_members(), {run_end::failed, run_end::failed, run_end::failed});
+    ASSERT_EQ(get_phase(), job_phase::open);
+    const auto second = start_members();
+    EXPECT_EQ(second[0].run.run, 2U);
+    end_members(second, {run_end::done, run_end::done, run_end::done});
+    EXPECT_EQ(get_phase(), job_phase::completed);
+}
+
+// The same where the leader changes between the ends of the members.
+TEST_F(failing_gang, counts_a_run_once_of_which_two_leaders_hear_failures) {
+    const auto starts = start_members();
+    end_run(m_world, starts[0], 1, run_end::failed);
+    m_world.start_leading();
+    for (const auto* worker : {"w1", "w2", "w3"}) {
+        m_world.send_heartbeat(worker);
+    }
+    end_run(m_world, starts[1], 1, run_end::failed);
+    end_run(m_world, starts[2], 1, run_end::gang_broken);
+    EXPECT_EQ(get_phase(), job_phase::open);
+}
+
+// Each run in which a member fails is an attempt, also where another member fails than before.
+TEST_F(failing_gang, fails_its_job_after_as_many_failed_runs_as_its_queue_allows) {
+    end_members(start_members(), {run_end::failed, run_end::gang_broken, run_end::failed});
+    EXPECT_EQ(get_phase(), job_phase::open);
+    end_members(start_members(), {run_end::gang_broken, run_end::failed, run_end::gang_broken});
+    EXPECT_EQ(get_phase(), job_phase::failed);
+}
+
+// An end as done must stand, whatever other members of the run list before or after it: a task must not start
+// again after it was done.
+TEST_F(failing_gang, is_completed_by_a_member_that_is_done_in_a_run_in_which_another_fails) {
+    end_members(start_members(), {run_end::failed, run_end::done, run_end::failed});
+    EXPECT_EQ(get_phase(), job_phase::completed);
+    EXPECT_TRUE(m_world.take<start_order>().empty());
+}
+
+// Ends of a broken gang count for nothing, whatever ended it.
+TEST_F(failing_gang, counts_no_run_that_ends_without_a_failure) {
+    for (int run = 0; run < 3; ++run) {
+        end_members(start_members(), {run_end::lease_expired, run_end::gang_broken, run_end::stopped});
+    }
+    EXPECT_EQ(get_phase(), job_phase::open);
+}
+
 TEST(dispatcher_job, stops_what_runs_of_a_cancelled_job_and_starts_no_more_of_it) {
     dispatch_world world;
     world.add_worker("w1", {2000, 256000, 0});
--- a/unit_tests/dispatch/simulated_worker.cpp
+++ b/unit_tests/dispatch/simulated_worker.cpp
@@ -141,6 +141,12 @@
     }
 }
 
+void simulated_worker::end_run_as(const run_key& key, run_end how) {
+    if (m_runs.contains(key)) {
+        end_run(run_key{key}, how);
+    }
+}
+
 std::optional<run_end> simulated_worker::find_end(const simulated_worker_run& run, time_point now) const {
     if (get_clock(now) > m_lease_ms) {
         return run_end::lease_expired;
--- a/unit_tests/dispatch/simulated_worker.h
+++ b/unit_tests/dispatch/simulated_worker.h
@@ -58,6 +58,8 @@
     void fail_runs_until(time_point when) { m_fails_until = when; }
     /// Makes a run fail at `when` by its own fault, unless it ends before.
     void fail_run(const run_key& key, time_point when);
+    /// Ends a run now, such as that of a gang's member with the others. Does nothing where it is not here.
+    void end_run_as(const run_key& key, run_end how);
     /// Makes the worker's lists report the progress of runs, the tail latencies of serving tasks and the
     /// processor time that other tasks use. Else all are at 50% and report no such level.
     void report_loads() { m_reports_loads = true; }
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -248,6 +248,18 @@
                        payload);
 }
 
+bool scheduler_cluster::submit_gang(const std::string& id, int members, duration limit,
+                                    const std::string& payload) {
+    return submit_step(id,
+                       {{"count", members},
+                        {"cpu", 500},
+                        {"memMb", 100},
+                        {"estimateMs", 200},
+                        {"gang", true},
+                        {"antiAffinity", 1}},
+                       limit, payload);
+}
+
 bool scheduler_cluster::submit_step(const std::string& id, const nlohmann::json& step, duration limit,
                                     const std::string& payload) {
     const nlohmann::json job = {{"spec", payload}, {"steps", {step}}};
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -69,6 +69,8 @@
     bool submit(const std::string& id, int tasks, duration limit, const std::string& payload = "text");
     /// As above, for a job of one step whose tasks run until it is cancelled.
     bool submit_long_running(const std::string& id, int tasks, duration limit, const std::string& payload);
+    /// As above, for a job of one gang with one member on a worker.
+    bool submit_gang(const std::string& id, int members, duration limit, const std::string& payload);
     /// Waits until a job's state is `state`. Returns false when it is not within `limit`.
     bool wait_for_state(const std::string& id, const std::string& state, duration limit);
     /// Returns a job's state, or nothing when no answer reports it.
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -24,7 +24,7 @@
 constexpr duration large_cluster_heartbeat_interval = milliseconds{1100};
 constexpr std::size_t large_cluster_size = 20;
 constexpr duration heartbeat_timeout = milliseconds{500};
-constexpr duration crash_delay = milliseconds{10};     // from the start of a crashing task to the crash
+constexpr duration crash_delay = milliseconds{10}; // from the start of a task that crashes or fails to that
 constexpr duration restart_delay = milliseconds{1000}; // longer than an answer takes, so that it is lost
 constexpr duration max_list_delay = milliseconds{800};
 constexpr duration max_disconnect_time = milliseconds{300};
@@ -279,7 +279,9 @@
         const bool is_long_running = payload == stand_in_workers::long_running_payload ||
                                      payload == stand_in_workers::crashing_payload;
         timer_id timer = 0;
-        if (!is_long_running) {
+        if (payload == stand_in_workers::failing_once_payload && run == 1) {
+            timer = loop.call_after(crash_delay, [this, &worker, task] { end_run(worker, task, "failed"); });
+        } else if (!is_long_running) {
             const char* outcome = happens(behaviour.failed_run_percent) ? "failed" : "done";
             timer = loop.call_after(pick_duration(behaviour.shortest_run, behaviour.longest_run),
                                     [this, &worker, task, outcome] { end_run(worker, task, outcome); });
--- a/unit_tests/platform/stand_in_workers.h
+++ b/unit_tests/platform/stand_in_workers.h
@@ -26,6 +26,8 @@
     static constexpr const char* long_running_payload = "lasts";
     /// Payload of jobs whose tasks crash the workers that start them.
     static constexpr const char* crashing_payload = "crashes";
+    /// Payload of jobs whose tasks fail at once in their first run.
+    static constexpr const char* failing_once_payload = "fails once";
 
     using restart_mode = worker_restart_mode;
 
--- a/unit_tests/scheduling/job_state_machine_test.cpp
+++ b/unit_tests/scheduling/job_state_machine_test.cpp
@@ -201,6 +201,135 @@
     EXPECT_EQ(job_state.find_job(1)->phase, job_phase::failed);
 }
 
+/// Returns an end of a member that failed in a run of its gang that counts already.
+job_wire::job_command make_end_that_counts_not(const task_key& task, std::uint32_t run,
+                                               const std::string& worker) {
+    auto command = make_end(task, run, worker, run_end::gang_broken);
+    command.mutable_end()->set_listed_kind(static_cast<std::uint32_t>(run_end::failed));
+    return command;
+}
+
+/// Submits job 1, a gang of three whose queue allows three attempts, and assigns its first run.
+void start_gang(job_state_machine& job_state) {
+    auto job = make_job(1, 3, 3);
+    job.steps.resize(1);
+    job.steps[0].gang = true;
+    apply(job_state, make_submit(job));
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        apply(job_state, make_assign({{1, 0, 0}, index}, 1, "w" + std::to_string(index)));
+    }
+}
+
+// The failure of another member of the run must change no count, and must still end that member's run.
+TEST(job_state_machine, counts_no_end_that_its_leader_marks_as_counted_already) {
+    job_state_machine job_state;
+    start_gang(job_state);
+    apply(job_state, make_end({{1, 0, 0}, 0}, 1, "w0", run_end::failed));
+    std::vector<job_state_event> events;
+    job_state.apply(make_end_that_counts_not({{1, 0, 0}, 1}, 1, "w1"), events);
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_EQ(events[0].end, run_end::failed);
+    EXPECT_EQ(events[1].what, job_state_event::kind::attempt_failed);
+    EXPECT_EQ(events[1].attempts, (attempt_count{1, 1, 3}));
+    EXPECT_EQ(job_state.find_task({{1, 0, 0}, 1})->phase, task_phase::waiting);
+}
+
+// A snapshot must keep which run of a gang counts, or a new leader counts that run again.
+TEST(job_state_machine, keeps_in_snapshots_which_run_of_a_gang_counts) {
+    job_state_machine job_state;
+    start_gang(job_state);
+    apply(job_state, make_end({{1, 0, 0}, 0}, 1, "w0", run_end::failed));
+    job_state_machine copy;
+    ASSERT_TRUE(copy.load(job_state.save()));
+    EXPECT_EQ(copy.find_job(1)->find_step(0, 0)->last_failed_run, 1U);
+    EXPECT_EQ(copy.save(), job_state.save());
+}
+
+// While instances are replaced one after the other, both versions apply the same commands and must agree.
+TEST(job_state_machine, gives_ends_of_a_gang_the_meaning_that_the_former_version_gives_them) {
+    job_state_machine job_state;
+    start_gang(job_state);
+    for (std::uint32_t index = 0; index < 3; ++index) { // a leader of the former version marks none of them
+        EXPECT_EQ(job_state.find_job(1)->phase, job_phase::open);
+        apply(job_state, make_end({{1, 0, 0}, index}, 1, "w" + std::to_string(index), run_end::failed));
+    }
+    EXPECT_EQ(job_state.find_job(1)->phase, job_phase::failed);
+}
+
+std::string decode_hex(std::string_view text) {
+    std::string bytes;
+    for (std::size_t index = 0; index < text.size(); index += 2) {
+        bytes += static_cast<char>(std::stoi(std::string(text.substr(index, 2)), nullptr, 16));
+    }
+    return bytes;
+}
+
+// A snapshot of the former version, with two failures of members in run 1 and the third member running.
+TEST(job_state_machine, reads_a_snapshot_of_the_version_that_counted_each_member) {
+    job_state_machine job_state;
+    ASSERT_TRUE(job_state.load(
+        decode_hex("0a00124e0a2c09010000000000000012077061796c6f61641a04080340013a120a05717565756530"
+                   "0339000000000000f03f18012a1c121a0a04100118010a04100118010a0c080110012a0608011202"
+                   "773228023200")));
+    EXPECT_EQ(job_state.find_job(1)->find_step(0, 0)->count_gang_failures(), 2U);
+    apply(job_state, make_end_that_counts_not({{1, 0, 0}, 2}, 1, "w2"));
+    EXPECT_EQ(job_state.find_job(1)->phase, job_phase::open);
+    EXPECT_EQ(job_state.find_task({{1, 0, 0}, 2})->phase, task_phase::waiting);
+}
+
+// Each of two runs that are at work at once is an attempt of its own.
+TEST(job_state_machine, counts_each_copy_of_a_task_that_fails) {
+    job_state_machine job_state;
+    auto job = make_job(1, 1, 2);
+    job.steps.resize(1);
+    job.steps[0].speculative = true;
+    apply(job_state, make_submit(job));
+    const task_key task{{1, 0, 0}, 0};
+    apply(job_state, make_assign(task, 1, "w1"));
+    apply(job_state, make_assign(task, 2, "w2"));
+    apply(job_state, make_end(task, 2, "w2", run_end::failed));
+    apply(job_state, make_end(task, 2, "w2", run_end::failed)); // listed again
+    EXPECT_EQ(job_state.find_job(1)->phase, job_phase::open);
+    apply(job_state, make_end(task, 1, "w1", run_end::failed));
+    EXPECT_EQ(job_state.find_job(1)->phase, job_phase::failed);
+}
+
+// Attempts of one occurrence must not be taken from another one, nor those of one step from the next.
+TEST(job_state_machine, counts_the_attempts_of_each_occurrence_and_step_apart) {
+    job_state_machine job_state;
+    auto job = make_job(1, 2, 2);
+    job.schedule = job_schedule{2, 0, 100};
+    job.steps[0].gang = true;
+    job.steps[1].gang = true;
+    job.steps[1].depends_on.clear();
+    apply(job_state, make_submit(job));
+    for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+        for (std::uint32_t step = 0; step < 2; ++step) {
+            const task_key member{{1, occurrence, step}, 0};
+            apply(job_state, make_assign(member, 1, "w1"));
+            apply(job_state, make_end(member, 1, "w1", run_end::failed));
+            EXPECT_EQ(job_state.find_job(1)->find_step(occurrence, step)->count_gang_failures(), 1U);
+        }
+    }
+    EXPECT_EQ(job_state.find_job(1)->phase, job_phase::open);
+}
+
+// A worker that crashes with several members of a gang is one crash for each of them, and no failed attempt.
+TEST(job_state_machine, counts_one_crash_under_several_members_once_for_each) {
+    job_state_machine job_state;
+    start_gang(job_state);
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        auto end = make_end({{1, 0, 0}, index}, 1, "w" + std::to_string(index), run_end::lost);
+        end.mutable_end()->set_crash(static_cast<std::uint32_t>(crash_evidence::likely));
+        apply(job_state, end);
+    }
+    EXPECT_EQ(job_state.find_job(1)->phase, job_phase::open);
+    EXPECT_EQ(job_state.find_job(1)->find_step(0, 0)->count_gang_failures(), 0U);
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        EXPECT_EQ(job_state.find_task({{1, 0, 0}, index})->crash.crashes, 1U);
+    }
+}
+
 TEST(job_state_machine, refuses_bytes_that_are_not_a_snapshot) {
     job_state_machine job_state;
     apply(job_state, make_submit(make_job(1, 1)));
