Tell a new leader which attempts have failed, and on which workers

What callers saw: after a change of the leader the last attempt of a task, of a gang or outside one, was started at once on the worker that had just failed it, beside free ones. The job was lost to a fault of that worker.

Cause: which attempt is the last, and where the others failed, was in the leader's memory only. A new leader took every attempt for the first. Found by reading dispatcher::is_last_attempt, shown by the test below.

Change: the replicated state keeps the workers of a task's last eight failed runs; a new leader restores them. The last attempt goes by the replicated count. A worker on which the task failed counts as doubtful for its last attempt until a run has succeeded there under this leader.

Why it works: the end that counts and its worker reach every replica in one entry. The new field only guides placement, so that a replica of the former release, which drops it, still concludes the same.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -67,6 +67,7 @@
     for (const auto& [id, record] : m_job_state.get_jobs()) {
         if (record.phase == job_phase::open) {
             restore_suspects(record, now);
+            restore_failures(record);
             const auto age = std::max<std::int64_t>(wall_ms - record.job->accepted_ms, 0);
             open(record, now - milliseconds{age}, now, wall_ms);
         } else {
@@ -123,6 +124,20 @@
     }
 }
 
+void dispatcher::restore_failures(const job_record& record) {
+    for (const auto& [number, occurrence] : record.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const auto& task = tasks[index];
+                if (task.phase != task_phase::done && (task.failures > 0 || !task.failed_on.empty())) {
+                    m_failed_on[{{record.job->id, number, step}, index}] = task.failed_on;
+                }
+            }
+        }
+    }
+}
+
 void dispatcher::stop_leading() {
     m_term = 0;
     m_workers.clear();
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -245,6 +245,8 @@
     void adopt_worker(const assigned_run& run, time_point now);
     /// Adds the tasks that may have crashed workers, according to the replicated job state.
     void restore_suspects(const job_record& record, time_point now);
+    /// Adds the workers on which tasks failed, according to the replicated job state.
+    void restore_failures(const job_record& record);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
     void make_step_ready(const job_record& record, const step_key& key, time_point now);
     /// `since`: since when the task has not run; relevant for a long-running one.
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -383,9 +383,8 @@
 }
 
 bool dispatcher::is_last_attempt(const ready_step& ready, const task_key& key) const {
-    const auto failed = m_failed_on.find(key);
-    return failed != m_failed_on.end() && !ready.job->steps[key.step.step].long_running &&
-           failed->second.size() + 1 >= ready.job->queue.max_attempts;
+    return m_failed_on.contains(key) && !ready.job->steps[key.step.step].long_running &&
+           m_job_state.count_failed_attempts(key) + 1 >= ready.job->queue.max_attempts;
 }
 
 placement_request dispatcher::make_request(const ready_step& ready, const task_key& key, time_point now) {
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -105,8 +105,19 @@
             }));
 }
 
+bool is_avoided(const worker_state& worker, const placement_request& request) {
+    return request.avoided != nullptr && std::find(request.avoided->begin(), request.avoided->end(),
+                                                   worker.report.incarnation) != request.avoided->end();
+}
+
+/// Returns true when the worker's last run failed as far as known. What an earlier leader saw is known only
+/// of the workers on which this very task failed.
+bool is_doubtful(const worker_state& worker, const placement_request& request) {
+    return worker.trust.is_doubtful() || (is_avoided(worker, request) && !worker.trust.is_proven());
+}
+
 placement_obstacle find_soft_obstacle(const worker_state& worker, const placement_request& request) {
-    if (request.is_last_attempt && worker.trust.is_doubtful()) {
+    if (request.is_last_attempt && is_doubtful(worker, request)) {
         return placement_obstacle::doubtful;
     }
     if (is_kept_for_trial(worker, *request.spec)) {
@@ -225,8 +236,7 @@
     if (worker.trust.is_doubtful()) {
         cost += doubtful_cost + (request.is_last_attempt ? last_attempt_cost : 0);
     }
-    if (request.avoided != nullptr && std::find(request.avoided->begin(), request.avoided->end(),
-                                                worker.report.incarnation) != request.avoided->end()) {
+    if (is_avoided(worker, request)) {
         cost += failed_there_cost;
     }
     return cost;
--- a/poplarpitch/dispatch/worker_trust.cpp
+++ b/poplarpitch/dispatch/worker_trust.cpp
@@ -16,12 +16,14 @@
 } // namespace
 
 void worker_trust::on_success() {
+    m_is_proven = true;
     m_failures = 0;
     m_times_set_aside = 0;
     m_last_failed = 0;
 }
 
 void worker_trust::on_failure(job_id job, time_point now) {
+    m_is_proven = false;
     if (job == m_last_failed) {
         return; // the job may be at fault
     }
--- a/poplarpitch/dispatch/worker_trust.h
+++ b/poplarpitch/dispatch/worker_trust.h
@@ -32,8 +32,11 @@
     [[nodiscard]] duration get_time_left(time_point now) const { return m_until - now; }
     /// Returns true when the worker's last run failed: a task with one attempt left is placed elsewhere.
     [[nodiscard]] bool is_doubtful() const { return m_failures > 0; }
+    /// Returns true when the last run that this leader saw end on the worker succeeded.
+    [[nodiscard]] bool is_proven() const { return m_is_proven; }
 
 private:
+    bool m_is_proven = false;            ///< the last run succeeded
     std::uint32_t m_failures = 0;        ///< distinct jobs that failed in a row
     std::uint32_t m_times_set_aside = 0; ///< consecutive times that it was set aside
     job_id m_last_failed = 0;
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -110,6 +110,11 @@
         message.mutable_crash()->set_longest_ms(task.crash.longest_ms);
         message.mutable_crash()->set_last_run(task.crash.last_run);
     }
+    for (const auto& worker : task.failed_on) {
+        auto& incarnation = *message.add_failed_on();
+        incarnation.set_id(worker.id);
+        incarnation.set_born_ms(worker.process_start_ms);
+    }
 }
 
 task_record decode_task(const job_wire::task_state& message) {
@@ -123,6 +128,9 @@
     }
     task.crash = {message.crash().sure(), message.crash().crashes(), message.crash().longest_ms(),
                   message.crash().last_run()};
+    for (const auto& incarnation : message.failed_on()) {
+        task.failed_on.push_back({incarnation.id(), incarnation.born_ms()});
+    }
     return task;
 }
 
--- a/poplarpitch/scheduling/job_record.cpp
+++ b/poplarpitch/scheduling/job_record.cpp
@@ -4,6 +4,13 @@
 
 namespace poplarpitch {
 
+void task_record::record_failure(const worker_incarnation& worker) {
+    if (failed_on.size() == max_failed_on) {
+        failed_on.erase(failed_on.begin());
+    }
+    failed_on.push_back(worker);
+}
+
 std::uint32_t step_record::count_gang_failures() const {
     std::uint32_t failures = 0;
     for (const auto& task : tasks) {
--- a/poplarpitch/scheduling/job_record.h
+++ b/poplarpitch/scheduling/job_record.h
@@ -27,11 +27,19 @@
 /// The replicated state of one task.
 struct task_record {
     task_phase phase = task_phase::waiting;
-    std::uint32_t last_run = 0;     ///< highest run number assigned so far
-    std::uint32_t failures = 0;     ///< ended runs that count against the queue's `max_attempts`
-    std::string checkpoint;         ///< newest checkpoint; empty for none
-    std::vector<assigned_run> runs; ///< more than one only for speculative copies
-    crash_history crash;            ///< crashes of workers while they ran the task
+    std::uint32_t last_run = 0;                ///< highest run number assigned so far
+    std::uint32_t failures = 0;                ///< ended runs that count against the queue's `max_attempts`
+    std::string checkpoint;                    ///< newest checkpoint; empty for none
+    std::vector<assigned_run> runs;            ///< more than one only for speculative copies
+    crash_history crash;                       ///< crashes of workers while they ran the task
+    std::vector<worker_incarnation> failed_on; ///< workers of its last runs that ended as failed, the newest
+                                               ///< last
+
+    /// Records the worker of a run that ended as failed. Only the last `max_failed_on` are kept. Thread
+    /// safety: none.
+    void record_failure(const worker_incarnation& worker);
+
+    static constexpr std::size_t max_failed_on = 8; ///< more than queues usually allow attempts
 
     friend bool operator==(const task_record&, const task_record&) = default;
 };
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -243,8 +243,11 @@
         }
         return command_outcome::applied;
     }
-    if (ended.end == run_end::failed && !spec.long_running && count_failure(record, *task, ended, events)) {
-        return command_outcome::applied;
+    if (ended.end == run_end::failed) {
+        task->record_failure(ended.worker);
+        if (!spec.long_running && count_failure(record, *task, ended, events)) {
+            return command_outcome::applied;
+        }
     }
     if (task->runs.empty()) {
         task->phase = task_phase::waiting;
@@ -374,6 +377,16 @@
     return step == nullptr || key.index >= step->tasks.size() ? nullptr : &step->tasks[key.index];
 }
 
+std::uint32_t job_state_machine::count_failed_attempts(const task_key& key) const {
+    const auto* record = find_job(key.step.job);
+    const auto* step = record == nullptr ? nullptr : record->find_step(key.step.occurrence, key.step.step);
+    if (step == nullptr || key.index >= step->tasks.size()) {
+        return 0;
+    }
+    const bool is_gang = record->job->steps[key.step.step].gang;
+    return is_gang ? step->count_gang_failures() : step->tasks[key.index].failures;
+}
+
 std::vector<std::pair<run_key, assigned_run>> job_state_machine::get_assigned_runs() const {
     std::vector<std::pair<run_key, assigned_run>> runs;
     for (const auto& [id, record] : m_jobs) {
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -45,6 +45,9 @@
     [[nodiscard]] const absl::node_hash_map<job_id, job_record>& get_jobs() const { return m_jobs; }
     /// Returns the task, or null when it is not known or no longer kept.
     [[nodiscard]] const task_record* find_task(const task_key& key) const;
+    /// Returns how many attempts of the task have failed, or of its gang if it belongs to one; 0 when the
+    /// task is not known or no longer kept.
+    [[nodiscard]] std::uint32_t count_failed_attempts(const task_key& key) const;
     /// Returns true when the worker has announced that it leaves; nothing more is started on it.
     [[nodiscard]] bool is_retired(const worker_incarnation& worker) const {
         return m_retired.contains(worker);
--- a/unit_tests/dispatch/dispatcher_overdue_test.cpp
+++ b/unit_tests/dispatch/dispatcher_overdue_test.cpp
@@ -54,6 +54,15 @@
         return {};
     }
 
+    /// Lets workers report to a new leader: each sends a heartbeat and lists no runs.
+    void reconnect(const std::vector<std::string>& workers) {
+        for (const auto& id : workers) {
+            send_heartbeat(id);
+            wait_for_hold(id);
+            answer_hold(id, make_empty_list());
+        }
+    }
+
     /// Fails runs of `jobs` jobs on the only worker.
     void fail_jobs(const std::string& worker, int jobs) {
         for (int number = 0; number < jobs; ++number) {
@@ -160,6 +169,33 @@
     EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
 }
 
+// A new leader did not know that one attempt was left, nor where the others had failed, and started the last
+// one on the worker that had just failed the task.
+TEST(dispatcher_overdue, starts_a_last_attempt_under_a_new_leader_where_the_task_has_not_failed) {
+    overdue_world world;
+    world.add_worker("w1");
+    world.submit({make_step()}, 2);
+    world.end_run(world.take_start("w1"), run_end::failed);
+    world.start_leading();
+    world.reconnect({"w1"});
+    world.add_worker("w2", {1000, 1000, 0});
+    EXPECT_EQ(world.wait_for_start().target.worker.id, "w2");
+}
+
+// Where no other worker has room, it must not wait for ever.
+TEST(dispatcher_overdue,
+     starts_a_last_attempt_under_a_new_leader_where_the_task_failed_if_there_is_no_other) {
+    overdue_world world;
+    world.add_worker("w1");
+    world.submit({make_step()}, 2);
+    world.end_run(world.take_start("w1"), run_end::failed);
+    world.start_leading();
+    world.reconnect({"w1"});
+    const auto since = world.now;
+    EXPECT_EQ(world.wait_for_start().target.worker.id, "w1");
+    EXPECT_LE(to_milliseconds(world.now - since), to_milliseconds(max_wait));
+}
+
 TEST(dispatcher_overdue, starts_a_gang_where_the_last_run_of_each_idle_worker_failed) {
     overdue_world world;
     world.add_worker("w1");
--- a/unit_tests/scheduling/job_state_machine_test.cpp
+++ b/unit_tests/scheduling/job_state_machine_test.cpp
@@ -277,6 +277,28 @@
     EXPECT_EQ(job_state.find_task({{1, 0, 0}, 2})->phase, task_phase::waiting);
 }
 
+// Workers of failed runs are kept for the next leader, and a task that runs for days must not add them up.
+TEST(job_state_machine, keeps_the_workers_of_the_last_failed_runs_in_snapshots) {
+    job_state_machine job_state;
+    auto job = make_job(1, 1, 2);
+    job.steps.resize(1);
+    job.steps[0].long_running = true;
+    apply(job_state, make_submit(job));
+    const task_key task{{1, 0, 0}, 0};
+    const auto count = static_cast<std::uint32_t>(task_record::max_failed_on) + 1;
+    for (std::uint32_t run = 1; run <= count; ++run) {
+        const auto worker = "w" + std::to_string(run);
+        apply(job_state, make_assign(task, run, worker));
+        apply(job_state, make_end(task, run, worker, run_end::failed));
+    }
+    job_state_machine copy;
+    ASSERT_TRUE(copy.load(job_state.save()));
+    const auto& failed_on = copy.find_task(task)->failed_on;
+    ASSERT_EQ(failed_on.size(), task_record::max_failed_on);
+    EXPECT_EQ(failed_on.front().id, "w2");
+    EXPECT_EQ(failed_on.back().id, "w" + std::to_string(count));
+}
+
 // Each of two runs that are at work at once is an attempt of its own.
 TEST(job_state_machine, counts_each_copy_of_a_task_that_fails) {
     job_state_machine job_state;
