Keep the last attempt of a gang for workers that have not just failed it

Cause: failures were kept by member. A gang whose members failed in turn never had a last attempt, a member avoided only the workers that had failed itself, and a last attempt passed over its workers' failures after 1.5 s.

Change: the members of a gang share their failures under the first one. Its last attempt waits for workers that have not just failed, up to 8 s after the failure before it, as long as a worker is set aside at most. Where the pool has room for two such gangs, 1.5 s as before, since no job may stand still beside so much room. Only gangs are concerned. The placement of gangs moves to a file of its own.

Measured: failing_gang.keeps_its_last_attempt_while_a_worker_that_it_needs_may_fail_all_it_starts and failing_gang.avoids_under_a_new_leader_where_any_member_has_failed fail without it (the first by either part alone).

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -67,7 +67,7 @@
     for (const auto& [id, record] : m_job_state.get_jobs()) {
         if (record.phase == job_phase::open) {
             restore_suspects(record, now);
-            restore_failures(record);
+            restore_failures(record, now);
             const auto age = std::max<std::int64_t>(wall_ms - record.job->accepted_ms, 0);
             open(record, now - milliseconds{age}, now, wall_ms);
         } else {
@@ -124,15 +124,19 @@
     }
 }
 
-void dispatcher::restore_failures(const job_record& record) {
+void dispatcher::restore_failures(const job_record& record, time_point now) {
     for (const auto& [number, occurrence] : record.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& tasks = occurrence.steps[step].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const auto& task = tasks[index];
-                if (task.phase != task_phase::done && (task.failures > 0 || !task.failed_on.empty())) {
-                    m_failed_on[{{record.job->id, number, step}, index}] = task.failed_on;
+                if (task.phase == task_phase::done || (task.failures == 0 && task.failed_on.empty())) {
+                    continue;
                 }
+                const task_key key{{record.job->id, number, step}, index};
+                auto& failed = m_failed[record.job->get_attempt_key(key)];
+                failed.workers.insert(failed.workers.end(), task.failed_on.begin(), task.failed_on.end());
+                failed.last = now;
             }
         }
     }
@@ -147,7 +151,7 @@
     m_tracks.clear();
     m_jobs.clear();
     m_ready.clear();
-    m_failed_on.clear();
+    m_failed.clear();
     m_claimed_attempts.clear();
     m_suspects.clear();
     m_forecast.clear();
@@ -263,7 +267,7 @@
         stop_run(*track, now);
     }
     erase_job(m_advice, first_step);
-    erase_job(m_failed_on, task_key{first_step, 0});
+    erase_job(m_failed, task_key{first_step, 0});
     erase_job(m_claimed_attempts, first_step);
     m_suspects.forget_job(id);
 }
@@ -354,6 +358,7 @@
         return;
     }
     const auto idle_since = get_task_idle_since(*ended, event.end, now);
+    const auto attempt_key = ended->job->get_attempt_key(event.run.task);
     record_run_time(*ended, event.end, now);
     log_run_ended(*ended, event.end, m_term, now);
     drop_track(event.run, get_worked_until(*ended, event.end, now));
@@ -363,7 +368,9 @@
     }
     if (event.end == run_end::failed) {
         ++m_counts.failed_runs;
-        m_failed_on[event.run.task].push_back(event.worker);
+        auto& failed = m_failed[attempt_key];
+        failed.workers.push_back(event.worker);
+        failed.last = now;
     }
     const auto* task = m_job_state.find_task(event.run.task);
     if (task == nullptr) {
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "poplarpitch/dispatch/completion_forecast.h"
 #include "poplarpitch/dispatch/demand_levels.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
+#include "poplarpitch/dispatch/failed_attempts.h"
 #include "poplarpitch/dispatch/fair_share.h"
 #include "poplarpitch/dispatch/first_hold_pacer.h"
 #include "poplarpitch/dispatch/job_activity.h"
@@ -246,7 +247,7 @@
     /// Adds the tasks that may have crashed workers, according to the replicated job state.
     void restore_suspects(const job_record& record, time_point now);
     /// Adds the workers on which tasks failed, according to the replicated job state.
-    void restore_failures(const job_record& record);
+    void restore_failures(const job_record& record, time_point now);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
     void make_step_ready(const job_record& record, const step_key& key, time_point now);
     /// `since`: since when the task has not run; relevant for a long-running one.
@@ -500,8 +501,14 @@
                          const std::vector<std::uint32_t>& indexes);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
     /// Returns the requests of all members of a gang, by index. Precondition: all of them wait.
-    [[nodiscard]] std::vector<placement_request> make_gang_requests(const ready_step& ready,
-                                                                    const step_key& key, time_point now);
+    [[nodiscard]] std::vector<placement_request>
+    make_gang_requests(const placing_pass& pass, const ready_step& ready, const step_key& key);
+    /// Decides whether the last attempt of a gang may use a worker that has just failed.
+    [[nodiscard]] bool may_use_doubtful_workers(const placing_pass& pass, const ready_step& ready,
+                                                const placement_request& request) const;
+    /// Returns true when the workers of a pool have room for two gangs like the one of `request`.
+    [[nodiscard]] static bool has_room_twice_over(const placing_pass& pass, const std::string& pool,
+                                                  const placement_request& request);
     void measure_short_task_demand(const placing_pass& pass);
     /// Returns true when enough other workers without serving tasks remain for the short tasks.
     [[nodiscard]] bool may_take_first_serving_task(const worker_state& worker) const;
@@ -539,7 +546,7 @@
     absl::node_hash_map<run_key, run_track> m_tracks;
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
-    std::map<task_key, std::vector<worker_incarnation>> m_failed_on; ///< workers on which a task failed
+    std::map<task_key, failed_attempts> m_failed;         ///< by `step_job::get_attempt_key`
     std::map<step_key, std::uint32_t> m_claimed_attempts; ///< by gang: the newest run of which an end was
                                                           ///< proposed that counts as a failed attempt
     suspect_watch m_suspects;
--- /dev/null
+++ b/poplarpitch/dispatch/dispatcher_gangs.cpp
@@ -0,0 +1,134 @@
+// Placement of gangs: all members start in one run, or none does.
+#include "poplarpitch/dispatch/dispatcher.h"
+
+#include "poplarpitch/dispatch/placement.h"
+
+#include <algorithm>
+
+namespace poplarpitch {
+namespace {
+
+// The last attempt of a gang waits for up to this long after the failure before it. Workers that fail all
+// that they start do so for 5 to 8 s.
+constexpr duration max_last_attempt_wait = seconds{8};
+constexpr std::uint64_t ample_room = 2; // in gangs: a job must not stand still beside so much room
+
+} // namespace
+
+void dispatcher::place_gang(placing_pass& pass, ready_step& ready, const step_key& key) {
+    const auto& spec = ready.job->steps[key.step];
+    if (ready.waiting.size() != spec.count) {
+        return; // some members of the previous run of the gang have not ended
+    }
+    for (std::uint32_t index = 0; index < spec.count; ++index) {
+        if (!m_suspects.may_start({key, index}, pass.now)) {
+            return;
+        }
+    }
+    auto requests = make_gang_requests(pass, ready, key);
+    const auto own_workers = static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(),
+                      [](const placement_request& request) { return request.wants_own_worker(); }));
+    if (own_workers > pass.probations_left) {
+        return;
+    }
+    std::vector<std::string> racks = {{}};
+    if (spec.same_rack) {
+        std::set<std::string> found;
+        for (const auto* worker : m_workers.get_all()) {
+            found.insert(worker->report.rack);
+        }
+        racks.insert(racks.begin(), found.begin(), found.end());
+    }
+    // All members of one run have the same run number.
+    std::uint32_t run = 0;
+    for (std::uint32_t index = 0; index < spec.count; ++index) {
+        const auto* task = m_job_state.find_task({key, index});
+        run = std::max(run, task == nullptr ? 0 : task->last_run);
+    }
+    ++run;
+    auto& job = m_jobs.at(key.job);
+    const auto idle_since = job.idle_since;
+    const auto idle_time = job.idle_time;
+    for (const auto& rack : racks) {
+        std::vector<std::pair<run_key, const worker_state*>> placed;
+        for (std::uint32_t index = 0; index < spec.count; ++index) {
+            auto& request = requests[index];
+            request.rack = rack;
+            const auto* chosen = choose(pass, ready, request);
+            if (chosen == nullptr) {
+                break;
+            }
+            const run_key member{{key, index}, run};
+            add_track(member, ready.job, chosen->report.incarnation, run_stage::committing,
+                      request.get_run_isolation(), pass.now)
+                .idle_since = ready.since;
+            placed.emplace_back(member, chosen);
+        }
+        if (placed.size() == spec.count) {
+            for (const auto& [member, worker] : placed) {
+                propose_assignment(member, *worker);
+            }
+            ready.waiting.clear();
+            pass.probations_left -= own_workers;
+            return;
+        }
+        for (const auto& [member, worker] : placed) {
+            drop_track(member);
+        }
+        job.idle_since = idle_since; // nothing was assigned
+        job.idle_time = idle_time;
+    }
+}
+
+std::vector<placement_request> dispatcher::make_gang_requests(const placing_pass& pass,
+                                                              const ready_step& ready, const step_key& key) {
+    const auto& job = m_jobs.at(key.job);
+    const bool is_job_starving = is_starving(job, ready.job->queue.pool, pass.now);
+    std::vector<placement_request> requests;
+    for (const auto index : ready.waiting) {
+        requests.push_back(make_request(ready, {key, index}, pass.now));
+        if (is_job_starving) {
+            accept_less(requests.back(), job, pass.now);
+        }
+    }
+    if (requests.front().is_last_attempt) {
+        const bool may_use_doubtful = may_use_doubtful_workers(pass, ready, requests.front());
+        for (auto& request : requests) {
+            request.is_overdue = may_use_doubtful;
+        }
+    }
+    return requests;
+}
+
+/// Load pattern: a gang needs nearly all workers of its pool, and a few of them fail all that they start for
+/// seconds. Any member that fails fails the gang, so that with no worker to spare all attempts are used up
+/// within a second. A starving job passes over the obstacle where there is ample room, as tasks outside gangs
+/// do.
+bool dispatcher::may_use_doubtful_workers(const placing_pass& pass, const ready_step& ready,
+                                          const placement_request& request) const {
+    const auto& failed = m_failed.at({request.step, 0});
+    return pass.now - failed.last >= max_last_attempt_wait ||
+           (request.is_overdue && has_room_twice_over(pass, ready.job->queue.pool, request));
+}
+
+bool dispatcher::has_room_twice_over(const placing_pass& pass, const std::string& pool,
+                                     const placement_request& request) {
+    const auto wanted = ample_room * request.spec->count;
+    std::uint64_t room = 0;
+    for (const auto* workers : {&pass.usable, &pass.set_aside}) {
+        const auto found = workers->find(pool);
+        if (found == workers->end()) {
+            continue;
+        }
+        for (const auto* worker : found->second) {
+            room += count_fitting(*worker, request, wanted - room);
+            if (room >= wanted) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -118,7 +118,7 @@
         ranked.emplace_back(
             queue.priority * priority_weight_ms + rank_by_time(ready.objective_ms, age, ready.remaining_ms) -
                 (job->second.has_started ? started_bonus_ms : 0) -
-                (m_failed_on.contains(task_key{key, *ready.waiting.begin()}) ? retry_bonus_ms : 0),
+                (m_failed.contains(task_key{key, *ready.waiting.begin()}) ? retry_bonus_ms : 0),
             key);
         if (m_settings.decisions.fair_shares && may_be_corrected(*ready.job, key)) {
             const auto& spec = ready.job->steps[key.step];
@@ -228,8 +228,8 @@
     if (is_limited_by_size_only && pass.refused.covers(ready.job->queue.pool, spec)) {
         return;
     }
-    const auto failed = m_failed_on.lower_bound(task_key{key, 0});
-    const bool has_failed = failed != m_failed_on.end() && failed->first.step == key;
+    const auto failed = m_failed.lower_bound(task_key{key, 0});
+    const bool has_failed = failed != m_failed.end() && failed->first.step == key;
     if (!is_limited_by_size_only || has_failed) {
         place_each(pass, ready, key, {ready.waiting.begin(), ready.waiting.end()});
         return;
@@ -383,19 +383,20 @@
 }
 
 bool dispatcher::is_last_attempt(const ready_step& ready, const task_key& key) const {
-    return m_failed_on.contains(key) && !ready.job->steps[key.step.step].long_running &&
+    return m_failed.contains(ready.job->get_attempt_key(key)) &&
+           !ready.job->steps[key.step.step].long_running &&
            m_job_state.count_failed_attempts(key) + 1 >= ready.job->queue.max_attempts;
 }
 
 placement_request dispatcher::make_request(const ready_step& ready, const task_key& key, time_point now) {
-    const auto failed = m_failed_on.find(key);
+    const auto failed = m_failed.find(ready.job->get_attempt_key(key));
     placement_request request;
     request.spec = &ready.job->steps[key.step.step];
     request.step = key.step;
     request.isolation = m_suspects.get_isolation(key);
     request.may_wait = m_suspects.may_wait(key, now);
     request.is_overdue = request.spec->long_running && now - ready.since > max_long_running_wait;
-    request.avoided = failed == m_failed_on.end() ? nullptr : &failed->second;
+    request.avoided = failed == m_failed.end() ? nullptr : &failed->second.workers;
     request.is_last_attempt = is_last_attempt(ready, key);
     if (request.spec->is_filling || request.spec->is_serving()) {
         request.image = m_pressure.get_image_number(request.spec->image);
@@ -451,86 +452,6 @@
     return best;
 }
 
-void dispatcher::place_gang(placing_pass& pass, ready_step& ready, const step_key& key) {
-    const auto& spec = ready.job->steps[key.step];
-    if (ready.waiting.size() != spec.count) {
-        return; // some members of the previous run of the gang have not ended
-    }
-    for (std::uint32_t index = 0; index < spec.count; ++index) {
-        if (!m_suspects.may_start({key, index}, pass.now)) {
-            return;
-        }
-    }
-    auto requests = make_gang_requests(ready, key, pass.now);
-    const auto own_workers = static_cast<std::size_t>(
-        std::count_if(requests.begin(), requests.end(),
-                      [](const placement_request& request) { return request.wants_own_worker(); }));
-    if (own_workers > pass.probations_left) {
-        return;
-    }
-    std::vector<std::string> racks = {{}};
-    if (spec.same_rack) {
-        std::set<std::string> found;
-        for (const auto* worker : m_workers.get_all()) {
-            found.insert(worker->report.rack);
-        }
-        racks.insert(racks.begin(), found.begin(), found.end());
-    }
-    // All members of one run have the same run number.
-    std::uint32_t run = 0;
-    for (std::uint32_t index = 0; index < spec.count; ++index) {
-        const auto* task = m_job_state.find_task({key, index});
-        run = std::max(run, task == nullptr ? 0 : task->last_run);
-    }
-    ++run;
-    auto& job = m_jobs.at(key.job);
-    const auto idle_since = job.idle_since;
-    const auto idle_time = job.idle_time;
-    for (const auto& rack : racks) {
-        std::vector<std::pair<run_key, const worker_state*>> placed;
-        for (std::uint32_t index = 0; index < spec.count; ++index) {
-            auto& request = requests[index];
-            request.rack = rack;
-            const auto* chosen = choose(pass, ready, request);
-            if (chosen == nullptr) {
-                break;
-            }
-            const run_key member{{key, index}, run};
-            add_track(member, ready.job, chosen->report.incarnation, run_stage::committing,
-                      request.get_run_isolation(), pass.now)
-                .idle_since = ready.since;
-            placed.emplace_back(member, chosen);
-        }
-        if (placed.size() == spec.count) {
-            for (const auto& [member, worker] : placed) {
-                propose_assignment(member, *worker);
-            }
-            ready.waiting.clear();
-            pass.probations_left -= own_workers;
-            return;
-        }
-        for (const auto& [member, worker] : placed) {
-            drop_track(member);
-        }
-        job.idle_since = idle_since; // nothing was assigned
-        job.idle_time = idle_time;
-    }
-}
-
-std::vector<placement_request> dispatcher::make_gang_requests(const ready_step& ready, const step_key& key,
-                                                              time_point now) {
-    const auto& job = m_jobs.at(key.job);
-    const bool is_job_starving = is_starving(job, ready.job->queue.pool, now);
-    std::vector<placement_request> requests;
-    for (const auto index : ready.waiting) {
-        requests.push_back(make_request(ready, {key, index}, now));
-        if (is_job_starving) {
-            accept_less(requests.back(), job, now);
-        }
-    }
-    return requests;
-}
-
 void dispatcher::assign_task(const ready_step& ready, const task_key& key, worker_state& worker,
                              isolation_level isolation, time_point now) {
     const auto* task = m_job_state.find_task(key);
--- a/poplarpitch/dispatch/placement.cpp
+++ b/poplarpitch/dispatch/placement.cpp
@@ -242,4 +242,27 @@
     return cost;
 }
 
+std::uint64_t count_fitting(const worker_state& worker, const placement_request& request,
+                            std::uint64_t limit) {
+    auto hard = request;
+    hard.is_overdue = true;
+    if (find_obstacle(worker, hard) != placement_obstacle::none) {
+        return 0;
+    }
+    const auto& spec = *request.spec;
+    if (spec.max_per_worker > 0) {
+        const auto count = worker.step_counts.find(request.step);
+        const std::uint64_t placed = count == worker.step_counts.end() ? 0 : count->second;
+        limit = std::min(limit, spec.max_per_worker - placed);
+    }
+    const auto need = get_need(spec);
+    auto free = worker.get_free();
+    std::uint64_t fitting = 0;
+    while (fitting < limit && free.holds(need)) {
+        free -= need;
+        ++fitting;
+    }
+    return fitting;
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/placement.h
+++ b/poplarpitch/dispatch/placement.h
@@ -82,4 +82,9 @@
 [[nodiscard]] std::optional<double> get_placement_cost(const worker_state& worker,
                                                        const placement_request& request);
 
+/// Returns how many tasks like the requested one the worker has room for, up to `limit`. Soft obstacles do
+/// not count. Thread safety: any thread while nobody changes the worker.
+[[nodiscard]] std::uint64_t count_fitting(const worker_state& worker, const placement_request& request,
+                                          std::uint64_t limit);
+
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/step_job.cpp
+++ b/poplarpitch/scheduling/step_job.cpp
@@ -37,6 +37,10 @@
     return ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
 }
 
+task_key step_job::get_attempt_key(const task_key& key) const {
+    return steps[key.step.step].gang ? task_key{key.step, 0} : key;
+}
+
 duration step_job::get_objective(const std::vector<std::int64_t>& durations_ms) const {
     const auto stretched = queue.latency_factor * static_cast<double>(get_critical_path_ms(durations_ms));
     return queue.target_latency + duration{milliseconds{static_cast<std::int64_t>(stretched)}};
--- a/poplarpitch/scheduling/step_job.h
+++ b/poplarpitch/scheduling/step_job.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/scheduling/job_id.h"
 #include "poplarpitch/scheduling/queue_settings.h"
 #include "poplarpitch/scheduling/step_spec.h"
+#include "poplarpitch/scheduling/task_key.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,6 +36,9 @@
 
     /// Returns the total number of occurrences. Thread safety: any thread.
     [[nodiscard]] std::uint32_t get_occurrence_count() const;
+    /// Returns the task under whose key the failed attempts of a task are kept. The members of a gang share
+    /// theirs under the first one. Thread safety: any thread.
+    [[nodiscard]] task_key get_attempt_key(const task_key& key) const;
     /// Returns the millicores that the job's long-running steps reserve, except for filling ones. Thread
     /// safety: any thread.
     [[nodiscard]] std::int64_t get_long_running_millicores() const;
--- a/unit_tests/dispatch/dispatcher_job_test.cpp
+++ b/unit_tests/dispatch/dispatcher_job_test.cpp
@@ -119,9 +119,13 @@
         m_job = m_world.submit({gang}, 2);
     }
 
-    /// Confirms the starts of all members.
+    /// Waits for the starts of all members and confirms them.
     std::vector<start_order> start_members() {
-        auto starts = m_world.take<start_order>();
+        std::vector<start_order> starts;
+        for (const auto limit = m_world.now + seconds{20}; starts.empty() && m_world.now < limit;) {
+            m_world.advance(milliseconds{20});
+            starts = m_world.take<start_order>();
+        }
         EXPECT_EQ(starts.size(), 3U);
         for (const auto& start : starts) {
             m_world.answer(start);
@@ -134,8 +138,15 @@
         for (std::size_t index = 0; index < starts.size(); ++index) {
             end_run(m_world, starts[index], ++m_ends[starts[index].target.worker.id], ends[index]);
         }
-        for (int step = 0; step < 30; ++step) { // a last attempt waits for workers that did not fail
-            m_world.advance(milliseconds{100});
+    }
+
+    /// Lets all workers report to a new leader.
+    void change_leader(const std::vector<std::string>& workers) {
+        m_world.start_leading();
+        for (const auto& worker : workers) {
+            m_world.send_heartbeat(worker);
+            m_world.wait_for_hold(worker);
+            m_world.answer_hold(worker, dispatch_world::make_empty_list());
         }
     }
 
@@ -185,6 +196,50 @@
     EXPECT_TRUE(m_world.take<start_order>().empty());
 }
 
+// A worker that fails all that it starts for 6.5 s used up all attempts of a gang that needs every worker.
+TEST_F(failing_gang, keeps_its_last_attempt_while_a_worker_that_it_needs_may_fail_all_it_starts) {
+    end_members(start_members(), {run_end::failed, run_end::gang_broken, run_end::gang_broken});
+    const auto failed_at = m_world.now;
+    const auto second = start_members();
+    EXPECT_GE(m_world.now - failed_at, milliseconds{6500});
+    EXPECT_LE(m_world.now - failed_at, seconds{10});
+    end_members(second, {run_end::done, run_end::done, run_end::done});
+    EXPECT_EQ(get_phase(), job_phase::completed);
+}
+
+// The wait above must end, also where each new leader takes the failures for recent ones.
+TEST_F(failing_gang, starts_its_last_attempt_under_a_new_leader_after_a_bounded_wait) {
+    end_members(start_members(), {run_end::failed, run_end::gang_broken, run_end::gang_broken});
+    change_leader({"w1", "w2", "w3"});
+    const auto since = m_world.now;
+    EXPECT_EQ(start_members()[0].run.run, 2U);
+    EXPECT_LE(m_world.now - since, seconds{10});
+}
+
+// Where other workers have room the gang must not wait, and each member must avoid where any of them failed.
+TEST_F(failing_gang, starts_its_last_attempt_at_once_on_workers_that_have_not_failed_it) {
+    m_world.add_worker("w4");
+    const auto first = start_members();
+    end_members(first, {run_end::gang_broken, run_end::failed, run_end::gang_broken});
+    const auto failed_at = m_world.now;
+    for (const auto& start : start_members()) {
+        EXPECT_NE(start.target.worker, first[1].target.worker);
+    }
+    EXPECT_LE(m_world.now - failed_at, seconds{1});
+}
+
+TEST_F(failing_gang, avoids_under_a_new_leader_where_any_member_has_failed) {
+    m_world.add_worker("w4");
+    const auto first = start_members();
+    end_members(first, {run_end::gang_broken, run_end::failed, run_end::gang_broken});
+    change_leader({"w1", "w2", "w3", "w4"});
+    const auto since = m_world.now;
+    for (const auto& start : start_members()) {
+        EXPECT_NE(start.target.worker, first[1].target.worker);
+    }
+    EXPECT_LE(m_world.now - since, seconds{1});
+}
+
 // Ends of a broken gang count for nothing, whatever ended it.
 TEST_F(failing_gang, counts_no_run_that_ends_without_a_failure) {
     for (int run = 0; run < 3; ++run) {
