--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -67,7 +67,7 @@
     for (const auto& [id, record] : m_job_state.get_jobs()) {
         if (record.phase == job_phase::open) {
             restore_suspects(record, now);
-            restore_failures(record, now);
+            m_attempts.restore(record, now);
             const auto age = std::max<std::int64_t>(wall_ms - record.job->accepted_ms, 0);
             open(record, now - milliseconds{age}, now, wall_ms);
         } else {
@@ -124,24 +124,6 @@
     }
 }
 
-void dispatcher::restore_failures(const job_record& record, time_point now) {
-    for (const auto& [number, occurrence] : record.occurrences) {
-        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto& tasks = occurrence.steps[step].tasks;
-            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                const auto& task = tasks[index];
-                if (task.phase == task_phase::done || (task.failures == 0 && task.failed_on.empty())) {
-                    continue;
-                }
-                const task_key key{{record.job->id, number, step}, index};
-                auto& failed = m_failed[record.job->get_attempt_key(key)];
-                failed.workers.insert(failed.workers.end(), task.failed_on.begin(), task.failed_on.end());
-                failed.last = now;
-            }
-        }
-    }
-}
-
 void dispatcher::stop_leading() {
     m_term = 0;
     m_workers.clear();
@@ -151,8 +133,7 @@
     m_tracks.clear();
     m_jobs.clear();
     m_ready.clear();
-    m_failed.clear();
-    m_claimed_attempts.clear();
+    m_attempts.clear();
     m_suspects.clear();
     m_forecast.clear();
     m_admission.clear();
@@ -267,8 +248,7 @@
         stop_run(*track, now);
     }
     erase_job(m_advice, first_step);
-    erase_job(m_failed, task_key{first_step, 0});
-    erase_job(m_claimed_attempts, first_step);
+    m_attempts.forget_job(id);
     m_suspects.forget_job(id);
 }
 
@@ -304,7 +284,9 @@
         on_run_ended(event, now);
         return;
     case job_state_event::kind::attempt_failed:
-        on_attempt_failed(event);
+        ++m_counts.failed_attempts;
+        m_counts.jobs_out_of_attempts += event.attempts.is_exhausted() ? 1 : 0;
+        log_attempt_failed(event, m_term);
         return;
     case job_state_event::kind::task_crashed:
         on_task_crashed(event, now);
@@ -368,9 +350,7 @@
     }
     if (event.end == run_end::failed) {
         ++m_counts.failed_runs;
-        auto& failed = m_failed[attempt_key];
-        failed.workers.push_back(event.worker);
-        failed.last = now;
+        m_attempts.record_failure(attempt_key, event.worker, now);
     }
     const auto* task = m_job_state.find_task(event.run.task);
     if (task == nullptr) {
@@ -390,12 +370,6 @@
     }
 }
 
-void dispatcher::on_attempt_failed(const job_state_event& event) {
-    ++m_counts.failed_attempts;
-    m_counts.jobs_out_of_attempts += event.attempts.is_exhausted() ? 1 : 0;
-    log_attempt_failed(event, m_term);
-}
-
 void dispatcher::record_run_time(const run_track& track, run_end end, time_point now) {
     if (!track.has_known_start || track.get_spec().long_running) {
         return;
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -4,10 +4,10 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/dispatch/admission.h"
 #include "poplarpitch/dispatch/admission_policy.h"
+#include "poplarpitch/dispatch/attempt_history.h"
 #include "poplarpitch/dispatch/completion_forecast.h"
 #include "poplarpitch/dispatch/demand_levels.h"
 #include "poplarpitch/dispatch/dispatch_counts.h"
-#include "poplarpitch/dispatch/failed_attempts.h"
 #include "poplarpitch/dispatch/fair_share.h"
 #include "poplarpitch/dispatch/first_hold_pacer.h"
 #include "poplarpitch/dispatch/job_activity.h"
@@ -246,8 +246,6 @@
     void adopt_worker(const assigned_run& run, time_point now);
     /// Adds the tasks that may have crashed workers, according to the replicated job state.
     void restore_suspects(const job_record& record, time_point now);
-    /// Adds the workers on which tasks failed, according to the replicated job state.
-    void restore_failures(const job_record& record, time_point now);
     void begin_occurrence(const job_record& record, std::uint32_t occurrence, time_point now);
     void make_step_ready(const job_record& record, const step_key& key, time_point now);
     /// `since`: since when the task has not run; relevant for a long-running one.
@@ -256,7 +254,6 @@
     void record_first_start(job_id id, time_point now);
     void record_job_end(job_id id, time_point now);
     void on_run_ended(const job_state_event& event, time_point now);
-    void on_attempt_failed(const job_state_event& event);
     /// Adds the duration of an ending run to the forecast.
     void record_run_time(const run_track& track, run_end end, time_point now);
     /// Adds the work of a task that is done to the drain rate.
@@ -298,8 +295,7 @@
     run_track* find(const run_key& key);
     void propose_end(run_track& track, run_end end, const end_evidence& evidence, time_point now,
                      const std::string& checkpoint = {}, const run_loss& loss = {});
-    /// Returns true when the end of this run as failed is to count as an attempt, and remembers it for the
-    /// other members of its gang.
+    /// Returns true when the end of this run as failed is to count as an attempt.
     [[nodiscard]] bool claim_attempt(const run_track& track);
     void send_start(run_track& track, time_point now);
     void send_stop(run_track& track, time_point now);
@@ -506,9 +502,6 @@
     /// Decides whether the last attempt of a gang may use a worker that has just failed.
     [[nodiscard]] bool may_use_doubtful_workers(const placing_pass& pass, const ready_step& ready,
                                                 const placement_request& request) const;
-    /// Returns true when the workers of a pool have room for two gangs like the one of `request`.
-    [[nodiscard]] static bool has_room_twice_over(const placing_pass& pass, const std::string& pool,
-                                                  const placement_request& request);
     void measure_short_task_demand(const placing_pass& pass);
     /// Returns true when enough other workers without serving tasks remain for the short tasks.
     [[nodiscard]] bool may_take_first_serving_task(const worker_state& worker) const;
@@ -546,9 +539,7 @@
     absl::node_hash_map<run_key, run_track> m_tracks;
     absl::node_hash_map<job_id, open_job> m_jobs;
     std::map<step_key, ready_step> m_ready;
-    std::map<task_key, failed_attempts> m_failed;         ///< by `step_job::get_attempt_key`
-    std::map<step_key, std::uint32_t> m_claimed_attempts; ///< by gang: the newest run of which an end was
-                                                          ///< proposed that counts as a failed attempt
+    attempt_history m_attempts;
     suspect_watch m_suspects;
     std::map<step_key, step_advice> m_advice;
     bool m_is_advice_pending = false;  ///< a call to the advice service is in flight
--- a/poplarpitch/dispatch/dispatcher_gangs.cpp
+++ b/poplarpitch/dispatch/dispatcher_gangs.cpp
@@ -4,6 +4,10 @@
 #include "poplarpitch/dispatch/placement.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace poplarpitch {
 namespace {
@@ -13,6 +17,18 @@
 constexpr duration max_last_attempt_wait = seconds{8};
 constexpr std::uint64_t ample_room = 2; // in gangs: a job must not stand still beside so much room
 
+/// Returns for how many members like the requested one the workers of a pool have room, up to `limit`.
+std::uint64_t count_room(const std::map<std::string, std::vector<worker_state*>>& workers,
+                         const std::string& pool, const placement_request& request, std::uint64_t limit) {
+    std::uint64_t room = 0;
+    if (const auto found = workers.find(pool); found != workers.end()) {
+        for (const auto* worker : found->second) {
+            room += count_fitting(*worker, request, limit - room);
+        }
+    }
+    return room;
+}
+
 } // namespace
 
 void dispatcher::place_gang(placing_pass& pass, ready_step& ready, const step_key& key) {
@@ -107,28 +123,15 @@
 /// do.
 bool dispatcher::may_use_doubtful_workers(const placing_pass& pass, const ready_step& ready,
                                           const placement_request& request) const {
-    const auto& failed = m_failed.at({request.step, 0});
-    return pass.now - failed.last >= max_last_attempt_wait ||
-           (request.is_overdue && has_room_twice_over(pass, ready.job->queue.pool, request));
-}
-
-bool dispatcher::has_room_twice_over(const placing_pass& pass, const std::string& pool,
-                                     const placement_request& request) {
-    const auto wanted = ample_room * request.spec->count;
-    std::uint64_t room = 0;
-    for (const auto* workers : {&pass.usable, &pass.set_aside}) {
-        const auto found = workers->find(pool);
-        if (found == workers->end()) {
-            continue;
-        }
-        for (const auto* worker : found->second) {
-            room += count_fitting(*worker, request, wanted - room);
-            if (room >= wanted) {
-                return true;
-            }
-        }
+    const auto* failed = m_attempts.find({request.step, 0});
+    if (failed == nullptr || pass.now - failed->last >= max_last_attempt_wait) {
+        return true;
     }
-    return false;
+    const auto& pool = ready.job->queue.pool;
+    const auto wanted = ample_room * request.spec->count;
+    return request.is_overdue && count_room(pass.usable, pool, request, wanted) +
+                                         count_room(pass.set_aside, pool, request, wanted) >=
+                                     wanted;
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/dispatch/dispatcher_placing.cpp
+++ b/poplarpitch/dispatch/dispatcher_placing.cpp
@@ -118,7 +118,7 @@
         ranked.emplace_back(
             queue.priority * priority_weight_ms + rank_by_time(ready.objective_ms, age, ready.remaining_ms) -
                 (job->second.has_started ? started_bonus_ms : 0) -
-                (m_failed.contains(task_key{key, *ready.waiting.begin()}) ? retry_bonus_ms : 0),
+                (m_attempts.find(task_key{key, *ready.waiting.begin()}) != nullptr ? retry_bonus_ms : 0),
             key);
         if (m_settings.decisions.fair_shares && may_be_corrected(*ready.job, key)) {
             const auto& spec = ready.job->steps[key.step];
@@ -228,9 +228,7 @@
     if (is_limited_by_size_only && pass.refused.covers(ready.job->queue.pool, spec)) {
         return;
     }
-    const auto failed = m_failed.lower_bound(task_key{key, 0});
-    const bool has_failed = failed != m_failed.end() && failed->first.step == key;
-    if (!is_limited_by_size_only || has_failed) {
+    if (!is_limited_by_size_only || m_attempts.has_any(key)) {
         place_each(pass, ready, key, {ready.waiting.begin(), ready.waiting.end()});
         return;
     }
@@ -383,20 +381,20 @@
 }
 
 bool dispatcher::is_last_attempt(const ready_step& ready, const task_key& key) const {
-    return m_failed.contains(ready.job->get_attempt_key(key)) &&
+    return m_attempts.find(ready.job->get_attempt_key(key)) != nullptr &&
            !ready.job->steps[key.step.step].long_running &&
            m_job_state.count_failed_attempts(key) + 1 >= ready.job->queue.max_attempts;
 }
 
 placement_request dispatcher::make_request(const ready_step& ready, const task_key& key, time_point now) {
-    const auto failed = m_failed.find(ready.job->get_attempt_key(key));
+    const auto* failed = m_attempts.find(ready.job->get_attempt_key(key));
     placement_request request;
     request.spec = &ready.job->steps[key.step.step];
     request.step = key.step;
     request.isolation = m_suspects.get_isolation(key);
     request.may_wait = m_suspects.may_wait(key, now);
     request.is_overdue = request.spec->long_running && now - ready.since > max_long_running_wait;
-    request.avoided = failed == m_failed.end() ? nullptr : &failed->second.workers;
+    request.avoided = failed == nullptr ? nullptr : &failed->workers;
     request.is_last_attempt = is_last_attempt(ready, key);
     if (request.spec->is_filling || request.spec->is_serving()) {
         request.image = m_pressure.get_image_number(request.spec->image);
--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -101,8 +101,6 @@
     m_commands.push_back(std::move(command));
 }
 
-/// Members on several workers may fail in one run. The gang has failed once then, so only the first of these
-/// ends counts, whichever leader proposes the others.
 bool dispatcher::claim_attempt(const run_track& track) {
     const auto& spec = track.get_spec();
     if (!spec.gang || spec.long_running) {
@@ -111,13 +109,7 @@
     const auto& key = track.key.task.step;
     const auto* record = m_job_state.find_job(key.job);
     const auto* step = record == nullptr ? nullptr : record->find_step(key.occurrence, key.step);
-    auto& claimed = m_claimed_attempts[key];
-    claimed = std::max(claimed, step == nullptr ? 0 : step->last_failed_run);
-    if (claimed >= track.key.run) {
-        return false;
-    }
-    claimed = track.key.run;
-    return true;
+    return m_attempts.claim_gang_attempt(track.key, step == nullptr ? 0 : step->last_failed_run);
 }
 
 // ---- orders
