--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -496,6 +496,14 @@
     void place_identical(placing_pass& pass, ready_step& ready, const step_key& key,
                          const std::vector<std::uint32_t>& indexes);
     void place_gang(placing_pass& pass, ready_step& ready, const step_key& key);
+    /// Returns true when all members of a gang wait and none has to pause after a crash.
+    [[nodiscard]] bool may_begin_gang(const ready_step& ready, const step_key& key, time_point now) const;
+    /// Places all members of a gang in a rack, or anywhere when `rack` is empty. Returns false and places
+    /// none when one finds no room.
+    bool place_members(const placing_pass& pass, ready_step& ready, const step_key& key,
+                       std::vector<placement_request>& requests, const std::string& rack);
+    /// Returns the number of the next run, which all members of a gang share.
+    [[nodiscard]] std::uint32_t get_next_gang_run(const ready_step& ready, const step_key& key) const;
     /// Returns the requests of all members of a gang, by index. Precondition: all of them wait.
     [[nodiscard]] std::vector<placement_request>
     make_gang_requests(const placing_pass& pass, const ready_step& ready, const step_key& key);
--- a/poplarpitch/dispatch/dispatcher_gangs.cpp
+++ b/poplarpitch/dispatch/dispatcher_gangs.cpp
@@ -31,15 +31,19 @@
 
 } // namespace
 
-void dispatcher::place_gang(placing_pass& pass, ready_step& ready, const step_key& key) {
-    const auto& spec = ready.job->steps[key.step];
-    if (ready.waiting.size() != spec.count) {
-        return; // some members of the previous run of the gang have not ended
+bool dispatcher::may_begin_gang(const ready_step& ready, const step_key& key, time_point now) const {
+    const auto count = ready.job->steps[key.step].count;
+    if (ready.waiting.size() != count) {
+        return false; // some members of the previous run of the gang have not ended
     }
-    for (std::uint32_t index = 0; index < spec.count; ++index) {
-        if (!m_suspects.may_start({key, index}, pass.now)) {
-            return;
-        }
+    return std::all_of(ready.waiting.begin(), ready.waiting.end(), [&](std::uint32_t index) {
+        return m_suspects.may_start({key, index}, now);
+    });
+}
+
+void dispatcher::place_gang(placing_pass& pass, ready_step& ready, const step_key& key) {
+    if (!may_begin_gang(ready, key, pass.now)) {
+        return;
     }
     auto requests = make_gang_requests(pass, ready, key);
     const auto own_workers = static_cast<std::size_t>(
@@ -48,53 +52,62 @@
     if (own_workers > pass.probations_left) {
         return;
     }
-    std::vector<std::string> racks = {{}};
-    if (spec.same_rack) {
-        std::set<std::string> found;
+    std::set<std::string> racks;
+    if (ready.job->steps[key.step].same_rack) {
         for (const auto* worker : m_workers.get_all()) {
-            found.insert(worker->report.rack);
+            racks.insert(worker->report.rack);
         }
-        racks.insert(racks.begin(), found.begin(), found.end());
-    }
-    // All members of one run have the same run number.
-    std::uint32_t run = 0;
-    for (std::uint32_t index = 0; index < spec.count; ++index) {
-        const auto* task = m_job_state.find_task({key, index});
-        run = std::max(run, task == nullptr ? 0 : task->last_run);
     }
-    ++run;
+    // A gang that fits into no single rack is spread over several.
+    const bool is_placed =
+        std::any_of(racks.begin(), racks.end(),
+                    [&](const auto& rack) { return place_members(pass, ready, key, requests, rack); }) ||
+        place_members(pass, ready, key, requests, {});
+    pass.probations_left -= is_placed ? own_workers : 0;
+}
+
+bool dispatcher::place_members(const placing_pass& pass, ready_step& ready, const step_key& key,
+                               std::vector<placement_request>& requests, const std::string& rack) {
+    const auto run = get_next_gang_run(ready, key);
     auto& job = m_jobs.at(key.job);
     const auto idle_since = job.idle_since;
     const auto idle_time = job.idle_time;
-    for (const auto& rack : racks) {
-        std::vector<std::pair<run_key, const worker_state*>> placed;
-        for (std::uint32_t index = 0; index < spec.count; ++index) {
-            auto& request = requests[index];
-            request.rack = rack;
-            const auto* chosen = choose(pass, ready, request);
-            if (chosen == nullptr) {
-                break;
-            }
-            const run_key member{{key, index}, run};
-            add_track(member, ready.job, chosen->report.incarnation, run_stage::committing,
-                      request.get_run_isolation(), pass.now)
-                .idle_since = ready.since;
-            placed.emplace_back(member, chosen);
-        }
-        if (placed.size() == spec.count) {
-            for (const auto& [member, worker] : placed) {
-                propose_assignment(member, *worker);
-            }
-            ready.waiting.clear();
-            pass.probations_left -= own_workers;
-            return;
+    std::vector<std::pair<run_key, const worker_state*>> placed;
+    for (std::uint32_t index = 0; index < requests.size(); ++index) {
+        auto& request = requests[index];
+        request.rack = rack;
+        const auto* chosen = choose(pass, ready, request);
+        if (chosen == nullptr) {
+            break;
         }
+        const run_key member{{key, index}, run};
+        add_track(member, ready.job, chosen->report.incarnation, run_stage::committing,
+                  request.get_run_isolation(), pass.now)
+            .idle_since = ready.since;
+        placed.emplace_back(member, chosen);
+    }
+    if (placed.size() < requests.size()) {
         for (const auto& [member, worker] : placed) {
             drop_track(member);
         }
         job.idle_since = idle_since; // nothing was assigned
         job.idle_time = idle_time;
+        return false;
+    }
+    for (const auto& [member, worker] : placed) {
+        propose_assignment(member, *worker);
+    }
+    ready.waiting.clear();
+    return true;
+}
+
+std::uint32_t dispatcher::get_next_gang_run(const ready_step& ready, const step_key& key) const {
+    std::uint32_t last_run = 0;
+    for (const auto index : ready.waiting) {
+        const auto* task = m_job_state.find_task({key, index});
+        last_run = std::max(last_run, task == nullptr ? 0 : task->last_run);
     }
+    return last_run + 1;
 }
 
 std::vector<placement_request> dispatcher::make_gang_requests(const placing_pass& pass,
