Say what a mutation of the count does, and drop an unused include

Found by reading the change again. The comment said that failed runs count for all tasks of a step; the mutation raises the others to the count of the first task when the leader changes.

--- a/unit_tests/dispatch/attempt_property_test.cpp
+++ b/unit_tests/dispatch/attempt_property_test.cpp
@@ -5,7 +5,6 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <string>
 
 namespace poplarpitch {
--- a/unit_tests/dispatch/attempt_world.h
+++ b/unit_tests/dispatch/attempt_world.h
@@ -23,7 +23,7 @@
     count_no_gang,           ///< no run of a gang counts
     forget_failed_runs,      ///< a new leader does not know which runs of gangs have counted
     forget_counts,           ///< a new leader does not know how many attempts have failed
-    count_for_other_members, ///< each failed run of a task outside gangs counts for all tasks of its step
+    count_for_other_members, ///< from the next leader on, failures of the first task of a step count for all
 };
 
 /// Jobs whose runs fail at random, with lost and late answers, repeated lists and changes of the leader.
