--- a/review/lab_2/lab.py
+++ b/review/lab_2/lab.py
@@ -124,6 +124,8 @@
         self.sequence = 0
         self.beat_address = None
         self.kind = "a"
+        self.born = None  # Unix time in ms; told where the lab's workers tell it
+        self.is_silent = False  # lost for good: its peers get no answer and no reset
         self.port = 0
         self.server = None
         self.tasks = []
@@ -136,6 +138,8 @@
         self.server = await asyncio.start_server(self.serve, self.host, self.port, reuse_address=True)
         self.port = self.server.sockets[0].getsockname()[1]
         self.address = "%s:%d" % (self.host, self.server.sockets[0].getsockname()[1])
+        if self.lab.tells_born:
+            self.born = int(time.time() * 1000)
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.expire())]
 
     def close(self):
@@ -147,6 +151,17 @@
             writer.transport.abort()
         self.writers.clear()
 
+    def vanish(self):
+        """The worker is lost for good, with all that it runs. Nothing comes from it any more."""
+        self.lab.record("worker", self.id, "is lost for good, running:", *["%s run %d" % key for key in self.running])
+        self.is_silent = True
+        for task in self.tasks:
+            task.cancel()
+        for run in self.running.values():
+            if run["timer"]:
+                run["timer"].cancel()
+        self.running = {}
+
     def crash(self):
         """The worker's process ends with all that it runs. Its next boot has a new id, and knows nothing."""
         self.lab.record("worker", self.id, "crashes, running:", *["%s run %d" % key for key in self.running])
@@ -177,6 +192,8 @@
         body = {"service": SERVICE, "addr": self.address, "zone": self.zone, "version": "v1", "slots": 8, "state": "ready",
                 "coldLeftMs": 0, "capacity": {"cpu": self.cpu, "memMb": self.memory, "gpu": 0}, "labels": [self.kind, self.rack],
                 "clockMs": self.clock(), "seq": self.sequence}
+        if self.born:
+            body["born"] = self.born
         addresses = random.sample(self.lab.controls(), len(self.lab.controls()))
         if self.beat_address:
             addresses.insert(0, self.beat_address)
@@ -219,7 +236,10 @@
         try:
             while True:
                 first, headers, payload = await read_message(reader)
-                status, answer = await self.handle(first.split()[0], first.split()[1], headers, payload)
+                if not self.is_silent:
+                    status, answer = await self.handle(first.split()[0], first.split()[1], headers, payload)
+                if self.is_silent:
+                    await asyncio.sleep(1000)
                 data = json.dumps(answer).encode() if answer is not None else b""
                 writer.write(("HTTP/1.1 %d x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(data))).encode() + data)
                 await writer.drain()
@@ -288,7 +308,8 @@
         for (task, run), state in self.running.items():
             part = (time.monotonic() - state["begun"]) * 1000 / state["took"] if state["took"] else 1
             rows.append([task, run, self.lab.gangs.get_saved((task, run), ""), int(min(part, 0.99 if state["took"] else 1) * 100), 0])
-        return 200, {"clockMs": self.clock(), "running": rows, "ended": self.ended[:500]}
+        answer = {"clockMs": self.clock(), "running": rows, "ended": self.ended[:500]}
+        return 200, answer | ({"born": self.born} if self.born else {})
 
 
 class Gangs:
@@ -351,8 +372,9 @@
 class Lab:
     """A small deployment: five schedulers, gateways, workers; and the clients' view of it."""
 
-    def __init__(self, folder, gateways=2, workers=12, zones=("gimje-hall", "naju-hall", "iksan-hall")):
+    def __init__(self, folder, gateways=2, workers=12, tells_born=False, zones=("gimje-hall", "naju-hall", "iksan-hall")):
         self.folder = folder
+        self.tells_born = tells_born
         self.record = Record(folder)
         self.work = tempfile.mkdtemp(prefix="poplarpitch-review-")
         self.net = (random.randint(20, 220), random.randint(1, 250))
