Refuse texts that are not UTF-8 where they come in, and parse frames whatever they hold

Cause: a protobuf field of type `string` is written with any bytes, but only UTF-8 can be parsed. The id in the path of a heartbeat was taken unchecked, so the batch of the log with the retired worker, or the frame of a relay with its report, could be parsed nowhere, and the commands, orders, answers and reports beside it were lost.

Change: heartbeats, deregistrations and orders for a data centre with such an id or name are answered 400; so are callers' requests, at the entry. A relayed report is checked at the leader too, since an earlier release may relay it unchecked. A data centre in the settings must be UTF-8.

--- a/poplarpitch/core/text.h
+++ b/poplarpitch/core/text.h
@@ -20,4 +20,9 @@
 /// Returns `text` without leading and trailing ASCII whitespace. Thread safety: any thread.
 [[nodiscard]] std::string_view strip(std::string_view text);
 
+/// Returns true when `text` is well-formed UTF-8: no overlong forms, no surrogates. Text of other processes
+/// must be checked with it before it is stored in a protobuf field of type `string`, which is written with
+/// any bytes but cannot be parsed again. Thread safety: any thread.
+[[nodiscard]] bool is_utf8(std::string_view text);
+
 } // namespace poplarpitch
--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -107,6 +107,11 @@
     }
 
     void relay(const http_request& request, const http_responder& respond) {
+        if (const auto* field = find_unreadable_part(request); field != nullptr) {
+            log_event(log_level::warn, "request_refused").add("reason", "not UTF-8").add("part", field);
+            respond(make_error_response(400, "unreadable", std::string("the ") + field + " is not UTF-8"));
+            return;
+        }
         job_wire::relay_request message;
         message.set_method(request.method);
         message.set_host(request.headers.get("Host"));
@@ -125,6 +130,21 @@
                      });
     }
 
+    /// Returns which part of a request is not UTF-8, or null when all are. Such a part names no queue or job,
+    /// and instances of an earlier release cannot parse the frame that contains it.
+    static const char* find_unreadable_part(const http_request& request) {
+        if (!is_utf8(request.method)) {
+            return "method";
+        }
+        if (!is_utf8(request.target)) {
+            return "path";
+        }
+        if (!is_utf8(request.headers.get("Host"))) {
+            return "host";
+        }
+        return is_utf8(request.body) ? nullptr : "body";
+    }
+
     static void add_retry_after(http_response& response, duration wait) {
         if (wait > duration{0}) {
             response.headers.add("Retry-After", std::to_string(std::chrono::ceil<seconds>(wait).count()));
--- a/poplarpitch/gateway/gateway_settings.cpp
+++ b/poplarpitch/gateway/gateway_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/config/ini_document.h"
 #include "poplarpitch/config/section_reader.h"
+#include "poplarpitch/core/text.h"
 #include "poplarpitch/net/address_settings.h"
 
 namespace poplarpitch {
@@ -19,6 +20,9 @@
     if (value.id.empty()) {
         reader.add_error("id", "id is missing: it is the name of this instance");
     }
+    if (!is_utf8(value.data_centre)) {
+        reader.add_error("data_centre", "data_centre must be UTF-8");
+    }
     if (value.seeds.empty()) {
         reader.add_error("seeds", "seeds is missing: it lists addresses of control instances");
     }
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/config/ini_document.h"
 #include "poplarpitch/config/section_reader.h"
+#include "poplarpitch/core/text.h"
 #include "poplarpitch/net/address_settings.h"
 #include "poplarpitch/net/descriptor_budget.h"
 
@@ -24,6 +25,9 @@
     if (value.id.empty()) {
         reader.add_error("id", "id is missing: it is the name of this instance");
     }
+    if (!is_utf8(value.data_centre)) {
+        reader.add_error("data_centre", "data_centre must be UTF-8");
+    }
     if (!parse_ip(value.replica.host).has_value()) {
         reader.add_error("host", "host must be an IPv4 address, such as 10.0.0.4");
     }
--- a/poplarpitch/scheduler/worker_orders.h
+++ b/poplarpitch/scheduler/worker_orders.h
@@ -6,6 +6,8 @@
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduler/worker_link.h"
+#include "poplarpitch/scheduling/report_checker.h"
+#include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <cstdint>
@@ -47,7 +49,7 @@
         }
         for (const auto& report : frame.reports()) {
             if (report.is_whole()) {
-                m_parts.dispatch.on_heartbeat(decode(report), now);
+                process_report(decode(report), frame.ip(), now);
             } else if (!m_parts.dispatch.on_unchanged_report(decode_unchanged_report(report), now)) {
                 m_parts.relays.request_report(report.worker());
             }
@@ -55,6 +57,16 @@
     }
 
 private:
+    void process_report(const worker_report& report, std::uint32_t relay_ip, time_point now) {
+        if (const auto error = find_report_error(report); error.has_value()) {
+            log_event(log_level::warn, "report_refused")
+                .add("relay", format_ip(relay_ip))
+                .add("reason", *error);
+            return;
+        }
+        m_parts.dispatch.on_heartbeat(report, now);
+    }
+
     void send(const worker_order& order) {
         if (const auto* advice = std::get_if<advice_request>(&order); advice != nullptr) {
             request_advice(*advice);
--- a/unit_tests/platform/malformed_call_test.cpp
+++ b/unit_tests/platform/malformed_call_test.cpp
@@ -155,5 +155,29 @@
     RC_ASSERT(!read_configuration(bytes).has_value());
 }
 
+control_call read_post(const std::string& target, const std::string& body = {}) {
+    http_request request;
+    request.method = "POST";
+    request.target = target;
+    request.body = body;
+    return read_control_call(request);
+}
+
+// An id that is not UTF-8 made batches of the log unreadable, with the assignments and ends of other jobs.
+TEST(malformed_call, rejects_ids_and_names_in_paths_that_are_not_utf8) {
+    const std::string bytes = "i-7f\xe9\xff";
+    auto draining = nlohmann::json::parse(valid_heartbeat);
+    draining["state"] = "draining";
+    const control_call calls[] = {read_post("/v1/Instances.Heartbeat/" + bytes, valid_heartbeat),
+                                  read_post("/v1/Instances.Heartbeat/" + bytes, draining.dump()),
+                                  read_post("/v1/Instances.Deregister/" + bytes),
+                                  read_post("/v1/Evacuation.Start/" + bytes),
+                                  read_post("/v1/Evacuation.End/" + bytes)};
+    for (const auto& call : calls) {
+        EXPECT_TRUE(std::holds_alternative<malformed_call>(call));
+    }
+    EXPECT_TRUE(std::holds_alternative<deregister_call>(read_post("/v1/Instances.Deregister/i-\xc3\xa9")));
+}
+
 } // namespace
 } // namespace poplarpitch::platform
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -210,7 +210,11 @@
 std::optional<http_response> scheduler_cluster::send_caller_request(const std::string& method,
                                                                     const std::string& path,
                                                                     const std::string& body, int gateway) {
-    return send(absl::StrCat(get_gateway_host(gateway), ":", m_caller_port.get_port()), method, path, body);
+    return send(get_caller_address(gateway), method, path, body);
+}
+
+std::string scheduler_cluster::get_caller_address(int gateway) const {
+    return absl::StrCat(get_gateway_host(gateway), ":", m_caller_port.get_port());
 }
 
 void scheduler_cluster::put_config(std::uint64_t version, int max_attempts) {
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -53,6 +53,8 @@
     [[nodiscard]] const std::string& get_folder() const { return m_folder; }
     /// Returns the control addresses of all schedulers.
     [[nodiscard]] std::vector<std::string> get_control_addresses() const;
+    /// Returns the address at which a gateway accepts callers' requests.
+    [[nodiscard]] std::string get_caller_address(int gateway = 1) const;
 
     /// Sends a request to a scheduler's control address and follows one redirect. Returns nothing when no
     /// answer arrives.
