Find a command that cannot be parsed before it is in the log, and refuse it alone

The check of what comes in covers the texts that are known to come in. A command that holds another one all the same must not cost those of others: before, the whole batch was skipped by all instances with nothing but a log line, the handlers of the other commands got an unknown outcome, and the leader went on to count on assignments and ends that no instance has (`task_stuck reason=not_committed mended=no`).

Change: a batch is parsed before it is proposed. If that fails, each command is tried alone, the unreadable ones are left out and their senders are told (400), and the rest is committed. Where the dispatcher sent it, or a committed batch cannot be parsed, the leader gives up the lead, so that the next one starts from the log. A batch that cannot be parsed is still skipped whole: instances of the former release do so, and all replicas must have the same state.

The commands stay of type `string` for the same reason.

--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -81,15 +81,28 @@
         on_answer(answer);
     }
 
-    /// Returns a handler that answers with a command's commit result. An unknown outcome is never answered as
-    /// a refusal.
+    /// Returns the HTTP status of a command's commit result; 0 while the outcome is unknown, which is never
+    /// answered as a refusal.
+    static int get_status(commit_result outcome) {
+        switch (outcome) {
+        case commit_result::applied:
+            return 200;
+        case commit_result::refused:
+            return 410;
+        case commit_result::unreadable:
+            return 400;
+        case commit_result::not_proposed:
+        case commit_result::unknown:
+            break;
+        }
+        return 0;
+    }
+
+    /// Returns a handler that answers with a command's commit result.
     static auto make_result_handler(job_wire::relay_answer answer, answer_handler on_answer) {
         return [answer = std::move(answer), on_answer = std::move(on_answer)](commit_result outcome) mutable {
             answer.set_taken(outcome != commit_result::not_proposed);
-            const int status = outcome == commit_result::applied   ? 200
-                               : outcome == commit_result::refused ? 410
-                                                                   : 0;
-            finish(answer, status, "", on_answer);
+            finish(answer, get_status(outcome), "", on_answer);
         };
     }
 
@@ -151,7 +164,9 @@
             if (is_last) {
                 m_submitting.erase(pending);
             }
-            const bool is_sure = outcome == commit_result::refused || outcome == commit_result::not_proposed;
+            const bool is_sure = outcome == commit_result::refused ||
+                                 outcome == commit_result::not_proposed ||
+                                 outcome == commit_result::unreadable;
             if (is_sure && is_last) {
                 m_parts.dispatch.cancel_admission(id);
             }
--- a/poplarpitch/scheduler/command_batcher.cpp
+++ b/poplarpitch/scheduler/command_batcher.cpp
@@ -7,9 +7,28 @@
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
+#include <google/protobuf/arena.h>
+
 #include <iterator>
 
 namespace poplarpitch {
+namespace {
+
+/// Returns true when every instance can parse the batch. Serialising checks nothing: a field of type `string`
+/// is written with any bytes, but only UTF-8 can be parsed.
+bool is_readable(const std::string& payload) {
+    google::protobuf::Arena arena; // a batch has thousands of small messages
+    return google::protobuf::Arena::CreateMessage<job_wire::job_command_batch>(&arena)->ParseFromString(
+        payload);
+}
+
+} // namespace
+
+/// Commands that are proposed together. Both lists have the same length.
+struct command_batcher::pending_batch {
+    std::unique_ptr<job_wire::job_command_batch> commands;
+    std::vector<result_handler> handlers; ///< one for each command; may be empty functions
+};
 
 command_batcher::command_batcher(event_loop& loop, replica& log, job_state_machine& job_state,
                                  std::size_t max_bytes)
@@ -30,20 +49,18 @@
     if (m_handlers.empty() || m_in_flight > 0) {
         return;
     }
-    const auto count = count_next_batch();
-    job_wire::job_command_batch batch;
-    std::vector<job_wire::job_command*> commands(count);
-    m_pending->mutable_commands()->ExtractSubrange(0, static_cast<int>(count), commands.data());
-    for (auto* command : commands) {
-        batch.mutable_commands()->AddAllocated(command);
+    auto batch = take_next_batch();
+    auto payload = batch.commands->SerializeAsString();
+    if (!is_readable(payload)) {
+        remove_unreadable(batch);
+        if (batch.handlers.empty()) {
+            m_loop.post([] {}); // the next iteration flushes the commands that did not fit into this batch
+            return;
+        }
+        payload = batch.commands->SerializeAsString();
     }
-    const auto rest = m_handlers.begin() + static_cast<std::ptrdiff_t>(count);
-    std::vector<result_handler> handlers(std::make_move_iterator(m_handlers.begin()),
-                                         std::make_move_iterator(rest));
-    m_handlers.erase(m_handlers.begin(), rest);
-    auto payload = batch.SerializeAsString();
     ++m_in_flight;
-    m_log.propose(std::move(payload), [this, handlers = std::move(handlers)](proposal_result outcome) {
+    m_log.propose(std::move(payload), [this, handlers = std::move(batch.handlers)](proposal_result outcome) {
         --m_in_flight;
         on_batch_result(handlers, outcome == proposal_result::applied, outcome == proposal_result::refused);
         if (!m_handlers.empty()) {
@@ -52,6 +69,47 @@
     });
 }
 
+command_batcher::pending_batch command_batcher::take_next_batch() {
+    const auto count = count_next_batch();
+    pending_batch batch;
+    batch.commands = std::make_unique<job_wire::job_command_batch>();
+    std::vector<job_wire::job_command*> commands(count);
+    m_pending->mutable_commands()->ExtractSubrange(0, static_cast<int>(count), commands.data());
+    for (auto* command : commands) {
+        batch.commands->mutable_commands()->AddAllocated(command);
+    }
+    const auto rest = m_handlers.begin() + static_cast<std::ptrdiff_t>(count);
+    batch.handlers.assign(std::make_move_iterator(m_handlers.begin()), std::make_move_iterator(rest));
+    m_handlers.erase(m_handlers.begin(), rest);
+    return batch;
+}
+
+void command_batcher::remove_unreadable(pending_batch& batch) {
+    pending_batch readable;
+    readable.commands = std::make_unique<job_wire::job_command_batch>();
+    std::vector<result_handler> refused;
+    for (std::size_t index = 0; index < batch.handlers.size(); ++index) {
+        auto& command = *batch.commands->mutable_commands(static_cast<int>(index));
+        job_wire::job_command_batch single;
+        *single.add_commands() = command;
+        if (is_readable(single.SerializeAsString())) {
+            *readable.commands->add_commands() = std::move(command);
+            readable.handlers.push_back(std::move(batch.handlers[index]));
+            continue;
+        }
+        log_event(log_level::error, "command_refused")
+            .add("kind", static_cast<int>(command.kind_case()))
+            .add("reason", "it cannot be parsed once it is serialised");
+        refused.push_back(std::move(batch.handlers[index]));
+    }
+    batch = std::move(readable);
+    for (const auto& on_result : refused) {
+        if (on_result) {
+            on_result(commit_result::unreadable);
+        }
+    }
+}
+
 std::size_t command_batcher::count_next_batch() const {
     std::size_t bytes = 0;
     std::size_t count = 0;
@@ -81,18 +139,19 @@
     }
 }
 
-void command_batcher::apply(const log_entry& entry, std::vector<job_state_event>& events) {
+bool command_batcher::apply(const log_entry& entry, std::vector<job_state_event>& events) {
     m_outcomes.clear();
     job_wire::job_command_batch batch;
     if (!batch.ParseFromString(entry.payload)) {
         log_event(log_level::error, "command_unreadable").add("index", entry.index);
-        return;
+        return false;
     }
     ++m_batches;
     for (const auto& command : batch.commands()) {
         m_outcomes.push_back(m_job_state.apply(command, events));
         ++m_commands;
     }
+    return true;
 }
 
 void command_batcher::drop_pending() {
--- a/poplarpitch/scheduler/command_batcher.h
+++ b/poplarpitch/scheduler/command_batcher.h
@@ -28,6 +28,7 @@
     refused,      ///< committed, but refused by the state after the commands before it
     not_proposed, ///< this instance does not lead; the command is not in the log
     unknown,      ///< leadership was lost meanwhile; the command may still be committed
+    unreadable,   ///< not in the log, because no instance could parse the command there
 };
 
 /// Commits commands in batches. All commands that arrive while a batch is being committed go into the next
@@ -55,10 +56,12 @@
     void add(job_wire::job_command command, result_handler on_result);
     /// Returns true when the next flush will propose the pending commands.
     [[nodiscard]] bool can_flush() const { return m_in_flight == 0; }
-    /// Proposes the pending commands, up to the limit of a batch. Does nothing while a batch is in flight.
+    /// Proposes the pending commands, up to the limit of a batch. Does nothing while a batch is in flight. A
+    /// command that could not be parsed in the log is left out; its result is `unreadable`.
     void flush();
-    /// Applies a committed batch to the replicated job state and appends the changes to `events`.
-    void apply(const log_entry& entry, std::vector<job_state_event>& events);
+    /// Applies a committed batch to the replicated job state and appends the changes to `events`. Returns
+    /// false when the batch cannot be parsed; every instance then skips all of its commands.
+    bool apply(const log_entry& entry, std::vector<job_state_event>& events);
     /// Drops the commands that were not proposed. Their result is `not_proposed`.
     void drop_pending();
 
@@ -68,8 +71,14 @@
     [[nodiscard]] std::uint64_t get_commands() const { return m_commands; }
 
 private:
+    struct pending_batch;
+
     /// Returns how many pending commands go into the next batch: at least one when there are any.
     [[nodiscard]] std::size_t count_next_batch() const;
+    /// Moves the next commands and their handlers from the pending ones to a new batch.
+    [[nodiscard]] pending_batch take_next_batch();
+    /// Removes the commands of a batch that cannot be parsed once they are serialised, and reports them.
+    static void remove_unreadable(pending_batch& batch);
     /// Calls the handlers of a batch with the result of each command.
     void on_batch_result(const std::vector<result_handler>& handlers, bool is_applied, bool is_refused);
 
--- a/poplarpitch/scheduler/control_service.h
+++ b/poplarpitch/scheduler/control_service.h
@@ -85,6 +85,10 @@
                 respond(make_response(200, body));
                 return;
             }
+            if (outcome == commit_result::unreadable) {
+                respond(make_error_response(400, "unreadable", "a text of the request is not UTF-8"));
+                return;
+            }
             respond(make_error_response(503, "unknown", "leadership was lost; send it again"));
         };
     }
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -144,7 +144,9 @@
 
     void on_command(const log_entry& entry) {
         m_events.clear();
-        m_parts.batcher.apply(entry, m_events);
+        if (!m_parts.batcher.apply(entry, m_events) && m_parts.log.is_leading()) {
+            give_up_lead("a committed batch cannot be parsed");
+        }
         const auto now = m_parts.loop.now();
         const auto wall = get_wall_ms();
         for (const auto& event : m_events) {
@@ -158,7 +160,11 @@
             m_parts.dispatch.tick(m_parts.loop.now(), get_wall_ms(), m_parts.batcher.can_flush());
         }
         for (auto& command : m_parts.dispatch.take_commands()) {
-            m_parts.batcher.add(std::move(command), nullptr);
+            m_parts.batcher.add(std::move(command), [this](commit_result outcome) {
+                if (outcome == commit_result::unreadable) {
+                    give_up_lead("a command cannot be parsed");
+                }
+            });
         }
         m_parts.batcher.flush();
         for (const auto& timing : m_parts.dispatch.take_timings()) {
@@ -166,6 +172,14 @@
         }
     }
 
+    /// Hands the lead over after a command of the dispatcher was lost. The dispatcher counts on assignments
+    /// and ends that no instance has, and would never repeat them; the next leader starts from the log.
+    void give_up_lead(const char* reason) {
+        log_event(log_level::error, "leadership_given_up").add("reason", reason);
+        m_is_giving_up_lead = true;
+        m_parts.log.resign();
+    }
+
     /// Handles a frame of orders from the leader.
     void on_orders(const job_wire::relay_orders& frame,
                    const std::function<void(const job_wire::cluster_frame&)>& reply) {
@@ -192,6 +206,10 @@
     }
 
     void tick() {
+        m_is_giving_up_lead = m_is_giving_up_lead && m_parts.log.is_leading();
+        if (m_is_giving_up_lead) {
+            m_parts.log.resign(); // the transfer may have failed
+        }
         const auto pause = m_parts.log.is_leading() ? tick_interval : idle_interval;
         m_parts.loop.call_after(pause, [this] { tick(); });
     }
@@ -214,6 +232,7 @@
     }
 
     std::vector<job_state_event> m_events;
+    bool m_is_giving_up_lead = false; ///< until another instance leads
     scheduler_parts m_parts;
     worker_link<Dialect> m_link;
     relay_agent m_agent; ///< in use while another instance leads
