Record an end whose checkpoint is not UTF-8 without the checkpoint

The workers' lists are parsed by RapidJSON, which by default takes any bytes in a text. A checkpoint with bytes that are not UTF-8 made the batch with its end unreadable, as the id of a heartbeat did. The end counts, the task resumes from the checkpoint before, and the leader logs `checkpoint_unreadable`.

Test: dispatcher_loss.records_an_end_without_a_checkpoint_that_is_not_utf8.

--- a/poplarpitch/dispatch/dispatcher_runs.cpp
+++ b/poplarpitch/dispatch/dispatcher_runs.cpp
@@ -1,6 +1,7 @@
 // Lifecycle of runs: starts, stops, ends.
 #include "poplarpitch/dispatch/dispatcher.h"
 
+#include "poplarpitch/core/text.h"
 #include "poplarpitch/dispatch/history_log.h"
 #include "poplarpitch/dispatch/placement.h"
 #include "poplarpitch/dispatch/run_log.h"
@@ -94,7 +95,13 @@
     if (is_counted_already) {
         message.set_listed_kind(static_cast<std::uint32_t>(end));
     }
-    message.set_saved(checkpoint);
+    if (is_utf8(checkpoint)) {
+        message.set_saved(checkpoint);
+    } else { // the task resumes from the checkpoint before
+        auto line = log_event(log_level::warn, "checkpoint_unreadable");
+        add_run(line, track.key);
+        add_worker(line, track.assigned_to).add("bytes", static_cast<std::uint64_t>(checkpoint.size()));
+    }
     message.set_number(evidence.number);
     message.set_crash(static_cast<std::uint32_t>(loss.crash));
     message.set_age_ms(loss.age_ms);
--- a/unit_tests/dispatch/dispatcher_loss_test.cpp
+++ b/unit_tests/dispatch/dispatcher_loss_test.cpp
@@ -122,6 +122,23 @@
     EXPECT_EQ(again[0].checkpoint, "saved");
 }
 
+// An end whose checkpoint could not be parsed in the log was never recorded, and neither were those beside
+// it.
+TEST(dispatcher_loss, records_an_end_without_a_checkpoint_that_is_not_utf8) {
+    dispatch_world world;
+    world.add_worker("w1");
+    world.submit({make_step()});
+    const auto first = world.start_one();
+    world.wait_for_hold("w1");
+    hold_answer list;
+    list.ended.push_back({1, first.run, run_end::stopped, "saved\xff"});
+    world.answer_hold("w1", list);
+    const auto again = world.take<start_order>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].run.run, 2U);
+    EXPECT_EQ(again[0].checkpoint, "");
+}
+
 TEST(dispatcher_loss, sends_no_start_to_a_worker_that_said_it_leaves_while_the_assignment_was_committed) {
     dispatch_world world;
     world.add_worker("w1");
