--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -10,8 +10,10 @@
 #include "poplarpitch/scheduler/scheduler_metrics.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduler/worker_orders.h"
+#include "poplarpitch/storage/storage_error.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/telemetry/logging.h"
+#include "poplarpitch/telemetry/storage_failure.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <csignal>
@@ -98,6 +100,8 @@
             if (!m_parts.job_state.load(bytes)) {
                 log_event(log_level::error, "snapshot_unreadable")
                     .add("bytes", static_cast<std::uint64_t>(bytes.size()));
+                // With an empty state it could be elected and would have lost all that was accepted.
+                exit_on_storage_failure(make_error_code(storage_errc::corrupt), "snapshot");
             }
         };
         handler.on_leading = [this](log_term term) {
