Keep in the log that an unknown job was cancelled, and refuse its submission

Cause: the leader answers 410 from what it knows at that moment and keeps nothing. A copy of the submission that is still on its way, at an entry instance that stands still or waits for a leader, is accepted afterwards, by the same leader or the next one.

Change: the cancelling of an unknown job is answered 410 once a command is committed that records it, by id and queue. A leader refuses a submission of it with 410, also while that command is being committed, and a new leader knows of it from the log. A submission that is being committed is cancelled behind it. The state accepts a submission that is in the log all the same: instances of the former release skip the new command, and all replicas must draw the same conclusion, so the leader's release decides.

--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -83,6 +83,9 @@
             stop_run(*find(key), now);
         }
     }
+    for (const auto& job : m_job_state.get_refused()) {
+        m_refused.emplace_back(now + m_settings.ended_job_retention, job);
+    }
     limit_probations();
     m_must_place = true;
     log_takeover({term, get_fence(), m_jobs.size(), m_tracks.size(), m_workers.get_map().size(),
@@ -142,6 +145,7 @@
     m_is_advice_pending = false;
     m_due.clear();
     m_ended.clear();
+    m_refused.clear();
     m_scheduled_orders = {};
     m_orders.clear();
     m_commands.clear();
@@ -264,6 +268,9 @@
     case job_state_event::kind::job_ended:
         close(id, now);
         return;
+    case job_state_event::kind::job_refused:
+        m_refused.emplace_back(now + m_settings.ended_job_retention, refused_job{id, event.number});
+        return;
     case job_state_event::kind::run_assigned:
         if (auto* track = find(event.run); track != nullptr) {
             track->stage = run_stage::starting;
@@ -416,6 +423,15 @@
         m_commands.push_back(std::move(command));
         m_ended.erase(m_ended.begin());
     }
+    while (!m_refused.empty() && m_refused.front().first <= now) {
+        const auto job = m_refused.front().second;
+        m_refused.pop_front();
+        job_wire::job_command command;
+        command.mutable_refuse()->set_id(job.id);
+        command.mutable_refuse()->set_queue(job.queue);
+        command.mutable_refuse()->set_forget(true);
+        m_commands.push_back(std::move(command));
+    }
 }
 
 void dispatcher::tick(time_point now, std::int64_t wall_ms, bool can_commit) {
--- a/poplarpitch/dispatch/dispatcher.h
+++ b/poplarpitch/dispatch/dispatcher.h
@@ -36,6 +36,7 @@
 
 #include <absl/container/node_hash_map.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -556,6 +557,8 @@
     time_point m_next_advice{};
     std::multimap<std::int64_t, step_key> m_due; ///< wall time -> job and occurrence (step 0)
     std::multimap<time_point, job_id> m_ended;   ///< when ended jobs are forgotten
+    std::deque<std::pair<time_point, refused_job>>
+        m_refused; ///< when jobs that were cancelled before they were submitted are forgotten, in order
     std::priority_queue<scheduled_order, std::vector<scheduled_order>, std::greater<>> m_scheduled_orders;
     std::vector<worker_order> m_orders;
     std::vector<job_wire::job_command> m_commands;
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/wall_time.h"
+#include "poplarpitch/http/http_response.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduling/job_codec.h"
@@ -10,6 +11,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -39,6 +41,21 @@
             return;
         }
         answer.set_taken(true);
+        answer_request(request, answer, on_answer);
+    }
+
+private:
+    static constexpr duration retry_after_overload = seconds{5}; // bursts last 4 to 6 s
+    static constexpr duration retry_after_full = seconds{10};    // refusals are forgotten after some minutes
+    /// A submission that is being committed.
+    struct pending_submission {
+        std::uint64_t queue = 0; ///< `queue_settings::get_hash`
+        int commands = 0;        ///< one for each copy of the request
+    };
+
+    /// Answers a request as the leader.
+    void answer_request(const job_wire::relay_request& request, const job_wire::relay_answer& answer,
+                        const answer_handler& on_answer) {
         const auto& configuration = m_parts.job_state.get_configuration();
         if (configuration.version == 0) {
             finish(answer, 503, "", on_answer);
@@ -71,8 +88,9 @@
         }
     }
 
-private:
-    static constexpr duration retry_after_overload = seconds{5}; // bursts last 4 to 6 s
+    static std::string make_error_body(const std::string& code, const std::string& message) {
+        return make_error_response(0, code, message).body;
+    }
 
     static void finish(job_wire::relay_answer answer, int status, std::string body,
                        const answer_handler& on_answer) {
@@ -119,9 +137,27 @@
             finish(answer, 200, "", on_answer); // a repeated request
             return;
         }
+        const auto* pending = find_pending(id);
+        const bool is_elsewhere = m_parts.job_state.find_job(id) != nullptr ||
+                                  (pending != nullptr && pending->queue != queue.get_hash());
+        if (is_elsewhere) {
+            log_event(log_level::warn, "job_refused")
+                .add("job", format_job_id(id))
+                .add("reason", "another queue has a job with this id");
+            finish(answer, 409, make_error_body("id_in_use", "another queue has a job with this id"),
+                   on_answer);
+            return;
+        }
+        if (must_not_submit({id, queue.get_hash()})) {
+            log_event(log_level::info, "job_refused")
+                .add("job", format_job_id(id))
+                .add("reason", "it was cancelled before it was submitted");
+            refuse_submission({id, queue.get_hash()}, answer, on_answer);
+            return;
+        }
         // A repeated request, sent while the command of the first one is being committed, must not be
         // refused: the job may be accepted.
-        const bool is_submitting = m_submitting.contains(id);
+        const bool is_submitting = pending != nullptr;
         const auto open = static_cast<std::int64_t>(m_parts.dispatch.count_open_jobs());
         if (!is_submitting && open >= m_parts.settings.dispatch.max_open_jobs) {
             refuse_for_overload(id, open, answer, on_answer);
@@ -155,14 +191,16 @@
             .add("queue", queue.name)
             .add("config", m_parts.job_state.get_configuration().version)
             .add("steps", static_cast<std::uint64_t>(job->steps.size()));
-        ++m_submitting[id];
+        auto& submitting = m_submitting[id];
+        submitting.queue = queue.get_hash();
+        ++submitting.commands;
         m_parts.batcher.add(std::move(command), [this, id, answer = make_result_handler(answer, on_answer)](
                                                     commit_result outcome) mutable {
             // A request that was sent again may still be committed after this one was not.
-            const auto pending = m_submitting.find(id);
-            const bool is_last = --pending->second == 0;
+            const auto found = m_submitting.find(id);
+            const bool is_last = --found->second.commands == 0;
             if (is_last) {
-                m_submitting.erase(pending);
+                m_submitting.erase(found);
             }
             const bool is_sure = outcome == commit_result::refused ||
                                  outcome == commit_result::not_proposed ||
@@ -249,20 +287,86 @@
         return m_parts.dispatch.has_started(record.job->id) ? job_progress::running : job_progress::queued;
     }
 
+    /// Returns the submission of a job that is being committed, or null.
+    [[nodiscard]] const pending_submission* find_pending(job_id id) const {
+        const auto found = m_submitting.find(id);
+        return found == m_submitting.end() ? nullptr : &found->second;
+    }
+
+    /// Cancels a job, also one whose submission is being committed: commands are committed in the order in
+    /// which they are added.
     void cancel(const queue_settings& queue, job_id id, const job_wire::relay_answer& answer,
                 const answer_handler& on_answer) {
-        if (find(queue, id) == nullptr) {
-            finish(answer, 410, "", on_answer);
+        const refused_job job{id, queue.get_hash()};
+        const auto* pending = find_pending(id);
+        const bool is_submitting = pending != nullptr && pending->queue == job.queue;
+        if (find(queue, id) == nullptr && !is_submitting) {
+            refuse_submission(job, answer, on_answer);
             return;
         }
         job_wire::job_command command;
         command.mutable_cancel()->set_id(id);
         log_event(log_level::info, "job_cancel").add("job", format_job_id(id)).add("queue", queue.name);
-        m_parts.batcher.add(std::move(command), make_result_handler(answer, on_answer));
+        m_parts.batcher.add(std::move(command), [this, job, answer, on_answer](commit_result outcome) {
+            if (outcome == commit_result::refused) { // its submission was not committed
+                refuse_submission(job, answer, on_answer);
+                return;
+            }
+            make_result_handler(answer, on_answer)(outcome);
+        });
+    }
+
+    /// Returns true when a job was cancelled before it was submitted, or will be once that is committed.
+    [[nodiscard]] bool must_not_submit(const refused_job& job) const {
+        return m_parts.job_state.is_refused(job) || m_refusing.contains(job);
+    }
+
+    /// Answers that there is no such job, once the log holds that it must not be submitted any more. A copy
+    /// of its submission may still be on its way, and also reach a later leader.
+    void refuse_submission(const refused_job& job, job_wire::relay_answer answer,
+                           const answer_handler& on_answer) {
+        if (m_parts.job_state.is_refused(job)) {
+            finish(std::move(answer), 410, "", on_answer);
+            return;
+        }
+        const auto count = m_parts.job_state.get_refused().size() + m_refusing.size();
+        if (count >= job_state_machine::max_refused_jobs) {
+            refuse_to_cancel(job, std::move(answer), on_answer);
+            return;
+        }
+        job_wire::job_command command;
+        command.mutable_refuse()->set_id(job.id);
+        command.mutable_refuse()->set_queue(job.queue);
+        log_event(log_level::info, "submission_refused").add("job", format_job_id(job.id));
+        ++m_refusing[job];
+        m_parts.batcher.add(std::move(command), [this, job, answer, on_answer](commit_result outcome) {
+            const auto refusing = m_refusing.find(job);
+            if (--refusing->second == 0) {
+                m_refusing.erase(refusing);
+            }
+            if (outcome == commit_result::applied) {
+                finish(answer, 410, "", on_answer);
+            } else if (outcome == commit_result::refused) {
+                refuse_to_cancel(job, answer, on_answer);
+            } else {
+                make_result_handler(answer, on_answer)(outcome);
+            }
+        });
+    }
+
+    /// Answers that nothing can be promised of an unknown job, since too many such promises are kept.
+    static void refuse_to_cancel(const refused_job& job, job_wire::relay_answer answer,
+                                 const answer_handler& on_answer) {
+        log_event(log_level::warn, "cancel_refused")
+            .add("job", format_job_id(job.id))
+            .add("reason", "too many unknown jobs were cancelled");
+        answer.set_retry_after_ms(to_milliseconds(retry_after_full));
+        finish(std::move(answer), 503, "", on_answer);
     }
 
     scheduler_parts& m_parts;
-    absl::flat_hash_map<job_id, int> m_submitting; ///< number of submissions that are being committed, by job
+    absl::flat_hash_map<job_id, pending_submission> m_submitting;
+    std::map<refused_job, int> m_refusing; ///< number of refusals that are being committed, by job
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/job_state_event.h
+++ b/poplarpitch/scheduling/job_state_event.h
@@ -15,12 +15,14 @@
 /// A change made by a committed command. The leader updates its own state by these events.
 struct job_state_event {
     enum class kind : std::uint8_t {
-        job_accepted,   ///< `run.task.step.job`
-        job_ended,      ///< `run.task.step.job`: completed, failed or cancelled
-        run_assigned,   ///< `run` to `worker`
-        run_refused,    ///< `run` was not assigned to `worker`: its job or task had changed, or the worker is
-                        ///< retired
-        run_ended,      ///< `run` on `worker` ended with `end`; `number` in the worker's list of ends
+        job_accepted, ///< `run.task.step.job`
+        job_ended,    ///< `run.task.step.job`: completed, failed or cancelled
+        job_refused,  ///< `run.task.step.job` was cancelled in the queue with the hash `number` before it was
+                      ///< submitted
+        run_assigned, ///< `run` to `worker`
+        run_refused,  ///< `run` was not assigned to `worker`: its job or task had changed, or the worker is
+                      ///< retired
+        run_ended,    ///< `run` on `worker` ended with `end`; `number` in the worker's list of ends
         attempt_failed, ///< `run` on `worker` ended as failed, which changed `attempts`; follows `run_ended`
         task_crashed,   ///< `worker` crashed under `run`; it is the `number`th crash counted for the task
         step_done,      ///< `run.task.step`
@@ -34,7 +36,7 @@
     run_key run;
     worker_incarnation worker;
     run_end end = run_end::done;
-    std::uint64_t number = 0;
+    std::uint64_t number = 0;                    ///< see the kinds
     crash_evidence crash = crash_evidence::none; ///< of `run_ended` or `task_crashed`
     std::int64_t age_ms = 0;                     ///< how long the run had been on the worker; 0 when unknown
     bool counts_as_attempt = false;              ///< of `run_ended` with the end `failed`
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -99,6 +99,14 @@
                        {command.confirm().worker(), command.confirm().born_ms()});
     case job_wire::job_command::kCrash:
         return record_crash(read_crash(command.crash()), events);
+    case job_wire::job_command::kRefuse: {
+        const refused_job job{command.refuse().id(), command.refuse().queue()};
+        if (command.refuse().forget()) {
+            m_refused.erase(job);
+            return command_outcome::applied;
+        }
+        return refuse(job, events);
+    }
     case job_wire::job_command::kForget:
         m_jobs.erase(command.forget().id());
         return command_outcome::applied;
@@ -135,6 +143,20 @@
     return command_outcome::applied;
 }
 
+command_outcome job_state_machine::refuse(const refused_job& job, std::vector<job_state_event>& events) {
+    if (m_refused.contains(job)) {
+        return command_outcome::repeated;
+    }
+    if (m_refused.size() >= max_refused_jobs) {
+        return command_outcome::refused;
+    }
+    m_refused.insert(job);
+    auto event = make_job_event(job_state_event::kind::job_refused, job.id);
+    event.number = job.queue;
+    events.push_back(std::move(event));
+    return command_outcome::applied;
+}
+
 command_outcome job_state_machine::assign(const run_key& key, assigned_run run,
                                           std::vector<job_state_event>& events) {
     job_state_event event;
@@ -426,6 +448,11 @@
     for (const auto& name : m_drained_data_centres) {
         snapshot.add_drained_data_centres(name);
     }
+    for (const auto& job : m_refused) {
+        auto& item = *snapshot.add_refused();
+        item.set_id(job.id);
+        item.set_queue(job.queue);
+    }
     snapshot.set_fence_raises(m_fence_raises);
     snapshot.set_next_sequence(m_next_sequence);
     encode(m_pressure, *snapshot.mutable_pressure());
@@ -452,6 +479,9 @@
         m_retired.insert({incarnation.id(), incarnation.born_ms()});
     }
     m_drained_data_centres = {snapshot.drained_data_centres().begin(), snapshot.drained_data_centres().end()};
+    for (const auto& job : snapshot.refused()) {
+        m_refused.insert({job.id(), job.queue()});
+    }
     m_fence_raises = snapshot.fence_raises();
     m_next_sequence = snapshot.next_sequence();
     m_pressure = decode(snapshot.pressure());
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -6,6 +6,7 @@
 #include "poplarpitch/scheduling/job_state_event.h"
 #include "poplarpitch/scheduling/learned_record.h"
 #include "poplarpitch/scheduling/pressure_factor.h"
+#include "poplarpitch/scheduling/refused_job.h"
 
 #include <absl/container/node_hash_map.h>
 
@@ -30,6 +31,9 @@
 /// methods.
 class job_state_machine {
 public:
+    /// Bounds the memory and the snapshot: about 2.5 MB, and 0.7 MB.
+    static constexpr std::size_t max_refused_jobs = 32'768;
+
     /// Applies a committed command and appends what it changed to `events`.
     command_outcome apply(const job_wire::job_command& command, std::vector<job_state_event>& events);
 
@@ -59,6 +63,10 @@
     [[nodiscard]] const std::set<std::string>& get_drained_data_centres() const {
         return m_drained_data_centres;
     }
+    /// Returns true when the job was cancelled before it was submitted. It must not be submitted any more.
+    [[nodiscard]] bool is_refused(const refused_job& job) const { return m_refused.contains(job); }
+    /// Returns the jobs that were cancelled before they were submitted, at most `max_refused_jobs`.
+    [[nodiscard]] const std::set<refused_job>& get_refused() const { return m_refused; }
     /// Returns how often the fence was raised within the terms of leaders. Added to the leader's term, it
     /// gives a fence that is higher than any that an earlier leader used, or that this leader used before the
     /// last raise.
@@ -73,6 +81,8 @@
 private:
     command_outcome submit(const job_wire::step_job& message, std::vector<job_state_event>& events);
     command_outcome cancel(job_id id, std::vector<job_state_event>& events);
+    /// Records that a job was cancelled before it was submitted. Refused when too many are recorded.
+    command_outcome refuse(const refused_job& job, std::vector<job_state_event>& events);
     command_outcome assign(const run_key& key, assigned_run run, std::vector<job_state_event>& events);
     /// Records that no start of the run can reach a later incarnation of its worker.
     command_outcome confirm(const run_key& key, const worker_incarnation& worker);
@@ -102,6 +112,7 @@
     absl::node_hash_map<job_id, job_record> m_jobs;
     std::set<worker_incarnation> m_retired;
     std::set<std::string> m_drained_data_centres;
+    std::set<refused_job> m_refused;
     std::uint64_t m_fence_raises = 0;
     std::vector<pressure_factor> m_pressure;
     std::vector<learned_record> m_learned;
--- a/poplarpitch/scheduling/queue_settings.h
+++ b/poplarpitch/scheduling/queue_settings.h
@@ -33,6 +33,10 @@
     std::optional<advice_settings> advice; ///< if set, only workers with a ticket may run a step
 
     friend auto operator<=>(const queue_settings&, const queue_settings&) = default;
+
+    /// Returns a hash of host and prefix, which name the queue to callers. It is the same on all instances.
+    /// Thread safety: any thread.
+    [[nodiscard]] std::uint64_t get_hash() const;
 };
 
 } // namespace poplarpitch
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -217,17 +217,21 @@
     return absl::StrCat(get_gateway_host(gateway), ":", m_caller_port.get_port());
 }
 
-void scheduler_cluster::put_config(std::uint64_t version, int max_attempts) {
+void scheduler_cluster::put_config(std::uint64_t version, int max_attempts,
+                                   const std::vector<std::string>& prefixes) {
+    auto routes = nlohmann::json::array();
+    for (const auto& prefix : prefixes) {
+        routes.push_back({{"name", "queue of " + prefix},
+                          {"host", "mill.example"},
+                          {"pathPrefix", prefix},
+                          {"timeoutMs", 3000},
+                          {"targetLatencyMs", 1000},
+                          {"service", "mill"},
+                          {"maxAttempts", max_attempts},
+                          {"stretch", 2.0}});
+    }
     const nlohmann::json document = {{"version", version},
-                                     {"routes",
-                                      {{{"name", "jobs"},
-                                        {"host", "mill.example"},
-                                        {"pathPrefix", "/jobs/"},
-                                        {"timeoutMs", 3000},
-                                        {"targetLatencyMs", 1000},
-                                        {"service", "mill"},
-                                        {"maxAttempts", max_attempts},
-                                        {"stretch", 2.0}}}},
+                                     {"routes", routes},
                                      {"services", {{{"name", "mill"}, {"enforcesCapacity", true}}}}};
     const bool is_acknowledged = wait_until(seconds{20}, [&] {
         for (int number = 1; number <= m_count; ++number) {
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -63,9 +63,10 @@
     /// Sends a caller's request through a gateway. Returns nothing when no answer arrives.
     std::optional<http_response> send_caller_request(const std::string& method, const std::string& path,
                                                      const std::string& body = {}, int gateway = 1);
-    /// Sends a configuration with one queue at `/jobs/` until it is acknowledged, and fails the test when it
-    /// is not.
-    void put_config(std::uint64_t version, int max_attempts = 3);
+    /// Sends a configuration with one queue at each of `prefixes` until it is acknowledged, and fails the
+    /// test when it is not.
+    void put_config(std::uint64_t version, int max_attempts = 3,
+                    const std::vector<std::string>& prefixes = {"/jobs/"});
     /// Submits a job of one step, repeatedly until it is accepted. Returns false when it is not accepted
     /// within `limit`.
     bool submit(const std::string& id, int tasks, duration limit, const std::string& payload = "text");
--- /dev/null
+++ b/unit_tests/scheduler/caller_service_test.cpp
@@ -0,0 +1,175 @@
+// Answers that promise that a job never runs, and copies of its submission that arrive after them.
+#include "poplarpitch/scheduler/caller_service.h"
+
+#include "poplarpitch/core/wall_time.h"
+#include "poplarpitch/wire/scheduling.pb.h"
+#include "unit_tests/scheduler/plain_dialect.h"
+#include "unit_tests/scheduler/temporary_folder.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplarpitch {
+namespace {
+
+constexpr duration test_timeout = seconds{60}; // reached only when the test fails
+constexpr std::int64_t time_limit_ms = 3000;   // of a request
+const std::string job = "00000000000000aa";
+
+/// A leader of a cluster of one instance, with one queue at `/jobs/`, and its service for callers.
+class leading_service {
+public:
+    leading_service() : m_parts(make_settings(), make_handler()), m_service(m_parts) {
+        m_parts.loop.on_iteration_end([this] {
+            m_parts.dispatch.tick(m_parts.loop.now(), get_wall_ms(), m_parts.batcher.can_flush());
+            m_parts.batcher.flush();
+        });
+        EXPECT_TRUE(m_parts.log.start());
+        run_until([this] { return m_parts.may_answer(); });
+        put_config();
+    }
+
+    /// Sends a request that an entry instance received `age_ms` ago, and returns the status of its answer; 0
+    /// when there is none within a second.
+    int send(const std::string& method, const std::string& id, std::int64_t age_ms = 0) {
+        std::optional<int> status;
+        m_service.handle(make_request(method, id, age_ms), [&](const job_wire::relay_answer& answer) {
+            status = static_cast<int>(answer.status());
+        });
+        const auto end = m_parts.loop.now() + seconds{1};
+        run_until([&] { return status.has_value() || m_parts.loop.now() >= end; });
+        return status.value_or(0);
+    }
+
+    /// Cancels many unknown jobs without waiting for the answers in between.
+    void cancel_unknown_jobs(std::size_t count) {
+        std::size_t answers = 0;
+        for (std::size_t number = 0; number < count; ++number) {
+            m_service.handle(make_request("DELETE", format_job_id(number), 0),
+                             [&](const job_wire::relay_answer& /*answer*/) { ++answers; });
+        }
+        run_until([&] { return answers == count; });
+    }
+
+    void wait(duration length) {
+        const auto end = m_parts.loop.now() + length;
+        run_until([&] { return m_parts.loop.now() >= end; });
+    }
+    void refuse_all_jobs(bool must_refuse) {
+        m_parts.settings.dispatch.max_open_jobs = must_refuse ? 0 : 100;
+    }
+    [[nodiscard]] std::size_t count_jobs() const { return m_parts.job_state.get_jobs().size(); }
+    [[nodiscard]] std::size_t count_refused() const { return m_parts.job_state.get_refused().size(); }
+
+private:
+    scheduler_settings make_settings() {
+        scheduler_settings settings;
+        settings.replica.data_folder = m_folder.get_path();
+        settings.replica.seeds = {settings.replica.host};
+        settings.replica.may_found = true;
+        settings.replica.voters = 1;
+        return settings;
+    }
+
+    replica_handler make_handler() {
+        replica_handler handler;
+        handler.on_command = [this](const log_entry& entry) {
+            std::vector<job_state_event> events;
+            m_parts.batcher.apply(entry, events);
+            for (const auto& event : events) {
+                m_parts.dispatch.on_event(event, m_parts.loop.now(), get_wall_ms());
+            }
+        };
+        handler.on_save = [this] {
+            return m_parts.job_state.save();
+        };
+        handler.on_load = [](const std::string& /*bytes*/) {
+        };
+        handler.on_leading = [this](log_term term) {
+            m_parts.dispatch.start_leading(term, m_parts.loop.now(), get_wall_ms());
+        };
+        handler.on_leading_lost = [this] {
+            m_parts.dispatch.stop_leading();
+            m_parts.batcher.drop_pending();
+        };
+        return handler;
+    }
+
+    void put_config() {
+        job_configuration configuration;
+        configuration.version = 1;
+        queue_settings queue;
+        queue.host = "mill.example";
+        queue.prefix = "/jobs/";
+        queue.pool = "mill";
+        configuration.queues.push_back(queue);
+        job_wire::job_command command;
+        encode(configuration, *command.mutable_config());
+        m_parts.batcher.add(std::move(command), nullptr);
+        run_until([this] { return m_parts.job_state.get_configuration().version == 1; });
+    }
+
+    job_wire::relay_request make_request(const std::string& method, const std::string& id,
+                                         std::int64_t age_ms) const {
+        job_wire::relay_request request;
+        request.set_method(method);
+        request.set_host("mill.example");
+        request.set_target("/jobs/" + id);
+        request.set_remaining_ms(time_limit_ms);
+        request.set_received_ms(to_milliseconds(m_parts.loop.now().time_since_epoch()) - age_ms);
+        return request;
+    }
+
+    template <class Condition>
+    void run_until(Condition is_done) {
+        const auto end = m_parts.loop.now() + test_timeout;
+        while (!is_done()) {
+            ASSERT_LT(m_parts.loop.now(), end) << "the test did not end within its time limit";
+            m_parts.loop.get_context().restart();
+            m_parts.loop.call_after(milliseconds{2}, [this] { m_parts.loop.stop(); });
+            m_parts.loop.run();
+        }
+    }
+
+    temporary_folder m_folder{"caller_service"};
+    scheduler_parts m_parts;
+    caller_service<plain_dialect> m_service;
+};
+
+TEST(caller_service, refuses_a_job_that_was_cancelled_before_it_was_submitted) {
+    leading_service service;
+    EXPECT_EQ(service.send("DELETE", job), 410);
+    EXPECT_EQ(service.send("POST", job), 410);
+    EXPECT_EQ(service.send("DELETE", job), 410);
+    EXPECT_EQ(service.send("GET", job), 410);
+    EXPECT_EQ(service.count_jobs(), 0U);
+    EXPECT_EQ(service.count_refused(), 1U);
+}
+
+TEST(caller_service, cancels_a_job_that_it_knows_without_keeping_a_refusal) {
+    leading_service service;
+    EXPECT_EQ(service.send("POST", job), 200);
+    EXPECT_EQ(service.send("DELETE", job), 200);
+    EXPECT_EQ(service.send("POST", job),
+              200); // a late copy of an accepted submission; the job stays cancelled
+    EXPECT_EQ(service.count_refused(), 0U);
+}
+
+// A cancelling is not acknowledged when its promise could not be kept.
+TEST(caller_service, answers_503_to_the_cancelling_of_an_unknown_job_beyond_the_limit) {
+    leading_service service;
+    EXPECT_EQ(service.send("POST", "00000000000fffff"), 200);
+    service.cancel_unknown_jobs(job_state_machine::max_refused_jobs);
+    EXPECT_EQ(service.count_refused(), job_state_machine::max_refused_jobs);
+    EXPECT_EQ(service.send("DELETE", "0000000000ffffff"), 503);
+    EXPECT_EQ(service.send("POST", "0000000000ffffff"), 200); // nothing was promised
+    EXPECT_EQ(service.send("DELETE", "00000000000fffff"), 200);
+    EXPECT_EQ(service.send("DELETE", format_job_id(1)), 410);
+}
+
+} // namespace
+} // namespace poplarpitch
--- a/unit_tests/scheduler/command_batcher_test.cpp
+++ b/unit_tests/scheduler/command_batcher_test.cpp
@@ -6,12 +6,10 @@
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/scheduling/job_state_machine.h"
 #include "poplarpitch/wire/scheduling.pb.h"
+#include "unit_tests/scheduler/temporary_folder.h"
 
 #include <gtest/gtest.h>
 
-#include <unistd.h>
-
-#include <filesystem>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,21 +22,6 @@
 constexpr std::size_t large_batch = 1U << 20;  // bytes
 constexpr std::size_t payload_bytes = 3U << 10;
 
-/// A temporary folder, removed with the object.
-class temporary_folder {
-public:
-    temporary_folder() : m_path(testing::TempDir() + "command_batcher_" + std::to_string(::getpid())) {
-        std::filesystem::create_directories(m_path);
-    }
-    ~temporary_folder() { std::filesystem::remove_all(m_path); }
-    temporary_folder(const temporary_folder&) = delete;
-    temporary_folder& operator=(const temporary_folder&) = delete;
-    [[nodiscard]] const std::string& get_path() const { return m_path; }
-
-private:
-    std::string m_path;
-};
-
 job_wire::job_command make_submit(std::uint64_t id) {
     job_wire::job_command command;
     auto& job = *command.mutable_submit()->mutable_job();
@@ -115,7 +98,7 @@
         }
     }
 
-    temporary_folder m_folder;
+    temporary_folder m_folder{"command_batcher"};
     event_loop m_loop;
     job_state_machine m_job_state;
     std::vector<job_wire::job_command> m_commands;
@@ -153,7 +136,7 @@
 // A batch of an earlier release may be unreadable; the leader must hear of it, since it counts on its
 // commands.
 TEST(command_batcher, reports_a_committed_batch_that_cannot_be_parsed) {
-    const temporary_folder folder;
+    const temporary_folder folder("unreadable_batch");
     event_loop loop;
     job_state_machine job_state;
     replica_settings settings;
