Drop callers' requests that an entry instance read too late

Change: the event loop tells for how long input may have waited to be read. That time counts towards the caller's time limit; a request read after it is answered 503 and not relayed. After a pause of more than 250 ms the listener looks whether the client has closed its connection, and drops the request if so. Without a pause nothing changes. A request carries the time of its arrival on the leader's clock, as far as the entry knows that from the leader's status.

--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -23,6 +23,9 @@
 constexpr int startup_failure_exit_code = 1;
 constexpr double no_digest_age = -1;                   // of the metric, while no load digest is valid
 constexpr duration response_margin = milliseconds{50}; // lets a response arrive before the deadline
+// A process that is suspended for longer than this looks whether its callers still wait.
+constexpr duration max_abandoned_wait = milliseconds{250};
+constexpr duration retry_after_late_read = seconds{1};
 
 /// The components of an entry instance. All are used on the loop's thread only.
 class gateway {
@@ -30,7 +33,7 @@
     explicit gateway(const gateway_settings& settings)
         : m_settings(settings), m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait,
                                        settings.spread_returns, hash_bytes(settings.id)),
-          m_caller_listener(m_loop, make_listener_settings(settings.caller_host, settings.caller_port),
+          m_caller_listener(m_loop, make_caller_listener_settings(settings),
                             [this](const http_request& request, const http_responder& respond) {
                                 relay(request, respond);
                             }),
@@ -53,6 +56,7 @@
         m_loop.on_signal(SIGHUP, [] {
             log_event(log_level::info, "reload_ignored").add("reason", "seeds only count at startup");
         });
+        m_loop.on_iteration_end([this] { log_abandoned_requests(); });
         m_loop.on_iteration_end([] { flush_logs(); });
         start_metrics();
         m_link.start();
@@ -70,6 +74,12 @@
         return listener;
     }
 
+    static http_listener_settings make_caller_listener_settings(const gateway_settings& settings) {
+        auto listener = make_listener_settings(settings.caller_host, settings.caller_port);
+        listener.max_abandoned_wait = max_abandoned_wait;
+        return listener;
+    }
+
     void start_metrics() {
         if (m_settings.metrics_port == 0) {
             return;
@@ -85,6 +95,10 @@
         m_metrics.set("poplarpitch_leader_connected", {}, m_link.is_connected() ? 1 : 0);
         m_metrics.set("poplarpitch_leader_observed", {}, m_link.has_observer() ? 1 : 0);
         m_metrics.set("poplarpitch_open_requests", {}, static_cast<double>(m_link.get_open_requests()));
+        m_metrics.set("poplarpitch_requests_dropped_total", {"", "", "abandoned"},
+                      static_cast<double>(m_caller_listener.get_abandoned_requests()));
+        m_metrics.set("poplarpitch_requests_dropped_total", {"", "", "late"},
+                      static_cast<double>(m_late_requests));
         m_metrics.set("poplarpitch_caller_connections", {},
                       static_cast<double>(m_caller_listener.get_connections()));
         if (m_settings.spread_returns) {
@@ -119,9 +133,15 @@
         message.set_body(request.body);
         message.set_data_centre(m_settings.data_centre);
         const auto timeout = std::max(read_request_timeout(request) - response_margin, response_margin);
+        const auto read_delay = m_loop.get_read_delay();
+        if (read_delay >= timeout) {
+            answer_late_request(request, read_delay, respond);
+            return;
+        }
         message.set_remaining_ms(to_milliseconds(timeout));
-        m_link.relay(std::move(message), m_loop.now() + timeout,
-                     [this, respond, received_at = m_loop.now()](const relay_outcome& outcome) {
+        const auto received_at = m_loop.now() - read_delay;
+        m_link.relay(std::move(message), received_at, received_at + timeout,
+                     [this, respond, received_at](const relay_outcome& outcome) {
                          const auto response = make_response(outcome);
                          m_metrics.observe("poplarpitch_request_seconds",
                                            {"", "", std::to_string(response.status)},
@@ -145,6 +165,32 @@
         return is_utf8(request.body) ? nullptr : "body";
     }
 
+    /// Logs the requests that were dropped in this iteration because their callers had left.
+    void log_abandoned_requests() {
+        const auto total = m_caller_listener.get_abandoned_requests();
+        if (total == m_logged_abandoned) {
+            return;
+        }
+        log_event(log_level::info, "requests_abandoned")
+            .add("requests", total - m_logged_abandoned)
+            .add("delay_ms", to_milliseconds(m_loop.get_read_delay()));
+        m_logged_abandoned = total;
+    }
+
+    /// Answers a request that this process read, after a pause, only when its caller no longer waited. It
+    /// must not be relayed with a new time limit: the caller may have been answered elsewhere meanwhile.
+    void answer_late_request(const http_request& request, duration read_delay,
+                             const http_responder& respond) {
+        ++m_late_requests;
+        log_event(log_level::warn, "request_read_late")
+            .add("method", request.method)
+            .add("target", request.target)
+            .add("delay_ms", to_milliseconds(read_delay));
+        auto response = make_error_response(503, "too_late", "not accepted: read after its time limit");
+        add_retry_after(response, retry_after_late_read);
+        respond(response);
+    }
+
     static void add_retry_after(http_response& response, duration wait) {
         if (wait > duration{0}) {
             response.headers.add("Retry-After", std::to_string(std::chrono::ceil<seconds>(wait).count()));
@@ -212,6 +258,8 @@
     http_listener m_readiness_listener;
     metrics_registry m_metrics;
     std::unique_ptr<http_listener> m_metrics_listener;
+    std::uint64_t m_logged_abandoned = 0;
+    std::uint64_t m_late_requests = 0; ///< read only when their callers no longer waited
     bool m_is_stopping = false;
     time_point m_stop_deadline{};
 };
--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -46,6 +46,7 @@
     std::uint64_t number = 0;
     std::unique_ptr<job_wire::relay_request> request;
     outcome_handler on_outcome;
+    time_point received_at{};
     time_point deadline{};
     std::uint64_t timer = 0;
     std::vector<std::uint32_t> recipients; ///< leaders it was sent to, one entry per send
@@ -198,13 +199,14 @@
         }
     }
     if (frame.has_status()) {
-        on_status(ip, frame.status().status());
+        on_status(ip, frame.status());
     } else if (frame.has_answer()) {
         on_answer(ip, frame.answer());
     }
 }
 
-void leader_link::on_status(std::uint32_t ip, const job_wire::cluster_status& status) {
+void leader_link::on_status(std::uint32_t ip, const job_wire::status_answer& answer) {
+    const auto& status = answer.status();
     for (const auto member : status.members().voters()) {
         m_control_ips.insert(get_node_ip(member));
     }
@@ -218,6 +220,8 @@
         return;
     }
     m_leader_heard_at = m_loop.now();
+    m_leader_clock_ms = answer.clock_ms();
+    m_leader_clock_read_at = m_loop.now() - m_loop.get_read_delay();
     m_watch.on_leader_status(ip, status.wants_followers_asked(), m_control_ips);
     if (m_spread_returns && status.has_load()) {
         on_load_digest(ip, status.load());
@@ -299,13 +303,19 @@
 
 // ---- requests
 
-void leader_link::relay(job_wire::relay_request request, time_point deadline, outcome_handler on_outcome) {
+std::int64_t leader_link::convert_to_leader_clock(time_point when) const {
+    return m_leader_clock_ms == 0 ? 0 : m_leader_clock_ms + to_milliseconds(when - m_leader_clock_read_at);
+}
+
+void leader_link::relay(job_wire::relay_request request, time_point received_at, time_point deadline,
+                        outcome_handler on_outcome) {
     auto item = std::make_unique<pending_request>();
     const auto number = m_next_number++;
     item->number = number;
     request.set_number(number);
     item->request = std::make_unique<job_wire::relay_request>(std::move(request));
     item->on_outcome = std::move(on_outcome);
+    item->received_at = received_at;
     item->deadline = deadline;
     item->timer =
         m_loop.call_at(std::min(deadline, get_leader_wait_deadline()), [this, number] { expire(number); });
@@ -350,6 +360,7 @@
     item.sent_to = m_leader;
     job_wire::cluster_frame frame;
     *frame.mutable_request() = *item.request;
+    frame.mutable_request()->set_received_ms(convert_to_leader_clock(item.received_at));
     found->second->send(frame.SerializeAsString());
 }
 
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -18,6 +18,7 @@
 class cluster_status;
 class relay_answer;
 class relay_request;
+class status_answer;
 } // namespace poplarpitch::job_wire
 
 namespace poplarpitch {
@@ -73,9 +74,10 @@
 
     /// Starts the search for a leader.
     void start();
-    /// Sends a request to the leader, or queues it until a leader is found. `on_outcome` is called once, at
-    /// the latest at `deadline`.
-    void relay(job_wire::relay_request request, time_point deadline, outcome_handler on_outcome);
+    /// Sends a request that arrived at `received_at` to the leader, or queues it until a leader is found.
+    /// `on_outcome` is called once, at the latest at `deadline`.
+    void relay(job_wire::relay_request request, time_point received_at, time_point deadline,
+               outcome_handler on_outcome);
     /// Returns true when a leader is known and was heard from within the silence limit.
     [[nodiscard]] bool is_connected() const;
     /// Returns true while the leader is followed through another instance.
@@ -101,11 +103,14 @@
     [[nodiscard]] time_point get_last_contact() const;
     void connect(std::uint32_t ip);
     void on_frame(std::uint32_t ip, const std::string& bytes);
-    void on_status(std::uint32_t ip, const job_wire::cluster_status& status);
+    void on_status(std::uint32_t ip, const job_wire::status_answer& answer);
     void on_answer(std::uint32_t ip, const job_wire::relay_answer& answer);
     void on_load_digest(std::uint32_t ip, const job_wire::load_digest& message);
     void mark_leader_lost(const char* reason);
     void send_pending();
+    /// Returns a time of this instance on the leader's steady clock in milliseconds, or 0 while that is not
+    /// known.
+    [[nodiscard]] std::int64_t convert_to_leader_clock(time_point when) const;
     [[nodiscard]] duration get_retry_after() const;
     /// Returns what is added to the retry time of a request that was never sent, and counts it.
     [[nodiscard]] duration take_return_delay(const pending_request& item);
@@ -128,8 +133,10 @@
     std::map<std::uint32_t, time_point> m_status_requested_at;
     leader_watch m_watch;
     std::uint32_t m_leader = 0;
-    time_point m_leader_heard_at{}; ///< when its last frame arrived
-    time_point m_leader_lost_at{};  ///< start of the search for a leader while none is known
+    time_point m_leader_heard_at{};      ///< when its last frame arrived
+    std::int64_t m_leader_clock_ms = 0;  ///< its steady clock in its last status; 0 when it told none
+    time_point m_leader_clock_read_at{}; ///< earliest time at which that status may have arrived
+    time_point m_leader_lost_at{};       ///< start of the search for a leader while none is known
     std::map<std::uint64_t, std::unique_ptr<pending_request>> m_pending;
     bool m_is_confirming_leader = false; ///< queued changes wait for the leader's next frame
     std::uint64_t m_next_number = 1;
--- a/poplarpitch/net/event_loop.cpp
+++ b/poplarpitch/net/event_loop.cpp
@@ -51,17 +51,32 @@
             hook();
         }
         arm_timer();
-        const auto wait_began = clock.now();
+        begin_wait(clock.now());
         m_is_now_stale = true; // Asio runs the handler that ends the wait before run_one returns
         context.run_one();
         read_clock();
-        update_load(wait_began, m_now);
+        m_is_waiting = false;
+        update_load(m_wait_began, m_now);
         run_ready();
         read_clock();
         run_due_timers();
     }
 }
 
+void event_loop::begin_wait(time_point now) {
+    m_worked = now - m_last_wake;
+    m_wait_began = now;
+    m_wait_due = m_timer_expiry == time_point{} ? time_point::max() : std::max(m_timer_expiry, now);
+    m_is_waiting = true;
+}
+
+duration event_loop::get_read_delay() const {
+    const auto until = now();
+    const auto wait_ended = m_is_waiting ? until : m_last_wake;
+    const auto overslept = std::max(wait_ended - m_wait_due, duration{0});
+    return m_worked + overslept + (until - wait_ended);
+}
+
 time_point event_loop::now() const {
     if (m_is_now_stale) {
         read_clock();
--- a/poplarpitch/net/event_loop.h
+++ b/poplarpitch/net/event_loop.h
@@ -43,6 +43,9 @@
     [[nodiscard]] double get_busy_share() const { return m_busy_share; }
     /// Returns by how much timers fired late, smoothed over the same time.
     [[nodiscard]] duration get_lag() const { return m_lag; }
+    /// Returns an upper bound of the time for which input that is read now may have waited to be read. It is
+    /// large after the process was suspended.
+    [[nodiscard]] duration get_read_delay() const;
     /// Returns the number of iterations that reached their time limit while handlers were still ready.
     [[nodiscard]] std::uint64_t get_cut_iterations() const { return m_cut_iterations; }
     /// Calls `work` on the loop's thread, after the current handler has returned.
@@ -68,6 +71,7 @@
     };
 
     void read_clock() const;
+    void begin_wait(time_point now);
     /// Runs one ready handler. Returns false if none is ready.
     bool poll_one();
     void run_ready();
@@ -84,6 +88,10 @@
     mutable time_point m_now{};
     mutable bool m_is_now_stale = false; ///< a wait or a handler may have happened since `m_now` was read
     time_point m_last_wake{};            ///< end of the last iteration's wait
+    time_point m_wait_began{};           ///< of this iteration
+    time_point m_wait_due = time_point::max(); ///< latest planned end of this iteration's wait
+    duration m_worked{};       ///< time from the wait of the last iteration to that of this one
+    bool m_is_waiting = false; ///< the first handler of the iteration ends the wait
     double m_busy_share = 0;
     duration m_lag{};
     std::uint64_t m_cut_iterations = 0;
--- a/poplarpitch/net/http_listener.cpp
+++ b/poplarpitch/net/http_listener.cpp
@@ -36,6 +36,7 @@
     asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<session>> sessions;
     std::size_t open_requests = 0;
+    std::uint64_t abandoned_requests = 0;
     bool is_draining = false;
     timer_id sweep_timer = 0;
 
@@ -78,6 +79,21 @@
     }
 
 private:
+    /// Returns true when the request may have waited for long and its client has closed the connection
+    /// meanwhile.
+    bool is_abandoned() {
+        if (m_impl->loop.get_read_delay() <= m_impl->settings.max_abandoned_wait) {
+            return false;
+        }
+        char next = 0;
+        boost::system::error_code error;
+        m_socket.non_blocking(true, error);
+        m_socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+        const bool is_closed = error && error != asio::error::would_block && error != asio::error::try_again;
+        m_impl->abandoned_requests += is_closed ? 1 : 0;
+        return is_closed;
+    }
+
     void on_read(const beast::error_code& error) {
         if (error == beast::http::error::body_limit) {
             m_is_busy = true;
@@ -86,7 +102,7 @@
             write(make_error_response(413, "too_large", "the body is larger than allowed"));
             return;
         }
-        if (error) {
+        if (error || is_abandoned()) {
             close();
             return;
         }
@@ -250,6 +266,10 @@
     return m_impl->open_requests;
 }
 
+std::uint64_t http_listener::get_abandoned_requests() const {
+    return m_impl->abandoned_requests;
+}
+
 std::size_t http_listener::get_connections() const {
     return m_impl->sessions.size();
 }
--- a/poplarpitch/net/http_listener.h
+++ b/poplarpitch/net/http_listener.h
@@ -6,6 +6,7 @@
 #include "poplarpitch/http/http_response.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +23,9 @@
     std::size_t max_connections = 3000; ///< below the descriptor limit of the smallest entry instance (4,100)
     duration idle_timeout = seconds{30};  ///< idle connections are closed after this time
     duration sweep_interval = seconds{2}; ///< time between two checks for idle connections
+    /// A request that may have waited for longer than this to be read is dropped if its client has closed the
+    /// connection. By default requests are handled whether or not their clients still wait.
+    duration max_abandoned_wait = duration::max();
 
     friend bool operator==(const http_listener_settings&, const http_listener_settings&) = default;
 };
@@ -55,6 +59,8 @@
     void drain();
     /// Returns the number of requests without a response.
     [[nodiscard]] std::size_t get_open_requests() const;
+    /// Returns the number of requests that were dropped because their clients had left.
+    [[nodiscard]] std::uint64_t get_abandoned_requests() const;
     /// Returns the number of open connections.
     [[nodiscard]] std::size_t get_connections() const;
 
--- a/unit_tests/gateway/leader_link_test.cpp
+++ b/unit_tests/gateway/leader_link_test.cpp
@@ -113,10 +113,11 @@
         job_wire::relay_request request;
         request.set_method(method);
         request.set_target(target);
-        link.relay(std::move(request), loop.now() + deadline, [this, &found](const relay_outcome& outcome) {
-            found = outcome;
-            loop.stop();
-        });
+        link.relay(std::move(request), loop.now(), loop.now() + deadline,
+                   [this, &found](const relay_outcome& outcome) {
+                       found = outcome;
+                       loop.stop();
+                   });
         run();
         return found.value_or(relay_outcome{});
     }
@@ -251,11 +252,12 @@
         job_wire::relay_request request;
         request.set_method("POST");
         request.set_target("/queue/" + std::to_string(number));
-        env.link.relay(std::move(request), env.loop.now() + deadline, [&](const relay_outcome& outcome) {
-            if (outcome.result == relay_outcome::kind::never_sent) {
-                found.push_back(outcome.retry_after);
-            }
-        });
+        env.link.relay(std::move(request), env.loop.now(), env.loop.now() + deadline,
+                       [&](const relay_outcome& outcome) {
+                           if (outcome.result == relay_outcome::kind::never_sent) {
+                               found.push_back(outcome.retry_after);
+                           }
+                       });
     }
     env.run_for(leader_wait * 2);
     return found;
--- a/unit_tests/gateway/observed_leader_test.cpp
+++ b/unit_tests/gateway/observed_leader_test.cpp
@@ -143,10 +143,11 @@
         job_wire::relay_request request;
         request.set_method("POST");
         request.set_target("/queue/1");
-        link.relay(std::move(request), loop.now() + 2 * leader_wait, [&](const relay_outcome& outcome) {
-            found = outcome;
-            loop.stop();
-        });
+        link.relay(std::move(request), loop.now(), loop.now() + 2 * leader_wait,
+                   [&](const relay_outcome& outcome) {
+                       found = outcome;
+                       loop.stop();
+                   });
         loop.get_context().restart();
         loop.run();
         return found.value_or(relay_outcome{});
--- a/unit_tests/net/event_loop_test.cpp
+++ b/unit_tests/net/event_loop_test.cpp
@@ -46,6 +46,31 @@
     EXPECT_GT(loop.get_cut_iterations(), 0U);
 }
 
+// A suspended process took requests that had waited for seconds for new ones.
+TEST(event_loop, tells_for_how_long_input_may_have_waited_to_be_read) {
+    constexpr duration planned_wait = milliseconds{50};
+    constexpr duration pause = milliseconds{300};
+    const system_clock clock;
+    event_loop loop;
+    const auto begin = clock.now();
+    duration at_rest{};
+    duration elapsed{};
+    duration after_pause{};
+    loop.call_after(planned_wait, [&] {
+        at_rest = loop.get_read_delay();
+        elapsed = clock.now() - begin;
+        work_for(pause); // reads no input meanwhile
+        loop.post([&] {
+            after_pause = loop.get_read_delay();
+            loop.stop();
+        });
+    });
+    loop.run();
+    EXPECT_LE(at_rest,
+              elapsed - planned_wait / 2); // input that comes during the planned wait is read at once
+    EXPECT_GE(after_pause, pause);
+}
+
 TEST(event_loop, reports_its_busy_share) {
     event_loop loop;
     int calls = 0;
--- a/unit_tests/platform/cancelled_job_cluster_test.cpp
+++ b/unit_tests/platform/cancelled_job_cluster_test.cpp
@@ -1,4 +1,5 @@
 // Runs a cluster of real processes in which a job is cancelled while its submission is still on its way.
+#include "unit_tests/platform/raw_request.h"
 #include "unit_tests/platform/scheduler_cluster.h"
 #include "unit_tests/platform/stand_in_workers.h"
 
@@ -72,6 +73,44 @@
     EXPECT_EQ(count_starts(workers, job), 0);
 }
 
+// A request whose client had left was relayed with a new time limit.
+TEST(cancelled_job_cluster, does_not_run_when_its_client_left_a_frozen_entry_instance) {
+    scheduler_cluster cluster(1, {}, {}, 2);
+    const stand_in_workers workers(worker_count, cluster.get_control_addresses(), milliseconds{50});
+    cluster.put_config(1);
+    run_another_job(cluster);
+    cluster.get_gateway(1).send(SIGSTOP);
+    send_and_leave(cluster.get_caller_address(1), make_raw_post("/jobs/" + job, body));
+    absl::SleepFor(absl::Milliseconds(1000));
+    cluster.get_gateway(1).send(SIGCONT);
+    const auto end = absl::Now() + absl::Seconds(to_seconds(wait_timeout));
+    while (cluster.get_gateway(1).read_log().find("event=requests_abandoned requests=1") ==
+           std::string::npos) {
+        ASSERT_LT(absl::Now(), end) << "the request was not dropped";
+        absl::SleepFor(absl::Milliseconds(20));
+    }
+    EXPECT_EQ(send(cluster, "GET", 2), 410);
+    EXPECT_EQ(send(cluster, "POST", 1), 200); // a client that waits is served
+}
+
+// A caller whose time limit had passed was answered as if the request had just arrived.
+TEST(cancelled_job_cluster, does_not_run_when_it_was_read_after_its_time_limit) {
+    scheduler_cluster cluster(1, {}, {}, 2);
+    const stand_in_workers workers(worker_count, cluster.get_control_addresses(), milliseconds{50});
+    cluster.put_config(1);
+    run_another_job(cluster);
+    cluster.get_gateway(1).send(SIGSTOP);
+    auto request = make_raw_post("/jobs/" + job, body);
+    request.insert(request.find("Content-Type"), "Poplarpitch-Deadline-Ms: 700\r\n");
+    int status = 0;
+    std::thread caller([&] { status = send_raw_request(cluster.get_caller_address(1), request); });
+    absl::SleepFor(absl::Milliseconds(1600));
+    cluster.get_gateway(1).send(SIGCONT);
+    caller.join();
+    EXPECT_EQ(status, 503);
+    EXPECT_EQ(send(cluster, "GET", 2), 410);
+}
+
 // The next leader knew nothing of the cancelling.
 TEST(cancelled_job_cluster, does_not_run_when_the_leader_is_killed_after_its_cancelling) {
     scheduler_cluster cluster(3, {}, {}, 2);
