Accept no submission that was on its way too long, or of which another copy was refused

"A 429 or 503 response means that the job was not accepted and never runs." A copy of the submission that was held up between entry and leader, by a cut or because the leader stood still, was accepted all the same, also long after its caller had got 504 for it and another answer for another copy.

Change: the leader tells its steady clock with its status, and drops a request that has been on its way for longer than its caller waits (and 500 ms). A caller that returns after the refusal is served.

--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -200,6 +200,7 @@
     job_wire::cluster_frame frame;
     frame.mutable_status()->set_number(number);
     *frame.mutable_status()->mutable_status() = make_status();
+    frame.mutable_status()->set_clock_ms(to_milliseconds(m_loop.now().time_since_epoch()));
     return frame;
 }
 
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -106,6 +106,7 @@
         };
         handler.on_leading = [this](log_term term) {
             m_agent.on_leading(term);
+            m_callers.on_leading();
             m_parts.relays.start_leading(term, m_agent.get_other_relays(), m_parts.loop.now());
             m_parts.dispatch.start_leading(term, m_parts.loop.now(), get_wall_ms());
             m_parts.loop.post([] {}); // wakes the loop to send the new orders
--- a/unit_tests/scheduler/caller_service_test.cpp
+++ b/unit_tests/scheduler/caller_service_test.cpp
@@ -171,5 +171,29 @@
     EXPECT_EQ(service.send("DELETE", format_job_id(1)), 410);
 }
 
+// The caller of one copy was told that the job never runs, and another copy of it was accepted afterwards.
+TEST(caller_service, refuses_the_copies_that_were_on_their_way_when_a_submission_was_refused) {
+    leading_service service;
+    service.refuse_all_jobs(true);
+    EXPECT_EQ(service.send("POST", job), 429);
+    service.refuse_all_jobs(false);
+    EXPECT_EQ(service.send("POST", job, 2000), 429); // received by an entry instance before the refusal
+    EXPECT_EQ(service.count_jobs(), 0U);
+    service.wait(milliseconds{10});
+    EXPECT_EQ(service.send("POST", job), 200); // the caller returns
+    EXPECT_EQ(service.send("POST", job, 2000), 200);
+    EXPECT_EQ(service.count_jobs(), 1U);
+}
+
+// A connection that was held up delivered submissions that had long been answered elsewhere.
+TEST(caller_service, drops_a_request_that_was_on_its_way_for_longer_than_its_caller_waits) {
+    leading_service service;
+    EXPECT_EQ(service.send("POST", job, time_limit_ms + 1000), 0);
+    EXPECT_EQ(service.send("DELETE", job, time_limit_ms + 1000), 0);
+    EXPECT_EQ(service.count_jobs(), 0U);
+    EXPECT_EQ(service.count_refused(), 0U);
+    EXPECT_EQ(service.send("POST", job, time_limit_ms - 100), 200);
+}
+
 } // namespace
 } // namespace poplarpitch
