Read the fields of outside documents by one reader that converts nothing silently

Cause: `version` was read with get<std::uint64_t>(), which turns -1 into the highest number there is. Such a config came into force, and no later one can be higher.

Change: json/field_reader tells missing, null, wrong type, negative, fractional, too small and too large apart, names the field by its path, and ignores fields that it is not asked for. Configs, jobs, heartbeats and deregistrations are read by it; the answers 400 name the field. A version is at most 2^63 - 1, a `seq` at most 2^53 - 1. Amounts keep their old rule: a fraction is cut off. Numbers in workers' lists that fit no integer make the list unreadable (the conversion was undefined). A heartbeat without a service is refused. The tests' own folder class gives way to that of unit_tests/support.

--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -221,34 +221,34 @@
             refuse_for_overload(id, open, answer, on_answer);
             return;
         }
-        auto job = Dialect::read_job(request.body());
-        if (!job.has_value()) {
-            finish(answer, 400, "", on_answer);
+        auto parsed = Dialect::read_job(request.body());
+        if (!parsed.has_value()) {
+            refuse_invalid(id, parsed.error().describe(), answer, on_answer);
             return;
         }
-        job->id = id;
-        job->queue = queue;
-        job->accepted_ms = get_wall_ms();
-        job->caller_data_centre = request.data_centre();
-        if (const auto error = validate_job(*job); error.has_value()) {
-            log_event(log_level::warn, "job_refused").add("job", format_job_id(id)).add("reason", *error);
-            finish(answer, 400, "", on_answer);
+        auto& job = parsed.value();
+        job.id = id;
+        job.queue = queue;
+        job.accepted_ms = get_wall_ms();
+        job.caller_data_centre = request.data_centre();
+        if (const auto error = validate_job(job); error.has_value()) {
+            refuse_invalid(id, *error, answer, on_answer);
             return;
         }
         if (!is_submitting) {
-            const auto decision = m_parts.dispatch.admit(*job, m_parts.loop.now());
+            const auto decision = m_parts.dispatch.admit(job, m_parts.loop.now());
             if (!decision.is_admitted()) {
                 refuse(id, decision, answer, on_answer);
                 return;
             }
         }
         job_wire::job_command command;
-        encode(*job, *command.mutable_submit()->mutable_job());
+        encode(job, *command.mutable_submit()->mutable_job());
         log_event(log_level::info, "job_submitted")
             .add("job", format_job_id(id))
             .add("queue", queue.name)
             .add("config", m_parts.job_state.get_configuration().version)
-            .add("steps", static_cast<std::uint64_t>(job->steps.size()));
+            .add("steps", static_cast<std::uint64_t>(job.steps.size()));
         auto& submitting = m_submitting[id];
         submitting.queue = queue.get_hash();
         ++submitting.commands;
@@ -270,6 +270,13 @@
         });
     }
 
+    /// Answers that a job cannot be read or is invalid, with the reason.
+    static void refuse_invalid(job_id id, const std::string& reason, const job_wire::relay_answer& answer,
+                               const answer_handler& on_answer) {
+        log_event(log_level::warn, "job_refused").add("job", format_job_id(id)).add("reason", reason);
+        finish(answer, 400, make_error_body("invalid", reason), on_answer);
+    }
+
     static void answer_retry_later(duration wait, job_wire::relay_answer answer,
                                    const answer_handler& on_answer) {
         answer.set_retry_after_ms(to_milliseconds(wait));
--- a/poplarpitch/scheduler/scheduler_dialect.h
+++ b/poplarpitch/scheduler/scheduler_dialect.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/http/http_request.h"
 #include "poplarpitch/http/http_response.h"
+#include "poplarpitch/json/document_result.h"
 #include "poplarpitch/scheduling/advice_outcome.h"
 #include "poplarpitch/scheduling/control_call.h"
 #include "poplarpitch/scheduling/job_progress.h"
@@ -9,7 +10,6 @@
 #include "poplarpitch/scheduling/worker_order.h"
 
 #include <concepts>
-#include <optional>
 #include <string>
 
 namespace poplarpitch {
@@ -21,7 +21,7 @@
                                      const http_response& response, const hold_order& hold,
                                      const start_order& start, const stop_order& stop, const pace_order& pace,
                                      const advice_request& advise) {
-    { T::read_job(text) } -> std::same_as<std::optional<step_job>>;
+    { T::read_job(text) } -> std::same_as<document_result<step_job>>;
     { T::format_job_state(job_progress::queued) } -> std::same_as<std::string>;
     { T::format_pending(std::uint64_t{}) } -> std::same_as<std::string>;
     { T::read_control_call(request) } -> std::same_as<control_call>;
--- a/poplarpitch/scheduling/configuration_checker.cpp
+++ b/poplarpitch/scheduling/configuration_checker.cpp
@@ -11,6 +11,9 @@
     if (configuration.version == 0) {
         return "the version is 0";
     }
+    if (configuration.has_invalid_version()) {
+        return "the version is too large";
+    }
     std::set<std::pair<std::string, std::string>> host_prefixes;
     for (const auto& queue : configuration.queues) {
         if (configuration.find_pool(queue.pool) == nullptr) {
--- a/poplarpitch/scheduling/report_checker.cpp
+++ b/poplarpitch/scheduling/report_checker.cpp
@@ -25,6 +25,9 @@
     if (report.incarnation.id.empty()) {
         return "the id is empty";
     }
+    if (report.pool.empty()) {
+        return "the pool is missing";
+    }
     if (!has_only_utf8(report)) {
         return "the id or another text is not UTF-8";
     }
--- a/unit_tests/platform/dialect_test.cpp
+++ b/unit_tests/platform/dialect_test.cpp
@@ -10,12 +10,13 @@
 namespace {
 
 TEST(platform_job, reads_all_fields_of_a_step) {
-    const auto job =
+    const auto read =
         read_job(R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"gpu":1,"estimateMs":900,
         "affinity":"r1-3","requires":"a","antiAffinity":2,"checkpointing":true,"image":"x","fills":true},
         {"count":2,"dependsOn":[0],"longRunning":true,"targetMs":50,"gang":true,"sameRack":true,
         "speculative":true}],"repeatCount":3,"firstMs":1000,"intervalMs":500})");
-    ASSERT_TRUE(job.has_value());
+    ASSERT_TRUE(read.has_value());
+    const auto* job = &read.value();
     EXPECT_EQ(job->payload, "text");
     ASSERT_EQ(job->steps.size(), 2U);
     const auto& first = job->steps[0];
--- a/unit_tests/platform/malformed_call_test.cpp
+++ b/unit_tests/platform/malformed_call_test.cpp
@@ -46,6 +46,19 @@
     }
 }
 
+// A heartbeat of another writer with such a number hid all later ones of the worker, also that it drains.
+TEST(malformed_call, rejects_a_heartbeat_whose_sequence_number_is_no_small_whole_number) {
+    auto body = nlohmann::json::parse(valid_heartbeat);
+    for (const nlohmann::json& sequence :
+         {nlohmann::json(-1), nlohmann::json(1e19), nlohmann::json(std::int64_t{1} << 53),
+          nlohmann::json(4.5), nlohmann::json("4"), nlohmann::json(nullptr)}) {
+        body["seq"] = sequence;
+        EXPECT_TRUE(std::holds_alternative<malformed_call>(read_heartbeat(body.dump()))) << sequence.dump();
+    }
+    body["seq"] = (std::int64_t{1} << 53) - 1;
+    EXPECT_TRUE(std::holds_alternative<heartbeat_call>(read_heartbeat(body.dump())));
+}
+
 /// Returns a value whose type or range a field does not expect.
 nlohmann::json generate_unexpected_value() {
     switch (*rc::gen::inRange(0, 8)) {
@@ -140,9 +153,10 @@
 
 RC_GTEST_PROP(malformed_call, reads_no_negative_amounts_from_a_corrupted_job, ()) {
     const auto job = read_job(corrupt(valid_job));
-    const bool is_rejected = !job.has_value() || validate_job(*job).has_value();
+    const bool is_rejected = !job.has_value() || validate_job(job.value()).has_value();
     const bool is_valid =
-        is_rejected || std::all_of(job->steps.begin(), job->steps.end(), [](const step_spec& step) {
+        is_rejected ||
+        std::all_of(job.value().steps.begin(), job.value().steps.end(), [](const step_spec& step) {
             return step.count > 0 && step.millicores >= 0 && step.memory_mb >= 0 && step.estimate_ms >= 0;
         });
     RC_ASSERT(is_valid);
--- a/unit_tests/scheduler/caller_service_test.cpp
+++ b/unit_tests/scheduler/caller_service_test.cpp
@@ -4,7 +4,7 @@
 #include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 #include "unit_tests/scheduler/plain_dialect.h"
-#include "unit_tests/scheduler/temporary_folder.h"
+#include "unit_tests/support/temporary_folder.h"
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
@@ -135,7 +135,7 @@
         }
     }
 
-    temporary_folder m_folder{"caller_service"};
+    temporary_folder m_folder;
     scheduler_parts m_parts;
     caller_service<plain_dialect> m_service;
 };
--- a/unit_tests/scheduler/command_batcher_test.cpp
+++ b/unit_tests/scheduler/command_batcher_test.cpp
@@ -6,7 +6,7 @@
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/scheduling/job_state_machine.h"
 #include "poplarpitch/wire/scheduling.pb.h"
-#include "unit_tests/scheduler/temporary_folder.h"
+#include "unit_tests/support/temporary_folder.h"
 
 #include <gtest/gtest.h>
 
@@ -98,7 +98,7 @@
         }
     }
 
-    temporary_folder m_folder{"command_batcher"};
+    temporary_folder m_folder;
     event_loop m_loop;
     job_state_machine m_job_state;
     std::vector<job_wire::job_command> m_commands;
@@ -136,7 +136,7 @@
 // A batch of an earlier release may be unreadable; the leader must hear of it, since it counts on its
 // commands.
 TEST(command_batcher, reports_a_committed_batch_that_cannot_be_parsed) {
-    const temporary_folder folder("unreadable_batch");
+    const temporary_folder folder;
     event_loop loop;
     job_state_machine job_state;
     replica_settings settings;
--- a/unit_tests/scheduler/plain_dialect.h
+++ b/unit_tests/scheduler/plain_dialect.h
@@ -2,14 +2,13 @@
 
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 
-#include <optional>
 #include <string>
 
 namespace poplarpitch {
 
 /// A dialect for tests in which every body is a job of one task and workers cannot be reached.
 struct plain_dialect {
-    static std::optional<step_job> read_job(const std::string& /*body*/) {
+    static document_result<step_job> read_job(const std::string& /*body*/) {
         step_job job;
         job.steps.emplace_back();
         job.steps.front().count = 1;
--- a/unit_tests/scheduling/unreadable_text_test.cpp
+++ b/unit_tests/scheduling/unreadable_text_test.cpp
@@ -121,6 +121,7 @@
 TEST(unreadable_text, is_found_in_every_text_of_a_report) {
     worker_report valid;
     valid.incarnation.id = "i-7f";
+    valid.pool = "mill";
     valid.labels = {"a"};
     EXPECT_EQ(find_report_error(valid), std::nullopt);
     const std::string bytes = "i-7f\xe9\xff";
