Refuse jobs of our own interface whose fields have another type

A flag, payload or number of another type was ignored, and the batch class's value used: a job with "idempotent":"no" counted as repeatable where its class is. The reader of the platform's documents reads these fields too, in place of one of its own. Tests: job_codec.refuses_fields_of_another_type. announcement_codec has strict readers of its own already.

--- a/poplarpitch/entry/job_codec.cpp
+++ b/poplarpitch/entry/job_codec.cpp
@@ -1,12 +1,14 @@
 #include "poplarpitch/entry/job_codec.h"
 
 #include "poplarpitch/core/hash.h"
+#include "poplarpitch/json/field_reader.h"
 #include "poplarpitch/state/amounts_codec.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace poplarpitch {
@@ -16,7 +18,7 @@
 
 constexpr std::size_t max_id_length = 128;
 constexpr std::size_t max_payload_bytes = 64 << 10;
-constexpr std::int64_t max_amount = 1LL << 50;
+constexpr integer_range amount_range{0, 1LL << 50};
 
 bool is_id(const std::string& text) {
     return !text.empty() && text.size() <= max_id_length &&
@@ -26,31 +28,6 @@
            });
 }
 
-/// Reads optional integers of a JSON object and keeps the last error.
-class number_reader {
-public:
-    explicit number_reader(const json& object) : m_object(object) {}
-
-    void read(const char* key, std::int64_t& target) {
-        const auto found = m_object.find(key);
-        if (found == m_object.end()) {
-            return;
-        }
-        if (!found->is_number_integer() || found->get<std::int64_t>() < 0 ||
-            found->get<std::int64_t>() > max_amount) {
-            m_error = absl::StrCat("'", key, "' must be a whole number that is not negative");
-            return;
-        }
-        target = found->get<std::int64_t>();
-    }
-
-    [[nodiscard]] const std::string& get_error() const { return m_error; }
-
-private:
-    const json& m_object;
-    std::string m_error;
-};
-
 std::string find_unknown_key(const json& object) {
     static const std::set<std::string> keys = {"id",          "tenant",     "batch",     "payload",
                                                "slots",       "millicores", "memory",    "accelerators",
@@ -66,55 +43,49 @@
 } // namespace
 
 std::variant<wire::job, codec_error> decode_job(const std::string& text, const configuration& settings) {
-    const auto object = json::parse(text, nullptr, false);
-    if (object.is_discarded() || !object.is_object()) {
+    const auto source = parse_json_object(text);
+    if (!source.has_value()) {
         return codec_error{"the body is no JSON object"};
     }
+    const auto& object = *source;
     const auto unknown = find_unknown_key(object);
     if (!unknown.empty()) {
         return codec_error{absl::StrCat("unknown key '", unknown, "'")};
     }
-    const auto get_text = [&](const char* key) {
-        const auto found = object.find(key);
-        return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
-    };
+    std::optional<field_error> error;
+    field_reader reader(object, {}, error);
     wire::job job;
-    job.set_id(get_text("id"));
+    job.set_id(reader.get_text("id"));
     if (!is_id(job.id())) {
         return codec_error{"'id' must have 1 to 128 letters, digits or -_.:"};
     }
-    job.set_tenant(get_text("tenant"));
+    job.set_tenant(reader.get_text("tenant"));
     if (settings.find_tenant(job.tenant()) == nullptr) {
         return codec_error{absl::StrCat("no tenant is called '", job.tenant(), "'")};
     }
-    job.set_batch(get_text("batch"));
+    job.set_batch(reader.get_text("batch"));
     const auto* batch = settings.find_batch(job.batch());
     if (batch == nullptr) {
         return codec_error{absl::StrCat("no batch class is called '", job.batch(), "'")};
     }
-    job.set_payload(get_text("payload"));
+    job.set_payload(reader.get_text("payload", ""));
     if (job.payload().size() > max_payload_bytes) {
         return codec_error{"'payload' is larger than 64 KB"};
     }
     auto need = batch->demand;
     std::int64_t run_time_ms = to_milliseconds(batch->run_time);
-    number_reader numbers(object);
-    numbers.read("slots", need.slots);
-    numbers.read("millicores", need.millicores);
-    numbers.read("memory", need.memory);
-    numbers.read("accelerators", need.accelerators);
-    numbers.read("run_time_ms", run_time_ms);
-    if (!numbers.get_error().empty()) {
-        return codec_error{numbers.get_error()};
+    need.slots = reader.get_integer("slots", amount_range, need.slots);
+    need.millicores = reader.get_integer("millicores", amount_range, need.millicores);
+    need.memory = reader.get_integer("memory", amount_range, need.memory);
+    need.accelerators = reader.get_integer("accelerators", amount_range, need.accelerators);
+    run_time_ms = reader.get_integer("run_time_ms", amount_range, run_time_ms);
+    job.set_urgent(reader.get_flag("urgent", batch->urgent));
+    job.set_idempotent(reader.get_flag("idempotent", batch->idempotent));
+    if (error.has_value()) {
+        return codec_error{error->describe()};
     }
     encode(need, *job.mutable_need());
     job.set_run_time_ms(run_time_ms);
-    const auto read_flag = [&](const char* key, bool fallback) {
-        const auto found = object.find(key);
-        return found != object.end() && found->is_boolean() ? found->get<bool>() : fallback;
-    };
-    job.set_urgent(read_flag("urgent", batch->urgent));
-    job.set_idempotent(read_flag("idempotent", batch->idempotent));
     job.set_request_hash(absl::StrCat(absl::Hex(hash_bytes(object.dump()))));
     return job;
 }
--- a/unit_tests/entry/codecs_test.cpp
+++ b/unit_tests/entry/codecs_test.cpp
@@ -138,5 +138,18 @@
               std::string::npos);
 }
 
+// A flag of another type was ignored: a job marked so as not to be repeated counted as repeatable by its
+// class.
+TEST(job_codec, refuses_fields_of_another_type) {
+    for (const char* field :
+         {R"("idempotent":"no")", R"("idempotent":null)", R"("urgent":1)", R"("payload":7)", R"("slots":1.5)",
+          R"("slots":null)", R"("memory":18446744073709551615)"}) {
+        const auto error = job_error(std::string(R"({"id":"j","tenant":"t","batch":"b",)") + field + "}");
+        EXPECT_NE(error, "") << field;
+    }
+    EXPECT_EQ(job_error(R"({"id":"j","tenant":"t","batch":"b","idempotent":false,"urgent":true,"slots":2})"),
+              "");
+}
+
 } // namespace
 } // namespace poplarpitch
