Let a config take effect where the held version is beyond the highest one

Change: a new command replaces a config with such a version by any valid one. An instance of an earlier release skips the command and would go on with the former config, and show it again as a leader. So raft frames tell the format of commands that their sender knows, and the leader proposes the command only while all members of the log have told it; until then a config is answered 503 `mixed_releases`, which the operator's client repeats. A leader of the earlier release acknowledges and ignores configs as before.

--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -177,6 +177,7 @@
         m_mesh->on_received(ip);
         if (m_node != nullptr) {
             m_known_addresses.insert(get_node_ip(frame.raft().from()));
+            m_command_formats[frame.raft().from()] = frame.command_format();
             take_message(frame.raft());
         }
         return;
@@ -286,6 +287,7 @@
 void replica::send(const raft_message& message) {
     job_wire::cluster_frame frame;
     encode(message, *frame.mutable_raft());
+    frame.set_command_format(m_settings.command_format);
     m_mesh->send(get_node_ip(message.to), frame);
 }
 
@@ -476,6 +478,19 @@
     return m_node != nullptr && !is_storage_full() && m_node->has_lease(m_loop.now());
 }
 
+bool replica::do_all_members_know(std::uint32_t command_format) const {
+    if (m_node == nullptr || m_settings.command_format < command_format) {
+        return false;
+    }
+    const auto& members = m_node->get_membership();
+    const auto knows = [&](node_id node) {
+        const auto found = m_command_formats.find(node);
+        return node == m_id || (found != m_command_formats.end() && found->second >= command_format);
+    };
+    return std::all_of(members.voters.begin(), members.voters.end(), knows) &&
+           std::all_of(members.learners.begin(), members.learners.end(), knows);
+}
+
 std::uint32_t replica::get_leader_ip() const {
     if (m_node != nullptr && m_node->get_leader() != 0) {
         return get_node_ip(m_node->get_leader());
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -104,6 +104,9 @@
     /// candidates.
     [[nodiscard]] std::set<std::uint32_t> get_other_instances() const;
 
+    /// Returns true when every member of the log has told, in a raft message to this instance, that it knows
+    /// commands of this format.
+    [[nodiscard]] bool do_all_members_know(std::uint32_t command_format) const;
     /// Returns true while this instance leads, no other can have been elected, and its disk has room.
     [[nodiscard]] bool has_lease() const;
     /// Returns true when this instance leads and has applied everything committed before its term.
@@ -211,6 +214,7 @@
     std::map<log_index, pending_proposal> m_proposals;
     std::map<std::uint64_t, std::function<void(bool)>> m_reads;
     std::map<std::uint32_t, seed_status> m_peer_statuses; ///< other instances, by address
+    std::map<node_id, std::uint32_t> m_command_formats;   ///< newest known to other members
     std::map<std::uint32_t, std::string> m_data_centres;  ///< of instances, by address
     std::set<std::uint32_t> m_known_addresses;            ///< addresses of all known control instances
     std::uint32_t m_reported_leader = 0; ///< last instance that reported to lead; used while not a member
--- a/poplarpitch/scheduler/control_service.h
+++ b/poplarpitch/scheduler/control_service.h
@@ -127,15 +127,32 @@
             .add("version", call.configuration.version)
             .add("held", current_version)
             .add("queues", static_cast<std::uint64_t>(call.configuration.queues.size()));
-        if (call.configuration.version <= current_version) {
+        job_wire::job_command command;
+        if (m_parts.job_state.get_configuration().has_invalid_version()) {
+            if (!m_parts.log.do_all_members_know(job_state_machine::command_format)) {
+                refuse_to_replace(call.configuration.version, respond);
+                return;
+            }
+            encode(call.configuration, *command.mutable_replace_config());
+        } else if (call.configuration.version <= current_version) {
             respond(make_response(200)); // a newer version is in force, or a repeated request
             return;
+        } else {
+            encode(call.configuration, *command.mutable_config());
         }
-        job_wire::job_command command;
-        encode(call.configuration, *command.mutable_config());
         m_parts.batcher.add(std::move(command), make_result_handler({}, std::move(respond)));
     }
 
+    /// Asks the operator to send a configuration again. An instance of an earlier release, which skips the
+    /// command that replaces a configuration with an invalid version, would keep the former one and might
+    /// lead later.
+    static void refuse_to_replace(std::uint64_t version, const http_responder& respond) {
+        constexpr const char* reason =
+            "the version in effect is invalid, and not all instances can replace it yet";
+        log_event(log_level::warn, "config_delayed").add("version", version).add("reason", reason);
+        respond(make_error_response(503, "mixed_releases", reason));
+    }
+
     void answer(const get_config_call&, http_responder respond) {
         m_parts.log.read([this, respond = std::move(respond)](bool is_confirmed) {
             const auto& configuration = m_parts.job_state.get_configuration();
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -73,13 +73,9 @@
     case job_wire::job_command::kEnd:
         return end(read_end(command.end()), command.end().saved(), events);
     case job_wire::job_command::kConfig:
-        if (command.config().version() <= m_configuration.version) {
-            return command_outcome::repeated; // an older or repeated version is acknowledged and changes
-                                              // nothing
-        }
-        m_configuration = decode(command.config());
-        events.push_back(make_job_event(job_state_event::kind::config_changed, 0));
-        return command_outcome::applied;
+        return put_config(command.config(), events);
+    case job_wire::job_command::kReplaceConfig:
+        return replace_config(command.replace_config(), events);
     case job_wire::job_command::kRetire:
         return retire({command.retire().worker(), command.retire().born_ms()}, events);
     case job_wire::job_command::kDrain:
@@ -115,6 +111,26 @@
     }
 }
 
+command_outcome job_state_machine::put_config(const job_wire::put_config& message,
+                                              std::vector<job_state_event>& events) {
+    if (message.version() <= m_configuration.version) {
+        return command_outcome::repeated; // an older or repeated version is acknowledged and changes nothing
+    }
+    m_configuration = decode(message);
+    events.push_back(make_job_event(job_state_event::kind::config_changed, 0));
+    return command_outcome::applied;
+}
+
+command_outcome job_state_machine::replace_config(const job_wire::put_config& message,
+                                                  std::vector<job_state_event>& events) {
+    if (!m_configuration.has_invalid_version()) {
+        return put_config(message, events);
+    }
+    m_configuration = decode(message);
+    events.push_back(make_job_event(job_state_event::kind::config_changed, 0));
+    return command_outcome::applied;
+}
+
 command_outcome job_state_machine::submit(const job_wire::step_job& message,
                                           std::vector<job_state_event>& events) {
     if (m_jobs.contains(message.id())) {
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -17,6 +17,7 @@
 
 namespace poplarpitch::job_wire {
 class job_command;
+class put_config;
 class step_job;
 class task_name;
 } // namespace poplarpitch::job_wire
@@ -31,6 +32,9 @@
 /// methods.
 class job_state_machine {
 public:
+    /// Format of the newest commands that this version applies. 1 added `replace_config`; without it an
+    /// instance skips that command and keeps another configuration.
+    static constexpr std::uint32_t command_format = 1;
     /// Bounds the memory and the snapshot: about 2.5 MB, and 0.7 MB.
     static constexpr std::size_t max_refused_jobs = 32'768;
 
@@ -79,6 +83,9 @@
     [[nodiscard]] std::vector<std::pair<run_key, assigned_run>> get_assigned_runs() const;
 
 private:
+    command_outcome put_config(const job_wire::put_config& message, std::vector<job_state_event>& events);
+    /// As `put_config`, but any version takes effect if that of the configuration in effect is invalid.
+    command_outcome replace_config(const job_wire::put_config& message, std::vector<job_state_event>& events);
     command_outcome submit(const job_wire::step_job& message, std::vector<job_state_event>& events);
     command_outcome cancel(job_id id, std::vector<job_state_event>& events);
     /// Records that a job was cancelled before it was submitted. Refused when too many are recorded.
--- a/unit_tests/scheduling/job_state_machine_test.cpp
+++ b/unit_tests/scheduling/job_state_machine_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <limits>
 #include <random>
 
 namespace poplarpitch {
@@ -185,6 +186,38 @@
     EXPECT_EQ(put(9), command_outcome::applied);
 }
 
+job_wire::job_command make_config(std::uint64_t version) {
+    job_wire::job_command command;
+    command.mutable_config()->set_version(version);
+    return command;
+}
+
+job_wire::job_command make_replacement(std::uint64_t version) {
+    job_wire::job_command command;
+    command.mutable_replace_config()->set_version(version);
+    return command;
+}
+
+// An earlier release stored the version -1 as the highest number, and no later one took effect.
+TEST(job_state_machine, replaces_a_configuration_whose_version_is_invalid) {
+    job_state_machine state;
+    apply(state, make_config(std::numeric_limits<std::uint64_t>::max()));
+    ASSERT_TRUE(state.get_configuration().has_invalid_version());
+    EXPECT_EQ(apply(state, make_config(12)), command_outcome::repeated); // as every release does
+    EXPECT_EQ(apply(state, make_replacement(12)), command_outcome::applied);
+    EXPECT_EQ(state.get_configuration().version, 12U);
+    EXPECT_EQ(apply(state, make_config(13)), command_outcome::applied);
+}
+
+TEST(job_state_machine, replaces_a_valid_version_only_by_a_higher_one) {
+    job_state_machine state;
+    apply(state, make_config(12));
+    EXPECT_EQ(apply(state, make_replacement(11)), command_outcome::repeated);
+    EXPECT_EQ(state.get_configuration().version, 12U);
+    EXPECT_EQ(apply(state, make_replacement(13)), command_outcome::applied);
+    EXPECT_EQ(state.get_configuration().version, 13U);
+}
+
 TEST(job_state_machine, counts_the_failures_of_a_gang_together) {
     job_state_machine job_state;
     auto job = make_job(1, 2, 2);
