--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "poplarpitch/core/hash.h"
 #include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/http/http_response.h"
-#include "poplarpitch/scheduler/recent_refusals.h"
+#include "poplarpitch/scheduler/copy_filter.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduling/job_codec.h"
@@ -42,11 +41,11 @@
             on_answer(answer);
             return;
         }
-        if (is_expired(request)) {
+        if (copy_filter::is_expired(request, m_parts.loop.now())) {
             log_event(log_level::warn, "request_expired")
                 .add("method", request.method())
                 .add("target", request.target())
-                .add("age_ms", get_now_ms() - request.received_ms());
+                .add("age_ms", copy_filter::get_age_ms(request, m_parts.loop.now()));
             return; // the entry instance has told the caller that the outcome is unknown
         }
         answer.set_taken(true);
@@ -54,26 +53,20 @@
             answer_request(request, answer, on_answer);
             return;
         }
-        answer_request(request, answer,
-                       [this, key = get_submission_key(request), on_answer](const auto& decided) {
-                           if (decided.status() >= first_error_status) {
-                               m_refusals.record(key, m_parts.loop.now());
-                           }
-                           on_answer(decided);
-                       });
+        answer_request(
+            request, answer, [this, key = copy_filter::get_key(request), on_answer](const auto& decided) {
+                m_copies.record_answer(key, static_cast<int>(decided.status()), m_parts.loop.now());
+                on_answer(decided);
+            });
     }
 
     /// Called when this instance begins to lead.
-    void on_leading() { m_refusals.clear(); }
+    void on_leading() { m_copies.clear(); }
 
 private:
     static constexpr duration retry_after_overload = seconds{5}; // bursts last 4 to 6 s
     static constexpr duration retry_after_copy = seconds{1};     // for the caller of a copy that came late
     static constexpr duration retry_after_full = seconds{10};    // refusals are forgotten after some minutes
-    static constexpr int first_error_status = 400; // the lowest HTTP status that rejects a request
-    // By how much the age of a request may seem too large: entry instances know the leader's clock from
-    // frames that took some time.
-    static constexpr std::int64_t age_slack_ms = 500;
 
     /// A submission that is being committed.
     struct pending_submission {
@@ -81,29 +74,6 @@
         int commands = 0;        ///< one for each copy of the request
     };
 
-    [[nodiscard]] std::int64_t get_now_ms() const {
-        return to_milliseconds(m_parts.loop.now().time_since_epoch());
-    }
-
-    /// Returns true when a request was on its way for longer than its caller waits. The network held it up,
-    /// or this process was suspended, and another copy of it may have been answered meanwhile.
-    [[nodiscard]] bool is_expired(const job_wire::relay_request& request) const {
-        return request.received_ms() > 0 &&
-               get_now_ms() - request.received_ms() > request.remaining_ms() + age_slack_ms;
-    }
-
-    static std::uint64_t get_submission_key(const job_wire::relay_request& request) {
-        return hash_bytes(request.host() + '\n' + request.target());
-    }
-
-    /// Returns true when another copy of this submission was refused after an entry instance had read this
-    /// one. The caller was told that its job never runs. A caller that returns after a refusal is served.
-    bool was_copy_refused(const job_wire::relay_request& request) {
-        const time_point received{milliseconds{request.received_ms()}};
-        return request.received_ms() > 0 &&
-               m_refusals.was_refused_since(get_submission_key(request), received, m_parts.loop.now());
-    }
-
     /// Answers a request of a caller that still waits.
     void answer_request(const job_wire::relay_request& request, const job_wire::relay_answer& answer,
                         const answer_handler& on_answer) {
@@ -127,7 +97,8 @@
         }
         const auto id = parse_job_id(rest);
         if (!id.has_value()) {
-            finish(answer, 400, "", on_answer);
+            finish(answer, 400, make_error_body("bad_id", "the path names no job: 16 hexadecimal digits"),
+                   on_answer);
         } else if (request.method() == "POST") {
             submit(request, *queue, *id, answer, on_answer);
         } else if (request.method() == "GET") {
@@ -209,7 +180,7 @@
         // A repeated request, sent while the command of the first one is being committed, must not be
         // refused: the job may be accepted.
         const bool is_submitting = pending != nullptr;
-        if (!is_submitting && was_copy_refused(request)) {
+        if (!is_submitting && m_copies.was_copy_refused(request, m_parts.loop.now())) {
             log_event(log_level::info, "job_refused")
                 .add("job", format_job_id(id))
                 .add("reason", "another copy of the request was refused while this one was on its way");
@@ -432,7 +403,7 @@
     scheduler_parts& m_parts;
     absl::flat_hash_map<job_id, pending_submission> m_submitting;
     std::map<refused_job, int> m_refusing; ///< number of refusals that are being committed, by job
-    recent_refusals m_refusals;
+    copy_filter m_copies;
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -35,7 +35,7 @@
     /// Format of the newest commands that this version applies. 1 added `replace_config`; without it an
     /// instance skips that command and keeps another configuration.
     static constexpr std::uint32_t command_format = 1;
-    /// Bounds the memory and the snapshot: about 2.5 MB, and 0.7 MB.
+    /// Bounds the memory (64 bytes each) and the snapshot (20 bytes each).
     static constexpr std::size_t max_refused_jobs = 32'768;
 
     /// Applies a committed command and appends what it changed to `events`.
--- a/unit_tests/scheduler/caller_service_test.cpp
+++ b/unit_tests/scheduler/caller_service_test.cpp
@@ -55,6 +55,8 @@
         run_until([&] { return answers == count; });
     }
 
+    /// Forgets what a leader keeps for itself, as the next leader does not know it.
+    void lead_anew() { m_service.on_leading(); }
     void wait(duration length) {
         const auto end = m_parts.loop.now() + length;
         run_until([&] { return m_parts.loop.now() >= end; });
@@ -185,6 +187,17 @@
     EXPECT_EQ(service.count_jobs(), 1U);
 }
 
+// The next leader does not know what the one before refused.
+TEST(caller_service, refuses_the_copies_of_a_submission_that_a_former_leader_refused) {
+    leading_service service;
+    service.refuse_all_jobs(true);
+    EXPECT_EQ(service.send("POST", job), 429);
+    service.refuse_all_jobs(false);
+    service.lead_anew();
+    EXPECT_EQ(service.send("POST", job, 2000), 429);
+    EXPECT_EQ(service.count_jobs(), 0U);
+}
+
 // A connection that was held up delivered submissions that had long been answered elsewhere.
 TEST(caller_service, drops_a_request_that_was_on_its_way_for_longer_than_its_caller_waits) {
     leading_service service;
