--- a/poplarpitch/config/section_reader.cpp
+++ b/poplarpitch/config/section_reader.cpp
@@ -65,6 +65,14 @@
     return entry == nullptr ? fallback : entry->value;
 }
 
+std::string section_reader::get_utf8_text(const std::string& key, const std::string& fallback) {
+    auto text = get_text(key, fallback);
+    if (!is_utf8(text)) {
+        add_error(key, key + " must be UTF-8");
+    }
+    return text;
+}
+
 std::int64_t section_reader::get_integer(const std::string& key, std::int64_t fallback, std::int64_t low,
                                          std::int64_t high) {
     const auto* entry = find(key);
--- a/poplarpitch/config/section_reader.h
+++ b/poplarpitch/config/section_reader.h
@@ -20,6 +20,8 @@
 
     /// Returns the text of `key`, or `fallback` when it is absent.
     std::string get_text(const std::string& key, const std::string& fallback);
+    /// As `get_text`, for a text that is sent to other processes: reports one that is not UTF-8.
+    std::string get_utf8_text(const std::string& key, const std::string& fallback);
     /// Returns the integer of `key`, or `fallback` when it is absent or not within [low, high].
     std::int64_t get_integer(const std::string& key, std::int64_t fallback, std::int64_t low,
                              std::int64_t high);
--- a/poplarpitch/dispatch/dispatcher.cpp
+++ b/poplarpitch/dispatch/dispatcher.cpp
@@ -427,8 +427,7 @@
         const auto job = m_refused.front().second;
         m_refused.pop_front();
         job_wire::job_command command;
-        command.mutable_refuse()->set_id(job.id);
-        command.mutable_refuse()->set_queue(job.queue);
+        encode(job, *command.mutable_refuse());
         command.mutable_refuse()->set_forget(true);
         m_commands.push_back(std::move(command));
     }
--- a/poplarpitch/gateway/gateway_settings.cpp
+++ b/poplarpitch/gateway/gateway_settings.cpp
@@ -2,7 +2,6 @@
 
 #include "poplarpitch/config/ini_document.h"
 #include "poplarpitch/config/section_reader.h"
-#include "poplarpitch/core/text.h"
 #include "poplarpitch/net/address_settings.h"
 
 namespace poplarpitch {
@@ -12,7 +11,7 @@
 
 void read_instance(section_reader& reader, gateway_settings& value) {
     value.id = reader.get_text("id", "");
-    value.data_centre = reader.get_text("data_centre", value.data_centre);
+    value.data_centre = reader.get_utf8_text("data_centre", value.data_centre);
     value.log_level = reader.get_text("log_level", value.log_level);
     value.link_port = static_cast<int>(reader.get_integer("link_port", 0, 0, max_port));
     value.metrics_port = static_cast<int>(reader.get_integer("metrics_port", 0, 0, max_port));
@@ -20,9 +19,6 @@
     if (value.id.empty()) {
         reader.add_error("id", "id is missing: it is the name of this instance");
     }
-    if (!is_utf8(value.data_centre)) {
-        reader.add_error("data_centre", "data_centre must be UTF-8");
-    }
     if (value.seeds.empty()) {
         reader.add_error("seeds", "seeds is missing: it lists addresses of control instances");
     }
--- a/poplarpitch/json/field_reader.cpp
+++ b/poplarpitch/json/field_reader.cpp
@@ -1,5 +1,7 @@
 #include "poplarpitch/json/field_reader.h"
 
+#include "poplarpitch/json/truncated_number.h"
+
 #include <cmath>
 #include <limits>
 #include <utility>
@@ -9,9 +11,6 @@
 
 using json = nlohmann::json;
 
-// The first double beyond the range of 64-bit integers with a sign, 2^63.
-constexpr double integer_limit = 9'223'372'036'854'775'808.0;
-
 std::string make_item_path(const std::string& list, std::size_t index) {
     return list + "[" + std::to_string(index) + "]";
 }
@@ -41,13 +40,11 @@
     if (!may_cut && std::trunc(number) != number) {
         return {0, field_problem::fractional};
     }
-    if (number >= integer_limit) {
-        return {0, field_problem::too_large};
-    }
-    if (number < -integer_limit) {
-        return {0, field_problem::negative};
+    const auto integer = truncate_to_integer(number);
+    if (!integer.has_value()) {
+        return {0, number < 0 ? field_problem::negative : field_problem::too_large};
     }
-    return {static_cast<std::int64_t>(number), {}};
+    return {*integer, {}};
 }
 
 } // namespace
--- a/poplarpitch/net/event_loop.cpp
+++ b/poplarpitch/net/event_loop.cpp
@@ -51,12 +51,13 @@
             hook();
         }
         arm_timer();
-        begin_wait(clock.now());
+        const auto wait_began = clock.now();
+        begin_wait(wait_began);
         m_is_now_stale = true; // Asio runs the handler that ends the wait before run_one returns
         context.run_one();
         read_clock();
         m_is_waiting = false;
-        update_load(m_wait_began, m_now);
+        update_load(wait_began, m_now);
         run_ready();
         read_clock();
         run_due_timers();
@@ -65,7 +66,6 @@
 
 void event_loop::begin_wait(time_point now) {
     m_worked = now - m_last_wake;
-    m_wait_began = now;
     m_wait_due = m_timer_expiry == time_point{} ? time_point::max() : std::max(m_timer_expiry, now);
     m_is_waiting = true;
 }
--- a/poplarpitch/net/event_loop.h
+++ b/poplarpitch/net/event_loop.h
@@ -88,7 +88,6 @@
     mutable time_point m_now{};
     mutable bool m_is_now_stale = false; ///< a wait or a handler may have happened since `m_now` was read
     time_point m_last_wake{};            ///< end of the last iteration's wait
-    time_point m_wait_began{};           ///< of this iteration
     time_point m_wait_due = time_point::max(); ///< latest planned end of this iteration's wait
     duration m_worked{};       ///< time from the wait of the last iteration to that of this one
     bool m_is_waiting = false; ///< the first handler of the iteration ends the wait
--- a/poplarpitch/net/http_listener.cpp
+++ b/poplarpitch/net/http_listener.cpp
@@ -89,9 +89,7 @@
         boost::system::error_code error;
         m_socket.non_blocking(true, error);
         m_socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
-        const bool is_closed = error && error != asio::error::would_block && error != asio::error::try_again;
-        m_impl->abandoned_requests += is_closed ? 1 : 0;
-        return is_closed;
+        return error && error != asio::error::would_block && error != asio::error::try_again;
     }
 
     void on_read(const beast::error_code& error) {
@@ -102,7 +100,12 @@
             write(make_error_response(413, "too_large", "the body is larger than allowed"));
             return;
         }
-        if (error || is_abandoned()) {
+        if (error) {
+            close();
+            return;
+        }
+        if (is_abandoned()) {
+            ++m_impl->abandoned_requests;
             close();
             return;
         }
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -287,7 +287,7 @@
 void replica::send(const raft_message& message) {
     job_wire::cluster_frame frame;
     encode(message, *frame.mutable_raft());
-    frame.set_command_format(m_settings.command_format);
+    frame.set_command_format(m_handler.command_format);
     m_mesh->send(get_node_ip(message.to), frame);
 }
 
@@ -479,7 +479,7 @@
 }
 
 bool replica::do_all_members_know(std::uint32_t command_format) const {
-    if (m_node == nullptr || m_settings.command_format < command_format) {
+    if (m_node == nullptr || m_handler.command_format < command_format) {
         return false;
     }
     const auto& members = m_node->get_membership();
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -63,6 +63,7 @@
     /// Returns the leader's figures for the load digest in its status. Called only while this instance leads.
     /// Without it, the status has no digest.
     std::function<leader_figures()> get_figures;
+    std::uint32_t command_format = 0; ///< of the newest commands that the state machine knows
 };
 
 /// A control instance's replica of the log, on an event loop: raft node, storage, peers, bootstrap and
--- a/poplarpitch/replica/replica_settings.h
+++ b/poplarpitch/replica/replica_settings.h
@@ -28,7 +28,6 @@
         8U << 20; ///< log size that triggers a snapshot; a log of this size is replayed in under 1 s
     std::uint64_t kept_entries =
         500; ///< log entries kept before a snapshot, so that a slightly slow follower needs no snapshot
-    std::uint32_t command_format = 0; ///< of the newest commands that this instance knows
     raft_settings raft;
 
     friend auto operator<=>(const replica_settings&, const replica_settings&) = default;
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/http/http_response.h"
 #include "poplarpitch/scheduler/copy_filter.h"
+#include "poplarpitch/scheduler/refused_submissions.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduling/job_codec.h"
@@ -12,7 +13,6 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
-#include <map>
 #include <string>
 #include <utility>
 
@@ -30,7 +30,8 @@
     using answer_handler = std::function<void(const job_wire::relay_answer&)>;
 
     /// Precondition: `parts` outlives the object.
-    explicit caller_service(scheduler_parts& parts) : m_parts(parts) {}
+    explicit caller_service(scheduler_parts& parts)
+        : m_parts(parts), m_refused(parts.job_state, parts.batcher) {}
 
     /// Handles a relayed request.
     void handle(const job_wire::relay_request& request, const answer_handler& on_answer) {
@@ -159,9 +160,10 @@
             finish(answer, 200, "", on_answer); // a repeated request
             return;
         }
+        const refused_job submission{id, queue.get_hash()};
         const auto* pending = find_pending(id);
         const bool is_elsewhere = m_parts.job_state.find_job(id) != nullptr ||
-                                  (pending != nullptr && pending->queue != queue.get_hash());
+                                  (pending != nullptr && pending->queue != submission.queue);
         if (is_elsewhere) {
             log_event(log_level::warn, "job_refused")
                 .add("job", format_job_id(id))
@@ -170,11 +172,11 @@
                    on_answer);
             return;
         }
-        if (must_not_submit({id, queue.get_hash()})) {
+        if (m_refused.contains(submission)) {
             log_event(log_level::info, "job_refused")
                 .add("job", format_job_id(id))
                 .add("reason", "it was cancelled before it was submitted");
-            refuse_submission({id, queue.get_hash()}, answer, on_answer);
+            refuse_submission(submission, answer, on_answer);
             return;
         }
         // A repeated request, sent while the command of the first one is being committed, must not be
@@ -221,7 +223,7 @@
             .add("config", m_parts.job_state.get_configuration().version)
             .add("steps", static_cast<std::uint64_t>(job.steps.size()));
         auto& submitting = m_submitting[id];
-        submitting.queue = queue.get_hash();
+        submitting.queue = submission.queue;
         ++submitting.commands;
         m_parts.batcher.add(std::move(command), [this, id, answer = make_result_handler(answer, on_answer)](
                                                     commit_result outcome) mutable {
@@ -352,34 +354,11 @@
         });
     }
 
-    /// Returns true when a job was cancelled before it was submitted, or will be once that is committed.
-    [[nodiscard]] bool must_not_submit(const refused_job& job) const {
-        return m_parts.job_state.is_refused(job) || m_refusing.contains(job);
-    }
-
     /// Answers that there is no such job, once the log holds that it must not be submitted any more. A copy
     /// of its submission may still be on its way, and also reach a later leader.
-    void refuse_submission(const refused_job& job, job_wire::relay_answer answer,
+    void refuse_submission(const refused_job& job, const job_wire::relay_answer& answer,
                            const answer_handler& on_answer) {
-        if (m_parts.job_state.is_refused(job)) {
-            finish(std::move(answer), 410, "", on_answer);
-            return;
-        }
-        const auto count = m_parts.job_state.get_refused().size() + m_refusing.size();
-        if (count >= job_state_machine::max_refused_jobs) {
-            refuse_to_cancel(job, std::move(answer), on_answer);
-            return;
-        }
-        job_wire::job_command command;
-        command.mutable_refuse()->set_id(job.id);
-        command.mutable_refuse()->set_queue(job.queue);
-        log_event(log_level::info, "submission_refused").add("job", format_job_id(job.id));
-        ++m_refusing[job];
-        m_parts.batcher.add(std::move(command), [this, job, answer, on_answer](commit_result outcome) {
-            const auto refusing = m_refusing.find(job);
-            if (--refusing->second == 0) {
-                m_refusing.erase(refusing);
-            }
+        m_refused.add(job, [job, answer, on_answer](commit_result outcome) {
             if (outcome == commit_result::applied) {
                 finish(answer, 410, "", on_answer);
             } else if (outcome == commit_result::refused) {
@@ -402,7 +381,7 @@
 
     scheduler_parts& m_parts;
     absl::flat_hash_map<job_id, pending_submission> m_submitting;
-    std::map<refused_job, int> m_refusing; ///< number of refusals that are being committed, by job
+    refused_submissions m_refused;
     copy_filter m_copies;
 };
 
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -90,6 +90,7 @@
 
     replica_handler make_handler() {
         replica_handler handler;
+        handler.command_format = job_state_machine::command_format;
         handler.on_command = [this](const log_entry& entry) {
             on_command(entry);
         };
--- a/poplarpitch/scheduler/scheduler_parts.h
+++ b/poplarpitch/scheduler/scheduler_parts.h
@@ -15,9 +15,8 @@
 /// The components of a scheduler instance that its services share. All are used on the loop's thread only.
 struct scheduler_parts {
     explicit scheduler_parts(const scheduler_settings& chosen, replica_handler handler)
-        : settings(with_command_format(chosen)), log(loop, settings.replica, std::move(handler)),
-          batcher(loop, log, job_state), dispatch(settings.dispatch, job_state),
-          caller(loop, settings.caller), relays(settings.relay) {}
+        : settings(chosen), log(loop, settings.replica, std::move(handler)), batcher(loop, log, job_state),
+          dispatch(settings.dispatch, job_state), caller(loop, settings.caller), relays(settings.relay) {}
 
     scheduler_settings settings;
     event_loop loop;
@@ -28,11 +27,6 @@
     http_caller caller;
     relay_hub relays; ///< in use while this instance leads
 
-    static scheduler_settings with_command_format(scheduler_settings settings) {
-        settings.replica.command_format = job_state_machine::command_format;
-        return settings;
-    }
-
     /// Returns true when this instance leads and holds the leader's lease, so that it may answer for the
     /// whole system. Thread safety: the loop's thread.
     [[nodiscard]] bool may_answer() const { return log.is_leading() && log.has_lease(); }
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -2,7 +2,6 @@
 
 #include "poplarpitch/config/ini_document.h"
 #include "poplarpitch/config/section_reader.h"
-#include "poplarpitch/core/text.h"
 #include "poplarpitch/net/address_settings.h"
 #include "poplarpitch/net/descriptor_budget.h"
 
@@ -15,7 +14,7 @@
 
 void read_instance(section_reader& reader, scheduler_settings& value) {
     value.id = reader.get_text("id", "");
-    value.data_centre = reader.get_text("data_centre", value.data_centre);
+    value.data_centre = reader.get_utf8_text("data_centre", value.data_centre);
     value.replica.data_centre = value.data_centre;
     value.log_level = reader.get_text("log_level", value.log_level);
     value.replica.host = reader.get_text("host", value.replica.host);
@@ -25,9 +24,6 @@
     if (value.id.empty()) {
         reader.add_error("id", "id is missing: it is the name of this instance");
     }
-    if (!is_utf8(value.data_centre)) {
-        reader.add_error("data_centre", "data_centre must be UTF-8");
-    }
     if (!parse_ip(value.replica.host).has_value()) {
         reader.add_error("host", "host must be an IPv4 address, such as 10.0.0.4");
     }
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -179,6 +179,15 @@
     return {{message.job(), message.occurrence(), message.step()}, message.index()};
 }
 
+void encode(const refused_job& job, job_wire::refuse_job& message) {
+    message.set_id(job.id);
+    message.set_queue(job.queue);
+}
+
+refused_job decode(const job_wire::refuse_job& message) {
+    return {message.id(), message.queue()};
+}
+
 void encode(const job_configuration& configuration, job_wire::put_config& message) {
     message.set_version(configuration.version);
     message.set_document(configuration.document);
--- a/poplarpitch/scheduling/job_codec.h
+++ b/poplarpitch/scheduling/job_codec.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/scheduling/job_record.h"
 #include "poplarpitch/scheduling/learned_record.h"
 #include "poplarpitch/scheduling/pressure_factor.h"
+#include "poplarpitch/scheduling/refused_job.h"
 #include "poplarpitch/scheduling/step_job.h"
 #include "poplarpitch/scheduling/task_key.h"
 
@@ -14,6 +15,7 @@
 class note_learned;
 class note_pressure;
 class put_config;
+class refuse_job;
 class step_job;
 class task_name;
 } // namespace poplarpitch::job_wire
@@ -25,6 +27,8 @@
 [[nodiscard]] step_job decode(const job_wire::step_job& message);
 void encode(const task_key& key, job_wire::task_name& message);
 [[nodiscard]] task_key decode(const job_wire::task_name& message);
+void encode(const refused_job& job, job_wire::refuse_job& message);
+[[nodiscard]] refused_job decode(const job_wire::refuse_job& message);
 void encode(const job_configuration& configuration, job_wire::put_config& message);
 [[nodiscard]] job_configuration decode(const job_wire::put_config& message);
 void encode(const job_record& record, job_wire::job_state_record& message);
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -73,9 +73,9 @@
     case job_wire::job_command::kEnd:
         return end(read_end(command.end()), command.end().saved(), events);
     case job_wire::job_command::kConfig:
-        return put_config(command.config(), events);
+        return put_config(command.config(), false, events);
     case job_wire::job_command::kReplaceConfig:
-        return replace_config(command.replace_config(), events);
+        return put_config(command.replace_config(), m_configuration.has_invalid_version(), events);
     case job_wire::job_command::kRetire:
         return retire({command.retire().worker(), command.retire().born_ms()}, events);
     case job_wire::job_command::kDrain:
@@ -96,7 +96,7 @@
     case job_wire::job_command::kCrash:
         return record_crash(read_crash(command.crash()), events);
     case job_wire::job_command::kRefuse: {
-        const refused_job job{command.refuse().id(), command.refuse().queue()};
+        const auto job = decode(command.refuse());
         if (command.refuse().forget()) {
             m_refused.erase(job);
             return command_outcome::applied;
@@ -111,9 +111,9 @@
     }
 }
 
-command_outcome job_state_machine::put_config(const job_wire::put_config& message,
+command_outcome job_state_machine::put_config(const job_wire::put_config& message, bool whatever_version,
                                               std::vector<job_state_event>& events) {
-    if (message.version() <= m_configuration.version) {
+    if (!whatever_version && message.version() <= m_configuration.version) {
         return command_outcome::repeated; // an older or repeated version is acknowledged and changes nothing
     }
     m_configuration = decode(message);
@@ -121,16 +121,6 @@
     return command_outcome::applied;
 }
 
-command_outcome job_state_machine::replace_config(const job_wire::put_config& message,
-                                                  std::vector<job_state_event>& events) {
-    if (!m_configuration.has_invalid_version()) {
-        return put_config(message, events);
-    }
-    m_configuration = decode(message);
-    events.push_back(make_job_event(job_state_event::kind::config_changed, 0));
-    return command_outcome::applied;
-}
-
 command_outcome job_state_machine::submit(const job_wire::step_job& message,
                                           std::vector<job_state_event>& events) {
     if (m_jobs.contains(message.id())) {
@@ -465,9 +455,7 @@
         snapshot.add_drained_data_centres(name);
     }
     for (const auto& job : m_refused) {
-        auto& item = *snapshot.add_refused();
-        item.set_id(job.id);
-        item.set_queue(job.queue);
+        encode(job, *snapshot.add_refused());
     }
     snapshot.set_fence_raises(m_fence_raises);
     snapshot.set_next_sequence(m_next_sequence);
@@ -496,7 +484,7 @@
     }
     m_drained_data_centres = {snapshot.drained_data_centres().begin(), snapshot.drained_data_centres().end()};
     for (const auto& job : snapshot.refused()) {
-        m_refused.insert({job.id(), job.queue()});
+        m_refused.insert(decode(job));
     }
     m_fence_raises = snapshot.fence_raises();
     m_next_sequence = snapshot.next_sequence();
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -83,9 +83,9 @@
     [[nodiscard]] std::vector<std::pair<run_key, assigned_run>> get_assigned_runs() const;
 
 private:
-    command_outcome put_config(const job_wire::put_config& message, std::vector<job_state_event>& events);
-    /// As `put_config`, but any version takes effect if that of the configuration in effect is invalid.
-    command_outcome replace_config(const job_wire::put_config& message, std::vector<job_state_event>& events);
+    /// `whatever_version`: takes effect although its version is not higher than that in effect.
+    command_outcome put_config(const job_wire::put_config& message, bool whatever_version,
+                               std::vector<job_state_event>& events);
     command_outcome submit(const job_wire::step_job& message, std::vector<job_state_event>& events);
     command_outcome cancel(job_id id, std::vector<job_state_event>& events);
     /// Records that a job was cancelled before it was submitted. Refused when too many are recorded.
--- a/poplarpitch/scheduling/queue_settings.cpp
+++ b/poplarpitch/scheduling/queue_settings.cpp
@@ -5,7 +5,7 @@
 namespace poplarpitch {
 
 std::uint64_t queue_settings::get_hash() const {
-    return hash_bytes(host + '\n' + prefix); // neither contains a line feed
+    return hash_bytes(host + '\n' + prefix); // no host or path of a request has a line feed
 }
 
 } // namespace poplarpitch
--- a/unit_tests/replica/command_format_test.cpp
+++ b/unit_tests/replica/command_format_test.cpp
@@ -1,7 +1,7 @@
 // Whether every member of the log knows a format of commands, so that the leader may propose one of them.
 #include "poplarpitch/net/event_loop.h"
-#include "poplarpitch/net/frame_socket.h"
 #include "poplarpitch/replica/replica.h"
+#include "unit_tests/replica/free_port.h"
 #include "unit_tests/support/temporary_folder.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,11 +18,6 @@
 constexpr duration test_timeout = seconds{30};
 constexpr duration settled_time = seconds{1}; // ten heartbeats of the leader
 
-int find_free_port(event_loop& loop, const std::string& host) {
-    frame_listener listener(loop, host, 0, [](const std::shared_ptr<frame_socket>& /*socket*/) {});
-    return listener.start();
-}
-
 /// A cluster of instances on one event loop, each of which knows commands of its own format.
 class cluster {
 public:
@@ -39,8 +34,7 @@
             settings.may_found = true;
             settings.voters = formats.size();
             settings.data_folder = m_folders[number].get_path();
-            settings.command_format = formats[number];
-            m_replicas.push_back(std::make_unique<replica>(m_loop, settings, make_handler()));
+            m_replicas.push_back(std::make_unique<replica>(m_loop, settings, make_handler(formats[number])));
             EXPECT_TRUE(m_replicas.back()->start());
         }
     }
@@ -60,8 +54,9 @@
 private:
     static constexpr int first_host = 41;
 
-    static replica_handler make_handler() {
+    static replica_handler make_handler(std::uint32_t command_format) {
         replica_handler handler;
+        handler.command_format = command_format;
         handler.on_command = [](const log_entry& /*entry*/) {
         };
         handler.on_save = [] {
