--- a/unit_tests/platform/cancelled_job_cluster_test.cpp
+++ b/unit_tests/platform/cancelled_job_cluster_test.cpp
@@ -83,12 +83,8 @@
     send_and_leave(cluster.get_caller_address(1), make_raw_post("/jobs/" + job, body));
     absl::SleepFor(absl::Milliseconds(1000));
     cluster.get_gateway(1).send(SIGCONT);
-    const auto end = absl::Now() + absl::Seconds(to_seconds(wait_timeout));
-    while (cluster.get_gateway(1).read_log().find("event=requests_abandoned requests=1") ==
-           std::string::npos) {
-        ASSERT_LT(absl::Now(), end) << "the request was not dropped";
-        absl::SleepFor(absl::Milliseconds(20));
-    }
+    ASSERT_TRUE(scheduler_cluster::wait_for_log(cluster.get_gateway(1), "event=requests_abandoned requests=1",
+                                                wait_timeout));
     EXPECT_EQ(send(cluster, "GET", 2), 410);
     EXPECT_EQ(send(cluster, "POST", 1), 200); // a client that waits is served
 }
--- a/unit_tests/platform/crash_cluster_test.cpp
+++ b/unit_tests/platform/crash_cluster_test.cpp
@@ -53,10 +53,8 @@
     submit_both(cluster);
     const int leader = cluster.find_leader();
     ASSERT_NE(leader, 0);
-    while (cluster.get_scheduler(leader).read_log().find("event=task_crashed job=" + crashing_job) ==
-           std::string::npos) {
-        absl::SleepFor(absl::Milliseconds(10));
-    }
+    ASSERT_TRUE(scheduler_cluster::wait_for_log(cluster.get_scheduler(leader),
+                                                "event=task_crashed job=" + crashing_job, wait_timeout));
     cluster.get_scheduler(leader).kill();
     expect_crashing_job_failed_and_healthy_job_done(cluster, workers);
 }
--- a/unit_tests/platform/dialect_test.cpp
+++ b/unit_tests/platform/dialect_test.cpp
@@ -1,6 +1,7 @@
 // Translation between the outer platform's requests, names and JSON bodies and the scheduler's types.
 #include "platform/dialect.h"
 #include "platform/task_name.h"
+#include "unit_tests/support/post_request.h"
 
 #include <nlohmann/json.hpp>
 
@@ -61,14 +62,6 @@
     EXPECT_FALSE(read_task_name("").has_value());
 }
 
-http_request make_post(const std::string& target, const std::string& body) {
-    http_request request;
-    request.method = "POST";
-    request.target = target;
-    request.body = body;
-    return request;
-}
-
 TEST(platform_control, reads_a_heartbeat) {
     const auto call = read_control_call(make_post(
         "/v1/Instances.Heartbeat/i-7f", R"({"service":"s","addr":"10.0.0.9:80","zone":"z","state":"draining",
--- a/unit_tests/platform/door_fuzz_test.cpp
+++ b/unit_tests/platform/door_fuzz_test.cpp
@@ -5,13 +5,14 @@
 #include "platform/job_dialect.h"
 #include "platform/worker_dialect.h"
 
-#include "poplarpitch/http/http_request.h"
 #include "poplarpitch/http/http_response.h"
 #include "poplarpitch/relay/relay_codec.h"
 #include "poplarpitch/scheduling/configuration_checker.h"
 #include "poplarpitch/scheduling/job_codec.h"
 #include "poplarpitch/scheduling/step_job.h"
 #include "poplarpitch/wire/scheduling.pb.h"
+#include "unit_tests/support/generated_bytes.h"
+#include "unit_tests/support/post_request.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -45,16 +46,6 @@
     R"({"clockMs":482113,"running":[["5c0e7a21d94b36f8.0.1.17",2,"0000bb87",41,7]],
     "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done","0000bb87"]],"born":17})";
 
-/// Returns a short text in which bytes beyond ASCII are frequent.
-std::string generate_bytes() {
-    std::string bytes;
-    const auto length = *rc::gen::inRange(0, 6);
-    for (int index = 0; index < length; ++index) {
-        bytes.push_back(static_cast<char>(*rc::gen::inRange(0x21, 0x100)));
-    }
-    return bytes;
-}
-
 json generate_value() {
     static const std::vector<json> values = {nullptr,
                                              true,
@@ -185,14 +176,6 @@
     json m_document;
 };
 
-http_request make_post(const std::string& target, const std::string& body) {
-    http_request request;
-    request.method = "POST";
-    request.target = target;
-    request.body = body;
-    return request;
-}
-
 RC_GTEST_PROP(door_fuzz, accepts_calls_of_workers_only_as_they_are_written, ()) {
     static const std::vector<std::string> paths = {"/v1/Instances.Heartbeat/", "/v1/Instances.Deregister/",
                                                    "/v1/Evacuation.Start/", "/v1/Evacuation.End/"};
--- a/unit_tests/platform/drained_cluster_test.cpp
+++ b/unit_tests/platform/drained_cluster_test.cpp
@@ -58,11 +58,7 @@
 void wait_for_five_voters(scheduler_cluster& cluster) {
     const auto leader = cluster.find_leader();
     ASSERT_NE(leader, 0);
-    const auto end = absl::Now() + absl::Seconds(to_seconds(wait_timeout));
-    while (cluster.get_scheduler(leader).read_log().find("voters=5") == std::string::npos) {
-        ASSERT_LT(absl::Now(), end);
-        absl::SleepFor(absl::Milliseconds(10));
-    }
+    ASSERT_TRUE(scheduler_cluster::wait_for_log(cluster.get_scheduler(leader), "voters=5", wait_timeout));
 }
 
 void expect_only_in_the_west(const std::vector<std::string>& workers) {
--- a/unit_tests/platform/gang_cluster_test.cpp
+++ b/unit_tests/platform/gang_cluster_test.cpp
@@ -2,7 +2,6 @@
 #include "unit_tests/platform/scheduler_cluster.h"
 #include "unit_tests/platform/stand_in_workers.h"
 
-#include <absl/time/clock.h>
 #include <gtest/gtest.h>
 
 namespace poplarpitch {
@@ -14,17 +13,6 @@
 constexpr int max_attempts = 2; // less than the members that fail in the first run
 const std::string job = "0000000000000f01";
 
-bool wait_for_log(scheduler_cluster& cluster, int scheduler, const std::string& text) {
-    const auto deadline = absl::Now() + absl::FromChrono(wait_timeout);
-    while (cluster.get_scheduler(scheduler).read_log().find(text) == std::string::npos) {
-        if (absl::Now() > deadline) {
-            return false;
-        }
-        absl::SleepFor(absl::Milliseconds(1));
-    }
-    return true;
-}
-
 // The job was shown as failed after one run of its gang, in which several members had failed.
 TEST(gang_cluster, completes_a_job_whose_gang_failed_once_in_several_members) {
     scheduler_cluster cluster(3);
@@ -43,7 +31,8 @@
     const int leader = cluster.find_leader();
     ASSERT_NE(leader, 0);
     ASSERT_TRUE(cluster.submit_gang(job, member_count, wait_timeout, stand_in_workers::failing_once_payload));
-    ASSERT_TRUE(wait_for_log(cluster, leader, "event=attempt_failed job=" + job));
+    ASSERT_TRUE(scheduler_cluster::wait_for_log(cluster.get_scheduler(leader),
+                                                "event=attempt_failed job=" + job, wait_timeout));
     cluster.get_scheduler(leader).kill();
     EXPECT_TRUE(cluster.wait_for_state(job, "completed", wait_timeout));
     EXPECT_EQ(workers.get_concurrent_start_count(), 0);
--- a/unit_tests/platform/malformed_call_test.cpp
+++ b/unit_tests/platform/malformed_call_test.cpp
@@ -4,7 +4,7 @@
 #include "platform/control_dialect.h"
 #include "platform/job_dialect.h"
 
-#include "poplarpitch/http/http_request.h"
+#include "unit_tests/support/post_request.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -25,11 +25,7 @@
     {"count":20,"cpu":2000,"memMb":1024,"estimateMs":7000,"dependsOn":[0],"checkpointing":true}]})";
 
 control_call read_heartbeat(const std::string& body) {
-    http_request request;
-    request.method = "POST";
-    request.target = "/v1/Instances.Heartbeat/i-7f";
-    request.body = body;
-    return read_control_call(request);
+    return read_control_call(make_post("/v1/Instances.Heartbeat/i-7f", body));
 }
 
 TEST(malformed_call, rejects_a_heartbeat_with_an_invalid_start_time) {
@@ -169,28 +165,21 @@
     RC_ASSERT(!read_configuration(bytes).has_value());
 }
 
-control_call read_post(const std::string& target, const std::string& body = {}) {
-    http_request request;
-    request.method = "POST";
-    request.target = target;
-    request.body = body;
-    return read_control_call(request);
-}
-
 // An id that is not UTF-8 made batches of the log unreadable, with the assignments and ends of other jobs.
 TEST(malformed_call, rejects_ids_and_names_in_paths_that_are_not_utf8) {
     const std::string bytes = "i-7f\xe9\xff";
     auto draining = nlohmann::json::parse(valid_heartbeat);
     draining["state"] = "draining";
-    const control_call calls[] = {read_post("/v1/Instances.Heartbeat/" + bytes, valid_heartbeat),
-                                  read_post("/v1/Instances.Heartbeat/" + bytes, draining.dump()),
-                                  read_post("/v1/Instances.Deregister/" + bytes),
-                                  read_post("/v1/Evacuation.Start/" + bytes),
-                                  read_post("/v1/Evacuation.End/" + bytes)};
-    for (const auto& call : calls) {
-        EXPECT_TRUE(std::holds_alternative<malformed_call>(call));
+    const http_request requests[] = {make_post("/v1/Instances.Heartbeat/" + bytes, valid_heartbeat),
+                                     make_post("/v1/Instances.Heartbeat/" + bytes, draining.dump()),
+                                     make_post("/v1/Instances.Deregister/" + bytes),
+                                     make_post("/v1/Evacuation.Start/" + bytes),
+                                     make_post("/v1/Evacuation.End/" + bytes)};
+    for (const auto& request : requests) {
+        EXPECT_TRUE(std::holds_alternative<malformed_call>(read_control_call(request)));
     }
-    EXPECT_TRUE(std::holds_alternative<deregister_call>(read_post("/v1/Instances.Deregister/i-\xc3\xa9")));
+    const auto valid = read_control_call(make_post("/v1/Instances.Deregister/i-\xc3\xa9"));
+    EXPECT_TRUE(std::holds_alternative<deregister_call>(valid));
 }
 
 } // namespace
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -23,6 +23,7 @@
 
 constexpr duration call_timeout = seconds{2};
 constexpr duration poll_interval = milliseconds{20};
+constexpr duration log_poll_interval = milliseconds{1};
 
 std::string make_folder() {
     static std::atomic<int> next{0};
@@ -41,14 +42,14 @@
 /// Polls `is_done` until it returns true or `limit` has passed. Returns false at the limit, so that a failing
 /// test ends.
 template <class Condition>
-bool wait_until(duration limit, Condition is_done) {
+bool wait_until(duration limit, Condition is_done, duration interval = poll_interval) {
     const system_clock clock;
     const auto end = clock.now() + limit;
     while (clock.now() < end) {
         if (is_done()) {
             return true;
         }
-        absl::SleepFor(absl::Nanoseconds(poll_interval.count()));
+        absl::SleepFor(absl::Nanoseconds(interval.count()));
     }
     return false;
 }
@@ -281,6 +282,13 @@
     return wait_until(limit, [&] { return get_state(id) == state; });
 }
 
+bool scheduler_cluster::wait_for_log(const child_process& process, const std::string& text, duration limit) {
+    const auto has_text = [&] {
+        return process.read_log().find(text) != std::string::npos;
+    };
+    return wait_until(limit, has_text, log_poll_interval);
+}
+
 std::optional<std::string> scheduler_cluster::get_state(const std::string& id) {
     const auto response = send_caller_request("GET", "/jobs/" + id);
     if (!response.has_value() || response->status != 200) {
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -76,6 +76,9 @@
     bool submit_gang(const std::string& id, int members, duration limit, const std::string& payload);
     /// Waits until a job's state is `state`. Returns false when it is not within `limit`.
     bool wait_for_state(const std::string& id, const std::string& state, duration limit);
+    /// Waits until the log of a process contains `text`, and looks often, so that the caller can act right
+    /// after. Returns false when it does not within `limit`.
+    static bool wait_for_log(const child_process& process, const std::string& text, duration limit);
     /// Returns a job's state, or nothing when no answer reports it.
     std::optional<std::string> get_state(const std::string& id);
     /// Returns the number of the scheduler that leads, or 0 when none does.
--- a/unit_tests/replica/leader_report_test.cpp
+++ b/unit_tests/replica/leader_report_test.cpp
@@ -3,6 +3,7 @@
 #include "poplarpitch/net/frame_socket.h"
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/wire/scheduling.pb.h"
+#include "unit_tests/replica/free_port.h"
 #include "unit_tests/support/temporary_folder.h"
 
 #include <boost/asio/io_context.hpp>
@@ -40,7 +41,7 @@
         settings.data_centre = "hall";
         settings.seeds = {settings.host};
         settings.may_found = true;
-        settings.port = find_free_port();
+        settings.port = find_free_port(loop);
         m_address = settings.host + ":" + std::to_string(settings.port);
         m_log = std::make_unique<replica>(loop, settings, std::move(handler));
         EXPECT_TRUE(m_log->start());
@@ -106,11 +107,6 @@
     bool is_timed_out = false;
 
 private:
-    int find_free_port() {
-        frame_listener listener(loop, "127.0.0.1", 0, [](const std::shared_ptr<frame_socket>& /*socket*/) {});
-        return listener.start();
-    }
-
     temporary_folder m_folder;
     std::string m_address;
     std::unique_ptr<replica> m_log;
--- a/unit_tests/replica/load_digest_test.cpp
+++ b/unit_tests/replica/load_digest_test.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/replica/load_digest_writer.h"
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/wire/scheduling.pb.h"
+#include "unit_tests/replica/free_port.h"
 #include "unit_tests/support/temporary_folder.h"
 
 #include <gtest/gtest.h>
@@ -69,7 +70,7 @@
         settings.data_folder = m_folder.get_path();
         settings.seeds = {settings.host};
         settings.may_found = true;
-        settings.port = find_free_port();
+        settings.port = find_free_port(m_loop);
         m_address = settings.host + ":" + std::to_string(settings.port);
         m_log = std::make_unique<replica>(m_loop, settings, std::move(handler));
     }
@@ -94,12 +95,6 @@
     log_term led_term = 0;
 
 private:
-    int find_free_port() {
-        frame_listener listener(m_loop, "127.0.0.1", 0,
-                                [](const std::shared_ptr<frame_socket>& /*socket*/) {});
-        return listener.start();
-    }
-
     void ask() {
         job_wire::cluster_frame frame;
         frame.mutable_ask_status();
--- a/unit_tests/scheduling/unreadable_text_test.cpp
+++ b/unit_tests/scheduling/unreadable_text_test.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/scheduling/report_checker.h"
 #include "poplarpitch/scheduling/worker_report.h"
 #include "poplarpitch/wire/scheduling.pb.h"
+#include "unit_tests/support/generated_bytes.h"
 
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/message.h>
@@ -16,17 +17,6 @@
 namespace poplarpitch {
 namespace {
 
-/// Returns a short text in which bytes beyond ASCII are frequent.
-std::string generate_bytes() {
-    const auto length = *rc::gen::inRange<std::size_t>(0, 6);
-    std::string text;
-    for (std::size_t index = 0; index < length; ++index) {
-        const bool is_ascii = *rc::gen::inRange(0, 3) > 0;
-        text.push_back(static_cast<char>(*rc::gen::inRange(is_ascii ? 0x20 : 0x80, is_ascii ? 0x7f : 0x100)));
-    }
-    return text;
-}
-
 /// Sets texts of a message and of the messages in it to random bytes. Returns false when one of a field of
 /// type `string` is not UTF-8.
 // NOLINTNEXTLINE(misc-no-recursion): messages contain messages
--- a/unit_tests/transport/http_test.cpp
+++ b/unit_tests/transport/http_test.cpp
@@ -3,6 +3,7 @@
 #include "poplarpitch/transport/http_client_pool.h"
 #include "poplarpitch/transport/http_server.h"
 #include "poplarpitch/transport/transport_error.h"
+#include "unit_tests/support/post_request.h"
 
 #include <absl/synchronization/notification.h>
 #include <arpa/inet.h>
@@ -20,14 +21,6 @@
 
 constexpr duration test_timeout = seconds{20};
 
-http_request make_post(const std::string& target, const std::string& body) {
-    http_request request;
-    request.method = "POST";
-    request.target = target;
-    request.body = body;
-    return request;
-}
-
 /// A server with the handler of the test, and a client pool to reach it.
 class http_test : public testing::Test {
 protected:
