Bound the trailers and chunk extensions of HTTP messages

What callers saw: a crowd of 300 clients that sent trailer fields without end ended an entry instance, and schedulers by the control port and the ports of metrics and the health check; its callers then got no answer.

Cause: Beast's parser limits the header and the body. Trailers and the extensions of a chunk are neither: they stay in the buffer until they are whole, and the buffer had no limit. The same holds for the answers of workers.

Change: http_session reads from the socket itself. The buffer holds at most a header and 1 KiB, all bytes of a message together at most what a body in chunks of one byte takes, and beyond that the client gets 431 or 413. What is not HTTP gets 400 instead of a closed connection. The listener is taken apart: http_session (one connection), http_sessions (all of them), settings and limits have files of their own. Answers of workers have a bounded buffer too (64 KiB of unparsed bytes).

Tests: client_limits.* run a scheduler and an entry as processes against a crowd.

--- a/poplarpitch/net/http_exchange.cpp
+++ b/poplarpitch/net/http_exchange.cpp
@@ -16,8 +16,11 @@
 namespace {
 
 constexpr std::uint64_t max_response_bytes = 4U << 20; // the largest list of ended runs is far smaller
-constexpr duration min_time_left = milliseconds{50};   // a response takes a few milliseconds
-constexpr int min_time_divisor = 4;                    // for a call whose whole timeout is short: 1/4 of it
+// A response's header, trailers and extensions of chunks, which the parser reads only when they are whole.
+// The parser's own limit of a header is 8 KiB.
+constexpr std::size_t max_unparsed_bytes = 64U << 10;
+constexpr duration min_time_left = milliseconds{50}; // a response takes a few milliseconds
+constexpr int min_time_divisor = 4;                  // for a call whose whole timeout is short: 1/4 of it
 
 bool is_exhaustion(const boost::system::error_code& error) {
     return error == asio::error::no_descriptors ||
@@ -30,7 +33,7 @@
 http_exchange::http_exchange(std::shared_ptr<http_connections> owner, http_call call,
                              response_handler on_response)
     : m_connections(std::move(owner)), m_loop(m_connections->get_loop()), m_call(std::move(call)),
-      m_on_response(std::move(on_response)) {}
+      m_on_response(std::move(on_response)), m_buffer(max_unparsed_bytes) {}
 
 void http_exchange::start() {
     m_deadline = m_loop.now() + m_call.timeout;
--- a/poplarpitch/net/http_listener.h
+++ b/poplarpitch/net/http_listener.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "poplarpitch/core/result.h"
-#include "poplarpitch/core/time.h"
 #include "poplarpitch/http/http_request.h"
 #include "poplarpitch/http/http_response.h"
+#include "poplarpitch/net/http_listener_settings.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -14,21 +14,7 @@
 namespace poplarpitch {
 
 class event_loop;
-
-/// The address and limits of an HTTP server.
-struct http_listener_settings {
-    std::string host = "127.0.0.1";
-    int port = 0;                       ///< 0 selects a free port
-    std::size_t max_body = 1U << 20;    ///< bytes of a request body; a larger one gets status 413
-    std::size_t max_connections = 3000; ///< below the descriptor limit of the smallest entry instance (4,100)
-    duration idle_timeout = seconds{30};  ///< idle connections are closed after this time
-    duration sweep_interval = seconds{2}; ///< time between two checks for idle connections
-    /// A request that may have waited for longer than this to be read is dropped if its client has closed the
-    /// connection. By default requests are handled whether or not their clients still wait.
-    duration max_abandoned_wait = duration::max();
-
-    friend bool operator==(const http_listener_settings&, const http_listener_settings&) = default;
-};
+class http_sessions;
 
 /// Sends the response to one request. Called once. The response is dropped if the connection is closed by
 /// then.
@@ -65,10 +51,7 @@
     [[nodiscard]] std::size_t get_connections() const;
 
 private:
-    struct impl;
-    class session;
-
-    std::shared_ptr<impl> m_impl;
+    std::shared_ptr<http_sessions> m_sessions;
 };
 
 } // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/net/http_session.cpp
@@ -0,0 +1,210 @@
+#include "poplarpitch/net/http_session.h"
+
+#include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/net/http_sessions.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace poplarpitch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr std::size_t first_read_bytes = 2U << 10;  // most requests arrive in one read
+constexpr std::size_t max_read_bytes = 16U << 10;   // of a long request, for each system call
+constexpr std::size_t kept_buffer_bytes = 4U << 10; // a larger buffer is released after its request
+// Room of the buffer beyond a header: a header that is too long is found by the parser, not by the buffer.
+constexpr std::size_t buffer_slack_bytes = 1U << 10;
+constexpr std::size_t max_chunk_overhead =
+    8; // bytes of a message for each byte of its body: chunks of one byte
+
+std::size_t get_max_buffer(const http_limits& limits) {
+    return limits.max_header + buffer_slack_bytes;
+}
+
+} // namespace
+
+http_session::http_session(std::shared_ptr<http_sessions> owner, asio::ip::tcp::socket socket)
+    : m_owner(std::move(owner)), m_socket(std::move(socket)), m_last_use(m_owner->get_loop().now()) {}
+
+void http_session::close() {
+    boost::system::error_code ignored; // it is closed in any case
+    m_socket.close(ignored);
+    m_owner->on_closed(shared_from_this());
+}
+
+void http_session::close_if_idle(time_point oldest) {
+    if (!m_is_busy && m_last_use < oldest) {
+        close();
+    }
+}
+
+void http_session::read() {
+    const auto& limits = m_owner->get_settings().limits;
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->body_limit(limits.max_body);
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header));
+    m_message_bytes = m_buffer.size();
+    if (m_buffer.capacity() > kept_buffer_bytes) {
+        m_buffer.shrink_to_fit();
+    }
+    if (m_buffer.size() > 0) {
+        parse(); // a request that was sent behind the last one
+    } else {
+        read_more();
+    }
+}
+
+void http_session::read_more() {
+    const auto size = m_buffer.size();
+    const auto max_size = get_max_buffer(m_owner->get_settings().limits);
+    if (size >= max_size) {
+        refuse(431, "header_too_large", "the header or a trailer is larger than allowed");
+        return;
+    }
+    const auto wanted = m_message_bytes == 0 ? first_read_bytes : max_read_bytes;
+    m_socket.async_read_some(
+        m_buffer.prepare(std::min(wanted, max_size - size)),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+            self->on_bytes(error, count);
+        });
+}
+
+void http_session::on_bytes(const boost::system::error_code& error, std::size_t count) {
+    if (!m_socket.is_open()) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    m_buffer.commit(count);
+    m_message_bytes += count;
+    parse();
+}
+
+void http_session::parse() {
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        beast::error_code error;
+        const auto used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        if (error == beast::http::error::need_more) {
+            break;
+        }
+        if (error) {
+            on_parse_error(error);
+            return;
+        }
+    }
+    if (m_parser->is_done()) {
+        on_request();
+    } else if (is_message_too_long()) {
+        refuse(413, "too_large", "the message is longer than its body allows");
+    } else {
+        read_more();
+    }
+}
+
+bool http_session::is_message_too_long() const {
+    const auto& limits = m_owner->get_settings().limits;
+    return m_message_bytes > 2 * get_max_buffer(limits) + max_chunk_overhead * limits.max_body;
+}
+
+void http_session::on_parse_error(const beast::error_code& error) {
+    if (error == beast::http::error::body_limit) {
+        refuse(413, "too_large", "the body is larger than allowed");
+    } else if (error == beast::http::error::header_limit) {
+        refuse(431, "header_too_large", "the header is larger than allowed");
+    } else {
+        refuse(400, "malformed", "the request is not HTTP/1.1");
+    }
+}
+
+void http_session::refuse(int status, const char* code, const char* message) {
+    m_is_busy = true;
+    m_owner->on_request();
+    m_must_close = true;
+    write(make_error_response(status, code, message));
+}
+
+bool http_session::is_abandoned() {
+    if (m_owner->get_loop().get_read_delay() <= m_owner->get_settings().max_abandoned_wait) {
+        return false;
+    }
+    char next = 0;
+    boost::system::error_code error;
+    m_socket.non_blocking(true, error);
+    m_socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block && error != asio::error::try_again;
+}
+
+void http_session::on_request() {
+    if (is_abandoned()) {
+        m_owner->on_abandoned();
+        close();
+        return;
+    }
+    m_is_busy = true;
+    m_last_use = m_owner->get_loop().now();
+    m_owner->on_request();
+    auto message = m_parser->release();
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message) {
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    m_version = message.version();
+    m_must_close = !message.keep_alive();
+    std::weak_ptr<http_session> weak = shared_from_this();
+    m_owner->handle(std::move(request), [weak](http_response response) {
+        if (const auto self = weak.lock()) {
+            self->write(std::move(response));
+        }
+    });
+}
+
+void http_session::write(http_response response) {
+    if (!m_socket.is_open() || m_response.has_value()) {
+        return;
+    }
+    m_must_close = m_must_close || m_owner->is_draining();
+    m_response.emplace(static_cast<beast::http::status>(response.status), m_version);
+    for (const auto& header : response.headers.get_all()) {
+        m_response->insert(header.name, header.value);
+    }
+    if (!response.body.empty()) {
+        m_response->set(beast::http::field::content_type, response.content_type);
+    }
+    m_response->keep_alive(!m_must_close);
+    m_response->body() = std::move(response.body);
+    m_response->prepare_payload();
+    beast::http::async_write(m_socket, *m_response,
+                             [self = shared_from_this()](const beast::error_code& error, std::size_t) {
+                                 self->on_written(error);
+                             });
+}
+
+void http_session::on_written(const beast::error_code& error) {
+    m_owner->on_request_ended();
+    m_is_busy = false;
+    m_last_use = m_owner->get_loop().now();
+    m_response.reset();
+    if (error || m_must_close) {
+        boost::system::error_code ignored; // the peer may have closed it first
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        close();
+        return;
+    }
+    read();
+}
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/net/http_session.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "poplarpitch/core/time.h"
+#include "poplarpitch/http/http_request.h"
+#include "poplarpitch/http/http_response.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+
+namespace poplarpitch {
+
+class http_sessions;
+
+/// One connection of an HTTP server. It reads a request, waits for the response, writes it, and reads the
+/// next request.
+///
+/// It reads from the socket itself and gives the bytes to Beast's parser, which limits the header and the
+/// body but neither trailers nor the extensions of chunks. Those stay in the buffer until they are whole, so
+/// the buffer is limited, and so are all bytes of a message together. Thread safety: the loop's thread, for
+/// all methods.
+class http_session : public std::enable_shared_from_this<http_session> {
+public:
+    http_session(std::shared_ptr<http_sessions> owner, boost::asio::ip::tcp::socket socket);
+
+    /// Reads the first request.
+    void start() { read(); }
+    /// Closes the connection.
+    void close();
+    /// Returns true while no request is being handled or answered.
+    [[nodiscard]] bool is_idle() const { return !m_is_busy; }
+    /// Returns when the last request ended.
+    [[nodiscard]] time_point get_last_use() const { return m_last_use; }
+    /// Closes the connection if it is idle since before `oldest`.
+    void close_if_idle(time_point oldest);
+
+private:
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    /// Begins to read a request.
+    void read();
+    /// Reads more bytes of the request.
+    void read_more();
+    void on_bytes(const boost::system::error_code& error, std::size_t count);
+    /// Parses what the buffer holds.
+    void parse();
+    /// Returns true when the message is longer than any that keeps to the limits.
+    [[nodiscard]] bool is_message_too_long() const;
+    void on_parse_error(const boost::beast::error_code& error);
+    /// Answers a request that was not read whole, and closes the connection.
+    void refuse(int status, const char* code, const char* message);
+    void on_request();
+    /// Returns true when the request may have waited for long and its client has closed the connection
+    /// meanwhile.
+    [[nodiscard]] bool is_abandoned();
+    void write(http_response response);
+    void on_written(const boost::beast::error_code& error);
+
+    std::shared_ptr<http_sessions> m_owner;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer; ///< bytes that are not parsed yet
+    std::size_t m_message_bytes = 0;    ///< received of the request that is being read
+    std::optional<request_parser> m_parser;
+    std::optional<boost::beast::http::response<boost::beast::http::string_body>> m_response;
+    unsigned m_version = 11;
+    bool m_must_close = false;
+    bool m_is_busy = false;
+    time_point m_last_use;
+};
+
+} // namespace poplarpitch
--- /dev/null
+++ b/poplarpitch/net/http_sessions.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/net/http_listener.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <set>
+
+namespace poplarpitch {
+
+class http_session;
+
+/// The state that a listener and its connections share. It exists until neither uses it any more. Thread
+/// safety: the loop's thread, for all methods.
+class http_sessions : public std::enable_shared_from_this<http_sessions> {
+public:
+    /// Precondition: `loop` outlives the object.
+    http_sessions(event_loop& loop, const http_listener_settings& settings,
+                  http_listener::request_handler handler);
+
+    /// Starts to listen. Returns the port, or `net_errc::listen_failed`.
+    result<int> start();
+    /// Closes the listening socket and all connections.
+    void close();
+    /// Accepts no more connections, closes idle ones, and closes the others after their response.
+    void drain();
+    /// Closes each connection after its next response.
+    void close_after_responses() { m_is_draining = true; }
+
+    /// Called when a connection is closed.
+    void on_closed(const std::shared_ptr<http_session>& closed) { m_sessions.erase(closed); }
+    /// Called when a whole request was read.
+    void on_request() { ++m_open_requests; }
+    /// Called when the response to a request was written, or cannot be.
+    void on_request_ended() { --m_open_requests; }
+    /// Called when a request was dropped because its client had left.
+    void on_abandoned() { ++m_abandoned_requests; }
+    /// Passes a request to the handler.
+    void handle(http_request request, http_responder respond) {
+        m_handler(std::move(request), std::move(respond));
+    }
+
+    [[nodiscard]] event_loop& get_loop() const { return m_loop; }
+    [[nodiscard]] const http_listener_settings& get_settings() const { return m_settings; }
+    [[nodiscard]] bool is_draining() const { return m_is_draining; }
+    [[nodiscard]] std::size_t get_open_requests() const { return m_open_requests; }
+    [[nodiscard]] std::uint64_t get_abandoned_requests() const { return m_abandoned_requests; }
+    [[nodiscard]] std::size_t get_connections() const { return m_sessions.size(); }
+
+private:
+    void accept();
+    void add(boost::asio::ip::tcp::socket socket);
+    /// Makes room for another connection, by closing an idle one if the limit is reached. Returns false if no
+    /// connection is idle.
+    bool make_room();
+    void schedule_sweep();
+
+    event_loop& m_loop;
+    http_listener_settings m_settings;
+    http_listener::request_handler m_handler;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<std::shared_ptr<http_session>> m_sessions;
+    std::size_t m_open_requests = 0;
+    std::uint64_t m_abandoned_requests = 0;
+    bool m_is_draining = false;
+    timer_id m_sweep_timer = 0;
+};
+
+} // namespace poplarpitch
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -109,6 +109,7 @@
     std::ofstream(file) << "[instance]\nid = " << name << "\ndata_centre = " << get_data_centre(number)
                         << "\nhost = " << get_host(number) << "\nlink_port = " << m_link_port.get_port()
                         << "\nseeds = " << absl::StrJoin(seeds, ",")
+                        << "\nmetrics_port = " << m_metrics_port.get_port()
                         << "\n[control]\nlisten = " << control_addresses[static_cast<std::size_t>(number) - 1]
                         << "\ndata_folder = " << m_folder << "/data-" << number
                         << "\nmay_found = " << (may_found ? "true" : "false")
@@ -126,9 +127,9 @@
     const auto file = absl::StrCat(m_folder, "/", name, ".ini");
     std::ofstream(file) << "[instance]\nid = " << name << "\nlink_port = " << m_link_port.get_port()
                         << "\nseeds = " << absl::StrJoin(get_control_addresses(), ",")
-                        << "\n[entry]\nlisten = " << host << ":" << m_caller_port.get_port()
-                        << "\nready = " << host << ":" << m_readiness_port.get_port()
-                        << "\ndrain_wait = 100ms\n";
+                        << "\nmetrics_port = " << m_metrics_port.get_port() << "\n[entry]\nlisten = " << host
+                        << ":" << m_caller_port.get_port() << "\nready = " << host << ":"
+                        << m_readiness_port.get_port() << "\ndrain_wait = 100ms\n";
     m_gateways[number] = std::make_unique<child_process>(
         std::vector<std::string>{get_program("poplarpitch-gateway"), "--settings", file},
         absl::StrCat(m_folder, "/", name, ".log"));
@@ -218,6 +219,22 @@
     return absl::StrCat(get_gateway_host(gateway), ":", m_caller_port.get_port());
 }
 
+std::string scheduler_cluster::get_readiness_address() const {
+    return absl::StrCat(get_gateway_host(1), ":", m_readiness_port.get_port());
+}
+
+std::string scheduler_cluster::get_gateway_metrics_address() const {
+    return absl::StrCat(get_gateway_host(1), ":", m_metrics_port.get_port());
+}
+
+std::string scheduler_cluster::get_scheduler_metrics_address(int number) const {
+    return absl::StrCat(get_host(number), ":", m_metrics_port.get_port());
+}
+
+std::string scheduler_cluster::get_link_address(int number) const {
+    return absl::StrCat(get_host(number), ":", m_link_port.get_port());
+}
+
 void scheduler_cluster::put_config(std::uint64_t version, int max_attempts,
                                    const std::vector<std::string>& prefixes) {
     auto routes = nlohmann::json::array();
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -55,6 +55,14 @@
     [[nodiscard]] std::vector<std::string> get_control_addresses() const;
     /// Returns the address at which a gateway accepts callers' requests.
     [[nodiscard]] std::string get_caller_address(int gateway = 1) const;
+    /// Returns the address of the first gateway's health check.
+    [[nodiscard]] std::string get_readiness_address() const;
+    /// Returns the address at which the first gateway serves its metrics.
+    [[nodiscard]] std::string get_gateway_metrics_address() const;
+    /// Returns the address at which a scheduler serves its metrics.
+    [[nodiscard]] std::string get_scheduler_metrics_address(int number) const;
+    /// Returns the address at which a scheduler accepts the frames of other processes.
+    [[nodiscard]] std::string get_link_address(int number) const;
 
     /// Sends a request to a scheduler's control address and follows one redirect. Returns nothing when no
     /// answer arrives.
@@ -106,6 +114,7 @@
     port_reservation m_control_port;
     port_reservation m_caller_port;
     port_reservation m_readiness_port;
+    port_reservation m_metrics_port;
     std::map<int, std::unique_ptr<child_process>> m_schedulers;
     std::map<int, std::unique_ptr<child_process>> m_gateways;
     http_client_pool m_pool;
--- a/unit_tests/platform/stand_in_workers.cpp
+++ b/unit_tests/platform/stand_in_workers.cpp
@@ -404,7 +404,7 @@
         http_listener_settings settings;
         settings.host = "127.0.0.1";
         settings.port = worker.port.get_port();
-        settings.idle_timeout = behaviour.idle_timeout;
+        settings.limits.idle_timeout = behaviour.idle_timeout;
         settings.sweep_interval = std::min<duration>(settings.sweep_interval, behaviour.idle_timeout);
         worker.listener = std::make_unique<http_listener>(
             loop, settings, [this, &worker](const http_request& request, const http_responder& respond) {
