Limit the memory that a process holds for its peers, over all its connections

What callers saw: 300 clients, each with a body inside the limit of a connection that lacks its last byte, or with a body in chunks far over it, took more memory than the machine of an entry instance or a scheduler has.

Cause: each connection had a limit and nothing counted them together: 3,000 times 1 MiB are 3 GB. Requests that waited for an answer of the leader were not counted either.

Change: one memory_budget for each process, a quarter of its memory (`memory_mb` in [entry] and [connections], filled from the deployment's settings). It counts what a connection holds of a message that is under way, with 80 bytes for each header field, requests that are being handled (three times their body, for the copies in frames), and answers that are not taken. Beyond the limit the connection with the oldest message is closed, one with a short message (32 KiB) only when no other is left. Connections whose request is being handled are not closed; where these would take more than a quarter (half, for short requests) of the limit, a whole request is answered 503 with Retry-After and not handled. A request is no longer copied once more to put it into its frame.

Why this works: every byte between the socket and the end of the answer is in one sum, and what exceeds it is closed before more is read.

--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -5,6 +5,8 @@
 #include "poplarpitch/gateway/leader_link.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_listener.h"
+#include "poplarpitch/net/memory_budget.h"
+#include "poplarpitch/net/memory_settings.h"
 #include "poplarpitch/net/metrics_endpoint.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/telemetry/logging.h"
@@ -31,13 +33,14 @@
 class gateway {
 public:
     explicit gateway(const gateway_settings& settings)
-        : m_settings(settings), m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait,
-                                       settings.spread_returns, hash_bytes(settings.id)),
-          m_caller_listener(m_loop, make_caller_listener_settings(settings),
+        : m_settings(settings), m_memory(get_peer_memory_limit(settings.memory_limit)),
+          m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait, settings.spread_returns,
+                 hash_bytes(settings.id)),
+          m_caller_listener(m_loop, m_memory, make_caller_listener_settings(settings),
                             [this](const http_request& request, const http_responder& respond) {
                                 relay(request, respond);
                             }),
-          m_readiness_listener(m_loop, make_listener_settings(settings.ready_host, settings.ready_port),
+          m_readiness_listener(m_loop, m_memory, make_readiness_listener_settings(settings),
                                [this](const http_request& request, const http_responder& respond) {
                                    answer_readiness_probe(request, respond);
                                }) {}
@@ -74,6 +77,12 @@
         return listener;
     }
 
+    static http_listener_settings make_readiness_listener_settings(const gateway_settings& settings) {
+        auto listener = make_listener_settings(settings.ready_host, settings.ready_port);
+        listener.kind = endpoint_kind::readiness;
+        return listener;
+    }
+
     static http_listener_settings make_caller_listener_settings(const gateway_settings& settings) {
         auto listener = make_listener_settings(settings.caller_host, settings.caller_port);
         listener.max_abandoned_wait = max_abandoned_wait;
@@ -84,7 +93,7 @@
         if (m_settings.metrics_port == 0) {
             return;
         }
-        m_metrics_listener = serve_metrics(m_loop, m_settings.caller_host, m_settings.metrics_port,
+        m_metrics_listener = serve_metrics(m_loop, m_memory, m_settings.caller_host, m_settings.metrics_port,
                                            [this] { return format_metrics(); });
         if (m_metrics_listener == nullptr) {
             log_event(log_level::warn, "metrics_not_served").add("port", m_settings.metrics_port);
@@ -252,6 +261,7 @@
     }
 
     const gateway_settings m_settings;
+    memory_budget m_memory;
     event_loop m_loop;
     leader_link m_link;
     http_listener m_caller_listener;
--- a/poplarpitch/gateway/gateway_settings.h
+++ b/poplarpitch/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/config/config_error.h"
 #include "poplarpitch/core/time.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +12,8 @@
 
 /// Settings of an entry instance, from the sections `[instance]` and `[entry]` of its settings file.
 struct gateway_settings {
+    static constexpr std::size_t default_memory_bytes = 160U << 20; ///< of the smallest entry instance
+
     std::string id; ///< name of this instance, unique among all instances
     std::string data_centre = "default";
     std::string log_level = "info";
@@ -29,6 +32,7 @@
     duration drain_wait = milliseconds{2600};
     duration stop_limit = seconds{5}; ///< at shutdown: time limit for open requests
     int metrics_port = 0;
+    std::size_t memory_limit = default_memory_bytes; ///< of the process on its machine
     /// Spreads the return of callers that are refused for want of a leader, by the last leader's load digest.
     bool spread_returns = false;
 
--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -358,10 +358,12 @@
     }
     item.recipients.push_back(m_leader);
     item.sent_to = m_leader;
+    item.request->set_received_ms(convert_to_leader_clock(item.received_at));
     job_wire::cluster_frame frame;
-    *frame.mutable_request() = *item.request;
-    frame.mutable_request()->set_received_ms(convert_to_leader_clock(item.received_at));
-    found->second->send(frame.SerializeAsString());
+    frame.unsafe_arena_set_allocated_request(item.request.get()); // a copy would hold the body twice
+    const auto bytes = frame.SerializeAsString();
+    static_cast<void>(frame.unsafe_arena_release_request()); // `item` still owns it
+    found->second->send(bytes);
 }
 
 void leader_link::send_pending() {
--- a/poplarpitch/net/http_listener.cpp
+++ b/poplarpitch/net/http_listener.cpp
@@ -1,14 +1,25 @@
 #include "poplarpitch/net/http_listener.h"
 
 #include "poplarpitch/net/http_sessions.h"
+#include "poplarpitch/net/memory_budget.h"
 
 #include <utility>
 
 namespace poplarpitch {
+namespace {
+
+constexpr std::size_t default_memory_limit = 64U << 20;
+
+} // namespace
+
+http_listener::http_listener(event_loop& loop, memory_budget& budget, const http_listener_settings& settings,
+                             request_handler handler)
+    : m_sessions(std::make_shared<http_sessions>(loop, budget, settings, std::move(handler))) {}
 
 http_listener::http_listener(event_loop& loop, const http_listener_settings& settings,
                              request_handler handler)
-    : m_sessions(std::make_shared<http_sessions>(loop, settings, std::move(handler))) {}
+    : m_own_budget(std::make_unique<memory_budget>(default_memory_limit)),
+      m_sessions(std::make_shared<http_sessions>(loop, *m_own_budget, settings, std::move(handler))) {}
 
 http_listener::~http_listener() {
     m_sessions->close();
--- a/poplarpitch/net/http_listener.h
+++ b/poplarpitch/net/http_listener.h
@@ -15,6 +15,7 @@
 
 class event_loop;
 class http_sessions;
+class memory_budget;
 
 /// Sends the response to one request. Called once. The response is dropped if the connection is closed by
 /// then.
@@ -31,7 +32,11 @@
     /// Called for each request. The handler may call the responder later.
     using request_handler = std::function<void(http_request, http_responder)>;
 
-    /// Precondition: `loop` outlives the listener.
+    /// The connections' memory counts against `budget`. Precondition: `loop` and `budget` outlive the
+    /// listener.
+    http_listener(event_loop& loop, memory_budget& budget, const http_listener_settings& settings,
+                  request_handler handler);
+    /// As above, with a budget of its own of 64 MiB.
     http_listener(event_loop& loop, const http_listener_settings& settings, request_handler handler);
     ~http_listener();
     http_listener(const http_listener&) = delete;
@@ -51,6 +56,7 @@
     [[nodiscard]] std::size_t get_connections() const;
 
 private:
+    std::unique_ptr<memory_budget> m_own_budget; ///< null where another one is used
     std::shared_ptr<http_sessions> m_sessions;
 };
 
--- a/poplarpitch/net/http_listener_settings.h
+++ b/poplarpitch/net/http_listener_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/net/endpoint_kind.h"
 #include "poplarpitch/net/http_limits.h"
 
 #include <cstddef>
@@ -14,6 +15,7 @@
     int port = 0;                       ///< 0 selects a free port
     std::size_t max_connections = 3000; ///< below the descriptor limit of the smallest entry instance (4,100)
     http_limits limits;
+    endpoint_kind kind = endpoint_kind::callers;
     duration sweep_interval = seconds{2}; ///< time between two checks for connections to close
     /// A request that may have waited for longer than this to be read is dropped if its client has closed the
     /// connection. By default requests are handled whether or not their clients still wait.
--- a/poplarpitch/net/http_session.cpp
+++ b/poplarpitch/net/http_session.cpp
@@ -24,6 +24,13 @@
 constexpr std::size_t max_chunk_overhead =
     8; // bytes of a message for each byte of its body: chunks of one byte
 
+// Of a parsed header field beside its text. A header of many short fields takes far more memory than it has
+// bytes.
+constexpr std::size_t field_overhead_bytes = 80;
+// Copies of a request while it is handled: as a message, in a frame, and in the buffer of the connection.
+constexpr std::size_t request_copies = 3;
+constexpr duration retry_after_overload = seconds{1};
+
 std::size_t get_max_buffer(const http_limits& limits) {
     return limits.max_header + buffer_slack_bytes;
 }
@@ -31,11 +38,14 @@
 } // namespace
 
 http_session::http_session(std::shared_ptr<http_sessions> owner, asio::ip::tcp::socket socket)
-    : m_owner(std::move(owner)), m_socket(std::move(socket)), m_last_use(m_owner->get_loop().now()) {}
+    : m_owner(std::move(owner)), m_socket(std::move(socket)),
+      m_memory(m_owner->get_budget(), m_owner->get_settings().kind, [this] { close(); }),
+      m_last_use(m_owner->get_loop().now()) {}
 
 void http_session::close() {
     boost::system::error_code ignored; // it is closed in any case
     m_socket.close(ignored);
+    m_memory.release();
     m_owner->on_closed(shared_from_this());
 }
 
@@ -52,12 +62,15 @@
     m_parser->body_limit(limits.max_body);
     m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header));
     m_message_bytes = m_buffer.size();
+    m_field_bytes = 0;
+    m_message_since = m_owner->get_loop().now();
     if (m_buffer.capacity() > kept_buffer_bytes) {
         m_buffer.shrink_to_fit();
     }
     if (m_buffer.size() > 0) {
         parse(); // a request that was sent behind the last one
     } else {
+        m_memory.release();
         read_more();
     }
 }
@@ -85,6 +98,9 @@
         close();
         return;
     }
+    if (m_message_bytes == 0) {
+        m_message_since = m_owner->get_loop().now();
+    }
     m_buffer.commit(count);
     m_message_bytes += count;
     parse();
@@ -107,11 +123,22 @@
         on_request();
     } else if (is_message_too_long()) {
         refuse(413, "too_large", "the message is longer than its body allows");
-    } else {
+    } else if (hold_message()) {
         read_more();
     }
 }
 
+bool http_session::hold_message() {
+    const auto& message = m_parser->get();
+    if (m_parser->is_header_done() && m_field_bytes == 0) {
+        for (const auto& field : message) {
+            m_field_bytes += field_overhead_bytes + field.name_string().size() + field.value().size();
+        }
+    }
+    m_memory.hold_message(m_buffer.capacity() + m_field_bytes + message.body().capacity(), m_message_since);
+    return m_socket.is_open();
+}
+
 bool http_session::is_message_too_long() const {
     const auto& limits = m_owner->get_settings().limits;
     return m_message_bytes > 2 * get_max_buffer(limits) + max_chunk_overhead * limits.max_body;
@@ -128,10 +155,21 @@
 }
 
 void http_session::refuse(int status, const char* code, const char* message) {
+    m_must_close = true;
+    answer_unhandled(make_error_response(status, code, message));
+}
+
+void http_session::refuse_for_overload() {
+    auto response = make_error_response(503, "overloaded", "not accepted: too many requests are open");
+    response.headers.add("Retry-After", std::to_string(retry_after_overload / seconds{1}));
+    m_must_close = !m_parser->keep_alive();
+    answer_unhandled(std::move(response));
+}
+
+void http_session::answer_unhandled(http_response response) {
     m_is_busy = true;
     m_owner->on_request();
-    m_must_close = true;
-    write(make_error_response(status, code, message));
+    write(std::move(response));
 }
 
 bool http_session::is_abandoned() {
@@ -151,6 +189,13 @@
         close();
         return;
     }
+    const auto& parsed = m_parser->get();
+    const auto request_bytes = request_copies * (parsed.target().size() + parsed.body().capacity());
+    if (!m_memory.get_budget().has_room_for_request(request_bytes)) {
+        refuse_for_overload();
+        return;
+    }
+    m_memory.hold_request(request_bytes);
     m_is_busy = true;
     m_last_use = m_owner->get_loop().now();
     m_owner->on_request();
@@ -187,6 +232,12 @@
     m_response->keep_alive(!m_must_close);
     m_response->body() = std::move(response.body);
     m_response->prepare_payload();
+    m_message_since = m_owner->get_loop().now();
+    m_memory.hold_message(m_response->body().capacity(), m_message_since);
+    if (!m_socket.is_open()) {
+        on_written(asio::error::operation_aborted);
+        return;
+    }
     beast::http::async_write(m_socket, *m_response,
                              [self = shared_from_this()](const beast::error_code& error, std::size_t) {
                                  self->on_written(error);
--- a/poplarpitch/net/http_session.h
+++ b/poplarpitch/net/http_session.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/http/http_request.h"
 #include "poplarpitch/http/http_response.h"
+#include "poplarpitch/net/memory_account.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -43,6 +44,8 @@
 
     /// Begins to read a request.
     void read();
+    /// Holds the memory of the request that is being read. Returns false when that closes the connection.
+    [[nodiscard]] bool hold_message();
     /// Reads more bytes of the request.
     void read_more();
     void on_bytes(const boost::system::error_code& error, std::size_t count);
@@ -53,6 +56,9 @@
     void on_parse_error(const boost::beast::error_code& error);
     /// Answers a request that was not read whole, and closes the connection.
     void refuse(int status, const char* code, const char* message);
+    /// Answers a whole request that is not passed on for want of memory.
+    void refuse_for_overload();
+    void answer_unhandled(http_response response);
     void on_request();
     /// Returns true when the request may have waited for long and its client has closed the connection
     /// meanwhile.
@@ -62,6 +68,7 @@
 
     std::shared_ptr<http_sessions> m_owner;
     boost::asio::ip::tcp::socket m_socket;
+    memory_account m_memory;
     boost::beast::flat_buffer m_buffer; ///< bytes that are not parsed yet
     std::size_t m_message_bytes = 0;    ///< received of the request that is being read
     std::optional<request_parser> m_parser;
@@ -69,7 +76,9 @@
     unsigned m_version = 11;
     bool m_must_close = false;
     bool m_is_busy = false;
+    std::size_t m_field_bytes = 0; ///< memory of the parsed header of the request that is being read
     time_point m_last_use;
+    time_point m_message_since{}; ///< when the first bytes of the request or response were read or written
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/net/http_sessions.cpp
+++ b/poplarpitch/net/http_sessions.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-http_sessions::http_sessions(event_loop& loop, const http_listener_settings& settings,
+http_sessions::http_sessions(event_loop& loop, memory_budget& budget, const http_listener_settings& settings,
                              http_listener::request_handler handler)
-    : m_loop(loop), m_settings(settings), m_handler(std::move(handler)), m_acceptor(loop.get_context()) {}
+    : m_loop(loop), m_budget(budget), m_settings(settings), m_handler(std::move(handler)),
+      m_acceptor(loop.get_context()) {}
 
 result<int> http_sessions::start() {
     if (!start_listening(m_acceptor, m_settings.host, m_settings.port, listen_backlog)) {
--- a/poplarpitch/net/http_sessions.h
+++ b/poplarpitch/net/http_sessions.h
@@ -18,8 +18,8 @@
 /// safety: the loop's thread, for all methods.
 class http_sessions : public std::enable_shared_from_this<http_sessions> {
 public:
-    /// Precondition: `loop` outlives the object.
-    http_sessions(event_loop& loop, const http_listener_settings& settings,
+    /// Precondition: `loop` and `budget` outlive the object.
+    http_sessions(event_loop& loop, memory_budget& budget, const http_listener_settings& settings,
                   http_listener::request_handler handler);
 
     /// Starts to listen. Returns the port, or `net_errc::listen_failed`.
@@ -44,6 +44,7 @@
         m_handler(std::move(request), std::move(respond));
     }
 
+    [[nodiscard]] memory_budget& get_budget() const { return m_budget; }
     [[nodiscard]] event_loop& get_loop() const { return m_loop; }
     [[nodiscard]] const http_listener_settings& get_settings() const { return m_settings; }
     [[nodiscard]] bool is_draining() const { return m_is_draining; }
@@ -60,6 +61,7 @@
     void schedule_sweep();
 
     event_loop& m_loop;
+    memory_budget& m_budget;
     http_listener_settings m_settings;
     http_listener::request_handler m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- /dev/null
+++ b/poplarpitch/net/memory_settings.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstddef>
+
+namespace poplarpitch {
+
+class section_reader;
+
+/// Reads `memory_mb` of a settings section, the memory that the machine allows the process, and reports
+/// errors. Returns it in bytes, or `fallback` when it is missing. Thread safety: none.
+[[nodiscard]] std::size_t read_memory_limit(section_reader& reader, std::size_t fallback);
+
+/// Returns the limit of the memory that a process holds for its peers, in bytes: a quarter of its memory.
+/// The rest is for its own state, and for what the kernel holds for up to 3,000 connections. Thread safety:
+/// any thread.
+[[nodiscard]] constexpr std::size_t get_peer_memory_limit(std::size_t memory_limit) {
+    constexpr std::size_t peer_share_divisor = 4;
+    return memory_limit / peer_share_divisor;
+}
+
+} // namespace poplarpitch
--- a/poplarpitch/net/metrics_endpoint.cpp
+++ b/poplarpitch/net/metrics_endpoint.cpp
@@ -4,13 +4,14 @@
 
 namespace poplarpitch {
 
-std::unique_ptr<http_listener> serve_metrics(event_loop& loop, const std::string& host, int port,
-                                             std::function<std::string()> format) {
+std::unique_ptr<http_listener> serve_metrics(event_loop& loop, memory_budget& budget, const std::string& host,
+                                             int port, std::function<std::string()> format) {
     http_listener_settings settings;
     settings.host = host;
     settings.port = port;
+    settings.kind = endpoint_kind::metrics;
     auto listener = std::make_unique<http_listener>(
-        loop, settings,
+        loop, budget, settings,
         [format = std::move(format)](const http_request& request, const http_responder& respond) {
             if (request.get_path() != "/metrics") {
                 respond(make_error_response(404, "not_found", "metrics are at /metrics"));
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -37,7 +37,7 @@
                       m_link.send(order, std::move(on_outcome));
                   }),
           m_orders(m_parts, m_link), m_callers(m_parts), m_control(m_parts, m_agent),
-          m_listener(m_parts.loop, make_listener_settings(settings),
+          m_listener(m_parts.loop, m_parts.memory, make_listener_settings(settings),
                      [this](http_request request, http_responder respond) {
                          m_control.handle(std::move(request), std::move(respond));
                      }) {}
@@ -85,6 +85,7 @@
         listener.host = settings.control_host;
         listener.port = settings.control_port;
         listener.max_connections = settings.max_accepted;
+        listener.kind = endpoint_kind::control;
         return listener;
     }
 
@@ -141,8 +142,9 @@
         if (settings.metrics_port == 0) {
             return;
         }
-        m_metrics_listener = serve_metrics(m_parts.loop, settings.replica.host, settings.metrics_port,
-                                           [this] { return m_metrics.format(m_parts); });
+        m_metrics_listener =
+            serve_metrics(m_parts.loop, m_parts.memory, settings.replica.host, settings.metrics_port,
+                          [this] { return m_metrics.format(m_parts); });
         if (m_metrics_listener == nullptr) {
             log_event(log_level::warn, "metrics_not_served").add("port", settings.metrics_port);
         }
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/config/section_reader.h"
 #include "poplarpitch/net/address_settings.h"
 #include "poplarpitch/net/descriptor_budget.h"
+#include "poplarpitch/net/memory_settings.h"
 
 #include <algorithm>
 
@@ -52,6 +53,7 @@
                                                 static_cast<std::int64_t>(min_descriptors), max_descriptors);
     const auto budget = divide_descriptors(static_cast<std::size_t>(descriptors));
     value.max_accepted = budget.inbound;
+    value.memory_limit = read_memory_limit(reader, value.memory_limit);
     value.caller.max_connections = budget.outbound;
 }
 
--- a/poplarpitch/scheduler/scheduler_settings.h
+++ b/poplarpitch/scheduler/scheduler_settings.h
@@ -6,6 +6,7 @@
 #include "poplarpitch/replica/replica_settings.h"
 #include "poplarpitch/scheduling/dispatch_settings.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,8 @@
 /// Settings of a scheduler instance: `[instance]`, `[control]`, `[connections]`, `[workers]` and
 /// `[decisions]` of its settings file.
 struct scheduler_settings {
+    static constexpr std::size_t default_memory_bytes = 256U << 20; ///< of the smallest scheduler
+
     std::string id; ///< name of this instance, unique among all
     std::string data_centre = "default";
     std::string log_level = "info";
@@ -24,7 +27,8 @@
     int metrics_port = 0;            ///< 0: no metrics are served
     duration stop_wait = seconds{2}; ///< during a stop: how long to wait for open requests
     std::size_t max_accepted = 1750; ///< connections of workers and operators, out of 6,000 descriptors
-    http_caller_settings caller;     ///< its connection limit is derived from the process's file descriptors
+    std::size_t memory_limit = default_memory_bytes; ///< of the process on its machine
+    http_caller_settings caller; ///< its connection limit is derived from the process's file descriptors
     relay_settings relay;
     replica_settings replica;
     dispatch_settings dispatch;
--- a/unit_tests/net/http_message_limits_test.cpp
+++ b/unit_tests/net/http_message_limits_test.cpp
@@ -1,6 +1,7 @@
 // Each part of an HTTP/1.1 message, grown without end and cut at each byte.
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_listener.h"
+#include "poplarpitch/net/memory_budget.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -201,5 +202,51 @@
     EXPECT_EQ(listener.get_requests(), 3);
 }
 
+// Without a limit, requests that wait for their responses would take any amount of memory. A request that is
+// answered 503 must never be handled, since its caller is told so.
+TEST(http_message_limits, refuse_requests_that_are_not_passed_on_once_those_that_wait_take_too_much) {
+    constexpr std::size_t memory_limit = 2U
+                                         << 20; // one request of 100,000 bytes fills the share of long ones
+    event_loop loop;
+    memory_budget budget(memory_limit);
+    std::vector<std::string> handled;
+    std::vector<http_responder> waiting;
+    std::atomic<bool> has_first{false};
+    http_listener listener(loop, budget, http_listener_settings{},
+                           [&](const http_request& request, const http_responder& respond) {
+                               handled.push_back(request.target);
+                               waiting.push_back(respond);
+                               has_first = true;
+                               if (request.target == "/short") {
+                                   loop.stop();
+                               }
+                           });
+    const int port = listener.start().value();
+    std::thread clients([&] {
+        const std::string body(100'000, 'x');
+        std::vector<int> sockets;
+        const auto send_request = [&](const std::string& target, const std::string& text) {
+            const auto message =
+                absl::StrCat("POST ", target, " HTTP/1.1\r\nContent-Length: ", text.size(), "\r\n\r\n", text);
+            sockets.push_back(open_connection(port));
+            ::send(sockets.back(), message.data(), message.size(), MSG_NOSIGNAL);
+            return sockets.back();
+        };
+        send_request("/1", body);
+        while (!has_first) {
+            std::this_thread::yield();
+        }
+        EXPECT_EQ(read_status(send_request("/2", body)), 503);
+        EXPECT_EQ(read_status(send_request("/3", body)), 503);
+        send_request("/short", "x");
+        for (const int socket : sockets) {
+            ::close(socket);
+        }
+    });
+    loop.run();
+    clients.join();
+    EXPECT_EQ(handled, (std::vector<std::string>{"/1", "/short"}));
+}
+
 } // namespace
 } // namespace poplarpitch
--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -101,7 +101,8 @@
                                               {"#heartbeatMs", ""},
                                               {"heartbeatMs", "3000"},
                                               {"/heartbeatMs", ""},
-                                              {"limits.maxFds", "6424"}});
+                                              {"limits.maxFds", "6424"},
+                                              {"limits.memoryMb", "640"}});
     const auto parsed = parse_scheduler_settings(text);
     for (const auto& error : parsed.errors) {
         ADD_FAILURE() << error.format("scheduler.ini");
@@ -113,6 +114,7 @@
     EXPECT_EQ(parsed.value.control_port, 8166);
     EXPECT_EQ(parsed.value.dispatch.ended_job_retention, seconds{125});
     EXPECT_EQ(parsed.value.advice_address, "10.200.1.9:8169");
+    EXPECT_EQ(parsed.value.memory_limit, 640U << 20);
     EXPECT_EQ(parsed.value.relay.report_lifetime, seconds{6});
 }
 
@@ -190,7 +192,8 @@
                                                         {"portRange.0", "7720"},
                                                         {"seeds", "10.1.0.16:8166"},
                                                         {"listen.front", "10.1.0.13:8161"},
-                                                        {"listen.ready", "10.1.0.13:8167"}});
+                                                        {"listen.ready", "10.1.0.13:8167"},
+                                                        {"limits.memoryMb", "260"}});
     const auto parsed = parse_gateway_settings(text);
     for (const auto& error : parsed.errors) {
         ADD_FAILURE() << error.format("entry.ini");
@@ -199,6 +202,7 @@
     EXPECT_EQ(parsed.value.ready_port, 8167);
     EXPECT_EQ(parsed.value.seeds.at(0), "10.1.0.16");
     EXPECT_TRUE(parsed.value.spread_returns);
+    EXPECT_EQ(parsed.value.memory_limit, 260U << 20);
 }
 
 /// Returns settings whose first seven lines are the required ones, with `entry_line` as the eighth.
