Close the connection on which nothing moves when a listener has as many as it may have

What callers saw: while 3,100 clients sent requests and never read the answers, an ordinary caller at the same entry instance got none, and the instance held 400 MB, nearly all of it unread bytes in the kernel.

Causes: the kernel keeps up to some 100 KB of each connection that is not read. A connection whose response cannot be written counted as busy for good, so no room was made for others; one whose request was being read counted as idle, so the wrong one was closed. The health check and the metrics could take as many descriptors as callers.

Change: connections are ordered by when something last moved on them, and the first of them makes room; one whose request is being handled does not. The kernel's buffers of a connection are limited to about 16 KiB in each direction (64 KiB at control, whose documents are larger), set before listening so that windows fit. The health check and the metrics accept 64 connections each.

Why this works: an ordinary request moves at once, so a crowd is always behind it in the order; and 3,000 buffers of 16 KiB fit into the memory of the smallest entry instance beside the budget.

--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -27,6 +27,7 @@
 constexpr duration response_margin = milliseconds{50}; // lets a response arrive before the deadline
 // A process that is suspended for longer than this looks whether its callers still wait.
 constexpr duration max_abandoned_wait = milliseconds{250};
+constexpr std::size_t max_readiness_connections = 64; // one check a second; the descriptors are for callers
 constexpr duration retry_after_late_read = seconds{1};
 
 /// The components of an entry instance. All are used on the loop's thread only.
@@ -80,6 +81,7 @@
     static http_listener_settings make_readiness_listener_settings(const gateway_settings& settings) {
         auto listener = make_listener_settings(settings.ready_host, settings.ready_port);
         listener.kind = endpoint_kind::readiness;
+        listener.max_connections = max_readiness_connections;
         return listener;
     }
 
--- a/poplarpitch/net/http_listener_settings.h
+++ b/poplarpitch/net/http_listener_settings.h
@@ -16,6 +16,7 @@
     std::size_t max_connections = 3000; ///< below the descriptor limit of the smallest entry instance (4,100)
     http_limits limits;
     endpoint_kind kind = endpoint_kind::callers;
+    int kernel_buffer = 16 << 10; ///< bytes that the kernel keeps of a connection in each direction, about
     duration sweep_interval = seconds{2}; ///< time between two checks for connections to close
     /// A request that may have waited for longer than this to be read is dropped if its client has closed the
     /// connection. By default requests are handled whether or not their clients still wait.
--- a/poplarpitch/net/http_session.cpp
+++ b/poplarpitch/net/http_session.cpp
@@ -40,17 +40,29 @@
 http_session::http_session(std::shared_ptr<http_sessions> owner, asio::ip::tcp::socket socket)
     : m_owner(std::move(owner)), m_socket(std::move(socket)),
       m_memory(m_owner->get_budget(), m_owner->get_settings().kind, [this] { close(); }),
-      m_last_use(m_owner->get_loop().now()) {}
+      m_since(m_owner->get_loop().now()) {}
 
 void http_session::close() {
-    boost::system::error_code ignored; // it is closed in any case
+    if (m_state == state::closed) {
+        return;
+    }
+    const auto self = shared_from_this(); // the owner may hold the last other reference
+    boost::system::error_code ignored;    // it is closed in any case
     m_socket.close(ignored);
     m_memory.release();
-    m_owner->on_closed(shared_from_this());
+    m_owner->on_closed(*this);
+    m_state = state::closed;
+}
+
+void http_session::close_if_idle() {
+    const auto idle_timeout = m_owner->get_settings().limits.idle_timeout;
+    if (m_state == state::idle && m_owner->get_loop().now() - m_since > idle_timeout) {
+        close();
+    }
 }
 
-void http_session::close_if_idle(time_point oldest) {
-    if (!m_is_busy && m_last_use < oldest) {
+void http_session::close_unless_answering() {
+    if (m_state == state::idle || m_state == state::reading) {
         close();
     }
 }
@@ -63,7 +75,8 @@
     m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header));
     m_message_bytes = m_buffer.size();
     m_field_bytes = 0;
-    m_message_since = m_owner->get_loop().now();
+    m_since = m_owner->get_loop().now();
+    m_state = m_buffer.size() > 0 ? state::reading : state::idle;
     if (m_buffer.capacity() > kept_buffer_bytes) {
         m_buffer.shrink_to_fit();
     }
@@ -91,16 +104,18 @@
 }
 
 void http_session::on_bytes(const boost::system::error_code& error, std::size_t count) {
-    if (!m_socket.is_open()) {
+    if (m_state == state::closed) {
         return;
     }
     if (error) {
         close();
         return;
     }
-    if (m_message_bytes == 0) {
-        m_message_since = m_owner->get_loop().now();
+    if (m_state == state::idle) {
+        m_since = m_owner->get_loop().now();
+        m_state = state::reading;
     }
+    m_owner->on_moved(*this);
     m_buffer.commit(count);
     m_message_bytes += count;
     parse();
@@ -135,8 +150,8 @@
             m_field_bytes += field_overhead_bytes + field.name_string().size() + field.value().size();
         }
     }
-    m_memory.hold_message(m_buffer.capacity() + m_field_bytes + message.body().capacity(), m_message_since);
-    return m_socket.is_open();
+    m_memory.hold_message(m_buffer.capacity() + m_field_bytes + message.body().capacity(), m_since);
+    return m_state != state::closed;
 }
 
 bool http_session::is_message_too_long() const {
@@ -167,7 +182,6 @@
 }
 
 void http_session::answer_unhandled(http_response response) {
-    m_is_busy = true;
     m_owner->on_request();
     write(std::move(response));
 }
@@ -196,9 +210,9 @@
         return;
     }
     m_memory.hold_request(request_bytes);
-    m_is_busy = true;
-    m_last_use = m_owner->get_loop().now();
     m_owner->on_request();
+    m_owner->on_handled(*this);
+    m_state = state::handling;
     auto message = m_parser->release();
     http_request request;
     request.method = std::string(message.method_string());
@@ -218,7 +232,7 @@
 }
 
 void http_session::write(http_response response) {
-    if (!m_socket.is_open() || m_response.has_value()) {
+    if (m_state == state::closed || m_state == state::writing) {
         return;
     }
     m_must_close = m_must_close || m_owner->is_draining();
@@ -232,10 +246,12 @@
     m_response->keep_alive(!m_must_close);
     m_response->body() = std::move(response.body);
     m_response->prepare_payload();
-    m_message_since = m_owner->get_loop().now();
-    m_memory.hold_message(m_response->body().capacity(), m_message_since);
-    if (!m_socket.is_open()) {
-        on_written(asio::error::operation_aborted);
+    m_owner->on_moved(*this);
+    m_state = state::writing;
+    m_since = m_owner->get_loop().now();
+    m_memory.hold_message(m_response->body().capacity(), m_since);
+    if (m_state == state::closed) {
+        m_owner->on_request_ended();
         return;
     }
     beast::http::async_write(m_socket, *m_response,
@@ -246,9 +262,11 @@
 
 void http_session::on_written(const beast::error_code& error) {
     m_owner->on_request_ended();
-    m_is_busy = false;
-    m_last_use = m_owner->get_loop().now();
     m_response.reset();
+    if (m_state == state::closed) {
+        return;
+    }
+    m_owner->on_moved(*this);
     if (error || m_must_close) {
         boost::system::error_code ignored; // the peer may have closed it first
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/poplarpitch/net/http_session.h
+++ b/poplarpitch/net/http_session.h
@@ -10,6 +10,8 @@
 #include <boost/beast/http.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <list>
 #include <memory>
 #include <optional>
 
@@ -32,14 +34,20 @@
     void start() { read(); }
     /// Closes the connection.
     void close();
-    /// Returns true while no request is being handled or answered.
-    [[nodiscard]] bool is_idle() const { return !m_is_busy; }
-    /// Returns when the last request ended.
-    [[nodiscard]] time_point get_last_use() const { return m_last_use; }
-    /// Closes the connection if it is idle since before `oldest`.
-    void close_if_idle(time_point oldest);
+    /// Closes the connection if no request has begun within the idle timeout.
+    void close_if_idle();
+    /// Closes the connection unless the response to a request is being written.
+    void close_unless_answering();
 
 private:
+    friend class http_sessions;
+    enum class state : std::uint8_t {
+        idle,     ///< nothing of the next request has arrived
+        reading,  ///< a part of a request has arrived
+        handling, ///< a whole request waits for its response
+        writing,  ///< the response is being written
+        closed,
+    };
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     /// Begins to read a request.
@@ -75,10 +83,10 @@
     std::optional<boost::beast::http::response<boost::beast::http::string_body>> m_response;
     unsigned m_version = 11;
     bool m_must_close = false;
-    bool m_is_busy = false;
     std::size_t m_field_bytes = 0; ///< memory of the parsed header of the request that is being read
-    time_point m_last_use;
-    time_point m_message_since{}; ///< when the first bytes of the request or response were read or written
+    state m_state = state::idle;
+    std::list<std::shared_ptr<http_session>>::iterator m_position; ///< in the owner's lists
+    time_point m_since; ///< when the connection became idle, or its request or response began
 };
 
 } // namespace poplarpitch
--- a/poplarpitch/net/http_sessions.cpp
+++ b/poplarpitch/net/http_sessions.cpp
@@ -26,7 +26,8 @@
       m_acceptor(loop.get_context()) {}
 
 result<int> http_sessions::start() {
-    if (!start_listening(m_acceptor, m_settings.host, m_settings.port, listen_backlog)) {
+    if (!start_listening(m_acceptor, m_settings.host, m_settings.port, listen_backlog,
+                         m_settings.kernel_buffer)) {
         return make_error_code(net_errc::listen_failed);
     }
     accept();
@@ -38,9 +39,10 @@
     boost::system::error_code ignored; // it is closed in any case
     m_acceptor.close(ignored);
     m_loop.cancel(m_sweep_timer);
-    const auto sessions = m_sessions; // closing one changes the set
-    for (const auto& item : sessions) {
-        item->close();
+    for (const auto* list : {&m_moving, &m_handling}) {
+        for (const auto& item : session_list(*list)) { // closing one changes the list
+            item->close();
+        }
     }
 }
 
@@ -48,12 +50,25 @@
     m_is_draining = true;
     boost::system::error_code ignored; // it accepts no new connections in any case
     m_acceptor.close(ignored);
-    const auto sessions = m_sessions; // closing one changes the set
-    for (const auto& item : sessions) {
-        item->close_if_idle(m_loop.now() + seconds{1});
+    for (const auto& item : session_list(m_moving)) { // closing one changes the list
+        item->close_unless_answering();
     }
 }
 
+void http_sessions::on_closed(http_session& closed) {
+    auto& list = closed.m_state == http_session::state::handling ? m_handling : m_moving;
+    list.erase(closed.m_position);
+}
+
+void http_sessions::on_moved(http_session& moved) {
+    auto& list = moved.m_state == http_session::state::handling ? m_handling : m_moving;
+    m_moving.splice(m_moving.end(), list, moved.m_position);
+}
+
+void http_sessions::on_handled(http_session& handling) {
+    m_handling.splice(m_handling.end(), m_moving, handling.m_position);
+}
+
 void http_sessions::accept() {
     m_acceptor.async_accept(
         [self = shared_from_this()](const boost::system::error_code& error, asio::ip::tcp::socket socket) {
@@ -76,36 +91,29 @@
     boost::system::error_code ignored; // without the option responses are only delayed a little
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const auto opened = std::make_shared<http_session>(shared_from_this(), std::move(socket));
-    m_sessions.insert(opened);
+    opened->m_position = m_moving.insert(m_moving.end(), opened);
     opened->start();
 }
 
-/// Closes the connection that has been idle for longest. Its client can connect again, while a rejected
-/// client would have to look for another instance. Load pattern: more workers send heartbeats than there are
-/// descriptors.
+/// The client of a closed connection can connect again, while a rejected one would have to look for another
+/// instance. Load patterns: more workers send heartbeats than there are descriptors; clients that read no
+/// answer or never end a request keep all connections, and ordinary callers get none.
 bool http_sessions::make_room() {
-    if (m_sessions.size() < m_settings.max_connections) {
+    if (get_connections() < m_settings.max_connections) {
         return true;
     }
-    std::shared_ptr<http_session> oldest;
-    for (const auto& item : m_sessions) {
-        if (item->is_idle() && (oldest == nullptr || item->get_last_use() < oldest->get_last_use())) {
-            oldest = item;
-        }
-    }
-    if (oldest == nullptr) {
+    if (m_moving.empty()) {
         return false;
     }
-    oldest->close();
+    const auto stalest = m_moving.front();
+    stalest->close();
     return true;
 }
 
 void http_sessions::schedule_sweep() {
     m_sweep_timer = m_loop.call_after(m_settings.sweep_interval, [self = shared_from_this()] {
-        const auto oldest = self->m_loop.now() - self->m_settings.limits.idle_timeout;
-        const auto sessions = self->m_sessions; // closing one changes the set
-        for (const auto& item : sessions) {
-            item->close_if_idle(oldest);
+        for (const auto& item : session_list(self->m_moving)) { // closing one changes the list
+            item->close_if_idle();
         }
         self->schedule_sweep();
     });
--- a/poplarpitch/net/http_sessions.h
+++ b/poplarpitch/net/http_sessions.h
@@ -7,8 +7,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <memory>
-#include <set>
 
 namespace poplarpitch {
 
@@ -32,9 +32,13 @@
     void close_after_responses() { m_is_draining = true; }
 
     /// Called when a connection is closed.
-    void on_closed(const std::shared_ptr<http_session>& closed) { m_sessions.erase(closed); }
+    void on_closed(http_session& closed);
+    /// Called when a connection has received or sent something.
+    void on_moved(http_session& moved);
     /// Called when a whole request was read.
     void on_request() { ++m_open_requests; }
+    /// Called when a request is passed to the handler. Its connection is not closed to make room.
+    void on_handled(http_session& handling);
     /// Called when the response to a request was written, or cannot be.
     void on_request_ended() { --m_open_requests; }
     /// Called when a request was dropped because its client had left.
@@ -50,13 +54,16 @@
     [[nodiscard]] bool is_draining() const { return m_is_draining; }
     [[nodiscard]] std::size_t get_open_requests() const { return m_open_requests; }
     [[nodiscard]] std::uint64_t get_abandoned_requests() const { return m_abandoned_requests; }
-    [[nodiscard]] std::size_t get_connections() const { return m_sessions.size(); }
+    [[nodiscard]] std::size_t get_connections() const { return m_moving.size() + m_handling.size(); }
 
 private:
+    friend class http_session;
+    using session_list = std::list<std::shared_ptr<http_session>>;
+
     void accept();
     void add(boost::asio::ip::tcp::socket socket);
-    /// Makes room for another connection, by closing an idle one if the limit is reached. Returns false if no
-    /// connection is idle.
+    /// Makes room for another connection if the limit is reached, by closing the one on which nothing has
+    /// moved for longest. Returns false if the requests of all connections are being handled.
     bool make_room();
     void schedule_sweep();
 
@@ -65,7 +72,8 @@
     http_listener_settings m_settings;
     http_listener::request_handler m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::set<std::shared_ptr<http_session>> m_sessions;
+    session_list m_moving;   ///< the connection that has moved last at the end
+    session_list m_handling; ///< connections whose request is being handled
     std::size_t m_open_requests = 0;
     std::uint64_t m_abandoned_requests = 0;
     bool m_is_draining = false;
--- a/poplarpitch/net/metrics_endpoint.cpp
+++ b/poplarpitch/net/metrics_endpoint.cpp
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace poplarpitch {
+namespace {
+
+constexpr std::size_t max_connections = 64; // one reader each few seconds; the descriptors are for others
+
+} // namespace
 
 std::unique_ptr<http_listener> serve_metrics(event_loop& loop, memory_budget& budget, const std::string& host,
                                              int port, std::function<std::string()> format) {
@@ -10,6 +15,7 @@
     settings.host = host;
     settings.port = port;
     settings.kind = endpoint_kind::metrics;
+    settings.max_connections = max_connections;
     auto listener = std::make_unique<http_listener>(
         loop, budget, settings,
         [format = std::move(format)](const http_request& request, const http_responder& respond) {
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -76,6 +76,7 @@
 
 private:
     static constexpr int start_failed_exit_code = 1;
+    static constexpr int control_kernel_buffer = 64 << 10; // a configuration of many queues is some 100 KB
     static constexpr duration tick_interval =
         milliseconds{10}; // of a leader, whose timers may be late by this
     static constexpr duration idle_interval = milliseconds{200};
@@ -86,6 +87,7 @@
         listener.port = settings.control_port;
         listener.max_connections = settings.max_accepted;
         listener.kind = endpoint_kind::control;
+        listener.kernel_buffer = control_kernel_buffer;
         return listener;
     }
 
--- a/unit_tests/client_limits/client_crowd.cpp
+++ b/unit_tests/client_limits/client_crowd.cpp
@@ -21,7 +21,8 @@
 namespace {
 
 constexpr std::size_t part_bytes = 64U << 10; // sent on one connection in a turn
-constexpr int max_idle_turns = 50;            // turns without progress that end `send_all`: one second
+constexpr int receive_buffer = 4096;
+constexpr int max_idle_turns = 50; // turns without progress that end `send_all`: one second
 constexpr absl::Duration idle_turn_pause = absl::Milliseconds(20);
 
 int open_connection(const std::string& address) {
@@ -30,6 +31,8 @@
     if (!parsed.has_value() || socket < 0) {
         return -1;
     }
+    // The less the clients' side keeps of the answers, the sooner the peer can write no more.
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
     sockaddr_in peer{};
     peer.sin_family = AF_INET;
     peer.sin_port = htons(parsed->port);
