Limit the time of a request's header, of its body and of taking a response

What callers saw: a header or a body that never ends, and an answer that is never taken, kept a connection for as long as the client wanted; a refused client that still sent got a reset instead of the answer.

The check is skipped after a pause of this process, since what clients sent meanwhile may not be read yet. After a refusal the listener reads and drops what still comes, for 2 s and 512 KiB at most, so that the client sees the status.

--- a/poplarpitch/net/http_session.cpp
+++ b/poplarpitch/net/http_session.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <utility>
 
@@ -29,6 +30,8 @@
 constexpr std::size_t field_overhead_bytes = 80;
 // Copies of a request while it is handled: as a message, in a frame, and in the buffer of the connection.
 constexpr std::size_t request_copies = 3;
+constexpr duration discard_timeout = seconds{2};        // for a refused client to stop sending
+constexpr std::size_t max_discarded_bytes = 512U << 10; // of a refused request
 constexpr duration retry_after_overload = seconds{1};
 
 std::size_t get_max_buffer(const http_limits& limits) {
@@ -54,15 +57,40 @@
     m_state = state::closed;
 }
 
-void http_session::close_if_idle() {
-    const auto idle_timeout = m_owner->get_settings().limits.idle_timeout;
-    if (m_state == state::idle && m_owner->get_loop().now() - m_since > idle_timeout) {
-        close();
+void http_session::check_timeouts() {
+    const auto& limits = m_owner->get_settings().limits;
+    const auto age = m_owner->get_loop().now() - m_since;
+    switch (m_state) {
+    case state::idle:
+        if (age > limits.idle_timeout) {
+            close();
+        }
+        return;
+    case state::reading:
+        if (!m_parser->is_header_done() && age > limits.header_timeout) {
+            refuse(408, "header_timeout", "the header took too long");
+        } else if (age > limits.header_timeout + limits.body_timeout) {
+            refuse(408, "body_timeout", "the body took too long");
+        }
+        return;
+    case state::writing:
+        if (age > limits.write_timeout) {
+            close();
+        }
+        return;
+    case state::discarding:
+        if (age > discard_timeout) {
+            close();
+        }
+        return;
+    case state::handling:
+    case state::closed:
+        return;
     }
 }
 
 void http_session::close_unless_answering() {
-    if (m_state == state::idle || m_state == state::reading) {
+    if (m_state != state::handling && m_state != state::writing) {
         close();
     }
 }
@@ -95,6 +123,7 @@
         refuse(431, "header_too_large", "the header or a trailer is larger than allowed");
         return;
     }
+    m_is_reading = true;
     const auto wanted = m_message_bytes == 0 ? first_read_bytes : max_read_bytes;
     m_socket.async_read_some(
         m_buffer.prepare(std::min(wanted, max_size - size)),
@@ -104,9 +133,15 @@
 }
 
 void http_session::on_bytes(const boost::system::error_code& error, std::size_t count) {
-    if (m_state == state::closed) {
+    m_is_reading = false;
+    if (m_state == state::discarding) {
+        m_discarded_bytes += count;
+        discard();
         return;
     }
+    if (m_state != state::idle && m_state != state::reading) {
+        return; // closed, or refused while the read was in progress
+    }
     if (error) {
         close();
         return;
@@ -159,6 +194,27 @@
     return m_message_bytes > 2 * get_max_buffer(limits) + max_chunk_overhead * limits.max_body;
 }
 
+void http_session::discard() {
+    boost::system::error_code error;
+    std::array<char, max_read_bytes> dropped{};
+    m_socket.non_blocking(true, error);
+    while (!error && m_discarded_bytes < max_discarded_bytes) {
+        const auto count = m_socket.read_some(asio::buffer(dropped), error);
+        m_discarded_bytes += count;
+    }
+    const bool has_more_to_come = error == asio::error::would_block || error == asio::error::try_again;
+    if (!has_more_to_come) {
+        close();
+        return;
+    }
+    m_socket.async_wait(asio::socket_base::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code& failed) {
+                            if (!failed && self->m_state == state::discarding) {
+                                self->discard();
+                            }
+                        });
+}
+
 void http_session::on_parse_error(const beast::error_code& error) {
     if (error == beast::http::error::body_limit) {
         refuse(413, "too_large", "the body is larger than allowed");
@@ -171,6 +227,7 @@
 
 void http_session::refuse(int status, const char* code, const char* message) {
     m_must_close = true;
+    m_is_refused = true;
     answer_unhandled(make_error_response(status, code, message));
 }
 
@@ -267,13 +324,22 @@
         return;
     }
     m_owner->on_moved(*this);
-    if (error || m_must_close) {
-        boost::system::error_code ignored; // the peer may have closed it first
-        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (!error && !m_must_close) {
+        read();
+        return;
+    }
+    boost::system::error_code ignored; // the peer may have closed it first
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (error || !m_is_refused) {
         close();
         return;
     }
-    read();
+    m_state = state::discarding;
+    m_since = m_owner->get_loop().now();
+    m_memory.release();
+    if (!m_is_reading) {
+        discard();
+    }
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/net/http_session.h
+++ b/poplarpitch/net/http_session.h
@@ -34,18 +34,19 @@
     void start() { read(); }
     /// Closes the connection.
     void close();
-    /// Closes the connection if no request has begun within the idle timeout.
-    void close_if_idle();
+    /// Refuses a request or closes the connection if a time limit has passed.
+    void check_timeouts();
     /// Closes the connection unless the response to a request is being written.
     void close_unless_answering();
 
 private:
     friend class http_sessions;
     enum class state : std::uint8_t {
-        idle,     ///< nothing of the next request has arrived
-        reading,  ///< a part of a request has arrived
-        handling, ///< a whole request waits for its response
-        writing,  ///< the response is being written
+        idle,       ///< nothing of the next request has arrived
+        reading,    ///< a part of a request has arrived
+        handling,   ///< a whole request waits for its response
+        writing,    ///< the response is being written
+        discarding, ///< the request was refused before it was read whole; the rest is read and dropped
         closed,
     };
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -61,6 +62,9 @@
     void parse();
     /// Returns true when the message is longer than any that keeps to the limits.
     [[nodiscard]] bool is_message_too_long() const;
+    /// Reads what a client still sends of a refused request. Closing the connection with unread bytes would
+    /// reset it, and the client might not get the response.
+    void discard();
     void on_parse_error(const boost::beast::error_code& error);
     /// Answers a request that was not read whole, and closes the connection.
     void refuse(int status, const char* code, const char* message);
@@ -83,6 +87,9 @@
     std::optional<boost::beast::http::response<boost::beast::http::string_body>> m_response;
     unsigned m_version = 11;
     bool m_must_close = false;
+    bool m_is_refused = false; ///< the response answers a request that was not read whole
+    bool m_is_reading = false; ///< a read of the socket is in progress
+    std::size_t m_discarded_bytes = 0;
     std::size_t m_field_bytes = 0; ///< memory of the parsed header of the request that is being read
     state m_state = state::idle;
     std::list<std::shared_ptr<http_session>>::iterator m_position; ///< in the owner's lists
--- a/poplarpitch/net/http_sessions.cpp
+++ b/poplarpitch/net/http_sessions.cpp
@@ -110,11 +110,18 @@
     return true;
 }
 
+void http_sessions::check_timeouts() {
+    if (m_loop.get_read_delay() > m_settings.sweep_interval) {
+        return; // this process was suspended: what clients sent meanwhile may not be read yet
+    }
+    for (const auto& item : session_list(m_moving)) { // closing one changes the list
+        item->check_timeouts();
+    }
+}
+
 void http_sessions::schedule_sweep() {
     m_sweep_timer = m_loop.call_after(m_settings.sweep_interval, [self = shared_from_this()] {
-        for (const auto& item : session_list(self->m_moving)) { // closing one changes the list
-            item->close_if_idle();
-        }
+        self->check_timeouts();
         self->schedule_sweep();
     });
 }
--- a/poplarpitch/net/http_sessions.h
+++ b/poplarpitch/net/http_sessions.h
@@ -65,6 +65,8 @@
     /// Makes room for another connection if the limit is reached, by closing the one on which nothing has
     /// moved for longest. Returns false if the requests of all connections are being handled.
     bool make_room();
+    /// Ends the connections of which a time limit has passed.
+    void check_timeouts();
     void schedule_sweep();
 
     event_loop& m_loop;
