Hold callers to the limits of the operators' configuration

What callers saw: the limits of the configuration (bytes of a header and a body, times of a header and of idle connections) were acknowledged and read by nobody. An entry instance used 64 KiB, 1 MiB and 30 s of its own, whatever the configuration said.

Change: the limits are part of the replicated configuration and of each instance's status; an entry instance takes over those of the leader, or of a newer version that another instance tells, and uses them for requests that begin from then on. Limits that are not set, and the time before the first configuration, fall under the settings (`max_header` and five more in [entry] and [control]). A header is counted to the byte, so that one of exactly the limit is served. A body is limited to what the instance can hold at once, whatever the configuration allows. A field of the limits with another type makes a configuration invalid, like any other field.

Rolling update: instances of the former release skip the new fields.

Tests: configured_limits.are_in_force_once_the_configuration_is fails on: 200 for a header of 2,001 bytes where 2,000 are allowed and for a body of 5,001 where 5,000 are, no answer to a header that never ends nor on an idle connection; hold_no_client_back_that_is_inside_the_usual_ones fails there only because the gateway tells no limits.

--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/core/hash.h"
 #include "poplarpitch/core/text.h"
+#include "poplarpitch/gateway/caller_limits.h"
 #include "poplarpitch/gateway/leader_link.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_listener.h"
@@ -35,8 +36,8 @@
 public:
     explicit gateway(const gateway_settings& settings)
         : m_settings(settings), m_memory(get_peer_memory_limit(settings.memory_limit)),
-          m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait, settings.spread_returns,
-                 hash_bytes(settings.id)),
+          m_limits(settings.limits), m_link(m_loop, settings.seeds, settings.link_port, settings.leader_wait,
+                                            settings.spread_returns, hash_bytes(settings.id)),
           m_caller_listener(m_loop, m_memory, make_caller_listener_settings(settings),
                             [this](const http_request& request, const http_responder& respond) {
                                 relay(request, respond);
@@ -63,6 +64,7 @@
         m_loop.on_iteration_end([this] { log_abandoned_requests(); });
         m_loop.on_iteration_end([] { flush_logs(); });
         start_metrics();
+        m_link.on_limits([this](const request_limits& configured) { set_limits(configured); });
         m_link.start();
         log_event(log_level::info, "started").add("id", m_settings.id).add("port", caller_port.value());
         m_loop.run();
@@ -88,9 +90,24 @@
     static http_listener_settings make_caller_listener_settings(const gateway_settings& settings) {
         auto listener = make_listener_settings(settings.caller_host, settings.caller_port);
         listener.max_abandoned_wait = max_abandoned_wait;
+        listener.limits = settings.limits;
         return listener;
     }
 
+    void set_limits(const request_limits& configured) {
+        const auto limits = merge_limits(m_settings.limits, configured, m_memory.get_limit());
+        if (limits == m_limits) {
+            return;
+        }
+        m_limits = limits;
+        m_caller_listener.set_limits(limits);
+        log_event(log_level::info, "limits_changed")
+            .add("header_bytes", static_cast<std::uint64_t>(limits.max_header))
+            .add("body_bytes", static_cast<std::uint64_t>(limits.max_body))
+            .add("header_ms", to_milliseconds(limits.header_timeout))
+            .add("idle_ms", to_milliseconds(limits.idle_timeout));
+    }
+
     void start_metrics() {
         if (m_settings.metrics_port == 0) {
             return;
@@ -264,6 +281,7 @@
 
     const gateway_settings m_settings;
     memory_budget m_memory;
+    http_limits m_limits; ///< in effect for callers
     event_loop m_loop;
     leader_link m_link;
     http_listener m_caller_listener;
--- a/poplarpitch/gateway/gateway_settings.cpp
+++ b/poplarpitch/gateway/gateway_settings.cpp
@@ -3,6 +3,7 @@
 #include "poplarpitch/config/ini_document.h"
 #include "poplarpitch/config/section_reader.h"
 #include "poplarpitch/net/address_settings.h"
+#include "poplarpitch/net/http_limits_settings.h"
 #include "poplarpitch/net/memory_settings.h"
 
 namespace poplarpitch {
@@ -40,6 +41,7 @@
     value.leader_wait = reader.get_duration("leader_wait", value.leader_wait);
     value.drain_wait = reader.get_duration("drain_wait", value.drain_wait);
     value.stop_limit = reader.get_duration("stop_limit", value.stop_limit);
+    value.limits = read_http_limits(reader, value.limits);
     value.memory_limit = read_memory_limit(reader, value.memory_limit);
     value.spread_returns = reader.get_flag("spread_returns", value.spread_returns);
 }
--- a/poplarpitch/gateway/gateway_settings.h
+++ b/poplarpitch/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/config/config_error.h"
 #include "poplarpitch/core/time.h"
+#include "poplarpitch/net/http_limits.h"
 
 #include <cstddef>
 #include <string>
@@ -33,6 +34,7 @@
     duration stop_limit = seconds{5}; ///< at shutdown: time limit for open requests
     int metrics_port = 0;
     std::size_t memory_limit = default_memory_bytes; ///< of the process on its machine
+    http_limits limits; ///< of callers' requests, where the configuration sets none
     /// Spreads the return of callers that are refused for want of a leader, by the last leader's load digest.
     bool spread_returns = false;
 
--- a/poplarpitch/gateway/leader_link.cpp
+++ b/poplarpitch/gateway/leader_link.cpp
@@ -4,6 +4,8 @@
 #include "poplarpitch/net/frame_socket.h"
 #include "poplarpitch/net/socket_address.h"
 #include "poplarpitch/replica/node_address.h"
+#include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/scheduling/job_configuration.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
@@ -210,6 +212,7 @@
     for (const auto member : status.members().voters()) {
         m_control_ips.insert(get_node_ip(member));
     }
+    update_limits(status);
     if (ip == m_watch.get_observer()) {
         on_observer_status(ip, status);
     }
@@ -245,6 +248,19 @@
     send_pending();
 }
 
+void leader_link::update_limits(const job_wire::cluster_status& status) {
+    const auto version = status.config_version();
+    const bool is_newer =
+        version > m_limits_version && version <= static_cast<std::uint64_t>(max_configuration_version);
+    if (version == m_limits_version || !(is_newer || status.leads())) {
+        return;
+    }
+    m_limits_version = version;
+    if (m_on_limits) {
+        m_on_limits(decode(status.limits()));
+    }
+}
+
 void leader_link::on_observer_status(std::uint32_t ip, const job_wire::cluster_status& status) {
     if (status.leader_age_ms() < 0 || status.leader_age_ms() > max_leader_age_ms) {
         log_event(log_level::warn, "observer_status_refused")
--- a/poplarpitch/gateway/leader_link.h
+++ b/poplarpitch/gateway/leader_link.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/gateway/admission_digest.h"
 #include "poplarpitch/gateway/leader_watch.h"
+#include "poplarpitch/scheduling/request_limits.h"
 
 #include <cstdint>
 #include <functional>
@@ -60,6 +61,8 @@
 class leader_link {
 public:
     using outcome_handler = std::function<void(const relay_outcome&)>;
+    /// Called with the limits of another configuration.
+    using limits_handler = std::function<void(const request_limits&)>;
 
     /// `seeds` are IPv4 addresses of control instances; all of them listen on `port`. A request waits for a
     /// leader for `leader_wait`. With `spread_returns`, the callers of requests that are refused for want of
@@ -72,6 +75,8 @@
     leader_link(const leader_link&) = delete;
     leader_link& operator=(const leader_link&) = delete;
 
+    /// Sets what is called when another configuration took effect. Precondition: called before `start`.
+    void on_limits(limits_handler handler) { m_on_limits = std::move(handler); }
     /// Starts the search for a leader.
     void start();
     /// Sends a request that arrived at `received_at` to the leader, or queues it until a leader is found.
@@ -105,6 +110,8 @@
     void on_frame(std::uint32_t ip, const std::string& bytes);
     void on_status(std::uint32_t ip, const job_wire::status_answer& answer);
     void on_answer(std::uint32_t ip, const job_wire::relay_answer& answer);
+    /// Takes over the limits in a status of the leader, or of a newer configuration.
+    void update_limits(const job_wire::cluster_status& status);
     void on_load_digest(std::uint32_t ip, const job_wire::load_digest& message);
     void mark_leader_lost(const char* reason);
     void send_pending();
@@ -142,6 +149,8 @@
     std::uint64_t m_next_number = 1;
     admission_digest m_digest; ///< kept when the leader is lost: it is needed until the next one is found
     std::uint64_t m_spread_refusals = 0;
+    limits_handler m_on_limits;
+    std::uint64_t m_limits_version = 0; ///< of the configuration whose limits hold; 0: none
     std::shared_ptr<bool> m_is_alive;
 };
 
--- a/poplarpitch/net/http_listener.cpp
+++ b/poplarpitch/net/http_listener.cpp
@@ -29,6 +29,10 @@
     return m_sessions->start();
 }
 
+void http_listener::set_limits(const http_limits& limits) {
+    m_sessions->set_limits(limits);
+}
+
 void http_listener::close_connections_after_responses() {
     m_sessions->close_after_responses();
 }
--- a/poplarpitch/net/http_listener.h
+++ b/poplarpitch/net/http_listener.h
@@ -44,6 +44,8 @@
 
     /// Starts to listen. Returns the port, or `net_errc::listen_failed`.
     result<int> start();
+    /// Replaces the limits, for requests that begin from now on.
+    void set_limits(const http_limits& limits);
     /// Closes each connection after its next response, but continues to accept new connections.
     void close_connections_after_responses();
     /// Stops accepting connections, closes idle ones, and closes the others after their pending response.
--- a/poplarpitch/net/http_session.cpp
+++ b/poplarpitch/net/http_session.cpp
@@ -58,7 +58,7 @@
 }
 
 void http_session::check_timeouts() {
-    const auto& limits = m_owner->get_settings().limits;
+    const auto& limits = m_state == state::reading ? m_limits : m_owner->get_settings().limits;
     const auto age = m_owner->get_loop().now() - m_since;
     switch (m_state) {
     case state::idle:
@@ -96,11 +96,9 @@
 }
 
 void http_session::read() {
-    const auto& limits = m_owner->get_settings().limits;
     m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->body_limit(limits.max_body);
-    m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header));
+    apply_limits();
+    m_header_bytes = 0;
     m_message_bytes = m_buffer.size();
     m_field_bytes = 0;
     m_since = m_owner->get_loop().now();
@@ -116,9 +114,15 @@
     }
 }
 
+void http_session::apply_limits() {
+    m_limits = m_owner->get_settings().limits;
+    m_parser->body_limit(m_limits.max_body);
+    m_parser->header_limit(static_cast<std::uint32_t>(get_max_buffer(m_limits))); // `parse` is more exact
+}
+
 void http_session::read_more() {
     const auto size = m_buffer.size();
-    const auto max_size = get_max_buffer(m_owner->get_settings().limits);
+    const auto max_size = get_max_buffer(m_limits);
     if (size >= max_size) {
         refuse(431, "header_too_large", "the header or a trailer is larger than allowed");
         return;
@@ -149,6 +153,7 @@
     if (m_state == state::idle) {
         m_since = m_owner->get_loop().now();
         m_state = state::reading;
+        apply_limits();
     }
     m_owner->on_moved(*this);
     m_buffer.commit(count);
@@ -159,8 +164,14 @@
 void http_session::parse() {
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         beast::error_code error;
+        const bool is_header = !m_parser->is_header_done();
+        m_parser->eager(!is_header); // a header is parsed part by part, so that its bytes can be counted
         const auto used = m_parser->put(m_buffer.data(), error);
         m_buffer.consume(used);
+        m_header_bytes += is_header ? used : 0;
+        if (m_header_bytes > m_limits.max_header) {
+            error = beast::http::error::header_limit;
+        }
         if (error == beast::http::error::need_more) {
             break;
         }
@@ -190,8 +201,7 @@
 }
 
 bool http_session::is_message_too_long() const {
-    const auto& limits = m_owner->get_settings().limits;
-    return m_message_bytes > 2 * get_max_buffer(limits) + max_chunk_overhead * limits.max_body;
+    return m_message_bytes > 2 * get_max_buffer(m_limits) + max_chunk_overhead * m_limits.max_body;
 }
 
 void http_session::discard() {
--- a/poplarpitch/net/http_session.h
+++ b/poplarpitch/net/http_session.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/core/time.h"
 #include "poplarpitch/http/http_request.h"
 #include "poplarpitch/http/http_response.h"
+#include "poplarpitch/net/http_limits.h"
 #include "poplarpitch/net/memory_account.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -53,6 +54,8 @@
 
     /// Begins to read a request.
     void read();
+    /// Takes over the limits that hold now for the request that begins.
+    void apply_limits();
     /// Holds the memory of the request that is being read. Returns false when that closes the connection.
     [[nodiscard]] bool hold_message();
     /// Reads more bytes of the request.
@@ -83,6 +86,8 @@
     memory_account m_memory;
     boost::beast::flat_buffer m_buffer; ///< bytes that are not parsed yet
     std::size_t m_message_bytes = 0;    ///< received of the request that is being read
+    std::size_t m_header_bytes = 0;     ///< parsed of its header
+    http_limits m_limits;               ///< that hold for the request that is being read
     std::optional<request_parser> m_parser;
     std::optional<boost::beast::http::response<boost::beast::http::string_body>> m_response;
     unsigned m_version = 11;
--- a/poplarpitch/net/http_sessions.h
+++ b/poplarpitch/net/http_sessions.h
@@ -28,6 +28,8 @@
     void close();
     /// Accepts no more connections, closes idle ones, and closes the others after their response.
     void drain();
+    /// Replaces the limits, for requests that begin from now on.
+    void set_limits(const http_limits& limits) { m_settings.limits = limits; }
     /// Closes each connection after its next response.
     void close_after_responses() { m_is_draining = true; }
 
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -222,6 +222,9 @@
     if (status.leads() && m_handler.get_figures) {
         m_digest_writer.write(m_last_term, m_handler.get_figures(), *status.mutable_load());
     }
+    if (m_handler.add_to_status) {
+        m_handler.add_to_status(status);
+    }
     return status;
 }
 
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -63,6 +63,8 @@
     /// Returns the leader's figures for the load digest in its status. Called only while this instance leads.
     /// Without it, the status has no digest.
     std::function<leader_figures()> get_figures;
+    /// Adds to a status what the state machine tells other processes. May be empty.
+    std::function<void(job_wire::cluster_status&)> add_to_status;
     std::uint32_t command_format = 0; ///< of the newest commands that the state machine knows
 };
 
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -87,6 +87,7 @@
         listener.port = settings.control_port;
         listener.max_connections = settings.max_accepted;
         listener.kind = endpoint_kind::control;
+        listener.limits = settings.control_limits;
         listener.kernel_buffer = control_kernel_buffer;
         return listener;
     }
@@ -133,6 +134,11 @@
                 });
             }
         };
+        handler.add_to_status = [this](job_wire::cluster_status& status) {
+            const auto& configuration = m_parts.job_state.get_configuration();
+            status.set_config_version(configuration.version);
+            encode(configuration.limits, *status.mutable_limits());
+        };
         handler.get_figures = [this] {
             return leader_figures{m_parts.dispatch.get_backlog_time(), m_parts.dispatch.count_open_jobs()};
         };
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/config/section_reader.h"
 #include "poplarpitch/net/address_settings.h"
 #include "poplarpitch/net/descriptor_budget.h"
+#include "poplarpitch/net/http_limits_settings.h"
 #include "poplarpitch/net/memory_settings.h"
 
 #include <algorithm>
@@ -35,6 +36,7 @@
         value.control_host = format_ip(found->ip);
         value.control_port = found->port;
     }
+    value.control_limits = read_http_limits(reader, value.control_limits);
     auto& replica = value.replica;
     replica.data_folder = reader.get_text("data_folder", "");
     replica.may_found = reader.get_flag("may_found", replica.may_found);
--- a/poplarpitch/scheduler/scheduler_settings.h
+++ b/poplarpitch/scheduler/scheduler_settings.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/config/config_error.h"
 #include "poplarpitch/net/http_caller_settings.h"
+#include "poplarpitch/net/http_limits.h"
 #include "poplarpitch/relay/relay_settings.h"
 #include "poplarpitch/replica/replica_settings.h"
 #include "poplarpitch/scheduling/dispatch_settings.h"
@@ -23,6 +24,7 @@
     std::string log_level = "info";
     std::string control_host = "127.0.0.1"; ///< address on which workers and operators call
     int control_port = 0;
+    http_limits control_limits;      ///< of the requests of workers and operators
     std::string advice_address;      ///< of the advice service; empty if there is none
     int metrics_port = 0;            ///< 0: no metrics are served
     duration stop_wait = seconds{2}; ///< during a stop: how long to wait for open requests
--- a/poplarpitch/scheduling/job_codec.cpp
+++ b/poplarpitch/scheduling/job_codec.cpp
@@ -188,6 +188,18 @@
     return {message.id(), message.queue()};
 }
 
+void encode(const request_limits& limits, job_wire::request_limits& message) {
+    message.set_max_header_bytes(limits.max_header_bytes);
+    message.set_max_body_bytes(limits.max_body_bytes);
+    message.set_header_timeout_ms(to_milliseconds(limits.header_timeout));
+    message.set_idle_timeout_ms(to_milliseconds(limits.idle_timeout));
+}
+
+request_limits decode(const job_wire::request_limits& message) {
+    return {message.max_header_bytes(), message.max_body_bytes(), milliseconds{message.header_timeout_ms()},
+            milliseconds{message.idle_timeout_ms()}};
+}
+
 void encode(const job_configuration& configuration, job_wire::put_config& message) {
     message.set_version(configuration.version);
     message.set_document(configuration.document);
@@ -201,6 +213,7 @@
         item.set_standby(pool.is_standby);
         item.set_max_connections(pool.max_connections);
     }
+    encode(configuration.limits, *message.mutable_limits());
 }
 
 job_configuration decode(const job_wire::put_config& message) {
@@ -214,6 +227,7 @@
         configuration.pools.push_back(
             {pool.name(), pool.enforces_capacity(), pool.standby(), pool.max_connections()});
     }
+    configuration.limits = decode(message.limits());
     return configuration;
 }
 
--- a/poplarpitch/scheduling/job_configuration.h
+++ b/poplarpitch/scheduling/job_configuration.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/scheduling/pool_settings.h"
 #include "poplarpitch/scheduling/queue_settings.h"
+#include "poplarpitch/scheduling/request_limits.h"
 
 #include <cstdint>
 #include <limits>
@@ -21,6 +22,7 @@
     std::string document;      ///< as the operator sent it; returned on a read
     std::vector<queue_settings> queues;
     std::vector<pool_settings> pools;
+    request_limits limits;
 
     friend bool operator==(const job_configuration&, const job_configuration&) = default;
 
--- a/unit_tests/platform/door_fuzz_test.cpp
+++ b/unit_tests/platform/door_fuzz_test.cpp
@@ -38,7 +38,8 @@
 const char* const configuration =
     R"({"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/p/","timeoutMs":3000,"targetLatencyMs":250,
     "priority":0,"service":"s","maxAttempts":3,"stretch":1.5},{"name":"q","host":"a.example","pathPrefix":"/q/",
-    "timeoutMs":3000,"service":"s"}],"services":[{"name":"s","maxConns":64,"enforcesCapacity":true}],"limits":{}})";
+    "timeoutMs":3000,"service":"s"}],"services":[{"name":"s","maxConns":64,"enforcesCapacity":true}],"limits":{"maxHeaderBytes":16384,
+    "maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 const char* const job =
     R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900},{"count":20,"cpu":2000,
     "dependsOn":[0],"antiAffinity":2,"longRunning":true,"missAllowed":1}],"repeatCount":2,"firstMs":9,"intervalMs":4})";
--- a/unit_tests/platform/invalid_configuration_test.cpp
+++ b/unit_tests/platform/invalid_configuration_test.cpp
@@ -17,7 +17,7 @@
     R"({"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/p/","kind":"unsafe","timeoutMs":3000,
     "targetLatencyMs":250,"priority":0,"service":"s","maxAttempts":3,"stretch":1.5}],"services":[{"name":"s",
     "healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":true,"standby":false}],
-    "limits":{"maxHeaderBytes":16384}})";
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
 /// Returns the reason why a configuration is refused; empty when it is accepted.
 std::string find_reason(const nlohmann::json& document) {
@@ -37,6 +37,7 @@
     EXPECT_EQ(configuration.value().queues[0].timeout, seconds{3});
     ASSERT_EQ(configuration.value().pools.size(), 1U);
     EXPECT_EQ(configuration.value().pools[0].max_connections, 64U);
+    EXPECT_EQ(configuration.value().limits, (request_limits{16'384, 262'144, seconds{3}, seconds{15}}));
 }
 
 // With the version -1, read as the highest number there is, no later configuration could take effect.
@@ -62,6 +63,10 @@
         {"/services", "null"},
         {"/services", "{}"},
         {"/limits", "[]"},
+        {"/limits/maxHeaderBytes", "null"},
+        {"/limits/maxBodyBytes", "-1"},
+        {"/limits/headerTimeoutMs", "\"3000\""},
+        {"/limits/idleTimeoutMs", "1e19"},
         {"/routes/0", "null"},
         {"/routes/0/name", "7"},
         {"/routes/0/host", "null"},
--- a/unit_tests/platform/scheduler_cluster.cpp
+++ b/unit_tests/platform/scheduler_cluster.cpp
@@ -54,6 +54,25 @@
     return false;
 }
 
+/// Returns a configuration with one queue at each of `prefixes`.
+nlohmann::json make_config(std::uint64_t version, int max_attempts,
+                           const std::vector<std::string>& prefixes) {
+    auto routes = nlohmann::json::array();
+    for (const auto& prefix : prefixes) {
+        routes.push_back({{"name", "queue of " + prefix},
+                          {"host", "mill.example"},
+                          {"pathPrefix", prefix},
+                          {"timeoutMs", 3000},
+                          {"targetLatencyMs", 1000},
+                          {"service", "mill"},
+                          {"maxAttempts", max_attempts},
+                          {"stretch", 2.0}});
+    }
+    return {{"version", version},
+            {"routes", routes},
+            {"services", {{{"name", "mill"}, {"enforcesCapacity", true}}}}};
+}
+
 } // namespace
 
 scheduler_cluster::scheduler_cluster(int schedulers, std::string workers_settings,
@@ -237,20 +256,21 @@
 
 void scheduler_cluster::put_config(std::uint64_t version, int max_attempts,
                                    const std::vector<std::string>& prefixes) {
-    auto routes = nlohmann::json::array();
-    for (const auto& prefix : prefixes) {
-        routes.push_back({{"name", "queue of " + prefix},
-                          {"host", "mill.example"},
-                          {"pathPrefix", prefix},
-                          {"timeoutMs", 3000},
-                          {"targetLatencyMs", 1000},
-                          {"service", "mill"},
-                          {"maxAttempts", max_attempts},
-                          {"stretch", 2.0}});
-    }
-    const nlohmann::json document = {{"version", version},
-                                     {"routes", routes},
-                                     {"services", {{{"name", "mill"}, {"enforcesCapacity", true}}}}};
+    send_config(make_config(version, max_attempts, prefixes));
+}
+
+void scheduler_cluster::put_limits(std::uint64_t version, const nlohmann::json& limits) {
+    auto document = make_config(version, 3, {"/jobs/"});
+    document["limits"] = limits;
+    const auto log_size = get_gateway().read_log().size();
+    send_config(document);
+    const auto has_changed = [&] {
+        return get_gateway().read_log().find("event=limits_changed", log_size) != std::string::npos;
+    };
+    EXPECT_TRUE(wait_until(seconds{20}, has_changed)) << "the gateway never took over the limits";
+}
+
+void scheduler_cluster::send_config(const nlohmann::json& document) {
     const bool is_acknowledged = wait_until(seconds{20}, [&] {
         for (int number = 1; number <= m_count; ++number) {
             const auto response = send_control_request(number, "POST", "/v1/Config.Put", document.dump());
--- a/unit_tests/platform/scheduler_cluster.h
+++ b/unit_tests/platform/scheduler_cluster.h
@@ -75,6 +75,9 @@
     /// test when it is not.
     void put_config(std::uint64_t version, int max_attempts = 3,
                     const std::vector<std::string>& prefixes = {"/jobs/"});
+    /// Sends a configuration with one queue at /jobs/ and these limits, as JSON, until it is acknowledged and
+    /// the first gateway has taken them over, and fails the test when that does not happen.
+    void put_limits(std::uint64_t version, const nlohmann::json& limits);
     /// Submits a job of one step, repeatedly until it is accepted. Returns false when it is not accepted
     /// within `limit`.
     bool submit(const std::string& id, int tasks, duration limit, const std::string& payload = "text");
@@ -93,6 +96,8 @@
     int find_leader();
 
 private:
+    /// Sends a configuration until it is acknowledged, and fails the test when it is not.
+    void send_config(const nlohmann::json& document);
     [[nodiscard]] static std::string get_host(int number);
     [[nodiscard]] static std::string get_gateway_host(int number);
     [[nodiscard]] std::string get_data_centre(int number) const;
