Bound what a scheduler holds for unknown processes at its link port

What callers saw: 40 strangers over five schedulers that began a frame of tens of MB took 745 MB of each. Traced besides: 4,500 idle connections took 309 MB, 64 KiB of buffer each, and 40 strangers that asked for the status without reading the answers 792 MB.

Cause: a frame of 64 MiB was read from anyone, answers waited up to twice 16 MiB for each connection, each connection had its own buffer of 64 KiB from the start, and their number had no limit.

Change: link_acceptor (out of replica.cpp) keeps the connections. A peer is known when its address is that of a control instance; own connections are opened from the instance's own address, so that this also holds on loopback. Unknown peers, entry instances among them, may send frames of 8 MiB and leave 4 MiB unread; what is held for them counts against the memory budget. Of more than the descriptors allow (an eighth of them, less 16) the connection without a readable frame for longest is closed; entry instances send one every 2 s or more often. A buffer starts at 2 KiB and grows to 64 KiB while reads fill it. Bytes that had been read before a connection was closed are dropped: they were handled before, which the new tests showed as a crash.

The fixture now finds a process that has ended without being waited for; kill(pid, 0) does not.

Open: an address that claims to be a control instance in a raft frame becomes known; frames are not authenticated.

--- a/poplarpitch/gateway/caller_limits.cpp
+++ b/poplarpitch/gateway/caller_limits.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t max_header_bytes = 1U << 20;
+constexpr std::size_t max_body_bytes = 6U << 20; // fits into a frame of the link
 constexpr std::size_t bodies_in_memory =
     12; // a quarter of the memory for long requests, three copies of each
 
@@ -21,8 +22,8 @@
                          std::size_t peer_memory_limit) {
     auto limits = settings;
     limits.max_header = choose(configured.max_header_bytes, settings.max_header, max_header_bytes);
-    limits.max_body =
-        choose(configured.max_body_bytes, settings.max_body, peer_memory_limit / bodies_in_memory);
+    const auto highest_body = std::min(peer_memory_limit / bodies_in_memory, max_body_bytes);
+    limits.max_body = choose(configured.max_body_bytes, settings.max_body, highest_body);
     if (configured.header_timeout > duration{0}) {
         limits.header_timeout = configured.header_timeout;
     }
--- a/poplarpitch/net/descriptor_budget.h
+++ b/poplarpitch/net/descriptor_budget.h
@@ -16,6 +16,7 @@
     std::size_t inbound = 0;  ///< heartbeats, operators
     std::size_t outbound = 0; ///< connections to workers
     std::size_t reserved = 0; ///< for files, timers and frame connections of other processes
+    std::size_t link = 0;     ///< of those reserved: frame connections that unknown processes open
 
     friend auto operator<=>(const descriptor_budget&, const descriptor_budget&) = default;
 };
@@ -25,10 +26,12 @@
 /// `min_descriptors`. Thread safety: any thread.
 [[nodiscard]] constexpr descriptor_budget divide_descriptors(std::size_t descriptors) {
     constexpr std::size_t reserved_files = 64;
+    constexpr std::size_t own_link_connections = 16; // from and to other control instances
     constexpr std::size_t reserved_divisor = 8;
     constexpr std::size_t inbound_divisor = 3;
     descriptor_budget budget;
     budget.reserved = descriptors / reserved_divisor + reserved_files;
+    budget.link = budget.reserved - reserved_files - own_link_connections;
     const auto rest = descriptors - budget.reserved;
     budget.inbound = rest / inbound_divisor;
     budget.outbound = rest - budget.inbound;
--- a/poplarpitch/net/frame_socket.cpp
+++ b/poplarpitch/net/frame_socket.cpp
@@ -2,6 +2,8 @@
 
 #include "poplarpitch/net/acceptor.h"
 #include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/net/frame_limits.h"
+#include "poplarpitch/net/memory_account.h"
 #include "poplarpitch/net/socket_address.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,7 +14,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <array>
+#include <algorithm>
+#include <optional>
+#include <vector>
 
 namespace poplarpitch {
 
@@ -21,10 +25,9 @@
 namespace {
 
 constexpr std::size_t header_bytes = 4;
-constexpr std::size_t max_frame_bytes = 64U << 20;   // a larger length cannot come from this protocol
-constexpr std::size_t max_unsent_bytes = 16U << 20;  // waiting for a peer that may have stopped reading
-constexpr std::size_t read_buffer_bytes = 64U << 10; // for each system call
-constexpr int tcp_user_timeout_ms = 2500;            // closes the connection when the path stops responding
+constexpr std::size_t first_read_bytes = 2U << 10; // many connections carry only a status now and then
+constexpr std::size_t max_read_bytes = 64U << 10;  // for each system call, of a connection that carries more
+constexpr int tcp_user_timeout_ms = 2500;          // closes the connection when the path stops responding
 constexpr int listen_backlog = 1024;
 
 void set_options(asio::ip::tcp::socket& socket) {
@@ -49,6 +52,13 @@
     return size;
 }
 
+/// Chooses the own address of an outgoing connection.
+void bind_source(asio::ip::tcp::socket& socket, std::uint32_t ip) {
+    boost::system::error_code ignored; // the peer then takes this process for a stranger
+    socket.open(asio::ip::tcp::v4(), ignored);
+    socket.bind({asio::ip::address_v4(ip), 0}, ignored);
+}
+
 } // namespace
 
 struct frame_socket::impl {
@@ -58,7 +68,10 @@
     asio::ip::tcp::socket socket;
     frame_handler on_frame;
     std::function<void()> on_closed;
-    std::array<char, read_buffer_bytes> buffer{};
+    std::vector<char> buffer = std::vector<char>(first_read_bytes);
+    frame_limits limits;
+    std::optional<memory_account> memory; ///< nothing where the peer's memory is not counted
+    time_point held_since{};              ///< when the oldest bytes that are held arrived
     std::string received;
     std::string write_buffer;
     std::string pending; ///< frames that are sent after `write_buffer`
@@ -81,6 +94,9 @@
     m_impl->socket.async_read_some(
         asio::buffer(m_impl->buffer),
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+            if (!self->is_open()) {
+                return; // closed after these bytes had been read
+            }
             if (error) {
                 self->close_and_notify();
                 return;
@@ -89,15 +105,41 @@
         });
 }
 
+void frame_socket::limit(const frame_limits& limits, memory_budget& budget) {
+    m_impl->limits = limits;
+    m_impl->memory.emplace(budget, endpoint_kind::link, [this] { close_and_notify(); });
+}
+
+void frame_socket::lift_limits() {
+    m_impl->limits = {};
+    m_impl->memory.reset();
+}
+
+std::uint32_t frame_socket::get_peer_ip() const {
+    boost::system::error_code error;
+    const auto peer = m_impl->socket.remote_endpoint(error);
+    return error ? 0 : peer.address().to_v4().to_uint();
+}
+
 void frame_socket::on_bytes(std::size_t count) {
+    auto& buffer = m_impl->buffer;
+    m_impl->received.append(buffer.data(), count);
+    if (count == buffer.size() && count < max_read_bytes) {
+        buffer.resize(std::min(2 * buffer.size(), max_read_bytes));
+    }
+    if (handle_frames() && hold_memory()) {
+        read();
+    }
+}
+
+bool frame_socket::handle_frames() {
     auto& bytes = m_impl->received;
-    bytes.append(m_impl->buffer.data(), count);
     std::size_t offset = 0;
     while (bytes.size() - offset >= header_bytes) {
         const auto size = read_header(bytes, offset);
-        if (size > max_frame_bytes) {
+        if (size > m_impl->limits.max_frame) {
             close_and_notify();
-            return;
+            return false;
         }
         if (bytes.size() - offset - header_bytes < size) {
             break;
@@ -108,18 +150,40 @@
             m_impl->on_frame(frame);
         }
         if (!m_impl->socket.is_open()) {
-            return; // the handler closed it
+            return false; // the handler closed it
         }
     }
     bytes.erase(0, offset);
-    read();
+    if (bytes.empty() && bytes.capacity() > max_read_bytes) {
+        bytes.shrink_to_fit();
+    }
+    return true;
+}
+
+bool frame_socket::hold_memory() {
+    if (!m_impl->memory.has_value() || !m_impl->socket.is_open()) {
+        return m_impl->socket.is_open();
+    }
+    const auto bytes =
+        m_impl->received.capacity() + m_impl->pending.capacity() + m_impl->write_buffer.capacity();
+    const bool is_idle = m_impl->received.empty() && !m_impl->is_writing;
+    if (is_idle) {
+        m_impl->memory->release();
+        m_impl->held_since = {};
+        return true;
+    }
+    if (m_impl->held_since == time_point{}) {
+        m_impl->held_since = m_impl->loop.now();
+    }
+    m_impl->memory->hold_message(bytes, m_impl->held_since);
+    return m_impl->socket.is_open();
 }
 
 bool frame_socket::send(const std::string& frame) {
     if (!m_impl->socket.is_open()) {
         return false;
     }
-    if (m_impl->pending.size() + frame.size() > max_unsent_bytes) {
+    if (m_impl->pending.size() + frame.size() > m_impl->limits.max_unsent) {
         close_and_notify();
         return false;
     }
@@ -130,7 +194,7 @@
         // Frames sent in the same iteration share one write.
         m_impl->loop.post([self = shared_from_this()] { self->write(); });
     }
-    return true;
+    return hold_memory();
 }
 
 void frame_socket::write() {
@@ -146,12 +210,22 @@
                               self->close_and_notify();
                               return;
                           }
-                          self->m_impl->write_buffer.clear();
-                          self->write();
+                          self->on_written();
                       });
 }
 
+void frame_socket::on_written() {
+    auto& written = m_impl->write_buffer;
+    written.clear();
+    if (written.capacity() > max_read_bytes) {
+        written.shrink_to_fit();
+    }
+    write();
+    hold_memory();
+}
+
 void frame_socket::close_and_notify() {
+    const auto self = shared_from_this(); // the handler may drop the last other reference
     const auto work = std::move(m_impl->on_closed);
     close();
     if (work) {
@@ -162,6 +236,9 @@
 void frame_socket::close() {
     boost::system::error_code ignored; // it is closed in any case
     m_impl->socket.close(ignored);
+    if (m_impl->memory.has_value()) {
+        m_impl->memory->release();
+    }
     m_impl->on_closed = nullptr;
     // The frame handler may be running, so it is destroyed in a later handler.
     m_impl->loop.post([self = shared_from_this()] { self->m_impl->on_frame = nullptr; });
@@ -217,13 +294,17 @@
 }
 
 void connect_frame_socket(event_loop& loop, const std::string& address, duration timeout,
-                          std::function<void(std::shared_ptr<frame_socket>)> on_done) {
+                          std::function<void(std::shared_ptr<frame_socket>)> on_done,
+                          std::uint32_t source_ip) {
     const auto target = parse_socket_address(address);
     if (!target.has_value()) {
         loop.post([on_done = std::move(on_done)] { on_done(nullptr); });
         return;
     }
     auto socket = std::make_shared<asio::ip::tcp::socket>(loop.get_context());
+    if (source_ip != 0) {
+        bind_source(*socket, source_ip);
+    }
     const auto timer = loop.call_after(timeout, [socket] {
         boost::system::error_code ignored; // closing makes the connect operation fail
         socket->close(ignored);
--- a/poplarpitch/replica/peer_mesh.cpp
+++ b/poplarpitch/replica/peer_mesh.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-peer_mesh::peer_mesh(event_loop& loop, int port, frame_handler on_frame)
-    : m_loop(loop), m_port(port), m_on_frame(std::move(on_frame)), m_is_alive(std::make_shared<bool>(true)) {}
+peer_mesh::peer_mesh(event_loop& loop, std::uint32_t own_ip, int port, frame_handler on_frame)
+    : m_loop(loop), m_own_ip(own_ip), m_port(port), m_on_frame(std::move(on_frame)),
+      m_is_alive(std::make_shared<bool>(true)) {}
 
 peer_mesh::~peer_mesh() {
     *m_is_alive = false;
@@ -87,7 +88,8 @@
                     m_links[ip].socket = nullptr;
                     m_links[ip].retry_at = m_loop.now() + retry_pause;
                 });
-        });
+        },
+        m_own_ip);
 }
 
 } // namespace poplarpitch
--- a/poplarpitch/replica/peer_mesh.h
+++ b/poplarpitch/replica/peer_mesh.h
@@ -26,9 +26,9 @@
 public:
     using frame_handler = std::function<void(std::uint32_t ip, const job_wire::cluster_frame&)>;
 
-    /// `on_frame` is called with each frame received on these connections. Precondition: `loop` outlives the
-    /// mesh.
-    peer_mesh(event_loop& loop, int port, frame_handler on_frame);
+    /// `own_ip`: address of this instance, in host order, by which others know it. `on_frame` is called with
+    /// each frame received on these connections. Precondition: `loop` outlives the mesh.
+    peer_mesh(event_loop& loop, std::uint32_t own_ip, int port, frame_handler on_frame);
     ~peer_mesh();
     peer_mesh(const peer_mesh&) = delete;
     peer_mesh& operator=(const peer_mesh&) = delete;
@@ -51,6 +51,7 @@
     void connect(std::uint32_t ip);
 
     event_loop& m_loop;
+    std::uint32_t m_own_ip;
     int m_port;
     frame_handler m_on_frame;
     std::map<std::uint32_t, link> m_links;
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -38,15 +38,19 @@
 
 } // namespace
 
-replica::replica(event_loop& loop, const replica_settings& settings, replica_handler handler)
+replica::replica(event_loop& loop, memory_budget& budget, const replica_settings& settings,
+                 replica_handler handler)
     : m_loop(loop), m_settings(settings), m_handler(std::move(handler)), m_files(settings.data_folder),
-      m_planner(settings.voters, settings.voter_loss_timeout), m_sync_task(loop) {}
+      m_planner(settings.voters, settings.voter_loss_timeout),
+      m_acceptor(
+          loop, budget, settings.max_unknown_connections,
+          [this](std::uint32_t ip) { return m_known_addresses.contains(ip); },
+          [this](const std::shared_ptr<frame_socket>& socket, const job_wire::cluster_frame& frame) {
+              on_accepted_frame(socket, frame);
+          }),
+      m_sync_task(loop) {}
 
-replica::~replica() {
-    for (const auto& socket : m_accepted) {
-        socket->close();
-    }
-}
+replica::~replica() = default;
 
 // ---- start
 
@@ -71,14 +75,11 @@
     }
     m_stored = stored.value();
     log_stored_state();
-    m_mesh = std::make_unique<peer_mesh>(m_loop, m_settings.port,
+    m_mesh = std::make_unique<peer_mesh>(m_loop, m_ip, m_settings.port,
                                          [this](std::uint32_t from, const job_wire::cluster_frame& frame) {
                                              on_frame(from, frame, [](const job_wire::cluster_frame&) {});
                                          });
-    m_listener = std::make_unique<frame_listener>(
-        m_loop, m_settings.host, m_settings.port,
-        [this](const std::shared_ptr<frame_socket>& socket) { accept(socket); });
-    if (m_listener->start() == 0) {
+    if (!m_acceptor.start(m_settings.host, m_settings.port)) {
         return make_error_code(net_errc::listen_failed);
     }
     for (const auto& seed : m_settings.seeds) {
@@ -124,34 +125,15 @@
 
 // ---- frames
 
-void replica::accept(const std::shared_ptr<frame_socket>& socket) {
-    m_accepted.insert(socket);
+void replica::on_accepted_frame(const std::shared_ptr<frame_socket>& socket,
+                                const job_wire::cluster_frame& frame) {
+    const auto from = frame.has_raft() ? get_node_ip(frame.raft().from()) : 0;
     const std::weak_ptr<frame_socket> weak = socket;
-    socket->start(
-        [this, weak](const std::string& bytes) {
-            google::protobuf::Arena arena; // a frame has thousands of small messages
-            auto& frame = *google::protobuf::Arena::CreateMessage<job_wire::cluster_frame>(&arena);
-            if (!frame.ParseFromString(bytes)) {
-                log_event(log_level::warn, "frame_unreadable")
-                    .add("bytes", static_cast<std::uint64_t>(bytes.size()));
-                return;
-            }
-            if (frame.has_ask_status() && frame.ask_status().wants_changes()) {
-                m_watchers.insert(weak.lock());
-            }
-            const auto from = frame.has_raft() ? get_node_ip(frame.raft().from()) : 0;
-            on_frame(from, frame, [weak](const job_wire::cluster_frame& answer) {
-                if (const auto open = weak.lock()) {
-                    open->send(answer.SerializeAsString());
-                }
-            });
-        },
-        [this, weak] {
-            if (const auto gone = weak.lock()) {
-                m_accepted.erase(gone);
-                m_watchers.erase(gone);
-            }
-        });
+    on_frame(from, frame, [weak](const job_wire::cluster_frame& answer) {
+        if (const auto open = weak.lock()) {
+            open->send(answer.SerializeAsString());
+        }
+    });
 }
 
 void replica::report_leader_change() {
@@ -164,10 +146,7 @@
         return;
     }
     m_reported_leader_change = leader;
-    const auto bytes = make_status_frame(0).SerializeAsString();
-    for (const auto& socket : std::set(m_watchers)) { // a full socket closes itself, which changes the set
-        socket->send(bytes);
-    }
+    m_acceptor.send_to_watchers(make_status_frame(0).SerializeAsString());
 }
 
 void replica::on_frame(std::uint32_t ip, const job_wire::cluster_frame& frame,
@@ -218,7 +197,7 @@
         encode(m_node->get_membership(), *status.mutable_members());
     }
     status.set_leads(m_is_leading && has_lease());
-    status.set_wants_followers_asked(status.leads() && m_accepted.size() > max_direct_connections);
+    status.set_wants_followers_asked(status.leads() && m_acceptor.count() > max_direct_connections);
     if (status.leads() && m_handler.get_figures) {
         m_digest_writer.write(m_last_term, m_handler.get_figures(), *status.mutable_load());
     }
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -3,6 +3,7 @@
 #include "poplarpitch/consensus/raft_node.h"
 #include "poplarpitch/core/result.h"
 #include "poplarpitch/net/background_task.h"
+#include "poplarpitch/replica/link_acceptor.h"
 #include "poplarpitch/replica/load_digest_writer.h"
 #include "poplarpitch/replica/member_planner.h"
 #include "poplarpitch/replica/node_phase.h"
@@ -33,8 +34,8 @@
 namespace poplarpitch {
 
 class event_loop;
-class frame_listener;
 class frame_socket;
+class memory_budget;
 
 /// Result of a proposal.
 enum class proposal_result : std::uint8_t {
@@ -83,8 +84,10 @@
 /// callers can retry requests that got no answer. Thread safety: the loop's thread, for all methods.
 class replica {
 public:
-    /// Precondition: `loop` outlives the replica.
-    replica(event_loop& loop, const replica_settings& settings, replica_handler handler);
+    /// What is held for unknown peers counts against `budget`. Precondition: `loop` and `budget` outlive the
+    /// replica.
+    replica(event_loop& loop, memory_budget& budget, const replica_settings& settings,
+            replica_handler handler);
     ~replica();
     replica(const replica&) = delete;
     replica& operator=(const replica&) = delete;
@@ -123,7 +126,7 @@
     /// Returns the number of status requests of other processes since the start.
     [[nodiscard]] std::uint64_t get_status_requests() const { return m_status_requests; }
     /// Returns the number of connections that other processes have opened to the link port.
-    [[nodiscard]] std::size_t count_link_connections() const { return m_accepted.size(); }
+    [[nodiscard]] std::size_t count_link_connections() const { return m_acceptor.count(); }
 
 private:
     struct pending_proposal {
@@ -149,7 +152,7 @@
     [[nodiscard]] job_wire::cluster_status make_status();
     /// Returns a frame with the status, which answers the request with this number; 0 for none.
     [[nodiscard]] job_wire::cluster_frame make_status_frame(std::uint64_t number);
-    void accept(const std::shared_ptr<frame_socket>& socket);
+    void on_accepted_frame(const std::shared_ptr<frame_socket>& socket, const job_wire::cluster_frame& frame);
     /// Sends the status to all who want to know of changes, when this instance knows another leader than at
     /// the last call that sent it.
     void report_leader_change();
@@ -209,9 +212,7 @@
     member_planner m_planner;
     load_digest_writer m_digest_writer;
     std::unique_ptr<peer_mesh> m_mesh;
-    std::unique_ptr<frame_listener> m_listener;
-    std::set<std::shared_ptr<frame_socket>> m_accepted;
-    std::set<std::shared_ptr<frame_socket>> m_watchers; ///< of `m_accepted`: those that want changes
+    link_acceptor m_acceptor;
     std::uint64_t m_status_requests = 0;
     node_id m_reported_leader_change = 0; ///< the leader in the last report of a change
     std::map<log_index, pending_proposal> m_proposals;
--- a/poplarpitch/scheduler/scheduler_parts.h
+++ b/poplarpitch/scheduler/scheduler_parts.h
@@ -18,7 +18,7 @@
 struct scheduler_parts {
     explicit scheduler_parts(const scheduler_settings& chosen, replica_handler handler)
         : settings(chosen), memory(get_peer_memory_limit(settings.memory_limit)),
-          log(loop, settings.replica, std::move(handler)), batcher(loop, log, job_state),
+          log(loop, memory, settings.replica, std::move(handler)), batcher(loop, log, job_state),
           dispatch(settings.dispatch, job_state), caller(loop, settings.caller), relays(settings.relay) {}
 
     scheduler_settings settings;
--- a/poplarpitch/scheduler/scheduler_settings.cpp
+++ b/poplarpitch/scheduler/scheduler_settings.cpp
@@ -55,6 +55,7 @@
                                                 static_cast<std::int64_t>(min_descriptors), max_descriptors);
     const auto budget = divide_descriptors(static_cast<std::size_t>(descriptors));
     value.max_accepted = budget.inbound;
+    value.replica.max_unknown_connections = budget.link;
     value.memory_limit = read_memory_limit(reader, value.memory_limit);
     value.caller.max_connections = budget.outbound;
 }
--- a/unit_tests/client_limits/limits_fixture.cpp
+++ b/unit_tests/client_limits/limits_fixture.cpp
@@ -1,5 +1,7 @@
 #include "unit_tests/client_limits/limits_fixture.h"
 
+#include <sys/wait.h>
+
 #include <csignal>
 #include <iostream>
 #include <vector>
@@ -11,6 +13,14 @@
 constexpr duration accept_timeout = seconds{30}; // only a failing test waits this long
 constexpr std::size_t megabyte = 1'000'000;
 
+/// Returns true when a process has ended, without waiting for it.
+bool has_ended(const child_process& process) {
+    siginfo_t state{};
+    const int outcome =
+        ::waitid(P_PID, static_cast<id_t>(process.get_pid()), &state, WEXITED | WNOHANG | WNOWAIT);
+    return outcome != 0 || state.si_pid != 0;
+}
+
 } // namespace
 
 void client_limits::SetUp() {
@@ -44,8 +54,8 @@
 }
 
 void client_limits::expect_bounds() const {
-    EXPECT_EQ(::kill(m_cluster->get_gateway().get_pid(), 0), 0);
-    EXPECT_EQ(::kill(m_cluster->get_scheduler(1).get_pid(), 0), 0);
+    EXPECT_FALSE(has_ended(m_cluster->get_gateway())) << "the entry instance has ended";
+    EXPECT_FALSE(has_ended(m_cluster->get_scheduler(1))) << "the scheduler has ended";
     EXPECT_LE(m_entry->get_peak(), entry_memory_bytes);
     EXPECT_LE(m_scheduler->get_peak(), scheduler_memory_bytes);
     std::cout << "peak: entry " << m_entry->get_peak() / megabyte << " MB, scheduler "
--- a/unit_tests/replica/command_format_test.cpp
+++ b/unit_tests/replica/command_format_test.cpp
@@ -1,5 +1,6 @@
 // Whether every member of the log knows a format of commands, so that the leader may propose one of them.
 #include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/net/memory_budget.h"
 #include "poplarpitch/replica/replica.h"
 #include "unit_tests/replica/free_port.h"
 #include "unit_tests/support/temporary_folder.h"
@@ -15,6 +16,8 @@
 namespace poplarpitch {
 namespace {
 
+constexpr std::size_t memory_limit = 64U << 20;
+
 constexpr duration test_timeout = seconds{30};
 constexpr duration settled_time = seconds{1}; // ten heartbeats of the leader
 
@@ -34,7 +37,8 @@
             settings.may_found = true;
             settings.voters = formats.size();
             settings.data_folder = m_folders[number].get_path();
-            m_replicas.push_back(std::make_unique<replica>(m_loop, settings, make_handler(formats[number])));
+            m_replicas.push_back(
+                std::make_unique<replica>(m_loop, m_memory, settings, make_handler(formats[number])));
             EXPECT_TRUE(m_replicas.back()->start());
         }
     }
@@ -83,6 +87,7 @@
         m_loop.run();
     }
 
+    memory_budget m_memory{memory_limit};
     event_loop m_loop;
     temporary_folder m_folders[3];
     std::vector<std::string> m_hosts;
--- a/unit_tests/replica/leader_report_test.cpp
+++ b/unit_tests/replica/leader_report_test.cpp
@@ -1,6 +1,7 @@
 // What an instance tells those who follow the leader through it, and when a leader asks for that.
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/frame_socket.h"
+#include "poplarpitch/net/memory_budget.h"
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 #include "unit_tests/replica/free_port.h"
@@ -16,6 +17,8 @@
 namespace poplarpitch {
 namespace {
 
+constexpr std::size_t memory_limit = 64U << 20;
+
 constexpr duration test_timeout = seconds{20};
 constexpr duration poll_interval = milliseconds{2};
 
@@ -43,7 +46,7 @@
         settings.may_found = true;
         settings.port = find_free_port(loop);
         m_address = settings.host + ":" + std::to_string(settings.port);
-        m_log = std::make_unique<replica>(loop, settings, std::move(handler));
+        m_log = std::make_unique<replica>(loop, m_memory, settings, std::move(handler));
         EXPECT_TRUE(m_log->start());
         loop.call_after(test_timeout, [this] {
             ADD_FAILURE() << "the test did not end within its time limit";
@@ -101,6 +104,7 @@
         return statuses.back();
     }
 
+    memory_budget m_memory{memory_limit};
     event_loop loop;
     std::vector<job_wire::cluster_status> statuses;
     bool is_leading = false;
--- a/unit_tests/replica/load_digest_test.cpp
+++ b/unit_tests/replica/load_digest_test.cpp
@@ -1,6 +1,7 @@
 // The load digest in the status of a leader.
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/frame_socket.h"
+#include "poplarpitch/net/memory_budget.h"
 #include "poplarpitch/replica/load_digest_writer.h"
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -17,6 +18,8 @@
 namespace poplarpitch {
 namespace {
 
+constexpr std::size_t memory_limit = 64U << 20;
+
 constexpr duration test_timeout = seconds{20};
 
 job_wire::load_digest write(load_digest_writer& writer, log_term term, const leader_figures& figures) {
@@ -72,7 +75,7 @@
         settings.may_found = true;
         settings.port = find_free_port(m_loop);
         m_address = settings.host + ":" + std::to_string(settings.port);
-        m_log = std::make_unique<replica>(m_loop, settings, std::move(handler));
+        m_log = std::make_unique<replica>(m_loop, m_memory, settings, std::move(handler));
     }
 
     /// Runs until two statuses of a leader have arrived, or the time limit has passed.
@@ -114,6 +117,7 @@
     }
 
     temporary_folder m_folder;
+    memory_budget m_memory{memory_limit};
     event_loop m_loop;
     std::string m_address;
     std::unique_ptr<replica> m_log;
--- a/unit_tests/replica/peer_mesh_test.cpp
+++ b/unit_tests/replica/peer_mesh_test.cpp
@@ -29,7 +29,8 @@
     peer_mesh_test()
         : m_listener(m_loop, "127.0.0.1", 0,
                      [this](const std::shared_ptr<frame_socket>& socket) { m_accepted.push_back(socket); }),
-          m_mesh(m_loop, m_listener.start(), [](std::uint32_t, const job_wire::cluster_frame&) {}),
+          m_mesh(m_loop, parse_ip("127.0.0.1").value_or(0), m_listener.start(),
+                 [](std::uint32_t, const job_wire::cluster_frame&) {}),
           m_ip(parse_ip("127.0.0.1").value_or(0)) {}
 
     /// Runs the loop until a frame was sent over a connection, or until the time limit of the test.
--- a/unit_tests/scheduler/command_batcher_test.cpp
+++ b/unit_tests/scheduler/command_batcher_test.cpp
@@ -3,6 +3,7 @@
 
 #include "poplarpitch/consensus/log_entry.h"
 #include "poplarpitch/net/event_loop.h"
+#include "poplarpitch/net/memory_budget.h"
 #include "poplarpitch/replica/replica.h"
 #include "poplarpitch/scheduling/job_state_machine.h"
 #include "poplarpitch/wire/scheduling.pb.h"
@@ -35,7 +36,7 @@
 public:
     /// `batch_bytes` limits a batch, and the log accepts eight times as much.
     explicit single_instance(std::size_t batch_bytes)
-        : m_log(m_loop, make_settings(m_folder.get_path(), 8 * batch_bytes), make_handler()),
+        : m_log(m_loop, m_memory, make_settings(m_folder.get_path(), 8 * batch_bytes), make_handler()),
           m_batcher(m_loop, m_log, m_job_state, batch_bytes) {
         m_loop.on_iteration_end([this] { m_batcher.flush(); });
     }
@@ -99,6 +100,7 @@
     }
 
     temporary_folder m_folder;
+    memory_budget m_memory{64U << 20};
     event_loop m_loop;
     job_state_machine m_job_state;
     std::vector<job_wire::job_command> m_commands;
@@ -141,7 +143,8 @@
     job_state_machine job_state;
     replica_settings settings;
     settings.data_folder = folder.get_path();
-    replica log(loop, settings, {});
+    memory_budget memory(64U << 20);
+    replica log(loop, memory, settings, {});
     command_batcher batcher(loop, log, job_state);
     job_wire::job_command_batch batch;
     *batch.add_commands() = make_submit(7);
