Bound what the schedulers hold for accepted jobs

What callers saw: 30,000 whole jobs of 4,000 bytes, inside every limit of a request, took 533 MB of each scheduler. Found besides: ONE request with 64 steps of 100,000 tasks took 1,086 MB, on every scheduler, and again after each start, since the job is in the log.

The schedulers bounded only the number of open jobs (20,000). Ended jobs kept their payloads for 125 s and were not counted. A task takes 169 bytes (1,086 MB for 6.4 million).

Change: two fifths of the memory are for accepted jobs. estimate_bytes counts a job with all copies, its tasks, and the occurrences that may be due together; the state keeps the sum of all jobs, ended ones included. A submission beyond it gets 429 with Retry-After of 10 s, and so do its copies that are on their way; one that no instance could ever hold gets 400. Payloads go when a job ends.

Only leaders decide by the sum, so instances of the former release draw the same conclusions from every entry.

--- a/poplarpitch/consensus/raft_node.cpp
+++ b/poplarpitch/consensus/raft_node.cpp
@@ -207,12 +207,19 @@
     return std::exchange(m_output, {});
 }
 
-void raft_node::compact(raft_snapshot snapshot, std::uint64_t keep) {
+void raft_node::compact(raft_snapshot snapshot, std::uint64_t keep, std::size_t keep_bytes) {
     assert(snapshot.index <= m_output_commit);
     if (snapshot.index <= m_snapshot.index) {
         return;
     }
-    const auto end = snapshot.index > keep ? snapshot.index - keep : 0;
+    auto end = snapshot.index;
+    const auto lowest = std::max(m_log.get_base_index(), snapshot.index > keep ? snapshot.index - keep : 0);
+    for (std::size_t bytes = 0; end > lowest; --end) {
+        bytes += m_log.at(end).payload.size();
+        if (bytes > keep_bytes) {
+            break;
+        }
+    }
     if (end > m_log.get_base_index()) {
         m_log.compact(end);
     }
--- a/poplarpitch/consensus/raft_node.h
+++ b/poplarpitch/consensus/raft_node.h
@@ -63,10 +63,10 @@
     /// Returns the output produced since the last call. The driver must carry it out, as described at
     /// `raft_output`, before it calls any other method.
     [[nodiscard]] raft_output take_output();
-    /// Removes the log entries that `snapshot` covers, except the last `keep` of them, so that a follower
-    /// that is slightly behind needs no snapshot. Preconditions: the driver has stored the snapshot, and the
-    /// snapshot covers only applied entries.
-    void compact(raft_snapshot snapshot, std::uint64_t keep);
+    /// Removes the log entries that `snapshot` covers, except the last `keep` of them with payloads of
+    /// `keep_bytes` together at most, so that a follower that is slightly behind needs no snapshot.
+    /// Preconditions: the driver has stored the snapshot, and the snapshot covers only applied entries.
+    void compact(raft_snapshot snapshot, std::uint64_t keep, std::size_t keep_bytes = SIZE_MAX);
 
     /// Returns the id of this node.
     [[nodiscard]] node_id get_id() const { return m_id; }
--- a/poplarpitch/net/memory_settings.h
+++ b/poplarpitch/net/memory_settings.h
@@ -18,4 +18,11 @@
     return memory_limit / peer_share_divisor;
 }
 
+/// Returns the limit of the memory for all accepted jobs, in bytes: two fifths of the process's memory.
+/// Thread safety: any thread.
+[[nodiscard]] constexpr std::size_t get_job_memory_limit(std::size_t memory_limit) {
+    constexpr std::size_t job_share_divisor = 5;
+    return 2 * (memory_limit / job_share_divisor);
+}
+
 } // namespace poplarpitch
--- a/poplarpitch/replica/replica.cpp
+++ b/poplarpitch/replica/replica.cpp
@@ -447,7 +447,7 @@
     if (!saved) {
         end_process(saved.error());
     }
-    m_node->compact(snapshot, m_settings.kept_entries);
+    m_node->compact(snapshot, m_settings.kept_entries, m_settings.kept_bytes);
     m_bytes_at_snapshot = m_storage->get_written_bytes();
     log_event(log_level::info, "snapshot_taken")
         .add("index", m_applied)
--- a/poplarpitch/replica/replica_settings.h
+++ b/poplarpitch/replica/replica_settings.h
@@ -28,6 +28,7 @@
         8U << 20; ///< log size that triggers a snapshot; a log of this size is replayed in under 1 s
     std::uint64_t kept_entries =
         500; ///< log entries kept before a snapshot, so that a slightly slow follower needs no snapshot
+    std::size_t kept_bytes = 8U << 20; ///< of the payloads of the entries kept
     std::size_t max_unknown_connections =
         480; ///< of processes other than control instances, to the link port
     raft_settings raft;
--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -7,6 +7,7 @@
 #include "poplarpitch/scheduler/scheduler_dialect.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/scheduling/job_size.h"
 #include "poplarpitch/telemetry/log_event.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
@@ -72,6 +73,7 @@
     /// A submission that is being committed.
     struct pending_submission {
         std::uint64_t queue = 0; ///< `queue_settings::get_hash`
+        std::size_t bytes = 0;   ///< `estimate_bytes` of the job
         int commands = 0;        ///< one for each copy of the request
     };
 
@@ -208,6 +210,10 @@
             refuse_invalid(id, *error, answer, on_answer);
             return;
         }
+        const auto bytes = estimate_bytes(job);
+        if (!is_submitting && refuse_for_memory(id, bytes, answer, on_answer)) {
+            return;
+        }
         if (!is_submitting) {
             const auto decision = m_parts.dispatch.admit(job, m_parts.loop.now());
             if (!decision.is_admitted()) {
@@ -225,12 +231,14 @@
         auto& submitting = m_submitting[id];
         submitting.queue = submission.queue;
         ++submitting.commands;
+        m_submitting_bytes += bytes - std::exchange(submitting.bytes, bytes);
         m_parts.batcher.add(std::move(command), [this, id, answer = make_result_handler(answer, on_answer)](
                                                     commit_result outcome) mutable {
             // A request that was sent again may still be committed after this one was not.
             const auto found = m_submitting.find(id);
             const bool is_last = --found->second.commands == 0;
             if (is_last) {
+                m_submitting_bytes -= found->second.bytes;
                 m_submitting.erase(found);
             }
             const bool is_sure = outcome == commit_result::refused ||
@@ -301,6 +309,28 @@
         answer_retry_later(retry_after_overload, std::move(answer), on_answer);
     }
 
+    /// Answers that there is no memory for the job, if that is so, and returns true. A job that would never
+    /// fit gets 400, any other 429 with the time after which to retry.
+    bool refuse_for_memory(job_id id, std::size_t bytes, const job_wire::relay_answer& answer,
+                           const answer_handler& on_answer) {
+        const auto limit = get_job_memory_limit(m_parts.settings.memory_limit);
+        if (bytes > limit) {
+            refuse_invalid(id, "the job has more tasks than an instance can hold", answer, on_answer);
+            return true;
+        }
+        const auto held = m_parts.job_state.get_job_bytes() + m_submitting_bytes;
+        if (held + bytes <= limit) {
+            return false;
+        }
+        log_event(log_level::warn, "job_refused")
+            .add("job", format_job_id(id))
+            .add("reason", "the accepted jobs take all memory for jobs")
+            .add("held_bytes", static_cast<std::uint64_t>(held))
+            .add("job_bytes", static_cast<std::uint64_t>(bytes));
+        answer_retry_later(retry_after_full, answer, on_answer);
+        return true;
+    }
+
     void answer_state(const queue_settings& queue, job_id id, const job_wire::relay_answer& answer,
                       const answer_handler& on_answer) {
         const auto* record = find(queue, id);
@@ -381,6 +411,7 @@
 
     scheduler_parts& m_parts;
     absl::flat_hash_map<job_id, pending_submission> m_submitting;
+    std::size_t m_submitting_bytes = 0; ///< of all submissions that are being committed
     refused_submissions m_refused;
     copy_filter m_copies;
 };
--- a/poplarpitch/scheduling/job_state_machine.cpp
+++ b/poplarpitch/scheduling/job_state_machine.cpp
@@ -1,9 +1,12 @@
 #include "poplarpitch/scheduling/job_state_machine.h"
 
 #include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/scheduling/job_size.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace poplarpitch {
 namespace {
@@ -55,6 +58,23 @@
     return event;
 }
 
+/// Nothing of an ended job is started any more, so its payload would only use memory until it is forgotten.
+void drop_payload(job_record& record) {
+    if (record.job->payload.empty()) {
+        return;
+    }
+    auto job = std::make_shared<step_job>(*record.job);
+    job->payload.clear();
+    job->payload.shrink_to_fit();
+    record.job = std::move(job);
+}
+
+/// Appends a part of a snapshot. Serialised parts of a message that follow each other are the whole message,
+/// so that it never exists as a tree of objects beside its bytes.
+void append(const job_wire::job_book_snapshot& part, std::string& bytes) {
+    part.AppendToString(&bytes);
+}
+
 } // namespace
 
 command_outcome job_state_machine::apply(const job_wire::job_command& command,
@@ -104,13 +124,21 @@
         return refuse(job, events);
     }
     case job_wire::job_command::kForget:
-        m_jobs.erase(command.forget().id());
-        return command_outcome::applied;
+        return forget(command.forget().id());
     default:
         return command_outcome::refused; // a command of a newer version
     }
 }
 
+command_outcome job_state_machine::forget(job_id id) {
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end()) {
+        m_job_bytes -= estimate_bytes(found->second);
+        m_jobs.erase(found);
+    }
+    return command_outcome::applied;
+}
+
 command_outcome job_state_machine::put_config(const job_wire::put_config& message, bool whatever_version,
                                               std::vector<job_state_event>& events) {
     if (!whatever_version && message.version() <= m_configuration.version) {
@@ -132,6 +160,7 @@
     if (!record.job->schedule.has_value()) {
         record.get_occurrence(0);
     }
+    m_job_bytes += estimate_bytes(record);
     m_jobs.emplace(message.id(), std::move(record));
     events.push_back(make_job_event(job_state_event::kind::job_accepted, message.id()));
     return command_outcome::applied;
@@ -377,8 +406,11 @@
 }
 
 void job_state_machine::end_job(job_record& record, job_phase phase, std::vector<job_state_event>& events) {
+    m_job_bytes -= estimate_bytes(record);
     record.phase = phase;
     drop_idle_tasks(record);
+    drop_payload(record);
+    m_job_bytes += estimate_bytes(record);
     events.push_back(make_job_event(job_state_event::kind::job_ended, record.job->id));
 }
 
@@ -434,8 +466,10 @@
 }
 
 std::string job_state_machine::save() const {
-    job_wire::job_book_snapshot snapshot;
-    encode(m_configuration, *snapshot.mutable_config());
+    std::string bytes;
+    job_wire::job_book_snapshot first;
+    encode(m_configuration, *first.mutable_config());
+    append(first, bytes);
     std::vector<const job_record*> ordered;
     for (const auto& [id, record] : m_jobs) {
         ordered.push_back(&record);
@@ -444,8 +478,11 @@
     std::sort(ordered.begin(), ordered.end(),
               [](const auto* left, const auto* right) { return left->sequence < right->sequence; });
     for (const auto* record : ordered) {
-        encode(*record, *snapshot.add_jobs());
+        job_wire::job_book_snapshot part;
+        encode(*record, *part.add_jobs());
+        append(part, bytes);
     }
+    job_wire::job_book_snapshot snapshot;
     for (const auto& worker : m_retired) {
         auto& incarnation = *snapshot.add_retired_lives();
         incarnation.set_id(worker.id);
@@ -463,7 +500,8 @@
     if (!m_learned.empty()) {
         encode(m_learned, *snapshot.mutable_learned());
     }
-    return snapshot.SerializeAsString();
+    append(snapshot, bytes);
+    return bytes;
 }
 
 bool job_state_machine::load(std::string_view bytes) {
@@ -474,7 +512,9 @@
     }
     m_configuration = decode(snapshot.config());
     for (const auto& message : snapshot.jobs()) {
-        m_jobs.emplace(message.job().id(), decode(message));
+        auto record = decode(message);
+        m_job_bytes += estimate_bytes(record);
+        m_jobs.emplace(message.job().id(), std::move(record));
     }
     for (const auto& id : snapshot.retired()) {
         m_retired.insert({id, 0});
--- a/poplarpitch/scheduling/job_state_machine.h
+++ b/poplarpitch/scheduling/job_state_machine.h
@@ -10,6 +10,7 @@
 
 #include <absl/container/node_hash_map.h>
 
+#include <cstddef>
 #include <set>
 #include <string>
 #include <string_view>
@@ -51,6 +52,8 @@
     /// Returns the job, or null when the id is not known.
     [[nodiscard]] const job_record* find_job(job_id id) const;
     [[nodiscard]] const absl::node_hash_map<job_id, job_record>& get_jobs() const { return m_jobs; }
+    /// Returns about how many bytes an instance holds for all jobs, ended ones included.
+    [[nodiscard]] std::size_t get_job_bytes() const { return m_job_bytes; }
     /// Returns the task, or null when it is not known or no longer kept.
     [[nodiscard]] const task_record* find_task(const task_key& key) const;
     /// Returns how many attempts of the task have failed, or of its gang if it belongs to one; 0 when the
@@ -112,11 +115,13 @@
     void finish_task(job_record& record, const task_key& key, std::vector<job_state_event>& events);
     void end_job(job_record& record, job_phase phase, std::vector<job_state_event>& events);
     void drop_idle_tasks(job_record& record);
+    command_outcome forget(job_id id);
     /// Replaces the records of the parts that are named, within the bounds on all records.
     void replace_learned(std::vector<learned_record> records);
 
     job_configuration m_configuration;
     absl::node_hash_map<job_id, job_record> m_jobs;
+    std::size_t m_job_bytes = 0; ///< sum of `estimate_bytes` of all jobs
     std::set<worker_incarnation> m_retired;
     std::set<std::string> m_drained_data_centres;
     std::set<refused_job> m_refused;
--- a/unit_tests/client_limits/client_crowd.cpp
+++ b/unit_tests/client_limits/client_crowd.cpp
@@ -54,12 +54,23 @@
 
 } // namespace
 
-client_crowd::client_crowd(const std::string& address, int connections, crowd_message message)
-    : m_message(std::move(message)) {
+client_crowd::client_crowd(const std::string& address, int connections, const crowd_message& message) {
+    const auto shared = std::make_shared<const crowd_message>(message);
     for (int number = 0; number < connections; ++number) {
-        if (const int socket = open_connection(address); socket >= 0) {
-            m_members.push_back({socket, 0});
-        }
+        add(address, shared);
+    }
+}
+
+client_crowd::client_crowd(const std::string& address, int connections,
+                           const std::function<crowd_message(int)>& make_message) {
+    for (int number = 0; number < connections; ++number) {
+        add(address, std::make_shared<const crowd_message>(make_message(number)));
+    }
+}
+
+void client_crowd::add(const std::string& address, const std::shared_ptr<const crowd_message>& message) {
+    if (const int socket = open_connection(address); socket >= 0) {
+        m_members.push_back({socket, message});
     }
 }
 
@@ -99,14 +110,14 @@
     return total;
 }
 
-bool client_crowd::send_part(member& item) const {
-    const auto& opening = m_message.opening;
-    const auto total = opening.size() + m_message.repeated_limit;
+bool client_crowd::send_part(member& item) {
+    const auto& opening = item.message->opening;
+    const auto total = opening.size() + item.message->repeated_limit;
     if (item.sent >= total) {
         return false;
     }
     std::string part = item.sent < opening.size() ? opening.substr(item.sent, part_bytes) : std::string{};
-    const auto& repeated = m_message.repeated;
+    const auto& repeated = item.message->repeated;
     while (!repeated.empty() && part.size() < part_bytes) {
         const auto behind_opening = item.sent + part.size() - opening.size();
         part += repeated.substr(behind_opening % repeated.size(), part_bytes - part.size());
--- a/unit_tests/client_limits/limits_fixture.h
+++ b/unit_tests/client_limits/limits_fixture.h
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -27,8 +28,12 @@
     /// stay within the memory of the smallest machine of their role, and answer an ordinary caller beside the
     /// crowd and after it.
     void expect_held(const std::string& address, int connections, const crowd_message& message);
+    /// As above; `make_message` returns what the connection of that number sends.
+    void expect_held(const std::string& address, int connections,
+                     const std::function<crowd_message(int)>& make_message);
     /// Expects that both processes live and have stayed within their memory.
     void expect_bounds() const;
+    void expect_held_beside(client_crowd& crowd);
     /// Looks at the memory of both processes.
     void sample();
     /// Returns true when an ordinary caller gets the state of its job in one of `tries` requests.
--- a/unit_tests/client_limits/link_test.cpp
+++ b/unit_tests/client_limits/link_test.cpp
@@ -34,7 +34,7 @@
 }
 
 TEST_F(client_limits, hold_idle_connections_at_the_link) {
-    expect_held(m_cluster->get_link_address(1), 4500, {});
+    expect_held(m_cluster->get_link_address(1), 4500, crowd_message{});
     EXPECT_LE(m_scheduler->count_descriptors(), scheduler_descriptors);
 }
 
--- a/unit_tests/scheduler/caller_service_test.cpp
+++ b/unit_tests/scheduler/caller_service_test.cpp
@@ -64,6 +64,9 @@
     void refuse_all_jobs(bool must_refuse) {
         m_parts.settings.dispatch.max_open_jobs = must_refuse ? 0 : 100;
     }
+    /// Sets the memory of the instance. Two fifths of it are for accepted jobs, of which each takes about
+    /// 2,000 bytes here.
+    void set_memory(std::size_t bytes) { m_parts.settings.memory_limit = bytes; }
     [[nodiscard]] std::size_t count_jobs() const { return m_parts.job_state.get_jobs().size(); }
     [[nodiscard]] std::size_t count_refused() const { return m_parts.job_state.get_refused().size(); }
 
@@ -188,6 +191,28 @@
 }
 
 // The next leader does not know what the one before refused.
+// Accepted jobs took any amount of memory, also long after they had ended.
+TEST(caller_service, refuses_a_job_and_its_copies_while_there_is_no_memory_for_it) {
+    const std::string second = "00000000000000bb";
+    leading_service service;
+    service.set_memory(7500);
+    EXPECT_EQ(service.send("POST", job), 200);
+    EXPECT_EQ(service.send("POST", second), 429);
+    EXPECT_EQ(service.send("POST", job), 200) << "a repeated request of the accepted job";
+    service.set_memory(scheduler_settings::default_memory_bytes);
+    EXPECT_EQ(service.send("POST", second, 500), 429) << "a copy that was on its way meanwhile";
+    EXPECT_EQ(service.send("GET", second), 410);
+    EXPECT_EQ(service.count_jobs(), 1U);
+}
+
+// One small document with millions of tasks ended all instances, and again after each start.
+TEST(caller_service, refuses_a_job_that_no_instance_can_hold) {
+    leading_service service;
+    service.set_memory(1000);
+    EXPECT_EQ(service.send("POST", job), 400);
+    EXPECT_EQ(service.count_jobs(), 0U);
+}
+
 TEST(caller_service, refuses_the_copies_of_a_submission_that_a_former_leader_refused) {
     leading_service service;
     service.refuse_all_jobs(true);
--- a/unit_tests/scheduling/job_state_machine_test.cpp
+++ b/unit_tests/scheduling/job_state_machine_test.cpp
@@ -1,6 +1,7 @@
 // The replicated state of jobs: the same commands give the same state, also through a snapshot, and no
 // command takes effect twice.
 #include "poplarpitch/scheduling/job_codec.h"
+#include "poplarpitch/scheduling/job_size.h"
 #include "poplarpitch/scheduling/job_state_machine.h"
 #include "poplarpitch/wire/scheduling.pb.h"
 
@@ -410,6 +411,52 @@
     EXPECT_FALSE(restored.is_retired({"w1", 200}));
 }
 
+// A wrong total would refuse jobs for good, or none any more.
+TEST(job_state_machine, counts_the_bytes_of_its_jobs_through_their_lives) {
+    job_state_machine job_state;
+    const auto expect_sum = [&job_state] {
+        std::size_t sum = 0;
+        for (const auto& [id, record] : job_state.get_jobs()) {
+            sum += estimate_bytes(record);
+        }
+        EXPECT_EQ(job_state.get_job_bytes(), sum);
+        job_state_machine restored;
+        EXPECT_TRUE(restored.load(job_state.save()));
+        EXPECT_EQ(restored.get_job_bytes(), sum);
+    };
+    for (job_id id = 1; id <= 3; ++id) {
+        apply(job_state, make_submit(make_job(id, 4)));
+        apply(job_state, make_submit(make_job(id, 4))); // repeated
+        expect_sum();
+    }
+    const auto before = job_state.get_job_bytes();
+    job_wire::job_command cancel;
+    cancel.mutable_cancel()->set_id(2);
+    apply(job_state, cancel);
+    expect_sum();
+    EXPECT_LT(job_state.get_job_bytes(), before);
+    EXPECT_TRUE(job_state.find_job(2)->job->payload.empty());
+    EXPECT_EQ(job_state.find_job(1)->job->payload, "payload");
+    job_wire::job_command forget;
+    forget.mutable_forget()->set_id(2);
+    apply(job_state, forget);
+    apply(job_state, forget);
+    expect_sum();
+}
+
+// Instances of an earlier release read it, and equal states must give equal bytes.
+TEST(job_state_machine, writes_a_snapshot_in_parts_as_the_whole_message) {
+    job_state_machine job_state;
+    for (job_id id = 1; id <= 3; ++id) {
+        apply(job_state, make_submit(make_job(id, 4)));
+    }
+    const auto bytes = job_state.save();
+    job_wire::job_book_snapshot snapshot;
+    ASSERT_TRUE(snapshot.ParseFromString(bytes));
+    EXPECT_EQ(snapshot.jobs_size(), 3);
+    EXPECT_EQ(snapshot.SerializeAsString(), bytes);
+}
+
 TEST(job_book, ends_a_run_only_for_the_life_that_it_was_assigned_to) {
     job_state_machine job_state;
     apply(job_state, make_submit(make_job(1, 1)));
--- a/unit_tests/support/client_crowd.h
+++ b/unit_tests/support/client_crowd.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,10 @@
 public:
     /// Opens `connections` connections to `address`, an IPv4 address and port. One that cannot be opened is
     /// left out.
-    client_crowd(const std::string& address, int connections, crowd_message message);
+    client_crowd(const std::string& address, int connections, const crowd_message& message);
+    /// As above; `make_message` returns what the connection of that number sends. Numbers count from 0.
+    client_crowd(const std::string& address, int connections,
+                 const std::function<crowd_message(int)>& make_message);
     ~client_crowd();
     client_crowd(const client_crowd&) = delete;
     client_crowd& operator=(const client_crowd&) = delete;
@@ -37,17 +41,18 @@
 private:
     struct member {
         int socket = -1;
+        std::shared_ptr<const crowd_message> message;
         std::size_t sent = 0;
     };
 
     /// Sends the next part on one connection. Returns false when nothing was sent.
-    bool send_part(member& item) const;
+    static bool send_part(member& item);
     /// Returns how many sent bytes the peer's machine has not received yet.
     [[nodiscard]] std::size_t count_unacknowledged() const;
+    void add(const std::string& address, const std::shared_ptr<const crowd_message>& message);
     /// Removes the connections that the peer has closed.
     void remove_closed();
 
-    crowd_message m_message;
     std::vector<member> m_members;
 };
 
