Count the answers that are being read against the memory budget

What callers saw: nothing yet; found by going through what peers send. An answer of a worker or a service had a limit of 4 MiB, and 2,000 of them at once had none; trailers of an answer were kept until the call's timeout.

Change: http_exchange reads an answer part by part and holds its memory in the process's budget; where that is used up, the call whose answer has been under way for longest ends with `broken`, which the dispatcher takes as an order without an answer.

--- a/poplarpitch/net/http_caller.cpp
+++ b/poplarpitch/net/http_caller.cpp
@@ -2,11 +2,21 @@
 
 #include "poplarpitch/net/http_connections.h"
 #include "poplarpitch/net/http_exchange.h"
+#include "poplarpitch/net/memory_budget.h"
 
 namespace poplarpitch {
+namespace {
+
+constexpr std::size_t default_memory_limit = 64U << 20;
+
+} // namespace
+
+http_caller::http_caller(event_loop& loop, memory_budget& budget, const http_caller_settings& settings)
+    : m_connections(std::make_shared<http_connections>(loop, budget, settings)) {}
 
 http_caller::http_caller(event_loop& loop, const http_caller_settings& settings)
-    : m_connections(std::make_shared<http_connections>(loop, settings)) {}
+    : m_own_budget(std::make_unique<memory_budget>(default_memory_limit)),
+      m_connections(std::make_shared<http_connections>(loop, *m_own_budget, settings)) {}
 
 http_caller::~http_caller() {
     m_connections->abandon_all();
--- a/poplarpitch/net/http_caller.h
+++ b/poplarpitch/net/http_caller.h
@@ -14,6 +14,7 @@
 class event_loop;
 class http_exchange;
 class http_connections;
+class memory_budget;
 
 /// An HTTP/1.1 client on an event loop, based on Boost.Beast, with a bounded connection pool.
 ///
@@ -32,7 +33,10 @@
     /// Receives the response, or an error of `net_errc`.
     using response_handler = std::function<void(result<http_response>)>;
 
-    /// Precondition: `loop` outlives the caller.
+    /// Responses that are being read count against `budget`. Precondition: `loop` and `budget` outlive the
+    /// caller.
+    http_caller(event_loop& loop, memory_budget& budget, const http_caller_settings& settings);
+    /// As above, with a budget of its own of 64 MiB.
     http_caller(event_loop& loop, const http_caller_settings& settings);
     ~http_caller();
     http_caller(const http_caller&) = delete;
@@ -45,6 +49,7 @@
     [[nodiscard]] http_caller_stats get_stats() const;
 
 private:
+    std::unique_ptr<memory_budget> m_own_budget; ///< null where another one is used
     std::shared_ptr<http_connections> m_connections;
 };
 
--- a/poplarpitch/net/http_connections.cpp
+++ b/poplarpitch/net/http_connections.cpp
@@ -21,8 +21,9 @@
            waiting_long_calls.empty();
 }
 
-http_connections::http_connections(event_loop& loop, const http_caller_settings& settings)
-    : m_loop(loop), m_settings(settings) {}
+http_connections::http_connections(event_loop& loop, memory_budget& budget,
+                                   const http_caller_settings& settings)
+    : m_loop(loop), m_budget(budget), m_settings(settings) {}
 
 void http_connections::request(const std::shared_ptr<http_exchange>& exchange) {
     if (m_waiting >= m_settings.max_waiting) {
--- a/poplarpitch/net/http_connections.h
+++ b/poplarpitch/net/http_connections.h
@@ -20,6 +20,7 @@
 namespace poplarpitch {
 
 class http_exchange;
+class memory_budget;
 
 /// The connection pool of an HTTP client. It assigns connections to calls and queues the calls that wait.
 ///
@@ -31,8 +32,8 @@
 public:
     using socket_ptr = std::unique_ptr<boost::asio::ip::tcp::socket>;
 
-    /// Precondition: `loop` outlives the object.
-    http_connections(event_loop& loop, const http_caller_settings& settings);
+    /// Precondition: `loop` and `budget` outlive the object.
+    http_connections(event_loop& loop, memory_budget& budget, const http_caller_settings& settings);
 
     /// Assigns a connection to the call (`http_exchange::begin`), queues the call until one is free, or
     /// rejects it if too many calls wait (`http_exchange::reject`).
@@ -53,6 +54,7 @@
     void abandon_all();
 
     [[nodiscard]] event_loop& get_loop() const { return m_loop; }
+    [[nodiscard]] memory_budget& get_budget() const { return m_budget; }
     [[nodiscard]] const http_caller_settings& get_settings() const { return m_settings; }
     /// Returns the current connection counts and the totals since the start.
     [[nodiscard]] http_caller_stats get_stats() const;
@@ -102,6 +104,7 @@
     void erase_if_empty(const std::string& address);
 
     event_loop& m_loop;
+    memory_budget& m_budget;
     http_caller_settings m_settings;
     idle_list m_idle; ///< oldest first
     absl::node_hash_map<std::string, peer> m_peers;
--- a/poplarpitch/net/http_exchange.cpp
+++ b/poplarpitch/net/http_exchange.cpp
@@ -33,7 +33,9 @@
 http_exchange::http_exchange(std::shared_ptr<http_connections> owner, http_call call,
                              response_handler on_response)
     : m_connections(std::move(owner)), m_loop(m_connections->get_loop()), m_call(std::move(call)),
-      m_on_response(std::move(on_response)), m_buffer(max_unparsed_bytes) {}
+      m_on_response(std::move(on_response)), m_memory(m_connections->get_budget(), endpoint_kind::calls,
+                                                      [this] { finish(make_error_code(net_errc::broken)); }),
+      m_buffer(max_unparsed_bytes) {}
 
 void http_exchange::start() {
     m_deadline = m_loop.now() + m_call.timeout;
@@ -68,6 +70,7 @@
 void http_exchange::abandon() {
     m_stage = stage::finished;
     m_on_response = nullptr;
+    m_memory.release();
     m_loop.cancel(m_timer);
     m_loop.cancel(m_connect_timer);
     close_socket();
@@ -152,7 +155,13 @@
     }
     m_parser.emplace();
     m_parser->body_limit(max_response_bytes);
-    beast::http::async_read(
+    m_parser->eager(true);
+    m_read_since = m_loop.now();
+    read();
+}
+
+void http_exchange::read() {
+    beast::http::async_read_some(
         *m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](const beast::error_code& failed, std::size_t) { self->on_read(failed); });
 }
@@ -165,6 +174,13 @@
         on_connection_lost();
         return;
     }
+    if (!m_parser->is_done()) {
+        m_memory.hold_message(m_buffer.capacity() + m_parser->get().body().capacity(), m_read_since);
+        if (!is_finished()) {
+            read();
+        }
+        return;
+    }
     auto message = m_parser->release();
     http_response response;
     response.status = static_cast<int>(message.result_int());
@@ -218,6 +234,7 @@
     m_loop.cancel(m_timer);
     m_loop.cancel(m_connect_timer);
     close_socket();
+    m_memory.release();
     const auto self = shared_from_this(); // the set of open calls may hold the last other reference
     m_connections->on_end(self);
     m_connections->release(*this, std::move(reusable));
--- a/poplarpitch/net/http_exchange.h
+++ b/poplarpitch/net/http_exchange.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/http/http_response.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_call.h"
+#include "poplarpitch/net/memory_account.h"
 #include "poplarpitch/net/net_error.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -64,6 +65,8 @@
     void on_connected(const boost::system::error_code& error);
     void write();
     void on_written(const boost::beast::error_code& error);
+    /// Reads a part of the response.
+    void read();
     void on_read(const boost::beast::error_code& error);
     void on_connection_lost();
     void on_timeout();
@@ -80,11 +83,13 @@
     http_call m_call;
     response_handler m_on_response;
     socket_ptr m_socket;
+    memory_account m_memory;
     boost::beast::flat_buffer m_buffer;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     time_point m_deadline{};
     time_point m_opened_at{};
+    time_point m_read_since{}; ///< when the request was written
     timer_id m_timer = 0;
     timer_id m_connect_timer = 0;
     stage m_stage = stage::waiting;
--- a/poplarpitch/scheduler/scheduler_parts.h
+++ b/poplarpitch/scheduler/scheduler_parts.h
@@ -19,7 +19,8 @@
     explicit scheduler_parts(const scheduler_settings& chosen, replica_handler handler)
         : settings(chosen), memory(get_peer_memory_limit(settings.memory_limit)),
           log(loop, memory, settings.replica, std::move(handler)), batcher(loop, log, job_state),
-          dispatch(settings.dispatch, job_state), caller(loop, settings.caller), relays(settings.relay) {}
+          dispatch(settings.dispatch, job_state), caller(loop, memory, settings.caller),
+          relays(settings.relay) {}
 
     scheduler_settings settings;
     memory_budget memory; ///< for all that is held for peers
