--- a/poplarpitch/gateway/gateway_daemon.cpp
+++ b/poplarpitch/gateway/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include "poplarpitch/core/text.h"
 #include "poplarpitch/gateway/caller_limits.h"
 #include "poplarpitch/gateway/leader_link.h"
+#include "poplarpitch/net/endpoint_report.h"
 #include "poplarpitch/net/event_loop.h"
 #include "poplarpitch/net/http_listener.h"
 #include "poplarpitch/net/memory_budget.h"
@@ -61,6 +62,9 @@
         m_loop.on_signal(SIGHUP, [] {
             log_event(log_level::info, "reload_ignored").add("reason", "seeds only count at startup");
         });
+        m_report.add(endpoint_kind::callers, m_caller_listener);
+        m_report.add(endpoint_kind::readiness, m_readiness_listener);
+        m_loop.on_iteration_end([this] { m_report.log(m_loop.now()); });
         m_loop.on_iteration_end([this] { log_abandoned_requests(); });
         m_loop.on_iteration_end([] { flush_logs(); });
         start_metrics();
@@ -116,7 +120,9 @@
                                            [this] { return format_metrics(); });
         if (m_metrics_listener == nullptr) {
             log_event(log_level::warn, "metrics_not_served").add("port", m_settings.metrics_port);
+            return;
         }
+        m_report.add(endpoint_kind::metrics, *m_metrics_listener);
     }
 
     std::string format_metrics() {
@@ -136,6 +142,7 @@
             m_metrics.set("poplarpitch_spread_refusals_total", {},
                           static_cast<double>(m_link.get_spread_refusals()));
         }
+        m_report.set_metrics(m_metrics);
         return m_metrics.format();
     }
 
@@ -288,6 +295,7 @@
     http_listener m_readiness_listener;
     metrics_registry m_metrics;
     std::unique_ptr<http_listener> m_metrics_listener;
+    endpoint_report m_report{m_memory};
     std::uint64_t m_logged_abandoned = 0;
     std::uint64_t m_late_requests = 0; ///< read only when their callers no longer waited
     bool m_is_stopping = false;
--- a/poplarpitch/net/http_listener.cpp
+++ b/poplarpitch/net/http_listener.cpp
@@ -49,6 +49,10 @@
     return m_sessions->get_abandoned_requests();
 }
 
+const http_refusal_counts& http_listener::get_refusals() const {
+    return m_sessions->get_refusals();
+}
+
 std::size_t http_listener::get_connections() const {
     return m_sessions->get_connections();
 }
--- a/poplarpitch/net/http_listener.h
+++ b/poplarpitch/net/http_listener.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/http/http_request.h"
 #include "poplarpitch/http/http_response.h"
 #include "poplarpitch/net/http_listener_settings.h"
+#include "poplarpitch/net/http_refusal.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -54,6 +55,8 @@
     [[nodiscard]] std::size_t get_open_requests() const;
     /// Returns the number of requests that were dropped because their clients had left.
     [[nodiscard]] std::uint64_t get_abandoned_requests() const;
+    /// Returns how often requests were refused and connections were closed, by reason.
+    [[nodiscard]] const http_refusal_counts& get_refusals() const;
     /// Returns the number of open connections.
     [[nodiscard]] std::size_t get_connections() const;
 
--- a/poplarpitch/net/http_session.cpp
+++ b/poplarpitch/net/http_session.cpp
@@ -42,7 +42,8 @@
 
 http_session::http_session(std::shared_ptr<http_sessions> owner, asio::ip::tcp::socket socket)
     : m_owner(std::move(owner)), m_socket(std::move(socket)),
-      m_memory(m_owner->get_budget(), m_owner->get_settings().kind, [this] { close(); }),
+      m_memory(m_owner->get_budget(), m_owner->get_settings().kind,
+               [this] { close_for(http_refusal::memory); }),
       m_since(m_owner->get_loop().now()) {}
 
 void http_session::close() {
@@ -57,25 +58,30 @@
     m_state = state::closed;
 }
 
+void http_session::close_for(http_refusal reason) {
+    m_owner->on_refused(reason);
+    close();
+}
+
 void http_session::check_timeouts() {
     const auto& limits = m_state == state::reading ? m_limits : m_owner->get_settings().limits;
     const auto age = m_owner->get_loop().now() - m_since;
     switch (m_state) {
     case state::idle:
         if (age > limits.idle_timeout) {
-            close();
+            close_for(http_refusal::idle_timeout);
         }
         return;
     case state::reading:
         if (!m_parser->is_header_done() && age > limits.header_timeout) {
-            refuse(408, "header_timeout", "the header took too long");
+            refuse(408, http_refusal::header_timeout, "the header took too long");
         } else if (age > limits.header_timeout + limits.body_timeout) {
-            refuse(408, "body_timeout", "the body took too long");
+            refuse(408, http_refusal::body_timeout, "the body took too long");
         }
         return;
     case state::writing:
         if (age > limits.write_timeout) {
-            close();
+            close_for(http_refusal::write_timeout);
         }
         return;
     case state::discarding:
@@ -124,7 +130,7 @@
     const auto size = m_buffer.size();
     const auto max_size = get_max_buffer(m_limits);
     if (size >= max_size) {
-        refuse(431, "header_too_large", "the header or a trailer is larger than allowed");
+        refuse(431, http_refusal::header_too_large, "the header or a trailer is larger than allowed");
         return;
     }
     m_is_reading = true;
@@ -183,7 +189,7 @@
     if (m_parser->is_done()) {
         on_request();
     } else if (is_message_too_long()) {
-        refuse(413, "too_large", "the message is longer than its body allows");
+        refuse(413, http_refusal::too_large, "the message is longer than its body allows");
     } else if (hold_message()) {
         read_more();
     }
@@ -227,22 +233,25 @@
 
 void http_session::on_parse_error(const beast::error_code& error) {
     if (error == beast::http::error::body_limit) {
-        refuse(413, "too_large", "the body is larger than allowed");
+        refuse(413, http_refusal::too_large, "the body is larger than allowed");
     } else if (error == beast::http::error::header_limit) {
-        refuse(431, "header_too_large", "the header is larger than allowed");
+        refuse(431, http_refusal::header_too_large, "the header is larger than allowed");
     } else {
-        refuse(400, "malformed", "the request is not HTTP/1.1");
+        refuse(400, http_refusal::malformed, "the request is not HTTP/1.1");
     }
 }
 
-void http_session::refuse(int status, const char* code, const char* message) {
+void http_session::refuse(int status, http_refusal reason, const char* message) {
+    m_owner->on_refused(reason);
     m_must_close = true;
     m_is_refused = true;
-    answer_unhandled(make_error_response(status, code, message));
+    answer_unhandled(make_error_response(status, get_name(reason), message));
 }
 
 void http_session::refuse_for_overload() {
-    auto response = make_error_response(503, "overloaded", "not accepted: too many requests are open");
+    m_owner->on_refused(http_refusal::overloaded);
+    auto response = make_error_response(503, get_name(http_refusal::overloaded),
+                                        "not accepted: too many requests are open");
     response.headers.add("Retry-After", std::to_string(retry_after_overload / seconds{1}));
     m_must_close = !m_parser->keep_alive();
     answer_unhandled(std::move(response));
--- a/poplarpitch/net/http_session.h
+++ b/poplarpitch/net/http_session.h
@@ -4,6 +4,7 @@
 #include "poplarpitch/http/http_request.h"
 #include "poplarpitch/http/http_response.h"
 #include "poplarpitch/net/http_limits.h"
+#include "poplarpitch/net/http_refusal.h"
 #include "poplarpitch/net/memory_account.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -35,6 +36,8 @@
     void start() { read(); }
     /// Closes the connection.
     void close();
+    /// Closes the connection for this reason.
+    void close_for(http_refusal reason);
     /// Refuses a request or closes the connection if a time limit has passed.
     void check_timeouts();
     /// Closes the connection unless the response to a request is being written.
@@ -70,7 +73,7 @@
     void discard();
     void on_parse_error(const boost::beast::error_code& error);
     /// Answers a request that was not read whole, and closes the connection.
-    void refuse(int status, const char* code, const char* message);
+    void refuse(int status, http_refusal reason, const char* message);
     /// Answers a whole request that is not passed on for want of memory.
     void refuse_for_overload();
     void answer_unhandled(http_response response);
--- a/poplarpitch/net/http_sessions.cpp
+++ b/poplarpitch/net/http_sessions.cpp
@@ -105,8 +105,8 @@
     if (m_moving.empty()) {
         return false;
     }
-    const auto stalest = m_moving.front();
-    stalest->close();
+    const auto stalest = m_moving.front(); // closing it removes it from the list
+    stalest->close_for(http_refusal::connections);
     return true;
 }
 
--- a/poplarpitch/net/http_sessions.h
+++ b/poplarpitch/net/http_sessions.h
@@ -43,6 +43,8 @@
     void on_handled(http_session& handling);
     /// Called when the response to a request was written, or cannot be.
     void on_request_ended() { --m_open_requests; }
+    /// Called when a request was refused or a connection is closed for this reason.
+    void on_refused(http_refusal reason) { ++m_refusals[static_cast<std::size_t>(reason)]; }
     /// Called when a request was dropped because its client had left.
     void on_abandoned() { ++m_abandoned_requests; }
     /// Passes a request to the handler.
@@ -54,6 +56,7 @@
     [[nodiscard]] event_loop& get_loop() const { return m_loop; }
     [[nodiscard]] const http_listener_settings& get_settings() const { return m_settings; }
     [[nodiscard]] bool is_draining() const { return m_is_draining; }
+    [[nodiscard]] const http_refusal_counts& get_refusals() const { return m_refusals; }
     [[nodiscard]] std::size_t get_open_requests() const { return m_open_requests; }
     [[nodiscard]] std::uint64_t get_abandoned_requests() const { return m_abandoned_requests; }
     [[nodiscard]] std::size_t get_connections() const { return m_moving.size() + m_handling.size(); }
@@ -80,6 +83,7 @@
     session_list m_handling; ///< connections whose request is being handled
     std::size_t m_open_requests = 0;
     std::uint64_t m_abandoned_requests = 0;
+    http_refusal_counts m_refusals{};
     bool m_is_draining = false;
     timer_id m_sweep_timer = 0;
 };
--- a/poplarpitch/replica/replica.h
+++ b/poplarpitch/replica/replica.h
@@ -128,6 +128,11 @@
     /// Returns the number of connections that other processes have opened to the link port.
     [[nodiscard]] std::size_t count_link_connections() const { return m_acceptor.count(); }
 
+    /// Returns how many of them were closed to make room for others.
+    [[nodiscard]] std::uint64_t get_closed_link_connections() const {
+        return m_acceptor.get_closed_for_room();
+    }
+
 private:
     struct pending_proposal {
         log_term term = 0;
--- a/poplarpitch/scheduler/scheduler_daemon.h
+++ b/poplarpitch/scheduler/scheduler_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poplarpitch/core/wall_time.h"
+#include "poplarpitch/net/endpoint_report.h"
 #include "poplarpitch/net/metrics_endpoint.h"
 #include "poplarpitch/net/socket_address.h"
 #include "poplarpitch/relay/relay_agent.h"
@@ -57,6 +58,8 @@
         }
         loop.on_iteration_end([this] { m_orders.send_all(); });
         loop.on_iteration_end([this] { send_answers(); });
+        m_report.add(endpoint_kind::control, m_listener);
+        loop.on_iteration_end([this] { m_report.log(m_parts.loop.now()); });
         loop.on_iteration_end([] { flush_logs(); });
         start_metrics();
         loop.on_signal(SIGTERM, [this] { stop(); });
@@ -152,10 +155,12 @@
         }
         m_metrics_listener =
             serve_metrics(m_parts.loop, m_parts.memory, settings.replica.host, settings.metrics_port,
-                          [this] { return m_metrics.format(m_parts); });
+                          [this] { return m_metrics.format(m_parts, m_report); });
         if (m_metrics_listener == nullptr) {
             log_event(log_level::warn, "metrics_not_served").add("port", settings.metrics_port);
+            return;
         }
+        m_report.add(endpoint_kind::metrics, *m_metrics_listener);
     }
 
     void on_command(const log_entry& entry) {
@@ -260,6 +265,7 @@
     http_listener m_listener;
     scheduler_metrics m_metrics;
     std::unique_ptr<http_listener> m_metrics_listener;
+    endpoint_report m_report{m_parts.memory};
     time_point m_stop_deadline{};
 };
 
--- a/poplarpitch/scheduler/scheduler_metrics.cpp
+++ b/poplarpitch/scheduler/scheduler_metrics.cpp
@@ -1,5 +1,6 @@
 #include "poplarpitch/scheduler/scheduler_metrics.h"
 
+#include "poplarpitch/net/endpoint_report.h"
 #include "poplarpitch/scheduler/scheduler_parts.h"
 #include "poplarpitch/scheduling/job_timing.h"
 #include "poplarpitch/telemetry/logging.h"
@@ -50,7 +51,7 @@
     }
 }
 
-std::string scheduler_metrics::format(const scheduler_parts& parts) {
+std::string scheduler_metrics::format(const scheduler_parts& parts, const endpoint_report& endpoints) {
     const auto set = [this](const char* name, auto value, const char* outcome = "") {
         m_registry.set(name, {"", "", outcome}, static_cast<double>(value));
     };
@@ -116,6 +117,10 @@
     set("poplarpitch_audit_mends_total", counts.mended_differences);
     set("poplarpitch_tasks_waiting", parts.dispatch.count_waiting_tasks());
     set_queue_shares(parts.dispatch.get_shares().get_queue_shares());
+    set("poplarpitch_job_bytes", parts.job_state.get_job_bytes());
+    set("poplarpitch_job_bytes_limit", get_job_memory_limit(parts.settings.memory_limit));
+    set("poplarpitch_link_connections_closed_total", parts.log.get_closed_link_connections());
+    endpoints.set_metrics(m_registry);
     return m_registry.format();
 }
 
--- a/poplarpitch/scheduler/scheduler_metrics.h
+++ b/poplarpitch/scheduler/scheduler_metrics.h
@@ -9,6 +9,7 @@
 namespace poplarpitch {
 
 struct job_timing;
+class endpoint_report;
 struct scheduler_parts;
 
 /// The metrics of a scheduler instance. Histograms by queue are updated by `observe`; counters and gauges are
@@ -18,7 +19,7 @@
     /// Records the duration of a phase of a job.
     void observe(const job_timing& timing);
     /// Returns all metrics in the Prometheus text format.
-    [[nodiscard]] std::string format(const scheduler_parts& parts);
+    [[nodiscard]] std::string format(const scheduler_parts& parts, const endpoint_report& endpoints);
 
 private:
     /// Sets the share of each queue; a queue that is no longer listed has none.
