--- a/poplarpitch/scheduler/caller_service.h
+++ b/poplarpitch/scheduler/caller_service.h
@@ -2,6 +2,7 @@
 
 #include "poplarpitch/core/wall_time.h"
 #include "poplarpitch/http/http_response.h"
+#include "poplarpitch/scheduler/caller_answers.h"
 #include "poplarpitch/scheduler/copy_filter.h"
 #include "poplarpitch/scheduler/refused_submissions.h"
 #include "poplarpitch/scheduler/scheduler_dialect.h"
@@ -27,8 +28,7 @@
 template <scheduler_dialect Dialect>
 class caller_service {
 public:
-    /// Called once. `taken` is false when nothing was done; a status of 0 means that the outcome is unknown.
-    using answer_handler = std::function<void(const job_wire::relay_answer&)>;
+    using answer_handler = relay_answer_handler;
 
     /// Precondition: `parts` outlives the object.
     explicit caller_service(scheduler_parts& parts)
@@ -66,10 +66,6 @@
     void on_leading() { m_copies.clear(); }
 
 private:
-    static constexpr duration retry_after_overload = seconds{5}; // bursts last 4 to 6 s
-    static constexpr duration retry_after_copy = seconds{1};     // for the caller of a copy that came late
-    static constexpr duration retry_after_full = seconds{10};    // refusals are forgotten after some minutes
-
     /// A submission that is being committed.
     struct pending_submission {
         std::uint64_t queue = 0; ///< `queue_settings::get_hash`
@@ -82,26 +78,28 @@
                         const answer_handler& on_answer) {
         const auto& configuration = m_parts.job_state.get_configuration();
         if (configuration.version == 0) {
-            finish(answer, 503, "", on_answer);
+            finish_answer(answer, 503, "", on_answer);
             return;
         }
         const auto host = request.host().substr(0, request.host().find(':'));
         const auto path = request.target().substr(0, request.target().find('?'));
         const auto* queue = configuration.find_queue(host, path);
         if (queue == nullptr) {
-            finish(answer, 404, "", on_answer);
+            finish_answer(answer, 404, "", on_answer);
             return;
         }
         const auto rest = path.substr(queue->prefix.size());
         if (rest.empty() && request.method() == "GET") {
-            finish(answer, 200, Dialect::format_pending(m_parts.dispatch.count_pending_jobs(queue->name)),
-                   on_answer);
+            finish_answer(answer, 200,
+                          Dialect::format_pending(m_parts.dispatch.count_pending_jobs(queue->name)),
+                          on_answer);
             return;
         }
         const auto id = parse_job_id(rest);
         if (!id.has_value()) {
-            finish(answer, 400, make_error_body("bad_id", "the path names no job: 16 hexadecimal digits"),
-                   on_answer);
+            finish_answer(answer, 400,
+                          make_error_body("bad_id", "the path names no job: 16 hexadecimal digits"),
+                          on_answer);
         } else if (request.method() == "POST") {
             submit(request, *queue, *id, answer, on_answer);
         } else if (request.method() == "GET") {
@@ -109,21 +107,10 @@
         } else if (request.method() == "DELETE") {
             cancel(*queue, *id, answer, on_answer);
         } else {
-            finish(answer, 405, "", on_answer);
+            finish_answer(answer, 405, "", on_answer);
         }
     }
 
-    static std::string make_error_body(const std::string& code, const std::string& message) {
-        return make_error_response(0, code, message).body;
-    }
-
-    static void finish(job_wire::relay_answer answer, int status, std::string body,
-                       const answer_handler& on_answer) {
-        answer.set_status(static_cast<std::uint32_t>(status));
-        answer.set_body(std::move(body));
-        on_answer(answer);
-    }
-
     /// Returns the HTTP status of a command's commit result; 0 while the outcome is unknown, which is never
     /// answered as a refusal.
     static int get_status(commit_result outcome) {
@@ -145,7 +132,7 @@
     static auto make_result_handler(job_wire::relay_answer answer, answer_handler on_answer) {
         return [answer = std::move(answer), on_answer = std::move(on_answer)](commit_result outcome) mutable {
             answer.set_taken(outcome != commit_result::not_proposed);
-            finish(answer, get_status(outcome), "", on_answer);
+            finish_answer(answer, get_status(outcome), "", on_answer);
         };
     }
 
@@ -159,7 +146,7 @@
     void submit(const job_wire::relay_request& request, const queue_settings& queue, job_id id,
                 const job_wire::relay_answer& answer, const answer_handler& on_answer) {
         if (find(queue, id) != nullptr) {
-            finish(answer, 200, "", on_answer); // a repeated request
+            finish_answer(answer, 200, "", on_answer); // a repeated request
             return;
         }
         const refused_job submission{id, queue.get_hash()};
@@ -170,8 +157,8 @@
             log_event(log_level::warn, "job_refused")
                 .add("job", format_job_id(id))
                 .add("reason", "another queue has a job with this id");
-            finish(answer, 409, make_error_body("id_in_use", "another queue has a job with this id"),
-                   on_answer);
+            finish_answer(answer, 409, make_error_body("id_in_use", "another queue has a job with this id"),
+                          on_answer);
             return;
         }
         if (m_refused.contains(submission)) {
@@ -193,7 +180,7 @@
         }
         const auto open = static_cast<std::int64_t>(m_parts.dispatch.count_open_jobs());
         if (!is_submitting && open >= m_parts.settings.dispatch.max_open_jobs) {
-            refuse_for_overload(id, open, answer, on_answer);
+            refuse_for_open_jobs(id, open, answer, on_answer);
             return;
         }
         auto parsed = Dialect::read_job(request.body());
@@ -217,7 +204,7 @@
         if (!is_submitting) {
             const auto decision = m_parts.dispatch.admit(job, m_parts.loop.now());
             if (!decision.is_admitted()) {
-                refuse(id, decision, answer, on_answer);
+                refuse_admission(id, decision, answer, on_answer);
                 return;
             }
         }
@@ -251,83 +238,18 @@
         });
     }
 
-    /// Answers that a job cannot be read or is invalid, with the reason.
-    static void refuse_invalid(job_id id, const std::string& reason, const job_wire::relay_answer& answer,
-                               const answer_handler& on_answer) {
-        log_event(log_level::warn, "job_refused").add("job", format_job_id(id)).add("reason", reason);
-        finish(answer, 400, make_error_body("invalid", reason), on_answer);
-    }
-
-    static void answer_retry_later(duration wait, job_wire::relay_answer answer,
-                                   const answer_handler& on_answer) {
-        answer.set_retry_after_ms(to_milliseconds(wait));
-        finish(std::move(answer), 429, "", on_answer);
-    }
-
-    static const char* get_refusal_reason(admission::admission_outcome outcome) {
-        switch (outcome) {
-        case admission::admission_outcome::long_running_quota:
-            return "jobs that last long have reserved their share of the pool";
-        case admission::admission_outcome::data_centres_drained:
-            return "every data centre of the pool is drained";
-        case admission::admission_outcome::overloaded:
-            return "the leader is behind";
-        case admission::admission_outcome::completion_too_late:
-            return "the job would be completed too late";
-        case admission::admission_outcome::admitted:
-            break;
-        }
-        return "none";
-    }
-
-    /// Answers that the job was not admitted, with the time after which to retry.
-    static void refuse(job_id id, const admission& decision, job_wire::relay_answer answer,
-                       const answer_handler& on_answer) {
-        log_event(log_level::info, "job_refused")
-            .add("job", format_job_id(id))
-            .add("reason", get_refusal_reason(decision.outcome))
-            .add("lag_ms", to_milliseconds(decision.lag))
-            .add("wanted_millicores", decision.wanted)
-            .add("reserved_millicores", decision.reserved)
-            .add("allowed_millicores", decision.allowed)
-            .add("expected_ms", decision.expected.has_value() ? to_milliseconds(*decision.expected) : -1)
-            .add("objective_ms", to_milliseconds(decision.objective))
-            .add("promised", decision.was_promised ? "yes" : "no")
-            .add("retry_after_ms", to_milliseconds(decision.retry_after));
-        answer_retry_later(decision.retry_after, std::move(answer), on_answer);
-    }
-
-    /// Answers that too many jobs are open, with the time after which to retry. Below that bound every job is
-    /// accepted, also during a burst: a late job is worth more to its caller than none, and jobs that can
-    /// still meet their deadline go first.
-    static void refuse_for_overload(job_id id, std::int64_t open, job_wire::relay_answer answer,
-                                    const answer_handler& on_answer) {
-        log_event(log_level::warn, "job_refused")
-            .add("job", format_job_id(id))
-            .add("reason", "too many open jobs")
-            .add("open", open);
-        answer_retry_later(retry_after_overload, std::move(answer), on_answer);
-    }
-
-    /// Answers that there is no memory for the job, if that is so, and returns true. A job that would never
-    /// fit gets 400, any other 429 with the time after which to retry.
+    /// Answers that there is no memory for the job, if that is so, and returns true.
     bool refuse_for_memory(job_id id, std::size_t bytes, const job_wire::relay_answer& answer,
                            const answer_handler& on_answer) {
         const auto limit = get_job_memory_limit(m_parts.settings.memory_limit);
+        const auto held = m_parts.job_state.get_job_bytes() + m_submitting_bytes;
         if (bytes > limit) {
             refuse_invalid(id, "the job has more tasks than an instance can hold", answer, on_answer);
-            return true;
-        }
-        const auto held = m_parts.job_state.get_job_bytes() + m_submitting_bytes;
-        if (held + bytes <= limit) {
+        } else if (held + bytes > limit) {
+            refuse_for_job_memory(id, held, bytes, answer, on_answer);
+        } else {
             return false;
         }
-        log_event(log_level::warn, "job_refused")
-            .add("job", format_job_id(id))
-            .add("reason", "the accepted jobs take all memory for jobs")
-            .add("held_bytes", static_cast<std::uint64_t>(held))
-            .add("job_bytes", static_cast<std::uint64_t>(bytes));
-        answer_retry_later(retry_after_full, answer, on_answer);
         return true;
     }
 
@@ -335,10 +257,10 @@
                       const answer_handler& on_answer) {
         const auto* record = find(queue, id);
         if (record == nullptr) {
-            finish(answer, 410, "", on_answer);
+            finish_answer(answer, 410, "", on_answer);
             return;
         }
-        finish(answer, 200, Dialect::format_job_state(get_progress(*record)), on_answer);
+        finish_answer(answer, 200, Dialect::format_job_state(get_progress(*record)), on_answer);
     }
 
     [[nodiscard]] job_progress get_progress(const job_record& record) const {
@@ -390,7 +312,7 @@
                            const answer_handler& on_answer) {
         m_refused.add(job, [job, answer, on_answer](commit_result outcome) {
             if (outcome == commit_result::applied) {
-                finish(answer, 410, "", on_answer);
+                finish_answer(answer, 410, "", on_answer);
             } else if (outcome == commit_result::refused) {
                 refuse_to_cancel(job, answer, on_answer);
             } else {
@@ -399,16 +321,6 @@
         });
     }
 
-    /// Answers that nothing can be promised of an unknown job, since too many such promises are kept.
-    static void refuse_to_cancel(const refused_job& job, job_wire::relay_answer answer,
-                                 const answer_handler& on_answer) {
-        log_event(log_level::warn, "cancel_refused")
-            .add("job", format_job_id(job.id))
-            .add("reason", "too many unknown jobs were cancelled");
-        answer.set_retry_after_ms(to_milliseconds(retry_after_full));
-        finish(std::move(answer), 503, "", on_answer);
-    }
-
     scheduler_parts& m_parts;
     absl::flat_hash_map<job_id, pending_submission> m_submitting;
     std::size_t m_submitting_bytes = 0; ///< of all submissions that are being committed
