--- a/poplarpitch/net/frame_socket.cpp
+++ b/poplarpitch/net/frame_socket.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t header_bytes = 4;
 constexpr std::size_t first_read_bytes = 2U << 10; // many connections carry only a status now and then
 constexpr std::size_t max_read_bytes = 64U << 10;  // for each system call, of a connection that carries more
+constexpr int kernel_buffer_bytes = 128 << 10;     // of an accepted connection, in each direction
 constexpr int tcp_user_timeout_ms = 2500;          // closes the connection when the path stops responding
 constexpr int listen_backlog = 1024;
 
@@ -286,7 +287,7 @@
 
 int frame_listener::start() {
     auto& acceptor = m_impl->acceptor;
-    if (!start_listening(acceptor, m_impl->host, m_impl->port, listen_backlog)) {
+    if (!start_listening(acceptor, m_impl->host, m_impl->port, listen_backlog, kernel_buffer_bytes)) {
         return 0;
     }
     impl::accept(m_impl);
