--- a/poplarpitch/gateway/caller_limits.cpp
+++ b/poplarpitch/gateway/caller_limits.cpp
@@ -9,8 +9,8 @@
 
 constexpr std::size_t max_header_bytes = 1U << 20;
 constexpr std::size_t max_body_bytes = 6U << 20; // fits into a frame of the link
-constexpr std::size_t bodies_in_memory =
-    12; // a quarter of the memory for long requests, three copies of each
+// A quarter of the memory is for long requests, with three copies of each.
+constexpr std::size_t bodies_in_memory = 12;
 
 std::size_t choose(std::int64_t configured, std::size_t setting, std::size_t highest) {
     return configured <= 0 ? setting : std::min(static_cast<std::size_t>(configured), highest);
--- a/poplarpitch/net/http_session.cpp
+++ b/poplarpitch/net/http_session.cpp
@@ -22,9 +22,8 @@
 constexpr std::size_t kept_buffer_bytes = 4U << 10; // a larger buffer is released after its request
 // Room of the buffer beyond a header: a header that is too long is found by the parser, not by the buffer.
 constexpr std::size_t buffer_slack_bytes = 1U << 10;
-constexpr std::size_t max_chunk_overhead =
-    8; // bytes of a message for each byte of its body: chunks of one byte
-
+// Bytes of a message for each byte of its body, in chunks of one byte.
+constexpr std::size_t max_chunk_overhead = 8;
 // Of a parsed header field beside its text. A header of many short fields takes far more memory than it has
 // bytes.
 constexpr std::size_t field_overhead_bytes = 80;
--- a/poplarpitch/net/http_session.h
+++ b/poplarpitch/net/http_session.h
@@ -40,7 +40,7 @@
     void close_for(http_refusal reason);
     /// Refuses a request or closes the connection if a time limit has passed.
     void check_timeouts();
-    /// Closes the connection unless the response to a request is being written.
+    /// Closes the connection unless a request is being handled or answered.
     void close_unless_answering();
 
 private:
