--- a/unit_tests/replica/link_acceptor_test.cpp
+++ b/unit_tests/replica/link_acceptor_test.cpp
@@ -43,7 +43,7 @@
               }) {
         EXPECT_TRUE(m_acceptor.start("127.0.0.1", m_port.get_port()));
     }
-    ~link_acceptor_test() override {
+    void TearDown() override {
         for (const auto& client : m_clients) {
             client->close();
         }
