Start with the default memory where a deployment does not tell its own

Cause: `memory_mb` was empty or still a placeholder, which was an error. Change: both count as missing; other values that are no number stay errors. Test: keeps_the_default_memory_where_the_deployment_does_not_tell_it fails without the change.

--- a/poplarpitch/net/memory_settings.h
+++ b/poplarpitch/net/memory_settings.h
@@ -7,7 +7,8 @@
 class section_reader;
 
 /// Reads `memory_mb` of a settings section, the memory that the machine allows the process, and reports
-/// errors. Returns it in bytes, or `fallback` when it is missing. Thread safety: none.
+/// errors. Returns it in bytes, or `fallback` when it is missing, empty, or a placeholder of a template that
+/// was not filled in. Thread safety: none.
 [[nodiscard]] std::size_t read_memory_limit(section_reader& reader, std::size_t fallback);
 
 /// Returns the limit of the memory that a process holds for its peers, in bytes: a quarter of its memory.
--- a/unit_tests/scheduler/settings_test.cpp
+++ b/unit_tests/scheduler/settings_test.cpp
@@ -205,6 +205,22 @@
     EXPECT_EQ(parsed.value.memory_limit, 260U << 20);
 }
 
+// A deployment that does not tell its memory must still start.
+TEST(gateway_settings, keeps_the_default_memory_where_the_deployment_does_not_tell_it) {
+    const std::string text = "[instance]\nid = g\nseeds = 10.1.0.16:1\nlink_port = 3\n"
+                             "[entry]\nlisten = 10.0.0.1:1\nready = 10.0.0.1:2\nmemory_mb = ";
+    for (const char* value : {"", "{{limits.memoryMb}}"}) {
+        const auto parsed = parse_gateway_settings(text + value + "\n");
+        EXPECT_TRUE(parsed.errors.empty()) << value;
+        EXPECT_EQ(parsed.value.memory_limit, gateway_settings::default_memory_bytes) << value;
+    }
+    for (const char* value : {"much", "0", "-5", "1e9"}) {
+        const auto parsed = parse_gateway_settings(text + value + "\n");
+        ASSERT_EQ(parsed.errors.size(), 1U) << value;
+        EXPECT_EQ(parsed.errors[0].line, 8) << value;
+    }
+}
+
 /// Returns settings whose first seven lines are the required ones, with `entry_line` as the eighth.
 std::string make_gateway_text(const std::string& entry_line) {
     return "[instance]\nid = g\nseeds = 10.1.0.16:1\nlink_port = 3\n"
