Let the test of a response that is never taken wait until its request has ended

Traced: it stopped the loop as soon as the connection was closed; the write that this aborts ends in the next handler, and only then the request no longer counts as open. The product is unchanged: a closed connection counts as an open request until the loop's next handler.

--- a/unit_tests/net/http_timeouts_test.cpp
+++ b/unit_tests/net/http_timeouts_test.cpp
@@ -79,7 +79,7 @@
     bool was_writing = false;
     std::function<void()> look = [&] {
         was_writing = was_writing || listener.get_open_requests() == 1;
-        if (was_writing && listener.get_connections() == 0) {
+        if (was_writing && listener.get_connections() == 0 && listener.get_open_requests() == 0) {
             loop.stop();
             return;
         }
