Let a process listen on a port that a connection from its address uses

Cause, by its log and by reading: since connections between instances are opened from the instance's own address, the kernel may give one of them the port on which this or another cluster's process at that address is about to listen. Change: such connections also set SO_REUSEADDR, as listeners do, so that the port can still be listened on. Not reproduced on purpose; 24 tests of clusters and links pass after it.

--- a/poplarpitch/net/frame_socket.cpp
+++ b/poplarpitch/net/frame_socket.cpp
@@ -57,6 +57,8 @@
 void bind_source(asio::ip::tcp::socket& socket, std::uint32_t ip) {
     boost::system::error_code ignored; // the peer then takes this process for a stranger
     socket.open(asio::ip::tcp::v4(), ignored);
+    // The port that the kernel chooses may be one on which a process listens later.
+    socket.set_option(asio::socket_base::reuse_address(true), ignored);
     socket.bind({asio::ip::address_v4(ip), 0}, ignored);
 }
 
