Let both forms of a crowd in the tests share one body

Refactoring of the fixture only: expect_held with one message calls the form with a message for each connection; the same expectations in the same order. Run after it: hold_partial_bodies_at_the_entry and hold_many_whole_jobs, both pass.

--- a/unit_tests/client_limits/limits_fixture.cpp
+++ b/unit_tests/client_limits/limits_fixture.cpp
@@ -43,30 +43,21 @@
 }
 
 void client_limits::expect_held(const std::string& address, int connections, const crowd_message& message) {
-    {
-        client_crowd crowd(address, connections, message);
-        expect_held_beside(crowd);
-    }
-    EXPECT_TRUE(is_caller_answered(1)) << "after the crowd";
-    expect_bounds();
+    expect_held(address, connections, [&message](int /*connection*/) { return message; });
 }
 
 void client_limits::expect_held(const std::string& address, int connections,
                                 const std::function<crowd_message(int)>& make_message) {
     {
         client_crowd crowd(address, connections, make_message);
-        expect_held_beside(crowd);
+        crowd.send_all([this] { sample(); });
+        EXPECT_TRUE(is_caller_answered(attempts_beside_crowd)) << "beside the crowd";
+        sample();
     }
     EXPECT_TRUE(is_caller_answered(1)) << "after the crowd";
     expect_bounds();
 }
 
-void client_limits::expect_held_beside(client_crowd& crowd) {
-    crowd.send_all([this] { sample(); });
-    EXPECT_TRUE(is_caller_answered(attempts_beside_crowd)) << "beside the crowd";
-    sample();
-}
-
 void client_limits::expect_bounds() const {
     EXPECT_FALSE(has_ended(m_cluster->get_gateway())) << "the entry instance has ended";
     EXPECT_FALSE(has_ended(m_cluster->get_scheduler(1))) << "the scheduler has ended";
--- a/unit_tests/client_limits/limits_fixture.h
+++ b/unit_tests/client_limits/limits_fixture.h
@@ -33,7 +33,6 @@
                      const std::function<crowd_message(int)>& make_message);
     /// Expects that both processes live and have stayed within their memory.
     void expect_bounds() const;
-    void expect_held_beside(client_crowd& crowd);
     /// Looks at the memory of both processes.
     void sample();
     /// Returns true when an ordinary caller gets the state of its job in one of `tries` requests.
